--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,15 @@
+//! The platform as this system sees it: a table, an object store, an instance list and tasks.
+//!
+//! Each is a narrow trait, handed in at construction, so that a whole entry runs over in-memory
+//! fakes under paused time as well as over HTTP. The traits promise little, since the platform
+//! has outages and loses answers: every call may fail as [`error::Error::Unavailable`] (proven to
+//! have had no effect), [`error::Error::Throttled`] (the same) or [`error::Error::Unknown`] (it may
+//! have had its effect). Callers must treat `Unknown` as neither success nor failure.
+
+pub mod error;
+pub mod fleet;
+pub mod object;
+pub mod table;
+pub mod task;
+
+pub use error::Error;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
