Add views, the HTTP front, and the operators' interface

Cause: entries need one forward-only view, a listener that stops gracefully, and a way for operators to change things.

--- /dev/null
+++ b/crates/admin/src/http/read.rs
@@ -0,0 +1,166 @@
+//! Reads, answered from the entry's own view.
+
+use super::{
+    Shared, reply,
+    router::{Filter, named, shared},
+};
+use gotham::{handler::HandlerResult, helpers::http::Body, prelude::FromState, state::State};
+use http::{HeaderMap, Response, StatusCode};
+use primroseroute_api::{Audit, Instance, Pool, Service, Status};
+use primroseroute_domain::{
+    account::Template,
+    change::{Record, Seq},
+    id,
+    outcome::{Code, Refusal},
+};
+use primroseroute_ledger::Versioned;
+use primroseroute_view::Snapshot;
+use std::collections::BTreeMap;
+
+/// Most records of one page of the audit trail.
+const MAX_PAGE: u32 = 1000;
+
+/// Records of a page where the operator names no limit.
+const PAGE: u32 = 100;
+
+pub(super) fn healthz(state: State) -> (State, Response<Body>) {
+    (state, reply::text(StatusCode::OK, "running\n"))
+}
+
+pub(super) fn readyz(state: State) -> (State, Response<Body>) {
+    let ready = Shared::borrow_from(&state).0.local.is_ready();
+    let response = if ready {
+        reply::text(StatusCode::OK, "ready\n")
+    } else {
+        reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    };
+    (state, response)
+}
+
+pub(super) fn metrics(state: State) -> (State, Response<Body>) {
+    let text = Shared::borrow_from(&state).0.local.metrics();
+    (state, reply::text(StatusCode::OK, text))
+}
+
+#[expect(clippy::unnecessary_wraps, reason = "every read has one signature")]
+pub(super) fn status(shared: &Shared, _state: &State) -> Result<Status, Refusal> {
+    let parts = &shared.0;
+    let snapshot = parts.cell.current();
+    let mut instances = BTreeMap::new();
+    for row in snapshot.instances().values() {
+        *instances.entry(row.value.state.to_string()).or_default() += 1;
+    }
+    Ok(Status {
+        entry: parts.local.name(),
+        seq: snapshot.seq(),
+        confirmed: parts.local.confirmed(),
+        entries: parts.local.entries(),
+        controller: parts.local.controller(),
+        instances,
+        pools: pools_of(&snapshot),
+    })
+}
+
+#[expect(clippy::unnecessary_wraps, reason = "every read has one signature")]
+pub(super) fn services(shared: &Shared, _state: &State) -> Result<Vec<Service>, Refusal> {
+    let snapshot = shared.0.cell.current();
+    let services = snapshot.pools().flat_map(|(account, pool)| {
+        pool.services.iter().map(|service| Service {
+            name: service.name.clone(),
+            account: account.clone(),
+            pool: pool.name.clone(),
+            hosts: service.hosts.clone(),
+            path_prefix: service.path_prefix.clone(),
+        })
+    });
+    Ok(services.collect())
+}
+
+fn pools_of(snapshot: &Snapshot) -> Vec<Pool> {
+    let pool = |(account, pool): (&id::Account, &primroseroute_domain::account::Pool)| {
+        let mut members = 0;
+        let mut serving = 0;
+        for row in snapshot.members(&pool.name) {
+            members += 1;
+            serving += u32::from(row.state.takes_requests());
+        }
+        Pool {
+            name: pool.name.clone(),
+            account: account.clone(),
+            promised: pool.budget.promised,
+            serving,
+            members,
+        }
+    };
+    snapshot.pools().map(pool).collect()
+}
+
+#[expect(clippy::unnecessary_wraps, reason = "every read has one signature")]
+pub(super) fn pools(shared: &Shared, _state: &State) -> Result<Vec<Pool>, Refusal> {
+    Ok(pools_of(&shared.0.cell.current()))
+}
+
+#[expect(clippy::unnecessary_wraps, reason = "every read has one signature")]
+pub(super) fn instances(shared: &Shared, _state: &State) -> Result<Vec<Instance>, Refusal> {
+    let snapshot = shared.0.cell.current();
+    let found = snapshot.instances().iter().map(|(name, row)| Instance {
+        row: row.clone(),
+        in_flight: shared.0.local.in_flight(name),
+    });
+    Ok(found.collect())
+}
+
+#[expect(clippy::unnecessary_wraps, reason = "every read has one signature")]
+pub(super) fn accounts(
+    shared: &Shared,
+    _state: &State,
+) -> Result<Vec<Versioned<Template>>, Refusal> {
+    Ok(shared
+        .0
+        .cell
+        .current()
+        .accounts()
+        .values()
+        .cloned()
+        .collect())
+}
+
+pub(super) fn account(shared: &Shared, state: &State) -> Result<Versioned<Template>, Refusal> {
+    let name: id::Account = named(state)?;
+    let snapshot = shared.0.cell.current();
+    let found = snapshot.accounts().get(&name).cloned();
+    found.ok_or_else(|| Refusal::new(Code::NotFound, format!("account {name}")))
+}
+
+pub(super) async fn audit(mut state: State) -> HandlerResult {
+    let shared = shared(&state);
+    let allowed = super::auth::operator(&shared, HeaderMap::borrow_from(&state));
+    let filter = Filter::take_from(&mut state);
+    let page = match allowed {
+        Ok(_operator) => records(&shared, &filter).await,
+        Err(refusal) => Err(refusal),
+    };
+    Ok((state, reply::json(page)))
+}
+
+async fn records(shared: &Shared, filter: &Filter) -> Result<Audit, Refusal> {
+    let after = Seq(filter.after.unwrap_or(0));
+    let limit = filter.limit.unwrap_or(PAGE).min(MAX_PAGE);
+    let records = shared.0.ledger.after(after, limit).await?;
+    let wanted = |record: &Record| {
+        let by = filter
+            .actor
+            .as_ref()
+            .is_none_or(|actor| record.actor.contains(actor.as_str()));
+        let on = filter.key.as_ref().is_none_or(|key| {
+            record
+                .edits
+                .iter()
+                .any(|edit| edit.key.starts_with(key.as_str()))
+        });
+        by && on
+    };
+    Ok(Audit {
+        records: records.into_iter().filter(wanted).collect(),
+    })
+}
--- /dev/null
+++ b/crates/admin/src/http/router.rs
@@ -0,0 +1,119 @@
+//! Which path does what.
+
+use super::{Shared, read, reply, write};
+use gotham::{
+    helpers::http::Body,
+    middleware::state::StateMiddleware,
+    pipeline::{single_middleware, single_pipeline},
+    prelude::{DefineSingleRoute, DrawRoutes, FromState},
+    router::{Router, builder::build_router, response::StaticResponseExtender},
+    state::{State, StateData},
+};
+use http::{HeaderMap, Response, StatusCode};
+use primroseroute_api::path;
+use primroseroute_domain::outcome::Refusal;
+use serde::{Deserialize, Serialize};
+
+/// The name in a path such as `/v1/accounts/:name`.
+#[derive(Debug, Deserialize, StateData)]
+pub(super) struct Named {
+    pub(super) name: String,
+}
+
+impl StaticResponseExtender for Named {
+    type ResBody = Body;
+
+    fn extend(_state: &mut State, response: &mut Response<Body>) {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    }
+}
+
+/// The query of `/v1/audit`.
+#[derive(Debug, Deserialize, StateData)]
+pub(super) struct Filter {
+    pub(super) after: Option<u64>,
+    pub(super) limit: Option<u32>,
+    pub(super) actor: Option<String>,
+    pub(super) key: Option<String>,
+}
+
+impl StaticResponseExtender for Filter {
+    type ResBody = Body;
+
+    fn extend(_state: &mut State, response: &mut Response<Body>) {
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+    }
+}
+
+/// A read that an operator may make.
+type Read<T> = fn(&Shared, &State) -> Result<T, Refusal>;
+
+fn reads<T: Serialize + 'static>(state: &State, read: Read<T>) -> Response<Body> {
+    let shared = Shared::borrow_from(state);
+    let headers = HeaderMap::borrow_from(state);
+    reply::json(super::auth::operator(shared, headers).and_then(|_operator| read(shared, state)))
+}
+
+macro_rules! read_route {
+    ($read:path) => {
+        |state: State| {
+            let response = reads(&state, $read);
+            (state, response)
+        }
+    };
+}
+
+pub(super) fn build(shared: Shared) -> Router {
+    let (chain, pipelines) = single_pipeline(single_middleware(StateMiddleware::new(shared)));
+    build_router(chain, pipelines, |route| {
+        route.get(path::HEALTHZ).to(read::healthz);
+        route.get(path::READYZ).to(read::readyz);
+        route.get(path::METRICS).to(read::metrics);
+        route.get(path::STATUS).to(read_route!(read::status));
+        route.get(path::SERVICES).to(read_route!(read::services));
+        route.get(path::POOLS).to(read_route!(read::pools));
+        route.get(path::INSTANCES).to(read_route!(read::instances));
+        route.get(path::ACCOUNTS).to(read_route!(read::accounts));
+        route
+            .get(&format!("{}/:name", path::ACCOUNTS))
+            .with_path_extractor::<Named>()
+            .to(read_route!(read::account));
+        route
+            .get(path::AUDIT)
+            .with_query_string_extractor::<Filter>()
+            .to_async(read::audit);
+        route.post(path::DIFF).to_async(write::diff);
+        route
+            .put(&format!("{}/:name", path::ACCOUNTS))
+            .with_path_extractor::<Named>()
+            .to_async(write::apply);
+        route
+            .post(&format!("{}/:name/drain", path::INSTANCES))
+            .with_path_extractor::<Named>()
+            .to_async(write::drain);
+        route
+            .post(&format!("{}/:name/release", path::INSTANCES))
+            .with_path_extractor::<Named>()
+            .to_async(write::release);
+    })
+}
+
+/// The name in the path, parsed as an id.
+pub(super) fn named<I>(state: &State) -> Result<I, Refusal>
+where
+    I: std::str::FromStr<Err = primroseroute_domain::id::Malformed>,
+{
+    let Named { name } = Named::borrow_from(state);
+    name.parse()
+        .map_err(|error: primroseroute_domain::id::Malformed| {
+            Refusal::new(
+                primroseroute_domain::outcome::Code::NotFound,
+                error.to_string(),
+            )
+        })
+}
+
+/// [`Shared`] of a request.
+pub(super) fn shared(state: &State) -> Shared {
+    Shared::borrow_from(state).clone()
+}
--- a/crates/domain/src/account.rs
+++ b/crates/domain/src/account.rs
@@ -185,6 +185,15 @@
                 "at least 1, or no instance of the pool could ever be maintained",
             ));
         }
+        if self.budget.max_absent > self.budget.promised {
+            faults.push(fault(
+                format!("{at}.budget.max-absent"),
+                format!(
+                    "no more than the {} instances promised",
+                    self.budget.promised
+                ),
+            ));
+        }
         for (index, service) in self.services.iter().enumerate() {
             service.check(&format!("{at}.services[{index}]"), faults);
         }
--- a/crates/domain/src/time.rs
+++ b/crates/domain/src/time.rs
@@ -4,7 +4,10 @@
 //! epochs. Instants order history for people and pace work within one process.
 
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{
+    fmt,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 /// A wall-clock instant: milliseconds since the Unix epoch.
 #[derive(
@@ -25,3 +28,22 @@
         Self(self.0.saturating_add(millis))
     }
 }
+
+/// A source of wall-clock instants, handed in so that tests can drive it.
+pub trait Clock: Send + Sync + fmt::Debug {
+    /// The instant now.
+    fn now(&self) -> Instant;
+}
+
+/// The machine's own clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Instant::default().after(since)
+    }
+}
--- /dev/null
+++ b/crates/front/src/server.rs
@@ -0,0 +1,208 @@
+//! The accept loop and the graceful stop.
+
+use eyre::{Context, Result};
+use gotham::{anyhow, handler::NewHandler, service::call_handler, state::State};
+use http::{HeaderValue, Request, header::CONNECTION};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::{GracefulShutdown, Watcher},
+};
+use std::{net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+    task::JoinHandle,
+};
+
+/// Pause after a failed accept, such as when file descriptors run out; without it the loop spins.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Bounds on connections and request heads.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Most bytes of a request's head.
+    pub head_bytes: usize,
+    /// Longest time from the first byte of a connection's turn to the end of the head.
+    pub head_timeout: Duration,
+    /// Most connections open at the same time.
+    pub connections: usize,
+}
+
+impl Default for Options {
+    /// 32 KiB of head, which holds the usual cookies and tokens; 10 s, as common servers have it;
+    /// 4,096 connections, which at about 20 KiB each stay under the 128 MB of a small entry.
+    fn default() -> Self {
+        Self {
+            head_bytes: 32 << 10,
+            head_timeout: Duration::from_secs(10),
+            connections: 4096,
+        }
+    }
+}
+
+/// How far the server is on its way to a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Open,
+    Retiring,
+    Stopping,
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    phase: watch::Sender<Phase>,
+    accepting: JoinHandle<()>,
+}
+
+impl Server {
+    /// Binds `address` and serves `handler` on it.
+    ///
+    /// # Errors
+    /// Where the address cannot be bound.
+    pub async fn bind<H>(address: SocketAddr, options: Options, handler: H) -> Result<Self>
+    where
+        H: NewHandler + 'static,
+    {
+        let listener = TcpListener::bind(address)
+            .await
+            .wrap_err_with(|| format!("binding {address} for HTTP"))?;
+        let address = listener
+            .local_addr()
+            .wrap_err("reading the bound address")?;
+        let phase = watch::Sender::new(Phase::Open);
+        let accepting = tokio::spawn(accept(
+            listener,
+            options,
+            Arc::new(handler),
+            phase.subscribe(),
+        ));
+        Ok(Self {
+            address,
+            phase,
+            accepting,
+        })
+    }
+
+    /// The bound address, with the port that was chosen where 0 was asked for.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Goes on serving, and closes each connection after its next answer.
+    ///
+    /// A keep-alive connection that is closed while idle can cut a request that its caller sends
+    /// at that moment. Closing with an answer cannot, so callers are moved away before the stop.
+    pub fn retire(&self) {
+        self.phase.send_replace(Phase::Retiring);
+    }
+
+    /// Stops accepting, waits for every request in flight, and closes every connection.
+    pub async fn stop(self) {
+        self.phase.send_replace(Phase::Stopping);
+        if let Err(error) = self.accepting.await {
+            log::error!("the accept loop ended early: {error}");
+        }
+    }
+
+    /// Closes the listener and every connection at once, as a killed process would.
+    pub fn abort(self) {
+        self.accepting.abort();
+    }
+}
+
+async fn accept<H>(
+    listener: TcpListener,
+    options: Options,
+    handler: Arc<H>,
+    mut stop: watch::Receiver<Phase>,
+) where
+    H: NewHandler + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    let room = Arc::new(Semaphore::new(options.connections));
+    // Connections live and die with this task, so that `abort` is like the loss of the process.
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let permit = tokio::select! {
+            () = stopped(&mut stop) => break,
+            Some(_) = connections.join_next() => continue,
+            permit = Arc::clone(&room).acquire_owned() => permit,
+        };
+        let (socket, caller) = tokio::select! {
+            () = stopped(&mut stop) => break,
+            accepted = listener.accept() => match accepted {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    log::warn!("accepting a connection failed: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            },
+        };
+        let connection = serve(
+            socket,
+            caller,
+            options,
+            Arc::clone(&handler),
+            stop.clone(),
+            graceful.watcher(),
+        );
+        connections.spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+    while connections.join_next().await.is_some() {}
+}
+
+async fn stopped(stop: &mut watch::Receiver<Phase>) {
+    // A dropped sender means that the server was dropped without a stop: the loop ends too.
+    let _ended = stop
+        .wait_for(|phase| *phase == Phase::Stopping)
+        .await
+        .is_err();
+}
+
+async fn serve<H>(
+    socket: TcpStream,
+    caller: SocketAddr,
+    options: Options,
+    handler: Arc<H>,
+    phase: watch::Receiver<Phase>,
+    watcher: Watcher,
+) where
+    H: NewHandler + 'static,
+{
+    // Without this a small answer waits for the caller's delayed acknowledgement, up to 40 ms.
+    if let Err(error) = socket.set_nodelay(true) {
+        log::debug!("setting TCP_NODELAY for {caller} failed: {error}");
+    }
+    let respond = service_fn(move |request: Request<Incoming>| {
+        let handler = Arc::clone(&handler);
+        let phase = phase.clone();
+        async move {
+            let state = State::from_request(request, caller);
+            let mut response = call_handler(handler, AssertUnwindSafe(state)).await?;
+            if *phase.borrow() != Phase::Open {
+                response
+                    .headers_mut()
+                    .insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            anyhow::Ok(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(options.head_timeout)
+        .max_buf_size(options.head_bytes.max(8 << 10))
+        .keep_alive(true)
+        .serve_connection(TokioIo::new(socket), respond);
+    if let Err(error) = watcher.watch(connection).await {
+        log::debug!("the connection of {caller} ended early: {error}");
+    }
+}
--- /dev/null
+++ b/crates/route/src/request.rs
@@ -0,0 +1,157 @@
+//! What a caller's request head says, checked.
+
+use http::{HeaderMap, Method, Uri, header};
+use primroseroute_domain::{
+    id,
+    outcome::{Code, Refusal},
+};
+use primroseroute_view::{Routes, Snapshot, Target};
+use sha2::{Digest, Sha256};
+use std::{sync::Arc, time::Duration};
+use subtle::ConstantTimeEq;
+
+/// Names the request in logs and answers; made up where the caller sends none.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Makes a non-idempotent request safe to send again.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// How long the caller waits, in milliseconds.
+pub const TIMEOUT_MS: &str = "request-timeout-ms";
+/// What became of the request: `completed`, `not-run` or `unknown`.
+pub const OUTCOME: &str = "x-outcome";
+
+/// Longest idempotency key in bytes: room for two UUIDs with a prefix.
+const MAX_KEY: usize = 128;
+/// Longest request id in bytes that is taken over from a caller.
+const MAX_ID: usize = 128;
+
+/// Bounds on the time a request may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Timeouts {
+    /// Where the caller names none.
+    pub default: Duration,
+    /// The most a caller may ask for; more is cut to this.
+    pub max: Duration,
+}
+
+/// A request head that may be served.
+#[derive(Clone, Debug)]
+pub(crate) struct Head {
+    pub id: Arc<str>,
+    pub account: id::Account,
+    pub target: Arc<Target>,
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub key: Option<Arc<str>>,
+    pub timeout: Duration,
+}
+
+impl Head {
+    /// Whether running the request twice is the same as running it once (RFC 9110, 9.2.2).
+    pub(crate) fn is_idempotent(&self) -> bool {
+        self.method.is_idempotent()
+    }
+
+    /// Whether the request needs a claim: it changes something and its caller named a key.
+    pub(crate) fn is_claimed(&self) -> bool {
+        self.key.is_some() && !self.method.is_safe()
+    }
+}
+
+/// The request's id: the caller's where it is short and printable, else a new one.
+pub(crate) fn request_id(headers: &HeaderMap) -> Arc<str> {
+    headers
+        .get(REQUEST_ID)
+        .and_then(|value| value.to_str().ok())
+        .filter(|text| (1..=MAX_ID).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic()))
+        .map_or_else(|| uuid::Uuid::new_v4().to_string().into(), Into::into)
+}
+
+/// Checks the head of a request against the configuration in force.
+pub(crate) fn check(
+    id: Arc<str>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    snapshot: &Snapshot,
+    timeouts: Timeouts,
+) -> Result<Head, Refusal> {
+    let routes = snapshot.routes();
+    let account = account(&headers, routes)?;
+    let host = host(&headers, &uri);
+    let target = routes
+        .find(host, uri.path())
+        .ok_or_else(|| Refusal::new(Code::UnknownService, "neither the host nor the path names a service"))?;
+    if !target.permits(&account) {
+        return Err(Refusal::new(Code::NotPermitted, format!("service {}", target.service)));
+    }
+    let target = Arc::clone(target);
+    let key = key(&headers)?;
+    let timeout = timeout(&headers, timeouts)?;
+    Ok(Head { id, account, target, method, uri, headers, key, timeout })
+}
+
+fn host<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> Option<&'a str> {
+    let authority = uri.host().or_else(|| headers.get(header::HOST)?.to_str().ok())?;
+    match authority.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => Some(name),
+        _ => Some(authority),
+    }
+}
+
+fn account(headers: &HeaderMap, routes: &Routes) -> Result<id::Account, Refusal> {
+    let refused = || Refusal::new(Code::UnknownToken, "send `Authorization: Bearer TOKEN`");
+    let value = headers.get(header::AUTHORIZATION).ok_or_else(refused)?;
+    let text = value.to_str().map_err(|_not_text| refused())?;
+    let (scheme, token) = text.split_once(' ').ok_or_else(refused)?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return Err(refused());
+    }
+    let hash = hex(&Sha256::digest(token.trim().as_bytes()));
+    // Every hash is compared in full: the time taken tells nothing about how near a guess was.
+    let mut found = None;
+    for (known, account) in routes.tokens() {
+        if bool::from(known.0.as_bytes().ct_eq(hash.as_bytes())) {
+            found = Some(account.clone());
+        }
+    }
+    found.ok_or_else(refused)
+}
+
+/// Lower-case hexadecimal digits of `bytes`.
+pub fn hex(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    bytes.iter().fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
+        write!(text, "{byte:02x}").expect("writing to a string succeeds");
+        text
+    })
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<Arc<str>>, Refusal> {
+    let mut values = headers.get_all(IDEMPOTENCY_KEY).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    let malformed = || {
+        let expected = format!("one key of 1 to {MAX_KEY} printable ASCII characters without `/`");
+        Refusal::new(Code::MalformedKey, expected)
+    };
+    if values.next().is_some() {
+        return Err(malformed());
+    }
+    let text = value.to_str().map_err(|_not_text| malformed())?;
+    // Some clients send the key as a quoted string (RFC 8941); the quotes are not part of it.
+    let text = text.strip_prefix('"').and_then(|t| t.strip_suffix('"')).unwrap_or(text);
+    let valid = |b: u8| b.is_ascii_graphic() && b != b'/' && b != b'"';
+    if (1..=MAX_KEY).contains(&text.len()) && text.bytes().all(valid) {
+        Ok(Some(text.into()))
+    } else {
+        Err(malformed())
+    }
+}
+
+fn timeout(headers: &HeaderMap, timeouts: Timeouts) -> Result<Duration, Refusal> {
+    let Some(value) = headers.get(TIMEOUT_MS) else { return Ok(timeouts.default) };
+    let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok()).filter(|&ms| ms > 0);
+    let millis = millis
+        .ok_or_else(|| Refusal::new(Code::MalformedTimeout, "a whole number of milliseconds"))?;
+    Ok(Duration::from_millis(millis).min(timeouts.max))
+}
--- /dev/null
+++ b/crates/view/src/snapshot.rs
@@ -0,0 +1,197 @@
+//! The immutable state after one change.
+
+use crate::route::Routes;
+use primroseroute_domain::{
+    account::{Pool, Template},
+    change::{Edit, Record, Seq},
+    id,
+    instance::Row,
+};
+use primroseroute_ledger::{Versioned, key};
+use serde::de::DeserializeOwned;
+use std::{collections::BTreeMap, sync::Arc};
+
+/// Why a record could not be applied.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Apply {
+    /// Records between the snapshot and this one are missing.
+    #[error("the view is at {have} and the record is {got}")]
+    Gap {
+        /// The snapshot's place.
+        have: Seq,
+        /// The record's place.
+        got: Seq,
+    },
+    /// A row of the record does not hold what its key promises.
+    #[error("row `{key}` cannot be read: {detail}")]
+    Corrupt {
+        /// The row's key.
+        key: Arc<str>,
+        /// What is wrong with it.
+        detail: String,
+    },
+}
+
+/// Configuration and fleet after one change.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    seq: Seq,
+    accounts: BTreeMap<id::Account, Versioned<Template>>,
+    instances: BTreeMap<id::Instance, Versioned<Row>>,
+    rows: BTreeMap<Arc<str>, Arc<str>>,
+    routes: Arc<Routes>,
+}
+
+impl Snapshot {
+    /// Builds the snapshot at `seq` from rows as key and JSON.
+    ///
+    /// # Errors
+    /// [`Apply::Corrupt`] where a row cannot be read.
+    pub fn from_rows(
+        seq: Seq,
+        rows: impl IntoIterator<Item = (Arc<str>, Arc<str>)>,
+    ) -> Result<Self, Apply> {
+        let mut next = Self {
+            seq,
+            ..Self::default()
+        };
+        for (key, json) in rows {
+            next.set(&key, Some(&json))?;
+        }
+        next.index();
+        Ok(next)
+    }
+
+    /// The snapshot after `record`; records at or before this snapshot change nothing.
+    ///
+    /// # Errors
+    /// [`Apply::Gap`] where records in between are missing, [`Apply::Corrupt`] where a row cannot
+    /// be read.
+    pub fn apply(&self, record: &Record) -> Result<Self, Apply> {
+        if record.seq <= self.seq {
+            return Ok(self.clone());
+        }
+        if record.seq != self.seq.next() {
+            return Err(Apply::Gap {
+                have: self.seq,
+                got: record.seq,
+            });
+        }
+        let mut next = self.clone();
+        next.seq = record.seq;
+        for Edit { key, after, .. } in &record.edits {
+            next.set(key, after.as_ref())?;
+        }
+        if record
+            .edits
+            .iter()
+            .any(|edit| edit.key.starts_with(key::ACCOUNTS))
+        {
+            next.index();
+        }
+        Ok(next)
+    }
+
+    fn index(&mut self) {
+        let templates = self.accounts.values().map(|row| &row.value);
+        self.routes = Arc::new(Routes::build(templates));
+    }
+
+    fn set(&mut self, key: &Arc<str>, json: Option<&Arc<str>>) -> Result<(), Apply> {
+        if let Some(name) = key.strip_prefix(key::ACCOUNTS) {
+            set_typed(&mut self.accounts, key, name, json)?;
+        } else if let Some(name) = key.strip_prefix(key::INSTANCES) {
+            set_typed(&mut self.instances, key, name, json)?;
+        }
+        match json {
+            Some(json) => self.rows.insert(Arc::clone(key), Arc::clone(json)),
+            None => self.rows.remove(key),
+        };
+        Ok(())
+    }
+
+    /// Its place in the order of changes.
+    pub fn seq(&self) -> Seq {
+        self.seq
+    }
+
+    /// Templates by account, with their versions.
+    pub fn accounts(&self) -> &BTreeMap<id::Account, Versioned<Template>> {
+        &self.accounts
+    }
+
+    /// Instance rows by name, with their versions.
+    pub fn instances(&self) -> &BTreeMap<id::Instance, Versioned<Row>> {
+        &self.instances
+    }
+
+    /// Every row as key and JSON, for a peer that is too far behind for records.
+    pub fn rows(&self) -> &BTreeMap<Arc<str>, Arc<str>> {
+        &self.rows
+    }
+
+    /// How callers name services.
+    pub fn routes(&self) -> &Routes {
+        &self.routes
+    }
+
+    /// Every pool with the account that owns it.
+    pub fn pools(&self) -> impl Iterator<Item = (&id::Account, &Pool)> {
+        self.accounts
+            .iter()
+            .flat_map(|(account, row)| row.value.pools.iter().map(move |pool| (account, pool)))
+    }
+
+    /// Rows of the instances whose pool is `pool`.
+    pub fn members<'a>(&'a self, pool: &'a id::Pool) -> impl Iterator<Item = &'a Row> {
+        self.instances
+            .values()
+            .map(|row| &row.value)
+            .filter(|row| row.pool.as_ref() == Some(pool))
+    }
+
+    /// Rows under `prefix`, read as `T`; for waves and jobs, which only some roles need.
+    ///
+    /// # Errors
+    /// [`Apply::Corrupt`] where a row cannot be read as `T`.
+    pub fn under<T: DeserializeOwned>(&self, prefix: &str) -> Result<Vec<Versioned<T>>, Apply> {
+        self.rows
+            .range::<str, _>((
+                std::ops::Bound::Included(prefix),
+                std::ops::Bound::Unbounded,
+            ))
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(key, json)| decode(key, json))
+            .collect()
+    }
+}
+
+fn decode<T: DeserializeOwned>(key: &Arc<str>, json: &str) -> Result<T, Apply> {
+    serde_json::from_str(json).map_err(|error| Apply::Corrupt {
+        key: Arc::clone(key),
+        detail: error.to_string(),
+    })
+}
+
+fn set_typed<I, T>(
+    map: &mut BTreeMap<I, Versioned<T>>,
+    key: &Arc<str>,
+    name: &str,
+    json: Option<&Arc<str>>,
+) -> Result<(), Apply>
+where
+    I: std::str::FromStr<Err = id::Malformed> + Ord,
+    T: DeserializeOwned,
+{
+    let name = name
+        .parse()
+        .map_err(|error: id::Malformed| Apply::Corrupt {
+            key: Arc::clone(key),
+            detail: error.to_string(),
+        })?;
+    match json {
+        Some(json) => map.insert(name, decode(key, json)?),
+        None => map.remove(&name),
+    };
+    Ok(())
+}
