Decide the way of a request through one pool

The shell needs an interface to write against. flow::pool::Pool takes arrivals, endings, views and peers' reports and gives Send and Refuse actions: bounded fair queues, deadline-aware refusal, whole-slot rights at each worker, budgeted retries, ejection with half-open return, drain from the sync on.

Lending of slots between entries is not there yet: report() carries no demand and peers() changes nothing. The types of both are final.

--- /dev/null
+++ b/crates/flow/src/pool/finish.rs
@@ -0,0 +1,146 @@
+//! The end of an attempt: what the worker's record learns, and whether there is another attempt.
+
+use super::{Phase, Pool, Request};
+use crate::{
+    health::Sample,
+    request::{Action, Ending},
+    retry, worker,
+};
+use primroseroute_domain::outcome::Code;
+use std::time::Duration;
+
+impl Pool {
+    /// Takes the end of an attempt in, or the caller's cancellation of a request in any phase.
+    ///
+    /// A request that the pool has refused meanwhile is unknown to it, which changes nothing.
+    pub fn finish(&mut self, now: Duration, number: u64, ending: Ending) -> Vec<Action> {
+        if let Some(request) = self.requests.remove(&number) {
+            self.end(now, number, request, ending);
+        }
+        self.settle(now)
+    }
+
+    fn end(&mut self, now: Duration, number: u64, request: Request, ending: Ending) {
+        match request.phase {
+            Phase::Sent { worker, at } => {
+                self.release(worker);
+                self.learn(now, &request, worker, at, ending);
+                self.conclude(now, number, request, worker, ending);
+            }
+            Phase::Waiting { until } => {
+                self.timers.remove(&(until, number));
+                self.queue
+                    .remove(&request.account, &request.service, request.class, number);
+            }
+            Phase::BackingOff { until } => {
+                self.timers.remove(&(until, number));
+            }
+        }
+    }
+
+    fn release(&mut self, worker: worker::Index) {
+        self.workers.change(worker, |worker| worker.in_flight -= 1);
+    }
+
+    /// Takes the ending into the service times and the worker's record.
+    fn learn(
+        &mut self,
+        now: Duration,
+        request: &Request,
+        worker: worker::Index,
+        at: Duration,
+        ending: Ending,
+    ) {
+        let sample = match ending {
+            Ending::Answered {
+                latency,
+                failure: false,
+            } => {
+                self.times.add(&request.service, latency);
+                Sample::Good(latency)
+            }
+            Ending::Late if !self.was_patient(request, at) => return,
+            Ending::Cancelled => return,
+            _ => Sample::Bad,
+        };
+        let norm = self.norm;
+        self.norm.ratio.add(sample == Sample::Bad);
+        if let Sample::Good(latency) = sample {
+            self.norm.latency.add(latency);
+        }
+        let limits = &self.limits;
+        let change = |worker: &mut worker::Worker| worker.health.add(sample, &norm, limits);
+        let is_failing = self.workers.change(worker, change);
+        if is_failing == Some(true) {
+            self.eject(now, worker);
+        }
+    }
+
+    /// Whether an attempt that was late had time enough.
+    ///
+    /// A caller that sets deadlines too short for any worker would otherwise have one worker after
+    /// the other ejected.
+    fn was_patient(&self, request: &Request, at: Duration) -> bool {
+        let given = request.deadline.saturating_sub(at).as_secs_f64();
+        given > self.limits.slow * self.times.service(&request.service)
+    }
+
+    /// Ejects a worker, unless too many are out already.
+    fn eject(&mut self, now: Duration, index: worker::Index) {
+        let totals = self.workers.totals();
+        let is_out = self
+            .workers
+            .get(index)
+            .is_some_and(worker::Worker::is_ejected);
+        let out = totals.ejected as f64 + 1.0;
+        if !is_out && out > self.limits.ejected * totals.serving as f64 {
+            return;
+        }
+        let limits = &self.limits;
+        let until = self
+            .workers
+            .change(index, |worker| worker.health.eject(now, limits));
+        self.shut.extend(until.map(|until| (until, index)));
+    }
+
+    /// Ends the request, or sets it up for another attempt.
+    fn conclude(
+        &mut self,
+        now: Duration,
+        number: u64,
+        mut request: Request,
+        worker: worker::Index,
+        ending: Ending,
+    ) {
+        let code = match ending {
+            Ending::Answered { .. } | Ending::Cancelled => return,
+            Ending::NotSent => Code::ConnectFailed,
+            Ending::Lost => Code::AnswerLost,
+            Ending::Late => Code::AnswerTimeout,
+        };
+        let Some(until) = self.next_attempt(now, &request, ending) else {
+            self.refuse(number, code);
+            return;
+        };
+        request.tried.push(worker);
+        request.phase = Phase::BackingOff { until };
+        self.requests.insert(number, request);
+        self.timers.insert((until, number));
+    }
+
+    /// When the next attempt is, if there is one.
+    fn next_attempt(
+        &mut self,
+        now: Duration,
+        request: &Request,
+        ending: Ending,
+    ) -> Option<Duration> {
+        if !retry::is_safe(ending, request.idempotent) || request.attempt >= self.limits.attempts {
+            return None;
+        }
+        let until = now + retry::backoff(&self.limits, request.attempt, &mut self.random);
+        let service = self.times.service(&request.service);
+        let end = until + Duration::from_secs_f64(service);
+        (end < request.deadline && self.budget.withdraw()).then_some(until)
+    }
+}
--- /dev/null
+++ b/crates/flow/src/pool/mod.rs
@@ -0,0 +1,136 @@
+//! One pool at one entry: requests in, actions out.
+//!
+//! A request is *waiting* in the fair queue, *sent* to a worker, or *backing off* before a retry.
+//! Every call first does what is due, then sends whatever the free slots allow, and returns the
+//! actions in the order in which they were decided. A request that is given up on is refused at
+//! once and forgotten.
+
+mod admit;
+mod dispatch;
+mod finish;
+mod sync;
+
+use crate::{
+    estimate::Times, fair, health::Norm, limits::Limits, report::Report, request::Action, retry,
+    view::View, worker,
+};
+use primroseroute_domain::{account::Class, id};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+/// A request that the pool has taken in.
+#[derive(Clone, Debug)]
+struct Request {
+    account: id::Account,
+    service: id::Service,
+    class: Class,
+    deadline: Duration,
+    idempotent: bool,
+    attempt: u32,
+    tried: Vec<worker::Index>,
+    phase: Phase,
+}
+
+/// Where a request is.
+#[derive(Clone, Copy, Debug)]
+enum Phase {
+    /// In the fair queue, until it could no longer meet its deadline.
+    Waiting { until: Duration },
+    /// At a worker.
+    Sent { worker: worker::Index, at: Duration },
+    /// Before a retry.
+    BackingOff { until: Duration },
+}
+
+/// The decisions for one pool at one entry.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    entry: id::Entry,
+    incarnation: u64,
+    limits: Limits,
+    random: ChaCha8Rng,
+    view: View,
+    requests: BTreeMap<u64, Request>,
+    queue: fair::Queue,
+    workers: worker::Set,
+    times: Times,
+    budget: retry::Budget,
+    norm: Norm,
+    /// When waiting requests expire and backed-off ones go on, by time and request.
+    timers: BTreeSet<(Duration, u64)>,
+    /// When ejected workers get a probe.
+    shut: BTreeSet<(Duration, worker::Index)>,
+    seq: u64,
+    actions: Vec<Action>,
+}
+
+impl Pool {
+    /// A pool without workers, at `entry`; a restarted entry has another `incarnation`.
+    pub fn new(entry: id::Entry, incarnation: u64, limits: Limits, seed: u64) -> Self {
+        Self {
+            entry,
+            incarnation,
+            budget: retry::Budget::new(&limits),
+            limits,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            view: View::default(),
+            requests: BTreeMap::new(),
+            queue: fair::Queue::default(),
+            workers: worker::Set::default(),
+            times: Times::default(),
+            norm: Norm::default(),
+            timers: BTreeSet::new(),
+            shut: BTreeSet::new(),
+            seq: 0,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Requests that this entry has in flight at an instance: zero acknowledges its drain.
+    pub fn in_flight(&self, instance: &id::Instance) -> u32 {
+        let worker = self
+            .workers
+            .find(instance)
+            .and_then(|index| self.workers.get(index));
+        worker.map_or(0, |worker| worker.in_flight)
+    }
+
+    /// Requests that wait for a slot, at this entry.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// When [`Pool::tick`] is next due, as time since the start; none while nothing is timed.
+    pub fn next_tick(&self) -> Option<Duration> {
+        let request = self.timers.first().map(|&(at, _)| at);
+        let worker = self.shut.first().map(|&(at, _)| at);
+        request.into_iter().chain(worker).min()
+    }
+
+    /// Does what is due: refuses what can no longer be met, retries, lets probes in.
+    pub fn tick(&mut self, now: Duration) -> Vec<Action> {
+        self.settle(now)
+    }
+
+    /// Takes the reports of other entries in; older ones than are known change nothing.
+    pub fn peers(&mut self, now: Duration, _reports: &[Report]) -> Vec<Action> {
+        self.settle(now)
+    }
+
+    /// The report for the other entries; each call makes a new one.
+    pub fn report(&mut self, _now: Duration) -> Report {
+        self.seq += 1;
+        Report {
+            entry: self.entry.clone(),
+            incarnation: self.incarnation,
+            seq: self.seq,
+            demand: BTreeMap::new(),
+            lent: BTreeMap::new(),
+            seen: BTreeMap::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/src/pool/sync.rs
@@ -0,0 +1,74 @@
+//! A new view: workers and entries come and go.
+
+use super::{Phase, Pool};
+use crate::{request::Action, rights, view::View};
+use primroseroute_domain::{id, outcome::Code};
+use std::time::Duration;
+
+impl Pool {
+    /// Takes a new view in; what has left `Serving` gets nothing new from here on.
+    ///
+    /// What is in flight there goes on. Where no serving instance is left, every waiting request is
+    /// refused at once.
+    pub fn sync(&mut self, now: Duration, view: &View) -> Vec<Action> {
+        self.view = view.clone();
+        self.drop_absent();
+        for (id, member) in &view.members {
+            let index = self.workers.put(id, member.clone());
+            let rights = self.rights(id);
+            self.workers.change(index, |worker| worker.rights = rights);
+        }
+        let weights = view
+            .shares
+            .iter()
+            .map(|(account, share)| (account.clone(), f64::from(*share)));
+        self.queue.set_weights(weights.collect());
+        if self.workers.totals().serving == 0 {
+            self.refuse_all();
+        }
+        self.settle(now)
+    }
+
+    fn drop_absent(&mut self) {
+        let is_absent = |id: &&id::Instance| !self.view.members.contains_key(*id);
+        let known = self.workers.iter().map(|worker| &worker.id);
+        let absent: Vec<_> = known.filter(is_absent).cloned().collect();
+        for index in absent
+            .iter()
+            .filter_map(|id| self.workers.find(id))
+            .collect::<Vec<_>>()
+        {
+            self.workers
+                .change(index, |worker| worker.is_member = false);
+        }
+    }
+
+    fn rights(&self, instance: &id::Instance) -> u32 {
+        let own = self
+            .view
+            .entries
+            .iter()
+            .position(|entry| *entry == self.entry);
+        let owners = rights::owners(instance, &self.view.entries);
+        let owned = owners.iter().filter(|owner| Some(**owner) == own).count();
+        u32::try_from(owned).unwrap_or(u32::MAX)
+    }
+
+    fn refuse_all(&mut self) {
+        let is_sent = |phase| matches!(phase, Phase::Sent { .. });
+        let requests = self.requests.iter();
+        let idle = requests.filter(|(_, request)| !is_sent(request.phase));
+        let numbers: Vec<_> = idle.map(|(number, _)| *number).collect();
+        for number in numbers {
+            let Some(request) = self.requests.remove(&number) else {
+                continue;
+            };
+            self.queue
+                .remove(&request.account, &request.service, request.class, number);
+            if let Phase::Waiting { until } | Phase::BackingOff { until } = request.phase {
+                self.timers.remove(&(until, number));
+            }
+            self.refuse(number, Code::NoInstance);
+        }
+    }
+}
--- /dev/null
+++ b/crates/flow/tests/all/basics.rs
@@ -0,0 +1,89 @@
+//! The way of a request through the pool, case by case.
+
+use crate::bed::{arrival, bad, good, ms, pool, refused, sent, view, worker};
+use primroseroute_domain::instance::State;
+use primroseroute_flow::{limits::Limits, request::Ending};
+
+#[test]
+fn a_request_is_sent_and_its_answer_frees_the_slot() {
+    let mut pool = pool(1, 8, Limits::default());
+    let first = sent(&pool.arrive(ms(0), arrival(1, ms(1_000))));
+    assert_eq!(first, [(1, worker(0))]);
+    assert!(sent(&pool.arrive(ms(1), arrival(2, ms(1_000)))).is_empty());
+    assert_eq!(pool.in_flight(&worker(0)), 1);
+    let second = sent(&pool.finish(ms(5), 1, good(5)));
+    assert_eq!(second, [(2, worker(0))]);
+}
+
+#[test]
+fn without_a_serving_instance_requests_are_refused_at_once() {
+    let mut pool = pool(1, 8, Limits::default());
+    pool.arrive(ms(0), arrival(1, ms(1_000)));
+    pool.arrive(ms(0), arrival(2, ms(1_000)));
+    let mut draining = view(1, 8);
+    draining
+        .members
+        .get_mut(&worker(0))
+        .expect("a member")
+        .state = State::Draining;
+    assert_eq!(refused(&pool.sync(ms(1), &draining)), [(2, 203)]);
+    assert_eq!(
+        refused(&pool.arrive(ms(2), arrival(3, ms(1_000)))),
+        [(3, 203)]
+    );
+    assert_eq!(pool.in_flight(&worker(0)), 1);
+    assert!(pool.finish(ms(3), 1, good(3)).is_empty());
+    assert_eq!(pool.in_flight(&worker(0)), 0);
+}
+
+#[test]
+fn a_full_queue_refuses() {
+    let mut pool = pool(
+        1,
+        8,
+        Limits {
+            queue: 1,
+            ..Limits::default()
+        },
+    );
+    pool.arrive(ms(0), arrival(1, ms(1_000)));
+    pool.arrive(ms(0), arrival(2, ms(1_000)));
+    assert_eq!(
+        refused(&pool.arrive(ms(0), arrival(3, ms(1_000)))),
+        [(3, 201)]
+    );
+}
+
+#[test]
+fn a_waiting_request_is_refused_when_its_deadline_cannot_be_met() {
+    let mut pool = pool(1, 8, Limits::default());
+    pool.arrive(ms(0), arrival(1, ms(1_000)));
+    pool.finish(ms(100), 1, good(100));
+    pool.arrive(ms(100), arrival(2, ms(1_000)));
+    pool.arrive(ms(100), arrival(3, ms(300)));
+    assert_eq!(pool.next_tick(), Some(ms(200)));
+    assert_eq!(refused(&pool.tick(ms(200))), [(3, 202)]);
+}
+
+#[test]
+fn a_lost_answer_is_retried_only_where_the_request_is_idempotent() {
+    let mut pool = pool(8, 8, Limits::default());
+    pool.arrive(ms(0), arrival(1, ms(1_000)));
+    assert_eq!(refused(&pool.finish(ms(1), 1, Ending::Lost)), [(1, 302)]);
+    let mut idempotent = arrival(2, ms(1_000));
+    idempotent.idempotent = true;
+    let first = sent(&pool.arrive(ms(2), idempotent));
+    assert!(pool.finish(ms(3), 2, Ending::Lost).is_empty());
+    let due = pool.next_tick().expect("a back-off");
+    let second = sent(&pool.tick(due));
+    assert_eq!(second.len(), 1);
+    assert_ne!(first[0].1, second[0].1);
+}
+
+#[test]
+fn a_failed_answer_is_the_answer() {
+    let mut pool = pool(8, 8, Limits::default());
+    pool.arrive(ms(0), arrival(1, ms(1_000)));
+    assert!(pool.finish(ms(1), 1, bad()).is_empty());
+    assert_eq!(pool.next_tick(), None);
+}
--- /dev/null
+++ b/crates/flow/tests/all/bed.rs
@@ -0,0 +1,103 @@
+//! What the tests share: names, views, arrivals.
+
+use primroseroute_domain::{account::Class, id, instance::State};
+use primroseroute_flow::{
+    limits::Limits,
+    pool::Pool,
+    request::{Action, Arrival, Ending},
+    view::{Member, View},
+};
+use std::{fmt::Debug, str::FromStr, time::Duration};
+
+/// Names each case of one check.
+#[macro_export]
+macro_rules! cases {
+    ($check:ident: $($name:ident($($argument:expr),*);)+) => {
+        $(#[test]
+        fn $name() {
+            $check($($argument),*);
+        })+
+    };
+}
+
+pub fn name<T: FromStr<Err: Debug>>(text: &str) -> T {
+    text.parse().expect("test names are valid")
+}
+
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// `workers` serving instances, four to a rack, racks in turn over three zones.
+pub fn view(workers: usize, entries: usize) -> View {
+    let member = |at: usize| Member {
+        state: State::Serving,
+        zone: name(&format!("zone-{}", at / 4 % 3)),
+        rack: name(&format!("rack-{}", at / 4)),
+    };
+    View {
+        members: (0..workers).map(|at| (worker(at), member(at))).collect(),
+        entries: (0..entries).map(entry).collect(),
+        ..View::default()
+    }
+}
+
+pub fn worker(at: usize) -> id::Instance {
+    name(&format!("w{at}"))
+}
+
+pub fn entry(at: usize) -> id::Entry {
+    name(&format!("e{at}"))
+}
+
+/// A pool at the first of `entries` entries.
+pub fn pool(workers: usize, entries: usize, limits: Limits) -> Pool {
+    let mut pool = Pool::new(entry(0), 1, limits, 7);
+    pool.sync(Duration::ZERO, &view(workers, entries));
+    pool
+}
+
+pub fn arrival(request: u64, deadline: Duration) -> Arrival {
+    Arrival {
+        request,
+        account: name("gojo"),
+        service: name("stay"),
+        class: Class::Urgent,
+        deadline,
+        idempotent: false,
+    }
+}
+
+pub fn good(millis: u64) -> Ending {
+    Ending::Answered {
+        latency: ms(millis),
+        failure: false,
+    }
+}
+
+pub fn bad() -> Ending {
+    Ending::Answered {
+        latency: ms(0),
+        failure: true,
+    }
+}
+
+/// Where each `Send` goes, in order.
+pub fn sent(actions: &[Action]) -> Vec<(u64, id::Instance)> {
+    let send = |action: &Action| match action {
+        Action::Send {
+            request, instance, ..
+        } => Some((*request, instance.clone())),
+        Action::Refuse { .. } => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+/// Each refusal's request and number, in order.
+pub fn refused(actions: &[Action]) -> Vec<(u64, u16)> {
+    let refuse = |action: &Action| match action {
+        Action::Refuse { request, code, .. } => Some((*request, code.number())),
+        Action::Send { .. } => None,
+    };
+    actions.iter().filter_map(refuse).collect()
+}
--- /dev/null
+++ b/crates/flow/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the request path's decisions.
+
+mod basics;
+mod bed;
