Claim a key before its request is sent

Cause: a non-idempotent request must run at most once through retries at other entries, crashes, pauses and lost commit answers.

--- /dev/null
+++ b/crates/claims/src/answer.rs
@@ -0,0 +1,80 @@
+//! The first answer to a claimed request, as it is kept for repeats.
+
+use crate::request::hex;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// Bytes inside a JSON row: text as it is, anything else as hexadecimal digits.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Blob(pub Bytes);
+
+impl From<Blob> for String {
+    fn from(blob: Blob) -> Self {
+        match std::str::from_utf8(&blob.0) {
+            Ok(text) => format!("t{text}"),
+            Err(_) => format!("x{}", hex(&blob.0)),
+        }
+    }
+}
+
+impl TryFrom<String> for Blob {
+    type Error = &'static str;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        if let Some(plain) = text.strip_prefix('t') {
+            return Ok(Self(Bytes::copy_from_slice(plain.as_bytes())));
+        }
+        let digits = text
+            .strip_prefix('x')
+            .ok_or("neither text nor hexadecimal")?;
+        unhex(digits)
+            .map(|bytes| Self(bytes.into()))
+            .ok_or("odd or wrong hexadecimal digits")
+    }
+}
+
+fn unhex(digits: &str) -> Option<Vec<u8>> {
+    let nibbles: Option<Vec<u32>> = digits.chars().map(|c| c.to_digit(16)).collect();
+    let nibbles = nibbles?;
+    let byte = |pair: &[u32]| match *pair {
+        [high, low] => u8::try_from(high * 16 + low).ok(),
+        _ => None,
+    };
+    nibbles.chunks(2).map(byte).collect()
+}
+
+/// One header of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Header {
+    /// Its name in lower case.
+    pub name: Arc<str>,
+    /// Its value.
+    pub value: Blob,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers, in the order that they came.
+    pub headers: Vec<Header>,
+    /// The whole body.
+    pub body: Blob,
+}
+
+impl Answer {
+    /// Bytes of headers and body, which the limit on kept answers counts.
+    pub fn size(&self) -> usize {
+        let headers: usize = self
+            .headers
+            .iter()
+            .map(|h| h.name.len() + h.value.0.len())
+            .sum();
+        headers + self.body.0.len()
+    }
+}
--- /dev/null
+++ b/crates/claims/src/request.rs
@@ -0,0 +1,110 @@
+//! What is claimed: an account's idempotency key, and the fingerprint of the request under it.
+
+use primroseroute_domain::id;
+use primroseroute_ledger::key::CLAIMS;
+use primroseroute_platform::table;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::{fmt, sync::Arc};
+
+/// Longest idempotency key in bytes: a UUID has 36, and header limits stay far above this.
+pub const MAX_KEY: usize = 255;
+
+/// A caller's idempotency key: 1 to [`MAX_KEY`] visible ASCII characters.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key(Arc<str>);
+
+/// Why a string is not an idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("an idempotency key has 1 to {MAX_KEY} visible ASCII characters")]
+pub struct Malformed;
+
+impl Key {
+    /// Checks `text` as a key.
+    ///
+    /// # Errors
+    /// [`Malformed`] where it is empty, too long or has other characters.
+    pub fn parse(text: &str) -> Result<Self, Malformed> {
+        let visible = text.bytes().all(|b| b.is_ascii_graphic());
+        if text.is_empty() || text.len() > MAX_KEY || !visible {
+            return Err(Malformed);
+        }
+        Ok(Self(text.into()))
+    }
+}
+
+impl fmt::Debug for Key {
+    /// Hides the key: whoever knows it and the account's token can read the first answer.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Key({} bytes)", self.0.len())
+    }
+}
+
+/// SHA-256 of a request, which tells a repeat from another request under the same key.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint(Arc<str>);
+
+impl Fingerprint {
+    /// The fingerprint of a request whose whole body is at hand.
+    pub fn of(method: &str, service: &id::Service, path: &str, body: &[u8]) -> Self {
+        Self::with_digest(method, service, path, &Sha256::digest(body).into())
+    }
+
+    /// The fingerprint of a request whose body was hashed with SHA-256 as it streamed in.
+    pub fn with_digest(method: &str, service: &id::Service, path: &str, body: &[u8; 32]) -> Self {
+        let fields = [
+            method.as_bytes(),
+            service.as_str().as_bytes(),
+            path.as_bytes(),
+            body,
+        ];
+        Self(digest(&fields).into())
+    }
+}
+
+/// A request that wants to run at most once.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The account that sends it; keys of two accounts never meet.
+    pub account: id::Account,
+    /// The caller's idempotency key.
+    pub key: Key,
+    /// What the request is.
+    pub fingerprint: Fingerprint,
+    /// Whether the caller says that it has sent this key before.
+    ///
+    /// It changes nothing while the store answers. While the store is down it keeps the answer
+    /// truthful: an earlier attempt may have run, so the answer is unknown and not `not-run`.
+    pub repeat: bool,
+}
+
+impl Request {
+    /// Key of the claim's row: `claim/<shard>/<hash>`.
+    ///
+    /// The hash hides the idempotency key from readers of the table. Its first digit is the shard,
+    /// so that rows spread evenly over 16 prefixes and a sweep walks one prefix at a time.
+    pub(crate) fn row(&self) -> table::Key {
+        let hash = digest(&[self.account.as_str().as_bytes(), self.key.0.as_bytes()]);
+        format!("{CLAIMS}{}/{hash}", &hash[..1]).into()
+    }
+}
+
+/// SHA-256 over `fields`, each after its length, so that no two lists of fields read the same.
+fn digest(fields: &[&[u8]]) -> String {
+    let mut hash = Sha256::new();
+    for field in fields {
+        hash.update((field.len() as u64).to_be_bytes());
+        hash.update(field);
+    }
+    hex(&hash.finalize())
+}
+
+pub(crate) fn hex(bytes: &[u8]) -> String {
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    bytes
+        .iter()
+        .flat_map(|b| [b >> 4, b & 15])
+        .map(|digit| char::from(DIGITS[usize::from(digit)]))
+        .collect()
+}
