--- a/crates/route/src/backend/answer.rs
+++ b/crates/route/src/backend/answer.rs
@@ -15,6 +15,7 @@
     pin::Pin,
     task::{Context, Poll},
 };
+use tokio::time::{Instant, timeout_at};
 
 /// An answer as far as it was read.
 pub(crate) enum Answer {
@@ -29,14 +30,18 @@
     response: Response<Body>,
     buffer: usize,
     to_head: bool,
+    not_after: Instant,
 ) -> Result<Answer, Failure> {
     let (parts, mut body) = response.into_parts();
     if !is_framed(parts.status, &parts.headers, to_head) {
-        return Err(Failure::Lost("the answer has no length, so its end cannot be told".to_owned()));
+        return Err(Failure::Invalid(
+            "it has no length, so its end cannot be told".to_owned(),
+        ));
     }
     let mut start = BytesMut::new();
     while start.len() < buffer {
-        match body.frame().await {
+        let frame = timeout_at(not_after, body.frame()).await;
+        match frame.map_err(|_elapsed| Failure::Late)? {
             None => return Ok(Answer::Whole(parts, start.freeze())),
             Some(Err(error)) => return Err(Failure::Lost(error.to_string())),
             Some(Ok(frame)) => {
@@ -51,7 +56,8 @@
 
 /// Whether the end of the answer can be told from a connection that breaks off.
 fn is_framed(status: StatusCode, headers: &HeaderMap, to_head: bool) -> bool {
-    let bodiless = to_head || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
+    let bodiless =
+        to_head || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
     bodiless
         || headers.contains_key(header::CONTENT_LENGTH)
         || headers.contains_key(header::TRANSFER_ENCODING)
@@ -65,7 +71,10 @@
 
 impl Resumed {
     pub(crate) fn boxed(start: Bytes, rest: Body) -> Body {
-        Body::new(Self { start: Some(start).filter(|start| !start.is_empty()), rest })
+        Body::new(Self {
+            start: Some(start).filter(|start| !start.is_empty()),
+            rest,
+        })
     }
 }
 
--- a/crates/route/src/backend/idle.rs
+++ b/crates/route/src/backend/idle.rs
@@ -38,7 +38,9 @@
         let mut idle = self.idle.lock();
         let kept = idle.get_mut(&to)?;
         let usable = |found: &Idle| found.sender.is_ready() && found.since.elapsed() < MAX_IDLE;
-        std::iter::from_fn(|| kept.pop()).find(usable).map(|found| found.sender)
+        std::iter::from_fn(|| kept.pop())
+            .find(usable)
+            .map(|found| found.sender)
     }
 
     /// Keeps a connection whose last answer was read to its end.
@@ -46,7 +48,10 @@
         let mut idle = self.idle.lock();
         let kept = idle.entry(to).or_default();
         if kept.len() < MAX_KEPT {
-            kept.push(Idle { sender, since: Instant::now() });
+            kept.push(Idle {
+                sender,
+                since: Instant::now(),
+            });
         }
     }
 
--- a/crates/route/src/backend/mod.rs
+++ b/crates/route/src/backend/mod.rs
@@ -11,6 +11,7 @@
 use async_trait::async_trait;
 use http::{Request, Response};
 use std::{fmt, net::SocketAddr};
+use tokio::time::Instant;
 
 pub(crate) use answer::{Answer, Resumed, collect};
 pub use pool::Pool;
@@ -24,22 +25,33 @@
     /// Proven: no byte of the request was sent.
     #[error("not sent: {0}")]
     NotSent(String),
-    /// The request may have been executed.
+    /// The connection broke after the first byte: the request may have been executed.
     #[error("answer lost: {0}")]
     Lost(String),
+    /// The answer did not come in time: the request may have been executed.
+    #[error("no answer in time")]
+    Late,
+    /// The answer cannot be told whole from broken: the request may have been executed.
+    #[error("answer invalid: {0}")]
+    Invalid(String),
 }
 
 /// The backend servers as the request path sees them.
 #[async_trait]
 pub trait Backend: Send + Sync + fmt::Debug {
-    /// Sends one request and returns the head of the answer with its body to come.
+    /// Sends one request and returns the head of the answer, if it comes by `not_after`.
     ///
     /// Dropping the future or the answer's body early closes the connection, so that what arrives
     /// late can never be taken for the answer to another request (I3).
     ///
     /// # Errors
     /// [`Failure`], by what it proves.
-    async fn send(&self, to: SocketAddr, request: Request<Body>) -> Result<Response<Body>, Failure>;
+    async fn send(
+        &self,
+        to: SocketAddr,
+        request: Request<Body>,
+        not_after: Instant,
+    ) -> Result<Response<Body>, Failure>;
 
     /// Closes connections that have been idle too long.
     fn sweep(&self);
--- a/crates/route/src/backend/pool.rs
+++ b/crates/route/src/backend/pool.rs
@@ -18,7 +18,10 @@
     task::{Context, Poll},
     time::Duration,
 };
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    net::TcpStream,
+    time::{Instant, timeout_at},
+};
 
 /// Longest time to open a connection. One-way latency is about 1 ms within a region and tens of
 /// milliseconds between regions; a second also covers one lost SYN, which is sent again after 1 s.
@@ -36,17 +39,23 @@
         Self::default()
     }
 
-    async fn connect(&self, to: SocketAddr) -> Result<SendRequest<Body>, Failure> {
+    async fn connect(
+        &self,
+        to: SocketAddr,
+        not_after: Instant,
+    ) -> Result<SendRequest<Body>, Failure> {
+        let give_up = not_after.min(Instant::now() + CONNECT_TIMEOUT);
         let not_sent = |error: &dyn std::fmt::Display| Failure::NotSent(format!("{to}: {error}"));
-        let socket = match timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await {
+        let socket = match timeout_at(give_up, TcpStream::connect(to)).await {
             Ok(Ok(socket)) => socket,
             Ok(Err(error)) => return Err(not_sent(&error)),
             Err(elapsed) => return Err(not_sent(&elapsed)),
         };
         // Without this the end of a small request waits for the worker's delayed acknowledgement.
         socket.set_nodelay(true).map_err(|error| not_sent(&error))?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(socket)).await.map_err(|error| not_sent(&error))?;
+        let (sender, connection) = http1::handshake(TokioIo::new(socket))
+            .await
+            .map_err(|error| not_sent(&error))?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to {to} ended early: {error}");
@@ -56,33 +65,57 @@
     }
 }
 
+/// How one try on one connection ended.
+enum Tried {
+    Answered(Response<Incoming>),
+    /// The connection was closed before a byte of the request was written; here it is again.
+    Unsent(Request<Body>, String),
+    Failed(Failure),
+}
+
+async fn try_send(
+    sender: &mut SendRequest<Body>,
+    request: Request<Body>,
+    to: SocketAddr,
+    not_after: Instant,
+) -> Tried {
+    match timeout_at(not_after, sender.try_send_request(request)).await {
+        Ok(Ok(response)) => Tried::Answered(response),
+        Err(_elapsed) => Tried::Failed(Failure::Late),
+        Ok(Err(mut failed)) => {
+            let unsent = failed.take_message();
+            let error = format!("{to}: {}", failed.into_error());
+            unsent.map_or_else(
+                || Tried::Failed(Failure::Lost(error.clone())),
+                |request| Tried::Unsent(request, error.clone()),
+            )
+        }
+    }
+}
+
 #[async_trait]
 impl Backend for Pool {
     async fn send(
         &self,
         to: SocketAddr,
         mut request: Request<Body>,
+        not_after: Instant,
     ) -> Result<Response<Body>, Failure> {
         // A kept connection may have been closed by the worker meanwhile. hyper hands the request
         // back where it wrote no byte of it, which proves that trying the next one is safe; the
         // last try is a new connection.
         while let Some(mut sender) = self.shelf.take(to) {
-            match sender.try_send_request(request).await {
-                Ok(response) => return Ok(self.lease(to, sender, response)),
-                Err(mut failed) => match failed.take_message() {
-                    Some(unsent) => request = unsent,
-                    None => return Err(Failure::Lost(format!("{to}: {}", failed.into_error()))),
-                },
+            match try_send(&mut sender, request, to, not_after).await {
+                Tried::Answered(response) => return Ok(self.lease(to, sender, response)),
+                Tried::Unsent(unsent, _error) => request = unsent,
+                Tried::Failed(failure) => return Err(failure),
             }
         }
-        let mut sender = self.connect(to).await?;
-        match sender.try_send_request(request).await {
-            Ok(response) => Ok(self.lease(to, sender, response)),
-            Err(mut failed) => {
-                let unsent = failed.take_message().is_some();
-                let error = format!("{to}: {}", failed.into_error());
-                Err(if unsent { Failure::NotSent(error) } else { Failure::Lost(error) })
-            }
+        let mut sender = self.connect(to, not_after).await?;
+        match try_send(&mut sender, request, to, not_after).await {
+            Tried::Answered(response) => Ok(self.lease(to, sender, response)),
+            Tried::Unsent(_unsent, error) => Err(Failure::NotSent(error)),
+            Tried::Failed(failure) => Err(failure),
         }
     }
 
@@ -98,8 +131,17 @@
         sender: SendRequest<Body>,
         response: Response<Incoming>,
     ) -> Response<Body> {
-        let home = Home { shelf: Arc::clone(&self.shelf), to, sender };
-        response.map(|incoming| Body::new(Leased { incoming, home: Some(home) }))
+        let home = Home {
+            shelf: Arc::clone(&self.shelf),
+            to,
+            sender,
+        };
+        response.map(|incoming| {
+            Body::new(Leased {
+                incoming,
+                home: Some(home),
+            })
+        })
     }
 }
 
--- a/crates/route/src/problem.rs
+++ b/crates/route/src/problem.rs
@@ -39,7 +39,11 @@
 ///
 /// # Panics
 /// Never: every value of the head is made of ASCII.
-pub fn answer(refusal: &Refusal, request_id: &str, retry_after: Option<Duration>) -> Response<Body> {
+pub fn answer(
+    refusal: &Refusal,
+    request_id: &str,
+    retry_after: Option<Duration>,
+) -> Response<Body> {
     let code = refusal.code;
     let problem = Problem {
         r#type: format!("urn:primroseroute:result:{}", code.number()),
@@ -52,7 +56,8 @@
     };
     let json = serde_json::to_vec(&problem).expect("a problem serializes");
     let mut response = Response::new(full(json));
-    *response.status_mut() = StatusCode::from_u16(code.status()).expect("codes have valid statuses");
+    *response.status_mut() =
+        StatusCode::from_u16(code.status()).expect("codes have valid statuses");
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
     headers.insert(OUTCOME, HeaderValue::from_static(code.verdict().as_str()));
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -14,6 +14,8 @@
 pub const REQUEST_ID: &str = "x-request-id";
 /// Makes a non-idempotent request safe to send again.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Says that the caller has sent the idempotency key before; see the caller contract.
+pub const REPEAT: &str = "idempotency-repeat";
 /// How long the caller waits, in milliseconds.
 pub const TIMEOUT_MS: &str = "request-timeout-ms";
 /// What became of the request: `completed`, `not-run` or `unknown`.
@@ -63,7 +65,9 @@
     headers
         .get(REQUEST_ID)
         .and_then(|value| value.to_str().ok())
-        .filter(|text| (1..=MAX_ID).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic()))
+        .filter(|text| {
+            (1..=MAX_ID).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic())
+        })
         .map_or_else(|| uuid::Uuid::new_v4().to_string().into(), Into::into)
 }
 
@@ -79,20 +83,37 @@
     let routes = snapshot.routes();
     let account = account(&headers, routes)?;
     let host = host(&headers, &uri);
-    let target = routes
-        .find(host, uri.path())
-        .ok_or_else(|| Refusal::new(Code::UnknownService, "neither the host nor the path names a service"))?;
+    let target = routes.find(host, uri.path()).ok_or_else(|| {
+        Refusal::new(
+            Code::UnknownService,
+            "neither the host nor the path names a service",
+        )
+    })?;
     if !target.permits(&account) {
-        return Err(Refusal::new(Code::NotPermitted, format!("service {}", target.service)));
+        return Err(Refusal::new(
+            Code::NotPermitted,
+            format!("service {}", target.service),
+        ));
     }
     let target = Arc::clone(target);
     let key = key(&headers)?;
     let timeout = timeout(&headers, timeouts)?;
-    Ok(Head { id, account, target, method, uri, headers, key, timeout })
+    Ok(Head {
+        id,
+        account,
+        target,
+        method,
+        uri,
+        headers,
+        key,
+        timeout,
+    })
 }
 
 fn host<'a>(headers: &'a HeaderMap, uri: &'a Uri) -> Option<&'a str> {
-    let authority = uri.host().or_else(|| headers.get(header::HOST)?.to_str().ok())?;
+    let authority = uri
+        .host()
+        .or_else(|| headers.get(header::HOST)?.to_str().ok())?;
     match authority.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => Some(name),
         _ => Some(authority),
@@ -121,15 +142,19 @@
 /// Lower-case hexadecimal digits of `bytes`.
 pub fn hex(bytes: &[u8]) -> String {
     use std::fmt::Write;
-    bytes.iter().fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
-        write!(text, "{byte:02x}").expect("writing to a string succeeds");
-        text
-    })
+    bytes
+        .iter()
+        .fold(String::with_capacity(bytes.len() * 2), |mut text, byte| {
+            write!(text, "{byte:02x}").expect("writing to a string succeeds");
+            text
+        })
 }
 
 fn key(headers: &HeaderMap) -> Result<Option<Arc<str>>, Refusal> {
     let mut values = headers.get_all(IDEMPOTENCY_KEY).iter();
-    let Some(value) = values.next() else { return Ok(None) };
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
     let malformed = || {
         let expected = format!("one key of 1 to {MAX_KEY} printable ASCII characters without `/`");
         Refusal::new(Code::MalformedKey, expected)
@@ -139,7 +164,10 @@
     }
     let text = value.to_str().map_err(|_not_text| malformed())?;
     // Some clients send the key as a quoted string (RFC 8941); the quotes are not part of it.
-    let text = text.strip_prefix('"').and_then(|t| t.strip_suffix('"')).unwrap_or(text);
+    let text = text
+        .strip_prefix('"')
+        .and_then(|t| t.strip_suffix('"'))
+        .unwrap_or(text);
     let valid = |b: u8| b.is_ascii_graphic() && b != b'/' && b != b'"';
     if (1..=MAX_KEY).contains(&text.len()) && text.bytes().all(valid) {
         Ok(Some(text.into()))
@@ -149,8 +177,14 @@
 }
 
 fn timeout(headers: &HeaderMap, timeouts: Timeouts) -> Result<Duration, Refusal> {
-    let Some(value) = headers.get(TIMEOUT_MS) else { return Ok(timeouts.default) };
-    let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok()).filter(|&ms| ms > 0);
+    let Some(value) = headers.get(TIMEOUT_MS) else {
+        return Ok(timeouts.default);
+    };
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse::<u64>().ok())
+        .filter(|&ms| ms > 0);
     let millis = millis
         .ok_or_else(|| Refusal::new(Code::MalformedTimeout, "a whole number of milliseconds"))?;
     Ok(Duration::from_millis(millis).min(timeouts.max))
