Add stand-ins for the platform and for backend servers

Change: standin::platform::Platform implements table, object store, instance list and tasks in memory.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,12 @@
-//! Placeholder.
+//! Stand-ins for what surrounds the system: the platform and the backend servers.
+//!
+//! Tests, benchmarks and the demo run whole entries against these in one process.
+//!
+//! * [`platform::Platform`] implements every trait of `primroseroute-platform` in memory, with
+//!   faults that are set while it runs. It reads no clock but tokio's, so it works under paused
+//!   time, and takes all randomness from one seed.
+//! * [`backend::Backend`] is an HTTP/1 backend server on loopback that counts what it executed,
+//!   by idempotency key, and misbehaves on demand.
+
+pub mod backend;
+pub mod platform;
--- /dev/null
+++ b/crates/standin/src/platform/table.rs
@@ -0,0 +1,138 @@
+//! The transactional table.
+
+use super::{
+    Platform,
+    gate::{Cost, Done},
+    tally::Kind,
+};
+use async_trait::async_trait;
+use bytes::Bytes;
+use primroseroute_platform::{
+    error::Error,
+    table::{Commit, Condition, Key, Page, Revision, Row, Scan, Table, Txn, Write},
+};
+use std::{collections::BTreeMap, ops::Bound};
+
+#[derive(Debug, Default)]
+pub(super) struct Rows {
+    newest: Revision,
+    rows: BTreeMap<Key, (Bytes, Revision)>,
+}
+
+fn weigh(key: &Key, value: &Bytes) -> u64 {
+    (key.len() + value.len()) as u64
+}
+
+impl Rows {
+    fn row(&self, key: &Key) -> Option<Row> {
+        let (value, revision) = self.rows.get(key)?;
+        Some(Row {
+            key: Key::clone(key),
+            value: value.clone(),
+            revision: *revision,
+        })
+    }
+
+    fn scan(&self, scan: &Scan) -> Page {
+        let from = match &scan.after {
+            Some(after) if after.as_ref() >= scan.prefix.as_ref() => Bound::Excluded(after),
+            _ => Bound::Included(&scan.prefix),
+        };
+        let mut found = self
+            .rows
+            .range::<Key, _>((from, Bound::Unbounded))
+            .take_while(|(key, _)| key.starts_with(scan.prefix.as_ref()))
+            .map(|(key, (value, revision))| Row {
+                key: Key::clone(key),
+                value: value.clone(),
+                revision: *revision,
+            });
+        let rows = found.by_ref().take(scan.limit as usize).collect();
+        let more = found.next().is_some();
+        Page { rows, more }
+    }
+
+    fn holds(&self, condition: &Condition) -> bool {
+        match condition {
+            Condition::Absent(key) => !self.rows.contains_key(key),
+            Condition::At(key, revision) => {
+                self.rows.get(key).is_some_and(|(_, at)| at == revision)
+            }
+        }
+    }
+
+    fn commit(&mut self, txn: Txn) -> Commit {
+        if let Some(failed) = txn.conditions.iter().find(|c| !self.holds(c)) {
+            let (Condition::Absent(key) | Condition::At(key, _)) = failed;
+            return Commit::Conflict(Key::clone(key));
+        }
+        let revision = Revision(self.newest.0 + 1);
+        self.newest = revision;
+        for write in txn.writes {
+            match write {
+                Write::Put(key, value) => {
+                    self.rows.insert(key, (value, revision));
+                }
+                Write::Delete(key) => {
+                    self.rows.remove(&key);
+                }
+            }
+        }
+        Commit::Committed(revision)
+    }
+}
+
+fn bytes_of(txn: &Txn) -> u64 {
+    let each = txn.writes.iter().map(|write| match write {
+        Write::Put(key, value) => weigh(key, value),
+        Write::Delete(key) => key.len() as u64,
+    });
+    each.sum()
+}
+
+#[async_trait]
+impl Table for Platform {
+    async fn read(&self, key: &Key) -> Result<Option<Row>, Error> {
+        let key = Key::clone(key);
+        self.call(Kind::Read, Cost::Reads, move |shared| {
+            let row = shared.rows.lock().row(&key);
+            Ok(Done {
+                rows: u64::from(row.is_some()),
+                bytes: row.as_ref().map_or(0, |row| weigh(&row.key, &row.value)),
+                answer: row,
+            })
+        })
+        .await
+    }
+
+    async fn scan(&self, scan: Scan) -> Result<Page, Error> {
+        self.call(Kind::Scan, Cost::Reads, move |shared| {
+            let page = shared.rows.lock().scan(&scan);
+            Ok(Done {
+                rows: page.rows.len() as u64,
+                bytes: page
+                    .rows
+                    .iter()
+                    .map(|row| weigh(&row.key, &row.value))
+                    .sum(),
+                answer: page,
+            })
+        })
+        .await
+    }
+
+    async fn commit(&self, txn: Txn) -> Result<Commit, Error> {
+        let rows = txn.writes.len() as u64;
+        let bytes = bytes_of(&txn);
+        self.call(Kind::Commit, Cost::Writes(rows.max(1)), move |shared| {
+            let answer = shared.rows.lock().commit(txn);
+            let wrote = matches!(answer, Commit::Committed(_));
+            Ok(Done {
+                answer,
+                rows: if wrote { rows } else { 0 },
+                bytes: if wrote { bytes } else { 0 },
+            })
+        })
+        .await
+    }
+}
