Serve a request through either of two entries, and drain a worker

Cause: the parts had never run together. Change: entry (view, gates, peers, operators' interface, graceful stop), typed clients, a test bed of real entries before stand-ins, and the thin path's tests.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -115,8 +115,8 @@
     pub name: id::Entry,
     /// The newest change in force there.
     pub seq: Seq,
-    /// How long ago it was last heard; zero for the answering entry itself.
-    pub heard: Duration,
+    /// How long ago it was last heard; none if never since it was registered.
+    pub heard: Option<Duration>,
 }
 
 /// How the system stands, as one entry sees it.
--- /dev/null
+++ b/crates/client/src/admin.rs
@@ -0,0 +1,228 @@
+//! The operators' client.
+
+use crate::http1::{self, Failure, Http};
+use http::{Method, Request, header};
+use http_body_util::Full;
+use primroseroute_api::{
+    Accepted, Apply, Audit, Diff, Instance, Order, Pool, Problem, Service, Status, path,
+};
+use primroseroute_domain::{
+    account::Template,
+    change::Seq,
+    id,
+    outcome::{Code, Verdict},
+};
+use primroseroute_ledger::Versioned;
+use serde::{Serialize, de::DeserializeOwned};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+/// Longest wait for an answer. A change waits for the store and its settled races.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// Why an order or a read failed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The entry refused it, with a numbered code.
+    #[error("{}: {}", .0.code, .0.detail)]
+    Refused(Problem),
+    /// No entry answered; nothing was sent.
+    #[error("{0}")]
+    Unreachable(String),
+    /// The answer was lost; an order may have been carried out.
+    #[error("{0}")]
+    Lost(String),
+}
+
+impl Error {
+    /// What may be concluded of an order that failed like this.
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            Self::Refused(problem) => problem.outcome,
+            Self::Unreachable(_) => Verdict::NotRun,
+            Self::Lost(_) => Verdict::Unknown,
+        }
+    }
+
+    /// The numbered code of a refusal.
+    pub fn code(&self) -> Option<Code> {
+        match self {
+            Self::Refused(problem) => Some(problem.code),
+            Self::Unreachable(_) | Self::Lost(_) => None,
+        }
+    }
+}
+
+impl From<Failure> for Error {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Connect(text) => Self::Unreachable(text),
+            Failure::Lost(text) => Self::Lost(text),
+        }
+    }
+}
+
+/// The operators' interface of one entry.
+#[derive(Clone, Debug)]
+pub struct Admin {
+    http: Http,
+    address: SocketAddr,
+    token: Arc<str>,
+}
+
+impl Admin {
+    /// A client of the admin address `address` with an operator's `token`.
+    pub fn open(address: SocketAddr, token: impl Into<Arc<str>>) -> Self {
+        Self {
+            http: http1::open(),
+            address,
+            token: token.into(),
+        }
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Result<T, Error> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
+            .body(Full::new(body.into()))
+            .map_err(|error| Error::Unreachable(error.to_string()))?;
+        let response = http1::exchange(&self.http, request, LIMIT).await?;
+        let unread = |error: serde_json::Error| Error::Lost(format!("unreadable answer: {error}"));
+        if response.status().is_success() {
+            serde_json::from_slice(response.body()).map_err(unread)
+        } else {
+            let problem = serde_json::from_slice(response.body()).map_err(unread)?;
+            Err(Error::Refused(problem))
+        }
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        self.call(Method::GET, path, Vec::new()).await
+    }
+
+    async fn send<B: Serialize, T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &B,
+    ) -> Result<T, Error> {
+        let json = serde_json::to_vec(body).expect("interface types serialize");
+        self.call(method, path, json).await
+    }
+
+    /// Applies a template.
+    ///
+    /// # Errors
+    /// [`Error`]; the entry's refusals among them.
+    pub async fn apply(&self, order: &Apply) -> Result<Accepted, Error> {
+        let path = format!("{}/{}", path::ACCOUNTS, order.template.account);
+        self.send(Method::PUT, &path, order).await
+    }
+
+    /// What a template would change.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn diff(&self, template: &Template) -> Result<Diff, Error> {
+        self.send(Method::POST, path::DIFF, template).await
+    }
+
+    /// All templates.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn accounts(&self) -> Result<Vec<Versioned<Template>>, Error> {
+        self.get(path::ACCOUNTS).await
+    }
+
+    /// One template.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn account(&self, name: &id::Account) -> Result<Versioned<Template>, Error> {
+        self.get(&format!("{}/{name}", path::ACCOUNTS)).await
+    }
+
+    /// All services.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn services(&self) -> Result<Vec<Service>, Error> {
+        self.get(path::SERVICES).await
+    }
+
+    /// All pools.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn pools(&self) -> Result<Vec<Pool>, Error> {
+        self.get(path::POOLS).await
+    }
+
+    /// All instances.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn instances(&self) -> Result<Vec<Instance>, Error> {
+        self.get(path::INSTANCES).await
+    }
+
+    /// Takes an instance out of service.
+    ///
+    /// # Errors
+    /// [`Error`]; the entry's refusals among them.
+    pub async fn drain(&self, name: &id::Instance, order: &Order) -> Result<Accepted, Error> {
+        self.send(
+            Method::POST,
+            &format!("{}/{name}/drain", path::INSTANCES),
+            order,
+        )
+        .await
+    }
+
+    /// Puts an instance back into service.
+    ///
+    /// # Errors
+    /// [`Error`]; the entry's refusals among them.
+    pub async fn release(&self, name: &id::Instance, order: &Order) -> Result<Accepted, Error> {
+        self.send(
+            Method::POST,
+            &format!("{}/{name}/release", path::INSTANCES),
+            order,
+        )
+        .await
+    }
+
+    /// How the system stands.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn status(&self) -> Result<Status, Error> {
+        self.get(path::STATUS).await
+    }
+
+    /// Changes after `after`, at most `limit`, by actor and key prefix where these are given.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn audit(
+        &self,
+        after: Seq,
+        limit: u32,
+        actor: Option<&str>,
+        key: Option<&str>,
+    ) -> Result<Audit, Error> {
+        let mut path = format!("{}?after={after}&limit={limit}", path::AUDIT);
+        for (name, value) in [("actor", actor), ("key", key)] {
+            if let Some(value) = value {
+                path = format!("{path}&{name}={value}");
+            }
+        }
+        self.get(&path).await
+    }
+}
--- /dev/null
+++ b/crates/entry/src/core.rs
@@ -0,0 +1,191 @@
+//! What the tasks of one entry share.
+//!
+//! Lock order: none of the locks here is held while another is taken.
+
+use parking_lot::Mutex;
+use primroseroute_api::Entry as EntryStatus;
+use primroseroute_domain::{change::Seq, id, instance::State};
+use primroseroute_ledger::Ledger;
+use primroseroute_peer::{
+    Link,
+    membership::{self, Peer, Registration},
+    report::{Drain, Identity, Load, Report, Sighting},
+};
+use primroseroute_route::Gates;
+use primroseroute_view::Cell;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{sync::Notify, time::Instant};
+
+/// The shared state of one entry.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub identity: Identity,
+    pub ledger: Ledger,
+    pub cell: Arc<Cell>,
+    pub gates: Arc<Gates>,
+    pub limits: membership::Limits,
+    pub link: OnceLock<Arc<dyn Link>>,
+    /// Wakes the spreading task when the set of live entries may have changed.
+    pub roster_changed: Notify,
+    pub registered: Mutex<BTreeMap<id::Entry, Registration>>,
+    pub stopping: AtomicBool,
+    confirmed: Mutex<Option<Instant>>,
+    reports: AtomicU64,
+    started: Instant,
+}
+
+impl Core {
+    pub(crate) fn new(
+        identity: Identity,
+        ledger: Ledger,
+        gates: Arc<Gates>,
+        limits: membership::Limits,
+    ) -> Self {
+        Self {
+            identity,
+            ledger,
+            cell: Arc::default(),
+            gates,
+            limits,
+            link: OnceLock::new(),
+            roster_changed: Notify::new(),
+            registered: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            confirmed: Mutex::default(),
+            reports: AtomicU64::new(0),
+            started: Instant::now(),
+        }
+    }
+
+    pub(crate) fn uptime(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Notes that the store has just confirmed the view as the newest.
+    pub(crate) fn confirm(&self) {
+        *self.confirmed.lock() = Some(Instant::now());
+    }
+
+    pub(crate) fn confirmed(&self) -> Option<Duration> {
+        self.confirmed.lock().map(|at| at.elapsed())
+    }
+
+    pub(crate) fn sightings(&self) -> Vec<Sighting> {
+        self.link
+            .get()
+            .map(|link| link.sightings())
+            .unwrap_or_default()
+    }
+
+    /// Registered entries that report, this one among them; they divide each worker's slots.
+    ///
+    /// Peers that report but are not yet in the rows read last count too: without them a new entry
+    /// would use slots that the others believe to be theirs.
+    pub(crate) fn live(&self) -> BTreeSet<id::Entry> {
+        let sightings = self.sightings();
+        let heard = sightings
+            .iter()
+            .filter(|seen| seen.age < self.limits.silent_after);
+        let peers = heard.map(|seen| seen.report.from.entry.clone());
+        peers.chain([self.identity.entry.clone()]).collect()
+    }
+
+    /// How the view stands, from the store and the peers.
+    pub(crate) fn footing(&self) -> membership::Footing {
+        let live = self.sightings();
+        let live: Vec<Peer> = live
+            .iter()
+            .filter(|seen| seen.age < self.limits.silent_after)
+            .map(|seen| Peer {
+                entry: seen.report.from.entry.clone(),
+                seq: seen.report.seq,
+            })
+            .collect();
+        membership::footing(
+            self.cell.current().seq(),
+            self.confirmed(),
+            &live,
+            &self.limits,
+        )
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.stopping.load(Ordering::Relaxed) && self.footing().serves()
+    }
+
+    /// The report for the peers.
+    pub(crate) fn report(&self) -> Report {
+        let number = self.reports.fetch_add(1, Ordering::Relaxed);
+        let snapshot = self.cell.current();
+        let in_force = self.gates.in_force();
+        let acknowledges = self.footing().acknowledges();
+        let mut loads = BTreeMap::new();
+        let mut drains = BTreeMap::new();
+        for (name, row) in snapshot.instances() {
+            let in_flight = self.gates.in_flight(name);
+            let count = u16::try_from(in_flight).unwrap_or(u16::MAX);
+            let load = Load {
+                in_flight: count,
+                demand: count,
+            };
+            if !load.is_zero() {
+                loads.insert(name.clone(), load);
+            }
+            // A drain counts as in force only once the gates have it: before that, a request could
+            // still be sent after the acknowledgement.
+            let drained = row.value.state != State::Serving && row.version <= in_force;
+            if drained && acknowledges {
+                drains.insert(
+                    name.clone(),
+                    Drain {
+                        seq: row.version,
+                        in_flight,
+                    },
+                );
+            }
+        }
+        Report {
+            number,
+            seq: snapshot.seq(),
+            confirmed: self.confirmed(),
+            loads,
+            drains,
+            ..Report::new(self.identity.clone())
+        }
+    }
+
+    /// Every registered entry with what is known of it.
+    pub(crate) fn entries(&self) -> Vec<EntryStatus> {
+        let sightings = self.sightings();
+        let seen = |name: &id::Entry| sightings.iter().find(|s| s.report.from.entry == *name);
+        let registered = self.registered.lock().clone();
+        let mut entries: Vec<EntryStatus> = registered
+            .iter()
+            .filter(|(name, _)| **name != self.identity.entry)
+            .map(|(name, row)| EntryStatus {
+                name: name.clone(),
+                seq: seen(name).map_or(row.acked, |s| s.report.seq.max(row.acked)),
+                heard: seen(name).map(|s| s.age),
+            })
+            .collect();
+        entries.push(EntryStatus {
+            name: self.identity.entry.clone(),
+            seq: self.in_force(),
+            heard: Some(Duration::ZERO),
+        });
+        entries.sort_by(|a, b| a.name.cmp(&b.name));
+        entries
+    }
+
+    /// The newest change that the gates have in force.
+    pub(crate) fn in_force(&self) -> Seq {
+        self.gates.in_force()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/entry.rs
@@ -0,0 +1,166 @@
+//! The running entry.
+
+use crate::{
+    core::Core,
+    follow::{self, Follow},
+    local::Operators,
+    parts::{Listen, Parts},
+    spread,
+};
+use eyre::{Context, Result};
+use primroseroute_admin::{Admin, Parts as AdminParts};
+use primroseroute_claims::{Claims, Options};
+use primroseroute_domain::change::Seq;
+use primroseroute_ledger::Ledger;
+use primroseroute_peer::Local;
+use primroseroute_route::{Front, Gates, Parts as PathParts, Path, backend::Backend};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+use tokio::{task::JoinHandle, time::sleep};
+
+/// How often idle connections to backend servers are looked through.
+const SWEEP: Duration = Duration::from_secs(5);
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Entry {
+    core: Arc<Core>,
+    front: Front,
+    admin: Admin,
+    tasks: Vec<JoinHandle<()>>,
+    grace: Duration,
+}
+
+impl Entry {
+    /// Starts an entry; it is ready once it has a view.
+    ///
+    /// # Errors
+    /// Where an address cannot be bound or the peer link cannot be opened.
+    ///
+    /// # Panics
+    /// Outside a tokio runtime.
+    pub async fn spawn(parts: Parts) -> Result<Self> {
+        let seed = u64::from_le_bytes(std::array::from_fn(|i| parts.seed[i]));
+        let ledger = Ledger::open(Arc::clone(&parts.table));
+        let name = parts.identity.entry.clone();
+        let incarnation = parts.identity.incarnation.as_u64_pair().0;
+        let gates = Arc::new(Gates::open(name, incarnation, parts.flow, seed));
+        let core = Arc::new(Core::new(parts.identity, ledger, gates, parts.membership));
+        let link = parts
+            .dial
+            .dial(core.identity.clone(), Arc::clone(&core) as Arc<dyn Local>)
+            .wrap_err("opening the peer link")?;
+        core.link.set(link).expect("the link is set once");
+
+        let claims = Claims::spawn(
+            parts.table,
+            Arc::clone(&parts.clock),
+            Options::default(),
+            parts.seed,
+        );
+        let path = Arc::new(Path::open(PathParts {
+            cell: Arc::clone(&core.cell),
+            gates: Arc::clone(&core.gates),
+            backend: Arc::clone(&parts.backend),
+            claims,
+            observer: parts.observer,
+            options: parts.path,
+        }));
+        let front = Front::bind(parts.listen.callers, parts.front, path).await?;
+        let admin = AdminParts {
+            local: Arc::new(Operators(Arc::clone(&core))),
+            ledger: core.ledger.clone(),
+            cell: Arc::clone(&core.cell),
+            clock: Arc::clone(&parts.clock),
+            tokens: parts.operators,
+        };
+        let admin = Admin::bind(parts.listen.admin, parts.front, admin).await?;
+        let follow = Follow {
+            core: Arc::clone(&core),
+            clock: parts.clock,
+            listen: Listen {
+                admin: admin.address(),
+                callers: front.address(),
+                ..parts.listen
+            },
+            zone: parts.zone,
+            region: parts.region,
+            poll: parts.timers.poll,
+            roster: parts.timers.roster,
+            seed,
+        };
+        let tasks = vec![
+            tokio::spawn(spread::run(Arc::clone(&core))),
+            tokio::spawn(follow.run()),
+            tokio::spawn(sweep(parts.backend)),
+        ];
+        Ok(Self {
+            core,
+            front,
+            admin,
+            tasks,
+            grace: parts.timers.grace,
+        })
+    }
+
+    /// Where callers are served.
+    pub fn callers(&self) -> SocketAddr {
+        self.front.address()
+    }
+
+    /// Where operators are served.
+    pub fn admin(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// The newest change in force at the gates.
+    pub fn in_force(&self) -> Seq {
+        self.core.in_force()
+    }
+
+    /// Whether the balancer should send callers here.
+    pub fn is_ready(&self) -> bool {
+        self.core.is_ready()
+    }
+
+    /// Stops gracefully: no request in flight is cut, no outcome left unwritten.
+    ///
+    /// Readiness goes first and the listener stays open for the grace time, because a balancer goes
+    /// on sending until its next check; a listener that closed at once would refuse those callers.
+    pub async fn stop(self) {
+        self.core.stopping.store(true, Ordering::Relaxed);
+        self.front.retire();
+        sleep(self.grace).await;
+        self.front.stop().await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        follow::deregister(&self.core).await;
+        if let Some(link) = self.core.link.get() {
+            link.close().await;
+        }
+        self.admin.stop().await;
+    }
+
+    /// Ends at once, as a killed process would: nothing is finished, nothing is said to anyone.
+    pub async fn abort(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.front.abort();
+        self.admin.abort();
+        if let Some(link) = self.core.link.get() {
+            link.close().await;
+        }
+    }
+}
+
+async fn sweep(backend: Arc<dyn Backend>) {
+    loop {
+        sleep(SWEEP).await;
+        backend.sweep();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/local.rs
@@ -0,0 +1,94 @@
+//! What the peer link and the operators' interface ask of the entry.
+
+use crate::core::Core;
+use primroseroute_admin::Local as AdminLocal;
+use primroseroute_api::Entry as EntryStatus;
+use primroseroute_domain::{
+    change::{Record, Seq},
+    id,
+};
+use primroseroute_peer::{Local as PeerLocal, Row, Snapshot as Rows, report::Report};
+use primroseroute_view::Snapshot;
+use std::{sync::Arc, time::Duration};
+
+impl PeerLocal for Core {
+    fn seq(&self) -> Seq {
+        self.cell.current().seq()
+    }
+
+    fn records_after(&self, seq: Seq) -> Option<Vec<Record>> {
+        self.cell.records_after(seq)
+    }
+
+    fn snapshot(&self) -> Rows {
+        let snapshot = self.cell.current();
+        let row = |(key, json): (&Arc<str>, &Arc<str>)| Row {
+            key: Arc::clone(key),
+            json: Arc::clone(json),
+        };
+        Rows {
+            seq: snapshot.seq(),
+            rows: snapshot.rows().iter().map(row).collect(),
+        }
+    }
+
+    fn accept(&self, records: Vec<Record>) -> Seq {
+        if let Err(error) = self.cell.apply(&records) {
+            log::warn!("records from a peer were not applied: {error}");
+        }
+        self.cell.current().seq()
+    }
+
+    fn accept_snapshot(&self, snapshot: Rows) -> Seq {
+        let pairs = snapshot.rows.into_iter().map(|row| (row.key, row.json));
+        match Snapshot::from_rows(snapshot.seq, pairs) {
+            Ok(next) => {
+                self.cell.advance(next);
+            }
+            Err(error) => log::warn!("a peer's snapshot was not applied: {error}"),
+        }
+        self.cell.current().seq()
+    }
+
+    fn own_report(&self) -> Report {
+        self.report()
+    }
+
+    fn accept_report(&self, _peer: &id::Entry, _report: &Report) {
+        self.roster_changed.notify_one();
+    }
+}
+
+/// The entry as the operators' interface sees it.
+#[derive(Debug)]
+pub(crate) struct Operators(pub(crate) Arc<Core>);
+
+impl AdminLocal for Operators {
+    fn name(&self) -> id::Entry {
+        self.0.identity.entry.clone()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.0.is_ready()
+    }
+
+    fn in_flight(&self, instance: &id::Instance) -> u32 {
+        self.0.gates.in_flight(instance)
+    }
+
+    fn entries(&self) -> Vec<EntryStatus> {
+        self.0.entries()
+    }
+
+    fn controller(&self) -> Option<id::Entry> {
+        None
+    }
+
+    fn confirmed(&self) -> Option<Duration> {
+        self.0.confirmed()
+    }
+
+    fn metrics(&self) -> String {
+        String::new()
+    }
+}
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate.rs
@@ -232,7 +232,6 @@
         if snapshot.seq() < *in_force {
             return;
         }
-        *in_force = snapshot.seq();
         let mut views = views(snapshot, entries);
         for name in self.open.read().keys() {
             views
@@ -243,6 +242,12 @@
             self.gate_or_open(&name)
                 .decide(|pool, now| pool.sync(now, &view));
         }
+        *in_force = snapshot.seq();
+    }
+
+    /// The newest change whose view every gate has.
+    pub fn in_force(&self) -> Seq {
+        *self.in_force.lock()
     }
 
     fn gate_or_open(&self, name: &id::Pool) -> Arc<Gate> {
@@ -273,7 +278,7 @@
     }
 
     fn find(&self, name: &id::Pool) -> Option<Arc<Gate>> {
-        self.gates
+        self.open
             .read()
             .get(name)
             .map(|opened| Arc::clone(&opened.gate))
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -2,6 +2,7 @@
 
 use http::{HeaderMap, Method, Uri, header};
 use primroseroute_domain::{
+    change::Seq,
     id,
     outcome::{Code, Refusal},
 };
@@ -80,6 +81,9 @@
     snapshot: &Snapshot,
     timeouts: Timeouts,
 ) -> Result<Head, Refusal> {
+    if snapshot.seq() == Seq(0) {
+        return Err(Refusal::new(Code::ViewStale, "the entry has just started"));
+    }
     let routes = snapshot.routes();
     let account = account(&headers, routes)?;
     let host = host(&headers, &uri);
--- /dev/null
+++ b/crates/testbed/src/parts.rs
@@ -0,0 +1,71 @@
+//! What the entries of a site are given.
+
+use crate::spec::{OPERATOR_TOKEN, token_hash};
+use eyre::Result;
+use primroseroute_admin::Tokens;
+use primroseroute_domain::{id, time::SystemClock};
+use primroseroute_entry::{Dial, Listen, Parts, Timers};
+use primroseroute_peer::{Link, Local, memory::Network, report::Identity};
+use primroseroute_route::{Finished, Observer, backend::Pool};
+use primroseroute_standin::platform::Platform;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use uuid::Uuid;
+
+/// Takes no note of anything.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Quiet;
+
+impl Observer for Quiet {
+    fn finished(&self, _finished: &Finished) {}
+}
+
+/// Joins the site's in-memory network.
+#[derive(Debug)]
+struct Join(Network);
+
+impl Dial for Join {
+    fn dial(self: Box<Self>, identity: Identity, local: Arc<dyn Local>) -> Result<Arc<dyn Link>> {
+        Ok(self.0.join(identity, local))
+    }
+}
+
+const ANY_PORT: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+
+/// The parts of the entry `name` of a site.
+pub(crate) fn parts(name: id::Entry, platform: &Platform, network: &Network) -> Parts {
+    let incarnation = Uuid::new_v4();
+    let mut seed = [0; 32];
+    seed[..16].copy_from_slice(incarnation.as_bytes());
+    seed[16..].copy_from_slice(Uuid::new_v4().as_bytes());
+    let operator = ("test".into(), token_hash(OPERATOR_TOKEN));
+    Parts {
+        zone: "zone-0".parse().expect("a zone's name is valid"),
+        region: None,
+        listen: Listen {
+            callers: ANY_PORT,
+            admin: ANY_PORT,
+            peers: ANY_PORT,
+        },
+        table: Arc::new(platform.client(name.as_str())),
+        backend: Arc::new(Pool::open()),
+        dial: Box::new(Join(network.clone())),
+        clock: Arc::new(SystemClock),
+        seed,
+        operators: Tokens([operator].into()),
+        observer: Arc::new(Quiet),
+        flow: primroseroute_flow::limits::Limits::default(),
+        path: primroseroute_route::Options::default(),
+        front: primroseroute_front::Options::default(),
+        membership: primroseroute_peer::membership::Limits::default(),
+        timers: Timers {
+            poll: Duration::from_millis(200),
+            roster: Duration::from_millis(500),
+            grace: Duration::from_millis(200),
+        },
+        identity: Identity {
+            entry: name,
+            incarnation,
+        },
+    }
+}
--- /dev/null
+++ b/tests/all/thin.rs
@@ -0,0 +1,67 @@
+//! The whole path, thin: a template, two entries, a request, a drain.
+
+use crate::cases;
+use eyre::Result;
+use http::Method;
+use primroseroute_api::Order;
+use primroseroute_testbed::{Caller, Layout, Said, Site, caller_token, platform};
+use std::time::Duration;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+cases! {
+    request_goes_through_either_entry => request_through_either();
+    drained_worker_gets_nothing_new => drained_worker();
+}
+
+async fn request_through_either() -> Result<()> {
+    let mut site = Site::open(Layout::small(), platform::Options::default()).await?;
+    site.converge().await?;
+    let caller = Caller::open(caller_token("stay"));
+    for name in ["entry-0", "entry-1"] {
+        let to = site.entry(name).callers;
+        let headers = [("x-request-id", name), ("x-echo", "yes")];
+        let answer = caller
+            .send(to, Method::POST, "/stay/beds", &headers, "bed 7", LIMIT)
+            .await;
+        assert_eq!(answer.said, Said::Completed, "{answer:?}");
+        assert_eq!(answer.headers["x-request-id"], name);
+    }
+    let executed: u64 = site
+        .workers
+        .values()
+        .map(|worker| worker.count().executions)
+        .sum();
+    assert_eq!(executed, 2);
+    Ok(())
+}
+
+/// The caller sees every request answered. An operator drains one worker at one entry; once both
+/// entries have the change in force, neither sends the worker anything, whoever is asked.
+async fn drained_worker() -> Result<()> {
+    let mut site = Site::open(Layout::small(), platform::Options::default()).await?;
+    site.converge().await?;
+    let order = Order {
+        if_version: None,
+        reason: "test".into(),
+        force: false,
+    };
+    let drained = "stay-0".parse()?;
+    let accepted = site.entry("entry-0").admin.drain(&drained, &order).await?;
+    site.in_force(accepted.version).await?;
+    let before = site.worker("stay-0").count().executions;
+
+    let caller = Caller::open(caller_token("stay"));
+    for number in 0..60 {
+        let to = site.entry(["entry-0", "entry-1"][number % 2]).callers;
+        let answer = caller
+            .send(to, Method::GET, "/stay/beds", &[], "", LIMIT)
+            .await;
+        assert_eq!(answer.said, Said::Completed, "{answer:?}");
+    }
+    assert_eq!(site.worker("stay-0").count().executions, before);
+    let others =
+        site.worker("stay-1").count().executions + site.worker("stay-2").count().executions;
+    assert_eq!(others, 60);
+    Ok(())
+}
