Add primrosectl: accounts, lists, drain and release, status, audit

Cause: operators had no command line. Conclusion: the commands cover what the operators' interface has today.

--- a/crates/admin/src/http/read.rs
+++ b/crates/admin/src/http/read.rs
@@ -160,7 +160,9 @@
         });
         by && on
     };
+    let read_to = records.last().map_or(after, |record| record.seq);
     Ok(Audit {
+        read_to,
         records: records.into_iter().filter(wanted).collect(),
     })
 }
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -143,7 +143,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Audit {
-    /// Changes in their order.
+    /// The last change that was looked at, whether or not it matched; read on from here.
+    pub read_to: Seq,
+    /// Changes that match, in their order.
     pub records: Vec<Record>,
 }
 
--- /dev/null
+++ b/crates/ctl/src/cli.rs
@@ -0,0 +1,167 @@
+//! The command line's grammar.
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use clap_complete::Shell;
+use primroseroute_domain::id;
+use std::{net::SocketAddr, path::PathBuf};
+
+/// Operate primroseroute: accounts, instances, and what the system is doing.
+#[derive(Debug, Parser)]
+#[command(name = "primrosectl", version, propagate_version = true)]
+pub struct Cli {
+    #[command(flatten)]
+    pub(crate) target: Target,
+    /// How to print results.
+    #[arg(long, global = true, value_enum, default_value = "table")]
+    pub(crate) output: Output,
+    #[command(subcommand)]
+    pub(crate) command: Command,
+}
+
+/// Which entry to ask, and as whom.
+#[derive(Debug, Args)]
+pub(crate) struct Target {
+    /// Admin address of any entry.
+    #[arg(
+        long,
+        global = true,
+        env = "PRIMROSE_ENTRY",
+        default_value = "127.0.0.1:7081"
+    )]
+    pub(crate) entry: SocketAddr,
+    /// File that holds the operator's token; else `PRIMROSE_TOKEN` is read.
+    #[arg(long, global = true, env = "PRIMROSE_TOKEN_FILE")]
+    pub(crate) token_file: Option<PathBuf>,
+}
+
+/// How results are printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub(crate) enum Output {
+    /// For people.
+    Table,
+    /// For programs.
+    Json,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Client accounts' templates.
+    #[command(subcommand)]
+    Account(Account),
+    /// Services.
+    #[command(subcommand)]
+    Service(Listing),
+    /// Pools.
+    #[command(subcommand)]
+    Pool(Listing),
+    /// Instances.
+    #[command(subcommand)]
+    Instance(Instance),
+    /// How the system stands, as the entry asked sees it.
+    Status,
+    /// The audit trail.
+    Audit(Audit),
+    /// Print shell completions.
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
+}
+
+/// Commands on templates.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Account {
+    /// Apply a template from a YAML file.
+    Apply {
+        /// The file.
+        file: PathBuf,
+        #[command(flatten)]
+        change: Change,
+    },
+    /// Print one template.
+    Get {
+        /// The account.
+        name: id::Account,
+    },
+    /// List all accounts.
+    List,
+    /// Show what a template would change, and its faults.
+    Diff {
+        /// The file.
+        file: PathBuf,
+    },
+    /// List the changes of one account.
+    History {
+        /// The account.
+        name: id::Account,
+    },
+}
+
+/// Commands on things that are only listed.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Listing {
+    /// List them.
+    List,
+}
+
+/// Commands on instances.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Instance {
+    /// List them.
+    List,
+    /// Let an instance finish what is in flight and take nothing new.
+    Drain {
+        /// The instance.
+        name: id::Instance,
+        /// Go ahead although an availability budget forbids it.
+        #[arg(long)]
+        force: bool,
+        #[command(flatten)]
+        change: Change,
+    },
+    /// Put a drained instance back into service.
+    Release {
+        /// The instance.
+        name: id::Instance,
+        #[command(flatten)]
+        change: Change,
+    },
+}
+
+/// Options of every change.
+#[derive(Debug, Args)]
+pub(crate) struct Change {
+    /// Refuse unless the row has this version; 0 means that it must not exist.
+    #[arg(long)]
+    pub(crate) if_version: Option<u64>,
+    /// Why, for the audit trail.
+    #[arg(long, default_value = "")]
+    pub(crate) reason: String,
+    /// Wait until every registered entry has the change in force.
+    #[arg(long)]
+    pub(crate) wait: bool,
+    /// Longest wait, in seconds.
+    #[arg(long, default_value_t = 30, value_name = "SECONDS")]
+    pub(crate) wait_limit: u64,
+}
+
+/// Options of the audit trail.
+#[derive(Debug, Args)]
+pub(crate) struct Audit {
+    /// Only changes after this one.
+    #[arg(long, default_value_t = 0)]
+    pub(crate) after: u64,
+    /// Most changes to read.
+    #[arg(long, default_value_t = 100)]
+    pub(crate) limit: u32,
+    /// Only changes whose actor contains this.
+    #[arg(long)]
+    pub(crate) actor: Option<String>,
+    /// Only changes of rows whose key starts with this, such as `account/`.
+    #[arg(long)]
+    pub(crate) key: Option<String>,
+    /// Go on printing changes as they come.
+    #[arg(long)]
+    pub(crate) follow: bool,
+}
--- /dev/null
+++ b/crates/ctl/src/command/account.rs
@@ -0,0 +1,106 @@
+//! Commands on templates.
+
+use super::{accepted, audit, if_version};
+use crate::{
+    cli::{Account, Output},
+    exit,
+    output::{self, Shown},
+};
+use eyre::{Result, WrapErr};
+use primroseroute_api::{Apply, Diff};
+use primroseroute_client::Admin;
+use primroseroute_domain::{account::Template, change::Seq, id};
+use std::{fs, path::Path};
+
+/// Changes that one history shows; the archive has older ones.
+const HISTORY: u32 = 1000;
+
+pub(super) async fn run(command: Account, admin: &Admin, output: Output) -> Result<u8> {
+    match command {
+        Account::Apply { file, change } => {
+            let template = read(&file)?;
+            let order = Apply {
+                template,
+                if_version: if_version(&change),
+                reason: change.reason.as_str().into(),
+            };
+            let done = admin.apply(&order).await?;
+            accepted(done, &change, admin, output).await
+        }
+        Account::Get { name } => get(&name, admin, output).await,
+        Account::List => list(admin, output).await,
+        Account::Diff { file } => diff(&file, admin, output).await,
+        Account::History { name } => history(&name, admin, output).await,
+    }
+}
+
+/// Reads a template; the error names line, column and what was expected.
+fn read(file: &Path) -> Result<Template> {
+    let text = fs::read_to_string(file).wrap_err_with(|| format!("reading {}", file.display()))?;
+    serde_saphyr::from_str(&text).wrap_err_with(|| format!("{} is no template", file.display()))
+}
+
+async fn get(name: &id::Account, admin: &Admin, output: Output) -> Result<u8> {
+    let found = admin.account(name).await?;
+    match output {
+        Output::Json => output::json(&found)?,
+        Output::Table => {
+            let yaml = serde_saphyr::to_string(&found.value).wrap_err("writing YAML")?;
+            output::line(&format!("# version {}\n{yaml}", found.version))?;
+        }
+    }
+    Ok(exit::DONE)
+}
+
+async fn list(admin: &Admin, output: Output) -> Result<u8> {
+    let accounts = admin.accounts().await?;
+    let row = |row: &primroseroute_ledger::Versioned<Template>| {
+        vec![
+            row.value.account.to_string(),
+            row.version.to_string(),
+            row.value.share.to_string(),
+            row.value.pools.len().to_string(),
+        ]
+    };
+    let rows = accounts.iter().map(row).collect();
+    let titles = ["account", "version", "share", "pools"];
+    output::print(
+        output,
+        &Shown {
+            value: &accounts,
+            titles: &titles,
+            rows,
+        },
+    )?;
+    Ok(exit::DONE)
+}
+
+async fn diff(file: &Path, admin: &Admin, output: Output) -> Result<u8> {
+    let diff = admin.diff(&read(file)?).await?;
+    match output {
+        Output::Json => output::json(&diff)?,
+        Output::Table => print_diff(&diff)?,
+    }
+    Ok(if diff.faults.is_empty() {
+        exit::DONE
+    } else {
+        exit::REFUSED
+    })
+}
+
+fn print_diff(diff: &Diff) -> Result<()> {
+    for text in &diff.lines {
+        output::line(text)?;
+    }
+    for fault in &diff.faults {
+        output::line(&format!("fault: {fault}"))?;
+    }
+    Ok(())
+}
+
+async fn history(name: &id::Account, admin: &Admin, output: Output) -> Result<u8> {
+    let key = format!("account/{name}");
+    let page = admin.audit(Seq(0), HISTORY, None, Some(&key)).await?;
+    audit::print(&page, output)?;
+    Ok(exit::DONE)
+}
--- /dev/null
+++ b/crates/ctl/src/command/instance.rs
@@ -0,0 +1,33 @@
+//! Commands on instances.
+
+use super::{accepted, if_version, list};
+use crate::cli::{Change, Instance, Output};
+use eyre::Result;
+use primroseroute_api::Order;
+use primroseroute_client::Admin;
+
+fn order(change: &Change, force: bool) -> Order {
+    Order {
+        if_version: if_version(change),
+        reason: change.reason.as_str().into(),
+        force,
+    }
+}
+
+pub(super) async fn run(command: Instance, admin: &Admin, output: Output) -> Result<u8> {
+    match command {
+        Instance::List => list::instances(admin, output).await,
+        Instance::Drain {
+            name,
+            force,
+            change,
+        } => {
+            let done = admin.drain(&name, &order(&change, force)).await?;
+            accepted(done, &change, admin, output).await
+        }
+        Instance::Release { name, change } => {
+            let done = admin.release(&name, &order(&change, false)).await?;
+            accepted(done, &change, admin, output).await
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/command/list.rs
@@ -0,0 +1,160 @@
+//! Lists and the status.
+
+use crate::{
+    cli::Output,
+    exit,
+    output::{self, Shown},
+};
+use eyre::Result;
+use primroseroute_api::{Pool, Status};
+use primroseroute_client::Admin;
+use std::time::Duration;
+
+const NONE: &str = "-";
+
+fn or_none<T: ToString>(value: Option<&T>) -> String {
+    value.map_or_else(|| NONE.to_owned(), ToString::to_string)
+}
+
+fn seconds(age: Option<Duration>) -> String {
+    age.map_or_else(
+        || NONE.to_owned(),
+        |age| format!("{:.1} s", age.as_secs_f64()),
+    )
+}
+
+pub(super) async fn services(admin: &Admin, output: Output) -> Result<u8> {
+    let services = admin.services().await?;
+    let row = |service: &primroseroute_api::Service| {
+        vec![
+            service.name.to_string(),
+            service.account.to_string(),
+            service.pool.to_string(),
+            service.hosts.join(" "),
+            or_none(service.path_prefix.as_ref()),
+        ]
+    };
+    let rows = services.iter().map(row).collect();
+    let titles = ["service", "account", "pool", "hosts", "path prefix"];
+    output::print(
+        output,
+        &Shown {
+            value: &services,
+            titles: &titles,
+            rows,
+        },
+    )?;
+    Ok(exit::DONE)
+}
+
+const POOL_TITLES: [&str; 5] = ["pool", "account", "promised", "serving", "instances"];
+
+fn pool_row(pool: &Pool) -> Vec<String> {
+    vec![
+        pool.name.to_string(),
+        pool.account.to_string(),
+        pool.promised.to_string(),
+        pool.serving.to_string(),
+        pool.members.to_string(),
+    ]
+}
+
+pub(super) async fn pools(admin: &Admin, output: Output) -> Result<u8> {
+    let pools = admin.pools().await?;
+    let rows = pools.iter().map(pool_row).collect();
+    output::print(
+        output,
+        &Shown {
+            value: &pools,
+            titles: &POOL_TITLES,
+            rows,
+        },
+    )?;
+    Ok(exit::DONE)
+}
+
+pub(super) async fn instances(admin: &Admin, output: Output) -> Result<u8> {
+    let instances = admin.instances().await?;
+    let row = |instance: &primroseroute_api::Instance| {
+        let row = &instance.row.value;
+        vec![
+            row.id.to_string(),
+            or_none(row.pool.as_ref()),
+            row.state.to_string(),
+            row.zone.to_string(),
+            row.rack.to_string(),
+            instance.in_flight.to_string(),
+            instance.row.version.to_string(),
+        ]
+    };
+    let rows = instances.iter().map(row).collect();
+    let titles = [
+        "instance",
+        "pool",
+        "state",
+        "zone",
+        "rack",
+        "in flight here",
+        "version",
+    ];
+    output::print(
+        output,
+        &Shown {
+            value: &instances,
+            titles: &titles,
+            rows,
+        },
+    )?;
+    Ok(exit::DONE)
+}
+
+pub(super) async fn status(admin: &Admin, output: Output) -> Result<u8> {
+    let status = admin.status().await?;
+    match output {
+        Output::Json => output::json(&status)?,
+        Output::Table => print_status(&status)?,
+    }
+    Ok(exit::DONE)
+}
+
+fn print_status(status: &Status) -> Result<()> {
+    output::line(&format!(
+        "entry {}: version {} in force, confirmed by the store {} ago, controller {}",
+        status.entry,
+        status.seq,
+        seconds(status.confirmed),
+        or_none(status.controller.as_ref()),
+    ))?;
+    let by_state: Vec<String> = status
+        .instances
+        .iter()
+        .map(|(state, count)| format!("{count} {state}"))
+        .collect();
+    output::line(&format!("instances: {}", by_state.join(", ")))?;
+    let row = |entry: &primroseroute_api::Entry| {
+        vec![
+            entry.name.to_string(),
+            entry.seq.to_string(),
+            seconds(entry.heard),
+        ]
+    };
+    let rows = status.entries.iter().map(row).collect();
+    let titles = ["entry", "version in force", "heard"];
+    output::print(
+        Output::Table,
+        &Shown {
+            value: &status.entries,
+            titles: &titles,
+            rows,
+        },
+    )?;
+    let rows = status.pools.iter().map(pool_row).collect();
+    output::print(
+        Output::Table,
+        &Shown {
+            value: &status.pools,
+            titles: &POOL_TITLES,
+            rows,
+        },
+    )
+}
--- /dev/null
+++ b/crates/ctl/src/command/mod.rs
@@ -0,0 +1,110 @@
+//! Carrying the commands out.
+
+mod account;
+mod audit;
+mod instance;
+mod list;
+
+use crate::{
+    cli::{Change, Cli, Command, Listing, Output, Target},
+    exit,
+    output::{self, Shown},
+    wait,
+};
+use clap::CommandFactory;
+use eyre::{Result, WrapErr, eyre};
+use primroseroute_api::Accepted;
+use primroseroute_client::{Admin, Error};
+use primroseroute_domain::change::Seq;
+use std::{env, fs, io::stdout, time::Duration};
+
+/// Names the environment variable that holds the operator's token.
+const TOKEN: &str = "PRIMROSE_TOKEN";
+
+/// Runs one command and returns the exit code.
+///
+/// # Errors
+/// Where something on this side fails; refusals are printed and become exit codes.
+pub async fn run(cli: Cli) -> Result<u8> {
+    let done = match cli.command {
+        Command::Completions { shell } => {
+            clap_complete::generate(shell, &mut Cli::command(), "primrosectl", &mut stdout());
+            return Ok(exit::DONE);
+        }
+        command => carry_out(command, &open(&cli.target)?, cli.output).await,
+    };
+    match done {
+        Ok(code) => Ok(code),
+        Err(report) => refused(&report, cli.output).ok_or(report),
+    }
+}
+
+/// The exit code of a failed exchange, which is printed; none for a failure on this side.
+fn refused(report: &eyre::Report, output: Output) -> Option<u8> {
+    let error = report.downcast_ref::<Error>()?;
+    match (output, error) {
+        (Output::Json, Error::Refused(problem)) => output::json(problem).ok()?,
+        _ => eprintln!("primrosectl: {error}"),
+    }
+    Some(exit::of(error))
+}
+
+async fn carry_out(command: Command, admin: &Admin, output: Output) -> Result<u8> {
+    match command {
+        Command::Account(command) => account::run(command, admin, output).await,
+        Command::Instance(command) => instance::run(command, admin, output).await,
+        Command::Service(Listing::List) => list::services(admin, output).await,
+        Command::Pool(Listing::List) => list::pools(admin, output).await,
+        Command::Status => list::status(admin, output).await,
+        Command::Audit(filter) => audit::run(filter, admin, output).await,
+        Command::Completions { .. } => Ok(exit::DONE),
+    }
+}
+
+fn open(target: &Target) -> Result<Admin> {
+    let token = match &target.token_file {
+        Some(file) => fs::read_to_string(file)
+            .wrap_err_with(|| format!("reading the token from {}", file.display()))?,
+        None => env::var(TOKEN)
+            .map_err(|_unset| eyre!("no operator token: set {TOKEN} or --token-file"))?,
+    };
+    Ok(Admin::open(target.entry, token.trim()))
+}
+
+/// Prints an accepted change, and waits for it where the operator asked for that.
+async fn accepted(
+    accepted: Accepted,
+    change: &Change,
+    admin: &Admin,
+    output: Output,
+) -> Result<u8> {
+    let in_force = if change.wait {
+        let limit = Duration::from_secs(change.wait_limit);
+        Some(wait::in_force(admin, accepted.version, limit).await?)
+    } else {
+        None
+    };
+    let text = match in_force {
+        None => "accepted",
+        Some(true) => "in force at every registered entry",
+        Some(false) => "accepted, not yet in force at every registered entry",
+    };
+    let rows = vec![vec![accepted.version.to_string(), text.to_owned()]];
+    output::print(
+        output,
+        &Shown {
+            value: &accepted,
+            titles: &["version", "state"],
+            rows,
+        },
+    )?;
+    Ok(if in_force == Some(false) {
+        exit::NOT_YET
+    } else {
+        exit::DONE
+    })
+}
+
+fn if_version(change: &Change) -> Option<Seq> {
+    change.if_version.map(Seq)
+}
--- /dev/null
+++ b/src/bin/primrosectl.rs
@@ -0,0 +1,14 @@
+//! The operators' command line; `primrosectl --help` lists the commands.
+
+use clap::Parser;
+use primroseroute_ctl::{Cli, exit, run};
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let code = run(Cli::parse()).await.unwrap_or_else(|report| {
+        eprintln!("primrosectl: {report:#}");
+        exit::FAILED
+    });
+    ExitCode::from(code)
+}
