Plan which instance serves which pool, with example deployments

Cause: instances that arrive must go where promises lack them most, and a pool that lost a rack must get capacity back with the fewest moves.

Change: placement (targets from promises, room for planned work by weights, greedy by largest deficit, bounded local search, ordered moves), and the templates and weights of both example deployments.

Taken out once, with its test failing: budget in the order of moves, departures counted together, drains of pools that no template names, arrivals counted as members, local search. The rule that a member never becomes a spare has no test that fails without it: the plan drops such a change anyway.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,11 +10,13 @@
 //! * [`Fleet`]: the rows, the budgets and the unplanned absences that every decision reads.
 //! * [`budget`]: what a pool's budget allows to leave after the worst further loss.
 //! * [`lifecycle`]: the next step of each instance.
+//! * [`placement`]: which instance serves which pool.
 //! * [`check`]: an independent checker of I1 (one pool) and I2 (budgets) over a history.
 
 pub mod budget;
 pub mod check;
 pub mod lifecycle;
+pub mod placement;
 mod state;
 
 pub use state::Fleet;
--- /dev/null
+++ b/crates/fleet/src/placement/target.rs
@@ -0,0 +1,65 @@
+//! How many members a pool should hold.
+
+use super::Weights;
+use primroseroute_domain::account::{Budget, Survive};
+
+/// The members that a pool should hold, and what they are for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Members in all.
+    pub members: u32,
+    /// Members that planned work may take out at a time with the promise kept.
+    pub room: u32,
+    /// Members that the worst loss takes when the pool is spread as well as the fleet allows.
+    pub lost: u32,
+}
+
+/// The target of a pool with `budget` in a fleet whose racks and zones have these capacities.
+///
+/// The room is the number of members out at a time, from 1 to `max_absent`, with the least
+/// `buffer * room + rollout * rounds`, where a wave over the pool takes `members / room` rounds.
+/// No room at all is never chosen: every wave would have to borrow a spare for each pool in turn,
+/// which costs a move for each and takes as many rounds as the fleet has instances.
+pub fn target(budget: &Budget, weights: Weights, racks: &[u32], zones: &[u32]) -> Target {
+    let domains = match budget.survive {
+        Survive::Nothing => &[],
+        Survive::Rack => racks,
+        Survive::Zone => zones,
+    };
+    let kept = members_kept(budget.promised, domains);
+    let lost = kept - budget.promised;
+    let rooms = 1..=budget.max_absent.max(1);
+    let cost = |room: u32| {
+        let rounds = u64::from((kept + room).div_ceil(room));
+        u64::from(weights.buffer) * u64::from(room) + u64::from(weights.rollout) * rounds
+    };
+    let room = rooms.min_by_key(|room| cost(*room)).unwrap_or(1);
+    Target {
+        members: kept + room,
+        room,
+        lost,
+    }
+}
+
+/// The fewest members of which `promised` are left after the loss of the worst of `domains`.
+///
+/// Where the domains cannot hold enough, the promise and its double: no fleet of them meets it,
+/// and a pool that asks for more than it can get leaves the rest to others.
+fn members_kept(promised: u32, domains: &[u32]) -> u32 {
+    if domains.is_empty() {
+        return promised;
+    }
+    (promised..=promised.saturating_mul(2))
+        .find(|members| {
+            least_largest(*members, domains).is_some_and(|lost| members - lost >= promised)
+        })
+        .unwrap_or(promised)
+}
+
+/// The least possible largest share when `members` are spread over domains of these capacities.
+fn least_largest(members: u32, domains: &[u32]) -> Option<u32> {
+    (0..=members).find(|largest| {
+        let held: u32 = domains.iter().map(|capacity| capacity.min(largest)).sum();
+        held >= members
+    })
+}
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -14,5 +14,7 @@
 
 mod budget;
 mod check;
+mod deployment;
 mod fixture;
 mod lifecycle;
+mod placement;
