--- /dev/null
+++ b/crates/fleet/tests/all/main.rs
@@ -0,0 +1,20 @@
+//! Tests of the fleet decisions, one module for each topic.
+
+/// Names each case: one test for each line.
+macro_rules! cases {
+    ($($name:ident: $body:expr;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $body
+            }
+        )+
+    };
+}
+
+mod budget;
+mod check;
+mod deployment;
+mod fixture;
+mod lifecycle;
+mod placement;
