Reach the platform over HTTP/1, and serve the stand-in that way

Cause: entries in processes of their own need the platform's traits over HTTP, and a call whose answer is lost must never be taken for one that had no effect.

Change: platform::http::Client (feature http, so that crates that only decide build no HTTP library) implements all four traits; standin::server::Server offers the in-memory platform. A rate of 0 in the stand-in now admits nothing; before, a full bucket of 0 admitted every call.

Conclusion: an Unavailable or Throttled from the client proves that the call had no effect.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,9 +5,13 @@
 //! has outages and loses answers: every call may fail as [`error::Error::Unavailable`] (proven to
 //! have had no effect), [`error::Error::Throttled`] (the same) or [`error::Error::Unknown`] (it may
 //! have had its effect). Callers must treat `Unknown` as neither success nor failure.
+//!
+//! With the feature `http`, the module `http` implements every trait over HTTP/1.
 
 pub mod error;
 pub mod fleet;
+#[cfg(feature = "http")]
+pub mod http;
 pub mod object;
 pub mod table;
 pub mod task;
--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -10,6 +10,7 @@
 
 pub use count::Count;
 
+use crate::listen::Listener;
 use answer::Answer;
 use bytes::Bytes;
 use count::Ledger;
@@ -28,11 +29,7 @@
     },
     time::Duration,
 };
-use tokio::{
-    net::{TcpListener, TcpStream},
-    task::{JoinHandle, JoinSet},
-    time::sleep,
-};
+use tokio::{net::TcpStream, time::sleep};
 
 /// Header by which a request names itself; the answer repeats it.
 pub const REQUEST_ID: &str = "x-request-id";
@@ -114,16 +111,15 @@
 
 /// A running backend server; it stops when the handle is dropped.
 pub struct Backend {
-    address: SocketAddr,
     shared: Arc<Shared>,
-    accepting: JoinHandle<()>,
+    listener: Listener,
 }
 
 impl fmt::Debug for Backend {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Backend")
             .field("name", &self.shared.name)
-            .field("address", &self.address)
+            .field("address", &self.listener.address())
             .finish_non_exhaustive()
     }
 }
@@ -134,25 +130,23 @@
     /// # Errors
     /// If the address cannot be bound.
     pub async fn bind(address: SocketAddr, options: Options) -> io::Result<Self> {
-        let listener = TcpListener::bind(address).await?;
-        let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             name: options.name,
             delay: Mutex::new(options.delay),
             mode: Mutex::new(options.mode),
             ledger: Arc::new(Ledger::new(options.slots, options.connections)),
         });
-        let accepting = tokio::spawn(accept(listener, Arc::clone(&shared)));
-        Ok(Self {
-            address,
-            shared,
-            accepting,
+        let connections = Arc::clone(&shared);
+        let listener = Listener::bind(address, move |stream| {
+            serve(stream, Arc::clone(&connections))
         })
+        .await?;
+        Ok(Self { shared, listener })
     }
 
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.listener.address()
     }
 
     /// Changes what it does with requests from now on.
@@ -177,27 +171,7 @@
 
     /// Stops at once: the listener and every connection are closed, whatever is under way.
     pub fn stop(&self) {
-        self.accepting.abort();
-    }
-}
-
-impl Drop for Backend {
-    fn drop(&mut self) {
-        self.stop();
-    }
-}
-
-/// Takes connections; the connections' tasks end with this one.
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => {
-                let Ok((stream, _)) = accepted else { continue };
-                connections.spawn(serve(stream, Arc::clone(&shared)));
-            }
-            Some(_) = connections.join_next() => {}
-        }
+        self.listener.stop();
     }
 }
 
@@ -205,8 +179,6 @@
     let Some(_connection) = shared.ledger.connect() else {
         return;
     };
-    // Without this, an answer of several writes waits for the client's delayed acknowledgement.
-    drop(stream.set_nodelay(true));
     let garbled = Arc::new(AtomicBool::new(false));
     let stream = wire::Stream::new(stream, Arc::clone(&garbled));
     let service = service_fn(move |request| {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,9 @@
 //!   time, and takes all randomness from one seed.
 //! * [`backend::Backend`] is an HTTP/1 backend server on loopback that counts what it executed,
 //!   by idempotency key, and misbehaves on demand.
+//! * [`server::Server`] offers a platform over HTTP, for `primroseroute_platform::http::Client`.
 
 pub mod backend;
+mod listen;
 pub mod platform;
+pub mod server;
--- a/crates/standin/src/platform/fault.rs
+++ b/crates/standin/src/platform/fault.rs
@@ -71,7 +71,7 @@
         self.tokens = (self.tokens + gained).min(rate);
         self.at = now;
         let cost = cost as f64;
-        let passes = self.tokens >= cost.min(rate);
+        let passes = rate > 0.0 && self.tokens >= cost.min(rate);
         if passes {
             self.tokens -= cost;
         }
@@ -138,7 +138,7 @@
         self.state.lock().outage = outage;
     }
 
-    /// Limits the rates, from full buckets of one second's worth; none for no limit.
+    /// Limits the rates, from full buckets of one second's worth; none for no limit, 0 for no call.
     pub fn set_rates(&self, rates: Option<Rates>) {
         self.state.lock().limit = rates.map(Limit::new);
     }
--- a/crates/standin/tests/all/main.rs
+++ b/crates/standin/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the stand-ins: that they fail in the ways that they promise.
 
 mod backend;
+mod client;
 mod faults;
 mod fleet;
 mod table;
