Add the controller role: a lease, an epoch that fences, cycles over the fleet's decisions

Cause: instances arrived, rebooted and moved by nobody's hand. Drains count as acknowledged only where the report names the very version as in force at the gates. Conclusion: lifecycle and placement run in the entry; waves follow when their decisions are in.

--- /dev/null
+++ b/crates/controller/src/act.rs
@@ -0,0 +1,173 @@
+//! Turning decisions into one change, and into calls to the platform.
+
+use primroseroute_domain::{
+    account::Template,
+    change::Seq,
+    id,
+    instance::{Row, State},
+    outcome::{Code, Refusal},
+    time::Instant,
+};
+use primroseroute_fleet::{
+    Fleet,
+    lifecycle::{self, Action, Checks, Limits},
+    placement::{self, Weights},
+};
+use primroseroute_ledger::{Draft, key};
+use primroseroute_platform::fleet::{Listed, Phase};
+use primroseroute_view::Snapshot;
+use std::collections::BTreeMap;
+
+use crate::roster::{Voice, acknowledgements};
+
+/// What a cycle has read besides the snapshot.
+#[derive(Debug)]
+pub(crate) struct Seen {
+    pub listed: BTreeMap<id::Instance, Listed>,
+    pub checks: BTreeMap<id::Instance, Checks>,
+    pub voices: Vec<Voice>,
+    pub now: Instant,
+    pub limits: Limits,
+    pub weights: Weights,
+}
+
+/// A reboot that is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Reboot {
+    pub instance: id::Instance,
+    pub boots: u64,
+}
+
+/// The fleet of a snapshot as the decisions read it.
+#[derive(Debug)]
+pub(crate) struct Table {
+    pub fleet: Fleet,
+    pub versions: BTreeMap<id::Instance, Seq>,
+    pub marks: BTreeMap<id::Instance, u64>,
+}
+
+impl Table {
+    pub(crate) fn read(snapshot: &Snapshot, seen: &Seen) -> Result<Self, Refusal> {
+        let rows: BTreeMap<id::Instance, Row> = snapshot
+            .instances()
+            .iter()
+            .map(|(name, row)| (name.clone(), row.value.clone()))
+            .collect();
+        let versions = snapshot
+            .instances()
+            .iter()
+            .map(|(name, row)| (name.clone(), row.version))
+            .collect();
+        let marks = snapshot
+            .under::<id::Instance, u64>(key::MARKS)
+            .map_err(|error| Refusal::new(Code::ViewStale, error.to_string()))?;
+        let templates = snapshot
+            .accounts()
+            .values()
+            .map(|row| -> &Template { &row.value });
+        let absent = rows
+            .values()
+            .filter(|row| is_absent(row, seen))
+            .map(|row| row.id.clone());
+        let fleet = Fleet {
+            budgets: Fleet::budgets(templates),
+            absent: absent.collect(),
+            rows,
+        };
+        let marks = marks
+            .into_iter()
+            .map(|(name, row)| (name, row.value))
+            .collect();
+        Ok(Self {
+            fleet,
+            versions,
+            marks,
+        })
+    }
+}
+
+/// Whether a serving instance is known not to serve, before its row says so.
+fn is_absent(row: &Row, seen: &Seen) -> bool {
+    let failing = seen
+        .checks
+        .get(&row.id)
+        .is_some_and(|checks| checks.bad >= seen.limits.bad_checks);
+    let phase = seen.listed.get(&row.id).map(|listed| listed.phase);
+    row.state == State::Serving && (failing || phase.is_some_and(|phase| phase != Phase::Live))
+}
+
+/// Decides the next step of every instance and puts it into `draft`.
+///
+/// # Errors
+/// [`Code::ViewStale`] where a row of the snapshot cannot be read.
+pub(crate) fn decide(
+    snapshot: &Snapshot,
+    seen: &Seen,
+    draft: &mut Draft,
+) -> Result<Vec<Reboot>, Refusal> {
+    let mut table = Table::read(snapshot, seen)?;
+    let entries = acknowledgements(&seen.voices, &table.fleet.rows, &table.versions);
+    let actions = lifecycle::step(&lifecycle::Input {
+        rows: &table.fleet.rows,
+        versions: &table.versions,
+        listed: &seen.listed,
+        checks: &seen.checks,
+        marks: &table.marks,
+        entries: &entries,
+        limits: seen.limits,
+        now: seen.now,
+    });
+    let reboots = write(actions, &mut table, draft);
+    place(&table, seen, draft);
+    Ok(reboots)
+}
+
+/// Puts the lifecycle's rows into `draft`, and into `table` so that placement sees them.
+fn write(actions: Vec<Action>, table: &mut Table, draft: &mut Draft) -> Vec<Reboot> {
+    let mut reboots = Vec::new();
+    for action in actions {
+        match action {
+            Action::Put { row, reason } => {
+                log::info!("instance {} becomes {}: {reason}", row.id, row.state);
+                draft.put(
+                    key::instance(&row.id),
+                    table.versions.get(&row.id).copied(),
+                    &row,
+                );
+                table.fleet.rows.insert(row.id.clone(), row);
+            }
+            Action::Delete { id } => {
+                draft.delete(key::instance(&id), table.versions.get(&id).copied());
+                if table.marks.remove(&id).is_some() {
+                    draft.delete(key::mark(&id), None);
+                }
+                table.fleet.rows.remove(&id);
+            }
+            Action::Mark { id, boots } => draft.put(key::mark(&id), None, &boots),
+            Action::Unmark { id } => draft.delete(key::mark(&id), None),
+            Action::Reboot { id, boots } => reboots.push(Reboot {
+                instance: id,
+                boots,
+            }),
+        }
+    }
+    reboots
+}
+
+/// Gives spares to pools and begins moves, as far as the budgets allow now.
+fn place(table: &Table, seen: &Seen, draft: &mut Draft) {
+    let plan = placement::plan(&table.fleet, seen.weights);
+    for row in placement::start(&table.fleet, &plan, seen.now) {
+        log::info!(
+            "instance {} is placed: {} in {:?}",
+            row.id,
+            row.state,
+            row.pool
+        );
+        draft.put(
+            key::instance(&row.id),
+            table.versions.get(&row.id).copied(),
+            &row,
+        );
+    }
+}
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -4,6 +4,7 @@
 
 use parking_lot::Mutex;
 use primroseroute_api::Entry as EntryStatus;
+use primroseroute_controller::Controller;
 use primroseroute_domain::{change::Seq, id, instance::State};
 use primroseroute_ledger::Ledger;
 use primroseroute_peer::{
@@ -36,6 +37,7 @@
     pub roster_changed: Notify,
     pub registered: Mutex<BTreeMap<id::Entry, Registration>>,
     pub stopping: AtomicBool,
+    pub controller: OnceLock<Controller>,
     confirmed: Mutex<Option<Instant>>,
     reports: AtomicU64,
     started: Instant,
@@ -58,6 +60,7 @@
             roster_changed: Notify::new(),
             registered: Mutex::default(),
             stopping: AtomicBool::new(false),
+            controller: OnceLock::new(),
             confirmed: Mutex::default(),
             reports: AtomicU64::new(0),
             started: Instant::now(),
@@ -153,7 +156,9 @@
         }
         Report {
             number,
-            seq: snapshot.seq(),
+            // What the gates have in force, not what the view has: a peer takes this for an
+            // acknowledgement.
+            seq: in_force,
             confirmed: self.confirmed(),
             loads,
             drains,
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -10,6 +10,7 @@
 use eyre::{Context, Result};
 use primroseroute_admin::{Admin, Parts as AdminParts};
 use primroseroute_claims::{Claims, Options};
+use primroseroute_controller::{Controller, Parts as ControllerParts, Roster};
 use primroseroute_domain::change::Seq;
 use primroseroute_ledger::Ledger;
 use primroseroute_peer::Local;
@@ -55,6 +56,22 @@
             .wrap_err("opening the peer link")?;
         core.link.set(link).expect("the link is set once");
 
+        let controller = Controller::spawn(ControllerParts {
+            identity: core.identity.clone(),
+            ledger: core.ledger.clone(),
+            cell: Arc::clone(&core.cell),
+            clock: Arc::clone(&parts.clock),
+            instances: parts.instances,
+            probe: parts.probe,
+            roster: Arc::clone(&core) as Arc<dyn Roster>,
+            weights: parts.weights,
+            limits: parts.lifecycle,
+            timers: parts.controller,
+        });
+        core.controller
+            .set(controller)
+            .expect("the role is set once");
+
         let claims = Claims::spawn(
             parts.table,
             Arc::clone(&parts.clock),
@@ -132,6 +149,9 @@
     /// on sending until its next check; a listener that closed at once would refuse those callers.
     pub async fn stop(self) {
         self.core.stopping.store(true, Ordering::Relaxed);
+        if let Some(controller) = self.core.controller.get() {
+            controller.stop().await;
+        }
         self.front.retire();
         sleep(self.grace).await;
         self.front.stop().await;
@@ -147,6 +167,9 @@
 
     /// Ends at once, as a killed process would: nothing is finished, nothing is said to anyone.
     pub async fn abort(self) {
+        if let Some(controller) = self.core.controller.get() {
+            controller.abort();
+        }
         for task in &self.tasks {
             task.abort();
         }
--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -3,11 +3,14 @@
 use crate::core::Core;
 use primroseroute_admin::Local as AdminLocal;
 use primroseroute_api::Entry as EntryStatus;
+use primroseroute_controller::{Controller, Roster, Voice};
 use primroseroute_domain::{
     change::{Record, Seq},
     id,
 };
-use primroseroute_peer::{Local as PeerLocal, Row, Snapshot as Rows, report::Report};
+use primroseroute_peer::{
+    Local as PeerLocal, Row, Snapshot as Rows, membership::Registration, report::Report,
+};
 use primroseroute_view::Snapshot;
 use std::{sync::Arc, time::Duration};
 
@@ -81,7 +84,7 @@
     }
 
     fn controller(&self) -> Option<id::Entry> {
-        None
+        self.0.controller.get().and_then(Controller::holder)
     }
 
     fn confirmed(&self) -> Option<Duration> {
@@ -92,3 +95,32 @@
         String::new()
     }
 }
+
+impl Roster for Core {
+    fn voices(&self) -> Vec<Voice> {
+        let sightings = self.sightings();
+        let registered = self.registered.lock().clone();
+        let voice = |(name, row): (&id::Entry, &Registration)| {
+            let own = *name == self.identity.entry;
+            let heard = sightings
+                .iter()
+                .find(|s| s.report.from.incarnation == row.incarnation);
+            let report = if own {
+                Some(self.report())
+            } else {
+                heard.map(|s| s.report.clone())
+            };
+            Voice {
+                entry: name.clone(),
+                report,
+                gone: false,
+            }
+        };
+        // Without this entry's own row the registrations have not been read yet, and an empty or
+        // partial list would count as everybody's consent.
+        if !registered.contains_key(&self.identity.entry) {
+            return Vec::new();
+        }
+        registered.iter().map(voice).collect()
+    }
+}
--- a/crates/entry/src/parts.rs
+++ b/crates/entry/src/parts.rs
@@ -3,11 +3,13 @@
 use eyre::Result;
 use primroseroute_admin::Tokens;
 use primroseroute_claims::Seed;
+use primroseroute_controller::{Probe, Timers as ControllerTimers};
 use primroseroute_domain::{id, time::Clock};
+use primroseroute_fleet::{lifecycle, placement::Weights};
 use primroseroute_flow::limits::Limits;
 use primroseroute_front::Options as FrontOptions;
 use primroseroute_peer::{Link, Local, membership, report::Identity};
-use primroseroute_platform::table::Table;
+use primroseroute_platform::{fleet::Instances, table::Table};
 use primroseroute_route::{Observer, Options as PathOptions, backend::Backend};
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -68,6 +70,10 @@
     pub listen: Listen,
     /// The platform's table.
     pub table: Arc<dyn Table>,
+    /// The platform's instances.
+    pub instances: Arc<dyn Instances>,
+    /// Checks workers.
+    pub probe: Arc<dyn Probe>,
     /// The backend servers.
     pub backend: Arc<dyn Backend>,
     /// Opens the peer link.
@@ -90,4 +96,10 @@
     pub membership: membership::Limits,
     /// How often and how long.
     pub timers: Timers,
+    /// Times of the controller role.
+    pub controller: ControllerTimers,
+    /// Limits of an instance's lifecycle.
+    pub lifecycle: lifecycle::Limits,
+    /// What the deployment weighs.
+    pub weights: Weights,
 }
--- a/crates/ledger/src/key.rs
+++ b/crates/ledger/src/key.rs
@@ -19,8 +19,12 @@
 pub const JOBS: &str = "job/";
 /// Prefix of at-most-once claims; not ordered by the head.
 pub const CLAIMS: &str = "claim/";
-/// The controller's lease; not ordered by the head, but a condition of the controller's changes.
+/// Prefix of the counts of boots that controllers keep beside instances that reboot.
+pub const MARKS: &str = "mark/";
+/// The controller's lease, renewed all the time; not ordered by the head.
 pub const LEASE: &str = "lease/controller";
+/// The controller's epoch, written at each takeover and a condition of all controllers' changes.
+pub const EPOCH: &str = "epoch/controller";
 
 /// Key of the head row.
 pub fn head() -> Key {
@@ -42,6 +46,11 @@
     format!("{INSTANCES}{name}").into()
 }
 
+/// Key of the count of boots kept beside an instance.
+pub fn mark(name: &id::Instance) -> Key {
+    format!("{MARKS}{name}").into()
+}
+
 /// Key of an entry's registration.
 pub fn entry(name: &id::Entry) -> Key {
     format!("{ENTRIES}{name}").into()
--- a/crates/testbed/src/parts.rs
+++ b/crates/testbed/src/parts.rs
@@ -3,11 +3,12 @@
 use crate::spec::{OPERATOR_TOKEN, token_hash};
 use eyre::Result;
 use primroseroute_admin::Tokens;
+use primroseroute_controller::{HttpProbe, Timers as ControllerTimers};
 use primroseroute_domain::{id, time::SystemClock};
 use primroseroute_entry::{Dial, Listen, Parts, Timers};
 use primroseroute_peer::{Link, Local, memory::Network, report::Identity};
 use primroseroute_route::{Finished, Observer, backend::Pool};
-use primroseroute_standin::platform::Platform;
+use primroseroute_standin::{backend::HEALTH_PATH, platform::Platform};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use uuid::Uuid;
 
@@ -48,6 +49,8 @@
             peers: ANY_PORT,
         },
         table: Arc::new(platform.client(name.as_str())),
+        instances: Arc::new(platform.client(name.as_str())),
+        probe: Arc::new(HttpProbe::open(HEALTH_PATH)),
         backend: Arc::new(Pool::open()),
         dial: Box::new(Join(network.clone())),
         clock: Arc::new(SystemClock),
@@ -63,6 +66,13 @@
             roster: Duration::from_millis(500),
             grace: Duration::from_millis(200),
         },
+        controller: ControllerTimers {
+            cycle: Duration::from_millis(100),
+            renew: Duration::from_millis(300),
+            lease: Duration::from_secs(1),
+        },
+        lifecycle: primroseroute_fleet::lifecycle::Limits::default(),
+        weights: primroseroute_fleet::placement::Weights::default(),
         identity: Identity {
             entry: name,
             incarnation,
--- a/crates/testbed/src/site.rs
+++ b/crates/testbed/src/site.rs
@@ -16,6 +16,7 @@
 use primroseroute_entry::{Entry, Parts};
 use primroseroute_ledger::{Draft, Ledger, key};
 use primroseroute_peer::memory::Network;
+use primroseroute_platform::fleet::{Listed, Phase};
 use primroseroute_standin::{
     backend::{Backend, Options as BackendOptions},
     platform::{Options as PlatformOptions, Platform},
@@ -118,7 +119,9 @@
             .collect()
     }
 
-    /// Writes the rows of all workers as serving, in one change.
+    /// Writes the rows of all workers as serving, in one change, and lists them as live.
+    ///
+    /// The rows come first: a controller that saw the list before them would let the workers arrive.
     ///
     /// # Errors
     /// Where the change is not accepted.
@@ -127,6 +130,7 @@
         let head = ledger.head().await?;
         let now = SystemClock.now();
         let mut draft = Draft::new(head, now, "test", "workers", Uuid::new_v4());
+        let mut listed = Vec::new();
         for (number, (pool, count)) in self.layout.pools.iter().enumerate() {
             for index in 0..*count {
                 let id: id::Instance = format!("{pool}-{index}").parse()?;
@@ -142,10 +146,15 @@
                     maintained: None,
                     id,
                 };
+                listed.push(listing(&row));
                 draft.put(key::instance(&row.id), None, &row);
             }
         }
-        Ok(ledger.commit(&draft).await?.seq)
+        let seq = ledger.commit(&draft).await?.seq;
+        for row in listed {
+            self.platform.fleet().add(row);
+        }
+        Ok(seq)
     }
 
     /// Starts the entry `name` with the usual parts.
@@ -247,6 +256,18 @@
     }
 }
 
+/// The platform's line for a live instance with `row`.
+fn listing(row: &Row) -> Listed {
+    Listed {
+        id: row.id.clone(),
+        address: row.address,
+        zone: row.zone.clone(),
+        rack: row.rack.clone(),
+        phase: Phase::Live,
+        boots: 1,
+    }
+}
+
 /// Waits until `holds`.
 ///
 /// # Errors
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -13,7 +13,13 @@
 const PAGE: u32 = 512;
 
 /// Prefixes of the rows that the head orders, which make up a snapshot.
-const PREFIXES: [&str; 4] = [key::ACCOUNTS, key::INSTANCES, key::WAVES, key::JOBS];
+const PREFIXES: [&str; 5] = [
+    key::ACCOUNTS,
+    key::INSTANCES,
+    key::MARKS,
+    key::WAVES,
+    key::JOBS,
+];
 
 /// Why the view could not be carried forward.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/view/src/snapshot.rs
+++ b/crates/view/src/snapshot.rs
@@ -9,7 +9,7 @@
 };
 use primroseroute_ledger::{Versioned, key};
 use serde::de::DeserializeOwned;
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, ops::Bound, sync::Arc};
 
 /// Why a record could not be applied.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -150,19 +150,25 @@
             .filter(|row| row.pool.as_ref() == Some(pool))
     }
 
-    /// Rows under `prefix`, read as `T`; for waves and jobs, which only some roles need.
+    /// Rows under `prefix` by the rest of their key, read as `T`; for waves, jobs and marks, which
+    /// only some roles need.
     ///
     /// # Errors
     /// [`Apply::Corrupt`] where a row cannot be read as `T`.
-    pub fn under<T: DeserializeOwned>(&self, prefix: &str) -> Result<Vec<Versioned<T>>, Apply> {
-        self.rows
-            .range::<str, _>((
-                std::ops::Bound::Included(prefix),
-                std::ops::Bound::Unbounded,
-            ))
-            .take_while(|(key, _)| key.starts_with(prefix))
-            .map(|(key, json)| decode(key, json))
-            .collect()
+    pub fn under<I, T>(&self, prefix: &str) -> Result<BTreeMap<I, Versioned<T>>, Apply>
+    where
+        I: std::str::FromStr<Err = id::Malformed> + Ord,
+        T: DeserializeOwned,
+    {
+        let mut found = BTreeMap::new();
+        let from = (Bound::Included(prefix), Bound::Unbounded);
+        for (key, json) in self.rows.range::<str, _>(from) {
+            let Some(name) = key.strip_prefix(prefix) else {
+                break;
+            };
+            set_typed(&mut found, key, name, Some(json))?;
+        }
+        Ok(found)
     }
 }
 
