Read an entry's settings from YAML, with every fault at once

Cause: an operator who writes settings should see all that is wrong in one run, with its place, and a secret that stands in the wrong place must not reach a terminal or a log.

Secrets are named by file or environment variable. Rules between values are checked once each value is valid alone.

Conclusion: docs/settings.md is made from the code, and a test compares the two.

--- /dev/null
+++ b/crates/settings/src/schema.rs
@@ -0,0 +1,229 @@
+//! The sections and their keys.
+
+use crate::{
+    check,
+    fault::{Error, Place},
+    node::Node,
+    reader::{A_MAP, Map, Reader, Section, sections},
+    secret::Secrets,
+    value::Url,
+};
+use log::LevelFilter;
+use primroseroute_domain::id;
+use std::{fs, net::SocketAddr, path::Path, sync::Arc, time::Duration};
+
+sections! {
+    /// Who this entry is. Its incarnation is no setting: each start makes a new one.
+    Entry {
+        /// Name of this entry, unique over all entries.
+        name: id::Entry, required "entry-1";
+        /// Availability zone that it runs in.
+        zone: id::Zone, required "zone-a";
+        /// Region of that zone.
+        region: Arc<str>, required "region-1";
+    }
+
+    /// Addresses that this entry listens on.
+    Listen {
+        /// Where callers connect, through the balancer.
+        callers: SocketAddr, default "0.0.0.0:8080";
+        /// Where operators, health checks and metrics connect.
+        admin: SocketAddr, default "0.0.0.0:8081";
+        /// Where other entries connect.
+        peers: SocketAddr, default "0.0.0.0:8082";
+    }
+
+    /// The platform's service.
+    Platform {
+        /// Where it listens.
+        url: Url, required "http://127.0.0.1:7000";
+        /// How long one call may take, connection and answer included.
+        timeout: Duration, default "2s";
+    }
+
+    /// Another entry to connect to at the start; further ones are found through the table.
+    Peer {
+        /// Its name.
+        name: id::Entry, required "entry-2";
+        /// Where it listens for other entries.
+        address: SocketAddr, required "127.0.0.1:9082";
+    }
+
+    /// Bounds on what one entry takes on.
+    Limits {
+        /// Requests that may wait for a slot, for each account and service.
+        queue_per_account: u32, default "256";
+        /// Largest body of a request or an answer, in bytes.
+        body_bytes: u64, default "10485760";
+        /// Largest head of a request or an answer, in bytes.
+        head_bytes: u32, default "16384";
+        /// How long a caller may take to send the head of a request.
+        head_timeout: Duration, default "5s";
+        /// Timeout of a request that names none.
+        default_timeout: Duration, default "10s";
+        /// Longest timeout that a request may name.
+        max_timeout: Duration, default "1m";
+        /// Further attempts for one request, where a repeat is safe.
+        retries: u32, default "2";
+        /// Retries over all requests, as a part of the requests, 0 to 1.
+        retry_budget: f64, default "0.1";
+        /// Requests that one worker runs at the same time, over all entries.
+        slots: u32, default "8";
+        /// Connections that one worker accepts, over all entries.
+        connections: u32, default "64";
+    }
+
+    /// How often things happen.
+    Timers {
+        /// Between two reads of the table's newest change.
+        poll: Duration, default "1s";
+        /// Between two messages to each peer, and two renewals of the registration.
+        heartbeat: Duration, default "1s";
+        /// Between two health checks of a worker that is on probation or ejected.
+        probe: Duration, default "1s";
+        /// How long a stopping entry goes on listening, so that the balancer looks away.
+        drain_grace: Duration, default "5s";
+    }
+
+    /// What the planner of moves and waves weighs against each other; only their ratios count.
+    Weights {
+        /// Capacity held idle.
+        buffer: f64, default "1";
+        /// Moves of instances between pools.
+        moves: f64, default "1";
+        /// Time until a wave is through.
+        roll_out: f64, default "1";
+    }
+
+    /// Logs and metrics.
+    Telemetry {
+        /// Least severe level that is logged.
+        level: LevelFilter, default "info";
+    }
+}
+
+/// Fleet planning.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    /// What the planner weighs.
+    pub weights: Weights,
+}
+
+/// The settings of one entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Who this entry is.
+    pub entry: Entry,
+    /// Where it listens.
+    pub listen: Listen,
+    /// The platform's service.
+    pub platform: Platform,
+    /// Other entries to connect to at the start.
+    pub peers: Vec<Peer>,
+    /// Where its secrets are.
+    pub secrets: Secrets,
+    /// Bounds on what it takes on.
+    pub limits: Limits,
+    /// How often things happen.
+    pub timers: Timers,
+    /// Fleet planning.
+    pub fleet: Fleet,
+    /// Logs and metrics.
+    pub telemetry: Telemetry,
+}
+
+impl Default for Settings {
+    /// Every default, and the examples of [`crate::documented`] where a key has none.
+    fn default() -> Self {
+        Self::take(&mut Reader::default(), None)
+    }
+}
+
+impl Settings {
+    /// Reads the settings in the file `path` and checks that its secrets can be read.
+    ///
+    /// # Errors
+    /// [`Error::Unreadable`] for the file, or [`Error::Invalid`] with every fault.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let text = fs::read_to_string(path).map_err(|source| Error::Unreadable {
+            path: path.to_owned(),
+            source,
+        })?;
+        let (settings, mut reader) = Self::read(&text)?;
+        if reader.is_clean("secrets") {
+            let environment = |name: &str| std::env::var(name).ok();
+            let missing = settings.secrets.resolve(&environment).err();
+            for secret in missing.unwrap_or_default() {
+                reader.fault_at(&secret.path, &secret.expected);
+            }
+        }
+        settings.unless_faulty(reader)
+    }
+
+    /// Reads the settings in `text`, without looking for its secrets.
+    ///
+    /// # Errors
+    /// [`Error::Invalid`] with every fault.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let (settings, reader) = Self::read(text)?;
+        settings.unless_faulty(reader)
+    }
+
+    fn read(text: &str) -> Result<(Self, Reader), Error> {
+        let node = Node::read(text).map_err(|fault| Error::Invalid {
+            faults: vec![fault],
+        })?;
+        let mut reader = Reader::default();
+        let settings = Self::take(&mut reader, Some(&node));
+        // A faulty value stands as its default, which could break a rule that the file keeps.
+        if reader.is_clean("") {
+            check::check(&settings, &mut reader);
+        }
+        Ok((settings, reader))
+    }
+
+    fn unless_faulty(self, reader: Reader) -> Result<Self, Error> {
+        let faults = reader.into_faults();
+        if faults.is_empty() {
+            Ok(self)
+        } else {
+            Err(Error::Invalid { faults })
+        }
+    }
+
+    fn take(reader: &mut Reader, node: Option<&Node>) -> Self {
+        let mut map = reader.map("", node, Place::START, A_MAP);
+        let settings = Self {
+            entry: reader.section(&mut map, "entry"),
+            listen: reader.section(&mut map, "listen"),
+            platform: reader.section(&mut map, "platform"),
+            peers: Self::take_peers(reader, &mut map),
+            secrets: Secrets::take(reader, &mut map),
+            limits: reader.section(&mut map, "limits"),
+            timers: reader.section(&mut map, "timers"),
+            fleet: Fleet::take(reader, &mut map),
+            telemetry: reader.section(&mut map, "telemetry"),
+        };
+        reader.finish(&map);
+        settings
+    }
+
+    fn take_peers(reader: &mut Reader, map: &mut Map<'_>) -> Vec<Peer> {
+        let items = reader.list(map, "peers", A_MAP);
+        let peer = |mut item| {
+            let peer = Peer::take(reader, &mut item);
+            reader.finish(&item);
+            peer
+        };
+        items.into_iter().map(peer).collect()
+    }
+}
+
+impl Fleet {
+    fn take(reader: &mut Reader, map: &mut Map<'_>) -> Self {
+        let mut child = reader.child(map, "fleet", A_MAP);
+        let weights = reader.section(&mut child, "weights");
+        reader.finish(&child);
+        Self { weights }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/value.rs
@@ -0,0 +1,93 @@
+//! Values of single settings.
+
+use log::LevelFilter;
+use primroseroute_domain::id;
+use std::{fmt, net::SocketAddr, str::FromStr, sync::Arc, time::Duration};
+
+/// A type of setting that is written as one scalar.
+pub(crate) trait Value: Sized {
+    /// What a reader of a fault should write instead.
+    const EXPECTED: &'static str;
+
+    /// The value that `text` means.
+    fn read(text: &str) -> Option<Self>;
+}
+
+/// Values whose `FromStr` reads just what the settings allow.
+macro_rules! parsed {
+    ($($type:ty => $expected:literal;)*) => {$(
+        impl Value for $type {
+            const EXPECTED: &'static str = $expected;
+
+            fn read(text: &str) -> Option<Self> {
+                <$type>::from_str(text).ok()
+            }
+        }
+    )*};
+}
+
+parsed! {
+    u32 => "a whole number";
+    u64 => "a whole number";
+    SocketAddr => "an IP address and port, such as 127.0.0.1:8080";
+    id::Entry => "a name of 1 to 63 of a-z, 0-9, `-`, `.`";
+    id::Zone => "a name of 1 to 63 of a-z, 0-9, `-`, `.`";
+    LevelFilter => "one of off, error, warn, info, debug, trace";
+}
+
+impl Value for f64 {
+    const EXPECTED: &'static str = "a number";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse().ok().filter(|number: &Self| number.is_finite())
+    }
+}
+
+impl Value for Duration {
+    const EXPECTED: &'static str = "a duration, such as 500ms, 30s or 2m";
+
+    fn read(text: &str) -> Option<Self> {
+        humantime::parse_duration(text).ok()
+    }
+}
+
+impl Value for Arc<str> {
+    const EXPECTED: &'static str = "a text that is not empty";
+
+    fn read(text: &str) -> Option<Self> {
+        (!text.trim().is_empty()).then(|| text.into())
+    }
+}
+
+/// The URL of an HTTP server.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Url(Arc<str>);
+
+impl Url {
+    /// The URL as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Url {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl fmt::Debug for Url {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(&*self.0, f)
+    }
+}
+
+impl Value for Url {
+    const EXPECTED: &'static str = "a URL of the form http://HOST:PORT";
+
+    fn read(text: &str) -> Option<Self> {
+        let uri: http::Uri = text.parse().ok()?;
+        let whole = uri.scheme_str() == Some("http") && uri.host().is_some();
+        (whole && uri.query().is_none()).then(|| Self(text.into()))
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/all/faults.rs
@@ -0,0 +1,148 @@
+//! Faults: all at once, each with its place, its path and what was expected.
+
+use expect_test::{Expect, expect};
+use primroseroute_settings::{Settings, documented};
+
+fn shows(text: &str, want: &Expect) {
+    let error = Settings::parse(text).expect_err("the settings are faulty");
+    want.assert_eq(&format!("{error}\n"));
+}
+
+/// The documented default with `from` replaced by `to`.
+fn with(from: &str, to: &str) -> String {
+    let text = documented();
+    assert!(text.contains(from), "{from}");
+    text.replace(from, to)
+}
+
+/// Names each case: what is replaced in the documented default, and the faults.
+macro_rules! cases {
+    ($($name:ident($from:literal => $to:literal) $want:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            shows(&with($from, $to), &$want);
+        }
+    )*};
+}
+
+#[test]
+fn every_fault_at_once() {
+    shows(
+        "entry:\n  name: Entry 1\n  zone: zone-a\n  colour: red\n\
+         listen:\n  callers: somewhere\n\
+         peers:\n  - name: entry-2\n    address: [1]\n    weight: 3\n  - entry-3\n\
+         limits:\n  slots: -1\n  body-bytes: 1 MB\n  head-timeout: 5\n\
+         telemetry:\n  level: loud\n\
+         nothing: 1\n",
+        &expect![[r"
+            1:1: platform.url: expected a URL of the form http://HOST:PORT; this key is required
+            1:1: secrets.peer-key: expected `file: PATH` or `env: NAME`; a secret is never written here
+            2:3: entry.region: expected a text that is not empty; this key is required
+            2:9: entry.name: expected a name of 1 to 63 of a-z, 0-9, `-`, `.`
+            4:3: entry.colour: expected one of the keys name, zone, region
+            6:12: listen.callers: expected an IP address and port, such as 127.0.0.1:8080
+            9:14: peers[0].address: expected an IP address and port, such as 127.0.0.1:8080
+            10:5: peers[0].weight: expected one of the keys name, address
+            11:5: peers[1]: expected a map
+            13:10: limits.slots: expected a whole number
+            14:15: limits.body-bytes: expected a whole number
+            15:17: limits.head-timeout: expected a duration, such as 500ms, 30s or 2m
+            17:10: telemetry.level: expected one of off, error, warn, info, debug, trace
+            18:1: nothing: expected one of the keys entry, listen, platform, peers, secrets, limits, timers, fleet, telemetry
+        "]],
+    );
+}
+
+#[test]
+fn empty_file_misses_required_keys() {
+    shows(
+        "",
+        &expect![[r"
+        1:1: entry.name: expected a name of 1 to 63 of a-z, 0-9, `-`, `.`; this key is required
+        1:1: entry.region: expected a text that is not empty; this key is required
+        1:1: entry.zone: expected a name of 1 to 63 of a-z, 0-9, `-`, `.`; this key is required
+        1:1: platform.url: expected a URL of the form http://HOST:PORT; this key is required
+        1:1: secrets.peer-key: expected `file: PATH` or `env: NAME`; a secret is never written here
+    "]],
+    );
+}
+
+#[test]
+fn rules_between_values() {
+    let text = with("default-timeout: 10s", "default-timeout: 2m")
+        .replace("poll: 1s", "poll: 0s")
+        .replace("connections: 64", "connections: 7")
+        .replace("retry-budget: 0.1", "retry-budget: 1.5")
+        .replace("moves: 1", "moves: -1")
+        .replace("0.0.0.0:8081", "0.0.0.0:8080")
+        .replace(
+            "peers: []",
+            "peers: [{name: entry-1, address: '127.0.0.1:1'}]",
+        );
+    shows(
+        &text,
+        &expect![[r"
+        17:10: listen.admin: expected an address of its own
+        30:16: peers[0].name: expected the name of another entry, listed once
+        51:20: limits.default-timeout: expected at most limits.max-timeout
+        57:17: limits.retry-budget: expected a number from 0 to 1
+        61:16: limits.connections: expected at least limits.slots
+        66:9: timers.poll: expected a duration of at least 1ms
+        80:12: fleet.weights.moves: expected a number of at least 0
+    "]],
+    );
+}
+
+cases! {
+    no_yaml("listen:" => "listen: [") expect![[r"
+        17:3: expected YAML (while parsing a flow mapping, did not find expected ',' or '}' at line 17, column 3)
+    "]];
+    key_twice("  admin:" => "  callers:") expect![[r"
+        17:3: expected YAML (duplicate mapping key: callers at line 17, column 3)
+    "]];
+    no_weight("1\n" => "0\n") expect![[r"
+        17:10: listen.admin: expected an address of its own
+        78:5: fleet.weights: expected at least one weight above 0
+    "]];
+    inline_secret("peer-key:\n    env: PRIMROSEROUTE_PEER_KEY" => "peer-key: hunter2") expect![[r"
+        37:13: secrets.peer-key: expected `file: PATH` or `env: NAME`; a secret is never written here
+    "]];
+    two_sources("peer-key:\n" => "peer-key:\n    file: /run/key\n") expect![[r"
+        38:5: secrets.peer-key: expected `file: PATH` or `env: NAME`; a secret is never written here
+    "]];
+    short_hash("operator-tokens: []" => "operator-tokens: [{hash: abc}, {token: x}]") expect![[r"
+        35:21: secrets.operator-tokens[0]: expected a SHA-256 as 64 lower-case hexadecimal digits
+        35:34: secrets.operator-tokens[1]: expected `hash: SHA-256`, `file: PATH` or `env: NAME`; a secret is never written here
+        35:35: secrets.operator-tokens[1].token: expected one of the keys hash, file, env
+    "]];
+}
+
+#[test]
+fn faults_never_repeat_a_value() {
+    // A secret stands where each value of the documented default stands, one after the other; once
+    // as a faulty value, and once beside a fault of the YAML itself.
+    let text = documented();
+    let lines = text.lines();
+    let lines = lines.filter(|line| !line.starts_with('#') && line.contains(": "));
+    let mut faulty = 0;
+    for line in lines {
+        let (key, _) = line.split_once(": ").expect("the line has a value");
+        for secret in ["hunter2 [x", "hunter2\n  ]"] {
+            let swapped = text.replace(line, &format!("{key}: {secret}"));
+            if let Err(error) = Settings::parse(&swapped) {
+                assert!(!error.to_string().contains("hunter2"), "{error}");
+                faulty += 1;
+            }
+        }
+    }
+    assert!(faulty > 40, "only {faulty} were faulty");
+}
+
+#[test]
+fn names_that_look_like_other_types_are_text() {
+    for name in ["n", "off", "true", "12"] {
+        let settings = Settings::parse(&with("name: entry-1", &format!("name: {name}")));
+        let settings = settings.expect("the name is valid");
+        assert_eq!(settings.entry.name.as_str(), name);
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the settings.
+
+mod document;
+mod faults;
+mod secrets;
