Log JSON lines, and count requests in typed instruments

Cause: operators need to see what each entry does, per account and service, and many entries in one process must keep their figures apart.

Change: telemetry::Log writes JSON lines to standard error (flexi_logger), with the request's id as a field; libraries are held to warnings. telemetry::Meter has typed OpenTelemetry instruments over a registry of its own, rendered in Prometheus form. Labels come from the configuration and closed sets only, and an instrument keeps 20,000 series apart in place of the library's 2,000.

--- /dev/null
+++ b/crates/telemetry/src/meter.rs
@@ -0,0 +1,294 @@
+//! Typed instruments, rendered in Prometheus's text format.
+
+use opentelemetry::{
+    KeyValue, StringValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::{
+    error::OTelSdkError,
+    metrics::{Instrument, SdkMeterProvider, Stream},
+};
+use primroseroute_domain::{
+    change::Seq,
+    id,
+    outcome::{Code, Verdict},
+};
+use primroseroute_platform::error::Error as PlatformError;
+use prometheus::{Registry, TextEncoder};
+use std::{fmt, sync::Arc, time::Duration};
+
+/// Namespace of every metric.
+const NAMESPACE: &str = "primroseroute";
+
+/// Bounds of the buckets of durations in seconds: from half a hop between availability zones to the
+/// longest default timeout.
+const SECONDS: [f64; 14] = [
+    0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0,
+];
+
+/// Series that one instrument may have: 300 services, each with a handful of calling accounts and
+/// result codes, need a few thousand. The library's default of 2,000 would merge the rest into one.
+const MAX_SERIES: usize = 20_000;
+
+/// Label of a request that belongs to no account or service.
+const NONE: &str = "-";
+
+/// Why the metrics could not be set up or rendered.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The exporter could not be registered.
+    #[error("the metrics exporter cannot be set up")]
+    Open(#[from] OTelSdkError),
+    /// The metrics could not be written as text.
+    #[error("the metrics cannot be rendered")]
+    Render(#[from] prometheus::Error),
+}
+
+/// A finished request.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// The calling account, where it is known.
+    pub account: Option<&'a id::Account>,
+    /// The service, where there is one.
+    pub service: Option<&'a id::Service>,
+    /// The result code; none where the backend server's answer was passed on.
+    pub code: Option<Code>,
+    /// What the caller was told.
+    pub verdict: Verdict,
+    /// From the head of the request to the end of the answer.
+    pub took: Duration,
+}
+
+/// Names a closed set of label values.
+macro_rules! labels {
+    ($($(#[$doc:meta])* $set:ident { $($(#[$value_doc:meta])* $value:ident = $label:literal,)+ })+) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub enum $set {
+            $($(#[$value_doc])* $value,)+
+        }
+
+        impl $set {
+            fn label(self) -> &'static str {
+                match self { $(Self::$value => $label),+ }
+            }
+        }
+    )+};
+}
+
+labels! {
+    /// A kind of call to the platform.
+    StoreCall {
+        /// Reading one row.
+        Read = "read",
+        /// Scanning rows.
+        Scan = "scan",
+        /// Committing a transaction.
+        Commit = "commit",
+        /// Any call of the object store.
+        Object = "object",
+        /// Any call on instances.
+        Instances = "instances",
+        /// Any call on tasks.
+        Tasks = "tasks",
+    }
+
+    /// Which way a message between entries goes.
+    Direction {
+        /// From this entry.
+        Sent = "sent",
+        /// To this entry.
+        Received = "received",
+    }
+
+    /// What a message between entries is for.
+    Message {
+        /// New changes.
+        Change = "change",
+        /// A load report.
+        Load = "load",
+        /// An acknowledgement of a view.
+        Acknowledgement = "acknowledgement",
+        /// A question for changes or for a whole view.
+        Query = "query",
+    }
+}
+
+fn end(error: Option<&PlatformError>) -> &'static str {
+    match error {
+        None => "ok",
+        Some(PlatformError::Unavailable(_)) => "unavailable",
+        Some(PlatformError::Throttled) => "throttled",
+        Some(PlatformError::Unknown(_)) => "unknown",
+        Some(PlatformError::Invalid(_)) => "invalid",
+    }
+}
+
+fn label(key: &'static str, value: &'static str) -> KeyValue {
+    KeyValue::new(key, value)
+}
+
+/// A label that shares the name's string.
+fn named<N: Clone + Into<Arc<str>>>(key: &'static str, name: Option<&N>) -> KeyValue {
+    match name {
+        Some(name) => KeyValue::new(key, StringValue::from(name.clone().into())),
+        None => label(key, NONE),
+    }
+}
+
+/// The code's number; 0 where a backend server's answer was passed on.
+fn code_label(code: Option<Code>) -> KeyValue {
+    KeyValue::new("code", i64::from(code.map_or(0, Code::number)))
+}
+
+/// The instruments of one entry; clones share them.
+#[derive(Clone)]
+pub struct Meter {
+    registry: Registry,
+    /// Keeps the instruments connected to the registry.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    request_seconds: Histogram<f64>,
+    queue_depth: Gauge<u64>,
+    retries: Counter<u64>,
+    ejections: Counter<u64>,
+    ejected: Gauge<u64>,
+    store_calls: Counter<u64>,
+    store_seconds: Histogram<f64>,
+    peer_messages: Counter<u64>,
+    peer_bytes: Counter<u64>,
+    view_seq: Gauge<u64>,
+}
+
+impl fmt::Debug for Meter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Meter").finish_non_exhaustive()
+    }
+}
+
+fn wide(_: &Instrument) -> Option<Stream> {
+    Stream::builder()
+        .with_cardinality_limit(MAX_SERIES)
+        .build()
+        .ok()
+}
+
+impl Meter {
+    /// Opens a set of instruments of its own.
+    ///
+    /// # Errors
+    /// [`Error::Open`] if the exporter cannot be registered, which its fresh registry rules out.
+    pub fn open() -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace(NAMESPACE)
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()?;
+        let provider = SdkMeterProvider::builder()
+            .with_reader(exporter)
+            .with_view(wide)
+            .build();
+        let meter = provider.meter(NAMESPACE);
+        let counter = |name, about| meter.u64_counter(name).with_description(about).build();
+        let gauge = |name, about| meter.u64_gauge(name).with_description(about).build();
+        let seconds = |name, about| {
+            let histogram = meter
+                .f64_histogram(name)
+                .with_description(about)
+                .with_unit("s");
+            histogram.with_boundaries(SECONDS.to_vec()).build()
+        };
+        Ok(Self {
+            requests: counter("requests", "Finished requests"),
+            request_seconds: seconds("request_duration", "Time from a request's head to its end"),
+            queue_depth: gauge("queue_depth", "Requests that wait for a slot"),
+            retries: counter("retries", "Further attempts, by the code of the failed one"),
+            ejections: counter(
+                "ejections",
+                "Workers taken out of the choice because they failed",
+            ),
+            ejected: gauge("ejected", "Workers that are out of the choice"),
+            store_calls: counter("store_calls", "Calls to the platform, by how they ended"),
+            store_seconds: seconds("store_call_duration", "Time of calls to the platform"),
+            peer_messages: counter("peer_messages", "Messages between entries"),
+            peer_bytes: counter("peer_bytes", "Bytes of messages between entries"),
+            view_seq: gauge("view_seq", "Newest change in force on this entry"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a finished request.
+    pub fn request(&self, request: Request<'_>) {
+        let service = named("service", request.service);
+        let took = request.took.as_secs_f64();
+        self.request_seconds
+            .record(took, std::slice::from_ref(&service));
+        let labels = [
+            named("account", request.account),
+            service,
+            code_label(request.code),
+            label("verdict", request.verdict.as_str()),
+        ];
+        self.requests.add(1, &labels);
+    }
+
+    /// Sets how many requests of `account` wait for `service`.
+    pub fn queue_depth(&self, account: &id::Account, service: &id::Service, depth: u64) {
+        let labels = [
+            named("account", Some(account)),
+            named("service", Some(service)),
+        ];
+        self.queue_depth.record(depth, &labels);
+    }
+
+    /// Counts a further attempt after one that failed with `code`.
+    pub fn retry(&self, service: &id::Service, code: Code) {
+        let labels = [named("service", Some(service)), code_label(Some(code))];
+        self.retries.add(1, &labels);
+    }
+
+    /// Counts an ejection; `now_out` workers of `pool` are out of the choice with it.
+    pub fn ejection(&self, pool: &id::Pool, now_out: u64) {
+        self.ejections.add(1, &[named("pool", Some(pool))]);
+        self.ejected(pool, now_out);
+    }
+
+    /// Sets how many workers of `pool` are out of the choice.
+    pub fn ejected(&self, pool: &id::Pool, now_out: u64) {
+        self.ejected.record(now_out, &[named("pool", Some(pool))]);
+    }
+
+    /// Counts a call to the platform, which took `took` and ended well or with `error`.
+    pub fn store_call(&self, call: StoreCall, error: Option<&PlatformError>, took: Duration) {
+        let call = label("call", call.label());
+        self.store_seconds
+            .record(took.as_secs_f64(), std::slice::from_ref(&call));
+        self.store_calls.add(1, &[call, label("end", end(error))]);
+    }
+
+    /// Counts a message between entries.
+    pub fn peer_message(&self, direction: Direction, message: Message, bytes: u64) {
+        let labels = [
+            label("direction", direction.label()),
+            label("message", message.label()),
+        ];
+        self.peer_messages.add(1, &labels);
+        self.peer_bytes.add(bytes, &labels);
+    }
+
+    /// Sets the newest change in force.
+    pub fn view(&self, seq: Seq) {
+        self.view_seq.record(seq.0, &[]);
+    }
+
+    /// Every metric in Prometheus's text format.
+    ///
+    /// # Errors
+    /// [`Error::Render`] where the registry holds what the format cannot say.
+    pub fn render(&self) -> Result<String, Error> {
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+}
--- /dev/null
+++ b/crates/telemetry/tests/all/lines.rs
@@ -0,0 +1,46 @@
+//! Lines of the log.
+
+use expect_test::expect;
+use flexi_logger::DeferredNow;
+use log::{Level, LevelFilter, Record};
+use primroseroute_telemetry::log::{Log, REQUEST_ID, line};
+use serde_json::Value;
+
+fn written(record: &Record<'_>) -> String {
+    let mut out = Vec::new();
+    line(&mut out, &mut DeferredNow::new(), record).expect("a vector takes all");
+    String::from_utf8(out).expect("the line is UTF-8")
+}
+
+#[test]
+fn line_is_one_json_object_with_the_request() {
+    let fields = [(REQUEST_ID, "r-1")];
+    let record = Record::builder()
+        .level(Level::Warn)
+        .module_path(Some("primroseroute_entry"))
+        .key_values(&fields)
+        .args(format_args!("two\nlines and a \"quote\""))
+        .build();
+    let line = written(&record);
+    assert_eq!(line.lines().count(), 1, "{line}");
+    let mut value: Value = serde_json::from_str(&line).expect("the line is JSON");
+    let object = value.as_object_mut().expect("the line is an object");
+    assert!(object.remove("timestamp").is_some());
+    object.remove("thread");
+    expect![[r#"{"kv":{"request_id":"r-1"},"level":"WARN","module_path":"primroseroute_entry","text":"two\nlines and a \"quote\""}"#]].assert_eq(&value.to_string());
+}
+
+#[test]
+fn start_sets_levels_of_own_modules_and_libraries() {
+    // The only test that starts the process's logger.
+    let log = Log::start(LevelFilter::Info).expect("there is no logger yet");
+    assert!(Log::start(LevelFilter::Info).is_err());
+    let shows = |target, level| log::log_enabled!(target: target, level);
+    assert!(shows("primroseroute_flow::queue", Level::Info));
+    assert!(!shows("primroseroute_flow::queue", Level::Debug));
+    assert!(!shows("hyper::proto", Level::Info));
+    assert!(shows("hyper::proto", Level::Warn));
+    log.set_level(LevelFilter::Error);
+    assert!(!shows("primroseroute_flow::queue", Level::Info));
+    assert!(!shows("hyper::proto", Level::Warn));
+}
--- /dev/null
+++ b/crates/telemetry/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of logs and metrics.
+
+mod lines;
+mod metrics;
