--- /dev/null
+++ b/crates/flow/benches/sim/way.rs
@@ -0,0 +1,266 @@
+//! One simulated entry: the library's pool, or one of the ways that it was weighed against.
+
+use super::{Case, Way, entry, view, worker};
+use primroseroute_domain::{id, instance::SLOTS, outcome::Code};
+use primroseroute_flow::{
+    estimate::Times,
+    fair,
+    limits::Limits,
+    pool::Pool,
+    report::Report,
+    request::{Action, Arrival, Ending},
+    worker::{Set, Wish},
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+/// What an entry tells its peers.
+#[derive(Clone, Debug)]
+pub enum Note {
+    Report(Report),
+    Load(usize, BTreeMap<id::Instance, u32>),
+}
+
+pub trait Node {
+    fn arrive(&mut self, now: Duration, arrival: Arrival) -> Vec<Action>;
+    fn finish(&mut self, now: Duration, request: u64, ending: Ending) -> Vec<Action>;
+    fn tick(&mut self, now: Duration) -> Vec<Action>;
+    fn next_tick(&self) -> Option<Duration>;
+    fn note(&mut self, now: Duration) -> Note;
+    fn take(&mut self, now: Duration, note: &Note) -> Vec<Action>;
+    fn rights(&self, instance: &id::Instance) -> u32;
+}
+
+pub fn open(case: &Case, at: usize) -> Box<dyn Node> {
+    let seed = case.seed * 1_000 + at as u64;
+    match case.way {
+        Way::Lend | Way::Own => {
+            let mut pool = Pool::new(entry(at), 1, Limits::default(), seed);
+            pool.sync(Duration::ZERO, &view(case));
+            Box::new(pool)
+        }
+        Way::LeastLoad | Way::Subset => Box::new(Rival::open(case, at, seed)),
+    }
+}
+
+impl Node for Pool {
+    fn arrive(&mut self, now: Duration, arrival: Arrival) -> Vec<Action> {
+        Pool::arrive(self, now, arrival)
+    }
+
+    fn finish(&mut self, now: Duration, request: u64, ending: Ending) -> Vec<Action> {
+        Pool::finish(self, now, request, ending)
+    }
+
+    fn tick(&mut self, now: Duration) -> Vec<Action> {
+        Pool::tick(self, now)
+    }
+
+    fn next_tick(&self) -> Option<Duration> {
+        Pool::next_tick(self)
+    }
+
+    fn note(&mut self, now: Duration) -> Note {
+        Note::Report(self.report(now))
+    }
+
+    fn take(&mut self, now: Duration, note: &Note) -> Vec<Action> {
+        match note {
+            Note::Report(report) => self.peers(now, std::slice::from_ref(report)),
+            Note::Load(..) => Vec::new(),
+        }
+    }
+
+    fn rights(&self, instance: &id::Instance) -> u32 {
+        Pool::rights(self, instance)
+    }
+}
+
+/// Same queue and estimates as the library, without lending and ejection.
+struct Rival {
+    way: Way,
+    at: usize,
+    entries: usize,
+    queue: fair::Queue,
+    times: Times,
+    workers: Set,
+    random: ChaCha8Rng,
+    requests: BTreeMap<u64, (Arrival, Option<usize>)>,
+    timers: BTreeSet<(Duration, u64)>,
+    peers: BTreeMap<usize, BTreeMap<id::Instance, u32>>,
+}
+
+impl Rival {
+    fn open(case: &Case, at: usize, seed: u64) -> Self {
+        let mut workers = Set::default();
+        let view = view(case);
+        for number in 0..case.workers {
+            let name = worker(number);
+            let index = workers.put(&name, view.members[&name].clone());
+            let is_own = case.way == Way::LeastLoad || number % case.entries == at;
+            workers.change(index, |worker| {
+                worker.rights = if is_own { SLOTS } else { 0 }
+            });
+        }
+        let mut queue = fair::Queue::default();
+        let shares = view.shares.into_iter();
+        queue.set_weights(
+            shares
+                .map(|(name, share)| (name, f64::from(share)))
+                .collect(),
+        );
+        Self {
+            way: case.way,
+            at,
+            entries: case.entries,
+            queue,
+            times: Times::default(),
+            workers,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            requests: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Slots that are likely to come to this entry, for its estimates.
+    fn slots(&self) -> f64 {
+        let all = f64::from(self.workers.totals().slots);
+        match self.way {
+            Way::LeastLoad => all / self.entries as f64,
+            _ => all,
+        }
+    }
+
+    fn refuse(request: u64, code: Code) -> Action {
+        Action::Refuse {
+            request,
+            code,
+            retry_after: Duration::ZERO,
+        }
+    }
+
+    fn dispatch(&mut self, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while self.workers.has_free() {
+            let Some(item) = self.queue.pop() else { break };
+            let wish = Wish {
+                idempotent: false,
+                tried: &[],
+            };
+            let index = self
+                .workers
+                .choose(wish, &mut self.random)
+                .expect("one is free");
+            let request = self.requests.get_mut(&item.request).expect("it waits");
+            request.1 = Some(index);
+            let not_after = request.0.deadline;
+            self.timers.retain(|(_, number)| *number != item.request);
+            let change = |worker: &mut primroseroute_flow::worker::Worker| {
+                worker.in_flight += 1;
+                worker.id.clone()
+            };
+            let instance = self.workers.change(index, change).expect("it is known");
+            actions.push(Action::Send {
+                request: item.request,
+                instance,
+                attempt: 1,
+                not_after,
+            });
+        }
+        let _ = now;
+        actions
+    }
+}
+
+impl Node for Rival {
+    fn arrive(&mut self, now: Duration, arrival: Arrival) -> Vec<Action> {
+        let service = self.times.service(&arrival.service);
+        let wait = self
+            .queue
+            .wait(&arrival.account, arrival.class, self.slots());
+        let left = arrival.deadline.saturating_sub(now).as_secs_f64();
+        let waits = !self.queue.is_empty() || !self.workers.has_free();
+        if waits && wait + service.most() > left {
+            return vec![Self::refuse(arrival.request, Code::DeadlineUnreachable)];
+        }
+        self.queue.push(fair::Item {
+            request: arrival.request,
+            account: arrival.account.clone(),
+            service: arrival.service.clone(),
+            class: arrival.class,
+            cost: service.mean(),
+        });
+        let until = arrival
+            .deadline
+            .saturating_sub(Duration::from_secs_f64(service.most()));
+        self.timers.insert((until.max(now), arrival.request));
+        self.requests.insert(arrival.request, (arrival, None));
+        self.dispatch(now)
+    }
+
+    fn finish(&mut self, now: Duration, number: u64, ending: Ending) -> Vec<Action> {
+        if let Some((arrival, Some(index))) = self.requests.remove(&number) {
+            self.workers.change(index, |worker| worker.in_flight -= 1);
+            if let Ending::Answered {
+                latency,
+                failure: false,
+            } = ending
+            {
+                self.times.add(&arrival.service, latency);
+            }
+        }
+        self.dispatch(now)
+    }
+
+    fn tick(&mut self, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some(&(at, number)) = self.timers.first().filter(|(at, _)| *at <= now) {
+            self.timers.remove(&(at, number));
+            if let Some((arrival, None)) = self.requests.remove(&number) {
+                let (account, service) = (&arrival.account, &arrival.service);
+                self.queue.remove(account, service, arrival.class, number);
+                actions.push(Self::refuse(number, Code::DeadlineUnreachable));
+            }
+        }
+        actions
+    }
+
+    fn next_tick(&self) -> Option<Duration> {
+        self.timers.first().map(|(at, _)| *at)
+    }
+
+    fn note(&mut self, _now: Duration) -> Note {
+        let workers = self.workers.iter();
+        let loads = workers.map(|worker| (worker.id.clone(), worker.in_flight));
+        Note::Load(self.at, loads.collect())
+    }
+
+    fn take(&mut self, now: Duration, note: &Note) -> Vec<Action> {
+        let (Note::Load(from, loads), Way::LeastLoad) = (note, self.way) else {
+            return Vec::new();
+        };
+        self.peers.insert(*from, loads.clone());
+        for index in self.workers.indices() {
+            let peers = &self.peers;
+            self.workers.change(index, |worker| {
+                let load = |peer: &BTreeMap<_, _>| peer.get(&worker.id).copied().unwrap_or(0);
+                let others: u32 = peers.values().map(load).sum();
+                worker.rights = SLOTS.saturating_sub(others);
+            });
+        }
+        self.dispatch(now)
+    }
+
+    fn rights(&self, instance: &id::Instance) -> u32 {
+        let worker = self
+            .workers
+            .find(instance)
+            .and_then(|index| self.workers.get(index));
+        worker.map_or(0, |worker| worker.rights)
+    }
+}
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -12,13 +12,14 @@
 //! 2. [`estimate`] says how long service takes, so that a request whose deadline cannot be met is
 //!    refused when it arrives, not when it has waited in vain.
 //! 3. [`rights`] says how many of a worker's slots this entry may use. Slots are shared by all
-//!    entries; each slot belongs to one entry, which lends it to peers with more demand.
+//!    entries; each slot belongs to one entry, which lends it to peers with more [`demand`].
 //! 4. [`worker`] finds a worker with a free slot in constant time.
 //! 5. [`health`] takes failing or slow workers out for a while and lets one probe back in.
 //! 6. [`retry`] decides whether a failed attempt is made again, and when.
 //!
 //! `docs/design/request-path.md` has the ways that were weighed and their figures.
 
+pub mod demand;
 pub mod estimate;
 pub mod fair;
 pub mod health;
--- a/crates/flow/src/pool/admit.rs
+++ b/crates/flow/src/pool/admit.rs
@@ -2,6 +2,7 @@
 
 use super::{Phase, Pool, Request};
 use crate::{
+    estimate::Spread,
     fair,
     request::{Action, Arrival},
 };
@@ -20,6 +21,7 @@
         );
         self.expire(now);
         let service = self.times.service(&arrival.service);
+        self.meter.add(now, &arrival.account, service.mean());
         if let Some(code) = self.objection(now, &arrival, service) {
             self.refuse(arrival.request, code);
             return self.settle(now);
@@ -29,7 +31,7 @@
     }
 
     /// Why a request cannot be taken in.
-    fn objection(&self, now: Duration, arrival: &Arrival, service: f64) -> Option<Code> {
+    fn objection(&self, now: Duration, arrival: &Arrival, service: Spread) -> Option<Code> {
         if self.workers.totals().serving == 0 {
             return Some(Code::NoInstance);
         }
@@ -49,17 +51,17 @@
             .queue
             .wait(&arrival.account, arrival.class, self.slots());
         let left = arrival.deadline.saturating_sub(now).as_secs_f64();
-        (wait + service > left).then_some(Code::DeadlineUnreachable)
+        (wait + service.most() > left).then_some(Code::DeadlineUnreachable)
     }
 
-    fn enqueue(&mut self, now: Duration, arrival: Arrival, service: f64) {
+    fn enqueue(&mut self, now: Duration, arrival: Arrival, service: Spread) {
         let until = latest_start(now, arrival.deadline, service);
         self.queue.push(fair::Item {
             request: arrival.request,
             account: arrival.account.clone(),
             service: arrival.service.clone(),
             class: arrival.class,
-            cost: service,
+            cost: service.mean(),
         });
         self.timers.insert((until, arrival.request));
         let request = Request {
@@ -93,7 +95,7 @@
 }
 
 /// When a request that waits can no longer meet its deadline.
-pub(super) fn latest_start(now: Duration, deadline: Duration, service: f64) -> Duration {
-    let latest = deadline.saturating_sub(Duration::from_secs_f64(service));
+pub(super) fn latest_start(now: Duration, deadline: Duration, service: Spread) -> Duration {
+    let latest = deadline.saturating_sub(Duration::from_secs_f64(service.most()));
     latest.max(now)
 }
--- a/crates/flow/src/pool/dispatch.rs
+++ b/crates/flow/src/pool/dispatch.rs
@@ -20,6 +20,10 @@
             self.workers
                 .change(worker, |worker| worker.health.half_open(at));
         }
+        while let Some(&(at, worker, number)) = self.held.first().filter(|(at, ..)| *at <= now) {
+            self.held.remove(&(at, worker, number));
+            self.release(worker);
+        }
         while let Some(&(at, request)) = self.timers.first().filter(|(at, _)| *at <= now) {
             self.timers.remove(&(at, request));
             self.fire(now, request);
@@ -48,14 +52,14 @@
         let Some(request) = self.requests.get(&number) else {
             return;
         };
-        let cost = self.times.service(&request.service);
-        let until = latest_start(now, request.deadline, cost);
+        let service = self.times.service(&request.service);
+        let until = latest_start(now, request.deadline, service);
         let item = fair::Item {
             request: number,
             account: request.account.clone(),
             service: request.service.clone(),
             class: request.class,
-            cost,
+            cost: service.mean(),
         };
         self.queue.push_front(item);
         self.timers.insert((until, number));
--- a/crates/flow/src/pool/finish.rs
+++ b/crates/flow/src/pool/finish.rs
@@ -9,6 +9,10 @@
 use primroseroute_domain::outcome::Code;
 use std::time::Duration;
 
+/// Mean service times for which the slot of an attempt without an answer is held: a worker with
+/// exponential service times is done by then in 86 of 100 cases.
+const HOLD: f64 = 2.0;
+
 impl Pool {
     /// Takes the end of an attempt in, or the caller's cancellation of a request in any phase.
     ///
@@ -23,7 +27,7 @@
     fn end(&mut self, now: Duration, number: u64, request: Request, ending: Ending) {
         match request.phase {
             Phase::Sent { worker, at } => {
-                self.release(worker);
+                self.free(now, number, &request, worker, ending);
                 self.learn(now, &request, worker, at, ending);
                 self.conclude(now, number, request, worker, ending);
             }
@@ -38,7 +42,29 @@
         }
     }
 
-    fn release(&mut self, worker: worker::Index) {
+    /// Frees the slot, at once or when the worker is likely to be done.
+    ///
+    /// A worker that is not asked any more goes on with what it has begun. A slot that were free
+    /// at once would be sent a second request while the first still runs, which makes that one late
+    /// too: under overload nearly every worker ran more than its slots and goodput fell by a sixth.
+    fn free(
+        &mut self,
+        now: Duration,
+        number: u64,
+        request: &Request,
+        worker: worker::Index,
+        ending: Ending,
+    ) {
+        if matches!(ending, Ending::Answered { .. } | Ending::NotSent) {
+            self.release(worker);
+            return;
+        }
+        let rest = HOLD * self.times.service(&request.service).mean();
+        let until = now + Duration::from_secs_f64(rest);
+        self.held.insert((until, worker, number));
+    }
+
+    pub(super) fn release(&mut self, worker: worker::Index) {
         self.workers.change(worker, |worker| worker.in_flight -= 1);
     }
 
@@ -59,7 +85,15 @@
                 self.times.add(&request.service, latency);
                 Sample::Good(latency)
             }
-            Ending::Late if !self.was_patient(request, at) => return,
+            Ending::Late => {
+                let was_patient = self.was_patient(request, at);
+                self.times
+                    .add_longer(&request.service, now.saturating_sub(at));
+                if !was_patient {
+                    return;
+                }
+                Sample::Bad
+            }
             Ending::Cancelled => return,
             _ => Sample::Bad,
         };
@@ -82,7 +116,7 @@
     /// the other ejected.
     fn was_patient(&self, request: &Request, at: Duration) -> bool {
         let given = request.deadline.saturating_sub(at).as_secs_f64();
-        given > self.limits.slow * self.times.service(&request.service)
+        given > self.limits.slow * self.times.service(&request.service).mean()
     }
 
     /// Ejects a worker, unless too many are out already.
@@ -139,7 +173,7 @@
             return None;
         }
         let until = now + retry::backoff(&self.limits, request.attempt, &mut self.random);
-        let service = self.times.service(&request.service);
+        let service = self.times.service(&request.service).mean();
         let end = until + Duration::from_secs_f64(service);
         (end < request.deadline && self.budget.withdraw()).then_some(until)
     }
--- a/crates/flow/src/pool/mod.rs
+++ b/crates/flow/src/pool/mod.rs
@@ -8,11 +8,12 @@
 mod admit;
 mod dispatch;
 mod finish;
+mod share;
 mod sync;
 
 use crate::{
-    estimate::Times, fair, health::Norm, limits::Limits, report::Report, request::Action, retry,
-    view::View, worker,
+    demand, estimate::Times, fair, health::Norm, limits::Limits, request::Action, retry,
+    rights::table::Table, view::View, worker,
 };
 use primroseroute_domain::{account::Class, id};
 use rand::SeedableRng;
@@ -50,7 +51,6 @@
 #[derive(Clone, Debug)]
 pub struct Pool {
     entry: id::Entry,
-    incarnation: u64,
     limits: Limits,
     random: ChaCha8Rng,
     view: View,
@@ -62,18 +62,21 @@
     norm: Norm,
     /// When waiting requests expire and backed-off ones go on, by time and request.
     timers: BTreeSet<(Duration, u64)>,
+    /// When slots are free again whose requests ended without an answer.
+    held: BTreeSet<(Duration, worker::Index, u64)>,
     /// When ejected workers get a probe.
     shut: BTreeSet<(Duration, worker::Index)>,
-    seq: u64,
+    rights: Table,
+    meter: demand::Meter,
     actions: Vec<Action>,
 }
 
 impl Pool {
-    /// A pool without workers, at `entry`; a restarted entry has another `incarnation`.
+    /// A pool without workers, at `entry`; a later start of the entry has a larger `incarnation`.
     pub fn new(entry: id::Entry, incarnation: u64, limits: Limits, seed: u64) -> Self {
+        let rights = Table::new(entry.clone(), incarnation);
         Self {
             entry,
-            incarnation,
             budget: retry::Budget::new(&limits),
             limits,
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -84,13 +87,17 @@
             times: Times::default(),
             norm: Norm::default(),
             timers: BTreeSet::new(),
+            held: BTreeSet::new(),
             shut: BTreeSet::new(),
-            seq: 0,
+            rights,
+            meter: demand::Meter::default(),
             actions: Vec::new(),
         }
     }
 
     /// Requests that this entry has in flight at an instance: zero acknowledges its drain.
+    ///
+    /// One that ended without an answer counts until the worker is likely to be done with it.
     pub fn in_flight(&self, instance: &id::Instance) -> u32 {
         let worker = self
             .workers
@@ -107,30 +114,13 @@
     /// When [`Pool::tick`] is next due, as time since the start; none while nothing is timed.
     pub fn next_tick(&self) -> Option<Duration> {
         let request = self.timers.first().map(|&(at, _)| at);
+        let slot = self.held.first().map(|&(at, ..)| at);
         let worker = self.shut.first().map(|&(at, _)| at);
-        request.into_iter().chain(worker).min()
+        request.into_iter().chain(slot).chain(worker).min()
     }
 
     /// Does what is due: refuses what can no longer be met, retries, lets probes in.
     pub fn tick(&mut self, now: Duration) -> Vec<Action> {
         self.settle(now)
     }
-
-    /// Takes the reports of other entries in; older ones than are known change nothing.
-    pub fn peers(&mut self, now: Duration, _reports: &[Report]) -> Vec<Action> {
-        self.settle(now)
-    }
-
-    /// The report for the other entries; each call makes a new one.
-    pub fn report(&mut self, _now: Duration) -> Report {
-        self.seq += 1;
-        Report {
-            entry: self.entry.clone(),
-            incarnation: self.incarnation,
-            seq: self.seq,
-            demand: BTreeMap::new(),
-            lent: BTreeMap::new(),
-            seen: BTreeMap::new(),
-        }
-    }
 }
--- a/crates/flow/src/pool/sync.rs
+++ b/crates/flow/src/pool/sync.rs
@@ -1,7 +1,7 @@
 //! A new view: workers and entries come and go.
 
 use super::{Phase, Pool};
-use crate::{request::Action, rights, view::View};
+use crate::{request::Action, view::View};
 use primroseroute_domain::{id, outcome::Code};
 use std::time::Duration;
 
@@ -14,15 +14,12 @@
         self.view = view.clone();
         self.drop_absent();
         for (id, member) in &view.members {
-            let index = self.workers.put(id, member.clone());
-            let rights = self.rights(id);
-            self.workers.change(index, |worker| worker.rights = rights);
+            self.workers.put(id, member.clone());
         }
-        let weights = view
-            .shares
-            .iter()
-            .map(|(account, share)| (account.clone(), f64::from(*share)));
-        self.queue.set_weights(weights.collect());
+        let mut entries = view.entries.clone();
+        entries.insert(self.entry.clone());
+        let entries_changed = self.rights.set_entries(&entries);
+        self.refresh_slots(entries_changed);
         if self.workers.totals().serving == 0 {
             self.refuse_all();
         }
@@ -43,17 +40,6 @@
         }
     }
 
-    fn rights(&self, instance: &id::Instance) -> u32 {
-        let own = self
-            .view
-            .entries
-            .iter()
-            .position(|entry| *entry == self.entry);
-        let owners = rights::owners(instance, &self.view.entries);
-        let owned = owners.iter().filter(|owner| Some(**owner) == own).count();
-        u32::try_from(owned).unwrap_or(u32::MAX)
-    }
-
     fn refuse_all(&mut self) {
         let is_sent = |phase| matches!(phase, Phase::Sent { .. });
         let requests = self.requests.iter();
--- a/crates/flow/src/report.rs
+++ b/crates/flow/src/report.rs
@@ -1,7 +1,7 @@
 //! What entries tell each other about one pool.
 //!
 //! A report does not grow with the number of workers: demand is one number per account, and lending
-//! is by [`rights::STRIPES`](crate::rights::STRIPES) stripes of a lender's slots.
+//! is by [`STRIPES`](crate::rights::owner::STRIPES) stripes of a lender's slots.
 
 use primroseroute_domain::id;
 use serde::{Deserialize, Serialize};
@@ -13,7 +13,7 @@
 pub struct Report {
     /// The entry that reports.
     pub entry: id::Entry,
-    /// Number of the entry's start; a restarted entry has lent nothing.
+    /// Number of the entry's start, larger for a later one; a restarted entry has lent nothing.
     pub incarnation: u64,
     /// Orders the reports of one incarnation; an older one is ignored.
     pub seq: u64,
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     health::{Gate, Health},
+    rights::owner::Slot,
     view::Member,
 };
 use primroseroute_domain::{id, instance::SLOTS};
@@ -33,6 +34,8 @@
     pub in_flight: u32,
     /// Slots that this entry may use there.
     pub rights: u32,
+    /// Its slots, with their owners.
+    pub slots: Vec<Slot>,
     /// Its record.
     pub health: Health,
     /// Whether it is in the view; one that has left stays until nothing is in flight.
@@ -127,6 +130,11 @@
         self.index.values().filter_map(|&index| self.get(index))
     }
 
+    /// The positions of all known workers, in order of their names.
+    pub fn indices(&self) -> Vec<Index> {
+        self.index.values().copied().collect()
+    }
+
     /// Changes a worker and files it anew.
     pub fn change<T>(&mut self, index: Index, change: impl FnOnce(&mut Worker) -> T) -> Option<T> {
         let worker = self.workers.get_mut(index)?.as_mut()?;
@@ -162,6 +170,7 @@
             member,
             in_flight: 0,
             rights: 0,
+            slots: Vec::new(),
             health: Health::default(),
             is_member: false,
             place: None,
