--- a/crates/claims/src/lane.rs
+++ b/crates/claims/src/lane.rs
@@ -91,8 +91,18 @@
     }
 
     /// Hands over a job, or gives it back where the lane is full or ended.
+    ///
+    /// The bound counts jobs in the channel, in the queue and in flight together: each alone
+    /// would let a long outage fill one after the other.
     pub(crate) fn push(&self, job: J) -> Result<(), J> {
-        self.load.send_modify(|load| *load += 1);
+        let room = self.load.send_if_modified(|load| {
+            let room = *load < self.jobs.max_capacity();
+            *load += usize::from(room);
+            room
+        });
+        if !room {
+            return Err(job);
+        }
         self.jobs.try_send(job).map_err(|error| {
             self.load.send_modify(|load| *load -= 1);
             error.into_inner()
@@ -142,7 +152,7 @@
             tokio::select! {
                 biased;
                 Some(flight) = self.flights.join_next() => self.land(flight.unwrap_or_default()),
-                job = jobs.recv(), if open && self.queue.len() < self.pace.waiting => match job {
+                job = jobs.recv(), if open => match job {
                     Some(job) => self.wait(job),
                     None => open = false,
                 },
--- /dev/null
+++ b/crates/claims/tests/all/kept.rs
@@ -0,0 +1,91 @@
+//! What is kept of an answer, and the shape of the rows.
+
+use crate::{
+    bench::{Paused, answer, claim, entry, entry_with, grant, settle, word},
+    fake::Fake,
+};
+use expect_test::expect;
+use primroseroute_claims::{Blob, Claim, Header, Options};
+
+// A backend server's answer is text, bytes that are no text, or both, and a repeat gets it whole.
+#[tokio::test(start_paused = true)]
+async fn repeat_gets_the_answer_whole() {
+    let (fake, clock) = (Fake::default(), Paused::start());
+    let a = entry(&fake, &clock, 1);
+    let mut first = answer(&[0, 159, 146, 150, b'x']);
+    first.headers = vec![Header {
+        name: "x-hold".into(),
+        value: Blob(vec![0xff].into()),
+    }];
+    grant(&a, "k").await.completed(first.clone());
+    settle(&a).await;
+    let Claim::Repeat(kept) = claim(&a, "k").await else {
+        panic!("the first answer is kept");
+    };
+    assert_eq!(kept, first);
+}
+
+// An answer above the limit would make rows that the store cannot carry. The repeat is told that
+// the request completed, and does not run again.
+#[tokio::test(start_paused = true)]
+async fn large_answer_is_not_kept() {
+    let (fake, clock) = (Fake::default(), Paused::start());
+    let options = Options {
+        answer_limit: 8,
+        ..Options::default()
+    };
+    let a = entry_with(&fake, &clock, 1, options);
+    grant(&a, "fits").await.completed(answer(b"12345678"));
+    grant(&a, "large").await.completed(answer(b"123456789"));
+    settle(&a).await;
+    assert_eq!(word(&claim(&a, "fits").await), "repeat");
+    assert_eq!(word(&claim(&a, "large").await), "not kept");
+}
+
+// Answers wait for the store in memory; above their budget only the fact of them is kept.
+#[tokio::test(start_paused = true)]
+async fn waiting_answers_are_bounded_in_bytes() {
+    let (fake, clock) = (Fake::default(), Paused::start());
+    let options = Options {
+        answers_limit: 10,
+        ..Options::default()
+    };
+    let a = entry_with(&fake, &clock, 1, options);
+    let (one, two, three) = (
+        grant(&a, "1").await,
+        grant(&a, "2").await,
+        grant(&a, "3").await,
+    );
+    one.completed(answer(b"12345678"));
+    two.completed(answer(b"12345678"));
+    settle(&a).await;
+    three.completed(answer(b"12345678"));
+    settle(&a).await;
+    assert_eq!(word(&claim(&a, "1").await), "repeat");
+    assert_eq!(word(&claim(&a, "2").await), "not kept");
+    assert_eq!(word(&claim(&a, "3").await), "repeat");
+}
+
+#[tokio::test(start_paused = true)]
+async fn row_shape() {
+    let (fake, clock) = (Fake::default(), Paused::start());
+    let a = entry(&fake, &clock, 1);
+    grant(&a, "k").await.completed(answer(b"held"));
+    settle(&a).await;
+    let row = serde_json::to_string_pretty(&fake.rows()[0]).expect("rows serialize");
+    expect![[r#"
+        {
+          "operation": "3b713e9f-2aff-4b58-b314-ba32d65b90fd",
+          "fingerprint": "641beba2e920a430a12dd756932f22928fd73779a316341bc186f27e95e3e97e",
+          "claimed": 1000000000,
+          "until": 1000015000,
+          "state": {
+            "completed": {
+              "status": 201,
+              "headers": [],
+              "body": "theld"
+            }
+          }
+        }"#]]
+    .assert_eq(&row);
+}
