Count requests in the entry's instruments

Cause: the entry told nothing of itself. Change: the request path's ends go into the typed instruments, which the admin address renders; the log line test no longer depends on which crate turns on ordered JSON maps (it failed in the whole workspace and passed alone).

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -4,6 +4,7 @@
     core::Core,
     follow::{self, Follow},
     local::Operators,
+    metered::Metered,
     parts::{Listen, Parts},
     spread,
 };
@@ -50,11 +51,11 @@
         let incarnation = parts.identity.incarnation.as_u64_pair().0;
         let gates = Arc::new(Gates::open(name, incarnation, parts.flow, seed));
         let core = Arc::new(Core::new(parts.identity, ledger, gates, parts.membership));
-        let link = parts
+        let dialed = parts
             .dial
             .dial(core.identity.clone(), Arc::clone(&core) as Arc<dyn Local>)
             .wrap_err("opening the peer link")?;
-        core.link.set(link).expect("the link is set once");
+        core.link.set(dialed.link).expect("the link is set once");
 
         let controller = Controller::spawn(ControllerParts {
             identity: core.identity.clone(),
@@ -83,12 +84,15 @@
             gates: Arc::clone(&core.gates),
             backend: Arc::clone(&parts.backend),
             claims,
-            observer: parts.observer,
+            observer: Arc::new(Metered(parts.meter.clone())),
             options: parts.path,
         }));
         let front = Front::bind(parts.listen.callers, parts.front, path).await?;
         let admin = AdminParts {
-            local: Arc::new(Operators(Arc::clone(&core))),
+            local: Arc::new(Operators {
+                core: Arc::clone(&core),
+                meter: parts.meter,
+            }),
             ledger: core.ledger.clone(),
             cell: Arc::clone(&core.cell),
             clock: Arc::clone(&parts.clock),
@@ -99,9 +103,9 @@
             core: Arc::clone(&core),
             clock: parts.clock,
             listen: Listen {
-                admin: admin.address(),
                 callers: front.address(),
-                ..parts.listen
+                admin: admin.address(),
+                peers: dialed.address,
             },
             zone: parts.zone,
             region: parts.region,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,8 +17,9 @@
 mod entry;
 mod follow;
 mod local;
+mod metered;
 mod parts;
 mod spread;
 
 pub use entry::Entry;
-pub use parts::{Dial, Listen, Parts, Timers};
+pub use parts::{Dial, Dialed, Listen, Parts, Timers};
--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -11,6 +11,7 @@
 use primroseroute_peer::{
     Local as PeerLocal, Row, Snapshot as Rows, membership::Registration, report::Report,
 };
+use primroseroute_telemetry::Meter;
 use primroseroute_view::Snapshot;
 use std::{sync::Arc, time::Duration};
 
@@ -64,35 +65,42 @@
 
 /// The entry as the operators' interface sees it.
 #[derive(Debug)]
-pub(crate) struct Operators(pub(crate) Arc<Core>);
+pub(crate) struct Operators {
+    pub core: Arc<Core>,
+    pub meter: Meter,
+}
 
 impl AdminLocal for Operators {
     fn name(&self) -> id::Entry {
-        self.0.identity.entry.clone()
+        self.core.identity.entry.clone()
     }
 
     fn is_ready(&self) -> bool {
-        self.0.is_ready()
+        self.core.is_ready()
     }
 
     fn in_flight(&self, instance: &id::Instance) -> u32 {
-        self.0.gates.in_flight(instance)
+        self.core.gates.in_flight(instance)
     }
 
     fn entries(&self) -> Vec<EntryStatus> {
-        self.0.entries()
+        self.core.entries()
     }
 
     fn controller(&self) -> Option<id::Entry> {
-        self.0.controller.get().and_then(Controller::holder)
+        self.core.controller.get().and_then(Controller::holder)
     }
 
     fn confirmed(&self) -> Option<Duration> {
-        self.0.confirmed()
+        self.core.confirmed()
     }
 
     fn metrics(&self) -> String {
-        String::new()
+        self.meter.view(self.core.in_force());
+        self.meter.render().unwrap_or_else(|error| {
+            log::error!("{error}");
+            String::new()
+        })
     }
 }
 
--- a/crates/entry/src/parts.rs
+++ b/crates/entry/src/parts.rs
@@ -10,16 +10,26 @@
 use primroseroute_front::Options as FrontOptions;
 use primroseroute_peer::{Link, Local, membership, report::Identity};
 use primroseroute_platform::{fleet::Instances, table::Table};
-use primroseroute_route::{Observer, Options as PathOptions, backend::Backend};
+use primroseroute_route::{Options as PathOptions, backend::Backend};
+use primroseroute_telemetry::Meter;
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
+/// An open peer link.
+#[derive(Debug)]
+pub struct Dialed {
+    /// The link.
+    pub link: Arc<dyn Link>,
+    /// Where it listens for peers.
+    pub address: SocketAddr,
+}
+
 /// Opens the peer link once the entry can answer it.
 pub trait Dial: Send + fmt::Debug {
     /// Opens the link of `identity`, which calls `local`.
     ///
     /// # Errors
     /// Where the link cannot be opened, such as a port that is taken.
-    fn dial(self: Box<Self>, identity: Identity, local: Arc<dyn Local>) -> Result<Arc<dyn Link>>;
+    fn dial(self: Box<Self>, identity: Identity, local: Arc<dyn Local>) -> Result<Dialed>;
 }
 
 /// Where the entry listens.
@@ -84,8 +94,8 @@
     pub seed: Seed,
     /// Operators.
     pub operators: Tokens,
-    /// Who takes note of requests that have ended.
-    pub observer: Arc<dyn Observer>,
+    /// Its instruments.
+    pub meter: Meter,
     /// Limits of each pool's gate.
     pub flow: Limits,
     /// Bounds on one request.
--- a/crates/telemetry/tests/all/lines.rs
+++ b/crates/telemetry/tests/all/lines.rs
@@ -5,6 +5,7 @@
 use log::{Level, LevelFilter, Record};
 use primroseroute_telemetry::log::{Log, REQUEST_ID, line};
 use serde_json::Value;
+use std::collections::BTreeMap;
 
 fn written(record: &Record<'_>) -> String {
     let mut out = Vec::new();
@@ -27,7 +28,10 @@
     let object = value.as_object_mut().expect("the line is an object");
     assert!(object.remove("timestamp").is_some());
     object.remove("thread");
-    expect![[r#"{"kv":{"request_id":"r-1"},"level":"WARN","module_path":"primroseroute_entry","text":"two\nlines and a \"quote\""}"#]].assert_eq(&value.to_string());
+    // Whether a map keeps the order of its keys depends on what else the workspace builds.
+    let sorted: BTreeMap<&String, &Value> = object.iter().collect();
+    let shown = serde_json::to_string(&sorted).expect("values serialize");
+    expect![[r#"{"kv":{"request_id":"r-1"},"level":"WARN","module_path":"primroseroute_entry","text":"two\nlines and a \"quote\""}"#]].assert_eq(&shown);
 }
 
 #[test]
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -8,7 +8,6 @@
 mod site;
 mod spec;
 
-pub use parts::Quiet;
 pub use site::{Running, Site, until};
 pub use spec::{Layout, OPERATOR_TOKEN, caller_token, template, token_hash};
 
--- a/crates/testbed/src/parts.rs
+++ b/crates/testbed/src/parts.rs
@@ -5,28 +5,24 @@
 use primroseroute_admin::Tokens;
 use primroseroute_controller::{HttpProbe, Timers as ControllerTimers};
 use primroseroute_domain::{id, time::SystemClock};
-use primroseroute_entry::{Dial, Listen, Parts, Timers};
-use primroseroute_peer::{Link, Local, memory::Network, report::Identity};
-use primroseroute_route::{Finished, Observer, backend::Pool};
+use primroseroute_entry::{Dial, Dialed, Listen, Parts, Timers};
+use primroseroute_peer::{Local, memory::Network, report::Identity};
+use primroseroute_route::backend::Pool;
 use primroseroute_standin::{backend::HEALTH_PATH, platform::Platform};
+use primroseroute_telemetry::Meter;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use uuid::Uuid;
 
-/// Takes no note of anything.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Quiet;
-
-impl Observer for Quiet {
-    fn finished(&self, _finished: &Finished) {}
-}
-
 /// Joins the site's in-memory network.
 #[derive(Debug)]
 struct Join(Network);
 
 impl Dial for Join {
-    fn dial(self: Box<Self>, identity: Identity, local: Arc<dyn Local>) -> Result<Arc<dyn Link>> {
-        Ok(self.0.join(identity, local))
+    fn dial(self: Box<Self>, identity: Identity, local: Arc<dyn Local>) -> Result<Dialed> {
+        Ok(Dialed {
+            link: self.0.join(identity, local),
+            address: ANY_PORT,
+        })
     }
 }
 
@@ -56,7 +52,7 @@
         clock: Arc::new(SystemClock),
         seed,
         operators: Tokens([operator].into()),
-        observer: Arc::new(Quiet),
+        meter: Meter::open().expect("instruments open"),
         flow: primroseroute_flow::limits::Limits::default(),
         path: primroseroute_route::Options::default(),
         front: primroseroute_front::Options::default(),
