--- a/crates/flow/benches/overload.rs
+++ b/crates/flow/benches/overload.rs
@@ -2,7 +2,7 @@
 
 mod sim;
 
-use sim::{Case, Way, flood, run};
+use sim::{Case, Way, flood, run, single};
 
 const LOADS: [f64; 4] = [0.5, 0.9, 1.2, 2.0];
 const WAYS: [Way; 4] = [Way::Lend, Way::Own, Way::LeastLoad, Way::Subset];
@@ -10,10 +10,16 @@
 fn table(title: &str, case: &Case) {
     println!("\n{title}");
     println!(
-        "| way | load | goodput | least fair part | overruns | wait p99 | drawn by worker 0 | rights |"
+        "| way | load | goodput | least fair part | of what can be reached | overruns | wait p99 | drawn by worker 0 | rights | reports/s |"
     );
-    println!("|---|---|---|---|---|---|---|---|");
-    for way in WAYS {
+    println!("|---|---|---|---|---|---|---|---|---|---|");
+    let only = std::env::args().nth(1).filter(|arg| arg == "lend");
+    let ways = if only.is_some() {
+        &WAYS[..1]
+    } else {
+        &WAYS[..]
+    };
+    for &way in ways {
         for load in LOADS {
             let outcome = run(&Case {
                 way,
@@ -21,13 +27,15 @@
                 ..case.clone()
             });
             println!(
-                "| {way:?} | {load} | {:.1}% | {:.1}% | {:.2}% | {} ms | {:.2}% | {} |",
+                "| {way:?} | {load} | {:.1}% | {:.1}% | {:.1}% | {:.2}% | {} ms | {:.2}% | {} | {:.2} |",
                 outcome.goodput * 100.0,
                 outcome.fairness * 100.0,
+                outcome.reachable * 100.0,
                 outcome.overruns * 100.0,
                 outcome.wait.as_millis(),
                 outcome.drawn * 100.0,
                 outcome.most_rights,
+                outcome.reports,
             );
         }
     }
@@ -35,50 +43,46 @@
 
 fn main() {
     let plain = Case::default();
-    table("50 workers, 7 entries, callers spread evenly", &plain);
-    table(
-        "70% of the callers at one entry",
-        &Case {
-            hot: 0.7,
-            ..plain.clone()
-        },
-    );
-    table(
-        "one worker 10 times slow",
-        &Case {
-            slow: true,
-            ..plain.clone()
-        },
-    );
-    table(
-        "one worker fails everything at once",
-        &Case {
-            failing: true,
-            ..plain.clone()
-        },
-    );
+    let hot = Case {
+        hot: 0.7,
+        ..plain.clone()
+    };
+    let slow = Case {
+        slow: true,
+        ..plain.clone()
+    };
+    let failing = Case {
+        failing: true,
+        ..plain.clone()
+    };
     let flood = Case {
         accounts: flood(),
-        hot: 0.7,
+        ..hot.clone()
+    };
+    let single = Case {
+        accounts: single(),
         ..plain.clone()
     };
+    let small = Case {
+        workers: 8,
+        ..plain.clone()
+    };
+    let small_hot = Case {
+        workers: 8,
+        ..hot.clone()
+    };
+    table("50 workers, 7 entries, callers spread evenly", &plain);
+    table("70% of the callers at one entry", &hot);
+    table("one worker 10 times slow", &slow);
+    table("one worker fails everything at once", &failing);
     table(
         "one account floods, 70% of the callers at one entry",
         &flood,
     );
     table(
-        "8 workers",
-        &Case {
-            workers: 8,
-            ..plain.clone()
-        },
-    );
-    table(
-        "8 workers, 70% of the callers at one entry",
-        &Case {
-            workers: 8,
-            hot: 0.7,
-            ..plain
-        },
+        "two accounts of equal share, one at a single entry",
+        &single,
     );
+    table("8 workers", &small);
+    table("8 workers, 70% of the callers at one entry", &small_hot);
 }
--- a/crates/flow/benches/sim/mod.rs
+++ b/crates/flow/benches/sim/mod.rs
@@ -32,6 +32,8 @@
     pub share: u32,
     /// Part of the whole load.
     pub part: f64,
+    /// The one entry that its callers come to; none where they are spread as the case says.
+    pub home: Option<usize>,
     pub class: Class,
 }
 
@@ -86,6 +88,7 @@
         name,
         share,
         part: 0.25,
+        home: None,
         class: Class::Urgent,
     };
     vec![
@@ -102,18 +105,35 @@
         name,
         share: 1,
         part,
+        home: None,
         class: Class::Urgent,
     };
     vec![account("flood", 0.6), account("b", 0.2), account("c", 0.2)]
 }
 
+/// Two accounts that each send half of the load, one of them through a single entry.
+pub fn single() -> Vec<Account> {
+    let mut accounts = flood();
+    accounts.truncate(2);
+    for account in &mut accounts {
+        account.part = 0.5;
+    }
+    accounts[0].home = Some(0);
+    accounts
+}
+
 /// What came of a case, over requests that arrived while it was measured.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
     /// Good answers in time over what capacity and load allow.
     pub goodput: f64,
-    /// The least of the accounts' good answers over their fair part.
+    /// The least of the accounts' good answers over their fair part of the capacity.
     pub fairness: f64,
+    /// The same over the fair part of what can be reached: a slot stands empty for a millisecond
+    /// each way between two requests, since no entry can know sooner that it is free.
+    pub reachable: f64,
+    /// Reports that an entry makes in a second.
+    pub reports: f64,
     /// Part of the requests that started when the worker already ran 8.
     pub overruns: f64,
     /// Wait for a slot, at entry and worker, at the 99th percentile.
--- a/crates/flow/benches/sim/run.rs
+++ b/crates/flow/benches/sim/run.rs
@@ -69,6 +69,7 @@
     waits: Vec<Duration>,
     started: u64,
     overruns: u64,
+    reports: u64,
     drawn: (u64, u64),
     offered: BTreeMap<&'static str, u64>,
     outcome: Outcome,
@@ -103,6 +104,7 @@
             waits: Vec::new(),
             started: 0,
             overruns: 0,
+            reports: 0,
             drawn: (0, 0),
             offered: BTreeMap::new(),
             outcome: Outcome::default(),
@@ -160,8 +162,9 @@
     fn arrive(&mut self) {
         let gap = self.exponential(1.0 / (self.capacity() * self.case.load));
         self.after(gap, Event::Arrive);
-        let entry = self.draw_entry();
         let account = self.draw_account();
+        let home = self.case.accounts[account].home;
+        let entry = home.unwrap_or_else(|| self.draw_entry());
         let request = self.next;
         self.next += 1;
         let Account {
@@ -287,7 +290,7 @@
         if let Some(known) = self.requests.get_mut(&request) {
             known.started = self.now;
             if self.now > self.case.warm_up {
-                self.waits.push(self.now - known.arrived);
+                self.waits.push(self.now.saturating_sub(known.arrived));
             }
         }
         self.after(service, Event::Done(worker, request));
@@ -309,7 +312,7 @@
         else {
             return;
         };
-        let latency = self.now - request.sent;
+        let latency = self.now.saturating_sub(request.sent);
         if !failure && self.is_measured(request.arrived) {
             let account = self.case.accounts[request.account].name;
             *self.outcome.good.entry(account).or_default() += 1;
@@ -340,7 +343,8 @@
     fn report(&mut self, entry: usize) {
         self.after(self.case.report_every, Event::Report(entry));
         let note = self.nodes[entry].note(self.now);
-        if self.case.way != Way::Own {
+        if let Some(note) = note.filter(|_| self.case.way != Way::Own) {
+            self.reports += 1;
             self.notes.entry(entry).or_default().push_back(note);
             self.after(REPORT_DELAY, Event::Deliver(entry));
         }
@@ -365,30 +369,42 @@
     }
 
     fn close(mut self) -> Outcome {
-        let seconds = self.case.measured.as_secs_f64();
-        let capacity = self.capacity() * seconds;
-        let accounts = &self.case.accounts;
-        let demand = self
-            .offered
-            .iter()
-            .map(|(text, count)| (name(text), *count as f64))
-            .collect();
-        let shares = accounts
-            .iter()
-            .map(|account| (name(account.name), account.share))
-            .collect();
-        let fair = division::max_min(capacity, &shares, &demand);
-        let good = |text: &str| self.outcome.good.get(text).copied().unwrap_or(0) as f64;
-        let ratio = |account: &Account| good(account.name) / fair[&name(account.name)];
-        let ratios = accounts.iter().map(ratio);
-        self.outcome.fairness = ratios.fold(f64::INFINITY, f64::min);
-        let all: u64 = self.outcome.good.values().sum();
-        self.outcome.goodput = all as f64 / fair.values().sum::<f64>();
+        let reach =
+            self.case.service.as_secs_f64() / (self.case.service + 2 * NETWORK).as_secs_f64();
+        let good: u64 = self.outcome.good.values().sum();
+        let whole: f64 = self.fair(1.0).values().sum();
+        self.outcome.goodput = good as f64 / whole;
+        self.outcome.fairness = self.least(&self.fair(1.0));
+        self.outcome.reachable = self.least(&self.fair(reach));
         self.outcome.overruns = self.overruns as f64 / self.started as f64;
         self.outcome.drawn = self.drawn.0 as f64 / self.drawn.1.max(1) as f64;
+        let seconds = (self.case.warm_up + self.case.measured + self.case.patience).as_secs_f64();
+        self.outcome.reports = self.reports as f64 / seconds / self.case.entries as f64;
         self.waits.sort_unstable();
         let at = self.waits.len().saturating_sub(1) * 99 / 100;
         self.outcome.wait = self.waits.get(at).copied().unwrap_or_default();
         self.outcome
     }
+
+    /// Good answers that each account should get of `part` of the capacity.
+    fn fair(&self, part: f64) -> division::Demand {
+        let capacity = self.capacity() * self.case.measured.as_secs_f64() * part;
+        let offered = self.offered.iter();
+        let demand = offered
+            .map(|(text, count)| (name(text), *count as f64))
+            .collect();
+        let share = |account: &Account| (name(account.name), f64::from(account.share));
+        let weights = self.case.accounts.iter().map(share).collect();
+        division::max_min(capacity, &weights, &demand)
+    }
+
+    fn least(&self, fair: &division::Demand) -> f64 {
+        let good = |text: &str| self.outcome.good.get(text).copied().unwrap_or(0) as f64;
+        let ratio = |account: &Account| good(account.name) / fair[&name(account.name)];
+        self.case
+            .accounts
+            .iter()
+            .map(ratio)
+            .fold(f64::INFINITY, f64::min)
+    }
 }
--- a/crates/flow/benches/sim/way.rs
+++ b/crates/flow/benches/sim/way.rs
@@ -30,7 +30,7 @@
     fn finish(&mut self, now: Duration, request: u64, ending: Ending) -> Vec<Action>;
     fn tick(&mut self, now: Duration) -> Vec<Action>;
     fn next_tick(&self) -> Option<Duration>;
-    fn note(&mut self, now: Duration) -> Note;
+    fn note(&mut self, now: Duration) -> Option<Note>;
     fn take(&mut self, now: Duration, note: &Note) -> Vec<Action>;
     fn rights(&self, instance: &id::Instance) -> u32;
 }
@@ -64,8 +64,8 @@
         Pool::next_tick(self)
     }
 
-    fn note(&mut self, now: Duration) -> Note {
-        Note::Report(self.report(now))
+    fn note(&mut self, now: Duration) -> Option<Note> {
+        self.news(now).map(Note::Report)
     }
 
     fn take(&mut self, now: Duration, note: &Note) -> Vec<Action> {
@@ -144,7 +144,7 @@
         }
     }
 
-    fn dispatch(&mut self, now: Duration) -> Vec<Action> {
+    fn dispatch(&mut self) -> Vec<Action> {
         let mut actions = Vec::new();
         while self.workers.has_free() {
             let Some(item) = self.queue.pop() else { break };
@@ -172,7 +172,6 @@
                 not_after,
             });
         }
-        let _ = now;
         actions
     }
 }
@@ -180,12 +179,12 @@
 impl Node for Rival {
     fn arrive(&mut self, now: Duration, arrival: Arrival) -> Vec<Action> {
         let service = self.times.service(&arrival.service);
-        let wait = self
-            .queue
-            .wait(&arrival.account, arrival.class, self.slots());
+        let rate = self.slots() * self.queue.part(&arrival.account);
+        let wait = self.queue.wait(&arrival.account, arrival.class, rate);
         let left = arrival.deadline.saturating_sub(now).as_secs_f64();
         let waits = !self.queue.is_empty() || !self.workers.has_free();
-        if waits && wait + service.most() > left {
+        let longest = (left - service.most()).min(left / 2.0);
+        if waits && wait > longest {
             return vec![Self::refuse(arrival.request, Code::DeadlineUnreachable)];
         }
         self.queue.push(fair::Item {
@@ -200,11 +199,11 @@
             .saturating_sub(Duration::from_secs_f64(service.most()));
         self.timers.insert((until.max(now), arrival.request));
         self.requests.insert(arrival.request, (arrival, None));
-        self.dispatch(now)
+        self.dispatch()
     }
 
-    fn finish(&mut self, now: Duration, number: u64, ending: Ending) -> Vec<Action> {
-        if let Some((arrival, Some(index))) = self.requests.remove(&number) {
+    fn finish(&mut self, _now: Duration, request: u64, ending: Ending) -> Vec<Action> {
+        if let Some((arrival, Some(index))) = self.requests.remove(&request) {
             self.workers.change(index, |worker| worker.in_flight -= 1);
             if let Ending::Answered {
                 latency,
@@ -214,7 +213,7 @@
                 self.times.add(&arrival.service, latency);
             }
         }
-        self.dispatch(now)
+        self.dispatch()
     }
 
     fn tick(&mut self, now: Duration) -> Vec<Action> {
@@ -234,13 +233,13 @@
         self.timers.first().map(|(at, _)| *at)
     }
 
-    fn note(&mut self, _now: Duration) -> Note {
+    fn note(&mut self, _now: Duration) -> Option<Note> {
         let workers = self.workers.iter();
         let loads = workers.map(|worker| (worker.id.clone(), worker.in_flight));
-        Note::Load(self.at, loads.collect())
+        Some(Note::Load(self.at, loads.collect()))
     }
 
-    fn take(&mut self, now: Duration, note: &Note) -> Vec<Action> {
+    fn take(&mut self, _now: Duration, note: &Note) -> Vec<Action> {
         let (Note::Load(from, loads), Way::LeastLoad) = (note, self.way) else {
             return Vec::new();
         };
@@ -253,7 +252,7 @@
                 worker.rights = SLOTS.saturating_sub(others);
             });
         }
-        self.dispatch(now)
+        self.dispatch()
     }
 
     fn rights(&self, instance: &id::Instance) -> u32 {
--- a/crates/flow/src/fair.rs
+++ b/crates/flow/src/fair.rs
@@ -11,6 +11,7 @@
 //! one while any waits. Accounts come first and classes second: an account cannot get more than its
 //! share by calling its work urgent. Within a class services take turns, each first in, first out.
 
+use crate::rights::division::{Weights, weight};
 use primroseroute_domain::{account::Class, id};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -148,7 +149,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     flows: BTreeMap<id::Account, Flow>,
-    weights: BTreeMap<id::Account, f64>,
+    weights: Weights,
     /// Accounts with waiting requests by start tag; tags are not negative, so bits keep the order.
     order: BTreeSet<(u64, id::Account)>,
     time: f64,
@@ -158,14 +159,13 @@
 
 impl Queue {
     /// Sets the weights of the accounts; an account that is missing has weight 1.
-    pub fn set_weights(&mut self, weights: BTreeMap<id::Account, f64>) {
+    pub fn set_weights(&mut self, weights: Weights) {
         self.weights = weights;
     }
 
     /// The weight of an account.
     pub fn weight(&self, account: &id::Account) -> f64 {
-        let weight = self.weights.get(account).copied().unwrap_or(1.0);
-        weight.max(f64::MIN_POSITIVE)
+        weight(&self.weights, account)
     }
 
     /// Number of waiting requests.
@@ -262,24 +262,25 @@
         self.flows.clear();
     }
 
-    /// Seconds that a new request would wait while `slots` slots are at work.
-    ///
-    /// The account's own work ahead of it at the account's part of the slots, or all work ahead at
-    /// all slots, whichever is less: a slot that other accounts leave free is not left idle.
-    pub fn wait(&self, account: &id::Account, class: Class, slots: f64) -> f64 {
-        let slots = slots.max(1.0);
-        let Some(flow) = self.flows.get(account).filter(|flow| !flow.is_empty()) else {
+    /// Seconds that a new request would wait while its account has `rate` slots at work.
+    pub fn wait(&self, account: &id::Account, class: Class, rate: f64) -> f64 {
+        let Some(flow) = self.flows.get(account) else {
             return 0.0;
         };
-        let weight = self.weight(account);
-        let others = self.order.iter().map(|(_, other)| self.weight(other));
-        let part = weight / others.sum::<f64>();
         let urgent = flow.urgent.cost * f64::from(TURN) / f64::from(TURN - 1);
         let all = flow.urgent.cost + flow.deferrable.cost;
         let ahead = match class {
             Class::Urgent => urgent.min(all),
             Class::Deferrable => all,
         };
-        (ahead / (slots * part)).min(self.cost / slots)
+        ahead / rate
+    }
+
+    /// The account's part of the weights of all accounts that have requests waiting.
+    pub fn part(&self, account: &id::Account) -> f64 {
+        let own = self.weight(account);
+        let others = self.order.iter().map(|(_, other)| other);
+        let others = others.filter(|other| *other != account);
+        own / (own + others.map(|other| self.weight(other)).sum::<f64>())
     }
 }
--- a/crates/flow/src/limits.rs
+++ b/crates/flow/src/limits.rs
@@ -31,6 +31,8 @@
     pub ejected: f64,
     /// Shortest retry-after of a refusal.
     pub retry_after: Duration,
+    /// Shortest retry-after where no instance serves: a view takes about so long to change.
+    pub absence: Duration,
 }
 
 impl Default for Limits {
@@ -49,6 +51,7 @@
             ejection_cap: Duration::from_secs(30),
             ejected: 0.5,
             retry_after: Duration::from_millis(100),
+            absence: Duration::from_secs(1),
         }
     }
 }
--- a/crates/flow/src/pool/admit.rs
+++ b/crates/flow/src/pool/admit.rs
@@ -6,9 +6,19 @@
     fair,
     request::{Action, Arrival},
 };
-use primroseroute_domain::outcome::Code;
+use primroseroute_domain::{id, outcome::Code};
+use rand::RngExt;
 use std::time::Duration;
 
+/// Part of the time to its deadline that a request may be expected to wait.
+///
+/// With queues as long as deadlines allow, whatever takes longer than usual is late: it has used a
+/// slot for nothing, and the long ones hold most of the work.
+const MAX_WAIT: f64 = 0.5;
+
+/// Least number of slots that an account is taken to have, so that an estimate stays finite.
+const MIN_RATE: f64 = 0.1;
+
 impl Pool {
     /// Takes a request in or refuses it.
     ///
@@ -47,11 +57,11 @@
         if waiting >= self.limits.queue {
             return Some(Code::QueueFull);
         }
-        let wait = self
-            .queue
-            .wait(&arrival.account, arrival.class, self.slots());
+        let rate = self.rate(&arrival.account);
+        let wait = self.queue.wait(&arrival.account, arrival.class, rate);
         let left = arrival.deadline.saturating_sub(now).as_secs_f64();
-        (wait + service.most() > left).then_some(Code::DeadlineUnreachable)
+        let longest = (left - service.most()).min(left * MAX_WAIT);
+        (wait > longest).then_some(Code::DeadlineUnreachable)
     }
 
     fn enqueue(&mut self, now: Duration, arrival: Arrival, service: Spread) {
@@ -77,19 +87,34 @@
         self.requests.insert(arrival.request, request);
     }
 
+    /// Slots that are at work for an account while it has requests waiting.
+    fn rate(&self, account: &id::Account) -> f64 {
+        let slots = self.slots();
+        let measured = self.rates.get(account).copied();
+        let part = measured.unwrap_or_else(|| self.queue.part(account));
+        (slots * part).max(MIN_RATE)
+    }
+
     /// Slots that this entry may use, at least one: waiting times are divided by it.
     fn slots(&self) -> f64 {
         f64::from(self.workers.totals().slots.max(1))
     }
 
     /// Decides a final refusal.
+    ///
+    /// The retry-after grows with the backlog and is drawn from a range, so that callers who were
+    /// refused together do not come back together.
     pub(super) fn refuse(&mut self, request: u64, code: Code) {
         let backlog = Duration::from_secs_f64(self.queue.cost() / self.slots());
-        let retry_after = self.limits.retry_after.max(backlog);
+        let least = match code {
+            Code::NoInstance => self.limits.absence,
+            _ => self.limits.retry_after,
+        };
+        let jitter = 1.0 + self.random.random::<f64>() / 2.0;
         self.actions.push(Action::Refuse {
             request,
             code,
-            retry_after,
+            retry_after: least.max(backlog).mul_f64(jitter),
         });
     }
 }
--- a/crates/flow/src/pool/mod.rs
+++ b/crates/flow/src/pool/mod.rs
@@ -11,11 +11,25 @@
 mod share;
 mod sync;
 
+pub use share::KEEP_ALIVE;
+
 use crate::{
-    demand, estimate::Times, fair, health::Norm, limits::Limits, request::Action, retry,
-    rights::table::Table, view::View, worker,
+    demand,
+    estimate::Times,
+    fair,
+    health::Norm,
+    limits::Limits,
+    request::Action,
+    retry,
+    rights::{division::Weights, table::Table},
+    view::View,
+    worker,
+};
+use primroseroute_domain::{
+    account::Class,
+    id,
+    instance::{CONNECTIONS, SLOTS},
 };
-use primroseroute_domain::{account::Class, id};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::{
@@ -67,7 +81,11 @@
     /// When ejected workers get a probe.
     shut: BTreeSet<(Duration, worker::Index)>,
     rights: Table,
+    shares: Weights,
+    /// The part of this entry's slots that each account gets while it has requests waiting.
+    rates: BTreeMap<id::Account, f64>,
     meter: demand::Meter,
+    reported: share::Reported,
     actions: Vec<Action>,
 }
 
@@ -90,7 +108,10 @@
             held: BTreeSet::new(),
             shut: BTreeSet::new(),
             rights,
+            shares: Weights::new(),
+            rates: BTreeMap::new(),
             meter: demand::Meter::default(),
+            reported: share::Reported::default(),
             actions: Vec::new(),
         }
     }
@@ -106,6 +127,15 @@
         worker.map_or(0, |worker| worker.in_flight)
     }
 
+    /// Connections without a request that this entry may keep open to one instance.
+    ///
+    /// Requests in flight take at most the slots, so with these the connections of all entries
+    /// together stay within what a worker accepts.
+    pub fn idle_connections(&self) -> u32 {
+        let entries = u32::try_from(self.rights.entries().len()).unwrap_or(u32::MAX);
+        (CONNECTIONS - SLOTS) / entries.max(1)
+    }
+
     /// Requests that wait for a slot, at this entry.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/crates/flow/src/pool/share.rs
+++ b/crates/flow/src/pool/share.rs
@@ -1,7 +1,11 @@
 //! Dividing the pool's slots with the other entries.
 
 use super::Pool;
-use crate::{report::Report, request::Action, rights::owner};
+use crate::{
+    report::Report,
+    request::Action,
+    rights::{division, owner},
+};
 use primroseroute_domain::id;
 use std::{collections::BTreeMap, time::Duration};
 
@@ -9,6 +13,31 @@
 /// callers that have just moved to an entry are not measured there yet.
 const MIN_PART: f64 = 0.25;
 
+/// A report goes out at least so often, so that one that was lost is made good.
+pub const KEEP_ALIVE: Duration = Duration::from_secs(5);
+
+/// Demand that has changed by less than this part, or less than [`MIN_CHANGE`], is no news.
+const CHANGE: f64 = 0.15;
+
+/// Slots of demand whose change is no news.
+const MIN_CHANGE: f64 = 0.5;
+
+/// What the peers were told last.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Reported {
+    at: Duration,
+    demand: BTreeMap<id::Account, f64>,
+}
+
+fn moved(before: &BTreeMap<id::Account, f64>, now: &BTreeMap<id::Account, f64>) -> bool {
+    let accounts = before.keys().chain(now.keys());
+    let of = |demand: &BTreeMap<_, f64>, account| demand.get(account).copied().unwrap_or(0.0);
+    accounts.into_iter().any(|account| {
+        let (before, now) = (of(before, account), of(now, account));
+        (now - before).abs() > MIN_CHANGE.max(before * CHANGE)
+    })
+}
+
 impl Pool {
     /// Takes the reports of other entries in; older ones than are known change nothing.
     pub fn peers(&mut self, now: Duration, reports: &[Report]) -> Vec<Action> {
@@ -31,14 +60,41 @@
 
     /// Decides what to lend, and makes the report for the other entries.
     ///
-    /// Each call makes a new report, which must be sent: a peer gives a slot back only once it has
-    /// seen a report that calls for it. A lost one is made good by the next.
+    /// Called a few times a second. Each report must be sent: a peer gives a slot back only once it
+    /// has seen a report that calls for it. A lost one is made good by the next.
     pub fn report(&mut self, now: Duration) -> Report {
         let demand = self.meter.read(now);
-        self.weigh(&demand);
-        if self.rights.lend(&self.view.shares, &demand) {
+        self.decide(&demand);
+        self.make_report(now, demand)
+    }
+
+    /// As [`Pool::report`], but none where peers would do nothing else for it.
+    ///
+    /// In a steady state that leaves one report in [`KEEP_ALIVE`], whatever the rate of calls.
+    pub fn news(&mut self, now: Duration) -> Option<Report> {
+        let demand = self.meter.read(now);
+        let has_lent = self.decide(&demand);
+        let is_old = now >= self.reported.at + KEEP_ALIVE;
+        let has_moved = moved(&self.reported.demand, &demand);
+        let has_news = has_lent || is_old || has_moved || self.rights.is_pending();
+        has_news.then(|| self.make_report(now, demand))
+    }
+
+    /// Sets weights and loans by what is known; true where loans have changed.
+    fn decide(&mut self, demand: &BTreeMap<id::Account, f64>) -> bool {
+        self.weigh(demand);
+        let has_lent = self.rights.lend(&self.shares, demand);
+        if has_lent {
             self.refresh_rights();
         }
+        has_lent
+    }
+
+    fn make_report(&mut self, now: Duration, demand: BTreeMap<id::Account, f64>) -> Report {
+        self.reported = Reported {
+            at: now,
+            demand: demand.clone(),
+        };
         let workers = self.workers.iter();
         let busy = workers.filter(|worker| worker.in_flight > worker.rights);
         self.rights
@@ -49,21 +105,24 @@
     ///
     /// With its whole share as weight at each entry, an account that calls at all entries would get
     /// more of the pool than one that calls at a single one.
-    fn weigh(&mut self, own: &BTreeMap<id::Account, f64>) {
+    pub(super) fn weigh(&mut self, own: &BTreeMap<id::Account, f64>) {
         let total = self.rights.demand(own);
         let min = MIN_PART / self.rights.entries().len().max(1) as f64;
-        let shares = &self.view.shares;
         let weight = |(account, asked): (&id::Account, &f64)| {
-            let share = f64::from(shares.get(account).copied().unwrap_or(1));
             let total = total.get(account).copied().unwrap_or(0.0);
             let part = if total > 0.0 { asked / total } else { 1.0 };
+            let share = division::weight(&self.shares, account);
             (account.clone(), share * part.max(min))
         };
         let mut weights: BTreeMap<_, _> = own.iter().map(weight).collect();
-        for (account, share) in shares {
-            let unseen = f64::from(*share) * min;
-            weights.entry(account.clone()).or_insert(unseen);
+        for (account, share) in &self.shares {
+            weights.entry(account.clone()).or_insert(share * min);
         }
+        let slots = f64::from(self.workers.totals().slots.max(1));
+        let rates = division::rates(slots, &weights, own).into_iter();
+        self.rates = rates
+            .map(|(account, rate)| (account, rate / slots))
+            .collect();
         self.queue.set_weights(weights);
     }
 
--- a/crates/flow/src/pool/sync.rs
+++ b/crates/flow/src/pool/sync.rs
@@ -12,6 +12,9 @@
     /// refused at once.
     pub fn sync(&mut self, now: Duration, view: &View) -> Vec<Action> {
         self.view = view.clone();
+        let shares = view.shares.iter();
+        let shares = shares.map(|(account, share)| (account.clone(), f64::from(*share)));
+        self.shares = shares.collect();
         self.drop_absent();
         for (id, member) in &view.members {
             self.workers.put(id, member.clone());
@@ -20,6 +23,8 @@
         entries.insert(self.entry.clone());
         let entries_changed = self.rights.set_entries(&entries);
         self.refresh_slots(entries_changed);
+        let demand = self.meter.read(now);
+        self.weigh(&demand);
         if self.workers.totals().serving == 0 {
             self.refuse_all();
         }
--- a/crates/flow/src/rights/division.rs
+++ b/crates/flow/src/rights/division.rs
@@ -23,26 +23,54 @@
     pub demand: &'a Demand,
 }
 
+/// Weights of accounts; one that is missing has weight 1.
+pub type Weights = BTreeMap<id::Account, f64>;
+
+/// The weight of an account.
+pub fn weight(weights: &Weights, account: &id::Account) -> f64 {
+    weights
+        .get(account)
+        .copied()
+        .unwrap_or(1.0)
+        .max(f64::MIN_POSITIVE)
+}
+
 /// Weighted max-min fair parts of `capacity`.
-pub fn max_min(capacity: f64, shares: &BTreeMap<id::Account, u32>, demand: &Demand) -> Demand {
-    let share = |account: &id::Account| f64::from(shares.get(account).copied().unwrap_or(1).max(1));
-    let mut open: Vec<_> = demand
-        .iter()
-        .map(|(name, asked)| (name, *asked, share(name)))
-        .collect();
+pub fn max_min<'a>(capacity: f64, weights: &Weights, demand: &'a Demand) -> Demand {
+    let with_weight =
+        |(name, asked): (&'a id::Account, &f64)| (name, *asked, weight(weights, name));
+    let mut open: Vec<_> = demand.iter().map(with_weight).collect();
     open.sort_by(|a, b| (a.1 / a.2).total_cmp(&(b.1 / b.2)));
     let mut left = capacity;
-    let mut weight: f64 = open.iter().map(|(_, _, share)| share).sum();
+    let mut sum: f64 = open.iter().map(|(_, _, weight)| weight).sum();
     let mut parts = Demand::new();
-    for (name, asked, share) in open {
-        let part = asked.min(left.max(0.0) * share / weight);
+    for (name, asked, weight) in open {
+        let part = asked.min(left.max(0.0) * weight / sum);
         left -= part;
-        weight -= share;
+        sum -= weight;
         parts.insert(name.clone(), part);
     }
     parts
 }
 
+/// The part of `capacity` that each account gets while it has requests waiting.
+///
+/// That is its max-min fair part as if it asked for more than there is: what it asks for or its
+/// weight's part, whichever is more, and what nobody asks for.
+pub fn rates(capacity: f64, weights: &Weights, demand: &Demand) -> Demand {
+    let parts = max_min(capacity, weights, demand);
+    let spare = (capacity - parts.values().sum::<f64>()).max(0.0);
+    let levels = parts
+        .iter()
+        .map(|(name, part)| part / weight(weights, name));
+    let level = levels.fold(0.0, f64::max);
+    let rate = |(name, part): (&id::Account, &f64)| {
+        let rate = part.max(level * weight(weights, name)) + spare;
+        (name.clone(), rate.min(capacity))
+    };
+    parts.iter().map(rate).collect()
+}
+
 /// The demand of all entries together.
 pub fn total<'a>(demands: impl IntoIterator<Item = &'a Demand>) -> Demand {
     let mut total = Demand::new();
@@ -53,7 +81,7 @@
 }
 
 /// The slots that each entry should have; they add up to what the entries own.
-pub fn divide(shares: &BTreeMap<id::Account, u32>, claims: &[Claim<'_>]) -> Vec<f64> {
+pub fn divide(shares: &Weights, claims: &[Claim<'_>]) -> Vec<f64> {
     let capacity: f64 = claims.iter().map(|claim| claim.owned).sum();
     let total = total(claims.iter().map(|claim| claim.demand));
     let parts = max_min(capacity, shares, &total);
--- a/crates/flow/src/rights/table.rs
+++ b/crates/flow/src/rights/table.rs
@@ -1,7 +1,7 @@
 //! Who may use this entry's stripes, and which of its peers' stripes it may use.
 
 use super::{
-    division::{Claim, Demand, divide},
+    division::{Claim, Demand, Weights, divide},
     owner::{STRIPES, Slot},
 };
 use crate::report::{Report, Seen};
@@ -71,6 +71,8 @@
     sizes: Vec<[u32; STRIPES as usize]>,
     loans: BTreeMap<u8, Loan>,
     peers: BTreeMap<id::Entry, Peer>,
+    /// Whether a peer's grants have changed since the last report.
+    has_taken: bool,
 }
 
 impl Table {
@@ -84,6 +86,7 @@
             sizes: Vec::new(),
             loans: BTreeMap::new(),
             peers: BTreeMap::new(),
+            has_taken: false,
         }
     }
 
@@ -148,6 +151,7 @@
             seen: report.seen.get(&self.entry).cloned(),
         };
         self.peers.insert(report.entry.clone(), peer);
+        self.has_taken |= granted != before;
         self.reclaim() || granted != before
     }
 
@@ -167,7 +171,7 @@
     }
 
     /// Decides what to lend and to call back; true where this entry's own rights have changed.
-    pub fn lend(&mut self, shares: &BTreeMap<id::Account, u32>, demand: &Demand) -> bool {
+    pub fn lend(&mut self, shares: &Weights, demand: &Demand) -> bool {
         let before: Vec<_> = self.loans.keys().copied().collect();
         for (to, slots) in self.targets(shares, demand) {
             self.adjust(&to, slots);
@@ -182,11 +186,7 @@
     }
 
     /// Slots that this entry should lend to each peer that reports.
-    fn targets(
-        &self,
-        shares: &BTreeMap<id::Account, u32>,
-        demand: &Demand,
-    ) -> Vec<(id::Entry, f64)> {
+    fn targets(&self, shares: &Weights, demand: &Demand) -> Vec<(id::Entry, f64)> {
         let mut known = Vec::new();
         let mut claims = Vec::new();
         for (entry, sizes) in self.entries.iter().zip(&self.sizes) {
@@ -226,10 +226,11 @@
         let lent = f64::from(self.lent(to));
         let sizes = self.own_sizes();
         let mean = f64::from(sizes.iter().sum::<u32>()) / f64::from(STRIPES);
-        let slack = mean.max(1.0).max(slots * SLACK);
+        let stripe = mean.max(1.0);
+        let slack = stripe.max(slots * SLACK);
         if lent > slots + slack || (slots == 0.0 && lent > 0.0) {
             self.recall(to, lent - slots, &sizes);
-        } else if lent < slots - slack {
+        } else if lent < slots - stripe {
             self.offer(to, slots - lent, &sizes);
         }
     }
@@ -286,6 +287,14 @@
         }
     }
 
+    /// Whether a peer waits for the next report: for a grant, or for a slot to come back.
+    pub fn is_pending(&self) -> bool {
+        let is_clearing = |loan: &Loan| loan.phase == Phase::Clearing;
+        let is_returning = |peer: &Peer| peer.returning != 0;
+        let is_lending = self.loans.values().any(is_clearing);
+        self.has_taken || is_lending || self.peers.values().any(is_returning)
+    }
+
     /// Makes the next report; `busy` are the slots at workers where this entry uses more than it may.
     pub fn report<'a>(&mut self, demand: Demand, busy: impl Iterator<Item = &'a Slot>) -> Report {
         let mut in_use = vec![0; self.entries.len()];
@@ -293,6 +302,7 @@
             in_use[slot.owner] |= bit(slot.stripe);
         }
         self.clear(&in_use);
+        self.has_taken = false;
         self.seq += 1;
         let granted = self
             .loans
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -14,7 +14,8 @@
 use rand::RngExt;
 use std::collections::BTreeMap;
 
-/// Draws in search of a worker that a retry prefers; beyond them any other worker will do.
+/// Workers of a bucket that are looked at for one that a retry prefers; more than a request has
+/// tries, so one that has not failed it yet is found wherever there is one.
 const DRAWS: usize = 8;
 
 /// Bucket of workers that let one probe in; the others hold workers by free slots.
@@ -158,8 +159,13 @@
             .find(id)
             .unwrap_or_else(|| self.insert(id, member.clone()));
         self.change(index, |worker| {
+            let was_serving = worker.is_serving();
             worker.member = member;
             worker.is_member = true;
+            if worker.is_serving() && !was_serving {
+                // It comes back from a reboot or a check: what it did before says nothing.
+                worker.health = Health::default();
+            }
         });
         index
     }
@@ -269,8 +275,9 @@
     ) -> Option<Index> {
         let mut fallback = None;
         for bucket in buckets.filter(|bucket| !bucket.is_empty()) {
-            for _ in 0..DRAWS {
-                let index = bucket[random.random_range(0..bucket.len())];
+            let from = random.random_range(0..bucket.len());
+            for step in 0..DRAWS.min(bucket.len()) {
+                let index = bucket[(from + step) % bucket.len()];
                 if wish.tried.contains(&index) {
                     continue;
                 }
