--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,6 +1,10 @@
 //! Whole entries over sockets, in front of stand-ins: what callers and operators see.
 
+mod once;
+mod stop;
 mod thin;
+mod truth;
+mod views;
 
 /// Names each case; a case that returns an error fails.
 macro_rules! cases {
@@ -13,3 +17,6 @@
     )*};
 }
 pub(crate) use cases;
+
+/// Longest wait of a caller for an answer that must come; only a hung test gets there.
+pub(crate) const LIMIT: std::time::Duration = std::time::Duration::from_secs(30);
--- /dev/null
+++ b/tests/all/stop.rs
@@ -0,0 +1,144 @@
+//! I7: a planned stop cuts no request in flight.
+
+use crate::{LIMIT, cases};
+use eyre::Result;
+use http::Method;
+use primroseroute_api::Order;
+use primroseroute_testbed::{Answer, Caller, Layout, Said, Site, backend, caller_token, platform};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+use tokio::task::JoinSet;
+
+cases! {
+    entry_stops_under_load_without_a_cut => entry_stops();
+    worker_drains_under_load_without_a_cut => worker_drains();
+    stopped_entry_is_no_longer_waited_for => stopped_entry_leaves();
+}
+
+const CALLERS: usize = 8;
+
+async fn site() -> Result<Site> {
+    let worker = backend::Options {
+        delay: Duration::from_millis(20),
+        ..Default::default()
+    };
+    let mut site = Site::open_with(Layout::small(), platform::Options::default(), worker).await?;
+    site.converge().await?;
+    Ok(site)
+}
+
+/// Callers that send one request after another until they are told to end.
+struct Load {
+    end: Arc<AtomicBool>,
+    callers: JoinSet<Vec<Answer>>,
+}
+
+impl Load {
+    fn start(to: SocketAddr) -> Self {
+        let end = Arc::new(AtomicBool::new(false));
+        let mut callers = JoinSet::new();
+        for number in 0..CALLERS {
+            let end = Arc::clone(&end);
+            callers.spawn(async move { call(to, number, &end).await });
+        }
+        Self { end, callers }
+    }
+
+    async fn finish(mut self) -> Vec<Answer> {
+        self.end.store(true, Ordering::SeqCst);
+        let mut answers = Vec::new();
+        while let Some(Ok(mut of_one)) = self.callers.join_next().await {
+            answers.append(&mut of_one);
+        }
+        answers
+    }
+}
+
+async fn call(to: SocketAddr, number: usize, end: &AtomicBool) -> Vec<Answer> {
+    let caller = Caller::open(caller_token("stay"));
+    let mut answers = Vec::new();
+    while !end.load(Ordering::SeqCst) {
+        let key = format!("caller-{number}-{}", answers.len());
+        let headers = [("idempotency-key", key.as_str())];
+        let answer = caller
+            .send(to, Method::POST, "/stay/holds", &headers, "bed", LIMIT)
+            .await;
+        // A listener that has closed refuses the connection: nothing was sent.
+        let closed = answer.said == Said::NotRun && answer.status.is_none();
+        answers.push(answer);
+        if closed {
+            break;
+        }
+    }
+    answers
+}
+
+/// The balancer goes on sending for a while after the stop order. Every request that a caller got
+/// through must be answered whole; only connections after the listener closed are refused.
+async fn entry_stops() -> Result<()> {
+    let mut site = site().await?;
+    let stopping = site.take("entry-0");
+    let load = Load::start(stopping.callers);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    stopping.entry.stop().await;
+    let answers = load.finish().await;
+    let cut: Vec<_> = answers
+        .iter()
+        .filter(|answer| answer.said == Said::Unknown)
+        .collect();
+    assert!(
+        cut.is_empty(),
+        "{} of {} were cut: {:?}",
+        cut.len(),
+        answers.len(),
+        cut[0]
+    );
+    assert!(answers.iter().any(|answer| answer.said == Said::Completed));
+    Ok(())
+}
+
+/// An operator drains a worker under load. What it has in flight is answered, and once the drain
+/// is in force everywhere and its last request has ended, it gets nothing more.
+async fn worker_drains() -> Result<()> {
+    let site = site().await?;
+    let load = Load::start(site.entry("entry-0").callers);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let order = Order {
+        if_version: None,
+        reason: "test".into(),
+        force: false,
+    };
+    let accepted = site
+        .entry("entry-1")
+        .admin
+        .drain(&"stay-0".parse()?, &order)
+        .await?;
+    site.in_force(accepted.version).await?;
+    let drained = Arc::clone(site.worker("stay-0"));
+    primroseroute_testbed::until("it is empty", || drained.count().running == 0).await?;
+    let before = drained.count().executions;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let answers = load.finish().await;
+    assert!(
+        answers.iter().all(|answer| answer.said == Said::Completed),
+        "a request was cut"
+    );
+    assert_eq!(drained.count().executions, before);
+    Ok(())
+}
+
+/// An entry that stopped as planned has taken its registration back, so `--wait` and drains do not
+/// wait for it.
+async fn stopped_entry_leaves() -> Result<()> {
+    let mut site = site().await?;
+    site.take("entry-0").entry.stop().await;
+    let left = site.ledger().table().read(&"entry/entry-0".into()).await?;
+    assert_eq!(left, None);
+    Ok(())
+}
