Let calls and executions of the stand-ins outlive their callers

Cause: a caller that times out drops its future, and with it the stand-in dropped the call before it took effect, or freed the slot of an execution. Over a network neither happens, so tests never saw a commit that lands after its timeout, and slot overruns after timeouts counted too few.

Change: a mutating call to the platform and an execution of a backend server each run in a task of their own; a stopped backend server ends its executions.

Conclusion: a timeout proves nothing against the stand-ins either.

--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -30,6 +30,7 @@
     time::Duration,
 };
 use tokio::{net::TcpStream, time::sleep};
+use tokio_util::sync::CancellationToken;
 
 /// Header by which a request names itself; the answer repeats it.
 pub const REQUEST_ID: &str = "x-request-id";
@@ -107,6 +108,8 @@
     delay: Mutex<Duration>,
     mode: Mutex<Mode>,
     ledger: Arc<Ledger>,
+    /// Ends the executions under way.
+    stopped: CancellationToken,
 }
 
 /// A running backend server; it stops when the handle is dropped.
@@ -135,6 +138,7 @@
             delay: Mutex::new(options.delay),
             mode: Mutex::new(options.mode),
             ledger: Arc::new(Ledger::new(options.slots, options.connections)),
+            stopped: CancellationToken::new(),
         });
         let connections = Arc::clone(&shared);
         let listener = Listener::bind(address, move |stream| {
@@ -172,6 +176,13 @@
     /// Stops at once: the listener and every connection are closed, whatever is under way.
     pub fn stop(&self) {
         self.listener.stop();
+        self.shared.stopped.cancel();
+    }
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.stop();
     }
 }
 
@@ -253,14 +264,23 @@
     }
 
     async fn execute(&self, asked: &Asked, mode: Mode) {
-        let _slot = self.ledger.execute(asked.header(IDEMPOTENCY_KEY));
+        let slot = self.ledger.execute(asked.header(IDEMPOTENCY_KEY));
         let slower = match mode {
             Mode::Slow(slower) => slower,
             _ => Duration::ZERO,
         };
         let delay = *self.delay.lock() + slower;
-        if !delay.is_zero() {
-            sleep(delay).await;
+        if delay.is_zero() {
+            return;
         }
+        // A caller that gives up closes the connection, and the library drops its request. A real
+        // execution goes on and keeps its slot, so this one has a task of its own.
+        let stopped = self.stopped.clone();
+        let execution = tokio::spawn(async move {
+            let _slot = slot;
+            stopped.run_until_cancelled(sleep(delay)).await;
+        });
+        // It neither panics nor is aborted, unless the runtime shuts down.
+        drop(execution.await);
     }
 }
--- a/crates/standin/src/platform/gate.rs
+++ b/crates/standin/src/platform/gate.rs
@@ -8,7 +8,7 @@
 use parking_lot::Mutex;
 use primroseroute_platform::error::Error;
 use rand::RngExt;
-use std::{sync::Arc, time::Duration};
+use std::{panic::resume_unwind, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep};
 
 /// One caller, or the whole platform: its faults and what it called.
@@ -90,13 +90,38 @@
         effect: impl FnOnce(&Shared) -> Result<Done<T>, Error> + Send + 'static,
     ) -> Result<T, Error> {
         self.count(|tally| tally.call(kind));
-        let result = self.pass(kind, cost, effect).await;
+        let result = if kind.mutates() {
+            self.pass_detached(kind, cost, effect).await
+        } else {
+            self.pass(kind, cost, effect).await
+        };
         if result.is_err() {
             self.count(|tally| tally.fail(kind));
         }
         result
     }
 
+    /// Passes a mutating call through all stages, even if its caller gives it up on the way.
+    ///
+    /// A caller that drops the future, as a timeout does, stops waiting; over a network, the call
+    /// that it has sent still arrives and takes effect. Without the task of its own it would vanish
+    /// here, and tests would never see an effect that comes after the timeout.
+    async fn pass_detached<T: Send + 'static>(
+        &self,
+        kind: Kind,
+        cost: Cost,
+        effect: impl FnOnce(&Shared) -> Result<Done<T>, Error> + Send + 'static,
+    ) -> Result<T, Error> {
+        let platform = self.clone();
+        let call = tokio::spawn(async move { platform.pass(kind, cost, effect).await });
+        match call.await {
+            Ok(result) => result,
+            Err(ended) if ended.is_panic() => resume_unwind(ended.into_panic()),
+            // The runtime shuts down.
+            Err(_) => Err(lost(kind)),
+        }
+    }
+
     async fn pass<T: Send + 'static>(
         &self,
         kind: Kind,
--- a/crates/standin/tests/all/backend.rs
+++ b/crates/standin/tests/all/backend.rs
@@ -191,6 +191,32 @@
     running(&backend, 0).await;
 }
 
+#[tokio::test]
+async fn execution_outlives_its_caller() {
+    // The caller gives up and closes its connection while its request executes. The execution goes
+    // on and keeps its slot, so the next request overruns the one slot.
+    let delay = Duration::from_secs(3600);
+    let backend = bind(Options {
+        slots: 1,
+        delay,
+        ..Options::default()
+    })
+    .await;
+    tokio::select! {
+        answer = ask(&backend, "") => panic!("answered too early: {answer:?}"),
+        () = running(&backend, 1) => {}
+    }
+    while backend.count().connections != 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(backend.count().running, 1);
+    tokio::select! {
+        answer = ask(&backend, "") => panic!("answered too early: {answer:?}"),
+        () = running(&backend, 2) => {}
+    }
+    assert_eq!(backend.count().overruns, 1);
+}
+
 #[tokio::test]
 async fn turns_connections_away() {
     let backend = bind(Options {
--- a/crates/standin/tests/all/faults.rs
+++ b/crates/standin/tests/all/faults.rs
@@ -60,6 +60,16 @@
     assert_eq!(value(&platform, "b").await.as_deref(), Some("early"));
 }
 
+async fn given_up() {
+    // The caller gives its commit up while the request is under way. The commit arrives and takes
+    // effect all the same.
+    let platform = open();
+    platform.faults().set_latency(2 * SECOND, Duration::ZERO);
+    let commit = platform.commit(writes(vec![put("a", "1")]));
+    assert!(tokio::time::timeout(SECOND / 2, commit).await.is_err());
+    assert_eq!(value(&platform, "a").await.as_deref(), Some("1"));
+}
+
 async fn outage_of_one() {
     // One entry is cut off: its calls are refused without effect, while the others' go through.
     let platform = open();
@@ -189,6 +199,7 @@
     lost_answer_hides_an_effect => answer_lost();
     lost_request_has_no_effect => request_lost();
     late_commit_evaluates_conditions_when_it_lands => late_effect();
+    given_up_commit_takes_effect => given_up();
     outage_of_one_client_spares_the_others => outage_of_one();
     hanging_outage_leaves_writers_unsure => hanging();
     outage_in_flight_loses_the_answer => outage_in_flight();
