Make the log line's test independent of the JSON library's feature set

Cause: the test compared a JSON object as text. Built with the whole workspace, another crate turns serde_json's preserve_order on, the fields come in another order, and the test failed.

Change: the fields are sorted before they are compared; the same fields and values are asserted.

--- a/crates/telemetry/tests/all/lines.rs
+++ b/crates/telemetry/tests/all/lines.rs
@@ -5,6 +5,7 @@
 use log::{Level, LevelFilter, Record};
 use primroseroute_telemetry::log::{Log, REQUEST_ID, line};
 use serde_json::Value;
+use std::collections::BTreeMap;
 
 fn written(record: &Record<'_>) -> String {
     let mut out = Vec::new();
@@ -23,11 +24,20 @@
         .build();
     let line = written(&record);
     assert_eq!(line.lines().count(), 1, "{line}");
-    let mut value: Value = serde_json::from_str(&line).expect("the line is JSON");
-    let object = value.as_object_mut().expect("the line is an object");
+    // Sorted here, since a feature of the JSON library decides the order of its maps.
+    let mut object: BTreeMap<String, Value> = serde_json::from_str(&line).expect("it is an object");
     assert!(object.remove("timestamp").is_some());
     object.remove("thread");
-    expect![[r#"{"kv":{"request_id":"r-1"},"level":"WARN","module_path":"primroseroute_entry","text":"two\nlines and a \"quote\""}"#]].assert_eq(&value.to_string());
+    let fields = object
+        .iter()
+        .map(|(name, value)| format!("{name} = {value}\n"));
+    expect![[r#"
+        kv = {"request_id":"r-1"}
+        level = "WARN"
+        module_path = "primroseroute_entry"
+        text = "two\nlines and a \"quote\""
+    "#]]
+    .assert_eq(&fields.collect::<Vec<_>>().concat());
 }
 
 #[test]
