Test the request path's decisions against naive versions

Found on the way and mended: an idempotent request whose first answer was lost was refused as not run when its retry found no connection, no time or no instance (now 302, outcome unknown); the retry budget denied a token that was due, since sums of 0.2 drift (now counted in thousandths).

--- a/crates/flow/src/pool/admit.rs
+++ b/crates/flow/src/pool/admit.rs
@@ -81,6 +81,7 @@
             deadline: arrival.deadline,
             idempotent: arrival.idempotent,
             attempt: 0,
+            may_have_run: false,
             tried: Vec::new(),
             phase: Phase::Waiting { until },
         };
--- a/crates/flow/src/pool/dispatch.rs
+++ b/crates/flow/src/pool/dispatch.rs
@@ -43,7 +43,7 @@
         if let Some(request) = self.requests.remove(&number) {
             self.queue
                 .remove(&request.account, &request.service, request.class, number);
-            self.refuse(number, Code::DeadlineUnreachable);
+            self.refuse(number, request.verdict(Code::DeadlineUnreachable));
         }
     }
 
--- a/crates/flow/src/pool/finish.rs
+++ b/crates/flow/src/pool/finish.rs
@@ -153,9 +153,10 @@
             Ending::Late => Code::AnswerTimeout,
         };
         let Some(until) = self.next_attempt(now, &request, ending) else {
-            self.refuse(number, code);
+            self.refuse(number, request.verdict(code));
             return;
         };
+        request.may_have_run |= ending == Ending::Lost;
         request.tried.push(worker);
         request.phase = Phase::BackingOff { until };
         self.requests.insert(number, request);
--- a/crates/flow/src/pool/mod.rs
+++ b/crates/flow/src/pool/mod.rs
@@ -29,6 +29,7 @@
     account::Class,
     id,
     instance::{CONNECTIONS, SLOTS},
+    outcome::{Code, Verdict},
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -46,10 +47,25 @@
     deadline: Duration,
     idempotent: bool,
     attempt: u32,
+    /// Whether an attempt broke off after the first byte went out.
+    may_have_run: bool,
     tried: Vec<worker::Index>,
     phase: Phase,
 }
 
+impl Request {
+    /// The code of a final refusal for which `code` is the last reason.
+    ///
+    /// An idempotent request whose first answer was lost may find no connection, no time or no
+    /// worker for its retry. Those codes say "not run", which nobody knows any more by then.
+    fn verdict(&self, code: Code) -> Code {
+        if self.may_have_run && code.verdict() == Verdict::NotRun {
+            return Code::AnswerLost;
+        }
+        code
+    }
+}
+
 /// Where a request is.
 #[derive(Clone, Copy, Debug)]
 enum Phase {
--- a/crates/flow/src/pool/sync.rs
+++ b/crates/flow/src/pool/sync.rs
@@ -59,7 +59,7 @@
             if let Phase::Waiting { until } | Phase::BackingOff { until } = request.phase {
                 self.timers.remove(&(until, number));
             }
-            self.refuse(number, Code::NoInstance);
+            self.refuse(number, request.verdict(Code::NoInstance));
         }
     }
 }
--- a/crates/flow/src/retry.rs
+++ b/crates/flow/src/retry.rs
@@ -9,39 +9,49 @@
 use rand::RngExt;
 use std::time::Duration;
 
+/// Parts of a token that are counted: sums of fractions drift, and a token that is due is denied.
+const PARTS: f64 = 1_000.0;
+
 /// A token bucket that first attempts fill and retries empty.
 #[derive(Clone, Debug)]
 pub struct Budget {
-    tokens: f64,
-    ratio: f64,
-    burst: f64,
+    parts: u64,
+    ratio: u64,
+    burst: u64,
 }
 
 impl Budget {
     /// A full bucket.
     pub fn new(limits: &Limits) -> Self {
         Self {
-            tokens: limits.retry_burst,
-            ratio: limits.retry_ratio,
-            burst: limits.retry_burst,
+            parts: parts(limits.retry_burst),
+            ratio: parts(limits.retry_ratio),
+            burst: parts(limits.retry_burst),
         }
     }
 
     /// Pays for a first attempt.
     pub fn deposit(&mut self) {
-        self.tokens = (self.tokens + self.ratio).min(self.burst);
+        self.parts = (self.parts + self.ratio).min(self.burst);
     }
 
     /// Takes a token for a retry; false where there is none.
     pub fn withdraw(&mut self) -> bool {
-        let has_token = self.tokens >= 1.0;
-        if has_token {
-            self.tokens -= 1.0;
-        }
-        has_token
+        let left = self.parts.checked_sub(parts(1.0));
+        self.parts = left.unwrap_or(self.parts);
+        left.is_some()
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "limits are small and not negative, and a cast saturates"
+)]
+fn parts(tokens: f64) -> u64 {
+    (tokens * PARTS).round() as u64
+}
+
 /// Whether another attempt is safe after `ending`: never for what may have run and must not twice.
 pub fn is_safe(ending: Ending, idempotent: bool) -> bool {
     match ending {
--- a/crates/flow/src/worker.rs
+++ b/crates/flow/src/worker.rs
@@ -65,10 +65,11 @@
         if !self.is_serving() {
             return Totals::default();
         }
+        let is_ejected = self.is_ejected();
         Totals {
             serving: 1,
-            slots: self.rights,
-            ejected: usize::from(self.is_ejected()),
+            slots: if is_ejected { 0 } else { self.rights },
+            ejected: usize::from(is_ejected),
         }
     }
 
@@ -90,7 +91,7 @@
 pub struct Totals {
     /// Number of them.
     pub serving: usize,
-    /// Slots that this entry may use at them.
+    /// Slots that this entry may use at those of them that are not ejected.
     pub slots: u32,
     /// Those of them that are ejected or probing.
     pub ejected: usize,
--- a/crates/flow/tests/all/basics.rs
+++ b/crates/flow/tests/all/basics.rs
@@ -1,8 +1,13 @@
 //! The way of a request through the pool, case by case.
 
-use crate::bed::{arrival, bad, good, ms, pool, refused, sent, view, worker};
+use crate::bed::{arrival, bad, cases, good, ms, pool, refused, sent, view, worker};
 use primroseroute_domain::instance::State;
-use primroseroute_flow::{limits::Limits, request::Ending};
+use primroseroute_flow::{
+    limits::Limits,
+    pool::Pool,
+    request::{Action, Ending},
+    view::View,
+};
 
 #[test]
 fn a_request_is_sent_and_its_answer_frees_the_slot() {
@@ -87,3 +92,37 @@
     assert!(pool.finish(ms(1), 1, bad()).is_empty());
     assert_eq!(pool.next_tick(), None);
 }
+
+/// What the caller sees: "not run", sends the request again, and it has run twice. The first answer
+/// of an idempotent request is lost after it was sent; the retry finds no connection, no time or no
+/// worker, each of which alone would prove that nothing ran.
+fn a_retry_that_fails_does_not_unsay_the_first_attempt(end: impl Fn(&mut Pool) -> Vec<Action>) {
+    let mut pool = pool(
+        8,
+        1,
+        Limits {
+            attempts: 2,
+            ..Limits::default()
+        },
+    );
+    let mut idempotent = arrival(1, ms(1_000));
+    idempotent.idempotent = true;
+    pool.arrive(ms(0), idempotent);
+    assert!(pool.finish(ms(1), 1, Ending::Lost).is_empty());
+    assert_eq!(refused(&end(&mut pool)), [(1, 302)]);
+}
+
+cases! {
+    a_retry_that_fails_does_not_unsay_the_first_attempt:
+    a_lost_answer_then_no_connection(|pool| {
+        assert_eq!(sent(&pool.tick(ms(500))).len(), 1);
+        pool.finish(ms(501), 1, Ending::NotSent)
+    });
+    a_lost_answer_then_no_instance(|pool| pool.sync(ms(2), &View::default()));
+    a_lost_answer_then_no_time(|pool| {
+        // Sixty-four others take every slot for longer than the request can wait.
+        (2..66).for_each(|at| assert_eq!(sent(&pool.arrive(ms(1), arrival(at, ms(9_000)))).len(), 1));
+        assert!(pool.tick(ms(999)).is_empty());
+        pool.tick(ms(1_000))
+    });
+}
--- a/crates/flow/tests/all/bed.rs
+++ b/crates/flow/tests/all/bed.rs
@@ -7,10 +7,13 @@
     request::{Action, Arrival, Ending},
     view::{Member, View},
 };
+use proptest::{
+    strategy::Strategy,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
 use std::{fmt::Debug, str::FromStr, time::Duration};
 
 /// Names each case of one check.
-#[macro_export]
 macro_rules! cases {
     ($check:ident: $($name:ident($($argument:expr),*);)+) => {
         $(#[test]
@@ -19,6 +22,7 @@
         })+
     };
 }
+pub(crate) use cases;
 
 pub fn name<T: FromStr<Err: Debug>>(text: &str) -> T {
     text.parse().expect("test names are valid")
@@ -101,3 +105,20 @@
     };
     actions.iter().filter_map(refuse).collect()
 }
+
+/// Runs a property over `cases` cases, the same ones each time.
+pub fn check<S: Strategy>(cases: u32, strategy: &S, test: impl Fn(S::Value)) {
+    let config = Config {
+        failure_persistence: None,
+        cases,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let run = |value| {
+        test(value);
+        Ok(())
+    };
+    if let Err(fault) = TestRunner::new_with_rng(config, rng).run(strategy, run) {
+        panic!("{fault}");
+    }
+}
--- /dev/null
+++ b/crates/flow/tests/all/ejection.rs
@@ -0,0 +1,145 @@
+//! Workers that fail, and what the pool does about them.
+
+use crate::bed::{arrival, bad, good, ms, pool, sent, view, worker};
+use primroseroute_domain::{id, instance::State};
+use primroseroute_flow::{limits::Limits, pool::Pool, request::Ending};
+use std::{collections::BTreeSet, time::Duration};
+
+/// Sends a request and ends it by `ending`; gives where it went.
+fn serve(
+    pool: &mut Pool,
+    now: Duration,
+    request: u64,
+    ending: impl Fn(&id::Instance) -> Ending,
+) -> id::Instance {
+    let mut idempotent = arrival(request, now + ms(1_000));
+    idempotent.idempotent = true;
+    let (_, instance) = sent(&pool.arrive(now, idempotent)).remove(0);
+    pool.finish(now + ms(1), request, ending(&instance));
+    instance
+}
+
+/// What the caller sees: every request fails at once. One worker answers all with 500 in no time,
+/// so it is always free and would draw ever more of the load.
+#[test]
+fn a_worker_that_fails_everything_draws_next_to_nothing() {
+    let mut pool = pool(10, 1, Limits::default());
+    let fails = |at: &id::Instance| if *at == worker(3) { bad() } else { good(5) };
+    let hits = |pool: &mut Pool, from: u64, to: u64| {
+        let drawn = (from..to).filter(|at| serve(pool, ms(10 * at), *at, fails) == worker(3));
+        drawn.count()
+    };
+    hits(&mut pool, 0, 500);
+    // Ten seconds after the first five: a probe at each doubling of two seconds at most.
+    assert!(hits(&mut pool, 500, 1_500) <= 2);
+}
+
+/// What the caller sees: the whole service fails because a fault that strikes everywhere, such as
+/// a bad release, has all workers ejected, and the last ones are crushed.
+#[test]
+fn a_bad_wave_never_ejects_more_than_half() {
+    let mut pool = pool(10, 1, Limits::default());
+    for request in 0..1_000 {
+        serve(&mut pool, ms(request), request, |_| bad());
+    }
+    let late: BTreeSet<_> = (1_000..1_100)
+        .map(|at| serve(&mut pool, ms(at), at, |_| bad()))
+        .collect();
+    assert_eq!(late.len(), 5);
+}
+
+/// What the caller sees: callers with a timeout header of a millisecond get their timeouts, and then
+/// everybody gets 503, because each timeout counted against a healthy worker.
+#[test]
+fn impatient_callers_eject_nobody() {
+    let mut pool = pool(4, 1, Limits::default());
+    for request in 0..100 {
+        serve(&mut pool, ms(request), request, |_| good(50));
+    }
+    for request in 100..200 {
+        let now = ms(10 * request);
+        pool.arrive(now, arrival(request, now + ms(1)));
+        pool.finish(now + ms(1), request, Ending::Late);
+    }
+    let used: BTreeSet<_> = (200..300)
+        .map(|at| serve(&mut pool, ms(10 * at), at, |_| good(50)))
+        .collect();
+    assert_eq!(used.len(), 4);
+}
+
+#[test]
+fn a_probe_is_one_request_and_brings_the_worker_back() {
+    let mut pool = pool(2, 1, Limits::default());
+    for request in 0..40 {
+        serve(&mut pool, ms(request), request, |at| {
+            if *at == worker(0) { bad() } else { good(5) }
+        });
+    }
+    let now = ms(2_100);
+    let mut probe = arrival(100, ms(9_000));
+    probe.idempotent = true;
+    assert_eq!(sent(&pool.arrive(now, probe.clone()))[0].1, worker(0));
+    probe.request = 101;
+    assert_eq!(sent(&pool.arrive(now, probe))[0].1, worker(1));
+    pool.finish(now, 100, good(5));
+    pool.finish(now, 101, good(5));
+    let used: BTreeSet<_> = (200..220)
+        .map(|at| serve(&mut pool, now, at, |_| good(5)))
+        .collect();
+    assert_eq!(used.len(), 2);
+}
+
+#[test]
+fn a_request_that_must_not_run_twice_is_no_probe_while_another_worker_is_free() {
+    let mut pool = pool(2, 1, Limits::default());
+    for request in 0..40 {
+        serve(&mut pool, ms(request), request, |at| {
+            if *at == worker(0) { bad() } else { good(5) }
+        });
+    }
+    let hold = |request| arrival(request, ms(9_000));
+    let others: Vec<_> = (100..108)
+        .map(|at| sent(&pool.arrive(ms(2_100), hold(at))))
+        .collect();
+    assert!(others.iter().all(|sent| sent[0].1 == worker(1)));
+    assert_eq!(sent(&pool.arrive(ms(2_100), hold(108)))[0].1, worker(0));
+    assert!(sent(&pool.arrive(ms(2_100), hold(109))).is_empty());
+}
+
+#[test]
+fn a_worker_that_comes_back_from_a_reboot_starts_anew() {
+    let mut pool = pool(2, 1, Limits::default());
+    for request in 0..40 {
+        serve(&mut pool, ms(request), request, |at| {
+            if *at == worker(0) { bad() } else { good(5) }
+        });
+    }
+    let mut rebooting = view(2, 1);
+    rebooting
+        .members
+        .get_mut(&worker(0))
+        .expect("a member")
+        .state = State::Maintenance;
+    pool.sync(ms(100), &rebooting);
+    pool.sync(ms(200), &view(2, 1));
+    let used: BTreeSet<_> = (100..140)
+        .map(|at| serve(&mut pool, ms(300), at, |_| good(5)))
+        .collect();
+    assert_eq!(used.len(), 2);
+}
+
+/// What the caller sees: requests take longer and longer and then time out. A caller gives up, the
+/// worker goes on with its request; the slot is taken for free and a second request starts beside
+/// the first. Under overload that happens everywhere at once.
+#[test]
+fn a_slot_whose_request_was_given_up_is_not_used_at_once() {
+    let mut pool = pool(1, 8, Limits::default());
+    pool.arrive(ms(0), arrival(1, ms(1_000)));
+    pool.finish(ms(100), 1, good(100));
+    pool.arrive(ms(100), arrival(2, ms(1_000)));
+    pool.arrive(ms(100), arrival(3, ms(5_000)));
+    assert!(pool.finish(ms(200), 2, Ending::Cancelled).is_empty());
+    assert_eq!(pool.in_flight(&worker(0)), 1);
+    assert!(sent(&pool.tick(ms(399))).is_empty());
+    assert_eq!(sent(&pool.tick(ms(400))), [(3, worker(0))]);
+}
--- /dev/null
+++ b/crates/flow/tests/all/twin_choice.rs
@@ -0,0 +1,183 @@
+//! The choice of a worker against a scan of all workers.
+
+use crate::bed::{check, view, worker};
+use primroseroute_domain::instance::State;
+use primroseroute_flow::{
+    health::{Gate, Health},
+    limits::Limits,
+    worker::{Index, Set, Wish, Worker},
+};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Rights(usize, u32),
+    InFlight(usize, u32),
+    State(usize, bool),
+    Leave(usize),
+    Eject(usize),
+    HalfOpen(usize),
+    Choose(bool, Vec<usize>),
+}
+
+fn step(workers: usize) -> impl Strategy<Value = Step> {
+    let at = 0..workers;
+    prop_oneof![
+        (at.clone(), 0..9u32).prop_map(|(at, rights)| Step::Rights(at, rights)),
+        (at.clone(), 0..4u32).prop_map(|(at, count)| Step::InFlight(at, count)),
+        (at.clone(), any::<bool>()).prop_map(|(at, serves)| Step::State(at, serves)),
+        at.clone().prop_map(Step::Leave),
+        at.clone().prop_map(Step::Eject),
+        at.clone().prop_map(Step::HalfOpen),
+        (any::<bool>(), prop::collection::vec(at, 0..3)).prop_map(|(i, t)| Step::Choose(i, t)),
+    ]
+}
+
+const UNTIL: Duration = Duration::from_secs(2);
+
+fn replay(steps: Vec<Step>, workers: usize) {
+    let members = view(workers, 1).members;
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut set = Set::default();
+    for at in 0..workers {
+        set.put(&worker(at), members[&worker(at)].clone());
+    }
+    for step in steps {
+        let index = |set: &Set, at| set.find(&worker(at)).unwrap_or(usize::MAX);
+        match step {
+            Step::Rights(at, rights) => change(&mut set, at, |worker| worker.rights = rights),
+            Step::InFlight(at, count) => change(&mut set, at, |worker| worker.in_flight = count),
+            Step::Leave(at) => change(&mut set, at, |worker| worker.is_member = false),
+            Step::HalfOpen(at) => change(&mut set, at, |worker| worker.health.half_open(UNTIL)),
+            Step::Eject(at) => change(&mut set, at, |worker| {
+                // Two seconds is the first ejection's time, so the gate shuts until then.
+                if worker.health.gate() == Gate::Open {
+                    worker.health = Health::default();
+                    worker.health.eject(Duration::ZERO, &Limits::default());
+                }
+            }),
+            Step::State(at, serves) => {
+                let mut member = members[&worker(at)].clone();
+                member.state = if serves {
+                    State::Serving
+                } else {
+                    State::Draining
+                };
+                set.put(&worker(at), member);
+            }
+            Step::Choose(idempotent, tried) => {
+                let tried: Vec<_> = tried.into_iter().map(|at| index(&set, at)).collect();
+                let wish = Wish {
+                    idempotent,
+                    tried: &tried,
+                };
+                compare(&set, wish, set.choose(wish, &mut random), workers);
+            }
+        }
+        let free = set.iter().any(|worker| free(worker) > 0);
+        assert_eq!(set.has_free(), free);
+        let open = set
+            .iter()
+            .filter(|worker| worker.is_serving() && !worker.is_ejected());
+        assert_eq!(
+            set.totals().slots,
+            open.map(|worker| worker.rights).sum::<u32>()
+        );
+    }
+}
+
+fn change(set: &mut Set, at: usize, change: impl FnOnce(&mut Worker)) {
+    if let Some(index) = set.find(&worker(at)) {
+        set.change(index, change);
+    }
+}
+
+/// Requests that a worker could be sent now.
+fn free(worker: &Worker) -> u32 {
+    let free = worker.rights.saturating_sub(worker.in_flight);
+    match worker.health.gate() {
+        _ if !worker.is_member || worker.member.state != State::Serving => 0,
+        Gate::Open => free,
+        Gate::Probe if worker.in_flight == 0 => free.min(1),
+        Gate::Probe | Gate::Shut(_) => 0,
+    }
+}
+
+fn compare(set: &Set, wish: Wish<'_>, chosen: Option<Index>, workers: usize) {
+    let known = (0..workers).filter_map(|at| set.find(&worker(at)));
+    let free_at = |index: &Index| set.get(*index).map_or(0, free);
+    let able: Vec<Index> = known.filter(|index| free_at(index) > 0).collect();
+    let Some(chosen) = chosen else {
+        assert!(able.is_empty());
+        return;
+    };
+    assert!(able.contains(&chosen));
+    let untried: Vec<Index> = able
+        .into_iter()
+        .filter(|at| !wish.tried.contains(at))
+        .collect();
+    if untried.is_empty() {
+        return;
+    }
+    assert!(
+        untried.contains(&chosen),
+        "a worker that had failed the request was chosen"
+    );
+    let is_probe = |index: &Index| set.get(*index).is_some_and(Worker::is_ejected);
+    let has_probe = untried.iter().any(is_probe);
+    let only_probes = untried.iter().all(is_probe);
+    if !wish.tried.is_empty() {
+        return;
+    }
+    if has_probe && (wish.idempotent || only_probes) {
+        assert!(
+            is_probe(&chosen),
+            "the probe comes first for an idempotent request"
+        );
+        return;
+    }
+    let most = untried.iter().filter(|at| !is_probe(at)).map(free_at).max();
+    assert!(!is_probe(&chosen));
+    assert_eq!(Some(free_at(&chosen)), most);
+}
+
+#[test]
+fn the_choice_is_one_that_a_scan_would_make() {
+    let steps = prop::collection::vec(step(6), 1..120);
+    check(400, &steps, |steps| replay(steps, 6));
+}
+
+#[test]
+fn a_retry_goes_to_another_rack_and_zone_where_one_is_free() {
+    let members = view(24, 1).members;
+    let mut set = Set::default();
+    for (id, member) in &members {
+        let index = set.put(id, member.clone());
+        set.change(index, |worker| worker.rights = 1);
+    }
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..200 {
+        let failed = set
+            .choose(
+                Wish {
+                    idempotent: true,
+                    tried: &[],
+                },
+                &mut random,
+            )
+            .expect("free");
+        let tried = [failed];
+        let next = set.choose(
+            Wish {
+                idempotent: true,
+                tried: &tried,
+            },
+            &mut random,
+        );
+        let place = |index| &set.get(index).expect("known").member;
+        assert_ne!(place(failed).zone, place(next.expect("free")).zone);
+    }
+}
--- /dev/null
+++ b/crates/flow/tests/all/twin_fair.rs
@@ -0,0 +1,221 @@
+//! Fair queueing against a version that keeps one list and searches it.
+
+use crate::bed::{check, name};
+use primroseroute_domain::{account::Class, id};
+use primroseroute_flow::fair::{Item, Queue, TURN};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Push(u8, u8, bool, u8),
+    PushFront(u8, u8, bool, u8),
+    Pop,
+    Remove(u8),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let request = (0..4u8, 0..3u8, any::<bool>(), 1..9u8);
+    prop_oneof![
+        4 => request.clone().prop_map(|(a, s, c, t)| Step::Push(a, s, c, t)),
+        1 => request.prop_map(|(a, s, c, t)| Step::PushFront(a, s, c, t)),
+        4 => Just(Step::Pop),
+        1 => any::<u8>().prop_map(Step::Remove),
+    ]
+}
+
+#[derive(Default)]
+struct Tags {
+    start: f64,
+    finish: f64,
+    passed: u32,
+    last: BTreeMap<Class, id::Service>,
+}
+
+/// Waiting requests in one list, each with its place in its line.
+#[derive(Default)]
+struct Naive {
+    items: Vec<(i64, Item)>,
+    tags: BTreeMap<id::Account, Tags>,
+    time: f64,
+    next: i64,
+}
+
+impl Naive {
+    fn push(&mut self, item: Item, is_front: bool) {
+        let is_idle = !self
+            .items
+            .iter()
+            .any(|(_, other)| other.account == item.account);
+        let tags = self.tags.entry(item.account.clone()).or_default();
+        if is_idle {
+            tags.start = self.time.max(tags.finish);
+            tags.passed = tags.passed.min(TURN);
+        }
+        self.next += 1;
+        self.items
+            .push((if is_front { -self.next } else { self.next }, item));
+    }
+
+    fn pop(&mut self, weight: impl Fn(&id::Account) -> f64) -> Option<Item> {
+        let waiting = self.items.iter().map(|(_, item)| &item.account);
+        let order = |a: &&id::Account, b: &&id::Account| {
+            self.tags[*a]
+                .start
+                .total_cmp(&self.tags[*b].start)
+                .then(a.cmp(b))
+        };
+        let account = waiting.min_by(order)?.clone();
+        let class = self.class(&account);
+        let service = self.service(&account, class);
+        let line = self.items.iter().enumerate().filter(|(_, (_, item))| {
+            item.account == account && item.class == class && item.service == service
+        });
+        let at = line.min_by_key(|(_, (place, _))| *place)?.0;
+        let item = self.items.remove(at).1;
+        let tags = self.tags.get_mut(&account)?;
+        self.time = tags.start;
+        tags.finish = tags.start + item.cost / weight(&account);
+        tags.start = tags.finish;
+        self.rest();
+        Some(item)
+    }
+
+    fn class(&mut self, account: &id::Account) -> Class {
+        let own = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.account == *account);
+        let deferrable = own.clone().any(|(_, item)| item.class == Class::Deferrable);
+        let urgent = own.clone().any(|(_, item)| item.class == Class::Urgent);
+        let tags = self.tags.get_mut(account).expect("it waits");
+        if !urgent || (deferrable && tags.passed == TURN - 1) {
+            tags.passed = 0;
+            return Class::Deferrable;
+        }
+        tags.passed = if deferrable { tags.passed + 1 } else { 0 };
+        Class::Urgent
+    }
+
+    fn service(&mut self, account: &id::Account, class: Class) -> id::Service {
+        let own = self.items.iter().map(|(_, item)| item);
+        let own = own.filter(|item| item.account == *account && item.class == class);
+        let services: Vec<_> = own.map(|item| item.service.clone()).collect();
+        let tags = self.tags.get_mut(account).expect("it waits");
+        let last = tags.last.get(&class);
+        let after = services
+            .iter()
+            .filter(|service| Some(*service) > last)
+            .min();
+        let next = after.or(services.iter().min()).expect("it waits").clone();
+        tags.last.insert(class, next.clone());
+        next
+    }
+
+    fn remove(&mut self, request: u64) {
+        self.items.retain(|(_, item)| item.request != request);
+        self.rest();
+    }
+
+    fn rest(&mut self) {
+        if self.items.is_empty() {
+            let finish = self.tags.values().map(|tags| tags.finish);
+            self.time = finish.fold(self.time, f64::max);
+            self.tags.clear();
+        }
+    }
+}
+
+fn replay(steps: Vec<Step>) {
+    let weight = |account: &id::Account| match account.as_str() {
+        "a0" => 4.0,
+        "a1" => 2.0,
+        _ => 1.0,
+    };
+    let mut queue = Queue::default();
+    queue.set_weights([(name("a0"), 4.0), (name("a1"), 2.0)].into());
+    let mut naive = Naive::default();
+    for (request, step) in (0..).zip(steps) {
+        match step {
+            Step::Push(account, service, urgent, cost) => {
+                let item = item(request, account, service, urgent, cost);
+                queue.push(item.clone());
+                naive.push(item, false);
+            }
+            Step::PushFront(account, service, urgent, cost) => {
+                let item = item(request, account, service, urgent, cost);
+                queue.push_front(item.clone());
+                naive.push(item, true);
+            }
+            Step::Pop => assert_eq!(queue.pop(), naive.pop(weight)),
+            Step::Remove(at) if !naive.items.is_empty() => {
+                let item = naive.items[usize::from(at) % naive.items.len()].1.clone();
+                naive.remove(item.request);
+                let Item {
+                    account,
+                    service,
+                    class,
+                    request,
+                    ..
+                } = &item;
+                assert_eq!(
+                    queue.remove(account, service, *class, *request),
+                    Some(item.clone())
+                );
+            }
+            Step::Remove(_) => {}
+        }
+        assert_eq!(queue.len(), naive.items.len());
+        let cost: f64 = naive.items.iter().map(|(_, item)| item.cost).sum();
+        assert!((queue.cost() - cost).abs() < 1e-9);
+    }
+}
+
+fn item(request: u64, account: u8, service: u8, urgent: bool, cost: u8) -> Item {
+    Item {
+        request,
+        account: name(&format!("a{account}")),
+        service: name(&format!("s{service}")),
+        class: if urgent {
+            Class::Urgent
+        } else {
+            Class::Deferrable
+        },
+        cost: f64::from(cost) / 64.0,
+    }
+}
+
+#[test]
+fn requests_leave_in_the_naive_order() {
+    check(400, &prop::collection::vec(step(), 1..200), replay);
+}
+
+#[test]
+fn slot_time_is_divided_by_weight_whatever_requests_cost() {
+    let mut queue = Queue::default();
+    queue.set_weights([(name("a0"), 3.0), (name("a1"), 1.0)].into());
+    let mut served = [0.0, 0.0];
+    for round in 0..4_000 {
+        // The second account's requests are five times as long.
+        queue.push(item(2 * round, 0, 0, true, 1));
+        queue.push(item(2 * round + 1, 1, 0, true, 5));
+    }
+    for _ in 0..2_000 {
+        let item = queue.pop().expect("both wait");
+        served[usize::from(item.account.as_str() == "a1")] += item.cost;
+    }
+    let ratio: f64 = served[0] / served[1];
+    assert!((2.97..3.03).contains(&ratio), "{ratio}");
+}
+
+#[test]
+fn deferrable_requests_get_one_turn_in_eight() {
+    let mut queue = Queue::default();
+    for request in 0..160 {
+        queue.push(item(2 * request, 0, 0, true, 1));
+        queue.push(item(2 * request + 1, 0, 0, false, 1));
+    }
+    let first: Vec<_> = (0..160).filter_map(|_| queue.pop()).collect();
+    let deferrable = first.iter().filter(|item| item.class == Class::Deferrable);
+    assert_eq!(deferrable.count(), 20);
+}
--- /dev/null
+++ b/crates/flow/tests/all/twin_measures.rs
@@ -0,0 +1,169 @@
+//! Running measures against the same worked out from the whole history.
+
+use crate::bed::{check, ms, name};
+use primroseroute_flow::{
+    demand::Meter,
+    health::{Gate, Health, Norm, Sample},
+    limits::Limits,
+    request::Ending,
+    retry::{self, Budget},
+};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+#[test]
+fn the_retry_budget_is_what_first_attempts_paid_for() {
+    check(
+        200,
+        &prop::collection::vec(any::<bool>(), 1..300),
+        |attempts| {
+            let limits = Limits::default();
+            let mut budget = Budget::new(&limits);
+            // In fifths of a token, so that sums are exact.
+            let mut fifths: u32 = 50;
+            for is_first in attempts {
+                if is_first {
+                    budget.deposit();
+                    fifths = (fifths + 1).min(50);
+                } else {
+                    assert_eq!(budget.withdraw(), fifths >= 5, "{fifths}");
+                    fifths = if fifths >= 5 { fifths - 5 } else { fifths };
+                }
+            }
+        },
+    );
+}
+
+#[test]
+fn back_offs_stay_below_a_doubling_limit() {
+    let limits = Limits::default();
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    for (attempt, longest) in [(1, 10), (2, 20), (3, 40), (6, 250), (40, 250)] {
+        let draws: Vec<_> = (0..100)
+            .map(|_| retry::backoff(&limits, attempt, &mut random))
+            .collect();
+        assert!(draws.iter().all(|draw| *draw <= ms(longest)));
+        assert!(
+            draws.iter().any(|draw| *draw > ms(longest) / 2),
+            "no jitter"
+        );
+        assert!(
+            draws.iter().any(|draw| *draw < ms(longest) / 2),
+            "no jitter"
+        );
+    }
+}
+
+#[test]
+fn only_what_cannot_run_twice_wrongly_is_retried() {
+    let answered = Ending::Answered {
+        latency: ms(1),
+        failure: true,
+    };
+    let endings = [
+        answered,
+        Ending::NotSent,
+        Ending::Lost,
+        Ending::Late,
+        Ending::Cancelled,
+    ];
+    let safe = |idempotent| endings.map(|ending| retry::is_safe(ending, idempotent));
+    assert_eq!(safe(false), [false, true, false, false, false]);
+    assert_eq!(safe(true), [false, true, true, false, false]);
+}
+
+#[test]
+fn demand_is_the_decayed_sum_of_all_arrivals() {
+    let arrival = (0..3usize, 0..500u64, 1..100u64);
+    check(100, &prop::collection::vec(arrival, 1..100), |arrivals| {
+        let mut meter = Meter::default();
+        let mut history = Vec::new();
+        let mut now = ms(0);
+        for (account, gap, cost) in arrivals {
+            now += ms(gap);
+            let cost = ms(cost).as_secs_f64();
+            meter.add(now, &name(&format!("a{account}")), cost);
+            history.push((account, now, cost));
+        }
+        for (account, asked) in meter.read(now) {
+            let own = history
+                .iter()
+                .filter(|(of, ..)| account.as_str() == format!("a{of}"));
+            let weighed = own
+                .map(|(_, at, cost)| cost * (-now.saturating_sub(*at).as_secs_f64() / 2.0).exp());
+            let sum: f64 = weighed.sum();
+            assert!((asked - sum / 2.0).abs() < 1e-9);
+        }
+    });
+}
+
+/// Judges the newest sample by the whole history since the gate opened.
+fn is_failing(history: &[Sample], norm: &Norm, limits: &Limits) -> bool {
+    let is_bad = |sample: &&Sample| **sample == Sample::Bad;
+    let consecutive = history.iter().rev().take_while(is_bad).count();
+    let weight = |age: usize| 0.98_f64.powi(i32::try_from(age).expect("short"));
+    let aged = || history.iter().rev().enumerate();
+    let all: f64 = aged().map(|(age, _)| weight(age)).sum();
+    let bad: f64 = aged()
+        .filter(|(_, s)| is_bad(s))
+        .map(|(age, _)| weight(age))
+        .sum();
+    let pool = norm.ratio.value().unwrap_or(0.0);
+    let good = history.iter().filter_map(|sample| match sample {
+        Sample::Good(latency) => Some(latency.as_secs_f64()),
+        Sample::Bad => None,
+    });
+    let good: Vec<_> = good.collect();
+    let mean = good
+        .iter()
+        .copied()
+        .reduce(|mean, next| mean + 0.05 * (next - mean));
+    let is_slow = good.len() >= 20
+        && norm.latency.is_known()
+        && mean.is_some_and(|mean| mean > limits.slow * norm.latency.seconds());
+    consecutive >= 5 || (all >= 20.0 && bad / all > pool + 0.3) || is_slow
+}
+
+#[test]
+fn a_worker_is_judged_as_by_its_whole_history() {
+    let sample = prop_oneof![
+        3 => (1..90u64).prop_map(|latency| Sample::Good(ms(latency))),
+        2 => Just(Sample::Bad),
+    ];
+    let samples = prop::collection::vec(sample, 1..80);
+    check(300, &(samples, 5..40u64), |(samples, latency)| {
+        let limits = Limits::default();
+        let mut norm = Norm::default();
+        (0..100).for_each(|at| norm.ratio.add(at % 10 == 0));
+        norm.latency.add(ms(latency));
+        let mut health = Health::default();
+        let mut history = Vec::new();
+        for sample in samples {
+            history.push(sample);
+            let failing = is_failing(&history, &norm, &limits);
+            assert_eq!(health.add(sample, &norm, &limits), failing, "{history:?}");
+        }
+    });
+}
+
+#[test]
+fn ejections_double_up_to_a_limit_and_a_good_probe_opens_the_gate() {
+    let limits = Limits::default();
+    let mut health = Health::default();
+    let mut now = ms(0);
+    for seconds in [2, 4, 8, 16, 30, 30] {
+        let until = health.eject(now, &limits);
+        assert_eq!(until.saturating_sub(now).as_secs(), seconds);
+        health.half_open(until.saturating_sub(ms(1)));
+        assert_eq!(health.gate(), Gate::Shut(until));
+        health.half_open(until);
+        assert_eq!(health.gate(), Gate::Probe);
+        assert!(health.add(Sample::Bad, &Norm::default(), &limits));
+        now = until;
+    }
+    health.eject(now, &limits);
+    health.half_open(now + ms(30_000));
+    assert!(!health.add(Sample::Good(ms(5)), &Norm::default(), &limits));
+    assert_eq!(health.gate(), Gate::Open);
+}
