--- /dev/null
+++ b/crates/ledger/tests/all/read.rs
@@ -0,0 +1,66 @@
+//! Reading what was committed.
+
+use crate::{cases, draft, open};
+use primroseroute_domain::change::Seq;
+
+cases! {
+    records_come_in_order_after_a_seq => records();
+    scan_crosses_pages => pages();
+    deleted_row_is_gone_and_its_record_stays => deleted();
+}
+
+async fn records() {
+    let (_platform, ledger) = open();
+    for value in 1..=12 {
+        ledger
+            .commit(&draft(&ledger, "account/a", value).await)
+            .await
+            .expect("it commits");
+    }
+    let found = ledger.after(Seq(9), 100).await.expect("it answers");
+    let places: Vec<u64> = found.iter().map(|record| record.seq.0).collect();
+    assert_eq!(places, [10, 11, 12]);
+    assert_eq!(ledger.after(Seq(0), 5).await.expect("it answers").len(), 5);
+}
+
+async fn pages() {
+    const ROWS: u32 = 1100;
+    let (platform, ledger) = open();
+    platform.faults().set_rates(None);
+    let head = ledger.head().await.expect("it answers");
+    let now = primroseroute_domain::time::Instant(1);
+    let id = uuid::Uuid::from_u128(1);
+    let mut change = primroseroute_ledger::Draft::new(head, now, "operator:test", "many", id);
+    for value in 0..ROWS {
+        change.put(format!("account/a{value:04}").into(), None, &value);
+    }
+    ledger.commit(&change).await.expect("it commits");
+    let found = ledger
+        .scan::<primroseroute_ledger::Versioned<u32>>("account/")
+        .await;
+    let values: Vec<u32> = found
+        .expect("it answers")
+        .iter()
+        .map(|(_, row)| row.value)
+        .collect();
+    assert_eq!(values, (0..ROWS).collect::<Vec<_>>());
+}
+
+async fn deleted() {
+    let (_platform, ledger) = open();
+    ledger
+        .commit(&draft(&ledger, "account/a", 1).await)
+        .await
+        .expect("it commits");
+    let mut change = draft(&ledger, "account/b", 2).await;
+    change.delete("account/a".into(), Some(Seq(1)));
+    ledger.commit(&change).await.expect("it commits");
+    assert_eq!(crate::value(&ledger, "account/a").await, None);
+    let record = ledger.after(Seq(1), 1).await.expect("it answers").remove(0);
+    let edit = record
+        .edits
+        .iter()
+        .find(|edit| &*edit.key == "account/a")
+        .expect("it is recorded");
+    assert_eq!((edit.before, edit.after.as_deref()), (Some(Seq(1)), None));
+}
--- /dev/null
+++ b/crates/view/tests/all/cell.rs
@@ -0,0 +1,118 @@
+//! The cell publishes forward only.
+
+use crate::record;
+use primroseroute_domain::change::Seq;
+use primroseroute_view::{Apply, Cell, Snapshot};
+
+/// Names each case.
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            $body;
+        }
+    )*};
+}
+
+cases! {
+    lower_snapshot_is_ignored => lower_snapshot();
+    lower_record_is_ignored => lower_record();
+    gap_is_reported_and_what_came_before_is_in_force => gap();
+    records_after_a_jump_are_not_offered => after_jump();
+    kept_records_are_bounded => bounded();
+    subscriber_sees_each_advance => subscriber();
+    unreadable_row_changes_nothing => corrupt();
+}
+
+fn share(cell: &Cell) -> u32 {
+    cell.current()
+        .accounts()
+        .values()
+        .next()
+        .expect("there is an account")
+        .value
+        .share
+}
+
+fn snapshot(seq: u64, share: u32) -> Snapshot {
+    let row = record(seq, share).edits.remove(0);
+    let rows = [(row.key, row.after.expect("it sets a row"))];
+    Snapshot::from_rows(Seq(seq), rows).expect("the row is readable")
+}
+
+/// A slow poll builds a snapshot, and a push from a peer is faster. When the slow one arrives it
+/// must not take the entry back to the old configuration.
+fn lower_snapshot() {
+    let cell = Cell::default();
+    assert!(cell.advance(snapshot(7, 70)));
+    assert!(!cell.advance(snapshot(5, 50)));
+    assert!(!cell.advance(snapshot(7, 71)));
+    assert_eq!((cell.current().seq(), share(&cell)), (Seq(7), 70));
+}
+
+fn lower_record() {
+    let cell = Cell::default();
+    cell.apply(&[record(1, 10), record(2, 20)])
+        .expect("they follow each other");
+    assert_eq!(cell.apply(&[record(1, 11)]), Ok(false));
+    assert_eq!((cell.current().seq(), share(&cell)), (Seq(2), 20));
+}
+
+fn gap() {
+    let cell = Cell::default();
+    let error = cell.apply(&[record(1, 10), record(3, 30)]);
+    assert_eq!(
+        error,
+        Err(Apply::Gap {
+            have: Seq(1),
+            got: Seq(3)
+        })
+    );
+    assert_eq!((cell.current().seq(), share(&cell)), (Seq(1), 10));
+}
+
+/// A peer that is at 3 asks for what follows. The records between 3 and the snapshot are not kept,
+/// so it must be offered the snapshot and not a list with a hole.
+fn after_jump() {
+    let cell = Cell::default();
+    cell.apply(&[record(1, 10), record(2, 20)])
+        .expect("they follow each other");
+    cell.advance(snapshot(7, 70));
+    cell.apply(&[record(8, 80)]).expect("it follows");
+    assert_eq!(cell.records_after(Seq(2)), None);
+    let after = cell.records_after(Seq(7)).expect("it is kept");
+    assert_eq!(after.iter().map(|r| r.seq.0).collect::<Vec<_>>(), [8]);
+    assert_eq!(cell.records_after(Seq(8)), Some(Vec::new()));
+}
+
+fn bounded() {
+    let cell = Cell::default();
+    for seq in 1..=1000 {
+        cell.apply(&[record(seq, 1)])
+            .expect("they follow each other");
+    }
+    assert_eq!(cell.records_after(Seq(0)), None);
+    assert_eq!(
+        cell.records_after(Seq(900)).map(|records| records.len()),
+        Some(100)
+    );
+}
+
+fn subscriber() {
+    let cell = Cell::default();
+    let mut newest = cell.subscribe();
+    cell.apply(&[record(1, 10)]).expect("it is the first");
+    assert!(newest.has_changed().expect("the cell stands"));
+    assert_eq!(*newest.borrow_and_update(), Seq(1));
+    cell.apply(&[record(1, 10)]).expect("it changes nothing");
+    assert!(!newest.has_changed().expect("the cell stands"));
+}
+
+fn corrupt() {
+    let cell = Cell::default();
+    cell.apply(&[record(1, 10)]).expect("it is the first");
+    let mut bad = record(2, 20);
+    bad.edits[0].after = Some("{}".into());
+    assert!(matches!(cell.apply(&[bad]), Err(Apply::Corrupt { .. })));
+    assert_eq!((cell.current().seq(), share(&cell)), (Seq(1), 10));
+}
--- /dev/null
+++ b/crates/view/tests/all/main.rs
@@ -0,0 +1,71 @@
+//! Views over the platform's stand-in: forward only, complete, and amended without losing a race.
+
+mod amend;
+mod cell;
+mod follow;
+mod routes;
+
+/// Names each case, which runs under paused time.
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident => $body:expr;)*) => {$(
+        $(#[$doc])*
+        #[tokio::test(start_paused = true)]
+        async fn $name() {
+            $body.await;
+        }
+    )*};
+}
+pub(crate) use cases;
+
+use primroseroute_domain::{
+    account::{Budget, Class, Pool, Service, Survive, Template},
+    change::{Edit, Record, Seq},
+    time::Instant,
+};
+use primroseroute_ledger::Versioned;
+use uuid::Uuid;
+
+/// A template of `account` with fair share `share` and one pool and service of its name.
+pub(crate) fn template(account: &str, share: u32) -> Template {
+    Template {
+        account: account.parse().expect("a name"),
+        share,
+        tokens: Vec::new(),
+        pools: vec![Pool {
+            name: account.parse().expect("a name"),
+            budget: Budget {
+                promised: 1,
+                max_absent: 1,
+                survive: Survive::Nothing,
+            },
+            services: vec![Service {
+                name: account.parse().expect("a name"),
+                hosts: vec![format!("{account}.example").into()],
+                path_prefix: Some(format!("/{account}").into()),
+                callers: Vec::new(),
+                class: Class::Urgent,
+            }],
+        }],
+    }
+}
+
+/// The record at `seq` that sets the account `a` to fair share `share`.
+pub(crate) fn record(seq: u64, share: u32) -> Record {
+    let row = Versioned {
+        version: Seq(seq),
+        value: template("a", share),
+    };
+    let json = serde_json::to_string(&row).expect("templates serialize");
+    Record {
+        seq: Seq(seq),
+        at: Instant(seq),
+        actor: "operator:test".into(),
+        reason: "test".into(),
+        operation: Uuid::from_u128(u128::from(seq)),
+        edits: vec![Edit {
+            key: "account/a".into(),
+            before: None,
+            after: Some(json.into()),
+        }],
+    }
+}
