--- a/crates/admin/src/edit/mod.rs
+++ b/crates/admin/src/edit/mod.rs
@@ -1,9 +1,11 @@
 //! What an operator's order changes: a snapshot in, rows out, or a numbered refusal.
 
 mod account;
+mod entry;
 mod instance;
 
 pub use account::{apply, diff, faults};
+pub use entry::remove;
 pub use instance::{drain, release};
 
 use primroseroute_domain::{
--- a/crates/admin/src/http/mod.rs
+++ b/crates/admin/src/http/mod.rs
@@ -9,6 +9,7 @@
 use crate::{Local, Tokens};
 use eyre::Result;
 use gotham::state::StateData;
+use primroseroute_audit::Trail;
 use primroseroute_domain::time::Clock;
 use primroseroute_front::{Options, Server};
 use primroseroute_ledger::Ledger;
@@ -22,6 +23,8 @@
     pub local: Arc<dyn Local>,
     /// Where changes are committed.
     pub ledger: Ledger,
+    /// The audit trail.
+    pub trail: Trail,
     /// The entry's view.
     pub cell: Arc<Cell>,
     /// Wall-clock time for change records.
--- a/crates/admin/src/http/read.rs
+++ b/crates/admin/src/http/read.rs
@@ -146,7 +146,7 @@
 async fn records(shared: &Shared, filter: &Filter) -> Result<Audit, Refusal> {
     let after = Seq(filter.after.unwrap_or(0));
     let limit = filter.limit.unwrap_or(PAGE).min(MAX_PAGE);
-    let records = shared.0.ledger.after(after, limit).await?;
+    let records = shared.0.trail.after(after, limit).await?;
     let wanted = |record: &Record| {
         let by = filter
             .actor
--- a/crates/admin/src/http/router.rs
+++ b/crates/admin/src/http/router.rs
@@ -95,6 +95,10 @@
             .post(&format!("{}/:name/release", path::INSTANCES))
             .with_path_extractor::<Named>()
             .to_async(write::release);
+        route
+            .post(&format!("{}/:name/remove", path::ENTRIES))
+            .with_path_extractor::<Named>()
+            .to_async(write::remove);
     })
 }
 
--- a/crates/admin/src/http/write.rs
+++ b/crates/admin/src/http/write.rs
@@ -142,3 +142,19 @@
         |snapshot: &Snapshot, draft: &mut Draft| act(snapshot, &name, &asked.order, now, draft);
     asked.commit(&asked.order.reason, &decide).await
 }
+
+pub(super) async fn remove(mut state: State) -> HandlerResult {
+    let name = named(&state);
+    let call = Call::take(&mut state);
+    Ok((state, reply::json(remove_named(name, call).await)))
+}
+
+async fn remove_named(name: Result<id::Entry, Refusal>, call: Call) -> Result<Accepted, Refusal> {
+    let asked = call.read::<Order>().await?;
+    let name = name?;
+    let decide = |_: &Snapshot, draft: &mut Draft| {
+        edit::remove(&name, draft);
+        Ok(())
+    };
+    asked.commit(&asked.order.reason, &decide).await
+}
--- a/crates/api/src/path.rs
+++ b/crates/api/src/path.rs
@@ -16,6 +16,8 @@
 pub const POOLS: &str = "/v1/pools";
 /// All instances; orders are below their names.
 pub const INSTANCES: &str = "/v1/instances";
+/// Registered entries; one is removed below its name.
+pub const ENTRIES: &str = "/v1/entries";
 /// How the system stands.
 pub const STATUS: &str = "/v1/status";
 /// The audit trail.
--- a/crates/client/src/admin.rs
+++ b/crates/client/src/admin.rs
@@ -198,6 +198,19 @@
         .await
     }
 
+    /// Removes an entry that is known to run no more.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn remove(&self, name: &id::Entry, order: &Order) -> Result<Accepted, Error> {
+        self.send(
+            Method::POST,
+            &format!("{}/{name}/remove", path::ENTRIES),
+            order,
+        )
+        .await
+    }
+
     /// How the system stands.
     ///
     /// # Errors
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -27,6 +27,7 @@
 mod act;
 mod checks;
 mod cycle;
+mod keep;
 mod lease;
 mod probe;
 mod role;
--- a/crates/controller/src/role.rs
+++ b/crates/controller/src/role.rs
@@ -2,16 +2,18 @@
 
 use crate::{
     cycle::Memory,
+    keep::House,
     lease::{Contender, Held},
     probe::Probe,
     roster::Roster,
 };
 use parking_lot::Mutex;
+use primroseroute_audit::Keep;
 use primroseroute_domain::{id, time::Clock};
 use primroseroute_fleet::{lifecycle::Limits, placement::Weights};
 use primroseroute_ledger::Ledger;
 use primroseroute_peer::report::Identity;
-use primroseroute_platform::fleet::Instances;
+use primroseroute_platform::{fleet::Instances, object::Store};
 use primroseroute_view::Cell;
 use std::{sync::Arc, time::Duration};
 use tokio::{
@@ -64,6 +66,10 @@
     pub clock: Arc<dyn Clock>,
     /// The platform's instances.
     pub instances: Arc<dyn Instances>,
+    /// The platform's objects, for the archive of the audit trail.
+    pub objects: Arc<dyn Store>,
+    /// How much of the audit trail stays in the table.
+    pub keep: Keep,
     /// Checks workers.
     pub probe: Arc<dyn Probe>,
     /// The registered entries.
@@ -130,6 +136,7 @@
     contender: Contender,
     held: Option<Held>,
     memory: Memory,
+    house: House,
     renewed: Instant,
     holder: Arc<Mutex<Option<id::Entry>>>,
 }
@@ -143,11 +150,13 @@
             parts.timers.lease,
         );
         let memory = Memory::default();
+        let house = House::open(&parts);
         Self {
             parts,
             contender,
             held: None,
             memory,
+            house,
             renewed: Instant::now(),
             holder,
         }
@@ -180,6 +189,7 @@
             Ok(Err(refusal)) => log::warn!("a cycle ended early: {refusal}"),
             Err(elapsed) => log::warn!("a cycle took too long: {elapsed}"),
         }
+        self.house.step(&self.parts, &held).await;
         self.parts.timers.cycle
     }
 
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -58,6 +58,9 @@
     /// Instances.
     #[command(subcommand)]
     Instance(Instance),
+    /// Entries.
+    #[command(subcommand)]
+    Entry(Entry),
     /// How the system stands, as the entry asked sees it.
     Status,
     /// The audit trail.
@@ -129,6 +132,18 @@
     },
 }
 
+/// Commands on entries.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Entry {
+    /// Remove an entry whose process is known to run no more, so that no drain waits for it.
+    Remove {
+        /// The entry.
+        name: id::Entry,
+        #[command(flatten)]
+        change: Change,
+    },
+}
+
 /// Options of every change.
 #[derive(Debug, Args)]
 pub(crate) struct Change {
--- a/crates/ctl/src/command/instance.rs
+++ b/crates/ctl/src/command/instance.rs
@@ -6,7 +6,7 @@
 use primroseroute_api::Order;
 use primroseroute_client::Admin;
 
-fn order(change: &Change, force: bool) -> Order {
+pub(super) fn order(change: &Change, force: bool) -> Order {
     Order {
         if_version: if_version(change),
         reason: change.reason.as_str().into(),
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -6,7 +6,7 @@
 mod list;
 
 use crate::{
-    cli::{Change, Cli, Command, Listing, Output, Target},
+    cli::{Change, Cli, Command, Entry, Listing, Output, Target},
     exit,
     output::{self, Shown},
     wait,
@@ -55,6 +55,11 @@
         Command::Instance(command) => instance::run(command, admin, output).await,
         Command::Service(Listing::List) => list::services(admin, output).await,
         Command::Pool(Listing::List) => list::pools(admin, output).await,
+        Command::Entry(Entry::Remove { name, change }) => {
+            let order = instance::order(&change, false);
+            let done = admin.remove(&name, &order).await?;
+            accepted(done, &change, admin, output).await
+        }
         Command::Status => list::status(admin, output).await,
         Command::Audit(filter) => audit::run(filter, admin, output).await,
         Command::Completions { .. } => Ok(exit::DONE),
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -10,6 +10,7 @@
 };
 use eyre::{Context, Result};
 use primroseroute_admin::{Admin, Parts as AdminParts};
+use primroseroute_audit::Trail;
 use primroseroute_claims::{Claims, Options};
 use primroseroute_controller::{Controller, Parts as ControllerParts, Roster};
 use primroseroute_domain::change::Seq;
@@ -63,6 +64,8 @@
             cell: Arc::clone(&core.cell),
             clock: Arc::clone(&parts.clock),
             instances: parts.instances,
+            objects: Arc::clone(&parts.objects),
+            keep: parts.keep,
             probe: parts.probe,
             roster: Arc::clone(&core) as Arc<dyn Roster>,
             weights: parts.weights,
@@ -94,6 +97,7 @@
                 meter: parts.meter,
             }),
             ledger: core.ledger.clone(),
+            trail: Trail::open(core.ledger.clone(), parts.objects),
             cell: Arc::clone(&core.cell),
             clock: Arc::clone(&parts.clock),
             tokens: parts.operators,
--- a/crates/entry/src/parts.rs
+++ b/crates/entry/src/parts.rs
@@ -2,6 +2,7 @@
 
 use eyre::Result;
 use primroseroute_admin::Tokens;
+use primroseroute_audit::Keep;
 use primroseroute_claims::Seed;
 use primroseroute_controller::{Probe, Timers as ControllerTimers};
 use primroseroute_domain::{id, time::Clock};
@@ -9,7 +10,7 @@
 use primroseroute_flow::limits::Limits;
 use primroseroute_front::Options as FrontOptions;
 use primroseroute_peer::{Link, Local, membership, report::Identity};
-use primroseroute_platform::{fleet::Instances, table::Table};
+use primroseroute_platform::{fleet::Instances, object::Store, table::Table};
 use primroseroute_route::{Options as PathOptions, backend::Backend};
 use primroseroute_telemetry::Meter;
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
@@ -82,6 +83,10 @@
     pub table: Arc<dyn Table>,
     /// The platform's instances.
     pub instances: Arc<dyn Instances>,
+    /// The platform's objects.
+    pub objects: Arc<dyn Store>,
+    /// How much of the audit trail stays in the table.
+    pub keep: Keep,
     /// Checks workers.
     pub probe: Arc<dyn Probe>,
     /// The backend servers.
--- a/crates/testbed/src/parts.rs
+++ b/crates/testbed/src/parts.rs
@@ -3,6 +3,7 @@
 use crate::spec::{OPERATOR_TOKEN, token_hash};
 use eyre::Result;
 use primroseroute_admin::Tokens;
+use primroseroute_audit::Keep;
 use primroseroute_controller::{HttpProbe, Timers as ControllerTimers};
 use primroseroute_domain::{id, time::SystemClock};
 use primroseroute_entry::{Dial, Dialed, Listen, Parts, Timers};
@@ -46,6 +47,8 @@
         },
         table: Arc::new(platform.client(name.as_str())),
         instances: Arc::new(platform.client(name.as_str())),
+        objects: Arc::new(platform.client(name.as_str())),
+        keep: Keep::default(),
         probe: Arc::new(HttpProbe::open(HEALTH_PATH)),
         backend: Arc::new(Pool::open()),
         dial: Box::new(Join(network.clone())),
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -3,6 +3,7 @@
 use crate::{LIMIT, cases};
 use eyre::Result;
 use http::Method;
+use primroseroute_api::Order;
 use primroseroute_domain::{
     change::Seq,
     id,
@@ -242,5 +243,15 @@
             .await;
         assert_eq!(answer.said, Said::Completed, "{answer:?}");
     }
-    until_row(&site, &id, is(State::Draining)).await
+    until_row(&site, &id, is(State::Draining)).await?;
+
+    // The operator vouches for it: it is stopped and its registration removed.
+    site.take("cut").entry.abort().await;
+    let order = Order {
+        if_version: None,
+        reason: "it is gone".into(),
+        force: false,
+    };
+    site.any().admin.remove(&"cut".parse()?, &order).await?;
+    until_row(&site, &id, is(State::Leaving)).await
 }
