Report loads in one walk over the gates, and read rows in one place

Cause: a report asked every gate about every instance: 1,200 instances times 270 pools is 324,000 locks a report. The paged scan stood twice, in the ledger and in the view. Change: each gate lists its busy instances; the ledger's rows() serves both. Conclusion: a report's cost now follows the load and not the fleet's size.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -129,22 +129,14 @@
         let snapshot = self.cell.current();
         let in_force = self.gates.in_force();
         let acknowledges = self.footing().acknowledges();
-        let mut loads = BTreeMap::new();
+        let in_flight = self.gates.loads();
         let mut drains = BTreeMap::new();
         for (name, row) in snapshot.instances() {
-            let in_flight = self.gates.in_flight(name);
-            let count = u16::try_from(in_flight).unwrap_or(u16::MAX);
-            let load = Load {
-                in_flight: count,
-                demand: count,
-            };
-            if !load.is_zero() {
-                loads.insert(name.clone(), load);
-            }
             // A drain counts as in force only once the gates have it: before that, a request could
             // still be sent after the acknowledgement.
             let drained = row.value.state != State::Serving && row.version <= in_force;
             if drained && acknowledges {
+                let in_flight = in_flight.get(name).copied().unwrap_or(0);
                 drains.insert(
                     name.clone(),
                     Drain {
@@ -154,6 +146,17 @@
                 );
             }
         }
+        let load = |count: u32| {
+            let count = u16::try_from(count).unwrap_or(u16::MAX);
+            Load {
+                in_flight: count,
+                demand: count,
+            }
+        };
+        let loads = in_flight
+            .into_iter()
+            .map(|(name, count)| (name, load(count)))
+            .collect();
         Report {
             number,
             // What the gates have in force, not what the view has: a peer takes this for an
--- a/crates/flow/src/pool/mod.rs
+++ b/crates/flow/src/pool/mod.rs
@@ -152,6 +152,12 @@
         (CONNECTIONS - SLOTS) / entries.max(1)
     }
 
+    /// Requests in flight by instance, without the instances that have none.
+    pub fn loads(&self) -> impl Iterator<Item = (&id::Instance, u32)> {
+        let busy = self.workers.iter().filter(|worker| worker.in_flight > 0);
+        busy.map(|worker| (&worker.id, worker.in_flight))
+    }
+
     /// Requests that wait for a slot, at this entry.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/crates/ledger/src/read.rs
+++ b/crates/ledger/src/read.rs
@@ -64,35 +64,42 @@
         row.as_ref().map(decode).transpose()
     }
 
-    /// Reads every row under `prefix` as key and value, page by page.
+    /// Reads every row under `prefix`, page by page.
     ///
-    /// Pages are read as of different commits; a caller that needs them as of one change compares
-    /// the head before and after, or follows the records from the head it read first.
+    /// Pages are read as of different commits; a caller that needs them as of one change follows
+    /// the records from a head that it read first.
     ///
     /// # Errors
-    /// As the table's; [`Error::Corrupt`] where a row cannot be read as `T`.
-    pub async fn scan<T: DeserializeOwned>(&self, prefix: &str) -> Result<Vec<(Key, T)>, Error> {
+    /// As the table's.
+    pub async fn rows(&self, prefix: &str) -> Result<Vec<Row>, Error> {
         let mut found = Vec::new();
         let mut after = None;
         loop {
-            let page = self
-                .table()
-                .scan(Scan {
-                    prefix: prefix.into(),
-                    after: after.take(),
-                    limit: PAGE,
-                })
-                .await?;
-            for row in &page.rows {
-                found.push((Key::clone(&row.key), decode(row)?));
-            }
-            match page.rows.last() {
+            let scan = Scan {
+                prefix: prefix.into(),
+                after: after.take(),
+                limit: PAGE,
+            };
+            let page = self.table().scan(scan).await?;
+            found.extend(page.rows);
+            match found.last() {
                 Some(last) if page.more => after = Some(Key::clone(&last.key)),
                 _ => return Ok(found),
             }
         }
     }
 
+    /// Reads every row under `prefix` as `T`, with its key.
+    ///
+    /// # Errors
+    /// As [`Ledger::rows`]; [`Error::Corrupt`] where a row cannot be read as `T`.
+    pub async fn scan<T: DeserializeOwned>(&self, prefix: &str) -> Result<Vec<(Key, T)>, Error> {
+        let rows = self.rows(prefix).await?;
+        rows.iter()
+            .map(|row| Ok((Key::clone(&row.key), decode(row)?)))
+            .collect()
+    }
+
     /// Reads up to `limit` change records after `seq`, in order.
     ///
     /// # Errors
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate.rs
@@ -316,6 +316,21 @@
             .sum()
     }
 
+    /// Requests in flight by instance, without the instances that have none.
+    ///
+    /// A report asks for all of them: asking gate by gate for each instance would take as many
+    /// locks as there are instances times pools.
+    pub fn loads(&self) -> BTreeMap<id::Instance, u32> {
+        let gates = self.open.read();
+        let mut loads = BTreeMap::new();
+        for opened in gates.values() {
+            for (instance, count) in opened.gate.state.lock().decisions.loads() {
+                *loads.entry(instance.clone()).or_default() += count;
+            }
+        }
+        loads
+    }
+
     /// Requests that wait at all gates.
     pub fn waiting(&self) -> usize {
         let gates = self.open.read();
--- a/crates/view/src/follow.rs
+++ b/crates/view/src/follow.rs
@@ -3,15 +3,12 @@
 use crate::{Apply, Cell, Snapshot};
 use primroseroute_domain::change::Seq;
 use primroseroute_ledger::{Error as LedgerError, Ledger, key};
-use primroseroute_platform::table::{Key, Scan};
+use primroseroute_platform::table::{Key, Row};
 use std::sync::Arc;
 
 /// Records that one poll reads: more behind than this, a full load costs fewer rows.
 const RECORDS: u32 = 256;
 
-/// Rows a page of a full load.
-const PAGE: u32 = 512;
-
 /// Prefixes of the rows that the head orders, which make up a snapshot.
 const PREFIXES: [&str; 5] = [
     key::ACCOUNTS,
@@ -63,7 +60,9 @@
     let first = ledger.head().await?;
     let mut rows = Vec::new();
     for prefix in PREFIXES {
-        scan(ledger, prefix, &mut rows).await?;
+        for row in ledger.rows(prefix).await? {
+            rows.push((Key::clone(&row.key), json(&row)?));
+        }
     }
     let mut snapshot = Snapshot::from_rows(first.seq, rows)?;
     loop {
@@ -77,31 +76,10 @@
     }
 }
 
-async fn scan(
-    ledger: &Ledger,
-    prefix: &str,
-    rows: &mut Vec<(Arc<str>, Arc<str>)>,
-) -> Result<(), LedgerError> {
-    let mut after = None;
-    loop {
-        let page = ledger
-            .table()
-            .scan(Scan {
-                prefix: prefix.into(),
-                after: after.take(),
-                limit: PAGE,
-            })
-            .await?;
-        for row in &page.rows {
-            let json = std::str::from_utf8(&row.value).map_err(|error| LedgerError::Corrupt {
-                key: Key::clone(&row.key),
-                detail: error.to_string(),
-            })?;
-            rows.push((Key::clone(&row.key), json.into()));
-        }
-        match page.rows.last() {
-            Some(last) if page.more => after = Some(Key::clone(&last.key)),
-            _ => return Ok(()),
-        }
-    }
+fn json(row: &Row) -> Result<Arc<str>, LedgerError> {
+    let text = std::str::from_utf8(&row.value);
+    text.map(Into::into).map_err(|error| LedgerError::Corrupt {
+        key: Key::clone(&row.key),
+        detail: error.to_string(),
+    })
 }
