Sharpen the jobs' failure tests until each safeguard is missed

Change: tests for ageing among an account's own jobs, an aged job that is kept to, a report served again, unread reports, a renewal by a paused predecessor after the stop, good jobs on bad instances, an instance that fails late, and blame after a verdict.

--- a/crates/jobs/tests/all/fair.rs
+++ b/crates/jobs/tests/all/fair.rs
@@ -1,6 +1,6 @@
 //! Fair shares with declared sizes that are far off, and that every job finishes.
 
-use crate::world::{World, cores, name, truth};
+use crate::world::{TICK, World, cores, name, truth};
 use primroseroute_jobs::{Limits, State};
 use primroseroute_platform::task::Resources;
 use std::collections::BTreeMap;
@@ -76,40 +76,35 @@
     rising_weights([1, 1, 2, 2, 3, 3, 4, 4]);
 }
 
-// A job that needs a whole instance waits while small ones take each gap that opens. After ten
-// minutes an instance is kept for it, and it runs though the small ones never cease.
-#[test]
-fn large_job_is_not_starved() {
+fn submit_small(world: &mut World, accounts: &[&str], numbers: std::ops::Range<usize>) {
+    for number in numbers {
+        let account = accounts[number % accounts.len()];
+        let seconds = 300 + number as u64 * 97 % 600;
+        let job = format!("small{number}");
+        let real = truth(cores(2.0), seconds);
+        world.submit(&job, account, "reminder", cores(2.0), real);
+    }
+}
+
+// Three instances are full of small jobs that end one by one, with more of them for hours. A job
+// that needs a whole instance waits, since small ones take each gap that opens. After ten minutes
+// an instance is kept for it, and it runs when the last run there has ended.
+fn large_job_runs(accounts: &[&str]) {
     let mut world = World::start(3);
-    let mut number = 0;
-    let mut refill = |world: &mut World| {
-        for _ in 0..6 {
-            number += 1;
-            let seconds = 30 + number * 13 % 40;
-            world.submit(
-                &format!("s{number}"),
-                "small",
-                "reminder",
-                cores(2.0),
-                truth(cores(2.0), seconds),
-            );
-        }
-    };
-    refill(&mut world);
+    submit_small(&mut world, accounts, 0..15);
     world.run(30);
-    for _ in 0..10 {
-        refill(&mut world);
-    }
     world.submit("large", "big", "rebuild", cores(8.0), truth(cores(8.0), 60));
+    submit_small(&mut world, accounts, 15..300);
     let aged = Limits::default().aged.as_secs();
-    let deadline = world.now + aged + 300;
-    while world.now < deadline {
-        refill(&mut world);
-        world.tick();
-    }
+    world.run((aged + 1500) / TICK);
     assert_eq!(world.state("large"), &State::Done);
 }
 
+cases! { large_job_runs:
+    large_job_of_another_account(&["small"]);
+    large_job_among_its_own_accounts_small_ones(&["big", "small", "third"]);
+}
+
 // A job declares more than any instance has, ten times what it needs. It gets a whole instance at
 // first, and the second of its kind gets what the first was seen to use.
 #[test]
--- a/crates/jobs/tests/all/fault.rs
+++ b/crates/jobs/tests/all/fault.rs
@@ -1,7 +1,7 @@
 //! Telling faulty jobs from faulty instances.
 
 use crate::world::{Truth, World, cores, name, truth};
-use primroseroute_jobs::{Reason, State};
+use primroseroute_jobs::{Reason, Row, State};
 
 fn busy(world: &mut World, accounts: u32, jobs: u32) {
     for number in 0..accounts * jobs {
@@ -62,6 +62,8 @@
     world.run(200);
     assert!(world.quarantined.contains(&name("w0")));
     assert!(world.starts_on("w0") <= 3, "{}", world.starts_on("w0"));
+    let blamed = |row: &&Row| row.failed_on.contains(&name("w0"));
+    assert_eq!(world.board.rows().filter(blamed).count(), 0);
     assert!((0..120).all(|n| world.state(&format!("good{n}")) == &State::Done));
 }
 
@@ -126,3 +128,49 @@
     world.run(20);
     assert_eq!(world.state("bad"), &State::Done);
 }
+
+// The first three instances fail everything, and the first job meets one after the other. Nothing
+// has ever worked on them, so these failures do not show that the job is at fault.
+#[test]
+fn good_job_meets_three_bad_instances() {
+    let mut world = World::start(4);
+    for id in ["w0", "w1", "w2"] {
+        world.bad.insert(name(id));
+    }
+    world.submit("good", "a0", "rebuild", cores(2.0), truth(cores(2.0), 20));
+    world.run(60);
+    assert_eq!(world.starts_of("good"), 4);
+    assert_eq!(world.state("good"), &State::Done);
+}
+
+// An instance fails every job after 100 s, when each has long counted as proof that it can work.
+// That proof must not clear the failures before it, or the instance would fail jobs for ever.
+#[test]
+fn instance_that_fails_late() {
+    let mut world = World::start(4);
+    world.late.insert(name("w0"));
+    for number in 0..30 {
+        let job = format!("good{number}");
+        world.submit(&job, "a0", "rebuild", cores(8.0), truth(cores(8.0), 200));
+    }
+    world.run(900);
+    assert!(world.quarantined.contains(&name("w0")));
+    assert!(world.starts_on("w0") <= 3, "{}", world.starts_on("w0"));
+    assert!((0..30).all(|n| world.state(&format!("good{n}")) == &State::Done));
+}
+
+// Three broken jobs of a kind that works come one after the other, and each is parked. Their
+// failures are theirs: together they must not quarantine the instance.
+#[test]
+fn failures_of_parked_jobs_are_not_the_instances() {
+    let mut world = World::start(1);
+    world.submit("good", "a0", "rebuild", cores(2.0), truth(cores(2.0), 20));
+    world.run(20);
+    for number in 0..3 {
+        let job = format!("bad{number}");
+        world.submit(&job, "a0", "rebuild", cores(2.0), broken());
+        world.run(100);
+        assert!(matches!(world.state(&job), State::Parked(_)));
+    }
+    assert!(world.quarantined.is_empty());
+}
--- a/crates/jobs/tests/all/lease.rs
+++ b/crates/jobs/tests/all/lease.rs
@@ -3,8 +3,8 @@
 
 use crate::world::{TICK, World, cores, name, truth};
 use primroseroute_domain::time::Instant;
-use primroseroute_jobs::{Action, State};
-use primroseroute_platform::task::Token;
+use primroseroute_jobs::{Action, Availability, State};
+use primroseroute_platform::task::{Phase, Report, Token};
 
 fn world() -> World {
     let mut world = World::start(2);
@@ -136,3 +136,76 @@
     assert!(world.now > 60 * TICK);
     assert_eq!(world.starts_of("job"), 2);
 }
+
+// A successor stops a run at once, since its instance drains, and the stop is lost. The predecessor
+// wakes and renews once more: the successor must wait for the lapse of that renewal too.
+#[test]
+fn predecessor_renews_after_the_stop() {
+    let mut world = world();
+    let instance = world.starts[0].1.clone();
+    world.cut.insert(instance.clone());
+    let end = std::time::Duration::from_secs(world.now);
+    world.worker(instance.as_str()).availability = Availability::Draining(end);
+    world.take_over();
+    world.run(3);
+    world.tasks[0].lapses = world.now + 30;
+    world.run(30);
+    assert_eq!(world.starts_of("job"), 2);
+}
+
+// The platform's reports cannot be read for minutes, while its calls work. Silence then says
+// nothing about the run, which is renewed all the time and not started anew.
+#[test]
+fn reports_cannot_be_read() {
+    let mut world = world();
+    world.unread = true;
+    world.run(100);
+    world.unread = false;
+    world.run(10);
+    assert_eq!(world.starts_of("job"), 1);
+    assert_eq!(world.tasks.len(), 1);
+}
+
+// The instance is cut off and the platform serves its last report again and again. Only a report
+// that is newer than the last one shows that the run lives; this one is left to lapse.
+#[test]
+fn last_report_is_served_again() {
+    let mut world = World::start(1);
+    world.submit(
+        "job",
+        "gojo",
+        "rebuild",
+        cores(4.0),
+        truth(cores(4.0), 100_000),
+    );
+    world.tick();
+    let row = world.board.row(&name("job")).expect("known").clone();
+    let report = Report {
+        job: row.id.clone(),
+        instance: name("w0"),
+        token: row.token,
+        phase: Phase::Running,
+        usage: cores(4.0),
+        checkpoint: 0.0,
+        as_of: Instant(1),
+    };
+    let mut renewals = 0;
+    for second in (5..300).step_by(5) {
+        let now = std::time::Duration::from_secs(second);
+        world.board.report(std::slice::from_ref(&report), now);
+        let plan = world
+            .board
+            .plan(now, Instant(0), &world.workers, &world.weights);
+        for action in plan.actions {
+            if let Action::Renew { job, token, .. } = action {
+                renewals += 1;
+                world.board.returned(&job, token, now);
+            }
+        }
+    }
+    assert!(
+        (1..=7).contains(&renewals),
+        "{renewals} renewals in the minute before the silence"
+    );
+    assert!(world.board.row(&name("job")).expect("known").token > row.token);
+}
--- a/crates/jobs/tests/all/world.rs
+++ b/crates/jobs/tests/all/world.rs
@@ -10,6 +10,8 @@
 
 /// Seconds between two plans.
 pub const TICK: u64 = 5;
+/// Seconds after which a late failure comes.
+pub const LATE: u64 = 100;
 /// Ticks by which reports lag.
 pub const LAG: u64 = 3;
 
@@ -46,6 +48,10 @@
     pub bad: BTreeSet<id::Instance>,
     /// Instances that the platform hears nothing of; their tasks run on.
     pub cut: BTreeSet<id::Instance>,
+    /// Instances that fail every job after [`LATE`] seconds.
+    pub late: BTreeSet<id::Instance>,
+    /// Whether the reports cannot be read.
+    pub unread: bool,
     /// Whether calls are lost on their way.
     pub deaf: bool,
     /// Whether tasks write no checkpoint when asked.
@@ -97,6 +103,8 @@
             tasks: Vec::new(),
             bad: BTreeSet::new(),
             cut: BTreeSet::new(),
+            late: BTreeSet::new(),
+            unread: false,
             deaf: false,
             no_checkpoints: false,
             starts: Vec::new(),
@@ -164,7 +172,7 @@
     /// One plan, the calls that it asks for, and [`TICK`] seconds of work.
     pub fn tick(&mut self) -> Plan {
         let now = Duration::from_secs(self.now);
-        if self.reports.len() as u64 > LAG {
+        if !self.unread && self.reports.len() as u64 > LAG {
             let reports = self.reports.pop_front().unwrap_or_default();
             self.board.report(&reports, now);
         }
@@ -247,7 +255,9 @@
     fn work(&mut self) {
         for task in self.tasks.iter_mut().filter(|task| task.ended.is_none()) {
             task.left = task.left.saturating_sub(TICK);
-            let broken = self.truths[&task.job].broken || self.bad.contains(&task.instance);
+            let truth = self.truths[&task.job];
+            let late = task.left + LATE <= truth.seconds && self.late.contains(&task.instance);
+            let broken = truth.broken || late || self.bad.contains(&task.instance);
             if self.now + TICK > task.lapses {
                 task.ended = Some(Phase::Stopped);
             } else if broken {
