Answer "unknown" where a row stands that cannot be read

Cause: a commit that conflicts shows that the key is taken; with reads failing, the caller was told "not run" of a request that may have run. Change: such a claim ends as unknown; a released row clears it. Test: outage::row_stands_and_cannot_be_read fails without it (tried). Conclusion: "not run" no longer rests on a row that nobody has read.

--- a/crates/claims/src/claims.rs
+++ b/crates/claims/src/claims.rs
@@ -20,7 +20,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -190,8 +190,9 @@
         let give_up = Instant::now() + within.min(self.options.patience);
         let (reply, answer) = oneshot::channel();
         let insert = self.insert(request, Key::clone(&key), within, give_up, reply);
+        let taken = Arc::clone(&insert.taken);
         if self.inserts.push(insert).is_err() {
-            return self.unavailable(request, &key);
+            return self.unavailable(request, &key, false);
         }
         match timeout_at(give_up, answer).await {
             Ok(Ok(Reply::Grant(grant))) => {
@@ -203,7 +204,9 @@
             Ok(Ok(Reply::OutcomeUnknown)) => Claim::OutcomeUnknown,
             Ok(Ok(Reply::NotKept)) => Claim::NotKept,
             Ok(Ok(Reply::KeyReused)) => Claim::KeyReused,
-            Ok(Ok(Reply::Unavailable) | Err(_)) | Err(_) => self.unavailable(request, &key),
+            Ok(Ok(Reply::Unavailable) | Err(_)) | Err(_) => {
+                self.unavailable(request, &key, taken.load(Ordering::Relaxed))
+            }
         }
     }
 
@@ -228,6 +231,7 @@
             row,
             expect: Expect::Absent,
             unresolved: false,
+            taken: Arc::new(AtomicBool::new(false)),
             give_up,
             wall,
             reply,
@@ -246,12 +250,13 @@
     ///
     /// This attempt is proven not to run. But a caller that repeats a key asks what became of its
     /// request, and "not run" would be a lie if an earlier attempt ran; so a repeat, marked by the
-    /// caller or remembered here, is answered "unknown".
-    fn unavailable(&self, request: &Request, key: &Key) -> Claim {
+    /// caller, remembered here, or known by a row that stands and could not be read, is answered
+    /// "unknown".
+    fn unavailable(&self, request: &Request, key: &Key, taken: bool) -> Claim {
         match self.recent.get(key) {
             Some(first) if first != request.fingerprint => Claim::KeyReused,
             Some(_) => Claim::OutcomeUnknown,
-            None if request.repeat => Claim::OutcomeUnknown,
+            None if request.repeat || taken => Claim::OutcomeUnknown,
             None => Claim::Unavailable,
         }
     }
--- a/crates/claims/src/group.rs
+++ b/crates/claims/src/group.rs
@@ -47,6 +47,8 @@
     Committed(Revision),
     /// Its condition did not hold; this is what stands there.
     Found(Option<Row>),
+    /// Its condition did not hold, and what stands there could not be read.
+    Taken,
     /// The store failed; where `may_have_applied`, the row may stand or come to stand.
     Failed { may_have_applied: bool },
 }
@@ -86,7 +88,7 @@
             .into_iter()
             .partition(|item| round > 0 || item.key == conflict);
         rest = sure;
-        rest.extend(look_up(table, doubtful, call, &mut fates).await);
+        rest.extend(look_up(table, doubtful, &conflict, call, &mut fates).await);
     }
     settle(
         &mut fates,
@@ -127,6 +129,7 @@
 async fn look_up<'a>(
     table: &Arc<dyn Table>,
     items: Vec<&'a Item>,
+    conflict: &Key,
     call: Duration,
     fates: &mut BTreeMap<Key, Fate>,
 ) -> Vec<&'a Item> {
@@ -141,6 +144,7 @@
                 continue;
             }
             Ok(Ok(row)) => Fate::Found(row),
+            Ok(Err(_)) | Err(_) if item.key == *conflict => Fate::Taken,
             Ok(Err(_)) | Err(_) => Fate::Failed {
                 may_have_applied: false,
             },
--- a/crates/claims/src/insert.rs
+++ b/crates/claims/src/insert.rs
@@ -11,7 +11,10 @@
 };
 use primroseroute_domain::time;
 use primroseroute_platform::table::{self, Key, Revision};
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
 use tokio::{sync::oneshot, time::Instant};
 
 /// What the lane answers to one claim.
@@ -51,6 +54,8 @@
     pub(crate) expect: Expect,
     /// Whether an earlier commit of this operation may stand or come to stand.
     pub(crate) unresolved: bool,
+    /// Whether a row stands that could not be read: an earlier attempt may have run.
+    pub(crate) taken: Arc<AtomicBool>,
     pub(crate) give_up: Instant,
     pub(crate) wall: time::Instant,
     pub(crate) reply: oneshot::Sender<Reply>,
@@ -86,6 +91,7 @@
             return None;
         }
         if row.state == State::Released {
+            self.taken.store(false, Ordering::Relaxed);
             self.expect = Expect::At(found.revision);
             return Some(self);
         }
@@ -124,7 +130,12 @@
                 None
             }
             Fate::Found(Some(row)) => self.found(&row),
+            Fate::Taken => {
+                self.taken.store(true, Ordering::Relaxed);
+                Some(self)
+            }
             Fate::Found(None) => {
+                self.taken.store(false, Ordering::Relaxed);
                 self.expect = Expect::Absent;
                 Some(self)
             }
--- a/crates/claims/src/lane.rs
+++ b/crates/claims/src/lane.rs
@@ -215,7 +215,7 @@
     fn land(&mut self, flight: Flight<J>) {
         let failed = flight
             .iter()
-            .any(|(_, fate)| matches!(fate, Fate::Failed { .. }));
+            .any(|(_, fate)| matches!(fate, Fate::Failed { .. } | Fate::Taken));
         for (job, fate) in flight {
             self.busy.remove(&job.item().key);
             match job.settle(fate) {
--- a/crates/claims/src/record.rs
+++ b/crates/claims/src/record.rs
@@ -51,7 +51,7 @@
 
     fn settle(mut self, fate: Fate) -> Option<Self> {
         match fate {
-            Fate::Failed { .. } => Some(self),
+            Fate::Failed { .. } | Fate::Taken => Some(self),
             Fate::Found(Some(found)) => {
                 let row = Row::decode(&found)?;
                 let own = row.operation == self.row.operation && row.state == State::Claimed;
--- a/crates/claims/tests/all/fake.rs
+++ b/crates/claims/tests/all/fake.rs
@@ -45,6 +45,7 @@
     script: VecDeque<Fault>,
     random: Option<ChaCha12Rng>,
     down: bool,
+    reads_down: bool,
     latency: Duration,
     load: Load,
 }
@@ -69,6 +70,11 @@
         self.state.lock().down = down;
     }
 
+    /// Whether reads fail while commits go on.
+    pub fn reads_down(&self, down: bool) {
+        self.state.lock().reads_down = down;
+    }
+
     pub fn latency(&self, latency: Duration) {
         self.state.lock().latency = latency;
     }
@@ -154,7 +160,7 @@
         sleep(latency).await;
         let mut state = self.state.lock();
         state.load.rows_read += 1;
-        if state.down {
+        if state.down || state.reads_down {
             return Err(Error::Unavailable("down".to_owned()));
         }
         Ok(state.rows.get(key).cloned())
--- a/crates/claims/tests/all/outage.rs
+++ b/crates/claims/tests/all/outage.rs
@@ -59,6 +59,24 @@
     assert_eq!(word(&b.claim(&marked, WITHIN).await), "unknown");
 }
 
+// A request ran, and the caller repeats the key at an entry whose reads fail while its commits are
+// answered. The conflict shows that a row stands, so "not run" would be a guess. The retry of a
+// released key meets the same and runs once reads are back.
+#[tokio::test(start_paused = true)]
+async fn row_stands_and_cannot_be_read() {
+    let (fake, clock) = (Fake::default(), Paused::start());
+    let (a, b) = (entry(&fake, &clock, 1), entry(&fake, &clock, 2));
+    grant(&a, "ran").await.completed(answer(b"held"));
+    grant(&a, "released").await.not_run();
+    settle(&a).await;
+    fake.reads_down(true);
+    assert_eq!(word(&claim(&b, "ran").await), "unknown");
+    assert_eq!(word(&claim(&b, "released").await), "unknown");
+    fake.reads_down(false);
+    assert_eq!(word(&claim(&b, "ran").await), "repeat");
+    assert_eq!(word(&claim(&b, "released").await), "granted");
+}
+
 // Callers keep sending into an outage. The claims that wait are bounded, those above are refused
 // at once, and no memory of refused ones is left.
 #[tokio::test(start_paused = true)]
