Test what counts as an acknowledgement, and entries that nobody has heard

Change: ten cases for the acknowledgements on their own, a registered entry that no peer ever heard, the lease's row after a stop, and a pause that makes the crossing request's case certain.

--- a/crates/controller/src/roster.rs
+++ b/crates/controller/src/roster.rs
@@ -52,7 +52,7 @@
 ///
 /// A drain that an entry does not name as in force counts as one with a request in flight: the
 /// report may be older than the drain, or the entry may not vouch for its view.
-pub(crate) fn acknowledgements(
+pub fn acknowledgements(
     voices: &[Voice],
     listed: &BTreeMap<id::Instance, Listed>,
     rows: &BTreeMap<id::Instance, Row>,
--- /dev/null
+++ b/crates/controller/tests/all/main.rs
@@ -0,0 +1,117 @@
+//! What the controller takes for an acknowledgement, and what it does not.
+
+use primroseroute_controller::{Voice, acknowledgements};
+use primroseroute_domain::{
+    change::Seq,
+    id,
+    instance::{Row, State},
+    time::Instant,
+};
+use primroseroute_fleet::lifecycle::{acknowledged, emptied};
+use primroseroute_peer::report::{Drain, Identity, Report};
+use primroseroute_platform::fleet::{Listed, Phase};
+use std::collections::BTreeMap;
+use uuid::Uuid;
+
+/// The version of the row that drains.
+const DRAINED: Seq = Seq(7);
+
+fn name<T: std::str::FromStr<Err = id::Malformed>>(text: &str) -> T {
+    text.parse().expect("a name")
+}
+
+fn row() -> Row {
+    Row {
+        id: name("i"),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: name("z"),
+        rack: name("r"),
+        pool: Some(name("a")),
+        state: State::Draining,
+        purpose: None,
+        since: Instant(1),
+        maintained: None,
+    }
+}
+
+/// The report of an entry whose gates have `seq` in force, with the drain that it names.
+fn report(seq: u64, drain: Option<(u64, u32)>) -> Report {
+    let identity = Identity {
+        entry: name("e"),
+        incarnation: Uuid::nil(),
+    };
+    let mut report = Report {
+        seq: Seq(seq),
+        ..Report::new(identity)
+    };
+    if let Some((seq, in_flight)) = drain {
+        report.drains.insert(
+            name("i"),
+            Drain {
+                seq: Seq(seq),
+                in_flight,
+            },
+        );
+    }
+    report
+}
+
+fn listed(phase: Phase) -> BTreeMap<id::Instance, Listed> {
+    let line = Listed {
+        id: name("e"),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: name("z"),
+        rack: name("r"),
+        phase,
+        boots: 1,
+    };
+    BTreeMap::from([(name("e"), line)])
+}
+
+/// Whether the drain is acknowledged, and whether the instance counts as empty.
+fn judged(reports: Vec<Option<Report>>, listed: &BTreeMap<id::Instance, Listed>) -> (bool, bool) {
+    let voices: Vec<Voice> = reports
+        .into_iter()
+        .map(|report| Voice {
+            entry: name("e"),
+            report,
+        })
+        .collect();
+    let rows = BTreeMap::from([(name("i"), row())]);
+    let versions = BTreeMap::from([(name("i"), DRAINED)]);
+    let entries = acknowledgements(&voices, listed, &rows, &versions);
+    (
+        acknowledged(&entries, DRAINED),
+        emptied(&entries, &name("i"), DRAINED),
+    )
+}
+
+macro_rules! judges {
+    ($($(#[$doc:meta])* $name:ident: $reports:expr, $listed:expr => $want:expr;)*) => {$(
+        $(#[$doc])*
+        #[test]
+        fn $name() {
+            assert_eq!(judged($reports, &$listed), $want);
+        }
+    )*};
+}
+
+judges! {
+    drain_in_force_and_empty: vec![Some(report(7, Some((7, 0))))], BTreeMap::new() => (true, true);
+    drain_in_force_with_one_in_flight: vec![Some(report(7, Some((7, 1))))], BTreeMap::new()
+        => (true, false);
+    view_before_the_drain: vec![Some(report(6, None))], BTreeMap::new() => (false, false);
+    /// The instance was drained, released and drained again. The entry's word is about the first
+    /// drain, between which and the second it may have sent.
+    drain_of_an_earlier_version: vec![Some(report(7, Some((4, 0))))], BTreeMap::new()
+        => (true, false);
+    /// The entry has the view, and does not vouch for the drain: it stands alone, or the report
+    /// had no room. Its silence on the instance is not "nothing in flight".
+    view_without_the_drain: vec![Some(report(9, None))], BTreeMap::new() => (true, false);
+    entry_that_was_never_heard: vec![None], BTreeMap::new() => (false, false);
+    one_silent_among_many: vec![Some(report(7, Some((7, 0)))), None], BTreeMap::new()
+        => (false, false);
+    entry_that_the_platform_calls_gone: vec![None], listed(Phase::Gone) => (true, true);
+    entry_that_the_platform_calls_leaving: vec![None], listed(Phase::Leaving) => (false, false);
+    no_registrations_are_no_consent: vec![], BTreeMap::new() => (false, false);
+}
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -8,8 +8,13 @@
     change::Seq,
     id,
     instance::{Row, State},
+    time::Instant,
+};
+use primroseroute_peer::membership::Registration;
+use primroseroute_platform::{
+    fleet::{Listed, Phase},
+    table::{Txn, Write},
 };
-use primroseroute_platform::fleet::{Listed, Phase};
 use primroseroute_testbed::{
     Caller, Layout, Said, Site,
     backend::{Backend, Mode, Options},
@@ -23,6 +28,7 @@
     leaving_instance_is_emptied_and_removed => departure();
     controller_that_dies_is_succeeded => takeover();
     controller_that_stops_hands_over_at_once => hand_over();
+    registered_entry_that_was_never_heard_is_waited_for => never_heard();
     worker_that_fails_its_checks_is_quarantined => quarantine();
     silent_entry_stops_a_removal_and_not_serving => silent_entry();
 }
@@ -200,6 +206,17 @@
     let mut site = site(3).await?;
     let first = holder(&site).await?;
     site.take(first.as_str()).entry.stop().await;
+    let lease = site
+        .ledger()
+        .table()
+        .read(&"lease/controller".into())
+        .await?;
+    let given_up = lease.is_none_or(|row| {
+        !row.value
+            .windows(first.as_str().len())
+            .any(|part| part == first.as_str().as_bytes())
+    });
+    assert!(given_up, "the stopped entry still holds the lease");
     let id: id::Instance = "stay-0".parse()?;
     site.platform.fleet().set_phase(&id, Phase::Leaving);
     until_row(&site, &id, is(State::Leaving)).await?;
@@ -255,3 +272,42 @@
     site.any().admin.remove(&"cut".parse()?, &order).await?;
     until_row(&site, &id, is(State::Leaving)).await
 }
+
+/// An entry has registered and was killed, or cut off, before any peer heard of it: it may be
+/// serving by the view that it read. A leaving instance is not given up before it is known to be
+/// gone.
+async fn never_heard() -> Result<()> {
+    let site = site(3).await?;
+    let row = Registration {
+        name: "ghost".parse()?,
+        incarnation: uuid::Uuid::from_u128(1),
+        peer: (Ipv4Addr::LOCALHOST, 1).into(),
+        admin: (Ipv4Addr::LOCALHOST, 1).into(),
+        zone: "zone-0".parse()?,
+        region: None,
+        acked: Seq(0),
+        heartbeat: Instant(0),
+    };
+    let write = Write::Put("entry/ghost".into(), serde_json::to_vec(&row)?.into());
+    let txn = Txn {
+        conditions: Vec::new(),
+        writes: vec![write],
+    };
+    site.ledger().table().commit(txn).await?;
+
+    let id: id::Instance = "stay-0".parse()?;
+    site.platform.fleet().set_phase(&id, Phase::Leaving);
+    until_row(&site, &id, is(State::Draining)).await?;
+    // Every entry that runs acknowledges within an exchange or two; the ghost never does.
+    let drained = site.ledger().head().await?.seq;
+    site.in_force(drained).await?;
+    tokio::time::sleep(std::time::Duration::from_millis(2500)).await;
+    until_row(&site, &id, is(State::Draining)).await?;
+    let order = Order {
+        if_version: None,
+        reason: "it is gone".into(),
+        force: false,
+    };
+    site.any().admin.remove(&"ghost".parse()?, &order).await?;
+    until_row(&site, &id, is(State::Leaving)).await
+}
--- a/tests/all/stop.rs
+++ b/tests/all/stop.rs
@@ -142,6 +142,8 @@
     while TcpStream::connect(address).await.is_ok() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
+    // Long enough for a stop that does not wait to have closed the connection.
+    tokio::time::sleep(Duration::from_millis(50)).await;
     connection.write_all(request.as_bytes()).await?;
     let mut answer = Vec::new();
     connection.read_to_end(&mut answer).await?;
