Start a request beside a free slot whatever the estimate says

A test for the impatient-callers safeguard showed that a request whose deadline was below the estimated service time was refused at once even beside a free slot: its timer was due before it was sent. With estimates too high nothing would have been measured again. A due timer now first sends what can be sent, and refuses only what still waits; nothing is sent after its deadline.

Further named tests: retry budget, answers that never come, late ticks.

--- a/crates/flow/benches/sim/mod.rs
+++ b/crates/flow/benches/sim/mod.rs
@@ -4,6 +4,7 @@
 //! that is counted. An entry's requests take a millisecond each way; reports take five.
 
 mod run;
+mod score;
 mod way;
 
 pub use run::run;
--- a/crates/flow/src/pool/dispatch.rs
+++ b/crates/flow/src/pool/dispatch.rs
@@ -32,15 +32,30 @@
 
     fn fire(&mut self, now: Duration, number: u64) {
         match self.requests.get(&number).map(|request| request.phase) {
-            Some(Phase::Waiting { .. }) => self.give_up(number),
+            Some(Phase::Waiting { .. }) => self.last_chance(now, number),
             Some(Phase::BackingOff { .. }) => self.resume(now, number),
             Some(Phase::Sent { .. }) | None => {}
         }
     }
 
-    /// Refuses a waiting request that can no longer meet its deadline.
+    /// Refuses a request that is unlikely to meet its deadline, unless a slot is free for it now.
+    ///
+    /// The estimate may be wrong. Were such requests refused beside a free slot, no answer would ever
+    /// correct it, and callers with deadlines below it would be refused for ever.
+    fn last_chance(&mut self, now: Duration, number: u64) {
+        self.dispatch(now);
+        let request = self.requests.get(&number);
+        if request.is_some_and(|request| matches!(request.phase, Phase::Waiting { .. })) {
+            self.give_up(number);
+        }
+    }
+
+    /// Refuses a waiting request.
     fn give_up(&mut self, number: u64) {
         if let Some(request) = self.requests.remove(&number) {
+            if let Phase::Waiting { until } = request.phase {
+                self.timers.remove(&(until, number));
+            }
             self.queue
                 .remove(&request.account, &request.service, request.class, number);
             self.refuse(number, request.verdict(Code::DeadlineUnreachable));
@@ -74,7 +89,12 @@
             let Some(item) = self.queue.pop() else {
                 return;
             };
-            self.send(now, item.request);
+            let request = self.requests.get(&item.request);
+            if request.is_some_and(|request| request.deadline <= now) {
+                self.give_up(item.request);
+            } else {
+                self.send(now, item.request);
+            }
         }
     }
 
--- a/crates/flow/tests/all/basics.rs
+++ b/crates/flow/tests/all/basics.rs
@@ -93,6 +93,80 @@
     assert_eq!(pool.next_tick(), None);
 }
 
+/// What the caller sees: a pool that fails is sent three times its load, and fails more. Every
+/// attempt is lost; each of a thousand callers would have two more attempts.
+#[test]
+fn retries_stay_within_the_budget() {
+    let mut pool = pool(8, 1, Limits::default());
+    let mut attempts = 0;
+    for request in 0..1_000 {
+        let now = ms(1_000 * request);
+        let mut idempotent = arrival(request, now + ms(900));
+        idempotent.idempotent = true;
+        let mut actions = pool.arrive(now, idempotent);
+        while !sent(&actions).is_empty() {
+            attempts += 1;
+            pool.finish(now, request, Ending::Lost);
+            actions = pool.tick(now + ms(500));
+        }
+    }
+    // A full bucket of 10, and a fifth of a token from each first attempt after the one that finds
+    // it full.
+    assert_eq!(attempts, 1_000 + 10 + 999 / 5);
+}
+
+/// What the caller sees: 503 for ever, from workers that are fast again. Answers took longer than
+/// the deadlines for a while, so all would be refused by the estimate, and none would correct it.
+#[test]
+fn a_request_that_starts_at_once_is_not_refused_by_an_estimate() {
+    let mut pool = pool(1, 8, Limits::default());
+    pool.arrive(ms(0), arrival(1, ms(9_000)));
+    pool.finish(ms(5_000), 1, good(5_000));
+    assert_eq!(
+        sent(&pool.arrive(ms(5_000), arrival(2, ms(6_000)))).len(),
+        1
+    );
+    assert_eq!(
+        refused(&pool.arrive(ms(5_000), arrival(3, ms(6_000)))),
+        [(3, 202)]
+    );
+}
+
+/// What the caller sees: a wait up to the deadline and then a refusal, where one at once was due. The
+/// workers have become slower than all deadlines, so no answer ever tells how slow they are.
+#[test]
+fn answers_that_never_come_count_as_slow() {
+    let mut pool = pool(1, 8, Limits::default());
+    pool.arrive(ms(0), arrival(0, ms(1_000)));
+    pool.finish(ms(10), 0, good(10));
+    for request in 1..100 {
+        let now = ms(10_000 * request);
+        assert_eq!(
+            sent(&pool.arrive(now, arrival(request, now + ms(1_000)))).len(),
+            1
+        );
+        pool.finish(now + ms(1_000), request, Ending::Late);
+    }
+    let now = ms(2_000_000);
+    pool.arrive(now, arrival(100, now + ms(1_000)));
+    assert_eq!(
+        refused(&pool.arrive(now, arrival(101, now + ms(500)))),
+        [(101, 202)]
+    );
+}
+
+/// What the caller sees: nothing, it has gone; the worker runs a request for nobody. A slot comes
+/// free after the deadline and before the shell's timer has fired.
+#[test]
+fn nothing_is_sent_after_its_deadline_however_late_the_tick() {
+    let mut pool = pool(1, 8, Limits::default());
+    pool.arrive(ms(0), arrival(1, ms(1_000)));
+    pool.arrive(ms(0), arrival(2, ms(100)));
+    let actions = pool.finish(ms(200), 1, good(200));
+    assert_eq!(refused(&actions), [(2, 202)]);
+    assert!(sent(&actions).is_empty());
+}
+
 /// What the caller sees: "not run", sends the request again, and it has run twice. The first answer
 /// of an idempotent request is lost after it was sent; the retry finds no connection, no time or no
 /// worker, each of which alone would prove that nothing ran.
