--- a/crates/flow/src/pool/mod.rs
+++ b/crates/flow/src/pool/mod.rs
@@ -152,6 +152,18 @@
         (CONNECTIONS - SLOTS) / entries.max(1)
     }
 
+    /// Serving instances, this entry's slots at them, and how many of them are ejected.
+    pub fn totals(&self) -> worker::Totals {
+        self.workers.totals()
+    }
+
+    /// The serving instances that are ejected or probing, in the order of their names.
+    pub fn ejected(&self) -> Vec<id::Instance> {
+        let workers = self.workers.iter();
+        let ejected = workers.filter(|worker| worker.is_serving() && worker.is_ejected());
+        ejected.map(|worker| worker.id.clone()).collect()
+    }
+
     /// Requests that wait for a slot, at this entry.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/crates/flow/src/pool/share.rs
+++ b/crates/flow/src/pool/share.rs
@@ -70,7 +70,8 @@
 
     /// As [`Pool::report`], but none where peers would do nothing else for it.
     ///
-    /// In a steady state that leaves one report in [`KEEP_ALIVE`], whatever the rate of calls.
+    /// In a steady state that leaves one report in [`KEEP_ALIVE`], whatever the rate of calls. A peer
+    /// that has just been connected has missed some, so it is sent a [`Pool::report`] at once.
     pub fn news(&mut self, now: Duration) -> Option<Report> {
         let demand = self.meter.read(now);
         let has_lent = self.decide(&demand);
--- a/crates/flow/tests/all/ejection.rs
+++ b/crates/flow/tests/all/ejection.rs
@@ -30,6 +30,8 @@
         drawn.count()
     };
     hits(&mut pool, 0, 500);
+    assert_eq!(pool.ejected(), [worker(3)]);
+    assert_eq!((pool.totals().serving, pool.totals().ejected), (10, 1));
     // Ten seconds after the first five: a probe at each doubling of two seconds at most.
     assert!(hits(&mut pool, 500, 1_500) <= 2);
 }
