Let good service make up for ejections

The count of ejections never fell, so a worker that had failed a few times over weeks would be out for 30 s at its next small fault. A hundred good answers now make up for one.

--- a/crates/flow/src/health.rs
+++ b/crates/flow/src/health.rs
@@ -12,7 +12,11 @@
 /// Samples before a ratio or a mean says anything.
 const MIN_SAMPLES: f64 = 20.0;
 
-/// Old samples lose half of their weight in so many new ones.
+/// Good answers that make up for one ejection; without it a worker that failed now and then over
+/// weeks would be out for the longest time at the next small fault.
+const FORGIVENESS: u32 = 100;
+
+/// What each new sample leaves of the weight of the old ones: half is left after 34.
 const DECAY: f64 = 0.98;
 
 /// Whether requests may go to a worker.
@@ -72,7 +76,7 @@
     consecutive: u32,
     ratio: Ratio,
     latency: Mean,
-    answers: f64,
+    answers: u32,
     /// Ejections that good service has not made up for yet.
     ejections: u32,
 }
@@ -100,7 +104,10 @@
     fn add_good(&mut self, latency: Duration) {
         self.consecutive = 0;
         self.latency.add(latency);
-        self.answers += 1.0;
+        self.answers = self.answers.saturating_add(1);
+        if self.answers.is_multiple_of(FORGIVENESS) {
+            self.ejections = self.ejections.saturating_sub(1);
+        }
     }
 
     fn is_failing(&self, norm: &Norm, limits: &Limits) -> bool {
@@ -108,7 +115,8 @@
         let exceeds = |own: f64| own > pool + limits.excess;
         self.consecutive >= limits.consecutive
             || self.ratio.value().is_some_and(exceeds)
-            || (self.answers >= MIN_SAMPLES && is_slow(self.latency.seconds(), norm, limits))
+            || (f64::from(self.answers) >= MIN_SAMPLES
+                && is_slow(self.latency.seconds(), norm, limits))
     }
 
     /// Judges a probe and opens the gate where it went well.
--- a/crates/flow/tests/all/twin_measures.rs
+++ b/crates/flow/tests/all/twin_measures.rs
@@ -167,3 +167,18 @@
     assert!(!health.add(Sample::Good(ms(5)), &Norm::default(), &limits));
     assert_eq!(health.gate(), Gate::Open);
 }
+
+#[test]
+fn good_service_makes_up_for_ejections() {
+    let limits = Limits::default();
+    let norm = Norm::default();
+    let mut health = Health::default();
+    for seconds in [2, 4, 8] {
+        assert_eq!(health.eject(ms(0), &limits), ms(1_000 * seconds));
+    }
+    health.half_open(ms(8_000));
+    for _ in 0..=200 {
+        assert!(!health.add(Sample::Good(ms(5)), &norm, &limits));
+    }
+    assert_eq!(health.eject(ms(0), &limits), ms(4_000));
+}
