--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -62,6 +62,8 @@
     Status,
     /// The audit trail.
     Audit(Audit),
+    /// Run a small deployment in this process, under load and faults, and judge it.
+    Demo(Demo),
     /// Print shell completions.
     Completions {
         /// The shell.
@@ -165,3 +167,14 @@
     #[arg(long)]
     pub(crate) follow: bool,
 }
+
+/// Options of the demo.
+#[derive(Debug, Args)]
+pub(crate) struct Demo {
+    /// How long callers send, in seconds.
+    #[arg(long, default_value_t = 40, value_parser = clap::value_parser!(u64).range(3..=45))]
+    pub(crate) seconds: u64,
+    /// Seed of the callers' choices.
+    #[arg(long, default_value_t = 1)]
+    pub(crate) seed: u64,
+}
--- a/crates/ctl/src/command/account.rs
+++ b/crates/ctl/src/command/account.rs
@@ -4,7 +4,7 @@
 use crate::{
     cli::{Account, Output},
     exit,
-    output::{self, Shown},
+    output::{Printer, Shown},
 };
 use eyre::{Result, WrapErr};
 use primroseroute_api::{Apply, Diff};
@@ -15,7 +15,7 @@
 /// Changes that one history shows; the archive has older ones.
 const HISTORY: u32 = 1000;
 
-pub(super) async fn run(command: Account, admin: &Admin, output: Output) -> Result<u8> {
+pub(super) async fn run(command: Account, admin: &Admin, printer: &mut Printer<'_>) -> Result<u8> {
     match command {
         Account::Apply { file, change } => {
             let template = read(&file)?;
@@ -25,12 +25,12 @@
                 reason: change.reason.as_str().into(),
             };
             let done = admin.apply(&order).await?;
-            accepted(done, &change, admin, output).await
+            accepted(done, &change, admin, printer).await
         }
-        Account::Get { name } => get(&name, admin, output).await,
-        Account::List => list(admin, output).await,
-        Account::Diff { file } => diff(&file, admin, output).await,
-        Account::History { name } => history(&name, admin, output).await,
+        Account::Get { name } => get(&name, admin, printer).await,
+        Account::List => list(admin, printer).await,
+        Account::Diff { file } => diff(&file, admin, printer).await,
+        Account::History { name } => history(&name, admin, printer).await,
     }
 }
 
@@ -40,19 +40,19 @@
     serde_saphyr::from_str(&text).wrap_err_with(|| format!("{} is no template", file.display()))
 }
 
-async fn get(name: &id::Account, admin: &Admin, output: Output) -> Result<u8> {
+async fn get(name: &id::Account, admin: &Admin, printer: &mut Printer<'_>) -> Result<u8> {
     let found = admin.account(name).await?;
-    match output {
-        Output::Json => output::json(&found)?,
+    match printer.output {
+        Output::Json => printer.json(&found)?,
         Output::Table => {
             let yaml = serde_saphyr::to_string(&found.value).wrap_err("writing YAML")?;
-            output::line(&format!("# version {}\n{yaml}", found.version))?;
+            printer.line(&format!("# version {}\n{yaml}", found.version))?;
         }
     }
     Ok(exit::DONE)
 }
 
-async fn list(admin: &Admin, output: Output) -> Result<u8> {
+async fn list(admin: &Admin, printer: &mut Printer<'_>) -> Result<u8> {
     let accounts = admin.accounts().await?;
     let row = |row: &primroseroute_ledger::Versioned<Template>| {
         vec![
@@ -64,22 +64,19 @@
     };
     let rows = accounts.iter().map(row).collect();
     let titles = ["account", "version", "share", "pools"];
-    output::print(
-        output,
-        &Shown {
-            value: &accounts,
-            titles: &titles,
-            rows,
-        },
-    )?;
+    printer.print(&Shown {
+        value: &accounts,
+        titles: &titles,
+        rows,
+    })?;
     Ok(exit::DONE)
 }
 
-async fn diff(file: &Path, admin: &Admin, output: Output) -> Result<u8> {
+async fn diff(file: &Path, admin: &Admin, printer: &mut Printer<'_>) -> Result<u8> {
     let diff = admin.diff(&read(file)?).await?;
-    match output {
-        Output::Json => output::json(&diff)?,
-        Output::Table => print_diff(&diff)?,
+    match printer.output {
+        Output::Json => printer.json(&diff)?,
+        Output::Table => print_diff(&diff, printer)?,
     }
     Ok(if diff.faults.is_empty() {
         exit::DONE
@@ -88,19 +85,19 @@
     })
 }
 
-fn print_diff(diff: &Diff) -> Result<()> {
+fn print_diff(diff: &Diff, printer: &mut Printer<'_>) -> Result<()> {
     for text in &diff.lines {
-        output::line(text)?;
+        printer.line(text)?;
     }
     for fault in &diff.faults {
-        output::line(&format!("fault: {fault}"))?;
+        printer.line(&format!("fault: {fault}"))?;
     }
     Ok(())
 }
 
-async fn history(name: &id::Account, admin: &Admin, output: Output) -> Result<u8> {
+async fn history(name: &id::Account, admin: &Admin, printer: &mut Printer<'_>) -> Result<u8> {
     let key = format!("account/{name}");
     let page = admin.audit(Seq(0), HISTORY, None, Some(&key)).await?;
-    audit::print(&page, output)?;
+    audit::print(&page, printer)?;
     Ok(exit::DONE)
 }
--- a/crates/ctl/src/command/audit.rs
+++ b/crates/ctl/src/command/audit.rs
@@ -1,9 +1,8 @@
 //! The audit trail.
 
 use crate::{
-    cli::{self, Output},
-    exit,
-    output::{self, Shown},
+    cli, exit,
+    output::{Printer, Shown},
 };
 use eyre::Result;
 use jiff::Timestamp;
@@ -19,7 +18,11 @@
 /// How often new changes are asked for: they come by the thousand a day, not by the second.
 const LOOK: Duration = Duration::from_secs(1);
 
-pub(super) async fn run(filter: cli::Audit, admin: &Admin, output: Output) -> Result<u8> {
+pub(super) async fn run(
+    filter: cli::Audit,
+    admin: &Admin,
+    printer: &mut Printer<'_>,
+) -> Result<u8> {
     let mut after = Seq(filter.after);
     loop {
         let page = admin
@@ -31,7 +34,7 @@
             )
             .await?;
         if !page.records.is_empty() || !filter.follow {
-            print(&page, output)?;
+            print(&page, printer)?;
         }
         if !filter.follow {
             return Ok(exit::DONE);
@@ -42,17 +45,14 @@
 }
 
 /// Prints a page.
-pub(super) fn print(page: &Audit, output: Output) -> Result<()> {
+pub(super) fn print(page: &Audit, printer: &mut Printer<'_>) -> Result<()> {
     let rows = page.records.iter().map(row).collect();
     let titles = ["version", "at", "actor", "reason", "rows"];
-    output::print(
-        output,
-        &Shown {
-            value: &page.records,
-            titles: &titles,
-            rows,
-        },
-    )
+    printer.print(&Shown {
+        value: &page.records,
+        titles: &titles,
+        rows,
+    })
 }
 
 fn row(record: &Record) -> Vec<String> {
--- /dev/null
+++ b/crates/ctl/src/command/demo.rs
@@ -0,0 +1,116 @@
+//! The demo, its progress and its table.
+
+use crate::{
+    cli, exit,
+    output::{Printer, Shown},
+};
+use eyre::Result;
+use indicatif::{ProgressBar, ProgressStyle};
+use primroseroute_demo::{
+    Options, Progress,
+    judge::{Breach, Report},
+};
+use std::time::Duration;
+
+/// Breaches that the table shows; JSON has them all.
+const BREACHES: usize = 20;
+
+/// A bar on standard error; it draws nothing where that is no terminal.
+#[derive(Debug)]
+struct Bar(ProgressBar);
+
+impl Bar {
+    fn open(load: Duration) -> Self {
+        let bar = ProgressBar::new(load.as_millis().try_into().unwrap_or(u64::MAX));
+        let style = ProgressStyle::with_template("{elapsed_precise} {wide_bar} {msg}");
+        Self(bar.with_style(style.unwrap_or_else(|_error| ProgressStyle::default_bar())))
+    }
+}
+
+impl Progress for Bar {
+    fn show(&self, done: Duration, step: &str) {
+        self.0
+            .set_position(done.as_millis().try_into().unwrap_or(u64::MAX));
+        if self.0.message() != step {
+            self.0.set_message(step.to_owned());
+        }
+    }
+}
+
+pub(super) async fn run(options: &cli::Demo, printer: &mut Printer<'_>) -> Result<u8> {
+    let options = Options {
+        load: Duration::from_secs(options.seconds),
+        seed: options.seed,
+        ..Options::default()
+    };
+    let bar = Bar::open(options.load);
+    let report = primroseroute_demo::run(&options, &bar).await?;
+    bar.0.finish_and_clear();
+    print(&report, printer)
+}
+
+/// Prints the report; the code says whether an invariant broke.
+fn print(report: &Report, printer: &mut Printer<'_>) -> Result<u8> {
+    printer.print(&Shown {
+        value: report,
+        titles: &["what", "figure"],
+        rows: rows(report),
+    })?;
+    if report.breaches.is_empty() {
+        return Ok(exit::DONE);
+    }
+    if printer.output == cli::Output::Table {
+        for breach in report.breaches.iter().take(BREACHES) {
+            printer.line(&text(breach))?;
+        }
+    }
+    Ok(exit::BROKEN)
+}
+
+fn text(breach: &Breach) -> String {
+    format!("broken invariant: {breach:?}")
+}
+
+fn rows(report: &Report) -> Vec<Vec<String>> {
+    let (requests, views, fleet) = (&report.requests, &report.views, &report.fleet);
+    let times = views.in_force;
+    let figures = [
+        ("sent", requests.sent.to_string()),
+        ("  of these keyed holds", requests.holds.to_string()),
+        ("attempts", requests.attempts.to_string()),
+        ("connections refused", requests.refused.to_string()),
+        ("completed", requests.completed.to_string()),
+        ("  of these a worker's error", requests.errors.to_string()),
+        ("not run", requests.not_run.to_string()),
+        ("unknown", requests.unknown.to_string()),
+        ("late", requests.late.to_string()),
+        ("doubled", requests.doubled.to_string()),
+        ("lost", requests.lost.to_string()),
+        ("not run, but ran", requests.ran.to_string()),
+        ("another's answer", requests.foreign.to_string()),
+        ("budget breaches", fleet.budget_breaches.to_string()),
+        ("versions gone backwards", views.reverted.to_string()),
+        (
+            "configurations accepted",
+            (views.orders + views.never).to_string(),
+        ),
+        ("  never in force everywhere", views.never.to_string()),
+        (
+            "  in force everywhere within",
+            format!(
+                "p50 {} ms, p99 {} ms, max {} ms",
+                times.p50_ms, times.p99_ms, times.max_ms
+            ),
+        ),
+        (
+            "buffer cost",
+            format!("{:.3} idle slot-hours", fleet.buffer_slot_hours),
+        ),
+        ("moves", fleet.moves.to_string()),
+        ("arrivals", fleet.arrivals.to_string()),
+        ("departures", fleet.departures.to_string()),
+        ("quarantines", fleet.quarantines.to_string()),
+    ];
+    let row = |(what, figure): (&str, String)| vec![what.to_owned(), figure];
+    figures.into_iter().map(row).collect()
+}
--- a/crates/ctl/src/command/instance.rs
+++ b/crates/ctl/src/command/instance.rs
@@ -1,7 +1,10 @@
 //! Commands on instances.
 
 use super::{accepted, if_version, list};
-use crate::cli::{Change, Instance, Output};
+use crate::{
+    cli::{Change, Instance},
+    output::Printer,
+};
 use eyre::Result;
 use primroseroute_api::Order;
 use primroseroute_client::Admin;
@@ -14,20 +17,20 @@
     }
 }
 
-pub(super) async fn run(command: Instance, admin: &Admin, output: Output) -> Result<u8> {
+pub(super) async fn run(command: Instance, admin: &Admin, printer: &mut Printer<'_>) -> Result<u8> {
     match command {
-        Instance::List => list::instances(admin, output).await,
+        Instance::List => list::instances(admin, printer).await,
         Instance::Drain {
             name,
             force,
             change,
         } => {
             let done = admin.drain(&name, &order(&change, force)).await?;
-            accepted(done, &change, admin, output).await
+            accepted(done, &change, admin, printer).await
         }
         Instance::Release { name, change } => {
             let done = admin.release(&name, &order(&change, false)).await?;
-            accepted(done, &change, admin, output).await
+            accepted(done, &change, admin, printer).await
         }
     }
 }
--- a/crates/ctl/src/command/list.rs
+++ b/crates/ctl/src/command/list.rs
@@ -3,7 +3,7 @@
 use crate::{
     cli::Output,
     exit,
-    output::{self, Shown},
+    output::{Printer, Shown},
 };
 use eyre::Result;
 use primroseroute_api::{Pool, Status};
@@ -23,7 +23,7 @@
     )
 }
 
-pub(super) async fn services(admin: &Admin, output: Output) -> Result<u8> {
+pub(super) async fn services(admin: &Admin, printer: &mut Printer<'_>) -> Result<u8> {
     let services = admin.services().await?;
     let row = |service: &primroseroute_api::Service| {
         vec![
@@ -36,14 +36,11 @@
     };
     let rows = services.iter().map(row).collect();
     let titles = ["service", "account", "pool", "hosts", "path prefix"];
-    output::print(
-        output,
-        &Shown {
-            value: &services,
-            titles: &titles,
-            rows,
-        },
-    )?;
+    printer.print(&Shown {
+        value: &services,
+        titles: &titles,
+        rows,
+    })?;
     Ok(exit::DONE)
 }
 
@@ -59,21 +56,18 @@
     ]
 }
 
-pub(super) async fn pools(admin: &Admin, output: Output) -> Result<u8> {
+pub(super) async fn pools(admin: &Admin, printer: &mut Printer<'_>) -> Result<u8> {
     let pools = admin.pools().await?;
     let rows = pools.iter().map(pool_row).collect();
-    output::print(
-        output,
-        &Shown {
-            value: &pools,
-            titles: &POOL_TITLES,
-            rows,
-        },
-    )?;
+    printer.print(&Shown {
+        value: &pools,
+        titles: &POOL_TITLES,
+        rows,
+    })?;
     Ok(exit::DONE)
 }
 
-pub(super) async fn instances(admin: &Admin, output: Output) -> Result<u8> {
+pub(super) async fn instances(admin: &Admin, printer: &mut Printer<'_>) -> Result<u8> {
     let instances = admin.instances().await?;
     let row = |instance: &primroseroute_api::Instance| {
         let row = &instance.row.value;
@@ -97,28 +91,25 @@
         "in flight here",
         "version",
     ];
-    output::print(
-        output,
-        &Shown {
-            value: &instances,
-            titles: &titles,
-            rows,
-        },
-    )?;
+    printer.print(&Shown {
+        value: &instances,
+        titles: &titles,
+        rows,
+    })?;
     Ok(exit::DONE)
 }
 
-pub(super) async fn status(admin: &Admin, output: Output) -> Result<u8> {
+pub(super) async fn status(admin: &Admin, printer: &mut Printer<'_>) -> Result<u8> {
     let status = admin.status().await?;
-    match output {
-        Output::Json => output::json(&status)?,
-        Output::Table => print_status(&status)?,
+    match printer.output {
+        Output::Json => printer.json(&status)?,
+        Output::Table => print_status(&status, printer)?,
     }
     Ok(exit::DONE)
 }
 
-fn print_status(status: &Status) -> Result<()> {
-    output::line(&format!(
+fn print_status(status: &Status, printer: &mut Printer<'_>) -> Result<()> {
+    printer.line(&format!(
         "entry {}: version {} in force, confirmed by the store {} ago, controller {}",
         status.entry,
         status.seq,
@@ -130,7 +121,7 @@
         .iter()
         .map(|(state, count)| format!("{count} {state}"))
         .collect();
-    output::line(&format!("instances: {}", by_state.join(", ")))?;
+    printer.line(&format!("instances: {}", by_state.join(", ")))?;
     let row = |entry: &primroseroute_api::Entry| {
         vec![
             entry.name.to_string(),
@@ -140,21 +131,15 @@
     };
     let rows = status.entries.iter().map(row).collect();
     let titles = ["entry", "version in force", "heard"];
-    output::print(
-        Output::Table,
-        &Shown {
-            value: &status.entries,
-            titles: &titles,
-            rows,
-        },
-    )?;
+    printer.print(&Shown {
+        value: &status.entries,
+        titles: &titles,
+        rows,
+    })?;
     let rows = status.pools.iter().map(pool_row).collect();
-    output::print(
-        Output::Table,
-        &Shown {
-            value: &status.pools,
-            titles: &POOL_TITLES,
-            rows,
-        },
-    )
+    printer.print(&Shown {
+        value: &status.pools,
+        titles: &POOL_TITLES,
+        rows,
+    })
 }
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -2,13 +2,14 @@
 
 mod account;
 mod audit;
+mod demo;
 mod instance;
 mod list;
 
 use crate::{
     cli::{Change, Cli, Command, Listing, Output, Target},
     exit,
-    output::{self, Shown},
+    output::{Printer, Shown},
     wait,
 };
 use clap::CommandFactory;
@@ -16,48 +17,53 @@
 use primroseroute_api::Accepted;
 use primroseroute_client::{Admin, Error};
 use primroseroute_domain::change::Seq;
-use std::{env, fs, io::stdout, time::Duration};
+use std::{env, fs, io::Write, time::Duration};
 
 /// Names the environment variable that holds the operator's token.
 const TOKEN: &str = "PRIMROSE_TOKEN";
 
-/// Runs one command and returns the exit code.
+/// Runs one command, prints its result to `out`, and returns the exit code.
 ///
 /// # Errors
 /// Where something on this side fails; refusals are printed and become exit codes.
-pub async fn run(cli: Cli) -> Result<u8> {
+pub async fn run(cli: Cli, out: &mut dyn Write) -> Result<u8> {
+    let mut printer = Printer {
+        output: cli.output,
+        out,
+    };
     let done = match cli.command {
         Command::Completions { shell } => {
-            clap_complete::generate(shell, &mut Cli::command(), "primrosectl", &mut stdout());
+            clap_complete::generate(shell, &mut Cli::command(), "primrosectl", printer.out);
             return Ok(exit::DONE);
         }
-        command => carry_out(command, &open(&cli.target)?, cli.output).await,
+        Command::Demo(options) => return demo::run(&options, &mut printer).await,
+        command => carry_out(command, &open(&cli.target)?, &mut printer).await,
     };
     match done {
         Ok(code) => Ok(code),
-        Err(report) => refused(&report, cli.output).ok_or(report),
+        Err(report) => refused(&report, &mut printer).ok_or(report),
     }
 }
 
 /// The exit code of a failed exchange, which is printed; none for a failure on this side.
-fn refused(report: &eyre::Report, output: Output) -> Option<u8> {
+fn refused(report: &eyre::Report, printer: &mut Printer<'_>) -> Option<u8> {
     let error = report.downcast_ref::<Error>()?;
-    match (output, error) {
-        (Output::Json, Error::Refused(problem)) => output::json(problem).ok()?,
+    match (printer.output, error) {
+        (Output::Json, Error::Refused(problem)) => printer.json(problem).ok()?,
         _ => eprintln!("primrosectl: {error}"),
     }
     Some(exit::of(error))
 }
 
-async fn carry_out(command: Command, admin: &Admin, output: Output) -> Result<u8> {
+async fn carry_out(command: Command, admin: &Admin, printer: &mut Printer<'_>) -> Result<u8> {
     match command {
-        Command::Account(command) => account::run(command, admin, output).await,
-        Command::Instance(command) => instance::run(command, admin, output).await,
-        Command::Service(Listing::List) => list::services(admin, output).await,
-        Command::Pool(Listing::List) => list::pools(admin, output).await,
-        Command::Status => list::status(admin, output).await,
-        Command::Audit(filter) => audit::run(filter, admin, output).await,
-        Command::Completions { .. } => Ok(exit::DONE),
+        Command::Account(command) => account::run(command, admin, printer).await,
+        Command::Instance(command) => instance::run(command, admin, printer).await,
+        Command::Service(Listing::List) => list::services(admin, printer).await,
+        Command::Pool(Listing::List) => list::pools(admin, printer).await,
+        Command::Status => list::status(admin, printer).await,
+        Command::Audit(filter) => audit::run(filter, admin, printer).await,
+        Command::Completions { .. } | Command::Demo(_) => Ok(exit::DONE),
     }
 }
 
@@ -76,7 +82,7 @@
     accepted: Accepted,
     change: &Change,
     admin: &Admin,
-    output: Output,
+    printer: &mut Printer<'_>,
 ) -> Result<u8> {
     let in_force = if change.wait {
         let limit = Duration::from_secs(change.wait_limit);
@@ -90,14 +96,11 @@
         Some(false) => "accepted, not yet in force at every registered entry",
     };
     let rows = vec![vec![accepted.version.to_string(), text.to_owned()]];
-    output::print(
-        output,
-        &Shown {
-            value: &accepted,
-            titles: &["version", "state"],
-            rows,
-        },
-    )?;
+    printer.print(&Shown {
+        value: &accepted,
+        titles: &["version", "state"],
+        rows,
+    })?;
     Ok(if in_force == Some(false) {
         exit::NOT_YET
     } else {
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -4,7 +4,7 @@
 use comfy_table::{ContentArrangement, Table, presets::UTF8_HORIZONTAL_ONLY};
 use eyre::{Result, WrapErr};
 use serde::Serialize;
-use std::io::{Write, stdout};
+use std::io::Write;
 
 /// A result that can be printed in both ways.
 pub(crate) struct Shown<'a, T> {
@@ -16,32 +16,44 @@
     pub rows: Vec<Vec<String>>,
 }
 
-/// Prints `shown`.
-pub(crate) fn print<T: Serialize>(output: Output, shown: &Shown<'_, T>) -> Result<()> {
-    match output {
-        Output::Json => json(shown.value),
-        Output::Table => line(&table(shown.titles, &shown.rows)),
-    }
+/// Where results go and in which form.
+pub(crate) struct Printer<'a> {
+    /// The form that was asked for.
+    pub output: Output,
+    /// Where they go.
+    pub out: &'a mut dyn Write,
 }
 
-/// Prints one value as a line of JSON.
-pub(crate) fn json<T: Serialize>(value: &T) -> Result<()> {
-    line(&serde_json::to_string(value).wrap_err("writing JSON")?)
-}
+impl Printer<'_> {
+    /// Prints `shown` in the form that was asked for.
+    pub(crate) fn print<T: Serialize>(&mut self, shown: &Shown<'_, T>) -> Result<()> {
+        match self.output {
+            Output::Json => self.json(shown.value),
+            Output::Table => self.table(shown.titles, &shown.rows),
+        }
+    }
 
-/// Prints one line.
-pub(crate) fn line(text: &str) -> Result<()> {
-    writeln!(stdout().lock(), "{text}").wrap_err("writing to standard output")
-}
+    /// Prints one value as a line of JSON.
+    pub(crate) fn json<T: Serialize>(&mut self, value: &T) -> Result<()> {
+        let text = serde_json::to_string(value).wrap_err("writing JSON")?;
+        self.line(&text)
+    }
+
+    /// Prints one line.
+    pub(crate) fn line(&mut self, text: &str) -> Result<()> {
+        writeln!(self.out, "{text}").wrap_err("writing the result")
+    }
 
-fn table(titles: &[&str], rows: &[Vec<String>]) -> String {
-    let mut table = Table::new();
-    table
-        .load_preset(UTF8_HORIZONTAL_ONLY)
-        .set_content_arrangement(ContentArrangement::Dynamic);
-    table.set_header(titles.iter().copied());
-    for row in rows {
-        table.add_row(row);
+    /// Prints a table.
+    pub(crate) fn table(&mut self, titles: &[&str], rows: &[Vec<String>]) -> Result<()> {
+        let mut table = Table::new();
+        table
+            .load_preset(UTF8_HORIZONTAL_ONLY)
+            .set_content_arrangement(ContentArrangement::Dynamic);
+        table.set_header(titles.iter().copied());
+        for row in rows {
+            table.add_row(row);
+        }
+        self.line(&table.to_string())
     }
-    table.to_string()
 }
