Answer a marked repeat "unknown" where its key was not looked up

Cause: a keyed request that the gate refused before its claim (no instance, full queue, unreachable deadline), whose body broke off, or that met an entry without a view, was answered "not-run" although it was marked as a repeat and an earlier attempt had run. Left: refusals of the head itself (token, service, permission) keep their codes.

--- a/crates/route/src/path/attempt.rs
+++ b/crates/route/src/path/attempt.rs
@@ -63,7 +63,11 @@
             let (instance, not_after) = match self.ticket.next().await {
                 Step::Refuse { code, retry_after } => {
                     let detail = format!("service {}", self.head.target.service);
-                    let reply = self.take_back(Refusal::new(code, detail));
+                    let mut refusal = Refusal::new(code, detail);
+                    if self.permit.is_none() {
+                        refusal = self.head.refused_unseen(refusal);
+                    }
+                    let reply = self.take_back(refusal);
                     return reply.retry_after(retry_after);
                 }
                 Step::Send {
--- a/crates/route/src/path/mod.rs
+++ b/crates/route/src/path/mod.rs
@@ -142,7 +142,9 @@
         let mut attempts = 0;
         let reply = match self.receive(&head, body, deadline).await {
             Ok(upload) => self.attempt(&head, upload, deadline, &mut attempts).await,
-            Err(refusal) => Reply::refused(refusal),
+            // A body over the limit is no repeat of one that ran.
+            Err(refusal) if refusal.code == Code::BodyTooLarge => Reply::refused(refusal),
+            Err(refusal) => Reply::refused(head.refused_unseen(refusal)),
         };
         self.note(&head, &reply, started, attempts);
         reply.into_response(&head.id)
@@ -218,7 +220,8 @@
         };
         let Some(ticket) = self.parts.gates.enter(&head.target.pool, entrant) else {
             let detail = format!("pool {} has no instances", head.target.pool);
-            return Reply::refused(Refusal::new(Code::NoInstance, detail));
+            let refusal = Refusal::new(Code::NoInstance, detail);
+            return Reply::refused(head.refused_unseen(refusal));
         };
         Attempts::new(&self.parts, head, upload, deadline, ticket, attempts)
             .run()
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -4,7 +4,7 @@
 use primroseroute_domain::{
     change::Seq,
     id,
-    outcome::{Code, Refusal},
+    outcome::{Code, Refusal, Verdict},
 };
 use primroseroute_view::{Routes, Snapshot, Target};
 use sha2::{Digest, Sha256};
@@ -59,6 +59,32 @@
     pub(crate) fn is_claimed(&self) -> bool {
         self.key.is_some() && !self.method.is_safe()
     }
+
+    /// The refusal of a request whose key has not been looked up.
+    ///
+    /// It proves that this attempt does not run. But a caller that marks a repeat asks what became
+    /// of its request, and an earlier attempt may have run: told "not run", it would send the
+    /// request under a new key, and a second hold would be placed. So a repeat is told "unknown".
+    pub(crate) fn refused_unseen(&self, refusal: Refusal) -> Refusal {
+        if self.is_claimed() {
+            unseen(&self.headers, refusal)
+        } else {
+            refusal
+        }
+    }
+}
+
+/// [`Head::refused_unseen`] where only the headers are known.
+pub(crate) fn unseen(headers: &HeaderMap, refusal: Refusal) -> Refusal {
+    let is_repeat = headers.contains_key(IDEMPOTENCY_KEY) && headers.contains_key(REPEAT);
+    if !is_repeat || refusal.code.verdict() != Verdict::NotRun {
+        return refusal;
+    }
+    let detail = format!(
+        "the key was not looked up: {}: {}",
+        refusal.code, refusal.detail
+    );
+    Refusal::new(Code::KeyOutcomeUnknown, detail)
 }
 
 /// The request's id: the caller's where it is short and printable, else a new one.
@@ -82,7 +108,8 @@
     timeouts: Timeouts,
 ) -> Result<Head, Refusal> {
     if snapshot.seq() == Seq(0) {
-        return Err(Refusal::new(Code::ViewStale, "the entry has just started"));
+        let refusal = Refusal::new(Code::ViewStale, "the entry has just started");
+        return Err(unseen(&headers, refusal));
     }
     let routes = snapshot.routes();
     let account = account(&headers, routes)?;
--- a/tests/all/once.rs
+++ b/tests/all/once.rs
@@ -4,6 +4,7 @@
 use async_trait::async_trait;
 use eyre::Result;
 use http::{Method, Request, Response};
+use primroseroute_api::Order;
 use primroseroute_route::backend::{Backend, Body, Failure, Pool};
 use primroseroute_testbed::{
     Answer, Caller, Layout, Said, Site, backend::Mode, caller_token, platform, until,
@@ -26,6 +27,7 @@
     lost_commit_answer_is_settled_before_the_send => lost_commit_answer();
     store_outage_refuses_as_not_run => store_outage();
     reset_with_key_stays_unknown => reset_with_key();
+    repeat_refused_before_its_claim_is_not_called_not_run => repeat_without_instance();
     caller_that_hangs_up_finds_its_answer_later => caller_hangs_up();
 }
 
@@ -279,3 +281,33 @@
     assert_eq!(executions(&site, "k"), 1);
     Ok(())
 }
+
+/// The worker runs the request and closes without an answer. Then no instance serves any more. The
+/// caller's marked repeat is refused before its key is looked up; "not run" would be a lie, since
+/// the first attempt ran. A first request in the same moment is truly not run.
+async fn repeat_without_instance() -> Result<()> {
+    let site = site().await?;
+    for worker in site.workers.values() {
+        worker.set_mode(Mode::Reset);
+    }
+    let to = site.any().callers;
+    assert_eq!(hold(to, "k", "bed 1").await.said, Said::Unknown);
+    assert_eq!(executions(&site, "k"), 1);
+    let order = Order {
+        if_version: None,
+        reason: "test".into(),
+        force: true,
+    };
+    for name in site.workers.keys() {
+        let accepted = site.any().admin.drain(name, &order).await?;
+        site.in_force(accepted.version).await?;
+    }
+    let caller = Caller::open(caller_token("stay"));
+    let headers = [("idempotency-key", "k"), ("idempotency-repeat", "1")];
+    let repeat = caller
+        .send(to, Method::POST, "/stay/holds", &headers, "bed 1", LIMIT)
+        .await;
+    assert_eq!(repeat.said, Said::Unknown, "{repeat:?}");
+    assert_eq!(hold(to, "other", "bed 2").await.said, Said::NotRun);
+    Ok(())
+}
