--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Whole entries over sockets, in front of stand-ins: what callers and operators see.
 
+mod ctl;
+mod demo;
 mod fleet;
 mod once;
 mod stop;
