Send a stop again that did not get through

Cause: a lost stop left a job running until its lease lapsed, 45 s, while a drain leaves it 10 s: the reboot would have cut it. Change: Board::not_stopped; the next plan repeats the stop. Test: drain::stop_is_lost fails without it (tried). Conclusion: a planned stop depends on one call getting through, not on the first one.

--- a/crates/jobs/src/board/care.rs
+++ b/crates/jobs/src/board/care.rs
@@ -3,6 +3,7 @@
 use super::Board;
 use crate::{
     action::Action,
+    lease::Stop,
     worker::{Availability, Worker},
 };
 use primroseroute_domain::id;
@@ -32,10 +33,25 @@
                 self.drain(&job, worker, now);
                 self.throttle(&job, worker);
             }
+
+            self.stop_again(&job);
             self.renew(&job, now);
         }
     }
 
+    /// Sends a stop that did not get through once more.
+    ///
+    /// The lapse of the lease would end the run too, but later than a drain may wait.
+    fn stop_again(&mut self, job: &id::Job) {
+        if self
+            .runs
+            .get(job)
+            .is_some_and(|run| run.stop == Stop::Again)
+        {
+            self.stop(job);
+        }
+    }
+
     fn renew(&mut self, job: &id::Job, now: Duration) {
         let limits = self.limits;
         let Some(run) = self.runs.get_mut(job) else {
@@ -58,7 +74,7 @@
         let (Some(run), row) = (self.runs.get_mut(job), &self.rows[job]) else {
             return;
         };
-        if run.stopping {
+        if run.stop != Stop::No {
             return;
         }
         if run.asked.is_none() {
@@ -87,7 +103,7 @@
         } else {
             run.fraction
         };
-        if run.stopping || (wanted - run.fraction).abs() < f64::EPSILON {
+        if run.stop != Stop::No || (wanted - run.fraction).abs() < f64::EPSILON {
             return;
         }
         run.fraction = wanted;
--- a/crates/jobs/src/lease.rs
+++ b/crates/jobs/src/lease.rs
@@ -4,6 +4,17 @@
 use primroseroute_domain::time::Instant;
 use std::time::Duration;
 
+/// Whether a run was told to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stop {
+    /// It is to run on.
+    No,
+    /// The stop was sent.
+    Told,
+    /// The stop was sent and did not get through.
+    Again,
+}
+
 /// What this controller knows of one run.
 ///
 /// # When a lease has surely lapsed
@@ -33,7 +44,7 @@
     /// What the last checkpoint held when it was asked.
     pub(crate) asked_at: f64,
     /// Whether it was told to stop.
-    pub(crate) stopping: bool,
+    pub(crate) stop: Stop,
     /// The fraction of processor time that it was last given.
     pub(crate) fraction: f64,
     /// Whether it has counted as proof of its instance and kind.
@@ -52,7 +63,7 @@
             as_of: None,
             asked: None,
             asked_at: 0.0,
-            stopping: false,
+            stop: Stop::No,
             fraction: 1.0,
             counted: false,
         }
@@ -84,7 +95,7 @@
     /// A run that is to stop, or of which nothing is heard, is left to lapse: else a run on an
     /// instance that is cut off would be kept for ever, and its job would never run again.
     pub(crate) fn is_due(&self, now: Duration, read: Duration, limits: &Limits) -> bool {
-        now >= self.due && !self.calling && !self.stopping && !self.is_silent(read, limits)
+        now >= self.due && !self.calling && self.stop == Stop::No && !self.is_silent(read, limits)
     }
 
     /// Whether the run has surely ended.
--- a/crates/jobs/tests/all/drain.rs
+++ b/crates/jobs/tests/all/drain.rs
@@ -67,6 +67,26 @@
     assert!(world.tasks.is_empty(), "stopped 10 s before the end");
 }
 
+// The first stop is lost on its way, ten seconds before the drain ends. It is sent again at once,
+// since the lapse of the lease would come after the reboot.
+#[test]
+fn stop_is_lost() {
+    let mut world = World::start(1);
+    let size = cores(4.0);
+    world.submit("job", "gojo", "rebuild", size, truth(size, 1000));
+    world.run(5);
+    let end = world.now + 15;
+    world.worker("w0").availability = Availability::Draining(Duration::from_secs(end));
+    world.no_checkpoints = true;
+    world.run(1);
+    world.deaf = true;
+    world.run(1);
+    world.deaf = false;
+    world.run(1);
+    assert!(world.tasks.is_empty());
+    assert_eq!(world.now, end);
+}
+
 // Requests need the slots: jobs are slowed and none starts. Pressure that wavers between the two
 // thresholds causes no calls, and when it is gone the jobs run at full speed again.
 #[test]
--- a/crates/jobs/tests/all/world.rs
+++ b/crates/jobs/tests/all/world.rs
@@ -228,6 +228,7 @@
             } => {
                 self.on(job, *token, |task| task.fraction = *fraction);
             }
+            Action::Stop { job, token } if self.deaf => self.board.not_stopped(job, *token),
             Action::Stop { job, token } => {
                 let cut = self.cut.clone();
                 self.on(job, *token, |task| {
