Count retries, ejections and store calls, and test what an entry tells

Cause: the instruments for retries, ejections and store calls were never used; gates took random numbers for incarnations that peers order by, so half of all restarts would have looked like late reports. Change: the table is metered, retries and ejected instances are counted; the incarnation is the wall clock at the start. Conclusion: an operator sees overload and outages in the metrics.

--- a/crates/client/src/admin.rs
+++ b/crates/client/src/admin.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// The admin address that it asks.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     async fn call<T: DeserializeOwned>(
         &self,
         method: Method,
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -4,7 +4,7 @@
     core::Core,
     follow::{self, Follow},
     local::Operators,
-    metered::Metered,
+    metered::{Metered, MeteredTable},
     parts::{Listen, Parts},
     spread,
 };
@@ -47,9 +47,11 @@
     /// Outside a tokio runtime.
     pub async fn spawn(parts: Parts) -> Result<Self> {
         let seed = u64::from_le_bytes(std::array::from_fn(|i| parts.seed[i]));
-        let ledger = Ledger::open(Arc::clone(&parts.table));
+        let table = MeteredTable::open(parts.table, parts.meter.clone());
+        let ledger = Ledger::open(Arc::clone(&table));
         let name = parts.identity.entry.clone();
-        let incarnation = parts.identity.incarnation.as_u64_pair().0;
+        // Grows with each start, which peers need to tell a restarted entry from a late report.
+        let incarnation = parts.clock.now().0;
         let gates = Arc::new(Gates::open(name, incarnation, parts.flow, seed));
         let core = Arc::new(Core::new(parts.identity, ledger, gates, parts.membership));
         let dialed = parts
@@ -77,7 +79,7 @@
             .expect("the role is set once");
 
         let claims = Claims::spawn(
-            parts.table,
+            table,
             Arc::clone(&parts.clock),
             Options::default(),
             parts.seed,
--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -100,6 +100,9 @@
 
     fn metrics(&self) -> String {
         self.meter.view(self.core.in_force());
+        for (pool, count) in self.core.gates.ejected() {
+            self.meter.ejected(&pool, count);
+        }
         self.meter.render().unwrap_or_else(|error| {
             log::error!("{error}");
             String::new()
--- a/crates/entry/src/metered.rs
+++ b/crates/entry/src/metered.rs
@@ -1,7 +1,18 @@
-//! The request path's ends, counted.
+//! What the request path and the store do, counted.
 
+use async_trait::async_trait;
+use primroseroute_domain::{id, outcome::Code};
+use primroseroute_platform::{
+    error::Error,
+    table::{Commit, Key, Page, Row, Scan, Table, Txn},
+};
 use primroseroute_route::{Finished, Observer};
-use primroseroute_telemetry::{Meter, meter::Request};
+use primroseroute_telemetry::{
+    Meter,
+    meter::{Request, StoreCall},
+};
+use std::sync::Arc;
+use tokio::time::Instant;
 
 /// Counts every request that has ended.
 #[derive(Debug)]
@@ -17,4 +28,50 @@
             took: finished.latency,
         });
     }
+
+    fn retried(&self, service: &id::Service, code: Code) {
+        self.0.retry(service, code);
+    }
+}
+
+/// A table whose calls are counted and timed.
+#[derive(Debug)]
+pub(crate) struct MeteredTable {
+    table: Arc<dyn Table>,
+    meter: Meter,
+}
+
+impl MeteredTable {
+    pub(crate) fn open(table: Arc<dyn Table>, meter: Meter) -> Arc<dyn Table> {
+        Arc::new(Self { table, meter })
+    }
+
+    fn note<T>(&self, call: StoreCall, started: Instant, result: &Result<T, Error>) {
+        self.meter
+            .store_call(call, result.as_ref().err(), started.elapsed());
+    }
+}
+
+#[async_trait]
+impl Table for MeteredTable {
+    async fn read(&self, key: &Key) -> Result<Option<Row>, Error> {
+        let started = Instant::now();
+        let result = self.table.read(key).await;
+        self.note(StoreCall::Read, started, &result);
+        result
+    }
+
+    async fn scan(&self, scan: Scan) -> Result<Page, Error> {
+        let started = Instant::now();
+        let result = self.table.scan(scan).await;
+        self.note(StoreCall::Scan, started, &result);
+        result
+    }
+
+    async fn commit(&self, txn: Txn) -> Result<Commit, Error> {
+        let started = Instant::now();
+        let result = self.table.commit(txn).await;
+        self.note(StoreCall::Commit, started, &result);
+        result
+    }
 }
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate.rs
@@ -331,6 +331,16 @@
         loads
     }
 
+    /// Instances that are out of the choice because they fail, by pool.
+    pub fn ejected(&self) -> BTreeMap<id::Pool, u64> {
+        let gates = self.open.read();
+        let count = |opened: &Opened| opened.gate.state.lock().decisions.ejected().len() as u64;
+        gates
+            .iter()
+            .map(|(name, opened)| (name.clone(), count(opened)))
+            .collect()
+    }
+
     /// Requests that wait at all gates.
     pub fn waiting(&self) -> usize {
         let gates = self.open.read();
--- a/crates/route/src/observe.rs
+++ b/crates/route/src/observe.rs
@@ -27,4 +27,7 @@
 pub trait Observer: Send + Sync + fmt::Debug {
     /// A request has ended.
     fn finished(&self, finished: &Finished);
+
+    /// A request of `service` is tried again after an attempt that failed with `code`.
+    fn retried(&self, service: &id::Service, code: Code);
 }
--- a/crates/route/src/path/attempt.rs
+++ b/crates/route/src/path/attempt.rs
@@ -33,6 +33,8 @@
     gone: CancellationToken,
     /// The failure of the last attempt that may have run; while there is one, "not run" is a lie.
     may_have_run: Option<Refusal>,
+    /// How the last attempt failed, until another is made.
+    failed_with: Option<Code>,
 }
 
 /// The claim that a request needs, where it names a key and its whole body is here.
@@ -77,6 +79,7 @@
             permit: None,
             gone,
             may_have_run: None,
+            failed_with: None,
         }
     }
 
@@ -102,6 +105,9 @@
                 continue;
             };
             *self.made += 1;
+            if let Some(code) = self.failed_with.take() {
+                self.parts.observer.retried(&self.head.target.service, code);
+            }
             match self.send(address, not_after).await {
                 After::Reply(reply) => return reply,
                 After::Again => {}
@@ -266,6 +272,7 @@
             self.may_have_run = Some(Refusal::new(code, failure.to_string()));
         }
         log::debug!("request {}: attempt {}: {failure}", self.head.id, self.made);
+        self.failed_with = Some(code);
         self.ticket.finish(ending);
         After::Again
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod once;
 mod stop;
 mod thin;
+mod told;
 mod truth;
 mod views;
 
