Plan and step maintenance waves, measure them, and try them under faults

Change: wave (row, orders, dry run, step), measure (buffer, bound, moves, roll-out), an in-memory loop that runs both example deployments with the checker at every transaction. The loop found two faults, each with its test: a spare never ended its maintenance, so a wave over spares never ended; and a rebooting instance was taken for lost, which moved others for each reboot. A failed instance no longer counts in max-absent but as a loss: two dead instances would have stopped their pool's maintenance for good. The checker says the same in its own words.

--- a/crates/fleet/src/check.rs
+++ b/crates/fleet/src/check.rs
@@ -7,7 +7,8 @@
 //!   it, or have requests in flight on it, for different pools.
 //! * I2: a planned step never leaves a pool with less than it promises. A step is planned where a
 //!   serving instance is taken out by an operator, a move or a wave. An unplanned loss on its own
-//!   is no breach.
+//!   is no breach. An instance that a move or a wave took out and that then failed is such a loss:
+//!   it counts against the margin and no longer as held out by planned work.
 
 use primroseroute_domain::{
     account::{Budget, Survive},
@@ -147,12 +148,12 @@
 }
 
 fn is_planned(row: &Row) -> bool {
-    match row.purpose {
-        Some(Purpose::Operator | Purpose::Move(_) | Purpose::Wave(_)) => {
-            row.state != State::Serving && row.state != State::Leaving
-        }
-        Some(Purpose::Leave) | None => false,
-    }
+    let is_lost = match row.purpose {
+        Some(Purpose::Operator) => false,
+        Some(Purpose::Move(_) | Purpose::Wave(_)) => row.state == State::Quarantined,
+        Some(Purpose::Leave) | None => return false,
+    };
+    row.state != State::Serving && row.state != State::Leaving && !is_lost
 }
 
 /// Whether planned work took a serving instance out of `pool` between the two moments.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,12 +11,16 @@
 //! * [`budget`]: what a pool's budget allows to leave after the worst further loss.
 //! * [`lifecycle`]: the next step of each instance.
 //! * [`placement`]: which instance serves which pool.
+//! * [`wave`]: what a maintenance wave takes out next, and what it would cost.
+//! * [`measure`]: buffer cost, moves and roll-out time from a history.
 //! * [`check`]: an independent checker of I1 (one pool) and I2 (budgets) over a history.
 
 pub mod budget;
 pub mod check;
 pub mod lifecycle;
+pub mod measure;
 pub mod placement;
 mod state;
+pub mod wave;
 
 pub use state::Fleet;
--- a/crates/fleet/src/lifecycle/step.rs
+++ b/crates/fleet/src/lifecycle/step.rs
@@ -208,6 +208,10 @@
     }
 
     fn probation(&self) -> Vec<Action> {
+        if self.input.marks.contains_key(&self.row.id) {
+            let id = self.row.id.clone();
+            return vec![Action::Unmark { id }];
+        }
         if self.is_bad() {
             return self.go(State::Quarantined, "it fails its checks in probation");
         }
@@ -215,9 +219,12 @@
         if is_late && !self.is_good() && self.checks().bad > 0 {
             return self.go(State::Quarantined, "its checks do not settle");
         }
-        if !self.is_good() || self.row.pool.is_none() || self.phase() == Some(Phase::Rebooting) {
+        if !self.is_good() || self.phase() == Some(Phase::Rebooting) {
             return Vec::new();
         }
+        if self.row.pool.is_none() {
+            return self.spare();
+        }
         let row = Row {
             purpose: None,
             ..self.enter(State::Serving)
@@ -225,6 +232,18 @@
         vec![put(row, "its checks are good")]
     }
 
+    /// A spare stays in probation; what took it out is over, or its wave would wait for it for ever.
+    fn spare(&self) -> Vec<Action> {
+        if self.row.purpose.is_none() {
+            return Vec::new();
+        }
+        let row = Row {
+            purpose: None,
+            ..self.row.clone()
+        };
+        vec![put(row, "its checks are good")]
+    }
+
     fn serving(&self) -> Vec<Action> {
         if self.phase() == Some(Phase::Rebooting) {
             return self.go(State::Quarantined, "it reboots unasked");
--- a/crates/fleet/src/placement/mod.rs
+++ b/crates/fleet/src/placement/mod.rs
@@ -130,7 +130,9 @@
 /// An instance that is lost, quarantined or taken away by the platform is part of none: its pool
 /// may need another in its place.
 pub fn home<'a>(fleet: &Fleet, row: &'a Row) -> Option<&'a id::Pool> {
-    if fleet.absent.contains(&row.id) {
+    // Only a serving instance is lost by being absent: one that reboots is listed as rebooting,
+    // and to replace it would cost a move for each instance of a wave.
+    if row.state == State::Serving && fleet.absent.contains(&row.id) {
         return None;
     }
     match (row.state, &row.purpose) {
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -44,12 +44,17 @@
 
 /// Whether planned work holds `row` out of its pool.
 ///
-/// An instance that planned work took out and that then failed still counts: the work holds it
-/// absent until it serves again. One that the platform takes away does not.
+/// An instance that a wave or a move took out and that then failed does not count: it is a loss
+/// like any other, which the margin counts. Were it counted, a few dead instances would use up
+/// `max_absent` and no other instance of their pool could ever be maintained. One that the
+/// platform takes away does not count either.
 pub(crate) fn is_planned_out(row: &Row) -> bool {
-    let planned = matches!(
-        row.purpose,
-        Some(Purpose::Operator | Purpose::Move(_) | Purpose::Wave(_))
-    );
-    planned && !matches!(row.state, State::Serving | State::Leaving)
+    match row.purpose {
+        Some(Purpose::Operator) => !matches!(row.state, State::Serving | State::Leaving),
+        Some(Purpose::Move(_) | Purpose::Wave(_)) => !matches!(
+            row.state,
+            State::Serving | State::Leaving | State::Quarantined
+        ),
+        Some(Purpose::Leave) | None => false,
+    }
 }
--- a/crates/fleet/tests/all/lifecycle.rs
+++ b/crates/fleet/tests/all/lifecycle.rs
@@ -235,6 +235,23 @@
     stays(&World::of(&spare("i0", "r", "z")).check(3, 0));
 }
 
+/// A wave reboots a spare too. The spare has no pool to serve again in, so nothing but its good
+/// checks can end its maintenance; before they did, a wave that covered a spare never ended.
+fn spare_is_done_when_its_checks_are_good() {
+    let spare = spare("i0", "r", "z");
+    let purpose = Some(Purpose::Wave(name("w")));
+    let world = World::of(&Row {
+        purpose,
+        ..spare.clone()
+    })
+    .check(3, 0);
+    let actions = world.step();
+    let Action::Put { row, .. } = &actions[0] else {
+        panic!("{actions:?}")
+    };
+    assert_eq!(*row, spare);
+}
+
 fn operators_quarantine_stays() {
     let well = |purpose| {
         let row = with(one(), State::Quarantined);
@@ -289,6 +306,7 @@
     cut_off_checker_quarantines_nothing: all_failing_together_doubts_the_checks();
     gone_row_waits_for_entries: gone_row_stays_until_everybody_knows();
     arrival_passes_probation: arrival_is_checked_first();
+    spare_ends_its_maintenance: spare_is_done_when_its_checks_are_good();
     quarantine_by_an_operator_lasts: operators_quarantine_stays();
     platform_takes_an_instance: leaving_instance_drains_first();
     orders_have_numbered_refusals: orders_are_refused_with_their_codes();
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -14,7 +14,10 @@
 
 mod budget;
 mod check;
+mod cluster;
 mod deployment;
 mod fixture;
 mod lifecycle;
 mod placement;
+mod wave;
+mod waves;
