--- a/crates/admin/src/edit/mod.rs
+++ b/crates/admin/src/edit/mod.rs
@@ -3,10 +3,12 @@
 mod account;
 mod entry;
 mod instance;
+mod wave;
 
 pub use account::{apply, diff, faults};
 pub use entry::remove;
-pub use instance::{drain, release};
+pub use instance::{drain, move_to, release};
+pub use wave::{command, fleet, plan, start, waves};
 
 use primroseroute_domain::{
     change::Seq,
--- /dev/null
+++ b/crates/admin/src/edit/wave.rs
@@ -0,0 +1,97 @@
+//! Planning, starting and commanding maintenance waves.
+
+use super::expect_version;
+use primroseroute_api::Order as Guarded;
+use primroseroute_domain::{
+    id,
+    outcome::{Code, Refusal},
+    time::Instant,
+};
+use primroseroute_fleet::{
+    Fleet,
+    placement::Weights,
+    wave::{self, Command, Order, Plan, Row},
+};
+use primroseroute_ledger::{Draft, Versioned, key};
+use primroseroute_view::Snapshot;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The fleet of `snapshot`, as far as its rows tell.
+pub fn fleet(snapshot: &Snapshot) -> Fleet {
+    let templates = snapshot.accounts().values().map(|row| &row.value);
+    let rows = snapshot
+        .instances()
+        .iter()
+        .map(|(name, row)| (name.clone(), row.value.clone()));
+    Fleet {
+        budgets: Fleet::budgets(templates),
+        rows: rows.collect(),
+        absent: BTreeSet::new(),
+    }
+}
+
+/// All waves of `snapshot` by name.
+///
+/// # Errors
+/// [`Code::ViewStale`] where a row cannot be read.
+pub fn waves(snapshot: &Snapshot) -> Result<BTreeMap<id::Wave, Versioned<Row>>, Refusal> {
+    let rows = snapshot.under(key::WAVES);
+    rows.map_err(|error| Refusal::new(Code::ViewStale, error.to_string()))
+}
+
+/// What the wave would do if nothing failed.
+///
+/// # Errors
+/// [`Code::NotFound`], [`Code::WaveOverlaps`] and [`Code::WaveCannotFinish`], as the planner says.
+pub fn plan(
+    snapshot: &Snapshot,
+    weights: Weights,
+    order: &Order,
+    now: Instant,
+) -> Result<Plan, Refusal> {
+    let others: Vec<Row> = waves(snapshot)?
+        .into_values()
+        .map(|row| row.value)
+        .collect();
+    wave::plan(&fleet(snapshot), weights, order, &others, now)
+}
+
+/// Puts a new wave into `draft`.
+///
+/// # Errors
+/// As [`plan`]; [`Code::WaveStateForbids`] where a wave of this name exists.
+pub fn start(
+    snapshot: &Snapshot,
+    weights: Weights,
+    order: &Order,
+    now: Instant,
+    draft: &mut Draft,
+) -> Result<(), Refusal> {
+    if waves(snapshot)?.contains_key(&order.id) {
+        let detail = format!("wave {} exists; take another name", order.id);
+        return Err(Refusal::new(Code::WaveStateForbids, detail));
+    }
+    plan(snapshot, weights, order, now)?;
+    draft.put(key::wave(&order.id), None, &Row::begin(order.clone(), now));
+    Ok(())
+}
+
+/// Pauses, resumes or aborts a wave.
+///
+/// # Errors
+/// [`Code::NotFound`], [`Code::VersionConflict`], [`Code::WaveStateForbids`].
+pub fn command(
+    snapshot: &Snapshot,
+    name: &id::Wave,
+    command: Command,
+    guarded: &Guarded,
+    now: Instant,
+    draft: &mut Draft,
+) -> Result<(), Refusal> {
+    let found = waves(snapshot)?.remove(name);
+    let found = found.ok_or_else(|| Refusal::new(Code::NotFound, format!("wave {name}")))?;
+    expect_version(Some(found.version), guarded.if_version)?;
+    let next = found.value.command(command, now)?;
+    draft.put(key::wave(name), Some(found.version), &next);
+    Ok(())
+}
--- a/crates/admin/src/http/mod.rs
+++ b/crates/admin/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod read;
 mod reply;
 mod router;
+mod wave;
 mod write;
 
 use crate::{Local, Tokens};
@@ -11,6 +12,7 @@
 use gotham::state::StateData;
 use primroseroute_audit::Trail;
 use primroseroute_domain::time::Clock;
+use primroseroute_fleet::placement::Weights;
 use primroseroute_front::{Options, Server};
 use primroseroute_ledger::Ledger;
 use primroseroute_view::Cell;
@@ -29,6 +31,8 @@
     pub cell: Arc<Cell>,
     /// Wall-clock time for change records.
     pub clock: Arc<dyn Clock>,
+    /// What the deployment weighs, for dry runs.
+    pub weights: Weights,
     /// Who may use it.
     pub tokens: Tokens,
 }
--- a/crates/admin/src/http/router.rs
+++ b/crates/admin/src/http/router.rs
@@ -1,6 +1,6 @@
 //! Which path does what.
 
-use super::{Shared, read, reply, write};
+use super::{Shared, read, reply, wave, write};
 use gotham::{
     helpers::http::Body,
     middleware::state::StateMiddleware,
@@ -95,6 +95,25 @@
             .post(&format!("{}/:name/release", path::INSTANCES))
             .with_path_extractor::<Named>()
             .to_async(write::release);
+        route
+            .post(&format!("{}/:name/move", path::INSTANCES))
+            .with_path_extractor::<Named>()
+            .to_async(write::move_to);
+        route.get(path::WAVES).to(read_route!(wave::list));
+        route.post(path::WAVES).to_async(wave::start);
+        route.post(path::WAVE_PLAN).to_async(wave::plan);
+        route
+            .post(&format!("{}/:name/pause", path::WAVES))
+            .with_path_extractor::<Named>()
+            .to_async(wave::pause);
+        route
+            .post(&format!("{}/:name/resume", path::WAVES))
+            .with_path_extractor::<Named>()
+            .to_async(wave::resume);
+        route
+            .post(&format!("{}/:name/abort", path::WAVES))
+            .with_path_extractor::<Named>()
+            .to_async(wave::abort);
         route
             .post(&format!("{}/:name/remove", path::ENTRIES))
             .with_path_extractor::<Named>()
--- a/crates/admin/src/http/write.rs
+++ b/crates/admin/src/http/write.rs
@@ -8,7 +8,7 @@
 use gotham::{handler::HandlerResult, helpers::http::Body, prelude::FromState, state::State};
 use http::HeaderMap;
 use http_body_util::{BodyExt, Limited};
-use primroseroute_api::{Accepted, Apply, Order};
+use primroseroute_api::{Accepted, Apply, Move, Order};
 use primroseroute_domain::{
     account::Template,
     id,
@@ -24,14 +24,14 @@
 const MAX_BODY: usize = 1 << 20;
 
 /// What a handler takes out of gotham's state, which must not be held across an await.
-struct Call {
+pub(super) struct Call {
     shared: Shared,
     headers: HeaderMap,
     body: Body,
 }
 
 impl Call {
-    fn take(state: &mut State) -> Self {
+    pub(super) fn take(state: &mut State) -> Self {
         Self {
             shared: shared(state),
             headers: HeaderMap::take_from(state),
@@ -39,7 +39,7 @@
         }
     }
 
-    async fn read<T: DeserializeOwned>(self) -> Result<Asked<T>, Refusal> {
+    pub(super) async fn read<T: DeserializeOwned>(self) -> Result<Asked<T>, Refusal> {
         let operator = super::auth::operator(&self.shared, &self.headers)?;
         let malformed = |detail: String| Refusal::new(Code::MalformedRequest, detail);
         let body = Limited::new(self.body, MAX_BODY);
@@ -58,14 +58,14 @@
 }
 
 /// An operator's request: who asks, and for what.
-struct Asked<T> {
-    shared: Shared,
+pub(super) struct Asked<T> {
+    pub(super) shared: Shared,
     operator: Arc<str>,
-    order: T,
+    pub(super) order: T,
 }
 
 impl<T> Asked<T> {
-    async fn commit(
+    pub(super) async fn commit(
         &self,
         reason: &Arc<str>,
         decide: &(dyn Fn(&Snapshot, &mut Draft) -> Result<(), Refusal> + Sync),
@@ -158,3 +158,20 @@
     };
     asked.commit(&asked.order.reason, &decide).await
 }
+
+pub(super) async fn move_to(mut state: State) -> HandlerResult {
+    let name = named(&state);
+    let call = Call::take(&mut state);
+    Ok((state, reply::json(moved(name, call).await)))
+}
+
+async fn moved(name: Result<id::Instance, Refusal>, call: Call) -> Result<Accepted, Refusal> {
+    let asked = call.read::<Move>().await?;
+    let name = name?;
+    let now = asked.shared.0.clock.now();
+    let Move { pool, order } = &asked.order;
+    let decide = |snapshot: &Snapshot, draft: &mut Draft| {
+        edit::move_to(snapshot, &name, pool, order, now, draft)
+    };
+    asked.commit(&order.reason, &decide).await
+}
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -11,7 +11,9 @@
     id,
     instance::Row,
     outcome::{Code, Verdict},
+    time::Instant,
 };
+use primroseroute_fleet::wave;
 use primroseroute_ledger::Versioned;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -45,6 +47,41 @@
     pub force: bool,
 }
 
+/// A request to move an instance to another pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Move {
+    /// The pool that it joins.
+    pub pool: id::Pool,
+    /// Version, reason and force of the order.
+    pub order: Order,
+}
+
+/// A wave to be started, with the operator's reason.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Start {
+    /// The wave.
+    pub order: wave::Order,
+    /// Why, for the audit trail.
+    #[serde(default)]
+    pub reason: Arc<str>,
+}
+
+/// One wave and how far it is.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Wave {
+    /// Its row with its version.
+    pub row: Versioned<wave::Row>,
+    /// How far it is.
+    pub progress: wave::Progress,
+    /// Instances maintained an hour, over the whole wave so far.
+    pub rate: f64,
+    /// When it ends if it goes on as it did; none before the first instance is done.
+    pub ends: Option<Instant>,
+}
+
 /// An accepted change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
--- a/crates/api/src/path.rs
+++ b/crates/api/src/path.rs
@@ -18,6 +18,10 @@
 pub const INSTANCES: &str = "/v1/instances";
 /// Registered entries; one is removed below its name.
 pub const ENTRIES: &str = "/v1/entries";
+/// All waves; a wave is started here, and commanded below its name.
+pub const WAVES: &str = "/v1/waves";
+/// What a wave would do, posted here.
+pub const WAVE_PLAN: &str = "/v1/wave-plan";
 /// How the system stands.
 pub const STATUS: &str = "/v1/status";
 /// The audit trail.
--- a/crates/client/src/admin.rs
+++ b/crates/client/src/admin.rs
@@ -4,7 +4,8 @@
 use http::{Method, Request, header};
 use http_body_util::Full;
 use primroseroute_api::{
-    Accepted, Apply, Audit, Diff, Instance, Order, Pool, Problem, Service, Status, path,
+    Accepted, Apply, Audit, Diff, Instance, Move, Order, Pool, Problem, Service, Start, Status,
+    Wave, path,
 };
 use primroseroute_domain::{
     account::Template,
@@ -12,6 +13,7 @@
     id,
     outcome::{Code, Verdict},
 };
+use primroseroute_fleet::wave;
 use primroseroute_ledger::Versioned;
 use serde::{Serialize, de::DeserializeOwned};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -203,6 +205,19 @@
         .await
     }
 
+    /// Moves an instance to another pool.
+    ///
+    /// # Errors
+    /// [`Error`]; the entry's refusals among them.
+    pub async fn move_to(&self, name: &id::Instance, order: &Move) -> Result<Accepted, Error> {
+        self.send(
+            Method::POST,
+            &format!("{}/{name}/move", path::INSTANCES),
+            order,
+        )
+        .await
+    }
+
     /// Removes an entry that is known to run no more.
     ///
     /// # Errors
@@ -216,6 +231,53 @@
         .await
     }
 
+    /// All waves and how far they are.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn waves(&self) -> Result<Vec<Wave>, Error> {
+        self.get(path::WAVES).await
+    }
+
+    /// What a wave would do if nothing failed.
+    ///
+    /// # Errors
+    /// [`Error`]; the planner's refusals among them.
+    pub async fn plan_wave(&self, order: &wave::Order) -> Result<wave::Plan, Error> {
+        self.send(Method::POST, path::WAVE_PLAN, order).await
+    }
+
+    /// Starts a wave.
+    ///
+    /// # Errors
+    /// [`Error`]; the planner's refusals among them.
+    pub async fn start_wave(&self, start: &Start) -> Result<Accepted, Error> {
+        self.send(Method::POST, path::WAVES, start).await
+    }
+
+    /// Pauses, resumes or aborts a wave.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn command_wave(
+        &self,
+        name: &id::Wave,
+        command: wave::Command,
+        order: &Order,
+    ) -> Result<Accepted, Error> {
+        let verb = match command {
+            wave::Command::Pause => "pause",
+            wave::Command::Resume => "resume",
+            wave::Command::Abort => "abort",
+        };
+        self.send(
+            Method::POST,
+            &format!("{}/{name}/{verb}", path::WAVES),
+            order,
+        )
+        .await
+    }
+
     /// How the system stands.
     ///
     /// # Errors
--- a/crates/controller/src/act.rs
+++ b/crates/controller/src/act.rs
@@ -12,6 +12,7 @@
     Fleet,
     lifecycle::{self, Action, Checks, Limits},
     placement::{self, Weights},
+    wave,
 };
 use primroseroute_ledger::{Draft, key};
 use primroseroute_platform::fleet::{Listed, Phase};
@@ -84,6 +85,16 @@
             marks,
         })
     }
+
+    /// Puts `row` into the change, and into the table that later decisions of the cycle read.
+    fn put(&mut self, row: Row, draft: &mut Draft) {
+        draft.put(
+            key::instance(&row.id),
+            self.versions.get(&row.id).copied(),
+            &row,
+        );
+        self.fleet.rows.insert(row.id.clone(), row);
+    }
 }
 
 /// Whether a serving instance is known not to serve, before its row says so.
@@ -137,6 +148,7 @@
         now: seen.now,
     });
     let reboots = write(actions, &mut table, draft);
+    step_waves(snapshot, &mut table, seen, draft)?;
     place(&table, seen, draft);
     Ok(reboots)
 }
@@ -148,12 +160,7 @@
         match action {
             Action::Put { row, reason } => {
                 log::info!("instance {} becomes {}: {reason}", row.id, row.state);
-                draft.put(
-                    key::instance(&row.id),
-                    table.versions.get(&row.id).copied(),
-                    &row,
-                );
-                table.fleet.rows.insert(row.id.clone(), row);
+                table.put(row, draft);
             }
             Action::Delete { id } => {
                 draft.delete(key::instance(&id), table.versions.get(&id).copied());
@@ -173,6 +180,34 @@
     reboots
 }
 
+/// Takes the next step of every wave; each sees what the ones before it have taken out.
+fn step_waves(
+    snapshot: &Snapshot,
+    table: &mut Table,
+    seen: &Seen,
+    draft: &mut Draft,
+) -> Result<(), Refusal> {
+    let waves = snapshot
+        .under::<id::Wave, wave::Row>(key::WAVES)
+        .map_err(|error| Refusal::new(Code::ViewStale, error.to_string()))?;
+    for (name, found) in waves {
+        for action in wave::step(&table.fleet, &found.value, seen.now) {
+            match action {
+                wave::Action::Put(row) => {
+                    log::info!("instance {} becomes {} by wave {name}", row.id, row.state);
+                    table.put(row, draft);
+                }
+                wave::Action::Wave(row) => {
+                    let reason = row.reason.as_deref().unwrap_or("");
+                    log::info!("wave {name} is {}: {reason}", row.state);
+                    draft.put(key::wave(&name), Some(found.version), &row);
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Gives spares to pools and begins moves, as far as the budgets allow now.
 fn place(table: &Table, seen: &Seen, draft: &mut Draft) {
     let plan = placement::plan(&table.fleet, seen.weights);
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -2,6 +2,7 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
+use jiff::Timestamp;
 use primroseroute_domain::id;
 use std::{net::SocketAddr, path::PathBuf};
 
@@ -61,6 +62,9 @@
     /// Entries.
     #[command(subcommand)]
     Entry(Entry),
+    /// Maintenance waves.
+    #[command(subcommand)]
+    Wave(Wave),
     /// How the system stands, as the entry asked sees it.
     Status,
     /// The audit trail.
@@ -125,6 +129,15 @@
         #[command(flatten)]
         change: Change,
     },
+    /// Move an instance to another pool, once every entry has acknowledged its drain.
+    Move {
+        /// The instance.
+        name: id::Instance,
+        /// The pool that it joins.
+        pool: id::Pool,
+        #[command(flatten)]
+        change: Change,
+    },
     /// Put a drained instance back into service.
     Release {
         /// The instance.
@@ -134,6 +147,82 @@
     },
 }
 
+/// Commands on waves.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Wave {
+    /// Show what a wave would do: batches, roll-out time, buffer cost, moves.
+    Plan {
+        #[command(flatten)]
+        order: WaveOrder,
+    },
+    /// Start a wave.
+    Start {
+        #[command(flatten)]
+        order: WaveOrder,
+        #[command(flatten)]
+        change: Change,
+    },
+    /// List all waves.
+    List,
+    /// Show how far one wave is.
+    Status {
+        /// The wave.
+        name: id::Wave,
+        /// Go on until the wave has ended or waits for an operator.
+        #[arg(long)]
+        watch: bool,
+    },
+    /// Take no more instances out; those that are out come back.
+    Pause {
+        /// The wave.
+        name: id::Wave,
+        #[command(flatten)]
+        change: Change,
+    },
+    /// Go on with a paused or halted wave, small again.
+    Resume {
+        /// The wave.
+        name: id::Wave,
+        #[command(flatten)]
+        change: Change,
+    },
+    /// End a wave; instances that still drain serve again.
+    Abort {
+        /// The wave.
+        name: id::Wave,
+        #[command(flatten)]
+        change: Change,
+    },
+}
+
+/// What a wave covers and how fast it may go.
+#[derive(Debug, Args)]
+pub(crate) struct WaveOrder {
+    /// The wave's name.
+    pub(crate) name: id::Wave,
+    /// Only instances of this pool; may be given several times.
+    #[arg(long = "pool")]
+    pub(crate) pools: Vec<id::Pool>,
+    /// Only instances in this availability zone; may be given several times.
+    #[arg(long = "zone")]
+    pub(crate) zones: Vec<id::Zone>,
+    /// Only instances in this rack; may be given several times.
+    #[arg(long = "rack")]
+    pub(crate) racks: Vec<id::Rack>,
+    /// Take nothing out before this time, such as 2026-12-02T22:00:00Z.
+    #[arg(long)]
+    pub(crate) opens: Option<Timestamp>,
+    /// Take nothing out from this time on.
+    #[arg(long)]
+    pub(crate) closes: Option<Timestamp>,
+    /// Most instances out at a time, over all pools.
+    #[arg(long)]
+    pub(crate) max_out: Option<u32>,
+    /// Seconds that one instance is expected to be out.
+    #[arg(long, value_name = "SECONDS")]
+    pub(crate) reboot: Option<u64>,
+}
+
 /// Commands on entries.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Entry {
--- a/crates/ctl/src/command/audit.rs
+++ b/crates/ctl/src/command/audit.rs
@@ -75,7 +75,7 @@
     format!("{} (was {before}){after}", edit.key)
 }
 
-fn time(at: Instant) -> String {
+pub(super) fn time(at: Instant) -> String {
     let millis = i64::try_from(at.0).unwrap_or(i64::MAX);
     Timestamp::from_millisecond(millis).map_or_else(|_| at.0.to_string(), |at| at.to_string())
 }
--- a/crates/ctl/src/command/instance.rs
+++ b/crates/ctl/src/command/instance.rs
@@ -6,7 +6,7 @@
     output::Printer,
 };
 use eyre::Result;
-use primroseroute_api::Order;
+use primroseroute_api::{Move, Order};
 use primroseroute_client::Admin;
 
 pub(super) fn order(change: &Change, force: bool) -> Order {
@@ -28,6 +28,14 @@
             let done = admin.drain(&name, &order(&change, force)).await?;
             accepted(done, &change, admin, printer).await
         }
+        Instance::Move { name, pool, change } => {
+            let order = Move {
+                pool,
+                order: order(&change, false),
+            };
+            let done = admin.move_to(&name, &order).await?;
+            accepted(done, &change, admin, printer).await
+        }
         Instance::Release { name, change } => {
             let done = admin.release(&name, &order(&change, false)).await?;
             accepted(done, &change, admin, printer).await
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod instance;
 mod list;
+mod wave;
 
 use crate::{
     cli::{Change, Cli, Command, Entry, Listing, Output, Target},
@@ -66,6 +67,7 @@
             let done = admin.remove(&name, &order).await?;
             accepted(done, &change, admin, printer).await
         }
+        Command::Wave(command) => wave::run(command, admin, printer).await,
         Command::Status => list::status(admin, printer).await,
         Command::Audit(filter) => audit::run(filter, admin, printer).await,
         Command::Completions { .. } | Command::Demo(_) => Ok(exit::DONE),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod told;
 mod truth;
 mod views;
+mod wave;
 
 /// Names each case; a case that returns an error fails.
 macro_rules! cases {
