Add a load tool with open and closed loops and latency from the due time

Change: crate primroseroute-load: Poisson arrivals and mixes from a seed, hdrhistogram per account, bounds in time, requests and requests in flight, loopback targets only, and max-min fair parts. Tried: with latency counted from the send instead of the due time, waiting_for_a_free_connection_counts_as_latency fails.

--- /dev/null
+++ b/crates/load/src/run.rs
@@ -0,0 +1,162 @@
+//! Running a plan.
+
+use crate::{
+    arrival::Arrivals,
+    client::Client,
+    outcome::Outcome,
+    plan::{Invalid, Loop, Plan, draw},
+    record::Record,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+use tokio::{runtime::Handle, sync::Semaphore, task};
+
+/// Everything that the senders of one run share.
+#[derive(Debug)]
+struct Run {
+    plan: Plan,
+    clients: Vec<Client>,
+    record: Record,
+    started: Instant,
+    sent: AtomicU64,
+}
+
+/// One request, as drawn.
+#[derive(Clone, Copy, Debug)]
+struct Drawn {
+    number: u64,
+    target: usize,
+    profile: usize,
+}
+
+/// Draws targets and profiles.
+#[derive(Debug)]
+struct Draws {
+    random: ChaCha8Rng,
+    targets: Vec<f64>,
+    profiles: Vec<f64>,
+}
+
+impl Draws {
+    fn open(plan: &Plan, stream: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
+        random.set_stream(stream);
+        Self {
+            random,
+            targets: plan.targets.iter().map(|target| target.weight).collect(),
+            profiles: plan.mix.iter().map(|profile| profile.weight).collect(),
+        }
+    }
+
+    fn next(&mut self, number: u64) -> Drawn {
+        Drawn {
+            number,
+            target: draw(&self.targets, &mut self.random),
+            profile: draw(&self.profiles, &mut self.random),
+        }
+    }
+}
+
+impl Run {
+    fn length(&self) -> Duration {
+        self.plan.warm_up + self.plan.measured
+    }
+
+    /// The next request's number, or none where the plan's requests are used up.
+    fn number(&self) -> Option<u64> {
+        let number = self.sent.fetch_add(1, Ordering::Relaxed);
+        (number < self.plan.requests).then_some(number)
+    }
+
+    async fn send(&self, drawn: Drawn, due: Duration) {
+        let profile = &self.plan.mix[drawn.profile];
+        let key = format!("{}-{}", self.plan.seed, drawn.number);
+        let client = &self.clients[drawn.target];
+        let ended = client.send(profile, &key, self.plan.timeout).await;
+        let times = (due, self.started.elapsed());
+        self.record
+            .count(&self.plan, drawn.number, drawn.profile, times, ended);
+    }
+
+    async fn call(self: Arc<Self>, caller: u64) {
+        let mut source = Draws::open(&self.plan, caller + 1);
+        while self.started.elapsed() < self.length() {
+            let Some(number) = self.number() else { return };
+            let drawn = source.next(number);
+            self.send(drawn, self.started.elapsed()).await;
+        }
+    }
+
+    /// Sends each request when it is due. Blocks its thread: the runtime's timers tick only once a
+    /// millisecond, which would send requests in bursts.
+    fn dispatch(self: &Arc<Self>, rate: f64, room: &Arc<Semaphore>, handle: &Handle) {
+        let mut arrivals = ChaCha8Rng::seed_from_u64(self.plan.seed);
+        arrivals.set_stream(0);
+        let mut source = Draws::open(&self.plan, 1);
+        for due in Arrivals::open(rate, arrivals).take_while(|due| *due < self.length()) {
+            let Some(number) = self.number() else { return };
+            thread::sleep(due.saturating_sub(self.started.elapsed()));
+            let permit = handle.block_on(Arc::clone(room).acquire_owned());
+            let drawn = source.next(number);
+            let run = Arc::clone(self);
+            handle.spawn(async move {
+                let _permit = permit;
+                run.send(drawn, due).await;
+            });
+        }
+    }
+}
+
+/// Runs `plan` on the current runtime, and waits until every request has ended.
+///
+/// # Errors
+/// [`Invalid`] where the plan is out of bounds; nothing was sent.
+///
+/// # Panics
+/// Outside a tokio runtime, or where a sender panics.
+pub async fn run(plan: &Plan) -> Result<Outcome, Invalid> {
+    plan.check()?;
+    let targets = plan.targets.iter();
+    let run = Arc::new(Run {
+        clients: targets.map(|target| Client::open(target.address)).collect(),
+        record: Record::open(plan),
+        plan: plan.clone(),
+        started: Instant::now(),
+        sent: AtomicU64::new(0),
+    });
+    match plan.pace {
+        Loop::Open { rate } => run_open(&run, rate).await,
+        Loop::Closed { callers } => run_closed(&run, callers).await,
+    }
+    Ok(run.record.close(plan))
+}
+
+async fn run_open(run: &Arc<Run>, rate: f64) {
+    let room = Arc::new(Semaphore::new(run.plan.in_flight));
+    let dispatcher = {
+        let (run, room, handle) = (Arc::clone(run), Arc::clone(&room), Handle::current());
+        task::spawn_blocking(move || run.dispatch(rate, &room, &handle))
+    };
+    dispatcher.await.expect("the dispatcher does not panic");
+    let all = u32::try_from(run.plan.in_flight).unwrap_or(u32::MAX);
+    // Every permit is back once every request has ended; the semaphore is never closed.
+    drop(room.acquire_many(all).await);
+}
+
+async fn run_closed(run: &Arc<Run>, callers: usize) {
+    let mut tasks = task::JoinSet::new();
+    for caller in 0..callers {
+        tasks.spawn(Arc::clone(run).call(caller as u64));
+    }
+    while let Some(ended) = tasks.join_next().await {
+        ended.expect("a caller does not panic");
+    }
+}
--- /dev/null
+++ b/crates/load/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the load tool.
+
+mod plan;
+mod runs;
+mod shares;
