Measure the path's own work without sockets

Cause: on a busy machine the ratios over sockets vary; what the path itself costs does not. Change: part inner of the benchmark, the fastest of five batches on one thread.

--- /dev/null
+++ b/benches/request_path/inner.rs
@@ -0,0 +1,165 @@
+//! What the request path itself costs, without sockets: one request after another on one thread.
+
+use crate::{
+    bed::{OWNER, owner},
+    figure::Figure,
+};
+use async_trait::async_trait;
+use eyre::Result;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri, header};
+use primroseroute_claims::{Claims, Options as ClaimOptions};
+use primroseroute_domain::{
+    change::Seq,
+    id,
+    instance::{Row, State},
+    time,
+};
+use primroseroute_flow::limits::Limits;
+use primroseroute_ledger::{Versioned, key};
+use primroseroute_route::{
+    Finished, Gates, Observer, Options, Parts, Path,
+    backend::{Backend, Body, Failure},
+    problem,
+};
+use primroseroute_telemetry::{Meter, meter};
+use primroseroute_testbed::{caller_token, platform::Platform};
+use primroseroute_view::{Cell, Snapshot};
+use serde::Serialize;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Requests of one batch.
+const BATCH: u32 = 20_000;
+
+/// Batches; the fastest counts, since what else runs on the machine only makes one slower.
+const BATCHES: usize = 5;
+
+/// Workers of the pool.
+const WORKERS: u16 = 50;
+
+/// A backend server that answers at once.
+#[derive(Debug)]
+struct AtOnce;
+
+#[async_trait]
+impl Backend for AtOnce {
+    async fn send(
+        &self,
+        _: SocketAddr,
+        _: Request<Body>,
+        _: Instant,
+    ) -> Result<Response<Body>, Failure> {
+        let mut response = Response::new(problem::full("beds"));
+        let length = HeaderValue::from_static("4");
+        response
+            .headers_mut()
+            .insert(header::CONTENT_LENGTH, length);
+        Ok(response)
+    }
+
+    fn sweep(&self) {}
+}
+
+/// Counts as a whole entry does.
+#[derive(Debug)]
+struct Metered(Meter);
+
+impl Observer for Metered {
+    fn finished(&self, finished: &Finished) {
+        self.0.request(meter::Request {
+            account: finished.account.as_ref(),
+            service: finished.service.as_ref(),
+            code: finished.code,
+            verdict: finished.verdict,
+            took: finished.latency,
+        });
+    }
+}
+
+fn stored<T: Serialize>(key: Arc<str>, value: T) -> Result<(Arc<str>, Arc<str>)> {
+    let row = Versioned {
+        version: Seq(1),
+        value,
+    };
+    Ok((key, serde_json::to_string(&row)?.into()))
+}
+
+fn snapshot() -> Result<Snapshot> {
+    let account = OWNER.parse()?;
+    let mut template = owner(1, WORKERS.into());
+    template.pools[0].services[0].callers.clear();
+    let mut rows = vec![stored(key::account(&account), template)?];
+    for number in 0..WORKERS {
+        let id: id::Instance = format!("stay-{number}").parse()?;
+        let row = Row {
+            address: SocketAddr::from(([127, 0, 0, 1], 1024 + number)),
+            zone: "zone-0".parse()?,
+            rack: "rack-0".parse()?,
+            pool: Some(OWNER.parse()?),
+            state: State::Serving,
+            purpose: None,
+            since: time::Instant(0),
+            maintained: None,
+            id,
+        };
+        rows.push(stored(key::instance(&row.id), &row)?);
+    }
+    Ok(Snapshot::from_rows(Seq(1), rows)?)
+}
+
+fn path() -> Result<Path> {
+    let cell = Arc::new(Cell::default());
+    cell.advance(snapshot()?);
+    let entry: id::Entry = "entry-0".parse()?;
+    let gates = Gates::open(entry.clone(), 1, Limits::default(), 1);
+    gates.sync(&cell.current(), &[entry].into());
+    let table = Platform::open(1, primroseroute_testbed::platform::Options::default());
+    Ok(Path::open(Parts {
+        cell,
+        gates: Arc::new(gates),
+        backend: Arc::new(AtOnce),
+        claims: Claims::spawn(
+            Arc::new(table),
+            Arc::new(time::SystemClock),
+            ClaimOptions::default(),
+            [7; 32],
+        ),
+        observer: Arc::new(Metered(Meter::open()?)),
+        options: Options::default(),
+    }))
+}
+
+fn headers() -> Result<HeaderMap> {
+    let mut headers = HeaderMap::new();
+    let token = format!("Bearer {}", caller_token(OWNER));
+    headers.insert(header::AUTHORIZATION, token.parse()?);
+    headers.insert(header::HOST, "127.0.0.1:8080".parse()?);
+    headers.insert("request-timeout-ms", "1000".parse()?);
+    headers.insert("x-request-id", "3f2c9f60-9a8e-4a55".parse()?);
+    Ok(headers)
+}
+
+/// Time for one request in the fastest batch.
+pub async fn measure(_seed: u64) -> Result<Vec<Figure>> {
+    let path = Arc::new(path()?);
+    let headers = headers()?;
+    let uri = Uri::from_static("/stay/beds");
+    let mut fastest = Duration::MAX;
+    for _ in 0..BATCHES {
+        let started = Instant::now();
+        for _ in 0..BATCH {
+            let (headers, uri) = (headers.clone(), uri.clone());
+            let answer = path
+                .serve(Method::GET, uri, headers, problem::full(""))
+                .await;
+            assert!(answer.status().is_success(), "{:?}", answer.headers());
+        }
+        fastest = fastest.min(started.elapsed() / BATCH);
+    }
+    let micros = fastest.as_secs_f64() * 1e6;
+    Ok(vec![Figure::new(
+        "path's own work for a read",
+        "us",
+        micros,
+    )])
+}
--- a/benches/request_path/main.rs
+++ b/benches/request_path/main.rs
@@ -9,6 +9,7 @@
 mod bed;
 mod change;
 mod figure;
+mod inner;
 mod overload;
 mod path;
 mod store;
@@ -29,7 +30,8 @@
 /// A part of the benchmark: its name, and what measures it with a seed.
 type Part = (&'static str, fn(u64) -> Measured);
 
-const PARTS: [Part; 4] = [
+const PARTS: [Part; 5] = [
+    ("inner", |seed| Box::pin(inner::measure(seed))),
     ("path", |seed| Box::pin(path::measure(seed))),
     ("overload", |seed| Box::pin(overload::measure(seed))),
     ("change", |seed| Box::pin(change::measure(seed))),
