Answer bad input with numbered errors, gotham's own included

Cause: (1) gotham panics on an x-request-id that is no UTF-8, outside of what it catches: the caller's connection closed without an answer. (2) gotham's 404, 405, 400 and 500 had neither body nor code. (3) HeadTooLarge was never said: the HTTP library answered 431 without a body. (4) gotham leaves undecodable path segments out, so GET /v1/accounts/%ff listed all accounts. Change: the server names every request whose caller sent no usable name, completes gotham's empty error answers as problem details, and refuses heads over the limit by itself; only one of twice the limit still meets the library.

--- a/crates/admin/src/http/router.rs
+++ b/crates/admin/src/http/router.rs
@@ -2,17 +2,19 @@
 
 use super::{Shared, read, reply, write};
 use gotham::{
+    handler::HandlerFuture,
     helpers::http::Body,
-    middleware::state::StateMiddleware,
-    pipeline::{single_middleware, single_pipeline},
+    middleware::{Middleware, NewMiddleware, state::StateMiddleware},
+    pipeline::{new_pipeline, single_pipeline},
     prelude::{DefineSingleRoute, DrawRoutes, FromState},
     router::{Router, builder::build_router, response::StaticResponseExtender},
     state::{State, StateData},
 };
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Response, StatusCode, Uri};
 use primroseroute_api::path;
-use primroseroute_domain::outcome::Refusal;
+use primroseroute_domain::outcome::{Code, Refusal};
 use serde::{Deserialize, Serialize};
+use std::{future::ready, pin::Pin};
 
 /// The name in a path such as `/v1/accounts/:name`.
 #[derive(Debug, Deserialize, StateData)]
@@ -45,6 +47,28 @@
     }
 }
 
+/// Refuses paths with escapes.
+///
+/// gotham leaves out a segment that is no UTF-8 once unescaped, so a question for one account with
+/// such a name would be answered with all of them. No path of this interface needs an escape: names
+/// are of an alphabet without any.
+#[derive(Clone, Copy, Debug, NewMiddleware)]
+struct Unescaped;
+
+impl Middleware for Unescaped {
+    fn call<Chain>(self, state: State, chain: Chain) -> Pin<Box<HandlerFuture>>
+    where
+        Chain: FnOnce(State) -> Pin<Box<HandlerFuture>> + Send + 'static,
+    {
+        if !Uri::borrow_from(&state).path().contains('%') {
+            return chain(state);
+        }
+        let refusal = Refusal::new(Code::MalformedRequest, "a path without escapes");
+        let response = reply::json::<()>(Err(refusal));
+        Box::pin(ready(Ok((state, response))))
+    }
+}
+
 /// A read that an operator may make.
 type Read<T> = fn(&Shared, &State) -> Result<T, Refusal>;
 
@@ -64,7 +88,10 @@
 }
 
 pub(super) fn build(shared: Shared) -> Router {
-    let (chain, pipelines) = single_pipeline(single_middleware(StateMiddleware::new(shared)));
+    let steps = new_pipeline()
+        .add(Unescaped)
+        .add(StateMiddleware::new(shared));
+    let (chain, pipelines) = single_pipeline(steps.build());
     build_router(chain, pipelines, |route| {
         route.get(path::HEALTHZ).to(read::healthz);
         route.get(path::READYZ).to(read::readyz);
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -1,5 +1,6 @@
 //! The accept loop and the graceful stop.
 
+use crate::{name::Names, problem};
 use eyre::{Context, Result};
 use gotham::{anyhow, handler::NewHandler, service::call_handler, state::State};
 use http::{HeaderValue, Request, header::CONNECTION};
@@ -8,6 +9,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::{GracefulShutdown, Watcher},
 };
+use primroseroute_domain::outcome::{Code, Refusal};
 use std::{net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -18,6 +20,9 @@
 /// Pause after a failed accept, such as when file descriptors run out; without it the loop spins.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Smallest read buffer that the HTTP library takes.
+const LEAST_BUFFER: usize = 8 << 10;
+
 /// Bounds on connections and request heads.
 #[derive(Clone, Copy, Debug)]
 pub struct Options {
@@ -122,6 +127,7 @@
     H: NewHandler + 'static,
 {
     let graceful = GracefulShutdown::new();
+    let names = Arc::new(Names::open());
     let room = Arc::new(Semaphore::new(options.connections));
     // Connections live and die with this task, so that `abort` is like the loss of the process.
     let mut connections = tokio::task::JoinSet::new();
@@ -147,6 +153,7 @@
             caller,
             options,
             Arc::clone(&handler),
+            Arc::clone(&names),
             stop.clone(),
             graceful.watcher(),
         );
@@ -168,11 +175,22 @@
         .is_err();
 }
 
+/// Bytes of a request's line and headers, without the punctuation between them.
+fn head_bytes<B>(request: &Request<B>) -> usize {
+    let headers = request.headers().iter();
+    let headers: usize = headers
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum();
+    let uri = request.uri().path_and_query();
+    uri.map_or(0, |uri| uri.as_str().len()) + headers
+}
+
 async fn serve<H>(
     socket: TcpStream,
     caller: SocketAddr,
     options: Options,
     handler: Arc<H>,
+    names: Arc<Names>,
     phase: watch::Receiver<Phase>,
     watcher: Watcher,
 ) where
@@ -182,12 +200,19 @@
     if let Err(error) = socket.set_nodelay(true) {
         log::debug!("setting TCP_NODELAY for {caller} failed: {error}");
     }
-    let respond = service_fn(move |request: Request<Incoming>| {
+    let respond = service_fn(move |mut request: Request<Incoming>| {
+        let name = names.ensure(request.headers_mut());
         let handler = Arc::clone(&handler);
         let phase = phase.clone();
         async move {
-            let state = State::from_request(request, caller);
-            let mut response = call_handler(handler, AssertUnwindSafe(state)).await?;
+            let mut response = if head_bytes(&request) > options.head_bytes {
+                let detail = format!("at most {} bytes", options.head_bytes);
+                problem::answer(&Refusal::new(Code::HeadTooLarge, detail), &name, None)
+            } else {
+                let state = State::from_request(request, caller);
+                let response = call_handler(handler, AssertUnwindSafe(state)).await?;
+                problem::complete(response, &name)
+            };
             if *phase.borrow() != Phase::Open {
                 response
                     .headers_mut()
@@ -199,7 +224,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(options.head_timeout)
-        .max_buf_size(options.head_bytes.max(8 << 10))
+        .max_buf_size(options.head_bytes.max(LEAST_BUFFER) * 2)
         .keep_alive(true)
         .serve_connection(TokioIo::new(socket), respond);
     if let Err(error) = watcher.watch(connection).await {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -29,10 +29,12 @@
 mod headers;
 mod observe;
 mod path;
-pub mod problem;
 pub mod request;
 
 pub use front::Front;
 pub use gate::Gates;
 pub use observe::{Finished, Observer};
+#[doc(no_inline)]
+pub use primroseroute_front::problem;
+
 pub use path::{Options, Parts, Path};
--- a/crates/route/src/request.rs
+++ b/crates/route/src/request.rs
@@ -10,16 +10,15 @@
 use sha2::{Digest, Sha256};
 use std::{sync::Arc, time::Duration};
 
-/// Names the request in logs and answers; made up where the caller sends none.
-pub const REQUEST_ID: &str = "x-request-id";
 /// Makes a non-idempotent request safe to send again.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 /// Says that the caller has sent the idempotency key before; see the caller contract.
 pub const REPEAT: &str = "idempotency-repeat";
 /// How long the caller waits, in milliseconds.
 pub const TIMEOUT_MS: &str = "request-timeout-ms";
-/// What became of the request: `completed`, `not-run` or `unknown`.
-pub const OUTCOME: &str = "x-outcome";
+
+#[doc(no_inline)]
+pub use primroseroute_front::problem::{OUTCOME, REQUEST_ID};
 
 /// Longest idempotency key in bytes: room for two UUIDs with a prefix.
 const MAX_KEY: usize = 128;
