Take a gate's lock twice a request in place of four times

Cause: a request took its gate's lock to join, to arrive, to finish and to leave, and had an unbounded channel of its own for at most one step at a time. Change: joining and leaving happen under the lock of the decision that they belong to, and each step has a one-shot channel. The benchmark's batches get smaller, so that the fastest one is seldom interrupted, and its bound on requests is above what direct callers reach.

--- a/benches/request_path/bed.rs
+++ b/benches/request_path/bed.rs
@@ -168,7 +168,7 @@
             pace,
             warm_up: Duration::from_secs(1),
             measured: Duration::from_secs(3),
-            requests: 400_000,
+            requests: 1_000_000,
             in_flight: 3000,
             targets: to.map(target).collect(),
             mix: ACCOUNTS.iter().map(profile).collect(),
--- a/benches/request_path/inner.rs
+++ b/benches/request_path/inner.rs
@@ -30,10 +30,10 @@
 use tokio::time::Instant;
 
 /// Requests of one batch.
-const BATCH: u32 = 20_000;
+const BATCH: u32 = 2000;
 
 /// Batches; the fastest counts, since what else runs on the machine only makes one slower.
-const BATCHES: usize = 5;
+const BATCHES: usize = 50;
 
 /// Workers of the pool.
 const WORKERS: u16 = 50;
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate.rs
@@ -21,7 +21,7 @@
     time::Duration,
 };
 use tokio::{
-    sync::{Notify, mpsc},
+    sync::{Notify, oneshot},
     task::JoinHandle,
     time::{Instant, sleep_until},
 };
@@ -51,7 +51,7 @@
 #[derive(Debug)]
 struct State {
     decisions: Pool,
-    waiting: BTreeMap<u64, mpsc::UnboundedSender<Step>>,
+    waiting: BTreeMap<u64, oneshot::Sender<Step>>,
 }
 
 /// The gate before one pool.
@@ -69,15 +69,21 @@
 
     /// Runs one decision and hands its actions to the requests that wait for them.
     fn decide(&self, decision: impl FnOnce(&mut Pool, Duration) -> Vec<Action>) {
-        let mut state = self.state.lock();
+        self.decide_in(&mut self.state.lock(), decision);
+    }
+
+    /// The same where a request that `decision` is about joins or leaves those that wait.
+    fn decide_in(
+        &self,
+        state: &mut State,
+        decision: impl FnOnce(&mut Pool, Duration) -> Vec<Action>,
+    ) {
         let due = state.decisions.next_tick();
         let actions = decision(&mut state.decisions, self.now());
         for action in actions {
-            self.pass_on(&mut state, action);
+            self.pass_on(state, action);
         }
-        let next = state.decisions.next_tick();
-        drop(state);
-        if next != due {
+        if state.decisions.next_tick() != due {
             self.wake.notify_one();
         }
     }
@@ -104,10 +110,8 @@
         };
         // A ticket is told of its own end by `Ticket::drop`, so a send that fails is one that was
         // cancelled in the same moment, and the cancellation follows.
-        let delivered = state
-            .waiting
-            .get(&request)
-            .is_some_and(|waiter| waiter.send(step).is_ok());
+        let waiter = state.waiting.remove(&request);
+        let delivered = waiter.is_some_and(|waiter| waiter.send(step).is_ok());
         if !delivered {
             log::debug!("request {request} went away before its next step");
         }
@@ -134,14 +138,18 @@
 pub(crate) struct Ticket {
     gate: Arc<Gate>,
     number: u64,
-    steps: mpsc::UnboundedReceiver<Step>,
+    /// Brings the next step; a new one for each, since a gate decides one step at a time.
+    step: Option<oneshot::Receiver<Step>>,
     over: bool,
 }
 
 impl Ticket {
     /// The next step; a gate always has one until the request is over.
     pub(crate) async fn next(&mut self) -> Step {
-        let step = self.steps.recv().await;
+        let step = match self.step.take() {
+            Some(step) => step.await.ok(),
+            None => None,
+        };
         let lost = Step::Refuse {
             code: Code::Overloaded,
             retry_after: Duration::from_secs(1),
@@ -153,11 +161,10 @@
 
     /// Moves the request to another owner, such as the body of a streaming answer.
     pub(crate) fn hand_over(&mut self) -> Self {
-        let (_closed, steps) = mpsc::unbounded_channel();
         let handed = Self {
             gate: Arc::clone(&self.gate),
             number: self.number,
-            steps: std::mem::replace(&mut self.steps, steps),
+            step: self.step.take(),
             over: self.over,
         };
         self.over = true;
@@ -167,8 +174,17 @@
     /// Tells the gate how an attempt ended.
     pub(crate) fn finish(&mut self, ending: Ending) {
         self.over |= matches!(ending, Ending::Answered { .. } | Ending::Cancelled);
-        self.gate
-            .decide(|pool, now| pool.finish(now, self.number, ending));
+        let mut state = self.gate.state.lock();
+        if self.over {
+            state.waiting.remove(&self.number);
+        } else {
+            let (sender, step) = oneshot::channel();
+            state.waiting.insert(self.number, sender);
+            self.step = Some(step);
+        }
+        self.gate.decide_in(&mut state, |pool, now| {
+            pool.finish(now, self.number, ending)
+        });
     }
 }
 
@@ -177,7 +193,6 @@
         if !self.over {
             self.finish(Ending::Cancelled);
         }
-        self.gate.state.lock().waiting.remove(&self.number);
     }
 }
 
@@ -287,8 +302,7 @@
     pub(crate) fn enter(&self, pool: &id::Pool, entrant: Entrant) -> Option<Ticket> {
         let gate = self.find(pool)?;
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
-        let (sender, steps) = mpsc::unbounded_channel();
-        gate.state.lock().waiting.insert(number, sender);
+        let (sender, step) = oneshot::channel();
         let arrival = Arrival {
             request: number,
             account: entrant.account,
@@ -300,10 +314,13 @@
         let ticket = Ticket {
             gate: Arc::clone(&gate),
             number,
-            steps,
+            step: Some(step),
             over: false,
         };
-        gate.decide(|pool, now| pool.arrive(now, arrival));
+        let mut state = gate.state.lock();
+        state.waiting.insert(number, sender);
+        gate.decide_in(&mut state, |pool, now| pool.arrive(now, arrival));
+        drop(state);
         Some(ticket)
     }
 
