--- /dev/null
+++ b/crates/domain/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the domain types.
+
+mod codes;
