--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod ctl;
 mod demo;
 mod fleet;
+mod input;
 mod once;
 mod stop;
 mod thin;
