--- a/crates/fleet/src/placement/board.rs
+++ b/crates/fleet/src/placement/board.rs
@@ -31,7 +31,9 @@
     pub held: u32,
     racks: Vec<u32>,
     zones: Vec<u32>,
+    /// The largest count of a domain, and how many domains have it.
     largest: u32,
+    fullest: usize,
 }
 
 impl Side {
@@ -83,14 +85,8 @@
 
     /// Whether the promise still holds after the worst loss without one member at that place.
     pub fn spares(&self, piece: &Piece) -> bool {
-        let beside = self.beside(piece);
-        let sole = self
-            .domains()
-            .iter()
-            .filter(|count| **count == self.largest)
-            .count()
-            == 1;
-        let largest = self.largest - u32::from(sole && beside == self.largest && beside > 0);
+        let is_sole = self.fullest == 1 && self.beside(piece) == self.largest;
+        let largest = self.largest - u32::from(is_sole && self.largest > 0);
         missing(&self.budget, self.held - 1 - largest) == 0
     }
 
@@ -99,7 +95,39 @@
         step(&mut self.held);
         step(&mut self.racks[piece.rack]);
         step(&mut self.zones[piece.zone]);
-        self.largest = self.domains().iter().copied().max().unwrap_or(0);
+        // Nothing is to be survived: no domain counts, and the largest stays zero.
+        if self.budget.survive == Survive::Nothing {
+            return;
+        }
+        let now = self.beside(piece);
+        if joins {
+            self.grow(now);
+        } else {
+            self.shrink(now);
+        }
+    }
+
+    /// Keeps the largest count after a domain grew to `now`.
+    fn grow(&mut self, now: u32) {
+        if now > self.largest {
+            self.largest = now;
+            self.fullest = 1;
+        } else if now == self.largest {
+            self.fullest += 1;
+        }
+    }
+
+    /// Keeps the largest count after a domain shrank to `now`; counts anew only where it was the
+    /// last of the fullest.
+    fn shrink(&mut self, now: u32) {
+        if now + 1 != self.largest {
+            return;
+        }
+        self.fullest -= 1;
+        if self.fullest == 0 {
+            self.largest = now;
+            self.fullest = self.domains().iter().filter(|count| **count == now).count();
+        }
     }
 
     pub fn crowded(&self) -> u64 {
@@ -135,6 +163,7 @@
             racks: vec![0; racks.len()],
             zones: vec![0; zones.len()],
             largest: 0,
+            fullest: 0,
         });
         let mut board = Self {
             pieces: Vec::with_capacity(usable.len()),
--- a/crates/fleet/src/placement/exchange.rs
+++ b/crates/fleet/src/placement/exchange.rs
@@ -71,7 +71,11 @@
 
     /// Undoes a move, on its own or with another piece in its place.
     fn give_back(&mut self) -> bool {
+        let spares = self.spares();
         self.moved().into_iter().any(|index| {
+            if self.trials >= MOST_TRIALS {
+                return false;
+            }
             let piece = &self.board.pieces[index];
             let (origin, place) = (piece.origin, piece.place);
             let back = Step { index, to: origin };
@@ -86,30 +90,17 @@
                     to: place,
                 };
                 // Where the other one left its pool for this, a third may have to fill the gap.
-                self.keep_if_better(&[back, fills]) || self.fill_gap(back, fills, from)
+                self.keep_if_better(&[back, fills]) || self.fill_gap(back, fills, from, &spares)
             })
         })
     }
 
-    fn fill_gap(&mut self, back: Step, fills: Step, gap: Option<usize>) -> bool {
-        if gap.is_none() {
-            return false;
-        }
-        let Some(spare) = self
-            .spares()
-            .into_iter()
-            .find(|spare| *spare != fills.index)
-        else {
+    fn fill_gap(&mut self, back: Step, fills: Step, gap: Option<usize>, spares: &[usize]) -> bool {
+        let spare = spares.iter().find(|spare| **spare != fills.index);
+        let (Some(_), Some(&index)) = (gap, spare) else {
             return false;
         };
-        self.keep_if_better(&[
-            back,
-            fills,
-            Step {
-                index: spare,
-                to: gap,
-            },
-        ])
+        self.keep_if_better(&[back, fills, Step { index, to: gap }])
     }
 
     fn lacking(&self) -> Vec<usize> {
--- a/crates/fleet/tests/all/budget.rs
+++ b/crates/fleet/tests/all/budget.rs
@@ -117,7 +117,21 @@
     assert_eq!(budgets::room(&fleet, &name("p")).len(), 0);
 }
 
+/// Two instances failed after a wave took them out, in a pool that lets two be absent. They are
+/// losses, which the margin counts; were they counted as planned, nothing else of the pool could
+/// ever be maintained until somebody mends them.
+fn failed_instances_do_not_use_up_the_count() {
+    let rows = (0..8).map(|i| serving(&format!("i{i}"), "p", &format!("r{i}"), "z"));
+    let mut fleet = fleet(rows.collect(), vec![("p", budget(3, 2, Survive::Rack))]);
+    for row in fleet.rows.values_mut().take(2) {
+        row.state = State::Quarantined;
+        row.purpose = Some(Purpose::Wave(name("w")));
+    }
+    assert_eq!(budgets::room(&fleet, &name("p")).len(), 2);
+}
+
 cases! {
     room_agrees_with_every_subset: room_is_the_largest_subset();
+    failed_instances_leave_room: failed_instances_do_not_use_up_the_count();
     lost_rack_stops_planned_work: unplanned_loss_takes_the_room();
 }
--- a/crates/fleet/tests/all/lifecycle.rs
+++ b/crates/fleet/tests/all/lifecycle.rs
@@ -252,6 +252,15 @@
     assert_eq!(*row, spare);
 }
 
+/// A spare goes into maintenance without a drain, so nothing marks it anew on the way. With last
+/// month's mark still there, the list would at once show more boots than the mark and the wave
+/// would count a reboot that never was. The mark goes when the maintenance is over.
+fn mark_ends_with_its_maintenance() {
+    let row = with(one(), State::Probation);
+    let back = World::of(&row).mark(4).list(Phase::Live, 5).check(3, 0);
+    assert_eq!(back.step(), [Action::Unmark { id: name("i0") }]);
+}
+
 fn operators_quarantine_stays() {
     let well = |purpose| {
         let row = with(one(), State::Quarantined);
@@ -306,6 +315,7 @@
     cut_off_checker_quarantines_nothing: all_failing_together_doubts_the_checks();
     gone_row_waits_for_entries: gone_row_stays_until_everybody_knows();
     arrival_passes_probation: arrival_is_checked_first();
+    mark_is_forgotten_after_its_reboot: mark_ends_with_its_maintenance();
     spare_ends_its_maintenance: spare_is_done_when_its_checks_are_good();
     quarantine_by_an_operator_lasts: operators_quarantine_stays();
     platform_takes_an_instance: leaving_instance_drains_first();
