Let a worker of the demo lose its answers

Cause: no step of the demo made answers of executed holds vanish, so at most once was tried only by what the kill happened to hit. Change: one worker of the pool that all accounts call executes and breaks its answers off from 5% to 9% of the time. The bar keeps showing the last step that is no change of a share.

--- a/crates/demo/src/schedule.rs
+++ b/crates/demo/src/schedule.rs
@@ -7,6 +7,10 @@
 pub(crate) enum Step {
     /// An operator changes an account's fair share.
     ChangeShare,
+    /// A worker begins to execute everything and to break every answer off.
+    LoseAnswers,
+    /// That worker answers again.
+    KeepAnswers,
     /// A worker begins to fail everything, its health check too.
     BreakWorker,
     /// The worker is well again.
@@ -34,6 +38,8 @@
     pub(crate) fn text(self) -> &'static str {
         match self {
             Self::ChangeShare => "a fair share changes",
+            Self::LoseAnswers => "a worker executes and loses its answers",
+            Self::KeepAnswers => "the worker answers again",
             Self::BreakWorker => "a worker fails everything",
             Self::MendWorker => "the worker is well again",
             Self::Depart => "the platform takes an instance away",
@@ -59,7 +65,9 @@
 ///
 /// What needs every entry's acknowledgement (departure, move) comes before the kill: a killed entry
 /// may only be paused, so its silence stops such steps until the platform says that it is gone.
-const STEPS: [Planned; 10] = [
+const STEPS: [Planned; 12] = [
+    planned(50, Step::LoseAnswers),
+    planned(90, Step::KeepAnswers),
     planned(120, Step::BreakWorker),
     planned(250, Step::MendWorker),
     planned(300, Step::Depart),
--- a/crates/demo/src/stage/mod.rs
+++ b/crates/demo/src/stage/mod.rs
@@ -11,7 +11,7 @@
     deployment,
     journal::Journal,
     judge::{Event, Executed, InForce, Presence, Report, judge},
-    schedule::Schedule,
+    schedule::{Schedule, Step},
 };
 use eyre::{Result, WrapErr, eyre};
 use operator::Operator;
@@ -167,7 +167,10 @@
         let mut text = "callers send";
         while began.elapsed() < load {
             while let Some(step) = schedule.due(began.elapsed()) {
-                text = step.text();
+                // Shares change all the time; the bar keeps showing what else was done.
+                if step != Step::ChangeShare {
+                    text = step.text();
+                }
                 self.take(step).await?;
             }
             self.look();
--- a/crates/demo/src/stage/step.rs
+++ b/crates/demo/src/stage/step.rs
@@ -14,6 +14,9 @@
     platform::fault::Outage,
 };
 
+/// The worker that loses its answers: what it ran must not run again elsewhere. All accounts call it.
+const LOSING: &str = "gojo-backoffice-1";
+
 /// The worker that fails everything.
 const BROKEN: &str = "lalibela-rest-1";
 
@@ -37,6 +40,8 @@
     pub(super) async fn take(&mut self, step: Step) -> Result<()> {
         match step {
             Step::ChangeShare => self.change_share(),
+            Step::LoseAnswers => self.site.worker(LOSING).set_mode(Mode::Reset),
+            Step::KeepAnswers => self.site.worker(LOSING).set_mode(Mode::Ok),
             Step::BreakWorker => self.site.worker(BROKEN).set_mode(Mode::FailAll),
             Step::MendWorker => self.site.worker(BROKEN).set_mode(Mode::Ok),
             Step::Depart => self.set_phase(DEPARTING, Phase::Leaving)?,
