--- /dev/null
+++ b/tests/all/acknowledge.rs
@@ -0,0 +1,109 @@
+//! Checks of workers, and whose acknowledgement a departure waits for.
+
+use crate::cases;
+use eyre::Result;
+use primroseroute_controller::{HttpProbe, Probe};
+use primroseroute_domain::{id, instance::State};
+use primroseroute_platform::fleet::{Listed, Phase};
+use primroseroute_testbed::{Layout, Site, backend, platform, platform::fault::Outage};
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Far more than a departure takes; only a fault gets there.
+const DEPARTURE: Duration = Duration::from_secs(30);
+
+cases! {
+    healthy_worker_passes_its_check => healthy_worker();
+    departure_waits_for_an_entry_that_has_just_registered => just_registered();
+    entry_that_the_platform_lists_as_gone_holds_up_no_departure => gone_entry();
+}
+
+/// The worker answers its check well and closes the connection, as it was asked to. The check must
+/// not take the close for the end without an answer, or arrivals never serve.
+async fn healthy_worker() -> Result<()> {
+    let address = "127.0.0.1:0".parse()?;
+    let worker = backend::Backend::bind(address, backend::Options::default()).await?;
+    let probe = HttpProbe::open(backend::HEALTH_PATH);
+    for _ in 0..100 {
+        assert!(probe.is_well(worker.address()).await);
+    }
+    Ok(())
+}
+
+/// An entry is killed and the platform's list says so. It can send nothing any more, so an instance
+/// that leaves must not wait for its acknowledgement.
+async fn gone_entry() -> Result<()> {
+    let mut site = Site::open(Layout::small(), platform::Options::default()).await?;
+    site.converge().await?;
+    // Until `entry-0` has read that the other one is registered, it would not wait for it at all.
+    while site.entry("entry-0").admin.status().await?.entries.len() < 2 {
+        sleep(Duration::from_millis(20)).await;
+    }
+    site.take("entry-1").entry.abort().await;
+    let fleet = site.platform.fleet();
+    fleet.add(Listed {
+        id: "entry-1".parse()?,
+        address: "127.0.0.1:9".parse()?,
+        zone: "zone-0".parse()?,
+        rack: "rack-of-entries".parse()?,
+        phase: Phase::Gone,
+        boots: 1,
+    });
+    let departing: id::Instance = "stay-0".parse()?;
+    fleet.set_phase(&departing, Phase::Leaving);
+    let left = async {
+        loop {
+            let instances = site.any().admin.instances().await?;
+            let row = instances
+                .iter()
+                .find(|found| found.row.value.id == departing);
+            if row.is_none_or(|found| found.row.value.state == State::Leaving) {
+                return eyre::Ok(());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(DEPARTURE, left).await?
+}
+
+/// `entry-0` holds the controller's lease and reads the registrations once a minute. `late`
+/// registers, loads the view, and is cut off from store and peers. It still sends to the instance
+/// that leaves, so the instance must stay in `draining` until `late` is heard or gone.
+async fn just_registered() -> Result<()> {
+    let mut site = Site::open(Layout::small(), platform::Options::default()).await?;
+    site.start_with("entry-0", |mut parts| {
+        parts.timers.roster = Duration::from_secs(60);
+        parts
+    })
+    .await?;
+    let seq = site.place_workers().await?;
+    site.in_force(seq).await?;
+    let [late, first] = ["late".parse()?, "entry-0".parse()?];
+    site.network.cut(&late, &first);
+    site.start("late").await?;
+    let key = primroseroute_ledger::key::entry(&late);
+    while site.ledger().table().read(&key).await?.is_none()
+        || site.entry("late").entry.in_force() < seq
+    {
+        sleep(Duration::from_millis(5)).await;
+    }
+    site.platform
+        .client("late")
+        .faults()
+        .set_outage(Some(Outage::Refuse));
+    let departing: id::Instance = "stay-0".parse()?;
+    site.platform.fleet().set_phase(&departing, Phase::Leaving);
+    for _ in 0..100 {
+        let instances = site.entry("entry-0").admin.instances().await?;
+        let row = instances
+            .iter()
+            .find(|found| found.row.value.id == departing);
+        let state = row.map(|found| found.row.value.state);
+        assert!(
+            matches!(state, Some(State::Serving | State::Draining)),
+            "{state:?} while `late` still sends to it",
+        );
+        sleep(Duration::from_millis(20)).await;
+    }
+    Ok(())
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Whole entries over sockets, in front of stand-ins: what callers and operators see.
 
+mod acknowledge;
 mod ctl;
 mod demo;
 mod fleet;
