--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,15 @@
 //! the actions that come back in one conditional transaction. A controller that dies between two
 //! steps loses nothing: its successor calls the same functions with the rows from the table.
 //!
+//! # A cycle
+//!
+//! [`lifecycle::step`], then [`wave::step`] for each wave, then [`placement::plan`] and
+//! [`placement::start`]: each reads the rows as the one before left them, so that no two of them
+//! take out the same instance or use the same room twice. Orders of operators go through
+//! [`lifecycle::order`] and [`wave::plan`] against the rows of the change that they commit on.
+//!
+//! # Modules
+//!
 //! * [`Fleet`]: the rows, the budgets and the unplanned absences that every decision reads.
 //! * [`budget`]: what a pool's budget allows to leave after the worst further loss.
 //! * [`lifecycle`]: the next step of each instance.
