Run entries as processes, and stop, kill and freeze them

Cause: the entry had never run as a process of its own, over the platform's HTTP and the peer link's TCP. Change: primroseroute serve, check and settings; settings turned into parts; SIGTERM and SIGINT stop gracefully.

--- /dev/null
+++ b/crates/serve/src/cli.rs
@@ -0,0 +1,89 @@
+//! The command line of the entry's process.
+
+use crate::{parts, signal};
+use clap::{Parser, Subcommand};
+use eyre::{Result, WrapErr};
+use primroseroute_entry::Entry;
+use primroseroute_settings::{Error, Settings, documented};
+use primroseroute_telemetry::log::Log;
+use std::{path::PathBuf, process::ExitCode};
+
+/// Serve callers, hold promises, and keep a fleet moving.
+#[derive(Debug, Parser)]
+#[command(name = "primroseroute", version, propagate_version = true)]
+pub struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run the entry until SIGTERM.
+    Serve {
+        /// Its settings.
+        #[arg(long)]
+        settings: PathBuf,
+    },
+    /// Report every fault of a settings file.
+    Check {
+        /// The file.
+        #[arg(long)]
+        settings: PathBuf,
+    },
+    /// Print the documented default settings.
+    Settings,
+}
+
+/// Exit code where the settings are faulty.
+const FAULTY: u8 = 2;
+
+/// Runs the command line.
+///
+/// # Errors
+/// Where the entry cannot start.
+pub async fn run(cli: Cli) -> Result<ExitCode> {
+    match cli.command {
+        Command::Settings => {
+            print!("{}", documented());
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Check { settings } => Ok(match Settings::load(&settings) {
+            Ok(_settings) => ExitCode::SUCCESS,
+            Err(error) => report(&error),
+        }),
+        Command::Serve { settings } => match Settings::load(&settings) {
+            Ok(settings) => serve(&settings).await,
+            Err(error) => Ok(report(&error)),
+        },
+    }
+}
+
+fn report(error: &Error) -> ExitCode {
+    if error.faults().is_empty() {
+        eprintln!("{error}");
+    }
+    for fault in error.faults() {
+        eprintln!("{fault}");
+    }
+    ExitCode::from(FAULTY)
+}
+
+async fn serve(settings: &Settings) -> Result<ExitCode> {
+    let log = Log::start(settings.telemetry.level).wrap_err("starting the log")?;
+    let stop = signal::stop()?;
+    let name = settings.entry.name.clone();
+    let entry = Entry::spawn(parts::build(settings)?)
+        .await
+        .wrap_err("starting the entry")?;
+    log::info!(
+        "entry {name} serves callers on {} and operators on {}",
+        entry.callers(),
+        entry.admin()
+    );
+    stop.await;
+    log::info!("entry {name} stops");
+    entry.stop().await;
+    log::info!("entry {name} has stopped");
+    drop(log);
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -14,4 +14,4 @@
 #[doc(no_inline)]
 pub use primroseroute_client::{Admin, Answer, Caller, Said};
 #[doc(no_inline)]
-pub use primroseroute_standin::{backend, platform};
+pub use primroseroute_standin::{backend, platform, server};
--- /dev/null
+++ b/tests/all/process.rs
@@ -0,0 +1,263 @@
+//! Entries as processes of their own, over TCP to each other: stopped, killed and frozen.
+
+use crate::LIMIT;
+use eyre::{OptionExt, Result, ensure};
+use http::Method;
+use primroseroute_api::{Apply, Order};
+use primroseroute_platform::fleet::{Listed, Phase};
+use primroseroute_testbed::{
+    Admin, Caller, OPERATOR_TOKEN, Said, backend, caller_token, platform, template, token_hash,
+};
+use rustix::process::{Pid, Signal, kill_process};
+use std::{
+    io::{BufRead, BufReader},
+    net::{Ipv4Addr, SocketAddr},
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+use tokio::time::{Instant, sleep};
+
+/// Names each case; a case that returns an error fails.
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $name() -> Result<()> {
+            $body.await
+        }
+    )*};
+}
+
+cases! {
+    processes_serve_drain_and_stop_with_success => serve_drain_stop();
+    killed_process_is_succeeded => killed();
+    frozen_process_wakes_up_to_a_newer_view => frozen();
+}
+
+/// An entry's process; it is killed when it is dropped.
+struct Process {
+    child: Child,
+    callers: SocketAddr,
+    admin: Admin,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already, which is as good.
+        let _ended = self.child.kill();
+        let _status = self.child.wait();
+    }
+}
+
+impl Process {
+    /// Starts the entry `name` and waits until it listens.
+    fn start(name: &str, platform: &str) -> Result<Self> {
+        let folder = tempfile::tempdir()?;
+        let file = folder.path().join("settings.yaml");
+        std::fs::write(&file, settings(name, platform))?;
+        let mut child = Command::new(env!("CARGO_BIN_EXE_primroseroute"))
+            .args(["serve", "--settings"])
+            .arg(&file)
+            .env("TEST_PEER_KEY", "a key that all entries of the test share")
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let stderr = child.stderr.take().ok_or_eyre("its log is piped")?;
+        let mut lines = BufReader::new(stderr).lines();
+        let serves = loop {
+            let line = lines.next().ok_or_eyre("it ended before it served")??;
+            if let Some((_, rest)) = line.split_once("serves callers on ") {
+                break rest.to_owned();
+            }
+        };
+        // The pipe is read to its end, or a full one would stop the entry at its next line.
+        std::thread::spawn(move || lines.for_each(drop));
+        let mut words = serves.split([' ', '"']);
+        let callers = words.next().ok_or_eyre("no callers' address")?.parse()?;
+        let admin: SocketAddr = words.nth(3).ok_or_eyre("no admin address")?.parse()?;
+        Ok(Self {
+            child,
+            callers,
+            admin: Admin::open(admin, OPERATOR_TOKEN),
+        })
+    }
+
+    fn signal(&self, signal: Signal) -> Result<()> {
+        let pid = Pid::from_raw(i32::try_from(self.child.id())?).ok_or_eyre("it has a pid")?;
+        Ok(kill_process(pid, signal)?)
+    }
+
+    async fn ended(&mut self) -> Result<ExitStatus> {
+        let give_up = Instant::now() + LIMIT;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            ensure!(Instant::now() < give_up, "it does not end");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+fn settings(name: &str, platform: &str) -> String {
+    let operator = token_hash(OPERATOR_TOKEN).0;
+    format!(
+        "entry: {{name: {name}, zone: zone-0, region: region-0}}\n\
+         listen: {{callers: 127.0.0.1:0, admin: 127.0.0.1:0, peers: 127.0.0.1:0}}\n\
+         platform: {{url: {platform}}}\n\
+         secrets:\n  operator-tokens: [{{hash: {operator}}}]\n  peer-key: {{env: TEST_PEER_KEY}}\n\
+         timers: {{poll: 200ms, drain-grace: 100ms}}\n"
+    )
+}
+
+/// The surroundings: a platform behind HTTP, and workers.
+struct World {
+    server: primroseroute_testbed::server::Server,
+    workers: Vec<backend::Backend>,
+}
+
+impl World {
+    /// Three workers that the platform lists as live.
+    async fn open() -> Result<Self> {
+        let platform = platform::Platform::open(1, platform::Options::default());
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let server = primroseroute_testbed::server::Server::bind(platform.clone(), any).await?;
+        let mut workers = Vec::new();
+        for index in 0..3 {
+            let name = format!("w-{index}");
+            let options = backend::Options {
+                name: name.as_str().into(),
+                ..Default::default()
+            };
+            let worker = backend::Backend::bind(any, options).await?;
+            platform.fleet().add(Listed {
+                id: name.parse()?,
+                address: worker.address(),
+                zone: format!("zone-{index}").parse()?,
+                rack: format!("rack-{index}").parse()?,
+                phase: Phase::Live,
+                boots: 1,
+            });
+            workers.push(worker);
+        }
+        Ok(Self { server, workers })
+    }
+
+    fn start(&self, name: &str) -> Result<Process> {
+        Process::start(name, &self.server.url())
+    }
+
+    /// Two entries that have everything in force, with all three workers serving.
+    async fn two_entries(&self) -> Result<(Process, Process)> {
+        let (a, b) = (self.start("entry-a")?, self.start("entry-b")?);
+        let template = template("stay", 1, 3);
+        let order = Apply {
+            template,
+            if_version: None,
+            reason: "test".into(),
+        };
+        a.admin.apply(&order).await?;
+        for entry in [&a, &b] {
+            serving(entry, 3).await?;
+        }
+        Ok((a, b))
+    }
+
+    fn executions(&self) -> u64 {
+        self.workers
+            .iter()
+            .map(|worker| worker.count().executions)
+            .sum()
+    }
+}
+
+/// Waits until `entry` sees `count` instances serving.
+async fn serving(entry: &Process, count: u32) -> Result<()> {
+    let give_up = Instant::now() + LIMIT;
+    loop {
+        let status = entry.admin.status().await?;
+        if status.instances.get("serving") == Some(&count) {
+            return Ok(());
+        }
+        ensure!(Instant::now() < give_up, "{status:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+async fn get(entry: &Process) -> Said {
+    let caller = Caller::open(caller_token("stay"));
+    caller
+        .send(entry.callers, Method::GET, "/stay/beds", &[], "", LIMIT)
+        .await
+        .said
+}
+
+async fn serve_drain_stop() -> Result<()> {
+    let world = World::open().await?;
+    let (mut a, b) = world.two_entries().await?;
+    for entry in [&a, &b] {
+        assert_eq!(get(entry).await, Said::Completed);
+    }
+    assert_eq!(world.executions(), 2);
+
+    let order = Order {
+        if_version: None,
+        reason: "test".into(),
+        force: true,
+    };
+    b.admin.drain(&"w-0".parse()?, &order).await?;
+    for entry in [&a, &b] {
+        serving(entry, 2).await?;
+    }
+    let before = world.workers[0].count().executions;
+    for _ in 0..20 {
+        assert_eq!(get(&a).await, Said::Completed);
+        assert_eq!(get(&b).await, Said::Completed);
+    }
+    assert_eq!(world.workers[0].count().executions, before);
+
+    a.signal(Signal::TERM)?;
+    assert!(a.ended().await?.success());
+    assert_eq!(get(&b).await, Said::Completed);
+    Ok(())
+}
+
+/// One entry's process is killed. Callers at the other are served on, and changes are accepted
+/// there and put in force, whichever of the two held the controller's lease.
+async fn killed() -> Result<()> {
+    let world = World::open().await?;
+    let (mut a, b) = world.two_entries().await?;
+    a.signal(Signal::KILL)?;
+    a.ended().await?;
+    assert_eq!(get(&b).await, Said::Completed);
+    let order = Order {
+        if_version: None,
+        reason: "test".into(),
+        force: true,
+    };
+    b.admin.drain(&"w-0".parse()?, &order).await?;
+    serving(&b, 2).await?;
+    b.admin.release(&"w-0".parse()?, &order).await?;
+    serving(&b, 3).await
+}
+
+/// One entry's process is frozen while a worker is drained, and wakes up with its old view. It may
+/// send by it for a moment; then it must have the drain in force and send the worker nothing.
+async fn frozen() -> Result<()> {
+    let world = World::open().await?;
+    let (a, b) = world.two_entries().await?;
+    a.signal(Signal::STOP)?;
+    let order = Order {
+        if_version: None,
+        reason: "test".into(),
+        force: true,
+    };
+    b.admin.drain(&"w-0".parse()?, &order).await?;
+    serving(&b, 2).await?;
+    a.signal(Signal::CONT)?;
+    serving(&a, 2).await?;
+    let before = world.workers[0].count().executions;
+    for _ in 0..20 {
+        assert_eq!(get(&a).await, Said::Completed);
+    }
+    assert_eq!(world.workers[0].count().executions, before);
+    Ok(())
+}
