--- a/crates/controller/src/act.rs
+++ b/crates/controller/src/act.rs
@@ -26,6 +26,8 @@
 pub(crate) struct Seen {
     pub listed: BTreeMap<id::Instance, Listed>,
     pub checks: BTreeMap<id::Instance, Checks>,
+    /// Whether planned work may take instances out; before that, losses could be unknown.
+    pub may_plan: bool,
     pub voices: Vec<Voice>,
     pub now: Instant,
     pub limits: Limits,
@@ -148,8 +150,10 @@
         now: seen.now,
     });
     let reboots = write(actions, &mut table, draft);
-    step_waves(snapshot, &mut table, seen, draft)?;
-    place(&table, seen, draft);
+    if seen.may_plan {
+        step_waves(snapshot, &mut table, seen, draft)?;
+        place(&table, seen, draft);
+    }
     Ok(reboots)
 }
 
--- a/crates/controller/src/cycle.rs
+++ b/crates/controller/src/cycle.rs
@@ -45,10 +45,14 @@
     pub(crate) async fn cycle(&mut self, parts: &Parts, held: &Held) -> Result<(), Refusal> {
         let listed = self.list(parts).await?;
         let rows: BTreeMap<id::Instance, Row> = rows(&parts.cell.current());
-        self.book.round(&rows, &parts.probe, &parts.timers).await;
+        let enough = parts.limits.bad_checks;
+        self.book
+            .round(&rows, &parts.probe, &parts.timers, enough)
+            .await;
         let seen = Seen {
             listed,
             checks: self.book.checks().clone(),
+            may_plan: self.book.is_settled(&rows, enough),
             voices: parts.roster.voices().await?,
             now: parts.clock.now(),
             limits: parts.limits,
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -10,7 +10,7 @@
 pub mod fleet;
 mod gate;
 mod object;
-mod table;
+pub mod table;
 pub mod tally;
 pub mod task;
 
--- a/crates/standin/src/platform/table.rs
+++ b/crates/standin/src/platform/table.rs
@@ -12,11 +12,22 @@
     table::{Commit, Condition, Key, Page, Revision, Row, Scan, Table, Txn, Write},
 };
 use std::{collections::BTreeMap, ops::Bound};
+use tokio::time::Instant;
 
 #[derive(Debug, Default)]
 pub(super) struct Rows {
     newest: Revision,
-    rows: BTreeMap<Key, (Bytes, Revision)>,
+    stored: BTreeMap<Key, (Bytes, Revision)>,
+    journal: Option<Vec<Entry>>,
+}
+
+/// A transaction that took effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// When it took effect, whenever its answer came, if any.
+    pub at: Instant,
+    /// What it wrote.
+    pub writes: Vec<Write>,
 }
 
 fn weigh(key: &Key, value: &Bytes) -> u64 {
@@ -25,7 +36,7 @@
 
 impl Rows {
     fn row(&self, key: &Key) -> Option<Row> {
-        let (value, revision) = self.rows.get(key)?;
+        let (value, revision) = self.stored.get(key)?;
         Some(Row {
             key: Key::clone(key),
             value: value.clone(),
@@ -39,7 +50,7 @@
             _ => Bound::Included(&scan.prefix),
         };
         let mut found = self
-            .rows
+            .stored
             .range::<Key, _>((from, Bound::Unbounded))
             .take_while(|(key, _)| key.starts_with(scan.prefix.as_ref()))
             .map(|(key, (value, revision))| Row {
@@ -54,9 +65,9 @@
 
     fn holds(&self, condition: &Condition) -> bool {
         match condition {
-            Condition::Absent(key) => !self.rows.contains_key(key),
+            Condition::Absent(key) => !self.stored.contains_key(key),
             Condition::At(key, revision) => {
-                self.rows.get(key).is_some_and(|(_, at)| at == revision)
+                self.stored.get(key).is_some_and(|(_, at)| at == revision)
             }
         }
     }
@@ -68,13 +79,20 @@
         }
         let revision = Revision(self.newest.0 + 1);
         self.newest = revision;
+        if let Some(journal) = &mut self.journal {
+            let at = Instant::now();
+            journal.push(Entry {
+                at,
+                writes: txn.writes.clone(),
+            });
+        }
         for write in txn.writes {
             match write {
                 Write::Put(key, value) => {
-                    self.rows.insert(key, (value, revision));
+                    self.stored.insert(key, (value, revision));
                 }
                 Write::Delete(key) => {
-                    self.rows.remove(&key);
+                    self.stored.remove(&key);
                 }
             }
         }
@@ -82,6 +100,18 @@
     }
 }
 
+impl Platform {
+    /// Keeps every transaction from now on, for a test that looks at the order of effects.
+    pub fn keep_journal(&self) {
+        self.shared.rows.lock().journal = Some(Vec::new());
+    }
+
+    /// The transactions that took effect since the journal is kept, in their order.
+    pub fn journal(&self) -> Vec<Entry> {
+        self.shared.rows.lock().journal.clone().unwrap_or_default()
+    }
+}
+
 fn bytes_of(txn: &Txn) -> u64 {
     let each = txn.writes.iter().map(|write| match write {
         Write::Put(key, value) => weigh(key, value),
