--- a/benches/request_path/bed.rs
+++ b/benches/request_path/bed.rs
@@ -28,6 +28,9 @@
 /// How long a caller waits.
 pub const TIMEOUT: Duration = Duration::from_secs(1);
 
+/// One way between two entries; the network of the testbed has none of its own.
+const HOP: Duration = Duration::from_millis(1);
+
 /// The platform's calls take about what they do within a region: 1 ms each way, and some jitter.
 fn platform() -> PlatformOptions {
     PlatformOptions {
@@ -104,6 +107,7 @@
             ..WorkerOptions::default()
         };
         let mut site = Site::open_with(layout, platform(), worker).await?;
+        site.network.set_latency(HOP);
         for index in 0..dims.entries {
             site.start_with(&format!("entry-{index}"), deployed).await?;
         }
--- a/benches/request_path/change.rs
+++ b/benches/request_path/change.rs
@@ -21,7 +21,10 @@
 const RATE: f64 = 1400.0;
 
 /// How long the worker is watched after the drain was accepted.
-const WATCH: Duration = Duration::from_secs(6);
+const WATCH: Duration = Duration::from_secs(3);
+
+/// The same where the store is down, for which the goal is wider.
+const LONG_WATCH: Duration = Duration::from_secs(6);
 
 /// Changes of the configuration.
 const CHANGES: u32 = 100;
@@ -32,15 +35,23 @@
 /// Drains with the store up and down, then changes of the configuration.
 pub async fn measure(seed: u64) -> Result<Vec<Figure>> {
     let bed = Bed::open(SIZE, seed).await?;
-    let up = drain(&bed, "stay-1", None).await?;
-    let down = drain(&bed, "stay-2", Some(Outage::Refuse)).await?;
-    bed.site.platform.faults().set_outage(None);
+    let up = drain(&bed, "stay-1", WATCH, || {}).await?;
+    let names: Vec<_> = bed.site.entries.keys().cloned().collect();
+    let network = &bed.site.network;
+    network.part(&names[..1], &names[1..]);
+    let cut = drain(&bed, "stay-2", WATCH, || {}).await?;
+    network.heal_all();
+    let faults = bed.site.platform.faults();
+    let outage = || faults.set_outage(Some(Outage::Refuse));
+    let down = drain(&bed, "stay-3", LONG_WATCH, outage).await?;
+    faults.set_outage(None);
     let mut times = changes(&bed).await?;
     times.sort_by(f64::total_cmp);
     // With a hundred changes, the percentile is the rank.
     let at = |percentile: usize| times[percentile - 1] * 1e3;
     Ok(vec![
         Figure::new("drain accepted to last new request", "s", up).with(Goal::AtMost(2.0)),
+        Figure::new("the same, no peer hears of it", "s", cut).with(Goal::AtMost(2.0)),
         Figure::new("the same, store down from then on", "s", down).with(Goal::AtMost(5.0)),
         Figure::new("configuration in force on 7 entries, p50", "ms", at(50)),
         Figure::new("configuration in force on 7 entries, p99", "ms", at(99))
@@ -48,10 +59,11 @@
     ])
 }
 
-/// Time from the acceptance of a drain to the worker's last new request.
-async fn drain(bed: &Bed, name: &str, outage: Option<Outage>) -> Result<f64> {
+/// Seconds from the acceptance of a drain at the first entry to the worker's last new request;
+/// `then` happens with the acceptance.
+async fn drain(bed: &Bed, name: &str, watch: Duration, then: impl Fn()) -> Result<f64> {
     let plan = Plan {
-        measured: WATCH,
+        measured: watch,
         ..bed.through(Loop::Open { rate: RATE })
     };
     let load = tokio::spawn(async move { measured(&plan).await });
@@ -64,16 +76,16 @@
     let admin = &bed.site.any().admin;
     admin.drain(&name.parse()?, &order()).await?;
     let accepted = Instant::now();
-    bed.site.platform.faults().set_outage(outage);
-    let last = last_request(&worker, accepted).await;
+    then();
+    let last = last_request(&worker, accepted, watch).await;
     load.await??;
     Ok(last.as_secs_f64())
 }
 
-async fn last_request(worker: &Backend, accepted: Instant) -> Duration {
+async fn last_request(worker: &Backend, accepted: Instant, watch: Duration) -> Duration {
     let mut seen = worker.count().executions;
     let mut last = Duration::ZERO;
-    while accepted.elapsed() < WATCH {
+    while accepted.elapsed() < watch {
         sleep(LOOK).await;
         let now = worker.count().executions;
         if now > seen {
--- a/benches/request_path/store.rs
+++ b/benches/request_path/store.rs
@@ -20,8 +20,14 @@
 /// Time at rest that is counted: four looks at the roster.
 const REST: Duration = Duration::from_secs(20);
 
-/// Requests of each kind that are counted.
-const REQUESTS: u64 = 2000;
+/// Reads that are counted: so many that what is asked for at rest meanwhile hardly counts.
+const READS: u64 = 20_000;
+
+/// Keyed requests that are counted; the table takes 600 rows written a second.
+const KEYED: u64 = 2000;
+
+/// Outcomes of claims are written after the answers; by then they all are.
+const SETTLED: Duration = Duration::from_secs(5);
 
 /// Calls and rows.
 #[derive(Clone, Copy, Debug)]
@@ -102,7 +108,7 @@
 /// What a thousand requests ask for beyond what is asked for at rest in the same time.
 async fn requests(bed: &Bed, keyed: bool, rest: Asked) -> Result<Asked> {
     let mut plan = Plan {
-        requests: REQUESTS,
+        requests: if keyed { KEYED } else { READS },
         warm_up: Duration::ZERO,
         measured: Duration::from_secs(30),
         ..bed.through(Loop::Closed { callers: 28 })
@@ -113,8 +119,7 @@
     }
     let (before, started) = (Asked::so_far(bed), Instant::now());
     let completed = measured(&plan).await?.total().completed;
-    // Outcomes of claims are written after the answers.
-    sleep(Duration::from_secs(1)).await;
+    sleep(SETTLED).await;
     let asked = Asked::so_far(bed) - before;
     let beyond = asked - rest.times(started.elapsed().as_secs_f64());
     Ok(beyond.times(1000.0 / completed as f64))
