Let connections that were just opened have their first request at a stop

Change: a connection is told to close only once it has begun a request, or after 500 ms without one, and what the backlog holds is accepted before the listener closes. Conclusion: a connection that arrives between the last accept and the close, some microseconds, can still be reset; the readiness that goes off before keeps balancers from opening any then.

--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -5,21 +5,23 @@
 use gotham::{anyhow, handler::NewHandler, service::call_handler, state::State};
 use http::{HeaderValue, Request, header::CONNECTION};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::{GracefulShutdown, Watcher},
-};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use primroseroute_domain::outcome::{Code, Refusal};
-use std::{net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration};
+use std::{net::SocketAddr, panic::AssertUnwindSafe, pin::pin, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, watch},
+    sync::{Notify, Semaphore, watch},
     task::JoinHandle,
+    time::timeout,
 };
 
 /// Pause after a failed accept, such as when file descriptors run out; without it the loop spins.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How long a stopping server waits for the first request of a connection: one that a caller has
+/// just opened sends within a round trip, tens of milliseconds between regions.
+const FIRST_REQUEST: Duration = Duration::from_millis(500);
+
 /// Smallest read buffer that the HTTP library takes.
 const LEAST_BUFFER: usize = 8 << 10;
 
@@ -126,7 +128,6 @@
 ) where
     H: NewHandler + 'static,
 {
-    let graceful = GracefulShutdown::new();
     let names = Arc::new(Names::open());
     let room = Arc::new(Semaphore::new(options.connections));
     // Connections live and die with this task, so that `abort` is like the loss of the process.
@@ -155,15 +156,18 @@
             Arc::clone(&handler),
             Arc::clone(&names),
             stop.clone(),
-            graceful.watcher(),
         );
         connections.spawn(async move {
             connection.await;
             drop(permit);
         });
     }
+    // Closing the listener resets what waits in its backlog, whose callers may have sent already.
+    while let Ok(Ok((socket, caller))) = timeout(Duration::ZERO, listener.accept()).await {
+        let (handler, names) = (Arc::clone(&handler), Arc::clone(&names));
+        connections.spawn(serve(socket, caller, options, handler, names, stop.clone()));
+    }
     drop(listener);
-    graceful.shutdown().await;
     while connections.join_next().await.is_some() {}
 }
 
@@ -175,6 +179,17 @@
         .is_err();
 }
 
+/// Waits for the stop, and then until the connection has begun a request.
+///
+/// Told to close before that, the HTTP library closes a connection that was accepted a moment ago
+/// while its caller's first request is on the way, and the caller cannot tell whether it ran.
+async fn may_close(stop: &mut watch::Receiver<Phase>, begun: &Notify) {
+    stopped(stop).await;
+    if timeout(FIRST_REQUEST, begun.notified()).await.is_err() {
+        log::debug!("a connection that never had a request is closed");
+    }
+}
+
 /// Bytes of a request's line and headers, without the punctuation between them.
 fn head_bytes<B>(request: &Request<B>) -> usize {
     let headers = request.headers().iter();
@@ -192,7 +207,6 @@
     handler: Arc<H>,
     names: Arc<Names>,
     phase: watch::Receiver<Phase>,
-    watcher: Watcher,
 ) where
     H: NewHandler + 'static,
 {
@@ -200,7 +214,11 @@
     if let Err(error) = socket.set_nodelay(true) {
         log::debug!("setting TCP_NODELAY for {caller} failed: {error}");
     }
+    let begun = Arc::new(Notify::new());
+    let mut stop = phase.clone();
+    let begins = Arc::clone(&begun);
     let respond = service_fn(move |mut request: Request<Incoming>| {
+        begins.notify_one();
         let name = names.ensure(request.headers_mut());
         let handler = Arc::clone(&handler);
         let phase = phase.clone();
@@ -227,7 +245,15 @@
         .max_buf_size(options.head_bytes.max(LEAST_BUFFER) * 2)
         .keep_alive(true)
         .serve_connection(TokioIo::new(socket), respond);
-    if let Err(error) = watcher.watch(connection).await {
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = may_close(&mut stop, &begun) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
         log::debug!("the connection of {caller} ended early: {error}");
     }
 }
