Drive jobs from the controller while it holds the lease

Cause: the decisions on jobs existed and nothing carried them out.

Change: a task beside the lifecycle's cycle keeps a board, opened from the rows at takeover and brought up to date in each cycle. It reads the reports, plans on the newest rows inside `amend`, commits all rows as one change under the epoch, and only then sends the calls, 64 at a time with a limit of 5 s each, or not at all later than 10 s after the decision. Quarantines go out in the same change within the availability budget. The tasks speak as a further voice among the acknowledgements, so a drained instance is not empty while a job runs or may run there. A plan starts at most 100 jobs (`Limits::starts`, unlimited by default in the pure crate); the newest 1,000 rows of ended jobs are kept. Workers count as 64 cores and 256 GiB.

--- a/crates/controller/src/act.rs
+++ b/crates/controller/src/act.rs
@@ -16,9 +16,12 @@
 use primroseroute_ledger::{Draft, key};
 use primroseroute_platform::fleet::{Listed, Phase};
 use primroseroute_view::Snapshot;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use crate::roster::{Voice, acknowledgements};
+use crate::{
+    jobs,
+    roster::{Voice, acknowledgements},
+};
 
 /// What a cycle has read besides the snapshot.
 #[derive(Debug)]
@@ -65,13 +68,9 @@
             .accounts()
             .values()
             .map(|row| -> &Template { &row.value });
-        let absent = rows
-            .values()
-            .filter(|row| is_absent(row, seen))
-            .map(|row| row.id.clone());
         let fleet = Fleet {
             budgets: Fleet::budgets(templates),
-            absent: absent.collect(),
+            absent: absent(&rows, seen),
             rows,
         };
         let marks = marks
@@ -86,6 +85,12 @@
     }
 }
 
+/// Serving instances that are known not to serve.
+pub(crate) fn absent(rows: &BTreeMap<id::Instance, Row>, seen: &Seen) -> BTreeSet<id::Instance> {
+    let absent = rows.values().filter(|row| is_absent(row, seen));
+    absent.map(|row| row.id.clone()).collect()
+}
+
 /// Whether a serving instance is known not to serve, before its row says so.
 fn is_absent(row: &Row, seen: &Seen) -> bool {
     let failing = seen
@@ -119,12 +124,16 @@
     draft: &mut Draft,
 ) -> Result<Vec<Reboot>, Refusal> {
     let mut table = Table::read(snapshot, seen)?;
-    let entries = acknowledgements(
+    let mut entries = acknowledgements(
         &seen.voices,
         &seen.listed,
         &table.fleet.rows,
         &table.versions,
     );
+    // No entries at all is a failed read, and the tasks' word must not make an answer of it.
+    if !entries.is_empty() {
+        entries.extend(jobs::voice(snapshot)?);
+    }
     let workers = workers(seen);
     let actions = lifecycle::step(&lifecycle::Input {
         rows: &table.fleet.rows,
--- a/crates/controller/src/cycle.rs
+++ b/crates/controller/src/cycle.rs
@@ -3,6 +3,7 @@
 use crate::{
     act::{self, Reboot, Seen},
     checks::Book,
+    jobs::{Desk, Sight},
     lease::Held,
     role::Parts,
 };
@@ -42,7 +43,12 @@
     /// # Errors
     /// Where the platform could not be read or the change not be committed; the next cycle starts
     /// from the table again.
-    pub(crate) async fn cycle(&mut self, parts: &Parts, held: &Held) -> Result<(), Refusal> {
+    pub(crate) async fn cycle(
+        &mut self,
+        parts: &Parts,
+        held: &Held,
+        desk: &Desk,
+    ) -> Result<(), Refusal> {
         let listed = self.list(parts).await?;
         let rows: BTreeMap<id::Instance, Row> = rows(&parts.cell.current());
         self.book.round(&rows, &parts.probe, &parts.timers).await;
@@ -54,6 +60,7 @@
             limits: parts.limits,
             weights: parts.weights,
         };
+        desk.put(Sight::new(&seen.voices, act::absent(&rows, &seen)));
         let reboots = commit(parts, held, &seen).await?;
         call(parts, reboots).await;
         Ok(())
--- a/crates/controller/src/lease.rs
+++ b/crates/controller/src/lease.rs
@@ -49,6 +49,11 @@
         Condition::At(key::EPOCH.into(), self.epoch)
     }
 
+    /// Whether `revision` is still that of its own takeover.
+    pub(crate) fn is_epoch(&self, revision: Revision) -> bool {
+        self.epoch == revision
+    }
+
     pub(crate) fn number(&self) -> u64 {
         self.number
     }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -27,6 +27,7 @@
 mod act;
 mod checks;
 mod cycle;
+pub mod jobs;
 mod keep;
 mod lease;
 mod probe;
--- a/crates/controller/src/role.rs
+++ b/crates/controller/src/role.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     cycle::Memory,
+    jobs::{Desk, Keeper, Settings},
     keep::House,
     lease::{Contender, Held},
     probe::Probe,
@@ -13,7 +14,7 @@
 use primroseroute_fleet::{lifecycle::Limits, placement::Weights};
 use primroseroute_ledger::Ledger;
 use primroseroute_peer::report::Identity;
-use primroseroute_platform::{fleet::Instances, object::Store};
+use primroseroute_platform::{fleet::Instances, object::Store, task::Tasks};
 use primroseroute_view::Cell;
 use std::{sync::Arc, time::Duration};
 use tokio::{
@@ -66,6 +67,10 @@
     pub clock: Arc<dyn Clock>,
     /// The platform's instances.
     pub instances: Arc<dyn Instances>,
+    /// The platform's tasks.
+    pub tasks: Arc<dyn Tasks>,
+    /// How jobs are driven.
+    pub jobs: Settings,
     /// The platform's objects, for the archive of the audit trail.
     pub objects: Arc<dyn Store>,
     /// How much of the audit trail stays in the table.
@@ -137,6 +142,8 @@
     held: Option<Held>,
     memory: Memory,
     house: House,
+    desk: Arc<Desk>,
+    jobs: Option<Keeper>,
     renewed: Instant,
     holder: Arc<Mutex<Option<id::Entry>>>,
 }
@@ -157,6 +164,8 @@
             held: None,
             memory,
             house,
+            desk: Arc::default(),
+            jobs: None,
             renewed: Instant::now(),
             holder,
         }
@@ -171,6 +180,7 @@
                 _ = stop.changed() => break,
             }
         }
+        self.jobs = None;
         if let Some(held) = self.held.take()
             && let Err(error) = self.contender.give_up(&held).await
         {
@@ -184,7 +194,12 @@
         let Some(held) = self.held.clone() else {
             return self.parts.timers.renew;
         };
-        match timeout(CYCLE_LIMIT, self.memory.cycle(&self.parts, &held)).await {
+        match timeout(
+            CYCLE_LIMIT,
+            self.memory.cycle(&self.parts, &held, &self.desk),
+        )
+        .await
+        {
             Ok(Ok(())) => {}
             Ok(Err(refusal)) => log::warn!("a cycle ended early: {refusal}"),
             Err(elapsed) => log::warn!("a cycle took too long: {elapsed}"),
@@ -204,6 +219,7 @@
         match outcome {
             Ok(Ok(held)) => {
                 self.note(held.as_ref());
+                self.drive(held.as_ref());
                 self.held = held;
                 self.renewed = Instant::now();
             }
@@ -214,6 +230,18 @@
         }
     }
 
+    /// Drives the jobs for as long as the lease is held.
+    fn drive(&mut self, held: Option<&Held>) {
+        match held {
+            None => self.jobs = None,
+            Some(held) if self.jobs.is_none() => {
+                let (parts, desk) = (self.parts.clone(), Arc::clone(&self.desk));
+                self.jobs = Some(Keeper::spawn(parts, held.clone(), desk));
+            }
+            Some(_) => {}
+        }
+    }
+
     fn note(&self, held: Option<&Held>) {
         let name = &self.parts.identity.entry;
         match (&self.held, held) {
--- /dev/null
+++ b/crates/controller/tests/all/jobs/fault.rs
@@ -0,0 +1,189 @@
+//! Many faults together, by seed.
+
+use super::{
+    cases,
+    world::{SECOND, WORKERS, World, name, names, quarter, script},
+};
+use primroseroute_domain::instance::{self, Purpose};
+use primroseroute_jobs::State;
+use primroseroute_standin::platform::{fault::Outage, tally::Kind, task::Ending};
+use rand::RngExt;
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Seeds of one run of the tests.
+const SEEDS: u64 = 16;
+
+/// Disturbances of one seed.
+const STEPS: usize = 40;
+
+const JOBS: usize = 80;
+
+cases! {
+    never_two_runs_of_one_job => many();
+}
+
+/// What one seed is at.
+struct Run {
+    world: World,
+    rng: ChaCha8Rng,
+    started: usize,
+}
+
+impl Run {
+    fn below(&mut self, bound: u32) -> u32 {
+        self.rng.random_range(0..bound)
+    }
+
+    fn worker(&mut self) -> String {
+        format!("w{}", self.below(WORKERS))
+    }
+
+    fn controller(&mut self) -> String {
+        let running = self.world.running();
+        let count = u32::try_from(running.len()).expect("few");
+        running[self.below(count) as usize].clone()
+    }
+
+    /// One disturbance, or the end of one.
+    async fn disturb(&mut self) {
+        let faults = self.world.platform.faults().clone();
+        let count = self.below(8) as usize;
+        let late = Duration::from_secs(u64::from(self.below(10)));
+        match self.below(16) {
+            0 | 1 => {
+                let dead = self.controller();
+                self.world.kill(&dead);
+                self.started += 1;
+                self.world.start(&format!("c{}", self.started));
+            }
+            2 => faults.set_outage(Some(Outage::Refuse)),
+            3 => {
+                let paused = self.controller();
+                let hang = Duration::from_secs(u64::from(10 + self.below(120)));
+                let client = self.world.platform.client(&paused);
+                client.faults().set_outage(Some(Outage::Hang(hang)));
+            }
+            4 => self.heal(),
+            5 => faults.lose_answers(Kind::StartTask, count),
+            6 => faults.delay_effects(Kind::StartTask, count, late),
+            7 => faults.lose_requests(Kind::StartTask, count),
+            8 => faults.delay_effects(Kind::RenewTask, 4 * count, late),
+            9 => faults.lose_requests(Kind::RenewTask, 8 * count),
+            10 => faults.lose_answers(Kind::Commit, count),
+            11 => faults.lose_requests(Kind::StopTask, count),
+            12 => {
+                let worker = name(&self.worker());
+                let ending = (count > 3).then_some(Ending::Failed);
+                self.world.platform.tasks().script_instance(worker, ending);
+            }
+            13 => self.world.platform.tasks().set_lag(4 * late),
+            14 => self.drain().await,
+            _ => self.cancel().await,
+        }
+    }
+
+    fn heal(&self) {
+        self.world.platform.faults().clear();
+        for name in self.world.running() {
+            self.world.platform.client(&name).faults().clear();
+        }
+    }
+
+    async fn drain(&mut self) {
+        self.heal();
+        let at = self.worker();
+        let row = self.world.instance(&at).await;
+        match row.state {
+            instance::State::Serving => {
+                let purpose = Some(Purpose::Operator);
+                self.world
+                    .put(&at, instance::State::Draining, purpose)
+                    .await;
+            }
+            instance::State::Draining => self.world.put(&at, instance::State::Serving, None).await,
+            instance::State::Quarantined => {
+                self.world.put(&at, instance::State::Probation, None).await;
+            }
+            _ => {}
+        }
+    }
+
+    async fn cancel(&mut self) {
+        self.heal();
+        let from = self.below(60) as usize;
+        let jobs = names("j", JOBS);
+        self.world.cancel(&jobs[from..from + 5]).await;
+    }
+
+    /// All workers well and in service again.
+    async fn mend(&mut self) {
+        self.heal();
+        self.world.platform.tasks().set_lag(5 * SECOND);
+        for number in 0..WORKERS {
+            let at = format!("w{number}");
+            self.world.platform.tasks().script_instance(name(&at), None);
+            match self.world.instance(&at).await.state {
+                instance::State::Draining => {
+                    self.world.put(&at, instance::State::Serving, None).await;
+                }
+                instance::State::Quarantined => {
+                    self.world.put(&at, instance::State::Probation, None).await;
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+async fn one(seed: u64) {
+    let mut run = Run {
+        world: World::open(seed, 1).await,
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        started: 2,
+    };
+    for name in ["c0", "c1", "c2"] {
+        run.world.start(name);
+    }
+    for job in names("j", JOBS) {
+        let length = Duration::from_secs(u64::from(5 + run.below(150)));
+        let script = script(length, Ending::Done);
+        run.world.platform.tasks().script_job(name(&job), script);
+    }
+    run.world
+        .submit(&names("j", JOBS / 2), "k", quarter())
+        .await;
+    let later = names("j", JOBS).split_off(JOBS / 2);
+    run.world.submit(&later, "l", quarter()).await;
+    for _ in 0..STEPS {
+        run.disturb().await;
+        let pause = Duration::from_secs(u64::from(1 + run.below(25)));
+        sleep(pause).await;
+    }
+    run.mend().await;
+    let open = run.world.until_ended(3600 * SECOND).await;
+    run.world.assert_single();
+    assert!(open.is_empty(), "seed {seed}: {open:#?}");
+    let rows = run.world.jobs().await;
+    let count =
+        |wanted: fn(&State) -> bool| rows.values().filter(|row| wanted(&row.value.state)).count();
+    println!(
+        "seed {seed}: {} starts, {} done, {} cancelled, {} parked",
+        run.world.starts(),
+        count(|state| *state == State::Done),
+        count(|state| *state == State::Cancelled),
+        count(|state| matches!(state, State::Parked(_))),
+    );
+    assert!(count(|state| *state == State::Done) > 0);
+}
+
+async fn many() {
+    let first = std::env::var("SEED")
+        .ok()
+        .and_then(|seed| seed.parse().ok());
+    let seeds = first.map_or(0..SEEDS, |seed: u64| seed..seed + 1);
+    for seed in seeds {
+        one(seed).await;
+    }
+}
--- a/crates/controller/tests/all/main.rs
+++ b/crates/controller/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! What the controller takes for an acknowledgement, and what it does not.
 
+mod jobs;
+
 use primroseroute_controller::{Voice, acknowledgements};
 use primroseroute_domain::{
     change::Seq,
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -64,6 +64,8 @@
             cell: Arc::clone(&core.cell),
             clock: Arc::clone(&parts.clock),
             instances: parts.instances,
+            tasks: parts.tasks,
+            jobs: parts.jobs,
             objects: Arc::clone(&parts.objects),
             keep: parts.keep,
             probe: parts.probe,
--- a/crates/entry/src/parts.rs
+++ b/crates/entry/src/parts.rs
@@ -4,13 +4,13 @@
 use primroseroute_admin::Tokens;
 use primroseroute_audit::Keep;
 use primroseroute_claims::Seed;
-use primroseroute_controller::{Probe, Timers as ControllerTimers};
+use primroseroute_controller::{Probe, Timers as ControllerTimers, jobs};
 use primroseroute_domain::{id, time::Clock};
 use primroseroute_fleet::{lifecycle, placement::Weights};
 use primroseroute_flow::limits::Limits;
 use primroseroute_front::Options as FrontOptions;
 use primroseroute_peer::{Link, Local, membership, report::Identity};
-use primroseroute_platform::{fleet::Instances, object::Store, table::Table};
+use primroseroute_platform::{fleet::Instances, object::Store, table::Table, task::Tasks};
 use primroseroute_route::{Options as PathOptions, backend::Backend};
 use primroseroute_telemetry::Meter;
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
@@ -83,6 +83,10 @@
     pub table: Arc<dyn Table>,
     /// The platform's instances.
     pub instances: Arc<dyn Instances>,
+    /// The platform's tasks.
+    pub tasks: Arc<dyn Tasks>,
+    /// How jobs are driven.
+    pub jobs: jobs::Settings,
     /// The platform's objects.
     pub objects: Arc<dyn Store>,
     /// How much of the audit trail stays in the table.
--- a/crates/jobs/src/board/fill.rs
+++ b/crates/jobs/src/board/fill.rs
@@ -82,7 +82,10 @@
             .map(|(account, _)| floor.shares.place(account))
             .collect();
         let mut searches: BTreeMap<id::Account, Search> = BTreeMap::new();
-        while let Some(Place { account, .. }) = order.pop_first() {
+        let mut started = 0;
+        while started < self.limits.starts
+            && let Some(Place { account, .. }) = order.pop_first()
+        {
             let lines = &self.queue[&account];
             let search = searches
                 .entry(account.clone())
@@ -93,6 +96,7 @@
                 continue;
             };
             self.start(&job, &instance, &mut floor, now);
+            started += 1;
             order.insert(floor.shares.place(&account));
         }
     }
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -28,6 +28,8 @@
     pub pressure_low: f64,
     /// Fraction of processor time that a throttled job keeps; above zero, so that it finishes.
     pub throttled: f64,
+    /// Most starts of one plan, so that its rows stay within what the store takes in one change.
+    pub starts: usize,
     /// How long before the end of a drain a job is stopped, with or without a checkpoint.
     pub stop_before: Duration,
 }
@@ -45,6 +47,7 @@
             pressure_high: 0.75,
             pressure_low: 0.5,
             throttled: 0.1,
+            starts: usize::MAX,
             stop_before: Duration::from_secs(10),
         }
     }
--- a/crates/testbed/src/parts.rs
+++ b/crates/testbed/src/parts.rs
@@ -4,7 +4,7 @@
 use eyre::Result;
 use primroseroute_admin::Tokens;
 use primroseroute_audit::Keep;
-use primroseroute_controller::{HttpProbe, Timers as ControllerTimers};
+use primroseroute_controller::{HttpProbe, Timers as ControllerTimers, jobs::Settings};
 use primroseroute_domain::{id, time::SystemClock};
 use primroseroute_entry::{Dial, Dialed, Listen, Parts, Timers};
 use primroseroute_peer::{Local, memory::Network, report::Identity};
@@ -47,6 +47,11 @@
         },
         table: Arc::new(platform.client(name.as_str())),
         instances: Arc::new(platform.client(name.as_str())),
+        tasks: Arc::new(platform.client(name.as_str())),
+        jobs: Settings {
+            cycle: Duration::from_millis(100),
+            ..Settings::default()
+        },
         objects: Arc::new(platform.client(name.as_str())),
         keep: Keep::default(),
         probe: Arc::new(HttpProbe::open(HEALTH_PATH)),
