Let operators submit, list, show, cancel and release jobs

Cause: nobody could give the system a job.

Change: `/v1/jobs` at each entry's admin address, the client's methods, and `primrosectl job submit|list|show|cancel|release`, from a YAML file or by options. Each order is one change of at most 250 rows with its audit record. Refusals: 101 for orders that name nothing, too much or a job twice; 501 with every fault of a size or kind; 503 for accounts, pools and jobs that do not exist; 902 where the state or another job of the name forbids it; 903 for a declaration above ten times a worker's size, since declared sizes are off by up to that. The same order again changes nothing. A job's first token is the place of the change that submits it, so that a name may come back after its row went.

--- a/crates/admin/src/edit/mod.rs
+++ b/crates/admin/src/edit/mod.rs
@@ -3,6 +3,7 @@
 mod account;
 mod entry;
 mod instance;
+pub mod job;
 
 pub use account::{apply, diff, faults};
 pub use entry::remove;
--- a/crates/admin/src/http/mod.rs
+++ b/crates/admin/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! The interface over HTTP.
 
 mod auth;
+mod job;
 mod read;
 mod reply;
 mod router;
@@ -13,6 +14,7 @@
 use primroseroute_domain::time::Clock;
 use primroseroute_front::{Options, Server};
 use primroseroute_ledger::Ledger;
+use primroseroute_platform::task::Resources;
 use primroseroute_view::Cell;
 use std::{net::SocketAddr, panic::AssertUnwindSafe, sync::Arc};
 
@@ -29,6 +31,8 @@
     pub cell: Arc<Cell>,
     /// Wall-clock time for change records.
     pub clock: Arc<dyn Clock>,
+    /// What a worker has for jobs.
+    pub capacity: Resources,
     /// Who may use it.
     pub tokens: Tokens,
 }
--- a/crates/admin/src/http/router.rs
+++ b/crates/admin/src/http/router.rs
@@ -1,18 +1,23 @@
 //! Which path does what.
 
-use super::{Shared, read, reply, write};
+use super::{Shared, job, read, reply, write};
 use gotham::{
     helpers::http::Body,
     middleware::state::StateMiddleware,
-    pipeline::{single_middleware, single_pipeline},
+    pipeline::{PipelineHandleChain, single_middleware, single_pipeline},
     prelude::{DefineSingleRoute, DrawRoutes, FromState},
-    router::{Router, builder::build_router, response::StaticResponseExtender},
+    router::{
+        Router,
+        builder::{RouterBuilder, build_router},
+        response::StaticResponseExtender,
+    },
     state::{State, StateData},
 };
 use http::{HeaderMap, Response, StatusCode};
 use primroseroute_api::path;
 use primroseroute_domain::outcome::Refusal;
 use serde::{Deserialize, Serialize};
+use std::panic::RefUnwindSafe;
 
 /// The name in a path such as `/v1/accounts/:name`.
 #[derive(Debug, Deserialize, StateData)]
@@ -63,6 +68,27 @@
     };
 }
 
+fn draw_jobs<C, P>(route: &mut RouterBuilder<'_, C, P>)
+where
+    C: PipelineHandleChain<P> + Copy + Send + Sync + 'static,
+    P: RefUnwindSafe + Send + Sync + 'static,
+{
+    route
+        .get(path::JOBS)
+        .with_query_string_extractor::<job::Chosen>()
+        .to(read_route!(job::jobs));
+    route.post(path::JOBS).to_async(job::submit);
+    route.post(path::CANCEL).to_async(job::cancel);
+    route
+        .get(&format!("{}/:name", path::JOBS))
+        .with_path_extractor::<Named>()
+        .to(read_route!(job::one));
+    route
+        .post(&format!("{}/:name/release", path::JOBS))
+        .with_path_extractor::<Named>()
+        .to_async(job::release);
+}
+
 pub(super) fn build(shared: Shared) -> Router {
     let (chain, pipelines) = single_pipeline(single_middleware(StateMiddleware::new(shared)));
     build_router(chain, pipelines, |route| {
@@ -82,6 +108,7 @@
             .get(path::AUDIT)
             .with_query_string_extractor::<Filter>()
             .to_async(read::audit);
+        draw_jobs(route);
         route.post(path::DIFF).to_async(write::diff);
         route
             .put(&format!("{}/:name", path::ACCOUNTS))
--- a/crates/admin/src/http/write.rs
+++ b/crates/admin/src/http/write.rs
@@ -24,14 +24,14 @@
 const MAX_BODY: usize = 1 << 20;
 
 /// What a handler takes out of gotham's state, which must not be held across an await.
-struct Call {
+pub(super) struct Call {
     shared: Shared,
     headers: HeaderMap,
     body: Body,
 }
 
 impl Call {
-    fn take(state: &mut State) -> Self {
+    pub(super) fn take(state: &mut State) -> Self {
         Self {
             shared: shared(state),
             headers: HeaderMap::take_from(state),
@@ -39,7 +39,7 @@
         }
     }
 
-    async fn read<T: DeserializeOwned>(self) -> Result<Asked<T>, Refusal> {
+    pub(super) async fn read<T: DeserializeOwned>(self) -> Result<Asked<T>, Refusal> {
         let operator = super::auth::operator(&self.shared, &self.headers)?;
         let malformed = |detail: String| Refusal::new(Code::MalformedRequest, detail);
         let body = Limited::new(self.body, MAX_BODY);
@@ -58,14 +58,14 @@
 }
 
 /// An operator's request: who asks, and for what.
-struct Asked<T> {
-    shared: Shared,
+pub(super) struct Asked<T> {
+    pub(super) shared: Shared,
     operator: Arc<str>,
-    order: T,
+    pub(super) order: T,
 }
 
 impl<T> Asked<T> {
-    async fn commit(
+    pub(super) async fn commit(
         &self,
         reason: &Arc<str>,
         decide: &(dyn Fn(&Snapshot, &mut Draft) -> Result<(), Refusal> + Sync),
--- a/crates/admin/tests/all/main.rs
+++ b/crates/admin/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Operators' orders as pure functions of a snapshot.
 
+mod job;
+
 use primroseroute_admin::edit;
 use primroseroute_api::{Apply, Order};
 use primroseroute_domain::{
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -3,8 +3,11 @@
 //! Every request but the health checks and the metrics carries an operator token. A refusal is RFC
 //! 9457 problem details, which [`Problem`] reads back. Paths are in [`path`].
 
+mod job;
 pub mod path;
 
+pub use job::{Cancel, Cancelled, Spec, Submit};
+
 use primroseroute_domain::{
     account::{Fault, Template},
     change::{Record, Seq},
--- a/crates/api/src/path.rs
+++ b/crates/api/src/path.rs
@@ -16,6 +16,10 @@
 pub const POOLS: &str = "/v1/pools";
 /// All instances; orders are below their names.
 pub const INSTANCES: &str = "/v1/instances";
+/// All jobs, and where new ones are posted; one is below its name.
+pub const JOBS: &str = "/v1/jobs";
+/// Where cancellations of jobs are posted.
+pub const CANCEL: &str = "/v1/jobs/cancel";
 /// Registered entries; one is removed below its name.
 pub const ENTRIES: &str = "/v1/entries";
 /// How the system stands.
--- a/crates/client/src/admin.rs
+++ b/crates/client/src/admin.rs
@@ -4,7 +4,8 @@
 use http::{Method, Request, header};
 use http_body_util::Full;
 use primroseroute_api::{
-    Accepted, Apply, Audit, Diff, Instance, Order, Pool, Problem, Service, Status, path,
+    Accepted, Apply, Audit, Cancel, Cancelled, Diff, Instance, Order, Pool, Problem, Service,
+    Status, Submit, path,
 };
 use primroseroute_domain::{
     account::Template,
@@ -12,6 +13,7 @@
     id,
     outcome::{Code, Verdict},
 };
+use primroseroute_jobs::Row as Job;
 use primroseroute_ledger::Versioned;
 use serde::{Serialize, de::DeserializeOwned};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -211,6 +213,59 @@
         .await
     }
 
+    /// Submits jobs, all in one change.
+    ///
+    /// # Errors
+    /// [`Error`]; the entry's refusals among them.
+    pub async fn submit(&self, order: &Submit) -> Result<Accepted, Error> {
+        self.send(Method::POST, path::JOBS, order).await
+    }
+
+    /// Jobs by account, kind and name of the state, where these are given.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn jobs(
+        &self,
+        account: Option<&id::Account>,
+        kind: Option<&str>,
+        state: Option<&str>,
+    ) -> Result<Vec<Versioned<Job>>, Error> {
+        let account = account.map(id::Account::as_str);
+        let mut path = format!("{}?", path::JOBS);
+        for (name, value) in [("account", account), ("kind", kind), ("state", state)] {
+            if let Some(value) = value {
+                path = format!("{path}{name}={value}&");
+            }
+        }
+        self.get(path.trim_end_matches(['?', '&'])).await
+    }
+
+    /// One job.
+    ///
+    /// # Errors
+    /// [`Error`].
+    pub async fn job(&self, name: &id::Job) -> Result<Versioned<Job>, Error> {
+        self.get(&format!("{}/{name}", path::JOBS)).await
+    }
+
+    /// Cancels jobs, all in one change.
+    ///
+    /// # Errors
+    /// [`Error`]; the entry's refusals among them.
+    pub async fn cancel(&self, order: &Cancel) -> Result<Cancelled, Error> {
+        self.send(Method::POST, path::CANCEL, order).await
+    }
+
+    /// Puts a parked job back into the queue.
+    ///
+    /// # Errors
+    /// [`Error`]; the entry's refusals among them.
+    pub async fn release_job(&self, name: &id::Job, order: &Order) -> Result<Accepted, Error> {
+        let path = format!("{}/{name}/release", path::JOBS);
+        self.send(Method::POST, &path, order).await
+    }
+
     /// How the system stands.
     ///
     /// # Errors
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -58,6 +58,9 @@
     /// Instances.
     #[command(subcommand)]
     Instance(Instance),
+    /// Background jobs.
+    #[command(subcommand)]
+    Job(Job),
     /// Entries.
     #[command(subcommand)]
     Entry(Entry),
@@ -146,6 +149,84 @@
     },
 }
 
+/// Commands on background jobs.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Job {
+    /// Submit jobs from a YAML file, which holds one or a list, or one by options.
+    Submit(Submission),
+    /// List jobs.
+    List {
+        /// Only those of this account.
+        #[arg(long)]
+        account: Option<id::Account>,
+        /// Only those of this kind.
+        #[arg(long)]
+        kind: Option<id::Job>,
+        /// Only those in this state, such as `running`.
+        #[arg(long)]
+        state: Option<id::Job>,
+    },
+    /// Print one job.
+    Show {
+        /// The job.
+        name: id::Job,
+    },
+    /// Cancel jobs in one change: by name, or all of an account or kind.
+    Cancel {
+        /// The jobs.
+        #[arg(required_unless_present_any = ["account", "kind"])]
+        names: Vec<id::Job>,
+        /// Those of this account.
+        #[arg(long, conflicts_with = "names")]
+        account: Option<id::Account>,
+        /// Those of this kind.
+        #[arg(long, conflicts_with = "names")]
+        kind: Option<id::Job>,
+        /// Why, for the audit trail.
+        #[arg(long, default_value = "")]
+        reason: String,
+    },
+    /// Put a parked job back into the queue, its failures forgotten.
+    Release {
+        /// The job.
+        name: id::Job,
+        #[command(flatten)]
+        change: Change,
+    },
+}
+
+/// What `job submit` is given.
+#[derive(Debug, Args)]
+pub(crate) struct Submission {
+    /// The file.
+    #[arg(required_unless_present = "name")]
+    pub(crate) file: Option<PathBuf>,
+    /// The job's name.
+    #[arg(long, conflicts_with = "file", requires_all = ["account", "pool", "kind"])]
+    pub(crate) name: Option<id::Job>,
+    /// The account whose share it uses.
+    #[arg(long, requires = "name")]
+    pub(crate) account: Option<id::Account>,
+    /// The pool whose instances run it.
+    #[arg(long, requires = "name")]
+    pub(crate) pool: Option<id::Pool>,
+    /// What sort of work it is.
+    #[arg(long, requires = "name")]
+    pub(crate) kind: Option<id::Job>,
+    /// Processor cores that it needs.
+    #[arg(long, requires = "name", default_value_t = 1.0)]
+    pub(crate) cores: f64,
+    /// Memory that it needs, in bytes.
+    #[arg(long, requires = "name", default_value_t = 0.0)]
+    pub(crate) memory: f64,
+    /// Accelerators that it needs.
+    #[arg(long, requires = "name", default_value_t = 0.0)]
+    pub(crate) accelerators: f64,
+    /// Why, for the audit trail.
+    #[arg(long, default_value = "")]
+    pub(crate) reason: String,
+}
+
 /// Options of every change.
 #[derive(Debug, Args)]
 pub(crate) struct Change {
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod audit;
 mod demo;
 mod instance;
+mod job;
 mod list;
 
 use crate::{
@@ -59,6 +60,7 @@
     match command {
         Command::Account(command) => account::run(command, admin, printer).await,
         Command::Instance(command) => instance::run(command, admin, printer).await,
+        Command::Job(command) => job::run(command, admin, printer).await,
         Command::Service(Listing::List) => list::services(admin, printer).await,
         Command::Pool(Listing::List) => list::pools(admin, printer).await,
         Command::Entry(Entry::Remove { name, change }) => {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -102,6 +102,7 @@
             trail: Trail::open(core.ledger.clone(), parts.objects),
             cell: Arc::clone(&core.cell),
             clock: Arc::clone(&parts.clock),
+            capacity: parts.jobs.capacity,
             tokens: parts.operators,
         };
         let admin = Admin::bind(parts.listen.admin, parts.front, admin).await?;
--- a/crates/jobs/src/row.rs
+++ b/crates/jobs/src/row.rs
@@ -49,6 +49,18 @@
 }
 
 impl State {
+    /// The name of the state, as lists show it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Queued => "queued",
+            Self::Running(_) => "running",
+            Self::Cancelling(_) => "cancelling",
+            Self::Parked(_) => "parked",
+            Self::Cancelled => "cancelled",
+            Self::Done => "done",
+        }
+    }
+
     /// Where the job runs or may run.
     pub fn instance(&self) -> Option<&id::Instance> {
         match self {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod ctl;
 mod demo;
 mod fleet;
+mod jobs;
 mod once;
 mod stop;
 mod thin;
