--- a/crates/controller/tests/all/jobs/mod.rs
+++ b/crates/controller/tests/all/jobs/mod.rs
@@ -3,6 +3,7 @@
 mod edge;
 mod fault;
 mod life;
+mod orders;
 mod size;
 mod world;
 
--- a/crates/controller/tests/all/jobs/world.rs
+++ b/crates/controller/tests/all/jobs/world.rs
@@ -6,25 +6,23 @@
 use primroseroute_controller::{Controller, Parts, Probe, Roster, Timers, Voice, jobs::Settings};
 use primroseroute_domain::{
     account::{Budget, Pool, Survive, Template},
-    change::{Record, Seq},
-    id,
-    instance::{self, Purpose},
+    id, instance,
     outcome::Refusal,
     time::{self, Clock},
 };
-use primroseroute_jobs::{Kind, Row, State};
-use primroseroute_ledger::{Draft, Ledger, Versioned, key};
+use primroseroute_jobs::{Row, State};
+use primroseroute_ledger::{Ledger, Versioned, key};
 use primroseroute_peer::report::{Drain, Identity, Load, Report};
 use primroseroute_platform::{
     fleet::{Listed, Phase},
-    task::{Resources, Token},
+    task::Resources,
 };
 use primroseroute_standin::platform::{
     Options, Platform,
     fault::Outage,
     task::{Ending, Script},
 };
-use primroseroute_view::{Author, Cell, Snapshot, amend, poll};
+use primroseroute_view::{Cell, Snapshot, poll};
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -50,7 +48,7 @@
 }
 
 #[derive(Debug)]
-struct Wall(Platform);
+pub struct Wall(Platform);
 
 impl Clock for Wall {
     fn now(&self) -> time::Instant {
@@ -118,8 +116,8 @@
     /// Whether the registrations read as empty.
     pub mute: Arc<AtomicBool>,
     controllers: BTreeMap<String, Controller>,
-    cell: Cell,
-    clock: Wall,
+    pub cell: Cell,
+    pub clock: Wall,
 }
 
 fn template(pool: &str, promised: u32) -> Template {
@@ -214,25 +212,6 @@
         world
     }
 
-    /// An operator's change, tried until the store takes it.
-    pub async fn change(&self, decide: impl Fn(&Snapshot, &mut Draft) + Sync) {
-        let author = Author {
-            actor: "operator:test".into(),
-            reason: "".into(),
-            guards: Vec::new(),
-        };
-        let decide = |snapshot: &Snapshot, draft: &mut Draft| {
-            decide(snapshot, draft);
-            Ok(())
-        };
-        while let Err(refusal) =
-            amend(&self.ledger, &self.cell, &self.clock, &author, &decide).await
-        {
-            let _ = refusal;
-            sleep(SECOND).await;
-        }
-    }
-
     /// The client that the controller `entry` calls a part of the platform by.
     pub fn client(&self, entry: &str, part: &str) -> Platform {
         self.platform.client(&format!("{entry}-{part}"))
@@ -294,112 +273,6 @@
         self.controllers.keys().cloned().collect()
     }
 
-    /// Submits jobs of `kind` in one change.
-    pub async fn submit(&self, jobs: &[String], kind: &str, declared: Resources) {
-        let now = self.clock.now();
-        self.change(|_, draft| {
-            for job in jobs {
-                let kind = Kind(kind.into());
-                let row = Row::submit(name(job), name("a"), name("a"), kind, declared, now);
-                let row = Row {
-                    token: Token(draft.seq().0),
-                    ..row
-                };
-                draft.put(key::job(&row.id), None, &row);
-            }
-        })
-        .await;
-    }
-
-    /// Lets one short job of `kind` succeed, so that more than three of it run together.
-    pub async fn prove(&self, kind: &str, size: Resources) {
-        let job = format!("prove-{kind}");
-        let script = script(SECOND, Ending::Done);
-        self.platform.tasks().script_job(name(&job), script);
-        self.submit(std::slice::from_ref(&job), kind, size).await;
-        while self.state(&job).await != State::Done {
-            sleep(SECOND).await;
-        }
-    }
-
-    /// Lets short jobs of `kind` succeed on every worker, so that each takes what it has room for.
-    pub async fn prove_workers(&self, kind: &str, size: Resources) {
-        self.prove(kind, size).await;
-        // Three to a worker.
-        let jobs = names("proof", 18);
-        for job in &jobs {
-            let script = script(5 * SECOND, Ending::Done);
-            self.platform.tasks().script_job(name(job), script);
-        }
-        self.submit(&jobs, kind, size).await;
-        let open = self.until_ended(600 * SECOND).await;
-        assert!(open.is_empty(), "{open:#?}");
-    }
-
-    /// Every change so far.
-    pub async fn records(&self) -> Vec<Record> {
-        let mut records: Vec<Record> = Vec::new();
-        loop {
-            let at = records.last().map_or(Seq(0), |record| record.seq);
-            let more = self.ledger.after(at, 100).await.expect("it answers");
-            if more.is_empty() {
-                return records;
-            }
-            records.extend(more);
-        }
-    }
-
-    /// How often the row of each job was written.
-    pub async fn edits(&self) -> BTreeMap<String, usize> {
-        let mut edits = BTreeMap::new();
-        for edit in self.records().await.iter().flat_map(|record| &record.edits) {
-            if let Some(job) = edit.key.strip_prefix(key::JOBS) {
-                *edits.entry(job.to_owned()).or_default() += 1;
-            }
-        }
-        edits
-    }
-
-    /// Cancels jobs as an operator does, in one change.
-    pub async fn cancel(&self, jobs: &[String]) {
-        self.change(|snapshot, draft| {
-            let rows = jobs_of(snapshot);
-            for job in jobs {
-                let Some(found) = rows.get(&name(job)) else {
-                    continue;
-                };
-                let state = match &found.value.state {
-                    State::Running(at) => State::Cancelling(at.clone()),
-                    State::Queued | State::Parked(_) => State::Cancelled,
-                    _ => continue,
-                };
-                let row = Row {
-                    state,
-                    ..found.value.clone()
-                };
-                draft.put(key::job(&row.id), Some(found.version), &row);
-            }
-        })
-        .await;
-    }
-
-    /// Writes the instance `at` in `state`.
-    pub async fn put(&self, at: &str, state: instance::State, purpose: Option<Purpose>) {
-        let at: id::Instance = name(at);
-        let now = self.clock.now();
-        self.change(|snapshot, draft| {
-            let found = &snapshot.instances()[&at];
-            let row = instance::Row {
-                state,
-                purpose: purpose.clone(),
-                since: now,
-                ..found.value.clone()
-            };
-            draft.put(key::instance(&at), Some(found.version), &row);
-        })
-        .await;
-    }
-
     /// The newest rows.
     pub async fn snapshot(&self) -> Arc<Snapshot> {
         while poll(&self.ledger, &self.cell).await.is_err() {
@@ -456,7 +329,7 @@
     }
 }
 
-fn jobs_of(snapshot: &Snapshot) -> BTreeMap<id::Job, Versioned<Row>> {
+pub fn jobs_of(snapshot: &Snapshot) -> BTreeMap<id::Job, Versioned<Row>> {
     snapshot.under(key::JOBS).expect("job rows are readable")
 }
 
