--- a/crates/admin/src/edit/mod.rs
+++ b/crates/admin/src/edit/mod.rs
@@ -3,6 +3,7 @@
 mod account;
 mod entry;
 mod instance;
+pub mod job;
 mod wave;
 
 pub use account::{apply, diff, faults};
--- a/crates/admin/src/http/mod.rs
+++ b/crates/admin/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! The interface over HTTP.
 
 mod auth;
+mod job;
 mod read;
 mod reply;
 mod router;
@@ -15,6 +16,7 @@
 use primroseroute_fleet::placement::Weights;
 use primroseroute_front::{Options, Server};
 use primroseroute_ledger::Ledger;
+use primroseroute_platform::task::Resources;
 use primroseroute_view::Cell;
 use std::{net::SocketAddr, panic::AssertUnwindSafe, sync::Arc};
 
@@ -33,6 +35,8 @@
     pub clock: Arc<dyn Clock>,
     /// What the deployment weighs, for dry runs.
     pub weights: Weights,
+    /// What a worker has for jobs.
+    pub capacity: Resources,
     /// Who may use it.
     pub tokens: Tokens,
 }
--- a/crates/controller/tests/all/main.rs
+++ b/crates/controller/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! What the controller takes for an acknowledgement, and what it does not.
 
+mod jobs;
 mod waves;
 
 use primroseroute_controller::{Voice, acknowledgements};
--- a/crates/controller/tests/all/waves/world.rs
+++ b/crates/controller/tests/all/waves/world.rs
@@ -4,7 +4,7 @@
 use async_trait::async_trait;
 use parking_lot::Mutex;
 use primroseroute_audit::Keep;
-use primroseroute_controller::{Controller, Parts, Probe, Roster, Timers, Voice};
+use primroseroute_controller::{Controller, Parts, Probe, Roster, Timers, Voice, jobs};
 use primroseroute_domain::{
     account::Template,
     id,
@@ -238,7 +238,9 @@
             cell: Arc::default(),
             clock: Arc::new(PlatformClock(self.platform.clone())),
             instances: stall,
-            objects: Arc::new(client),
+            objects: Arc::new(client.clone()),
+            tasks: Arc::new(client),
+            jobs: jobs::Settings::default(),
             keep: Keep::default(),
             probe: Arc::clone(&self.losses) as _,
             roster: Arc::new(All {
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -66,6 +66,8 @@
             cell: Arc::clone(&core.cell),
             clock: Arc::clone(&parts.clock),
             instances: parts.instances,
+            tasks: parts.tasks,
+            jobs: parts.jobs,
             objects: Arc::clone(&parts.objects),
             keep: parts.keep,
             probe: parts.probe,
@@ -103,6 +105,7 @@
             cell: Arc::clone(&core.cell),
             clock: Arc::clone(&parts.clock),
             weights: parts.weights,
+            capacity: parts.jobs.capacity,
             tokens: parts.operators,
         };
         let admin = Admin::bind(parts.listen.admin, parts.front, admin).await?;
--- a/crates/serve/src/parts.rs
+++ b/crates/serve/src/parts.rs
@@ -3,7 +3,9 @@
 use eyre::{Result, WrapErr, eyre};
 use primroseroute_admin::Tokens;
 use primroseroute_audit::Keep;
-use primroseroute_controller::{HttpProbe, Timers as ControllerTimers};
+use primroseroute_controller::{
+    HttpProbe, Timers as ControllerTimers, jobs::Settings as JobSettings,
+};
 use primroseroute_domain::time::SystemClock;
 use primroseroute_entry::{Dial, Dialed, Listen, Parts, Timers};
 use primroseroute_fleet::{lifecycle, placement::Weights};
@@ -81,7 +83,8 @@
         table: Arc::clone(&client) as _,
         objects: Arc::clone(&client) as _,
         keep: Keep::default(),
-        instances: client,
+        instances: Arc::clone(&client) as _,
+        tasks: client,
         probe: Arc::new(HttpProbe::open(HEALTH_PATH)),
         backend: Arc::new(Pool::open()),
         dial: Box::new(rpc(settings, &secrets)?),
@@ -104,6 +107,7 @@
         },
         controller: ControllerTimers::default(),
         lifecycle: lifecycle::Limits::default(),
+        jobs: JobSettings::default(),
         weights: weights(settings),
     })
 }
