Keep what an entry decides by apart from its peers' whole reports

Cause: for each exchange with each peer an entry copied the reports of all peers, with the loads of every instance, to see which peers are live and ahead, and walked all instances for those that do not serve.

Change: seq and time of each peer's last report are noted as it comes; the instances that do not serve are looked for once for each change.

--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -13,7 +13,7 @@
     report::{Drain, Identity, Load, Report, Sighting},
 };
 use primroseroute_route::Gates;
-use primroseroute_view::Cell;
+use primroseroute_view::{Cell, Snapshot};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{
@@ -24,6 +24,23 @@
 };
 use tokio::{sync::Notify, time::Instant};
 
+/// What the entry's own decisions need of a peer's latest report.
+///
+/// The reports carry the loads of every instance. Copying all of them for each decision took more
+/// processor time than everything else at rest, so the two fields are kept apart.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    seq: Seq,
+    at: Instant,
+}
+
+/// The instances that do not serve, with the versions of their rows, as of one change.
+#[derive(Debug, Default)]
+struct Stopped {
+    seq: Seq,
+    rows: Arc<[(id::Instance, Seq)]>,
+}
+
 /// The shared state of one entry.
 #[derive(Debug)]
 pub(crate) struct Core {
@@ -39,6 +56,8 @@
     pub stopping: AtomicBool,
     pub controller: OnceLock<Controller>,
     confirmed: Mutex<Option<Instant>>,
+    heard: Mutex<BTreeMap<id::Entry, Heard>>,
+    stopped: Mutex<Stopped>,
     reports: AtomicU64,
     started: Instant,
 }
@@ -62,6 +81,8 @@
             stopping: AtomicBool::new(false),
             controller: OnceLock::new(),
             confirmed: Mutex::default(),
+            heard: Mutex::default(),
+            stopped: Mutex::default(),
             reports: AtomicU64::new(0),
             started: Instant::now(),
         }
@@ -87,38 +108,62 @@
             .unwrap_or_default()
     }
 
+    /// Notes the report of a peer that has just come.
+    pub(crate) fn hear(&self, peer: &id::Entry, report: &Report) {
+        let heard = Heard {
+            seq: report.seq,
+            at: Instant::now(),
+        };
+        self.heard.lock().insert(peer.clone(), heard);
+        self.roster_changed.notify_one();
+    }
+
+    /// The peers that were heard lately, with the changes that they have in force.
+    fn peers(&self) -> Vec<Peer> {
+        let mut heard = self.heard.lock();
+        heard.retain(|_, heard| heard.at.elapsed() < self.limits.silent_after);
+        let peer = |(entry, heard): (&id::Entry, &Heard)| Peer {
+            entry: entry.clone(),
+            seq: heard.seq,
+        };
+        heard.iter().map(peer).collect()
+    }
+
     /// Registered entries that report, this one among them; they divide each worker's slots.
     ///
     /// Peers that report but are not yet in the rows read last count too: without them a new entry
     /// would use slots that the others believe to be theirs.
     pub(crate) fn live(&self) -> BTreeSet<id::Entry> {
-        let sightings = self.sightings();
-        let heard = sightings
-            .iter()
-            .filter(|seen| seen.age < self.limits.silent_after);
-        let peers = heard.map(|seen| seen.report.from.entry.clone());
+        let peers = self.peers().into_iter().map(|peer| peer.entry);
         peers.chain([self.identity.entry.clone()]).collect()
     }
 
     /// How the view stands, from the store and the peers.
     pub(crate) fn footing(&self) -> membership::Footing {
-        let live = self.sightings();
-        let live: Vec<Peer> = live
-            .iter()
-            .filter(|seen| seen.age < self.limits.silent_after)
-            .map(|seen| Peer {
-                entry: seen.report.from.entry.clone(),
-                seq: seen.report.seq,
-            })
-            .collect();
         membership::footing(
             self.cell.current().seq(),
             self.confirmed(),
-            &live,
+            &self.peers(),
             &self.limits,
         )
     }
 
+    /// The instances that do not serve in `snapshot`, looked for once for each change.
+    fn stopped(&self, snapshot: &Snapshot) -> Arc<[(id::Instance, Seq)]> {
+        let mut stopped = self.stopped.lock();
+        if stopped.seq != snapshot.seq() {
+            let rows = snapshot.instances().iter();
+            let rows = rows.filter(|(_, row)| row.value.state != State::Serving);
+            *stopped = Stopped {
+                seq: snapshot.seq(),
+                rows: rows
+                    .map(|(name, row)| (name.clone(), row.version))
+                    .collect(),
+            };
+        }
+        Arc::clone(&stopped.rows)
+    }
+
     pub(crate) fn is_ready(&self) -> bool {
         !self.stopping.load(Ordering::Relaxed) && self.footing().serves()
     }
@@ -131,19 +176,13 @@
         let acknowledges = self.footing().acknowledges();
         let in_flight = self.gates.loads();
         let mut drains = BTreeMap::new();
-        for (name, row) in snapshot.instances() {
+        for (name, seq) in self.stopped(&snapshot).iter() {
             // A drain counts as in force only once the gates have it: before that, a request could
             // still be sent after the acknowledgement.
-            let drained = row.value.state != State::Serving && row.version <= in_force;
-            if drained && acknowledges {
+            if *seq <= in_force && acknowledges {
                 let in_flight = in_flight.get(name).copied().unwrap_or(0);
-                drains.insert(
-                    name.clone(),
-                    Drain {
-                        seq: row.version,
-                        in_flight,
-                    },
-                );
+                let seq = *seq;
+                drains.insert(name.clone(), Drain { seq, in_flight });
             }
         }
         let load = |count: u32| {
--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -61,8 +61,8 @@
         self.report()
     }
 
-    fn accept_report(&self, _peer: &id::Entry, _report: &Report) {
-        self.roster_changed.notify_one();
+    fn accept_report(&self, peer: &id::Entry, report: &Report) {
+        self.hear(peer, report);
     }
 }
 
