Push a change once to each peer, and acknowledge only drains at once

Cause: an entry that got a change from a peer pushed it on to all peers not known to have it, so N entries made about N times N pushes of each change; and every change, whatever it touched, made every entry exchange reports with every other.

Change: a record that a peer sent is not pushed on; whom the push cannot reach pulls after the next exchange. Reports are exchanged at once only for a change that drains an instance, which a controller waits for.

Tests: the counts of a change at 7 and 28 entries failed before the change at 360 pushes of 10 changes among 7 entries, where 140 are allowed. With every change of an instance acknowledged at once the test of a restart fails. Pushes to a peer that is cut off from the sender stay covered by views::entry_that_starts_from_a_stale_peer_never_goes_back, which passes.

Conclusion: messages of a change grow with the entries, no more with their square; the round for a drain still does.

--- a/benches/capacity/whole.rs
+++ b/benches/capacity/whole.rs
@@ -5,7 +5,10 @@
 use hdrhistogram::Histogram;
 use primroseroute_capacity::{Count, Cycles, Size, Stage};
 use std::time::Duration;
-use tokio::runtime::{Builder, Runtime};
+use tokio::{
+    runtime::{Builder, Runtime},
+    time::Instant,
+};
 
 /// Time at rest that is counted: a whole number of polls, roster reads, exchanges and heartbeats.
 const REST: Duration = Duration::from_secs(60);
@@ -37,7 +40,7 @@
         let mut figures = at_rest(size, count);
         figures.extend(processor(size, held, running));
         figures.extend(changes(size, &stage, count).await?);
-        figures.push(restarts(&stage).await?);
+        figures.extend(restarts(&stage, count).await?);
         let grown = meter::resident()?.saturating_sub(resident);
         let grown = grown as f64 / 1e6 / size.entries as f64;
         figures.push(Figure::new(
@@ -123,7 +126,9 @@
     ])
 }
 
-async fn restarts(stage: &Stage) -> Result<Figure> {
+/// What restarts take, one after the other.
+async fn restarts(stage: &Stage, rest: Count) -> Result<Vec<Figure>> {
+    let (before, started) = (stage.count(), Instant::now());
     let mut changes = 0;
     for number in 0..RESTARTS {
         changes += stage.restart(number).await?;
@@ -131,6 +136,14 @@
     if changes == 0 {
         return Err(eyre!("a restart without a change"));
     }
-    let each = changes as f64 / RESTARTS as f64;
-    Ok(Figure::new("changes for a restart", "1", each))
+    let count = stage.count() - before;
+    let part = started.elapsed().as_secs_f64() / REST.as_secs_f64();
+    let each = |count: f64| count / RESTARTS as f64;
+    let exchanges = count.exchanges as f64 - rest.exchanges as f64 * part;
+    let rows = count.rows_written as f64 - rest.rows_written as f64 * part;
+    Ok(vec![
+        Figure::new("changes for a restart", "1", each(changes as f64)),
+        Figure::new("exchanges for a restart", "1", each(exchanges)),
+        Figure::new("store rows written for a restart", "1", each(rows)),
+    ])
 }
--- a/crates/capacity/tests/all/growth.rs
+++ b/crates/capacity/tests/all/growth.rs
@@ -6,6 +6,7 @@
 use eyre::Result;
 use primroseroute_capacity::{Count, Cycles, Size, Stage};
 use std::time::Duration;
+use tokio::time::Instant;
 
 const REST: Duration = Duration::from_secs(60);
 
@@ -24,7 +25,9 @@
     workers_cost_the_store_nothing_at_rest => workers_at_rest();
     entries_cost_the_store_two_calls_a_second_each => entries_at_rest();
     exchanges_of_an_entry_do_not_grow_with_the_entries => exchanges_at_rest();
+    change_costs_one_push_and_one_row_an_entry => change();
     restart_costs_five_changes_at_any_size => restart();
+    restart_is_acknowledged_by_one_round_of_exchanges => acknowledged();
 }
 
 async fn stage(entries: usize, workers: usize) -> Result<Stage> {
@@ -83,6 +86,35 @@
     Ok(())
 }
 
+async fn change() -> Result<()> {
+    const CHANGES: u64 = 10;
+    for entries in [7, 28] {
+        let stage = stage(entries, 50).await?;
+        let rest = stage.rest(REST).await;
+        let before = stage.count();
+        for number in 0..CHANGES {
+            let took = stage.change(2 + u32::try_from(number)?).await?;
+            assert!(took < Duration::from_secs(2), "{entries}: {took:?}");
+            tokio::time::sleep(Duration::from_secs(6).saturating_sub(took)).await;
+        }
+        let count = stage.count() - before;
+        let each = entries as u64;
+        // Head, record and row; then each entry's registration, which replaces a heartbeat.
+        let rows = count.rows_written - rest.rows_written.min(count.rows_written);
+        assert!(
+            rows <= CHANGES * (3 + each),
+            "{entries}: {rows} rows, {count:?}"
+        );
+        // Whoever polled it pushes it to the others; two may poll in the same moment.
+        assert!(count.pushes <= CHANGES * 2 * each, "{entries}: {count:?}");
+        assert!(
+            count.exchanges <= rest.exchanges + rest.exchanges / 10 + CHANGES * each,
+            "{entries}: {count:?} {rest:?}"
+        );
+    }
+    Ok(())
+}
+
 async fn restart() -> Result<()> {
     for workers in [50, 200] {
         let changes = stage(3, workers).await?.restart(1).await?;
@@ -90,3 +122,21 @@
     }
     Ok(())
 }
+
+/// Only the drain of the five changes makes every entry exchange with every other at once.
+async fn acknowledged() -> Result<()> {
+    for entries in [7, 14] {
+        let stage = stage(entries, 50).await?;
+        let rest = stage.rest(REST).await;
+        let (before, started) = (stage.count(), Instant::now());
+        stage.restart(1).await?;
+        let count = stage.count() - before;
+        let each = entries as u64;
+        // What the timers make in that time, and one round of theirs that may fall into it.
+        let rounds = started.elapsed().as_secs() + 1;
+        let timed = rest.exchanges * rounds / REST.as_secs() + each * (each - 1) / 2;
+        let most = each * (each - 1) + timed;
+        assert!(count.exchanges <= most, "{entries}: {count:?}, {most}");
+    }
+    Ok(())
+}
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -55,6 +55,8 @@
     pub registered: Mutex<BTreeMap<id::Entry, Registration>>,
     pub stopping: AtomicBool,
     pub controller: OnceLock<Controller>,
+    /// The newest change that a peer has sent.
+    pub relayed: AtomicU64,
     confirmed: Mutex<Option<Instant>>,
     heard: Mutex<BTreeMap<id::Entry, Heard>>,
     stopped: Mutex<Stopped>,
@@ -80,6 +82,7 @@
             registered: Mutex::default(),
             stopping: AtomicBool::new(false),
             controller: OnceLock::new(),
+            relayed: AtomicU64::new(0),
             confirmed: Mutex::default(),
             heard: Mutex::default(),
             stopped: Mutex::default(),
--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -16,7 +16,10 @@
 };
 use primroseroute_telemetry::Meter;
 use primroseroute_view::Snapshot;
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 impl PeerLocal for Core {
     fn seq(&self) -> Seq {
@@ -40,6 +43,9 @@
     }
 
     fn accept(&self, records: Vec<Record>) -> Seq {
+        if let Some(last) = records.last() {
+            self.relayed.fetch_max(last.seq.0, Ordering::Relaxed);
+        }
         if let Err(error) = self.cell.apply(&records) {
             log::warn!("records from a peer were not applied: {error}");
         }
@@ -47,6 +53,7 @@
     }
 
     fn accept_snapshot(&self, snapshot: Rows) -> Seq {
+        self.relayed.fetch_max(snapshot.seq.0, Ordering::Relaxed);
         let pairs = snapshot.rows.into_iter().map(|row| (row.key, row.json));
         match Snapshot::from_rows(snapshot.seq, pairs) {
             Ok(next) => {
