Test two regions that lose each other over whole entries

Cause: the cut of two regions was tested on the peer link alone; no test had whole entries, callers and a store that only one side reaches.

Change: four entries, two to a region. During the cut reads are served on both sides, keyed requests run on the side of the store and are refused as not run on the other, changes are accepted on one side only, and a worker that leaves is drained and not given up. Healed: every entry has the last change, what was refused runs once, and no entry's view ever went back.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod input;
 mod once;
+mod regions;
 mod stop;
 mod thin;
 mod told;
