--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod lend;
 mod once;
 mod process;
+mod regions;
 mod stop;
 mod thin;
 mod told;
