--- /dev/null
+++ b/tests/all/docs.rs
@@ -0,0 +1,69 @@
+//! The book: every page is in its index.
+
+use eyre::{Result, WrapErr};
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{Path, PathBuf},
+};
+
+/// Pages under `docs/` and the crates of the table must not be forgotten when one is added.
+#[test]
+fn every_page_is_in_the_index() -> Result<()> {
+    let docs = root().join("docs");
+    let index = docs.join("README.md");
+    let listed: BTreeSet<PathBuf> = links(&index)?
+        .iter()
+        .map(|link| docs.join(target(link)))
+        .collect();
+    let mut missing = pages(&docs)?;
+    missing.retain(|page| *page != index && !listed.contains(page));
+    assert_eq!(missing, Vec::<PathBuf>::new(), "not in docs/README.md");
+    Ok(())
+}
+
+#[test]
+fn every_crate_is_in_the_readme() -> Result<()> {
+    let readme = fs::read_to_string(root().join("README.md"))?;
+    let mut missing = Vec::new();
+    for found in fs::read_dir(root().join("crates"))? {
+        let name = found?.file_name().to_string_lossy().into_owned();
+        if !readme.contains(&format!("\n| `{name}` | ")) {
+            missing.push(name);
+        }
+    }
+    assert_eq!(missing, Vec::<String>::new(), "not in README.md");
+    Ok(())
+}
+
+fn root() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR"))
+}
+
+/// Every Markdown file under `folder`.
+fn pages(folder: &Path) -> Result<Vec<PathBuf>> {
+    let mut found = Vec::new();
+    for child in fs::read_dir(folder)? {
+        let path = child?.path();
+        if path.is_dir() {
+            found.extend(pages(&path)?);
+        } else if path.extension().is_some_and(|extension| extension == "md") {
+            found.push(path);
+        }
+    }
+    found.sort();
+    Ok(found)
+}
+
+/// Targets of the links of `page`, with their anchors.
+fn links(page: &Path) -> Result<Vec<String>> {
+    let text = fs::read_to_string(page).wrap_err_with(|| page.display().to_string())?;
+    let links = text.split("](").skip(1);
+    let links = links.filter_map(|rest| rest.split_once(')'));
+    Ok(links.map(|(link, _rest)| link.to_owned()).collect())
+}
+
+/// The file that a link names, without its anchor.
+fn target(link: &str) -> &str {
+    link.split('#').next().unwrap_or(link)
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod acknowledge;
 mod ctl;
 mod demo;
+mod docs;
 mod fleet;
 mod input;
 mod once;
