Run a wave and an operator's move in the demo

Cause: the demo showed no maintenance wave and no move that an operator orders, and its killed entry stayed registered, so that every drain after the kill waited for it.

Change: an operator moves an instance between two promises that change, and starts a wave over one pool of four before the graceful stop, the outage and the kill. The end waits for the wave, within the time that it had for the last changes. The table has waves, roll-out time and instances maintained.

Without the platform's word on the killed entry, or on the stopped one, the short demo fails.

Conclusion: the demo shows an arrival, a move and a wave in under a minute. Background jobs are not in it yet.

--- a/crates/ctl/src/command/demo.rs
+++ b/crates/ctl/src/command/demo.rs
@@ -110,6 +110,10 @@
         ("arrivals", fleet.arrivals.to_string()),
         ("departures", fleet.departures.to_string()),
         ("quarantines", fleet.quarantines.to_string()),
+        ("waves", fleet.waves.to_string()),
+        ("  of these rolled out", fleet.waves_done.to_string()),
+        ("  roll-out time", format!("{} ms", fleet.rollout_ms)),
+        ("instances maintained", fleet.maintained.to_string()),
     ];
     let row = |(what, figure): (&str, String)| vec![what.to_owned(), figure];
     figures.into_iter().map(row).collect()
--- a/crates/demo/src/judge/event.rs
+++ b/crates/demo/src/judge/event.rs
@@ -3,6 +3,7 @@
 use primroseroute_domain::{
     account::Budget, change::Seq, id, instance::Row, outcome::Verdict, time::Instant,
 };
+use primroseroute_fleet::wave;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 /// One thing that happened. Durations count from the start of the demo.
@@ -94,4 +95,6 @@
     pub rows: BTreeMap<id::Instance, Option<Row>>,
     /// Budgets after the change.
     pub budgets: BTreeMap<id::Pool, Budget>,
+    /// Waves' rows after the change.
+    pub waves: BTreeMap<id::Wave, wave::Row>,
 }
--- a/crates/demo/src/judge/fleet.rs
+++ b/crates/demo/src/judge/fleet.rs
@@ -10,7 +10,10 @@
     instance::{Row, SLOTS, State},
     time::Instant,
 };
-use primroseroute_fleet::check::{self, Moment};
+use primroseroute_fleet::{
+    check::{self, Moment},
+    wave,
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Milliseconds of an hour.
@@ -24,6 +27,7 @@
     budgets: BTreeMap<id::Pool, Budget>,
     /// Instances that have arrived and not served yet.
     arriving: BTreeSet<id::Instance>,
+    waves: BTreeMap<id::Wave, wave::Row>,
 }
 
 pub(super) fn judge(events: &[Event], breaches: &mut Vec<Breach>) -> Fleet {
@@ -51,9 +55,21 @@
         }
         before = Some(moment);
     }
+    count_waves(&table, &mut found);
     found
 }
 
+fn count_waves(table: &Table, found: &mut Fleet) {
+    for wave in table.waves.values() {
+        found.waves += 1;
+        if let (wave::State::Done, Some(ended)) = (wave.state, wave.ended) {
+            let millis = ended.since(wave.started).as_millis();
+            found.waves_done += 1;
+            found.rollout_ms = found.rollout_ms.max(millis.try_into().unwrap_or(u64::MAX));
+        }
+    }
+}
+
 /// Counts what `change` does to the instances of `table`.
 fn tally(table: &mut Table, change: &Change, found: &mut Fleet) {
     for (name, after) in &change.rows {
@@ -65,6 +81,7 @@
         let was = before.map(|row| row.state);
         found.quarantines +=
             u64::from(after.state == State::Quarantined && was != Some(State::Quarantined));
+        found.maintained += u64::from(after.maintained > before.and_then(|row| row.maintained));
         let old_pool = before.and_then(|row| row.pool.as_ref());
         found.moves += u64::from(old_pool.is_some() && old_pool != after.pool.as_ref());
         if after.state == State::Arriving {
@@ -91,6 +108,7 @@
                 .iter()
                 .map(|(pool, budget)| (pool.clone(), *budget)),
         );
+        self.waves.extend(change.waves.clone());
     }
 
     fn moment(&self) -> Moment {
--- a/crates/demo/src/judge/report.rs
+++ b/crates/demo/src/judge/report.rs
@@ -90,6 +90,14 @@
     pub moves: u64,
     /// Instances put into quarantine.
     pub quarantines: u64,
+    /// Waves started.
+    pub waves: u64,
+    /// Of these, rolled out to the end.
+    pub waves_done: u64,
+    /// Roll-out time of the slowest wave that was rolled out, in milliseconds.
+    pub rollout_ms: u64,
+    /// Instances that waves rebooted and that came back.
+    pub maintained: u64,
     /// Slot-hours of instances that serve beyond what is promised, or wait for a pool.
     pub buffer_slot_hours: f64,
     /// Breaches of an availability budget by planned work.
--- a/crates/demo/src/schedule.rs
+++ b/crates/demo/src/schedule.rs
@@ -21,8 +21,14 @@
     Vanish,
     /// A new instance arrives in the platform's list.
     Arrive,
-    /// An operator raises one pool's promise and lowers another's, so that an instance moves.
-    ShiftPromise,
+    /// An operator lowers one pool's promise, so that it can spare an instance.
+    LowerPromise,
+    /// An operator moves an instance from that pool to another.
+    Move,
+    /// An operator raises the other pool's promise, which the moved instance fills.
+    RaisePromise,
+    /// An operator starts a maintenance wave over one pool.
+    StartWave,
     /// An entry is stopped gracefully and another one starts in its place.
     StopEntry,
     /// The store goes down.
@@ -45,7 +51,10 @@
             Self::Depart => "the platform takes an instance away",
             Self::Vanish => "the instance is gone",
             Self::Arrive => "an instance arrives",
-            Self::ShiftPromise => "a promise moves from one pool to another",
+            Self::LowerPromise => "a pool's promise falls",
+            Self::Move => "an instance moves from one pool to another",
+            Self::RaisePromise => "another pool's promise rises",
+            Self::StartWave => "a wave reboots a pool's instances",
             Self::StopEntry => "an entry stops gracefully",
             Self::StoreDown => "the store goes down",
             Self::StoreUp => "the store is back",
@@ -63,9 +72,9 @@
 
 /// The steps with a place of their own.
 ///
-/// What needs every entry's acknowledgement (departure, move) comes before the kill: a killed entry
-/// may only be paused, so its silence stops such steps until the platform says that it is gone.
-const STEPS: [Planned; 12] = [
+/// What needs every entry's acknowledgement (departure, move, wave) begins before the kill. A killed
+/// entry may only be paused, so its silence holds such steps up until the platform lists it as gone.
+const STEPS: [Planned; 15] = [
     planned(50, Step::LoseAnswers),
     planned(90, Step::KeepAnswers),
     planned(120, Step::BreakWorker),
@@ -73,7 +82,10 @@
     planned(300, Step::Depart),
     planned(380, Step::Vanish),
     planned(400, Step::Arrive),
-    planned(480, Step::ShiftPromise),
+    planned(430, Step::LowerPromise),
+    planned(450, Step::Move),
+    planned(490, Step::RaisePromise),
+    planned(520, Step::StartWave),
     planned(600, Step::StopEntry),
     planned(700, Step::StoreDown),
     planned(800, Step::StoreUp),
--- a/crates/demo/src/stage/history.rs
+++ b/crates/demo/src/stage/history.rs
@@ -8,7 +8,7 @@
     id,
     instance::Row,
 };
-use primroseroute_fleet::Fleet;
+use primroseroute_fleet::{Fleet, wave};
 use primroseroute_ledger::{Versioned, key};
 use primroseroute_testbed::Site;
 use serde::de::DeserializeOwned;
@@ -39,6 +39,7 @@
 fn change(record: &Record) -> Result<Change> {
     let mut rows = BTreeMap::new();
     let mut templates = Vec::new();
+    let mut waves = BTreeMap::new();
     for edit in &record.edits {
         if let Some(name) = edit.key.strip_prefix(key::INSTANCES) {
             rows.insert(name.parse::<id::Instance>()?, row(edit)?);
@@ -46,12 +47,16 @@
         if edit.key.starts_with(key::ACCOUNTS) {
             templates.extend(template(edit)?);
         }
+        if edit.key.starts_with(key::WAVES) {
+            waves.extend(wave(edit)?.map(|row| (row.id().clone(), row)));
+        }
     }
     Ok(Change {
         seq: record.seq,
         at: record.at,
         rows,
         budgets: Fleet::budgets(&templates),
+        waves,
     })
 }
 
@@ -63,6 +68,10 @@
     value(edit).wrap_err("a template")
 }
 
+fn wave(edit: &Edit) -> Result<Option<wave::Row>> {
+    value(edit).wrap_err("a wave")
+}
+
 /// The row's value after the change; none where the change deleted it.
 fn value<T: DeserializeOwned>(edit: &Edit) -> Result<Option<T>> {
     let read = |text: &str| serde_json::from_str::<Versioned<T>>(text);
--- a/crates/demo/src/stage/mod.rs
+++ b/crates/demo/src/stage/mod.rs
@@ -15,6 +15,7 @@
 };
 use eyre::{Result, WrapErr, eyre};
 use operator::Operator;
+use primroseroute_api::Wave;
 use primroseroute_domain::{account::Template, change::Seq, id};
 use primroseroute_testbed::{Site, backend, platform};
 use std::{
@@ -33,9 +34,16 @@
 /// Between two looks at what the entries have in force: the resolution of that time.
 const LOOK: Duration = Duration::from_millis(2);
 
+/// Between two looks at a wave that is waited for.
+const WAVE_LOOK: Duration = Duration::from_millis(50);
+
 /// How long an execution takes.
 const EXECUTION: Duration = Duration::from_millis(2);
 
+/// How long the platform's reboot of an instance takes: long enough to be seen in the load, short
+/// enough for a wave of four in a few seconds.
+const REBOOT: Duration = Duration::from_millis(500);
+
 /// Longest wait for the entries to be ready at the start.
 const SET_UP: Duration = Duration::from_secs(10);
 
@@ -77,6 +85,8 @@
     next_entry: usize,
     /// Fair shares changed so far.
     shares: usize,
+    /// The wave, once an operator was told to start it.
+    wave: Option<id::Wave>,
 }
 
 impl Stage {
@@ -85,9 +95,13 @@
             delay: EXECUTION,
             ..backend::Options::default()
         };
+        let platform = platform::Options {
+            reboot: REBOOT,
+            ..platform::Options::default()
+        };
         let layout = deployment::layout(&templates);
         let next_entry = layout.entries;
-        let mut site = Site::open_with(layout, platform::Options::default(), worker).await?;
+        let mut site = Site::open_with(layout, platform, worker).await?;
         site.converge_on(templates.clone()).await?;
         let journal = Journal::open();
         let balancer = Balancer::default();
@@ -106,6 +120,7 @@
             leaving: JoinSet::new(),
             next_entry,
             shares: 0,
+            wave: None,
         };
         let names: Vec<id::Entry> = stage.site.entries.keys().cloned().collect();
         for name in names {
@@ -222,6 +237,7 @@
             }
             sleep(LOOK).await;
         }
+        self.end_wave(give_up).await?;
         self.count_executions();
         for change in history::read(&self.site).await? {
             self.journal.write(Event::Changed(change));
@@ -229,6 +245,23 @@
         Ok(())
     }
 
+    /// Waits until the wave runs no more; a wave that takes too long is reported as it stands.
+    async fn end_wave(&self, give_up: Instant) -> Result<()> {
+        let Some(name) = &self.wave else {
+            return Ok(());
+        };
+        while Instant::now() < give_up {
+            let waves = self.site.any().admin.waves().await?;
+            let runs =
+                |wave: &Wave| wave.row.value.id() == name && !wave.row.value.state.has_ended();
+            if !waves.iter().any(runs) {
+                return Ok(());
+            }
+            sleep(WAVE_LOOK).await;
+        }
+        Ok(())
+    }
+
     /// Counts the executions of every key that a caller used.
     fn count_executions(&self) {
         let events = self.journal.events();
--- a/crates/demo/src/stage/operator.rs
+++ b/crates/demo/src/stage/operator.rs
@@ -5,8 +5,10 @@
     judge::{Event, Ordered},
 };
 use parking_lot::Mutex;
-use primroseroute_api::Apply;
-use primroseroute_domain::{account::Template, change::Seq};
+use primroseroute_api::{self as api, Accepted, Apply, Start};
+use primroseroute_client::Error;
+use primroseroute_domain::{account::Template, change::Seq, id};
+use primroseroute_fleet::wave;
 use primroseroute_testbed::Admin;
 use std::sync::Arc;
 use tokio::{
@@ -14,14 +16,63 @@
     task::JoinHandle,
 };
 
-/// A template to be applied at one entry.
+/// What is to be done at one entry.
 #[derive(Debug)]
 pub(super) struct Order {
     pub(super) admin: Admin,
-    pub(super) template: Template,
+    pub(super) task: Task,
     pub(super) reason: &'static str,
 }
 
+/// What an order asks for.
+#[derive(Debug)]
+pub(super) enum Task {
+    /// Apply a template.
+    Apply(Template),
+    /// Move an instance to another pool.
+    Move(Move),
+    /// Start a wave.
+    Wave(wave::Order),
+}
+
+/// An instance and the pool that it is to join.
+#[derive(Debug)]
+pub(super) struct Move {
+    pub(super) instance: id::Instance,
+    pub(super) pool: id::Pool,
+}
+
+impl Order {
+    async fn send(self) -> Result<Accepted, Error> {
+        match self.task {
+            Task::Apply(template) => {
+                let apply = Apply {
+                    template,
+                    if_version: None,
+                    reason: self.reason.into(),
+                };
+                self.admin.apply(&apply).await
+            }
+            Task::Move(Move { instance, pool }) => {
+                let order = api::Order {
+                    if_version: None,
+                    reason: self.reason.into(),
+                    force: false,
+                };
+                let order = api::Move { pool, order };
+                self.admin.move_to(&instance, &order).await
+            }
+            Task::Wave(order) => {
+                let start = Start {
+                    order,
+                    reason: self.reason.into(),
+                };
+                self.admin.start_wave(&start).await
+            }
+        }
+    }
+}
+
 /// How far the operator is.
 #[derive(Debug, Default)]
 struct Done {
@@ -71,13 +122,8 @@
 async fn work(mut given: UnboundedReceiver<Order>, journal: Journal, done: Arc<Mutex<Done>>) {
     while let Some(order) = given.recv().await {
         let sent = journal.now();
-        let apply = Apply {
-            template: order.template,
-            if_version: None,
-            reason: order.reason.into(),
-        };
         // A refusal, such as while the store is down, changes nothing and is no breach.
-        let accepted = order.admin.apply(&apply).await.ok();
+        let accepted = order.send().await.ok();
         let mut done = done.lock();
         done.ended += 1;
         if let Some(accepted) = accepted {
--- a/crates/demo/src/stage/step.rs
+++ b/crates/demo/src/stage/step.rs
@@ -1,18 +1,23 @@
 //! Carrying the schedule's steps out.
 
-use super::{EXECUTION, Stage, operator::Order};
+use super::{
+    EXECUTION, Stage,
+    operator::{Move, Order, Task},
+};
 use crate::{
     judge::{Event, Presence},
     schedule::Step,
 };
 use eyre::{Result, eyre};
-use primroseroute_domain::{account::Template, id};
-use primroseroute_platform::fleet::Phase;
+use primroseroute_domain::id;
+use primroseroute_fleet::wave::{self, Limits, Scope, Window};
+use primroseroute_platform::fleet::{Listed, Phase};
 use primroseroute_testbed::{
     Running,
     backend::{self, Mode},
     platform::fault::Outage,
 };
+use std::net::SocketAddr;
 
 /// The worker that loses its answers: what it ran must not run again elsewhere. All accounts call it.
 const LOSING: &str = "gojo-backoffice-1";
@@ -32,6 +37,15 @@
 /// The account whose promise rises by one instance.
 const TAKES: &str = "gojo-core";
 
+/// The instance that goes from the one pool to the other.
+const MOVED: &str = "merkato-beds-0";
+
+/// The pool whose instances a wave reboots.
+const MAINTAINED: &str = "lalibela-rest";
+
+/// The wave.
+const WAVE: &str = "demo";
+
 impl Stage {
     /// Takes one step.
     ///
@@ -47,10 +61,10 @@
             Step::Depart => self.set_phase(DEPARTING, Phase::Leaving)?,
             Step::Vanish => self.set_phase(DEPARTING, Phase::Gone)?,
             Step::Arrive => self.arrive().await?,
-            Step::ShiftPromise => {
-                self.change_promise(GIVES, |promised| promised - 1)?;
-                self.change_promise(TAKES, |promised| promised + 1)?;
-            }
+            Step::LowerPromise => self.change_promise(GIVES, |promised| promised - 1)?,
+            Step::Move => self.move_instance()?,
+            Step::RaisePromise => self.change_promise(TAKES, |promised| promised + 1)?,
+            Step::StartWave => self.start_wave()?,
             Step::StopEntry => self.stop_entry().await?,
             Step::StoreDown => self.site.platform.faults().set_outage(Some(Outage::Refuse)),
             Step::StoreUp => self.site.platform.faults().set_outage(None),
@@ -67,7 +81,7 @@
         template.share += 1;
         let template = template.clone();
         self.shares += 1;
-        self.order(template, "fair share");
+        self.order(Task::Apply(template), "fair share");
     }
 
     fn change_promise(&mut self, account: &str, change: impl Fn(u32) -> u32) -> Result<()> {
@@ -78,18 +92,43 @@
             pool.budget.promised = change(pool.budget.promised);
         }
         let template = template.clone();
-        self.order(template, "promise");
+        self.order(Task::Apply(template), "promise");
+        Ok(())
+    }
+
+    fn move_instance(&self) -> Result<()> {
+        let task = Move {
+            instance: MOVED.parse()?,
+            pool: TAKES.parse()?,
+        };
+        self.order(Task::Move(task), "a promise is to rise there");
+        Ok(())
+    }
+
+    fn start_wave(&mut self) -> Result<()> {
+        let id: id::Wave = WAVE.parse()?;
+        let order = wave::Order {
+            id: id.clone(),
+            scope: Scope {
+                pools: [MAINTAINED.parse()?].into(),
+                ..Scope::default()
+            },
+            window: Window::default(),
+            limits: Limits::default(),
+        };
+        self.order(Task::Wave(order), "maintenance");
+        self.wave = Some(id);
         Ok(())
     }
 
-    /// Applies a template at one entry after another.
-    fn order(&self, template: Template, reason: &'static str) {
+    /// Gives the operator something to do at one entry after another.
+    fn order(&self, task: Task, reason: &'static str) {
         let entries = self.site.entries.len();
         let running = self.site.entries.values().nth(self.shares % entries);
         let admin = running.expect("an entry runs").admin.clone();
         self.operator.give(Order {
             admin,
-            template,
+            task,
             reason,
         });
     }
@@ -113,14 +152,14 @@
     }
 
     /// Takes the first entry out of the site.
-    fn retire(&mut self) -> Result<Running> {
+    fn retire(&mut self) -> Result<(id::Entry, Running)> {
         let first = self.site.entries.pop_first();
         let (name, running) = first.ok_or_else(|| eyre!("no entry runs"))?;
         self.journal.write(Event::Retired(Presence {
-            entry: name,
+            entry: name.clone(),
             at: self.journal.now(),
         }));
-        Ok(running)
+        Ok((name, running))
     }
 
     async fn replace(&mut self) -> Result<()> {
@@ -131,17 +170,44 @@
         Ok(())
     }
 
+    /// Stops an entry, which the platform lists as gone once its process has ended.
+    ///
+    /// An entry removes its own registration as it stops. Where the store is down by then it cannot,
+    /// and without the platform's word every drain would wait for it.
+    ///
     /// The balancer is told nothing: the entry's readiness goes first, and callers look away.
     async fn stop_entry(&mut self) -> Result<()> {
-        let running = self.retire()?;
-        self.leaving.spawn(running.entry.stop());
+        let (name, running) = self.retire()?;
+        let listed = gone(&name, running.callers)?;
+        let platform = self.site.platform.clone();
+        self.leaving.spawn(async move {
+            running.entry.stop().await;
+            platform.fleet().add(listed);
+        });
         self.replace().await
     }
 
     /// The balancer is told nothing here either: its next check fails.
+    ///
+    /// The platform lists the entry's instance as gone once its process has ended, so that no drain
+    /// waits for an acknowledgement that cannot come.
     async fn kill_entry(&mut self) -> Result<()> {
-        let running = self.retire()?;
+        let (name, running) = self.retire()?;
+        let listed = gone(&name, running.callers)?;
         running.entry.abort().await;
+        self.site.platform.fleet().add(listed);
         self.replace().await
     }
 }
+
+/// The platform's line for the instance of an entry whose process has ended.
+fn gone(entry: &id::Entry, address: SocketAddr) -> Result<Listed> {
+    Ok(Listed {
+        id: entry.as_str().parse()?,
+        address,
+        zone: "zone-0".parse()?,
+        rack: "rack-entries".parse()?,
+        phase: Phase::Gone,
+        boots: 1,
+    })
+}
--- a/crates/demo/tests/all/fleet.rs
+++ b/crates/demo/tests/all/fleet.rs
@@ -8,6 +8,7 @@
     instance::{Purpose, Row, State},
     time::Instant,
 };
+use primroseroute_fleet::wave;
 use std::collections::BTreeMap;
 
 cases! {
@@ -16,6 +17,7 @@
     loss_that_nobody_planned_is_no_breach => unplanned();
     arrival_move_departure_and_quarantine_are_counted => counted();
     idle_slots_are_counted_over_time => idle();
+    waves_and_the_instances_that_they_maintained_are_counted => waves();
 }
 
 fn pool(name: &str) -> id::Pool {
@@ -47,6 +49,7 @@
         at: Instant(at),
         rows: rows.collect(),
         budgets: BTreeMap::new(),
+        waves: BTreeMap::new(),
     })
 }
 
@@ -63,6 +66,7 @@
         at: Instant(0),
         rows: rows.into(),
         budgets: [(pool("p"), budget)].into(),
+        waves: BTreeMap::new(),
     });
     let events: Vec<Event> = [start].into_iter().chain(more).collect();
     judge(&events)
@@ -99,6 +103,7 @@
         at: Instant(70),
         rows: [(serving("b").id, None)].into(),
         budgets: BTreeMap::new(),
+        waves: BTreeMap::new(),
     };
     let report = with(
         1,
@@ -133,3 +138,47 @@
     let cost = report.fleet.buffer_slot_hours;
     assert!((cost - 12.0).abs() < 1e-9, "{cost}");
 }
+
+fn wave_row(name: &str, state: wave::State, ended: Option<Instant>) -> Event {
+    let order = wave::Order {
+        id: name.parse().expect("a name"),
+        scope: wave::Scope::default(),
+        window: wave::Window::default(),
+        limits: wave::Limits::default(),
+    };
+    let row = wave::Row {
+        state,
+        ended,
+        ..wave::Row::begin(order, Instant(100))
+    };
+    Event::Changed(Change {
+        seq: Seq(2),
+        at: Instant(100),
+        rows: BTreeMap::new(),
+        budgets: BTreeMap::new(),
+        waves: [(row.id().clone(), row)].into(),
+    })
+}
+
+/// One wave is rolled out after 50 ms, one was aborted and one still runs. An instance that was
+/// maintained keeps the mark in its later rows and counts once.
+fn waves() {
+    let maintained = Row {
+        maintained: Some(Instant(120)),
+        ..serving("a")
+    };
+    let report = with(
+        1,
+        vec![
+            wave_row("rolled", wave::State::Running, None),
+            wave_row("rolled", wave::State::Done, Some(Instant(150))),
+            wave_row("ended", wave::State::Aborted, Some(Instant(900))),
+            wave_row("runs", wave::State::Running, None),
+            change(3, 200, vec![maintained.clone()]),
+            change(4, 300, vec![maintained]),
+        ],
+    );
+    let fleet = report.fleet;
+    assert_eq!((fleet.waves, fleet.waves_done), (3, 1));
+    assert_eq!((fleet.rollout_ms, fleet.maintained), (50, 1));
+}
--- a/tests/all/demo.rs
+++ b/tests/all/demo.rs
@@ -17,8 +17,8 @@
 }
 
 /// Callers of five accounts send while the whole schedule runs in a few seconds: a worker that
-/// fails, an instance that leaves, one that arrives, one that moves, an entry stopped, one killed,
-/// the store down. Whatever the machine's speed, nothing may run twice, be lost or be untrue.
+/// fails, an instance that leaves, one that arrives, one that moves, a wave, an entry stopped, one
+/// killed, the store down. Whatever the machine's speed, nothing may run twice, be lost or be untrue.
 async fn short() -> Result<()> {
     let options = Options {
         load: Duration::from_secs(6),
@@ -39,5 +39,11 @@
     assert_eq!(report.views.never, 0, "{report:?}");
     assert!(report.fleet.changes > 0, "{report:?}");
     assert!(report.fleet.buffer_slot_hours > 0.0, "{report:?}");
+    // The wave is waited for, and no arrival or order is held up by an entry that was killed.
+    let fleet = report.fleet;
+    assert_eq!((fleet.waves, fleet.waves_done), (1, 1), "{fleet:?}");
+    assert!(fleet.maintained > 0 && fleet.rollout_ms > 0, "{fleet:?}");
+    assert_eq!((fleet.arrivals, fleet.departures), (1, 1), "{fleet:?}");
+    assert!(fleet.moves > 0, "{fleet:?}");
     Ok(())
 }
