Check that links between pages resolve

Cause: nothing noticed a link to a page or heading that is not there.

Change: a test follows every link of README.md, examples/README.md and the pages under docs/ to its file and heading.

--- a/tests/all/docs.rs
+++ b/tests/all/docs.rs
@@ -67,3 +67,50 @@
 fn target(link: &str) -> &str {
     link.split('#').next().unwrap_or(link)
 }
+
+/// The heading's anchor, as a page's viewer makes it.
+fn anchor(heading: &str) -> String {
+    let kept = |c: &char| c.is_alphanumeric() || matches!(c, ' ' | '-');
+    let text: String = heading.to_lowercase().chars().filter(kept).collect();
+    text.replace(' ', "-")
+}
+
+/// What is wrong with one link of `page`; none where it leads to a file and a heading.
+fn fault(page: &Path, link: &str) -> Result<Option<String>> {
+    if link.starts_with("http") {
+        return Ok(None);
+    }
+    let (file, heading) = link.split_once('#').unwrap_or((link, ""));
+    let folder = page.parent().unwrap_or(page);
+    let path = if file.is_empty() {
+        page.to_owned()
+    } else {
+        folder.join(file)
+    };
+    if !path.exists() {
+        return Ok(Some(format!("{}: no file {link}", page.display())));
+    }
+    if heading.is_empty() {
+        return Ok(None);
+    }
+    let text = fs::read_to_string(&path)?;
+    let headings = text.lines().filter_map(|line| line.strip_prefix('#'));
+    let mut anchors = headings.map(|line| anchor(line.trim_start_matches('#').trim()));
+    let missing = !anchors.any(|found| found == heading);
+    Ok(missing.then(|| format!("{}: no heading {link}", page.display())))
+}
+
+#[test]
+fn links_between_pages_resolve() -> Result<()> {
+    let mut pages = pages(&root().join("docs"))?;
+    pages.push(root().join("README.md"));
+    pages.push(root().join("examples/README.md"));
+    let mut faults = Vec::new();
+    for page in &pages {
+        for link in links(page)? {
+            faults.extend(fault(page, &link)?);
+        }
+    }
+    assert_eq!(faults, Vec::<String>::new());
+    Ok(())
+}
