--- a/crates/capacity/src/stage.rs
+++ b/crates/capacity/src/stage.rs
@@ -6,7 +6,7 @@
     rows::{templates, workers},
 };
 use eyre::{Result, eyre};
-use primroseroute_controller::Timers as ControllerTimers;
+use primroseroute_controller::{Timers as ControllerTimers, jobs::Settings as Jobs};
 use primroseroute_domain::{
     account::Template,
     change::Seq,
@@ -105,6 +105,7 @@
                 probe: Arc::new(Well),
                 timers: Timers::default(),
                 controller: timers(cycles),
+                jobs: Jobs::default(),
                 ..parts
             };
             bed.start_with(&format!("entry-{index}"), deployed).await?;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod acknowledge;
 mod ctl;
 mod demo;
+mod docs;
 mod fleet;
 mod input;
 mod jobs;
@@ -10,6 +11,7 @@
 mod once;
 mod process;
 mod regions;
+mod report;
 mod stop;
 mod thin;
 mod told;
