--- a/crates/fleet/src/lifecycle/step.rs
+++ b/crates/fleet/src/lifecycle/step.rs
@@ -339,11 +339,26 @@
             .is_some_and(|(listed, mark)| listed.phase == Phase::Live && listed.boots > *mark)
     }
 
+    /// The reboot that was marked and has not happened.
+    ///
+    /// A controller that was paused since the mark may still ask the platform for it when it wakes
+    /// up, and the platform would carry it out, since the count of boots has not moved: a serving
+    /// instance would go down with requests in flight. So the instance reboots before it serves.
+    fn owed_reboot(&self) -> Option<Action> {
+        let boots = *self.input.marks.get(&self.row.id)?;
+        let is_owed = self.listed().is_some_and(|listed| listed.boots == boots);
+        let id = self.row.id.clone();
+        is_owed.then_some(Action::Reboot { id, boots })
+    }
+
     fn quarantined(&self) -> Vec<Action> {
         let by_operator = self.row.purpose == Some(Purpose::Operator);
         if by_operator || !self.is_good() || self.phase() != Some(Phase::Live) {
             return Vec::new();
         }
+        if let Some(reboot) = self.owed_reboot() {
+            return vec![reboot];
+        }
         let was_due = matches!(self.row.purpose, Some(Purpose::Wave(_)));
         let maintained = if was_due && self.is_rebooted() {
             Some(self.input.now)
--- a/crates/fleet/tests/all/lifecycle.rs
+++ b/crates/fleet/tests/all/lifecycle.rs
@@ -261,6 +261,17 @@
     assert_eq!(back.step(), [Action::Unmark { id: name("i0") }]);
 }
 
+/// A reboot was marked, the instance was quarantined before it happened, and its checks are good
+/// again. A paused controller may still ask for that reboot, so the instance must not serve first.
+fn marked_reboot_comes_before_serving() {
+    let quarantined = with(in_wave(), State::Quarantined);
+    let owed = World::of(&quarantined).check(5, 0).mark(1);
+    let id = quarantined.id.clone();
+    assert_eq!(owed.step(), [Action::Reboot { id, boots: 1 }]);
+    let rebooted = owed.list(Phase::Live, 2);
+    assert_eq!(goes(&rebooted.step()), Some((State::Probation, Some("a"))));
+}
+
 fn operators_quarantine_stays() {
     let well = |purpose| {
         let row = with(one(), State::Quarantined);
@@ -317,6 +328,7 @@
     arrival_passes_probation: arrival_is_checked_first();
     mark_is_forgotten_after_its_reboot: mark_ends_with_its_maintenance();
     spare_ends_its_maintenance: spare_is_done_when_its_checks_are_good();
+    owed_reboot_comes_before_serving: marked_reboot_comes_before_serving();
     quarantine_by_an_operator_lasts: operators_quarantine_stays();
     platform_takes_an_instance: leaving_instance_drains_first();
     orders_have_numbered_refusals: orders_are_refused_with_their_codes();
--- a/crates/route/src/gate.rs
+++ b/crates/route/src/gate/all.rs
@@ -1,14 +1,13 @@
-//! The gates before the pools: pure decisions behind a lock, and the requests that wait on them.
-//!
-//! Lock order: `Gates::in_force`, then `Gates::open`, then `Gate::state`. No lock is held across an await.
+//! The gates of one entry.
 
+use super::{Entrant, Ticket, one::Gate};
 use parking_lot::{Mutex, RwLock};
-use primroseroute_domain::{account::Class, change::Seq, id, outcome::Code};
+use primroseroute_domain::{change::Seq, id};
 use primroseroute_flow::{
     limits::Limits,
     pool::Pool,
     report::Report,
-    request::{Action, Arrival, Ending},
+    request::Arrival,
     view::{Member, View},
 };
 use primroseroute_view::Snapshot;
@@ -18,197 +17,8 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
 };
-use tokio::{
-    sync::{Notify, oneshot},
-    task::JoinHandle,
-    time::{Instant, sleep_until},
-};
-
-/// What a request is to do next.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Step {
-    /// Try this instance.
-    Send {
-        instance: id::Instance,
-        not_after: Instant,
-    },
-    /// Give up.
-    Refuse { code: Code, retry_after: Duration },
-}
-
-/// A request that asks to be let through.
-#[derive(Clone, Debug)]
-pub(crate) struct Entrant {
-    pub account: id::Account,
-    pub service: id::Service,
-    pub class: Class,
-    pub deadline: Instant,
-    pub idempotent: bool,
-}
-
-#[derive(Debug)]
-struct State {
-    decisions: Pool,
-    waiting: BTreeMap<u64, oneshot::Sender<Step>>,
-    /// Whether the last report for the peers had nothing in it.
-    was_quiet: bool,
-}
-
-/// The gate before one pool.
-#[derive(Debug)]
-pub(crate) struct Gate {
-    started: Instant,
-    state: Mutex<State>,
-    wake: Notify,
-}
-
-impl Gate {
-    fn now(&self) -> Duration {
-        self.started.elapsed()
-    }
-
-    /// Runs one decision and hands its actions to the requests that wait for them.
-    fn decide(&self, decision: impl FnOnce(&mut Pool, Duration) -> Vec<Action>) {
-        self.decide_in(&mut self.state.lock(), decision);
-    }
-
-    /// The same where a request that `decision` is about joins or leaves those that wait.
-    fn decide_in(
-        &self,
-        state: &mut State,
-        decision: impl FnOnce(&mut Pool, Duration) -> Vec<Action>,
-    ) {
-        let due = state.decisions.next_tick();
-        let actions = decision(&mut state.decisions, self.now());
-        for action in actions {
-            self.pass_on(state, action);
-        }
-        if state.decisions.next_tick() != due {
-            self.wake.notify_one();
-        }
-    }
-
-    fn pass_on(&self, state: &mut State, action: Action) {
-        let (request, step) = match action {
-            Action::Send {
-                request,
-                instance,
-                not_after,
-                ..
-            } => (
-                request,
-                Step::Send {
-                    instance,
-                    not_after: self.started + not_after,
-                },
-            ),
-            Action::Refuse {
-                request,
-                code,
-                retry_after,
-            } => (request, Step::Refuse { code, retry_after }),
-        };
-        // A ticket is told of its own end by `Ticket::drop`, so a send that fails is one that was
-        // cancelled in the same moment, and the cancellation follows.
-        let waiter = state.waiting.remove(&request);
-        let delivered = waiter.is_some_and(|waiter| waiter.send(step).is_ok());
-        if !delivered {
-            log::debug!("request {request} went away before its next step");
-        }
-    }
-
-    /// The report of a busy pool that has news.
-    ///
-    /// A pool that nobody calls has nothing to say: its keep-alives alone would be 54 messages a
-    /// second to each peer at 270 pools. The report that it fell quiet is sent once.
-    fn news(&self) -> Option<Report> {
-        let mut state = self.state.lock();
-        let report = state.decisions.news(self.now())?;
-        let is_quiet = report.demand.is_empty() && report.lent.is_empty() && report.seen.is_empty();
-        let was_quiet = std::mem::replace(&mut state.was_quiet, is_quiet);
-        (!is_quiet || !was_quiet).then_some(report)
-    }
-
-    async fn run_timer(self: Arc<Self>) {
-        loop {
-            let due = self.state.lock().decisions.next_tick();
-            match due {
-                Some(due) => {
-                    tokio::select! {
-                        () = sleep_until(self.started + due) => self.decide(Pool::tick),
-                        () = self.wake.notified() => {}
-                    }
-                }
-                None => self.wake.notified().await,
-            }
-        }
-    }
-}
-
-/// A request's place at a gate; dropping it early tells the gate that the caller went away.
-#[derive(Debug)]
-pub(crate) struct Ticket {
-    gate: Arc<Gate>,
-    number: u64,
-    /// Brings the next step; a new one for each, since a gate decides one step at a time.
-    step: Option<oneshot::Receiver<Step>>,
-    over: bool,
-}
-
-impl Ticket {
-    /// The next step; a gate always has one until the request is over.
-    pub(crate) async fn next(&mut self) -> Step {
-        let step = match self.step.take() {
-            Some(step) => step.await.ok(),
-            None => None,
-        };
-        let lost = Step::Refuse {
-            code: Code::Overloaded,
-            retry_after: Duration::from_secs(1),
-        };
-        let step = step.unwrap_or(lost);
-        self.over |= matches!(step, Step::Refuse { .. });
-        step
-    }
-
-    /// Moves the request to another owner, such as the body of a streaming answer.
-    pub(crate) fn hand_over(&mut self) -> Self {
-        let handed = Self {
-            gate: Arc::clone(&self.gate),
-            number: self.number,
-            step: self.step.take(),
-            over: self.over,
-        };
-        self.over = true;
-        handed
-    }
-
-    /// Tells the gate how an attempt ended.
-    pub(crate) fn finish(&mut self, ending: Ending) {
-        self.over |= matches!(ending, Ending::Answered { .. } | Ending::Cancelled);
-        let mut state = self.gate.state.lock();
-        if self.over {
-            state.waiting.remove(&self.number);
-        } else {
-            let (sender, step) = oneshot::channel();
-            state.waiting.insert(self.number, sender);
-            self.step = Some(step);
-        }
-        self.gate.decide_in(&mut state, |pool, now| {
-            pool.finish(now, self.number, ending)
-        });
-    }
-}
-
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        if !self.over {
-            self.finish(Ending::Cancelled);
-        }
-    }
-}
+use tokio::{sync::oneshot, task::JoinHandle, time::Instant};
 
 /// A gate with the task that ticks it.
 #[derive(Debug)]
@@ -292,15 +102,7 @@
                 self.limits.clone(),
                 seed,
             );
-            let gate = Arc::new(Gate {
-                started: self.started,
-                state: Mutex::new(State {
-                    decisions,
-                    waiting: BTreeMap::new(),
-                    was_quiet: true,
-                }),
-                wake: Notify::new(),
-            });
+            let gate = Arc::new(Gate::new(decisions, self.started));
             let timer = tokio::spawn(Arc::clone(&gate).run_timer());
             Opened { gate, timer }
         });
--- a/tests/all/fleet.rs
+++ b/tests/all/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet as the controller drives it: arrivals, departures, takeovers, failing workers.
 
-use crate::{LIMIT, cases};
+use crate::{LIMIT, cases, reads_complete, stay};
 use eyre::Result;
 use http::Method;
 use primroseroute_api::Order;
@@ -16,7 +16,7 @@
     table::{Txn, Write},
 };
 use primroseroute_testbed::{
-    Caller, Layout, Said, Site,
+    Caller, Site,
     backend::{Backend, Mode, Options},
     caller_token, platform,
 };
@@ -33,16 +33,6 @@
     silent_entry_stops_a_removal_and_not_serving => silent_entry();
 }
 
-async fn site(workers: usize) -> Result<Site> {
-    let layout = Layout {
-        pools: vec![("stay".to_owned(), workers)],
-        ..Layout::small()
-    };
-    let mut site = Site::open(layout, platform::Options::default()).await?;
-    site.converge().await?;
-    Ok(site)
-}
-
 /// A further worker that the platform lists as live, in a rack of its own.
 async fn arrive(site: &mut Site, name: &str, mode: Mode) -> Result<id::Instance> {
     let options = Options {
@@ -89,7 +79,7 @@
 /// The template comes to promise more than the pool has. The platform hands over an instance; it is
 /// checked, placed where the deficit is, and serves.
 async fn arrival() -> Result<()> {
-    let mut site = site(2).await?;
+    let mut site = stay(2).await?;
     let mut template = site.templates().remove(0);
     template.pools[0].budget.promised = 3;
     let order = primroseroute_api::Apply {
@@ -103,15 +93,8 @@
     let seq = site.ledger().head().await?.seq;
     site.in_force(seq).await?;
 
-    let caller = Caller::open(caller_token("stay"));
-    let to = site.any().callers;
     let worker = Arc::clone(site.worker("new"));
-    for _ in 0..60 {
-        let answer = caller
-            .send(to, Method::GET, "/stay/a", &[], "", LIMIT)
-            .await;
-        assert_eq!(answer.said, Said::Completed, "{answer:?}");
-    }
+    reads_complete(site.any().callers, 60).await;
     assert!(worker.count().executions > 0, "it serves and gets nothing");
     Ok(())
 }
@@ -119,7 +102,7 @@
 /// An instance arrives that fails every check. It must not get a single caller's request, however
 /// great the pool's need.
 async fn bad_arrival() -> Result<()> {
-    let mut site = site(1).await?;
+    let mut site = stay(1).await?;
     let mut template = site.templates().remove(0);
     template.pools[0].budget.promised = 3;
     let order = primroseroute_api::Apply {
@@ -158,19 +141,13 @@
 /// The platform says that an instance will leave. It drains, every entry acknowledges, it goes, and
 /// its row goes last.
 async fn departure() -> Result<()> {
-    let site = site(3).await?;
+    let site = stay(3).await?;
     let id: id::Instance = "stay-0".parse()?;
     site.platform.fleet().set_phase(&id, Phase::Leaving);
     until_row(&site, &id, is(State::Leaving)).await?;
     site.platform.fleet().set_phase(&id, Phase::Gone);
     until_row(&site, &id, |row| row.is_none()).await?;
-    let caller = Caller::open(caller_token("stay"));
-    for _ in 0..20 {
-        let answer = caller
-            .send(site.any().callers, Method::GET, "/stay/a", &[], "", LIMIT)
-            .await;
-        assert_eq!(answer.said, Said::Completed, "{answer:?}");
-    }
+    reads_complete(site.any().callers, 20).await;
     Ok(())
 }
 
@@ -192,7 +169,7 @@
 /// way of the removal, until the platform's list or an operator says that it is gone; the drain
 /// itself goes on.
 async fn takeover() -> Result<()> {
-    let mut site = site(3).await?;
+    let mut site = stay(3).await?;
     let first = holder(&site).await?;
     site.take(first.as_str()).entry.abort().await;
     let id: id::Instance = "stay-0".parse()?;
@@ -203,7 +180,7 @@
 }
 
 async fn hand_over() -> Result<()> {
-    let mut site = site(3).await?;
+    let mut site = stay(3).await?;
     let first = holder(&site).await?;
     site.take(first.as_str()).entry.stop().await;
     let lease = site
@@ -225,7 +202,7 @@
 
 /// A serving worker begins to fail. Its checks find it, it is quarantined, and callers go on.
 async fn quarantine() -> Result<()> {
-    let site = site(3).await?;
+    let site = stay(3).await?;
     site.worker("stay-0").set_mode(Mode::FailAll);
     until_row(&site, &"stay-0".parse()?, is(State::Quarantined)).await?;
     site.worker("stay-0").set_mode(Mode::Ok);
@@ -237,7 +214,7 @@
 /// instance that leaves must not be given up before that entry is known to be gone, and callers
 /// are served all the while, by that entry too.
 async fn silent_entry() -> Result<()> {
-    let mut site = site(3).await?;
+    let mut site = stay(3).await?;
     site.start("cut").await?;
     let seq = site.ledger().head().await?.seq;
     site.in_force(seq).await?;
@@ -252,14 +229,7 @@
     let id: id::Instance = "stay-0".parse()?;
     site.platform.fleet().set_phase(&id, Phase::Leaving);
     until_row(&site, &id, is(State::Draining)).await?;
-    let caller = Caller::open(caller_token("stay"));
-    for _ in 0..30 {
-        let to = site.entry("cut").callers;
-        let answer = caller
-            .send(to, Method::GET, "/stay/a", &[], "", LIMIT)
-            .await;
-        assert_eq!(answer.said, Said::Completed, "{answer:?}");
-    }
+    reads_complete(site.entry("cut").callers, 30).await;
     until_row(&site, &id, is(State::Draining)).await?;
 
     // The operator vouches for it: it is stopped and its registration removed.
@@ -277,7 +247,7 @@
 /// serving by the view that it read. A leaving instance is not given up before it is known to be
 /// gone.
 async fn never_heard() -> Result<()> {
-    let site = site(3).await?;
+    let site = stay(3).await?;
     let row = Registration {
         name: "ghost".parse()?,
         incarnation: uuid::Uuid::from_u128(1),
--- a/tests/all/truth.rs
+++ b/tests/all/truth.rs
@@ -1,15 +1,13 @@
 //! I3 and I4: a caller gets the whole answer to its own request or a clear error, and "not run" is
 //! said only where it is proven.
 
-use crate::{LIMIT, cases};
+use crate::{LIMIT, cases, stay};
 use async_trait::async_trait;
 use eyre::Result;
 use http::{HeaderValue, Method, Request, Response};
 use primroseroute_entry::Parts;
 use primroseroute_route::backend::{Backend, Body, Failure, Pool};
-use primroseroute_testbed::{
-    Answer, Caller, Layout, Said, Site, backend::Mode, caller_token, platform,
-};
+use primroseroute_testbed::{Answer, Caller, Said, Site, backend::Mode, caller_token};
 use std::{net::SocketAddr, sync::Arc};
 use tokio::time::Instant;
 
@@ -31,17 +29,6 @@
     large_request_arrives_whole => large_request();
 }
 
-/// One pool of `workers`, two entries.
-async fn site(workers: usize) -> Result<Site> {
-    let layout = Layout {
-        pools: vec![("stay".to_owned(), workers)],
-        ..Layout::small()
-    };
-    let mut site = Site::open(layout, platform::Options::default()).await?;
-    site.converge().await?;
-    Ok(site)
-}
-
 async fn send(site: &Site, method: Method, headers: &[(&str, &str)], body: &'static str) -> Answer {
     let caller = Caller::open(caller_token("stay"));
     caller
@@ -67,7 +54,7 @@
 /// connection of the first request. The second caller's request goes to the same worker and must
 /// get its own answer: the first connection must have been closed with the timeout.
 async fn late_answer() -> Result<()> {
-    let site = site(1).await?;
+    let site = stay(1).await?;
     site.worker("stay-0")
         .set_mode(Mode::Late(std::time::Duration::from_millis(300)));
     let headers = [("x-request-id", "first"), ("request-timeout-ms", "100")];
@@ -89,7 +76,7 @@
 /// The worker runs the request, sends part of the answer and dies. The caller must not see a 200
 /// with half a body, and must not be told "not run", since it did run.
 async fn small_death(mode: Mode) -> Result<()> {
-    let site = site(1).await?;
+    let site = stay(1).await?;
     site.worker("stay-0").set_mode(mode);
     let answer = send(&site, Method::POST, &[], "bed 1").await;
     assert_eq!(answer.said, Said::Unknown, "{answer:?}");
@@ -101,7 +88,7 @@
 /// The head of a large answer has gone to the caller when the worker dies. The only truthful way
 /// left is to break the caller's connection off, so that its HTTP library reports a short body.
 async fn large_death() -> Result<()> {
-    let site = site(1).await?;
+    let site = stay(1).await?;
     site.worker("stay-0").set_mode(Mode::Truncated);
     let answer = send(&site, Method::GET, &[("x-answer-bytes", LARGE)], "").await;
     assert_eq!(answer.said, Said::Unknown, "{answer:?}");
@@ -115,7 +102,7 @@
 /// The worker runs the request and closes without an answer. Without a key nothing may be sent
 /// again: a second worker stands ready and must stay idle.
 async fn reset_without_key() -> Result<()> {
-    let site = site(2).await?;
+    let site = stay(2).await?;
     for worker in site.workers.values() {
         worker.set_mode(Mode::Reset);
     }
@@ -129,7 +116,7 @@
 /// One of two workers resets everything. Reads are idempotent, so each is tried at the other
 /// worker and every caller gets its answer.
 async fn reset_of_a_read() -> Result<()> {
-    let site = site(2).await?;
+    let site = stay(2).await?;
     site.worker("stay-0").set_mode(Mode::Reset);
     for _ in 0..5 {
         let answer = send(&site, Method::GET, &[], "").await;
@@ -141,7 +128,7 @@
 /// One of two workers no longer listens. No byte was sent to it, so even a request without a key
 /// may go to the other, and runs once.
 async fn refused_connection() -> Result<()> {
-    let site = site(2).await?;
+    let site = stay(2).await?;
     site.kill_worker("stay-0").await?;
     for _ in 0..5 {
         let answer = send(&site, Method::POST, &[], "bed 1").await;
@@ -154,7 +141,7 @@
 /// No worker listens. Nothing was sent anywhere, so the caller is told "not run" and when to come
 /// back.
 async fn nobody_listens() -> Result<()> {
-    let site = site(1).await?;
+    let site = stay(1).await?;
     site.kill_worker("stay-0").await?;
     let answer = send(&site, Method::POST, &[], "bed 1").await;
     assert_eq!(answer.said, Said::NotRun, "{answer:?}");
@@ -164,7 +151,7 @@
 }
 
 async fn large_answer() -> Result<()> {
-    let site = site(1).await?;
+    let site = stay(1).await?;
     let answer = send(&site, Method::GET, &[("x-answer-bytes", LARGE)], "").await;
     assert_eq!(answer.said, Said::Completed, "{:?}", answer.code);
     assert_eq!(answer.body.len().to_string(), LARGE);
@@ -172,7 +159,7 @@
 }
 
 async fn large_request() -> Result<()> {
-    let site = site(1).await?;
+    let site = stay(1).await?;
     let body = vec![7_u8; 300_000];
     let caller = Caller::open(caller_token("stay"));
     let to = site.any().callers;
@@ -209,7 +196,7 @@
 /// A worker mixes its answers up and says so by the request id that it returns. The caller must get
 /// an error, not another caller's answer; the request may have run.
 async fn mixed_up_answer() -> Result<()> {
-    let mut site = site(1).await?;
+    let mut site = stay(1).await?;
     let backend = Arc::new(MixedUp(Pool::open()));
     site.start_with("mixed", |parts| Parts { backend, ..parts })
         .await?;
