Let every setting decide something, and name operators

Cause: `timers.heartbeat`, `timers.probe`, `limits.slots` and `limits.connections` were read, checked and then forgotten. Times of the controller and of membership, the lifecycle's limits, the size of a worker and the path of its health check were constants. Operators were a list of tokens, so the audit trail named `token-0`.

Change: `secrets.operators` has names, and refuses a name or a token that two operators share. `fleet.capacity` and `fleet.lifecycle` are new; `timers` has the times of the registration row, the roster and the controller; `limits.caller-connections` bounds open connections. `slots` and `connections` of workers are gone, since they are the domain's constants, and so is `probe`, which `check-waiting` replaces. Rules between values: poll within the age of a current view, lease over a renewal and a call, heartbeat over batch, probation over its checks. Weights are rounded to hundredths in place of cut, and bounded. `Fields::of` is the mapping without secrets and sockets.

Tests: each documented key must have another value in the test, alone change the mapped fields, and with all others change what it names. The check of `connections` against `slots` went with the two keys.

--- a/crates/serve/src/cli.rs
+++ b/crates/serve/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line of the entry's process.
 
-use crate::{parts, signal};
+use crate::{Fields, parts, signal};
 use clap::{Parser, Subcommand};
 use eyre::{Result, WrapErr};
 use primroseroute_entry::Entry;
@@ -69,10 +69,11 @@
 }
 
 async fn serve(settings: &Settings) -> Result<ExitCode> {
-    let log = Log::start(settings.telemetry.level).wrap_err("starting the log")?;
+    let fields = Fields::of(settings);
+    let log = Log::start(fields.level).wrap_err("starting the log")?;
     let stop = signal::stop()?;
-    let name = settings.entry.name.clone();
-    let entry = Entry::spawn(parts::build(settings)?)
+    let name = fields.entry.clone();
+    let entry = Entry::spawn(parts::build(fields, &settings.secrets)?)
         .await
         .wrap_err("starting the entry")?;
     log::info!(
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -4,7 +4,9 @@
 //! every fault of a settings file; `settings` prints the documented default.
 
 mod cli;
+mod fields;
 mod parts;
 mod signal;
 
 pub use cli::{Cli, run};
+pub use fields::Fields;
--- /dev/null
+++ b/crates/serve/tests/all/fields.rs
@@ -0,0 +1,182 @@
+//! Every key of the settings decides something, and the thing that it names.
+//!
+//! A key that is read and then forgotten looks as if it worked: the file is valid, and the entry
+//! goes on by a constant. So each key is set away from its default, alone and with all others.
+
+use expect_test::expect;
+use primroseroute_domain::id;
+use primroseroute_serve::Fields;
+use primroseroute_settings::{Settings, documented};
+use std::collections::BTreeSet;
+
+/// A value away from the default for each key; no two of one type are alike, so that keys that are
+/// mixed up show.
+const OTHERS: [(&str, &str); 41] = [
+    ("entry.name", "entry-7"),
+    ("entry.zone", "zone-q"),
+    ("entry.region", "region-9"),
+    ("listen.callers", "127.0.0.1:1001"),
+    ("listen.admin", "127.0.0.1:1002"),
+    ("listen.peers", "127.0.0.1:1003"),
+    ("platform.url", "http://127.0.0.1:7001"),
+    ("platform.timeout", "2100ms"),
+    ("limits.queue-per-account", "11"),
+    ("limits.body-bytes", "12"),
+    ("limits.head-bytes", "13"),
+    ("limits.head-timeout", "14s"),
+    ("limits.default-timeout", "15s"),
+    ("limits.max-timeout", "16s"),
+    ("limits.retries", "17"),
+    ("limits.retry-budget", "0.18"),
+    ("limits.caller-connections", "19"),
+    ("timers.poll", "1020ms"),
+    ("timers.roster", "21s"),
+    ("timers.heartbeat", "22s"),
+    ("timers.batch", "2300ms"),
+    ("timers.cycle", "24s"),
+    ("timers.renew", "2500ms"),
+    ("timers.lease", "26s"),
+    ("timers.check-waiting", "27s"),
+    ("timers.check-serving", "28s"),
+    ("timers.drain-grace", "29s"),
+    ("fleet.weights.buffer", "0.29"),
+    ("fleet.weights.moves", "31"),
+    ("fleet.weights.roll-out", "32"),
+    ("fleet.capacity.cores", "33"),
+    ("fleet.capacity.memory", "34GiB"),
+    ("fleet.capacity.accelerators", "35"),
+    ("fleet.lifecycle.health-path", "/health"),
+    ("fleet.lifecycle.good-checks", "6"),
+    ("fleet.lifecycle.bad-checks", "7"),
+    ("fleet.lifecycle.probation", "38m"),
+    ("fleet.lifecycle.maintenance", "39m"),
+    ("telemetry.level", "debug"),
+    // Lists and secrets have tests of their own.
+    ("peers", ""),
+    ("secrets.operators", ""),
+];
+
+/// Walks the documented settings: each key's path, and the line that `change` makes of it.
+fn walk(mut change: impl FnMut(&str, &str) -> Option<String>) -> String {
+    let mut around: Vec<&str> = Vec::new();
+    let mut out = String::new();
+    let text = documented();
+    for line in text.lines() {
+        let key = line.trim_start();
+        let depth = (line.len() - key.len()) / 2;
+        let mut new = None;
+        if let Some((name, value)) = key.split_once(':').filter(|_| !key.starts_with('#')) {
+            around.truncate(depth);
+            around.push(name);
+            if !value.is_empty() {
+                let start = &line[..line.len() - key.len()];
+                let value = change(&around.join("."), value.trim());
+                new = value.map(|value| format!("{start}{name}: {value}"));
+            }
+        }
+        out.push_str(new.as_deref().unwrap_or(line));
+        out.push('\n');
+    }
+    out
+}
+
+fn other(path: &str) -> Option<&'static str> {
+    let found = OTHERS.iter().find(|(key, _)| *key == path);
+    found
+        .map(|(_, value)| *value)
+        .filter(|value| !value.is_empty())
+}
+
+/// What `text` comes to, a line for each field.
+fn shape(text: &str) -> String {
+    let settings = Settings::parse(text).unwrap_or_else(|error| panic!("{error}\n{text}"));
+    format!("{:#?}", Fields::of(&settings))
+}
+
+#[test]
+fn every_key_has_another_value_here() {
+    let mut documented = BTreeSet::new();
+    walk(|path, _| {
+        documented.insert(path.to_owned());
+        None
+    });
+    // The secret's own keys are not the documented ones alone.
+    assert!(documented.remove("secrets.peer-key.env"));
+    let here: BTreeSet<String> = OTHERS.iter().map(|(key, _)| (*key).to_owned()).collect();
+    assert_eq!(here, documented);
+}
+
+#[test]
+fn each_key_alone_changes_something() {
+    let default = shape(&documented());
+    for (key, value) in OTHERS.iter().filter(|(_, value)| !value.is_empty()) {
+        let text = walk(|path, _| (path == *key).then(|| (*value).to_owned()));
+        assert_ne!(shape(&text), default, "{key} changes nothing");
+    }
+}
+
+#[test]
+fn all_keys_change_what_they_name() {
+    let default = shape(&documented());
+    let all = shape(&walk(|path, _| other(path).map(str::to_owned)));
+    let lines = default.lines().zip(all.lines());
+    let changed = lines.filter(|(before, after)| before != after);
+    let changed: Vec<&str> = changed.map(|(_, after)| after.trim()).collect();
+    expect![[r#"
+        entry: "entry-7",
+        zone: "zone-q",
+        region: "region-9",
+        callers: 127.0.0.1:1001,
+        admin: 127.0.0.1:1002,
+        peers: 127.0.0.1:1003,
+        url: "http://127.0.0.1:7001",
+        timeout: 2.1s,
+        caller: "entry-7",
+        health_path: "/health",
+        queue: 11,
+        attempts: 18,
+        retry_ratio: 0.18,
+        body_bytes: 12,
+        default: 15s,
+        max: 16s,
+        head_bytes: 13,
+        head_timeout: 14s,
+        connections: 19,
+        batch: 2.3s,
+        heartbeat: 22s,
+        poll: 1.02s,
+        roster: 21s,
+        grace: 29s,
+        cycle: 24s,
+        renew: 2.5s,
+        lease: 26s,
+        check_waiting: 27s,
+        check_serving: 28s,
+        good_checks: 6,
+        bad_checks: 7,
+        probation_seconds: 2280,
+        maintenance_seconds: 2340,
+        cores: 33.0,
+        memory: 36507222016.0,
+        accelerators: 35.0,
+        buffer: 29,
+        moves: 3100,
+        rollout: 3200,
+        level: Debug,"#]]
+    .assert_eq(&changed.join("\n"));
+    assert_eq!(default.lines().count(), all.lines().count());
+}
+
+#[test]
+fn peers_are_dialed_by_name_and_address() {
+    let text = documented().replace(
+        "peers: []",
+        "peers: [{name: entry-8, address: '127.0.0.1:1004'}]",
+    );
+    let settings = Settings::parse(&text).expect("it is valid");
+    let [peer] = &*Fields::of(&settings).peers else {
+        panic!("one peer is listed");
+    };
+    assert_eq!(peer.entry.as_ref().map(id::Entry::as_str), Some("entry-8"));
+    assert_eq!(peer.socket.port(), 1004);
+}
--- /dev/null
+++ b/crates/serve/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the entry's process, without the process.
+
+mod fields;
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,8 +1,19 @@
 //! Rules between values that each are valid alone.
 
 use crate::{reader::Reader, schema::Settings};
+use http::uri::PathAndQuery;
 use std::{collections::BTreeSet, time::Duration};
 
+/// Longest time between two reads of the newest change. A view counts as current for 3 s after the
+/// store confirmed it; this leaves a tenth that is added at random, and 800 ms for the read.
+const LONGEST_POLL: Duration = Duration::from_secs(2);
+
+/// Weights count in hundredths, so a smaller one would be none.
+const LEAST_WEIGHT: f64 = 0.01;
+
+/// Most that a weight may be, so that costs stay far within the planner's whole numbers.
+const MOST_WEIGHT: f64 = 1000.0;
+
 /// Reports every broken rule of `settings` to `reader`.
 pub(crate) fn check(settings: &Settings, reader: &mut Reader) {
     durations(settings, reader);
@@ -10,6 +21,10 @@
     weights(settings, reader);
     addresses(settings, reader);
     peers(settings, reader);
+    operators(settings, reader);
+    timers(settings, reader);
+    capacity(settings, reader);
+    lifecycle(settings, reader);
 }
 
 fn durations(settings: &Settings, reader: &mut Reader) {
@@ -25,8 +40,14 @@
         ("limits.default-timeout", limits.default_timeout),
         ("limits.max-timeout", limits.max_timeout),
         ("timers.poll", timers.poll),
+        ("timers.roster", timers.roster),
         ("timers.heartbeat", timers.heartbeat),
-        ("timers.probe", timers.probe),
+        ("timers.batch", timers.batch),
+        ("timers.cycle", timers.cycle),
+        ("timers.renew", timers.renew),
+        ("timers.lease", timers.lease),
+        ("timers.check-waiting", timers.check_waiting),
+        ("timers.check-serving", timers.check_serving),
     ];
     for (path, duration) in all {
         if duration < Duration::from_millis(1) {
@@ -47,16 +68,16 @@
         ),
         ("limits.body-bytes", limits.body_bytes),
         ("limits.head-bytes", u64::from(limits.head_bytes)),
-        ("limits.slots", u64::from(limits.slots)),
+        (
+            "limits.caller-connections",
+            u64::from(limits.caller_connections),
+        ),
     ];
     for (path, number) in all {
         if number == 0 {
             reader.fault_at(path, "a whole number of at least 1");
         }
     }
-    if limits.connections < limits.slots {
-        reader.fault_at("limits.connections", "at least limits.slots");
-    }
     if !(0.0..=1.0).contains(&limits.retry_budget) {
         reader.fault_at("limits.retry-budget", "a number from 0 to 1");
     }
@@ -70,8 +91,8 @@
         ("fleet.weights.roll-out", weights.roll_out),
     ];
     for (path, weight) in all {
-        if weight < 0.0 {
-            reader.fault_at(path, "a number of at least 0");
+        if weight != 0.0 && !(LEAST_WEIGHT..=MOST_WEIGHT).contains(&weight) {
+            reader.fault_at(path, "0, or a number from 0.01 to 1000");
         }
     }
     if all.iter().all(|(_, weight)| *weight == 0.0) {
@@ -104,3 +125,72 @@
         }
     }
 }
+
+fn operators(settings: &Settings, reader: &mut Reader) {
+    let mut taken = BTreeSet::new();
+    for (index, operator) in settings.secrets.operators.iter().enumerate() {
+        if !taken.insert(&operator.name) {
+            let path = format!("secrets.operators[{index}].name");
+            reader.fault_at(&path, "a name that no other operator has");
+        }
+    }
+}
+
+fn timers(settings: &Settings, reader: &mut Reader) {
+    let timers = &settings.timers;
+    if timers.poll > LONGEST_POLL {
+        reader.fault_at("timers.poll", "a duration of at most 2s");
+    }
+    let renewal = timers.renew.saturating_add(settings.platform.timeout);
+    if timers.lease <= renewal {
+        let expected = "longer than timers.renew and platform.timeout together";
+        reader.fault_at("timers.lease", expected);
+    }
+    if timers.heartbeat < timers.batch {
+        reader.fault_at("timers.heartbeat", "at least timers.batch");
+    }
+}
+
+fn capacity(settings: &Settings, reader: &mut Reader) {
+    let capacity = &settings.fleet.capacity;
+    if capacity.cores <= 0.0 {
+        reader.fault_at("fleet.capacity.cores", "a number above 0");
+    }
+    if capacity.memory.0 == 0 {
+        reader.fault_at("fleet.capacity.memory", "an amount above 0");
+    }
+    if capacity.accelerators < 0.0 {
+        reader.fault_at("fleet.capacity.accelerators", "a number of at least 0");
+    }
+}
+
+fn lifecycle(settings: &Settings, reader: &mut Reader) {
+    let lifecycle = &settings.fleet.lifecycle;
+    let path = &*lifecycle.health_path;
+    if !path.starts_with('/') || path.parse::<PathAndQuery>().is_err() {
+        reader.fault_at("fleet.lifecycle.health-path", "a path that starts with `/`");
+    }
+    let checks = [
+        ("fleet.lifecycle.good-checks", lifecycle.good_checks),
+        ("fleet.lifecycle.bad-checks", lifecycle.bad_checks),
+    ];
+    for (path, number) in checks {
+        if number == 0 {
+            reader.fault_at(path, "a whole number of at least 1");
+        }
+    }
+    let durations = [
+        ("fleet.lifecycle.probation", lifecycle.probation),
+        ("fleet.lifecycle.maintenance", lifecycle.maintenance),
+    ];
+    for (path, duration) in durations {
+        if duration.is_zero() || duration.subsec_nanos() != 0 {
+            reader.fault_at(path, "whole seconds, at least 1s");
+        }
+    }
+    let waiting = settings.timers.check_waiting;
+    if lifecycle.probation <= waiting.saturating_mul(lifecycle.good_checks) {
+        let expected = "longer than good-checks times timers.check-waiting";
+        reader.fault_at("fleet.lifecycle.probation", expected);
+    }
+}
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     reader::{Key, Section, key_of},
-    schema::{Entry, Limits, Listen, Peer, Platform, Telemetry, Timers, Weights},
+    schema::{
+        Capacity, Entry, Lifecycle, Limits, Listen, Peer, Platform, Telemetry, Timers, Weights,
+    },
     secret::PEER_KEY,
 };
 use std::fmt::Write;
@@ -22,7 +24,7 @@
     }
 }
 
-fn parts() -> [Part; 8] {
+fn parts() -> [Part; 10] {
     [
         part::<Entry>("entry"),
         part::<Listen>("listen"),
@@ -31,6 +33,8 @@
         part::<Limits>("limits"),
         part::<Timers>("timers"),
         part::<Weights>("fleet.weights"),
+        part::<Capacity>("fleet.capacity"),
+        part::<Lifecycle>("fleet.lifecycle"),
         part::<Telemetry>("telemetry"),
     ]
 }
@@ -41,24 +45,33 @@
 pub fn documented() -> String {
     let mut out =
         String::from("# Settings of one entry. A key without \"required\" may be left out.\n");
+    let mut fleet = false;
     for part in parts() {
-        match part.path {
-            "peers[]" => peers_and_secrets(&mut out, &part),
-            "fleet.weights" => {
-                write_doc(&mut out, "\n", part.doc);
-                out.push_str("fleet:\n  weights:\n");
-                write_keys(&mut out, "    ", part.keys);
-            }
-            path => {
-                write_doc(&mut out, "\n", part.doc);
-                writeln!(out, "{path}:").expect("a string takes all");
-                write_keys(&mut out, "  ", part.keys);
-            }
+        if part.path == "peers[]" {
+            peers_and_secrets(&mut out, &part);
+            continue;
         }
+        let Some(name) = part.path.strip_prefix(FLEET) else {
+            write_section(&mut out, "\n", "", part.path, &part);
+            continue;
+        };
+        if !std::mem::replace(&mut fleet, true) {
+            out.push_str("\n# Fleet planning.\nfleet:\n");
+        }
+        write_section(&mut out, "  ", "  ", name, &part);
     }
     out
 }
 
+/// What the paths of the sections inside `fleet` begin with.
+const FLEET: &str = "fleet.";
+
+fn write_section(out: &mut String, before: &str, indent: &str, name: &str, part: &Part) {
+    write_doc(out, before, part.doc);
+    writeln!(out, "{indent}{name}:").expect("a string takes all");
+    write_keys(out, &format!("{indent}  "), part.keys);
+}
+
 fn write_doc(out: &mut String, before: &str, doc: &str) {
     writeln!(out, "{before}# {doc}").expect("a string takes all");
 }
@@ -82,8 +95,9 @@
     write!(
         out,
         "\n# Where the secrets are; a secret itself is never written here.\nsecrets:\n  \
-         # Tokens of operators: each `hash: SHA-256`, `file: PATH` or `env: NAME`.\n  \
-         operator-tokens: []\n  \
+         # Operators: each has `name: NAME`, and its token as `hash: SHA-256`, `file: PATH` or \
+         `env: NAME`.\n  \
+         operators: []\n  \
          # The key that entries show each other: `file: PATH` or `env: NAME`. Required.\n  \
          peer-key:\n    env: {PEER_KEY}\n"
     )
@@ -129,7 +143,8 @@
 `LINE:COLUMN: PATH: expected WHAT`; `primroseroute settings` prints the documented default.
 
 An unknown key is a fault. A fault names keys and never repeats a value, since that may be a secret in
-the wrong place. Where the file is no YAML at all, or names a key twice, the first such fault is the only
+the wrong place. A text that looks like a number, such as a hash of digits alone, is put in quotes. Where
+the file is no YAML at all, or names a key twice, the first such fault is the only
 one. Rules between values are checked once each value is valid alone.
 
 This page is made from the code; a test compares the two.
@@ -143,17 +158,26 @@
 
 | key | default | value | meaning |
 |---|---|---|---|
-| `operator-tokens` | none | a list, each item `hash: SHA-256`, `file: PATH` or `env: NAME` | \
-Tokens of operators; with none, nobody may operate through this entry. |
+| `operators` | none | a list, each item `name: NAME` and one of `hash: SHA-256`, `file: PATH`, \
+`env: NAME` | Operators by the name that the audit trail shows, each with its token; with none, nobody may \
+operate through this entry. |
 | `peer-key` | required | `file: PATH` or `env: NAME` | The key that entries show each other. |
 
 ## Rules between values
 
 - Durations are at least 1 ms, but for `timers.drain-grace`.
 - `limits.default-timeout` is at most `limits.max-timeout`.
-- `limits.connections` is at least `limits.slots`; queue, sizes and slots are at least 1.
+- Queue, sizes and connections are at least 1.
 - `limits.retry-budget` is from 0 to 1.
-- No weight is below 0, and one is above.
+- `timers.poll` is at most 2 s: a view counts as current for 3 s.
+- `timers.lease` is longer than `timers.renew` and `platform.timeout` together.
+- `timers.heartbeat` is at least `timers.batch`.
+- A weight is 0, or from 0.01 to 1000; one is above 0.
+- Cores and memory of a worker are above 0, accelerators at least 0.
+- `fleet.lifecycle.health-path` is a path that starts with `/`; checks are at least 1.
+- `fleet.lifecycle.probation` and `maintenance` are whole seconds, at least 1. Probation is longer than
+  `good-checks` times `timers.check-waiting`.
+- Operators differ in their names and in their tokens.
 - The addresses under `listen` differ, unless their port is 0.
 - The names under `peers` differ from each other and from `entry.name`.
 ";
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -24,6 +24,7 @@
 pub use document::{documented, reference};
 pub use fault::{Error, Fault, Place};
 pub use schema::{
-    Entry, Fleet, Limits, Listen, Peer, Platform, Settings, Telemetry, Timers, Weights,
+    Capacity, Entry, Fleet, Lifecycle, Limits, Listen, Peer, Platform, Settings, Telemetry, Timers,
+    Weights,
 };
-pub use value::Url;
+pub use value::{Bytes, Url};
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -6,7 +6,7 @@
     node::Node,
     reader::{A_MAP, Map, Reader, Section, sections},
     secret::Secrets,
-    value::Url,
+    value::{Bytes, Url},
 };
 use log::LevelFilter;
 use primroseroute_domain::id;
@@ -67,20 +67,30 @@
         retries: u32, default "2";
         /// Retries over all requests, as a part of the requests, 0 to 1.
         retry_budget: f64, default "0.1";
-        /// Requests that one worker runs at the same time, over all entries.
-        slots: u32, default "8";
-        /// Connections that one worker accepts, over all entries.
-        connections: u32, default "64";
+        /// Connections open at the same time, of callers and of operators each.
+        caller_connections: u32, default "4096";
     }
 
     /// How often things happen.
     Timers {
         /// Between two reads of the table's newest change.
         poll: Duration, default "1s";
-        /// Between two messages to each peer, and two renewals of the registration.
-        heartbeat: Duration, default "1s";
-        /// Between two health checks of a worker that is on probation or ejected.
-        probe: Duration, default "1s";
+        /// Between two reads of the rows by which entries register.
+        roster: Duration, default "5s";
+        /// Longest time between two writes of this entry's registration row.
+        heartbeat: Duration, default "15s";
+        /// Least time between two writes of that row that acknowledge new changes.
+        batch: Duration, default "2s";
+        /// Between two cycles of the controller.
+        cycle: Duration, default "1s";
+        /// Between two renewals of the controller's lease, and two looks of the others at it.
+        renew: Duration, default "3s";
+        /// How long the lease stands unrenewed before another entry takes it.
+        lease: Duration, default "10s";
+        /// Between two health checks of a worker that waits to serve.
+        check_waiting: Duration, default "1s";
+        /// Between two health checks of a worker that serves.
+        check_serving: Duration, default "10s";
         /// How long a stopping entry goes on listening, so that the balancer looks away.
         drain_grace: Duration, default "5s";
     }
@@ -95,6 +105,30 @@
         roll_out: f64, default "1";
     }
 
+    /// What each worker has for jobs; the platform's list says nothing of sizes, so all are alike.
+    Capacity {
+        /// Processor cores.
+        cores: f64, default "64";
+        /// Memory.
+        memory: Bytes, default "256GiB";
+        /// Accelerators.
+        accelerators: f64, default "0";
+    }
+
+    /// When a worker passes from one state to the next.
+    Lifecycle {
+        /// Path of a worker's health check.
+        health_path: Arc<str>, default "/healthz";
+        /// Good checks in a row before a worker leaves probation or quarantine.
+        good_checks: u32, default "3";
+        /// Bad checks in a row before a worker is quarantined.
+        bad_checks: u32, default "3";
+        /// Time in probation after which a worker with bad checks is quarantined, in whole seconds.
+        probation: Duration, default "5m";
+        /// Maintenance after which a worker that did not come back is quarantined, in whole seconds.
+        maintenance: Duration, default "20m";
+    }
+
     /// Logs and metrics.
     Telemetry {
         /// Least severe level that is logged.
@@ -107,6 +141,10 @@
 pub struct Fleet {
     /// What the planner weighs.
     pub weights: Weights,
+    /// What each worker has for jobs.
+    pub capacity: Capacity,
+    /// When a worker passes from one state to the next.
+    pub lifecycle: Lifecycle,
 }
 
 /// The settings of one entry.
@@ -222,8 +260,12 @@
 impl Fleet {
     fn take(reader: &mut Reader, map: &mut Map<'_>) -> Self {
         let mut child = reader.child(map, "fleet", A_MAP);
-        let weights = reader.section(&mut child, "weights");
+        let fleet = Self {
+            weights: reader.section(&mut child, "weights"),
+            capacity: reader.section(&mut child, "capacity"),
+            lifecycle: reader.section(&mut child, "lifecycle"),
+        };
         reader.finish(&child);
-        Self { weights }
+        fleet
     }
 }
--- a/crates/settings/src/secret.rs
+++ b/crates/settings/src/secret.rs
@@ -6,7 +6,12 @@
 use crate::reader::{A_MAP, Map, Reader};
 use primroseroute_domain::account::TokenHash;
 use sha2::{Digest, Sha256};
-use std::{fmt, fs, path::PathBuf, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt, fs,
+    path::PathBuf,
+    sync::Arc,
+};
 
 /// Where a secret is.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,11 +31,20 @@
     At(Source),
 }
 
+/// A person or program that may operate through the entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Operator {
+    /// The name that the audit trail shows.
+    pub name: Arc<str>,
+    /// Its token.
+    pub token: Token,
+}
+
 /// Where the secrets of an entry are.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Secrets {
-    /// Tokens of operators; with none, nobody may operate through this entry.
-    pub operator_tokens: Vec<Token>,
+    /// Operators; with none, nobody may operate through this entry.
+    pub operators: Vec<Operator>,
     /// The key that entries show each other.
     pub peer_key: Source,
 }
@@ -56,13 +70,13 @@
 /// The secrets of an entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Resolved {
-    /// Hashes of the tokens of operators.
-    pub operator_tokens: Vec<TokenHash>,
+    /// Hashes of the operators' tokens, by the operators' names.
+    pub operators: BTreeMap<Arc<str>, TokenHash>,
     /// The key that entries show each other.
     pub peer_key: Secret,
 }
 
-/// A secret that cannot be had.
+/// A secret that cannot be had, or that another operator has too.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{path}: expected {expected}")]
 pub struct Missing {
@@ -80,7 +94,11 @@
 
 const SOURCE: &str = "`file: PATH` or `env: NAME`; a secret is never written here";
 
-const TOKEN: &str = "`hash: SHA-256`, `file: PATH` or `env: NAME`; a secret is never written here";
+const OPERATOR: &str = "`name: NAME` and one of `hash: SHA-256`, `file: PATH`, `env: NAME`; \
+                        a secret is never written here";
+
+/// An operator's name where the file has none; with a fault, so nobody gets it.
+const NAMELESS: &str = "operator";
 
 /// Digits of a SHA-256 in hexadecimal.
 const HASH_DIGITS: usize = 64;
@@ -116,21 +134,29 @@
     }
 }
 
-impl Token {
+impl Operator {
     fn take(reader: &mut Reader, mut map: Map<'_>) -> Option<Self> {
-        let hash: Option<Arc<str>> = reader.optional(&mut map, "hash");
-        let mut all: Vec<Self> = Source::take(reader, &mut map)
+        let name = reader.scalar(&mut map, "name", true, NAMELESS);
+        let token = Token::take(reader, &mut map)?;
+        Some(Self { name, token })
+    }
+}
+
+impl Token {
+    fn take(reader: &mut Reader, map: &mut Map<'_>) -> Option<Self> {
+        let hash: Option<Arc<str>> = reader.optional(map, "hash");
+        let mut all: Vec<Self> = Source::take(reader, map)
             .into_iter()
             .map(Self::At)
             .collect();
         if let Some(hash) = hash {
             let digit = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
             if hash.len() != HASH_DIGITS || !hash.bytes().all(digit) {
-                reader.fault_of(&map, "a SHA-256 as 64 lower-case hexadecimal digits");
+                reader.fault_of(map, "a SHA-256 as 64 lower-case hexadecimal digits");
             }
             all.push(Self::Hash(TokenHash(hash)));
         }
-        one(reader, &map, all, TOKEN)
+        one(reader, map, all, OPERATOR)
     }
 
     fn hash(&self, environment: &Environment<'_>) -> Result<TokenHash, String> {
@@ -164,17 +190,17 @@
 impl Secrets {
     pub(crate) fn take(reader: &mut Reader, map: &mut Map<'_>) -> Self {
         let mut map = reader.child(map, "secrets", A_MAP);
-        let tokens = reader.list(&mut map, "operator-tokens", TOKEN);
-        let operator_tokens = tokens
+        let operators = reader.list(&mut map, "operators", OPERATOR);
+        let operators = operators
             .into_iter()
-            .filter_map(|token| Token::take(reader, token))
+            .filter_map(|operator| Operator::take(reader, operator))
             .collect();
         let mut key = reader.child(&mut map, "peer-key", SOURCE);
         let keys = Source::take(reader, &mut key);
         let peer_key = one(reader, &key, keys, SOURCE);
         reader.finish(&map);
         Self {
-            operator_tokens,
+            operators,
             peer_key: peer_key.unwrap_or_else(|| Source::Environment(PEER_KEY.into())),
         }
     }
@@ -182,22 +208,31 @@
     /// Reads every secret.
     ///
     /// # Errors
-    /// Each secret that cannot be had.
+    /// Each secret that cannot be had, and each operator's token that another one has too: the
+    /// audit trail could not tell the two apart.
     pub fn resolve(&self, environment: &Environment<'_>) -> Result<Resolved, Vec<Missing>> {
         let mut missing = Vec::new();
-        let mut operator_tokens = Vec::new();
-        for (index, token) in self.operator_tokens.iter().enumerate() {
-            match token.hash(environment) {
-                Ok(hash) => operator_tokens.push(hash),
+        let mut operators = BTreeMap::new();
+        let mut taken = BTreeSet::new();
+        for (index, operator) in self.operators.iter().enumerate() {
+            let hash = operator.token.hash(environment).and_then(|hash| {
+                let own = taken.insert(Arc::clone(&hash.0));
+                own.then_some(hash)
+                    .ok_or_else(|| "a token that no other operator has".to_owned())
+            });
+            match hash {
+                Ok(hash) => {
+                    operators.insert(Arc::clone(&operator.name), hash);
+                }
                 Err(expected) => missing.push(Missing {
-                    path: format!("secrets.operator-tokens[{index}]"),
+                    path: format!("secrets.operators[{index}]"),
                     expected,
                 }),
             }
         }
         match self.peer_key.read(environment) {
             Ok(peer_key) if missing.is_empty() => Ok(Resolved {
-                operator_tokens,
+                operators,
                 peer_key,
             }),
             Ok(_) => Err(missing),
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -59,6 +59,25 @@
     }
 }
 
+/// An amount of memory in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Bytes(pub u64);
+
+/// Units of memory, each 1024 times the one before.
+const UNITS: [(&str, u32); 4] = [("KiB", 10), ("MiB", 20), ("GiB", 30), ("TiB", 40)];
+
+impl Value for Bytes {
+    const EXPECTED: &'static str = "an amount of memory in KiB, MiB, GiB or TiB, such as 256GiB";
+
+    fn read(text: &str) -> Option<Self> {
+        let unit = |(unit, bits): (&str, u32)| {
+            let number: u64 = text.strip_suffix(unit)?.trim_end().parse().ok()?;
+            number.checked_mul(1 << bits).map(Self)
+        };
+        UNITS.into_iter().find_map(unit)
+    }
+}
+
 /// The URL of an HTTP server.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Url(Arc<str>);
--- a/crates/settings/tests/all/faults.rs
+++ b/crates/settings/tests/all/faults.rs
@@ -31,7 +31,7 @@
         "entry:\n  name: Entry 1\n  zone: zone-a\n  colour: red\n\
          listen:\n  callers: somewhere\n\
          peers:\n  - name: entry-2\n    address: [1]\n    weight: 3\n  - entry-3\n\
-         limits:\n  slots: -1\n  body-bytes: 1 MB\n  head-timeout: 5\n\
+         limits:\n  retries: -1\n  body-bytes: 1 MB\n  head-timeout: 5\n\
          telemetry:\n  level: loud\n\
          nothing: 1\n",
         &expect![[r"
@@ -44,7 +44,7 @@
             9:14: peers[0].address: expected an IP address and port, such as 127.0.0.1:8080
             10:5: peers[0].weight: expected one of the keys name, address
             11:5: peers[1]: expected a map
-            13:10: limits.slots: expected a whole number
+            13:12: limits.retries: expected a whole number
             14:15: limits.body-bytes: expected a whole number
             15:17: limits.head-timeout: expected a duration, such as 500ms, 30s or 2m
             17:10: telemetry.level: expected one of off, error, warn, info, debug, trace
@@ -67,11 +67,29 @@
     );
 }
 
+/// No token's SHA-256, but it could be one's.
+const ZEROS: &str = "0000000000000000000000000000000000000000000000000000000000000000";
+
 #[test]
 fn rules_between_values() {
     let text = with("default-timeout: 10s", "default-timeout: 2m")
         .replace("poll: 1s", "poll: 0s")
-        .replace("connections: 64", "connections: 7")
+        .replace("caller-connections: 4096", "caller-connections: 0")
+        .replace("lease: 10s", "lease: 5s")
+        .replace("heartbeat: 15s", "heartbeat: 1s")
+        .replace("cores: 64", "cores: 0")
+        .replace("memory: 256GiB", "memory: 0KiB")
+        .replace("accelerators: 0", "accelerators: -1")
+        .replace("health-path: /healthz", "health-path: healthz")
+        .replace("good-checks: 3", "good-checks: 0")
+        .replace("bad-checks: 3", "bad-checks: 0")
+        .replace("maintenance: 20m", "maintenance: 1500ms")
+        .replace("roll-out: 1", "roll-out: 0.001")
+        .replace("buffer: 1", "buffer: 1001")
+        .replace(
+            "operators: []",
+            &format!("operators: [{{name: a, hash: '{ZEROS}'}}, {{name: a, env: T}}]"),
+        )
         .replace("retry-budget: 0.1", "retry-budget: 1.5")
         .replace("moves: 1", "moves: -1")
         .replace("0.0.0.0:8081", "0.0.0.0:8080")
@@ -82,14 +100,26 @@
     shows(
         &text,
         &expect![[r"
-        17:10: listen.admin: expected an address of its own
-        30:16: peers[0].name: expected the name of another entry, listed once
-        51:20: limits.default-timeout: expected at most limits.max-timeout
-        57:17: limits.retry-budget: expected a number from 0 to 1
-        61:16: limits.connections: expected at least limits.slots
-        66:9: timers.poll: expected a duration of at least 1ms
-        80:12: fleet.weights.moves: expected a number of at least 0
-    "]],
+            17:10: listen.admin: expected an address of its own
+            30:16: peers[0].name: expected the name of another entry, listed once
+            35:107: secrets.operators[1].name: expected a name that no other operator has
+            51:20: limits.default-timeout: expected at most limits.max-timeout
+            57:17: limits.retry-budget: expected a number from 0 to 1
+            59:23: limits.caller-connections: expected a whole number of at least 1
+            64:9: timers.poll: expected a duration of at least 1ms
+            68:14: timers.heartbeat: expected at least timers.batch
+            76:10: timers.lease: expected longer than timers.renew and platform.timeout together
+            89:13: fleet.weights.buffer: expected 0, or a number from 0.01 to 1000
+            91:12: fleet.weights.moves: expected 0, or a number from 0.01 to 1000
+            93:15: fleet.weights.roll-out: expected 0, or a number from 0.01 to 1000
+            97:12: fleet.capacity.cores: expected a number above 0
+            99:13: fleet.capacity.memory: expected an amount above 0
+            101:19: fleet.capacity.accelerators: expected a number of at least 0
+            105:18: fleet.lifecycle.health-path: expected a path that starts with `/`
+            107:18: fleet.lifecycle.good-checks: expected a whole number of at least 1
+            109:17: fleet.lifecycle.bad-checks: expected a whole number of at least 1
+            113:18: fleet.lifecycle.maintenance: expected whole seconds, at least 1s
+        "]],
     );
 }
 
@@ -100,9 +130,24 @@
     key_twice("  admin:" => "  callers:") expect![[r"
         17:3: expected YAML (duplicate mapping key: callers at line 17, column 3)
     "]];
+    slow_poll("poll: 1s" => "poll: 2100ms") expect![[r"
+        64:9: timers.poll: expected a duration of at most 2s
+    "]];
+    short_probation("probation: 5m" => "probation: 3s") expect![[r"
+        111:16: fleet.lifecycle.probation: expected longer than good-checks times timers.check-waiting
+    "]];
+    no_size("256GiB" => "256 GB") expect![[r"
+        99:13: fleet.capacity.memory: expected an amount of memory in KiB, MiB, GiB or TiB, such as 256GiB
+    "]];
+    huge_size("256GiB" => "99999999TiB") expect![[r"
+        99:13: fleet.capacity.memory: expected an amount of memory in KiB, MiB, GiB or TiB, such as 256GiB
+    "]];
+    operator_without_token("operators: []" => "operators: [{name: ada}]") expect![[r"
+        35:15: secrets.operators[0]: expected `name: NAME` and one of `hash: SHA-256`, `file: PATH`, `env: NAME`; a secret is never written here
+    "]];
     no_weight("1\n" => "0\n") expect![[r"
         17:10: listen.admin: expected an address of its own
-        78:5: fleet.weights: expected at least one weight above 0
+        89:5: fleet.weights: expected at least one weight above 0
     "]];
     inline_secret("peer-key:\n    env: PRIMROSEROUTE_PEER_KEY" => "peer-key: hunter2") expect![[r"
         37:13: secrets.peer-key: expected `file: PATH` or `env: NAME`; a secret is never written here
@@ -110,10 +155,11 @@
     two_sources("peer-key:\n" => "peer-key:\n    file: /run/key\n") expect![[r"
         38:5: secrets.peer-key: expected `file: PATH` or `env: NAME`; a secret is never written here
     "]];
-    short_hash("operator-tokens: []" => "operator-tokens: [{hash: abc}, {token: x}]") expect![[r"
-        35:21: secrets.operator-tokens[0]: expected a SHA-256 as 64 lower-case hexadecimal digits
-        35:34: secrets.operator-tokens[1]: expected `hash: SHA-256`, `file: PATH` or `env: NAME`; a secret is never written here
-        35:35: secrets.operator-tokens[1].token: expected one of the keys hash, file, env
+    short_hash("operators: []" => "operators: [{name: ada, hash: abc}, {token: x}]") expect![[r"
+        35:15: secrets.operators[0]: expected a SHA-256 as 64 lower-case hexadecimal digits
+        35:39: secrets.operators[1]: expected `name: NAME` and one of `hash: SHA-256`, `file: PATH`, `env: NAME`; a secret is never written here
+        35:39: secrets.operators[1].name: expected a text that is not empty; this key is required
+        35:40: secrets.operators[1].token: expected one of the keys name, hash, file, env
     "]];
 }
 
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -103,7 +103,7 @@
         "entry: {{name: {name}, zone: zone-0, region: region-0}}\n\
          listen: {{callers: 127.0.0.1:0, admin: 127.0.0.1:0, peers: 127.0.0.1:0}}\n\
          platform: {{url: {platform}}}\n\
-         secrets:\n  operator-tokens: [{{hash: {operator}}}]\n  peer-key: {{env: TEST_PEER_KEY}}\n\
+         secrets:\n  operators: [{{name: test, hash: {operator}}}]\n  peer-key: {{env: TEST_PEER_KEY}}\n\
          timers: {{poll: 200ms, drain-grace: 100ms}}\n"
     )
 }
