Ask for a peer address that other entries can reach

Cause: the registration row holds the bound peer address as it stands. With the default `0.0.0.0:8082`, others read 0.0.0.0 from the row and connect to themselves; two entries found each other only where `peers` lists them.

Change: `listen.peers` is required, and an unspecified address is a fault at its place.

Tests: one more case. With the check taken out it fails. Two tests of whole files have one more required key.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -107,6 +107,11 @@
         ("listen.admin", listen.admin),
         ("listen.peers", listen.peers),
     ];
+    // The registration row shows it as it stands: others that read 0.0.0.0 there would connect to
+    // themselves, and find this entry only as long as their settings list it.
+    if listen.peers.ip().is_unspecified() {
+        reader.fault_at("listen.peers", "an address that other entries can reach");
+    }
     let mut taken = BTreeSet::new();
     for (path, address) in all {
         // Port 0 takes any free port, so two of them never clash.
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -178,6 +178,6 @@
 - `fleet.lifecycle.probation` and `maintenance` are whole seconds, at least 1. Probation is longer than
   `good-checks` times `timers.check-waiting`.
 - Operators differ in their names and in their tokens.
-- The addresses under `listen` differ, unless their port is 0.
+- The addresses under `listen` differ, unless their port is 0. `listen.peers` is not `0.0.0.0` or `::`.
 - The names under `peers` differ from each other and from `entry.name`.
 ";
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -29,8 +29,8 @@
         callers: SocketAddr, default "0.0.0.0:8080";
         /// Where operators, health checks and metrics connect.
         admin: SocketAddr, default "0.0.0.0:8081";
-        /// Where other entries connect.
-        peers: SocketAddr, default "0.0.0.0:8082";
+        /// Where other entries connect; they are told just this address, so it names one of this instance's.
+        peers: SocketAddr, required "127.0.0.1:8082";
     }
 
     /// The platform's service.
--- a/crates/settings/tests/all/document.rs
+++ b/crates/settings/tests/all/document.rs
@@ -25,11 +25,13 @@
             "name: entry-1",
             "zone: zone-a",
             "region: region-1",
+            "peers: 127.0.0.1:8082",
             "url: http://127.0.0.1:7000",
             "peer-key:",
         ]
     );
     let least = "entry: {name: entry-1, zone: zone-a, region: region-1}\n\
+                 listen: {peers: '127.0.0.1:8082'}\n\
                  platform: {url: 'http://127.0.0.1:7000'}\n\
                  secrets: {peer-key: {env: PRIMROSEROUTE_PEER_KEY}}\n";
     assert_eq!(
--- a/crates/settings/tests/all/faults.rs
+++ b/crates/settings/tests/all/faults.rs
@@ -40,6 +40,7 @@
             2:3: entry.region: expected a text that is not empty; this key is required
             2:9: entry.name: expected a name of 1 to 63 of a-z, 0-9, `-`, `.`
             4:3: entry.colour: expected one of the keys name, zone, region
+            6:3: listen.peers: expected an IP address and port, such as 127.0.0.1:8080; this key is required
             6:12: listen.callers: expected an IP address and port, such as 127.0.0.1:8080
             9:14: peers[0].address: expected an IP address and port, such as 127.0.0.1:8080
             10:5: peers[0].weight: expected one of the keys name, address
@@ -58,12 +59,13 @@
     shows(
         "",
         &expect![[r"
-        1:1: entry.name: expected a name of 1 to 63 of a-z, 0-9, `-`, `.`; this key is required
-        1:1: entry.region: expected a text that is not empty; this key is required
-        1:1: entry.zone: expected a name of 1 to 63 of a-z, 0-9, `-`, `.`; this key is required
-        1:1: platform.url: expected a URL of the form http://HOST:PORT; this key is required
-        1:1: secrets.peer-key: expected `file: PATH` or `env: NAME`; a secret is never written here
-    "]],
+            1:1: entry.name: expected a name of 1 to 63 of a-z, 0-9, `-`, `.`; this key is required
+            1:1: entry.region: expected a text that is not empty; this key is required
+            1:1: entry.zone: expected a name of 1 to 63 of a-z, 0-9, `-`, `.`; this key is required
+            1:1: listen.peers: expected an IP address and port, such as 127.0.0.1:8080; this key is required
+            1:1: platform.url: expected a URL of the form http://HOST:PORT; this key is required
+            1:1: secrets.peer-key: expected `file: PATH` or `env: NAME`; a secret is never written here
+        "]],
     );
 }
 
@@ -130,6 +132,9 @@
     key_twice("  admin:" => "  callers:") expect![[r"
         17:3: expected YAML (duplicate mapping key: callers at line 17, column 3)
     "]];
+    unreachable_peer_port("127.0.0.1:8082" => "0.0.0.0:8082") expect![[r"
+        19:10: listen.peers: expected an address that other entries can reach
+    "]];
     slow_poll("poll: 1s" => "poll: 2100ms") expect![[r"
         64:9: timers.poll: expected a duration of at most 2s
     "]];
