--- a/crates/serve/tests/all/main.rs
+++ b/crates/serve/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the entry's process, without the process.
 
+mod examples;
 mod fields;
