Refuse a peer key that is too short with the other faults

Cause: `primroseroute check` passed a key of 5 bytes, and `serve` then ended with code 1 at the peer link, which asks for 16.

Change: a key under 16 bytes is a fault at `secrets.peer-key`, beside all others; `check` and `serve` end with 2.

Tests: one more; with the check taken out it fails. Other tests' key was 3 bytes and has 16 now.

--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -161,7 +161,7 @@
 | `operators` | none | a list, each item `name: NAME` and one of `hash: SHA-256`, `file: PATH`, \
 `env: NAME` | Operators by the name that the audit trail shows, each with its token; with none, nobody may \
 operate through this entry. |
-| `peer-key` | required | `file: PATH` or `env: NAME` | The key that entries show each other. |
+| `peer-key` | required | `file: PATH` or `env: NAME` | The key that entries show each other, at least 16 bytes. |
 
 ## Rules between values
 
--- a/crates/settings/src/secret.rs
+++ b/crates/settings/src/secret.rs
@@ -76,7 +76,7 @@
     pub peer_key: Secret,
 }
 
-/// A secret that cannot be had, or that another operator has too.
+/// A secret that cannot be had, is too short, or that another operator has too.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{path}: expected {expected}")]
 pub struct Missing {
@@ -92,6 +92,9 @@
 /// Environment variable of the peer key in the documented settings.
 pub(crate) const PEER_KEY: &str = "PRIMROSEROUTE_PEER_KEY";
 
+/// Bytes of a peer key that the peer link asks for at least.
+const LEAST_KEY: usize = 16;
+
 const SOURCE: &str = "`file: PATH` or `env: NAME`; a secret is never written here";
 
 const OPERATOR: &str = "`name: NAME` and one of `hash: SHA-256`, `file: PATH`, `env: NAME`; \
@@ -208,7 +211,7 @@
     /// Reads every secret.
     ///
     /// # Errors
-    /// Each secret that cannot be had, and each operator's token that another one has too: the
+    /// Each secret that cannot be had, a peer key that is too short, and each operator's token that another one has too: the
     /// audit trail could not tell the two apart.
     pub fn resolve(&self, environment: &Environment<'_>) -> Result<Resolved, Vec<Missing>> {
         let mut missing = Vec::new();
@@ -230,7 +233,12 @@
                 }),
             }
         }
-        match self.peer_key.read(environment) {
+        let key = self.peer_key.read(environment).and_then(|key| {
+            let long = key.expose().len() >= LEAST_KEY;
+            long.then_some(key)
+                .ok_or_else(|| format!("a key of at least {LEAST_KEY} bytes"))
+        });
+        match key {
             Ok(peer_key) if missing.is_empty() => Ok(Resolved {
                 operators,
                 peer_key,
--- a/crates/settings/tests/all/secrets.rs
+++ b/crates/settings/tests/all/secrets.rs
@@ -13,6 +13,9 @@
 /// Looks like the SHA-256 of a further token.
 const OTHER: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
 
+/// A peer key of the least length.
+const KEY: &str = "0123456789abcdef";
+
 fn settings(secrets: &str) -> Settings {
     let (before, after) = documented()
         .split_once("secrets:\n")
@@ -35,15 +38,15 @@
     .secrets;
     let environment = |name: &str| match name {
         "TOKEN" => Some("another".to_owned()),
-        "KEY" => Some("key".to_owned()),
+        "KEY" => Some(KEY.to_owned()),
         _ => None,
     };
     let resolved = secrets.resolve(&environment).expect("all are there");
     let operators = resolved.operators.iter();
     let operators: Vec<_> = operators.map(|(name, hash)| (&**name, &*hash.0)).collect();
     assert_eq!(operators, [("a", OTHER), ("b", HASH), ("c", ANOTHER)]);
-    assert_eq!(resolved.peer_key.expose(), b"key");
-    assert!(!format!("{resolved:?}").contains("key\""), "{resolved:?}");
+    assert_eq!(resolved.peer_key.expose(), KEY.as_bytes());
+    assert!(!format!("{resolved:?}").contains(KEY), "{resolved:?}");
     let missing = secrets.resolve(&|_| None).expect_err("two are missing");
     let missing: Vec<String> = missing.iter().map(ToString::to_string).collect();
     expect![[r"
@@ -59,7 +62,10 @@
         "  operators: [{{name: a, hash: {HASH}}}, {{name: b, env: TOKEN}}]\n  peer-key: {{env: KEY}}"
     ))
     .secrets;
-    let missing = secrets.resolve(&|_| Some("token".to_owned()));
+    let missing = secrets.resolve(&|name| match name {
+        "KEY" => Some(KEY.to_owned()),
+        _ => Some("token".to_owned()),
+    });
     let missing = missing.expect_err("both have one token");
     let missing: Vec<String> = missing.iter().map(ToString::to_string).collect();
     assert_eq!(
@@ -68,6 +74,20 @@
     );
 }
 
+#[test]
+fn short_peer_key_is_refused() {
+    let secrets = settings("  peer-key: {env: KEY}").secrets;
+    let short = format!("{}\n", &KEY[1..]);
+    let missing = secrets.resolve(&|_| Some(short.clone()));
+    let missing = missing.expect_err("it is too short");
+    let missing: Vec<String> = missing.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        missing,
+        ["secrets.peer-key: expected a key of at least 16 bytes"]
+    );
+    assert!(secrets.resolve(&|_| Some(KEY.to_owned())).is_ok());
+}
+
 #[test]
 fn load_reports_missing_secrets_beside_other_faults() {
     let dir = tempfile::tempdir().expect("a directory can be made");
