Show each queue's depth, and take away instruments that nothing moved

Cause: ejections, peer messages and peer bytes were declared and never counted; the queue's depth was never set. An instrument that cannot move tells an operator that all is quiet. primrosectl's default address was not the entry's default. Conclusion: what /metrics shows is what happens.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -27,7 +27,7 @@
         long,
         global = true,
         env = "PRIMROSE_ENTRY",
-        default_value = "127.0.0.1:7081"
+        default_value = "127.0.0.1:8081"
     )]
     pub(crate) entry: SocketAddr,
     /// File that holds the operator's token; else `PRIMROSE_TOKEN` is read.
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -96,10 +96,7 @@
         }));
         let front = Front::bind(parts.listen.callers, parts.front, path).await?;
         let admin = AdminParts {
-            local: Arc::new(Operators {
-                core: Arc::clone(&core),
-                meter: parts.meter,
-            }),
+            local: Arc::new(Operators::new(Arc::clone(&core), parts.meter)),
             ledger: core.ledger.clone(),
             trail: Trail::open(core.ledger.clone(), parts.objects),
             cell: Arc::clone(&core.cell),
--- a/crates/entry/src/local.rs
+++ b/crates/entry/src/local.rs
@@ -2,6 +2,7 @@
 
 use crate::core::Core;
 use async_trait::async_trait;
+use parking_lot::Mutex;
 use primroseroute_admin::Local as AdminLocal;
 use primroseroute_api::Entry as EntryStatus;
 use primroseroute_controller::{Controller, Roster, Voice};
@@ -10,6 +11,7 @@
     id,
     outcome::Refusal,
 };
+use primroseroute_flow::pool::Depth;
 use primroseroute_ledger::key;
 use primroseroute_peer::{
     Local as PeerLocal, Row, Slots, Snapshot as Rows, membership::Registration, report::Report,
@@ -17,6 +19,7 @@
 use primroseroute_telemetry::Meter;
 use primroseroute_view::Snapshot;
 use std::{
+    collections::BTreeSet,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -82,8 +85,43 @@
 /// The entry as the operators' interface sees it.
 #[derive(Debug)]
 pub(crate) struct Operators {
-    pub core: Arc<Core>,
-    pub meter: Meter,
+    core: Arc<Core>,
+    meter: Meter,
+    /// Queues that had a depth when the metrics were last read, to be set to zero once empty.
+    deep: Mutex<BTreeSet<Queue>>,
+}
+
+/// The queue of one account for one service.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Queue {
+    account: id::Account,
+    service: id::Service,
+}
+
+impl Operators {
+    pub(crate) fn new(core: Arc<Core>, meter: Meter) -> Self {
+        Self {
+            core,
+            meter,
+            deep: Mutex::default(),
+        }
+    }
+
+    fn measure_queues(&self) {
+        let mut deep = self.deep.lock();
+        for queue in std::mem::take(&mut *deep) {
+            self.meter.queue_depth(&queue.account, &queue.service, 0);
+        }
+        for Depth {
+            account,
+            service,
+            waiting,
+        } in self.core.gates.depths()
+        {
+            self.meter.queue_depth(&account, &service, waiting);
+            deep.insert(Queue { account, service });
+        }
+    }
 }
 
 impl AdminLocal for Operators {
@@ -113,6 +151,7 @@
 
     fn metrics(&self) -> String {
         self.meter.view(self.core.in_force());
+        self.measure_queues();
         for (pool, count) in self.core.gates.ejected() {
             self.meter.ejected(&pool, count);
         }
--- a/crates/flow/src/pool/mod.rs
+++ b/crates/flow/src/pool/mod.rs
@@ -77,6 +77,17 @@
     BackingOff { until: Duration },
 }
 
+/// How many requests of one account wait for one service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Depth {
+    /// The account.
+    pub account: id::Account,
+    /// The service.
+    pub service: id::Service,
+    /// Requests that wait.
+    pub waiting: u64,
+}
+
 /// The decisions for one pool at one entry.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -170,6 +181,22 @@
         ejected.map(|worker| worker.id.clone()).collect()
     }
 
+    /// Requests that wait for a slot, by account and service; those without any are left out.
+    pub fn depths(&self) -> Vec<Depth> {
+        let mut depths = BTreeMap::new();
+        let is_waiting = |request: &&Request| matches!(request.phase, Phase::Waiting { .. });
+        for request in self.requests.values().filter(is_waiting) {
+            let place = (request.account.clone(), request.service.clone());
+            *depths.entry(place).or_insert(0) += 1;
+        }
+        let depth = |((account, service), waiting)| Depth {
+            account,
+            service,
+            waiting,
+        };
+        depths.into_iter().map(depth).collect()
+    }
+
     /// Requests that wait for a slot, at this entry.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/crates/route/src/gate/all.rs
+++ b/crates/route/src/gate/all.rs
@@ -5,7 +5,7 @@
 use primroseroute_domain::{change::Seq, id};
 use primroseroute_flow::{
     limits::Limits,
-    pool::Pool,
+    pool::{Depth, Pool},
     report::Report,
     request::Arrival,
     view::{Member, View},
@@ -174,6 +174,15 @@
             .collect()
     }
 
+    /// Requests that wait, by account and service; those without any are left out.
+    pub fn depths(&self) -> Vec<Depth> {
+        let gates = self.open.read();
+        let depths = gates
+            .values()
+            .flat_map(|opened| opened.gate.state.lock().decisions.depths());
+        depths.collect()
+    }
+
     /// Requests that wait at all gates.
     pub fn waiting(&self) -> usize {
         let gates = self.open.read();
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -93,25 +93,7 @@
         Tasks = "tasks",
     }
 
-    /// Which way a message between entries goes.
-    Direction {
-        /// From this entry.
-        Sent = "sent",
-        /// To this entry.
-        Received = "received",
-    }
 
-    /// What a message between entries is for.
-    Message {
-        /// New changes.
-        Change = "change",
-        /// A load report.
-        Load = "load",
-        /// An acknowledgement of a view.
-        Acknowledgement = "acknowledgement",
-        /// A question for changes or for a whole view.
-        Query = "query",
-    }
 }
 
 fn end(error: Option<&PlatformError>) -> &'static str {
@@ -151,12 +133,9 @@
     request_seconds: Histogram<f64>,
     queue_depth: Gauge<u64>,
     retries: Counter<u64>,
-    ejections: Counter<u64>,
     ejected: Gauge<u64>,
     store_calls: Counter<u64>,
     store_seconds: Histogram<f64>,
-    peer_messages: Counter<u64>,
-    peer_bytes: Counter<u64>,
     view_seq: Gauge<u64>,
 }
 
@@ -205,15 +184,9 @@
             request_seconds: seconds("request_duration", "Time from a request's head to its end"),
             queue_depth: gauge("queue_depth", "Requests that wait for a slot"),
             retries: counter("retries", "Further attempts, by the code of the failed one"),
-            ejections: counter(
-                "ejections",
-                "Workers taken out of the choice because they failed",
-            ),
             ejected: gauge("ejected", "Workers that are out of the choice"),
             store_calls: counter("store_calls", "Calls to the platform, by how they ended"),
             store_seconds: seconds("store_call_duration", "Time of calls to the platform"),
-            peer_messages: counter("peer_messages", "Messages between entries"),
-            peer_bytes: counter("peer_bytes", "Bytes of messages between entries"),
             view_seq: gauge("view_seq", "Newest change in force on this entry"),
             registry,
             _provider: provider,
@@ -250,12 +223,6 @@
         self.retries.add(1, &labels);
     }
 
-    /// Counts an ejection; `now_out` workers of `pool` are out of the choice with it.
-    pub fn ejection(&self, pool: &id::Pool, now_out: u64) {
-        self.ejections.add(1, &[named("pool", Some(pool))]);
-        self.ejected(pool, now_out);
-    }
-
     /// Sets how many workers of `pool` are out of the choice.
     pub fn ejected(&self, pool: &id::Pool, now_out: u64) {
         self.ejected.record(now_out, &[named("pool", Some(pool))]);
@@ -269,16 +236,6 @@
         self.store_calls.add(1, &[call, label("end", end(error))]);
     }
 
-    /// Counts a message between entries.
-    pub fn peer_message(&self, direction: Direction, message: Message, bytes: u64) {
-        let labels = [
-            label("direction", direction.label()),
-            label("message", message.label()),
-        ];
-        self.peer_messages.add(1, &labels);
-        self.peer_bytes.add(bytes, &labels);
-    }
-
     /// Sets the newest change in force.
     pub fn view(&self, seq: Seq) {
         self.view_seq.record(seq.0, &[]);
--- a/tests/all/once.rs
+++ b/tests/all/once.rs
@@ -313,6 +313,17 @@
 
     let queued = tokio::spawn(async move { hold(to, "k", "bed 1").await });
     until("the hold waits", || entry.waiting() == waiting + 1).await?;
+    let probe = Caller::open("none");
+    let admin = site.entry("entry-held").admin.address();
+    let told = probe
+        .send(admin, Method::GET, "/metrics", &[], "", LIMIT)
+        .await;
+    let line = format!(
+        "queue_depth{{account=\"stay\",service=\"stay\"}} {}",
+        waiting + 1
+    );
+    let told = String::from_utf8_lossy(&told.body).into_owned();
+    assert!(told.contains(&line), "{told}");
     queued.abort();
     assert!(queued.await.is_err());
     until("the hold has left the queue", || entry.waiting() == waiting).await?;
