Show an account's whole history, and it alone

Cause: account history looked at the first 1,000 changes of the trail and matched names by prefix. Change: it reads page after page to the trail's end and keeps the records of that one key.

--- a/crates/ctl/src/command/account.rs
+++ b/crates/ctl/src/command/account.rs
@@ -7,13 +7,17 @@
     output::{Printer, Shown},
 };
 use eyre::{Result, WrapErr};
-use primroseroute_api::{Apply, Diff};
+use primroseroute_api::{Apply, Audit, Diff};
 use primroseroute_client::Admin;
-use primroseroute_domain::{account::Template, change::Seq, id};
+use primroseroute_domain::{
+    account::Template,
+    change::{Record, Seq},
+    id,
+};
 use std::{fs, path::Path};
 
-/// Changes that one history shows; the archive has older ones.
-const HISTORY: u32 = 1000;
+/// Changes that are read at a time: the most that an entry gives.
+const PAGE: u32 = 1000;
 
 pub(super) async fn run(command: Account, admin: &Admin, printer: &mut Printer<'_>) -> Result<u8> {
     match command {
@@ -95,9 +99,26 @@
     Ok(())
 }
 
+/// Shows every change of one account, however long ago; the trail is read page by page.
 async fn history(name: &id::Account, admin: &Admin, printer: &mut Printer<'_>) -> Result<u8> {
     let key = format!("account/{name}");
-    let page = admin.audit(Seq(0), HISTORY, None, Some(&key)).await?;
-    audit::print(&page, printer)?;
+    let mut whole = Audit {
+        read_to: Seq(0),
+        records: Vec::new(),
+    };
+    loop {
+        let page = admin.audit(whole.read_to, PAGE, None, Some(&key)).await?;
+        let is_end = page.read_to <= whole.read_to;
+        // The entry matches by prefix, which other accounts' names may begin with too.
+        let is_own = |record: &Record| record.edits.iter().any(|edit| *edit.key == *key);
+        whole
+            .records
+            .extend(page.records.into_iter().filter(is_own));
+        if is_end {
+            break;
+        }
+        whole.read_to = page.read_to;
+    }
+    audit::print(&whole, printer)?;
     Ok(exit::DONE)
 }
--- /dev/null
+++ b/tests/all/ctl/history.rs
@@ -0,0 +1,50 @@
+//! `account history` over a long trail.
+
+use super::Desk;
+use crate::cases;
+use eyre::Result;
+use primroseroute_domain::time::Instant;
+use primroseroute_ledger::{Draft, key};
+use primroseroute_testbed::template;
+use uuid::Uuid;
+
+cases! {
+    history_reads_on_and_shows_one_account_alone => long_trail();
+}
+
+/// More changes than one page of the trail.
+const OTHERS: u128 = 1005;
+
+/// An account changes, then others change more than a page of the trail holds, then it changes
+/// again. Its history must show both of its changes, and none of an account whose name begins as
+/// its own does.
+async fn long_trail() -> Result<()> {
+    let desk = Desk::open().await?;
+    desk.site.platform.faults().set_rates(None);
+    let ledger = desk.site.ledger();
+    for number in 0..OTHERS {
+        let head = ledger.head().await?;
+        let id = Uuid::from_u128(number);
+        let mut draft = Draft::new(head, Instant(1), "operator:other", "other", id);
+        let name = if number == 0 { "stay-too" } else { "other" };
+        let row = template(name, 1, 1);
+        draft.put(key::account(&row.account), None, &row);
+        // The controller may commit first; the next head is tried then.
+        let _raced = ledger.commit(&draft).await;
+    }
+    let order = primroseroute_api::Apply {
+        template: template("stay", 9, 2),
+        if_version: None,
+        reason: "the last".into(),
+    };
+    desk.site.any().admin.apply(&order).await?;
+    let history = desk.json(&["account", "history", "stay"]).await?;
+    let reasons: Vec<_> = history
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter_map(|record| record["reason"].as_str())
+        .collect();
+    assert_eq!(reasons, ["set-up", "the last"]);
+    Ok(())
+}
--- a/tests/all/ctl/mod.rs
+++ b/tests/all/ctl/mod.rs
@@ -1,5 +1,6 @@
 //! `primrosectl` against a running site: what it prints and which exit code a script sees.
 
+mod history;
 mod wait;
 
 use crate::cases;
