--- /dev/null
+++ b/crates/route/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the request path's parts over real sockets on loopback.
+
+mod kept;
