--- a/crates/admin/src/edit/wave.rs
+++ b/crates/admin/src/edit/wave.rs
@@ -18,14 +18,9 @@
 
 /// The fleet of `snapshot`, as far as its rows tell.
 pub fn fleet(snapshot: &Snapshot) -> Fleet {
-    let templates = snapshot.accounts().values().map(|row| &row.value);
-    let rows = snapshot
-        .instances()
-        .iter()
-        .map(|(name, row)| (name.clone(), row.value.clone()));
     Fleet {
-        budgets: Fleet::budgets(templates),
-        rows: rows.collect(),
+        budgets: Fleet::budgets(snapshot.templates()),
+        rows: snapshot.instance_rows(),
         absent: BTreeSet::new(),
     }
 }
--- a/crates/controller/src/act.rs
+++ b/crates/controller/src/act.rs
@@ -1,7 +1,6 @@
 //! Turning decisions into one change, and into calls to the platform.
 
 use primroseroute_domain::{
-    account::Template,
     change::Seq,
     id,
     instance::{Row, State},
@@ -54,11 +53,7 @@
 
 impl Table {
     pub(crate) fn read(snapshot: &Snapshot, seen: &Seen) -> Result<Self, Refusal> {
-        let rows: BTreeMap<id::Instance, Row> = snapshot
-            .instances()
-            .iter()
-            .map(|(name, row)| (name.clone(), row.value.clone()))
-            .collect();
+        let rows = snapshot.instance_rows();
         let versions = snapshot
             .instances()
             .iter()
@@ -67,12 +62,8 @@
         let marks = snapshot
             .under::<id::Instance, u64>(key::MARKS)
             .map_err(|error| Refusal::new(Code::ViewStale, error.to_string()))?;
-        let templates = snapshot
-            .accounts()
-            .values()
-            .map(|row| -> &Template { &row.value });
         let fleet = Fleet {
-            budgets: Fleet::budgets(templates),
+            budgets: Fleet::budgets(snapshot.templates()),
             absent: absent(&rows, seen),
             rows,
         };
--- a/crates/controller/src/cycle.rs
+++ b/crates/controller/src/cycle.rs
@@ -50,7 +50,7 @@
         desk: &Desk,
     ) -> Result<(), Refusal> {
         let listed = self.list(parts).await?;
-        let rows: BTreeMap<id::Instance, Row> = rows(&parts.cell.current());
+        let rows: BTreeMap<id::Instance, Row> = parts.cell.current().instance_rows();
         let enough = parts.limits.bad_checks;
         self.book
             .round(&rows, &parts.probe, &parts.timers, enough)
@@ -71,13 +71,6 @@
     }
 }
 
-fn rows(snapshot: &Snapshot) -> BTreeMap<id::Instance, Row> {
-    let row = |(name, row): (&id::Instance, &primroseroute_ledger::Versioned<Row>)| {
-        (name.clone(), row.value.clone())
-    };
-    snapshot.instances().iter().map(row).collect()
-}
-
 async fn commit(parts: &Parts, held: &Held, seen: &Seen) -> Result<Vec<Reboot>, Refusal> {
     let author = Author {
         actor: format!("controller:{}", parts.identity.entry).into(),
--- a/crates/controller/src/jobs/quarantine.rs
+++ b/crates/controller/src/jobs/quarantine.rs
@@ -28,12 +28,9 @@
 }
 
 fn fleet(snapshot: &Snapshot, sight: &Sight) -> Fleet {
-    let rows = snapshot.instances().iter();
     Fleet {
-        rows: rows
-            .map(|(name, row)| (name.clone(), row.value.clone()))
-            .collect(),
-        budgets: Fleet::budgets(snapshot.accounts().values().map(|row| &row.value)),
+        rows: snapshot.instance_rows(),
+        budgets: Fleet::budgets(snapshot.templates()),
         absent: sight.absent.clone(),
     }
 }
--- a/crates/view/src/snapshot.rs
+++ b/crates/view/src/snapshot.rs
@@ -125,6 +125,19 @@
         &self.instances
     }
 
+    /// A copy of every instance's row by name, for a decision that changes rows as it goes.
+    pub fn instance_rows(&self) -> BTreeMap<id::Instance, Row> {
+        self.instances
+            .iter()
+            .map(|(name, row)| (name.clone(), row.value.clone()))
+            .collect()
+    }
+
+    /// The template of every client account, in the order of the accounts' names.
+    pub fn templates(&self) -> impl Iterator<Item = &Template> {
+        self.accounts.values().map(|row| &row.value)
+    }
+
     /// Every row as key and JSON, for a peer that is too far behind for records.
     pub fn rows(&self) -> &BTreeMap<Arc<str>, Arc<str>> {
         &self.rows
