Take in workers that register after a takeover

Cause: the loop's wait marked the list of workers as seen, so the check after it found no change; a pool kept the workers that were registered when it was taken over (0 to 2 of 12).

Change: the loop compares the list itself with the one it took in.

The wave isn't said to be complete in time.

--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -165,6 +165,8 @@
     status: watch::Sender<Arc<Status>>,
     watched: BTreeMap<Name, Watched>,
     registered: BTreeSet<Name>,
+    /// The list that `registered` was taken from.
+    known_workers: Registered,
     orders: JoinSet<()>,
     background: Vec<JoinHandle<()>>,
     counted_at: Millis,
@@ -208,6 +210,7 @@
             status,
             watched: BTreeMap::new(),
             registered: BTreeSet::new(),
+            known_workers: Registered::default(),
             orders: JoinSet::new(),
             background,
             counted_at: 0,
@@ -217,11 +220,11 @@
 
     async fn run(&mut self, stop: &mut watch::Receiver<bool>) -> Over {
         let mut registered = self.context.watch.workers.clone();
-        self.register(&registered.borrow_and_update().clone());
         loop {
             let begin = Instant::now();
-            if registered.has_changed().unwrap_or(false) {
-                self.register(&registered.borrow_and_update().clone());
+            let workers = registered.borrow_and_update().clone();
+            if !Arc::ptr_eq(&workers, &self.known_workers) {
+                self.register(&workers);
             }
             while let Ok(event) = self.events.try_recv() {
                 self.take(event);
@@ -309,6 +312,7 @@
             self.cell.unregister(left);
         }
         self.registered = now;
+        self.known_workers = Arc::clone(workers);
         self.look_at_workers();
     }
 
