Finish the maintenance of standby instances; place nothing on a life that is over

Cause: a standby instance has no worker before or after its maintenance, so the rule "up with another worker" never held and the wave was never said to be complete.

Change: an instance that is up after its order was taken is back; one whose order isn't known to be taken is ordered again. A worker whose maintenance was ordered is over at once, and one that can't be reached gets nothing new before a look has shown it.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -218,6 +218,8 @@
                 self.back_to_waiting(worker, task, run, None);
             }
             Outcome::Unsent => {
+                // The worker can't be reached: it gets nothing new before a look has shown it.
+                found.looked_at = None;
                 found.runs.remove(task);
                 self.back_to_waiting(worker, task, run, None);
             }
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -606,10 +606,16 @@
         match self.workers.start(&self.target, &start).await {
             Ok(Answer::Done) => Outcome::Started,
             Ok(Answer::Refused(refusal)) => Outcome::Refused(refusal),
-            // Nothing was sent to the life that was meant: another one answers there.
-            Ok(Answer::Gone) => Outcome::Refused(Refusal::Unhealthy),
+            Ok(Answer::Gone) => {
+                let event = Event::Gone(Name::clone(&self.target.id));
+                if self.events.send(event).is_err() {
+                    debug!("the pool's loop has ended");
+                }
+                Outcome::Unsent
+            }
             Err(Error::Unknown(_detail)) => Outcome::Unknown,
-            Err(_error) => Outcome::Refused(Refusal::Unhealthy),
+            Err(Error::Throttled) => Outcome::Refused(Refusal::Unhealthy),
+            Err(_error) => Outcome::Unsent,
         }
     }
 
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -57,6 +57,8 @@
     events: UnboundedSender<Event>,
     /// Workers that are being emptied, and since when.
     emptying: BTreeMap<Name, tokio::time::Instant>,
+    /// Instances whose order was taken, by wave.
+    taken: BTreeMap<u64, BTreeSet<Name>>,
     complete: BTreeSet<u64>,
 }
 
@@ -76,6 +78,7 @@
         status,
         events,
         emptying: BTreeMap::new(),
+        taken: BTreeMap::new(),
         complete: BTreeSet::new(),
     };
     loop {
@@ -143,6 +146,7 @@
             emptying: &emptying,
             empty: &empty,
             lasting: &status.lasting,
+            taken: self.taken.get(&wave.number).unwrap_or(&BTreeSet::new()),
             most: workers.div_ceil(EMPTIED_PART).max(1),
         })
     }
@@ -165,7 +169,9 @@
                 });
                 Ok(())
             }
-            Step::Begin(instance) => self.begin(wave, progress, version, &instance).await,
+            Step::Begin(instance) | Step::Repeat(instance) => {
+                self.begin(wave, progress, version, &instance).await
+            }
             Step::Finish(name) => {
                 let mut next = progress.clone();
                 next.active.remove(&name);
@@ -209,6 +215,12 @@
         match self.order(wave.number, instance, &holder).await {
             Ok(Ordered::Taken) => {
                 info!(wave = wave.number, instance = &*instance.name, token; "maintenance begun");
+                let taken = self.taken.entry(wave.number).or_default();
+                taken.insert(Name::clone(&instance.name));
+                if let Some(worker) = &instance.worker {
+                    // Its registration outlives it by seconds.
+                    self.tell(Event::Gone(Name::clone(worker)));
+                }
                 Ok(())
             }
             Ok(refused) => {
--- a/crates/owner/src/wave.rs
+++ b/crates/owner/src/wave.rs
@@ -25,6 +25,8 @@
     pub empty: &'a BTreeSet<Name>,
     /// For each worker, the number of lasting tasks on it.
     pub lasting: &'a BTreeMap<Name, usize>,
+    /// Instances of the wave whose order this owner knows to be taken.
+    pub taken: &'a BTreeSet<Name>,
     /// Most workers of the pool that may be emptied at the same time.
     pub most: usize,
 }
@@ -36,6 +38,9 @@
     Empty(Name),
     /// Count this instance as in maintenance and order it; nothing runs on it.
     Begin(Instance),
+    /// Order this instance again: it is counted as in maintenance, and it isn't known whether the
+    /// order was taken. Orders are idempotent.
+    Repeat(Instance),
     /// Its maintenance is over, or it has left.
     Finish(Name),
     /// All instances of the wave have been maintained or have left.
@@ -51,6 +56,10 @@
     if is_complete(situation) {
         return vec![Step::Complete];
     }
+    let repeated = repeated(situation);
+    if !repeated.is_empty() {
+        return repeated;
+    }
     let due = due(situation);
     let mut steps = begun(situation, &due);
     steps.extend(emptied(situation, &due));
@@ -61,21 +70,39 @@
     instances.iter().find(|instance| instance.name == *name)
 }
 
-/// Active instances that are up with another worker than before, or have left the fleet.
+/// Active instances whose maintenance is over, or that have left the fleet.
 fn finished(situation: &Situation<'_>) -> Vec<Step> {
     let active = situation.progress.active.iter();
     let over = active.filter(|(name, before)| match find(situation.instances, name) {
-        Some(instance) => {
-            let own = instance.pool == *situation.pool;
-            let renewed = instance.worker.is_some() && instance.worker != **before;
-            own && instance.condition == Condition::Up && renewed
-        }
+        Some(instance) => is_back(situation, instance, before.as_ref()),
         None => true,
     });
     over.map(|(name, _before)| Step::Finish(Name::clone(name)))
         .collect()
 }
 
+fn is_up(situation: &Situation<'_>, instance: &Instance) -> bool {
+    instance.pool == *situation.pool && instance.condition == Condition::Up
+}
+
+/// Whether an active instance is up again. An order takes effect at once, so one that is up after
+/// its order was taken has been maintained; so has one with another worker than before.
+fn is_back(situation: &Situation<'_>, instance: &Instance, before: Option<&Name>) -> bool {
+    let renewed = instance.worker.is_some() && instance.worker.as_ref() != before;
+    let taken = situation.taken.contains(&instance.name);
+    is_up(situation, instance) && (renewed || taken)
+}
+
+/// Active instances that are up as before, and whose order may never have come.
+fn repeated(situation: &Situation<'_>) -> Vec<Step> {
+    let active = situation.progress.active.keys();
+    let known = active.filter_map(|name| find(situation.instances, name));
+    let waiting = known.filter(|instance| is_up(situation, instance));
+    waiting
+        .map(|instance| Step::Repeat(Instance::clone(instance)))
+        .collect()
+}
+
 fn is_complete(situation: &Situation<'_>) -> bool {
     let mut names = situation.wave.instances.iter();
     names.all(|name| {
