Read owners once the pools are known; say goodbye before giving pools up

Cause: an entry read the partition of each pool's owner before it knew any pool. After a graceful stop the leaving entry itself was elected for its own pools until its next heartbeat (1.9 s).

Change: the whole read waits for the configuration; a conflict's rows are taken in; the last heartbeat goes out before pools are given up.

--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -34,9 +34,14 @@
     type Item = Row;
 
     async fn whole(&self) -> Result<(Vec<Row>, Version), Error> {
-        let configuration = self.configuration.borrow().clone();
-        let pools = configuration.iter().flat_map(|known| &known.pools);
-        let parts = row::control_parts(pools.map(|pool| &pool.name));
+        // Without the pools' partitions the owners of today would be taken for absent.
+        let mut configuration = self.configuration.clone();
+        let parts = {
+            let known = configuration.wait_for(Option::is_some).await;
+            let known = known.map_err(|_closed| Error::Unavailable("the entry stops".into()))?;
+            let pools = known.iter().flat_map(|known| &known.pools);
+            row::control_parts(pools.map(|pool| &pool.name))
+        };
         read_parts(&*self.rows, row::CONTROL, &parts).await
     }
 
@@ -121,27 +126,20 @@
     }
 }
 
-/// Keeps the picture.
-#[derive(Debug)]
-pub(crate) struct Keeper {
-    pub picture: Arc<Mutex<Picture>>,
-    pub clock: Clock,
-    pub blind: bool,
-}
-
-impl Keeper {
-    fn record(&self, picture: &mut Picture, row: &Row) {
+impl Picture {
+    /// Takes in a row.
+    pub(crate) fn record(&mut self, row: &Row, now: Millis) {
         match ControlKey::of(&row.place) {
             Some(ControlKey::Member(entry)) => {
                 let member: Option<Member> = parsed(row);
-                picture.members.heard(entry, member, self.clock.now());
+                self.members.heard(entry, member, now);
             }
             Some(ControlKey::Owner(pool)) => match parsed::<Owner>(row) {
                 Some(owner) => {
-                    picture.owners.insert(pool, (owner, row.version));
+                    self.owners.insert(pool, (owner, row.version));
                 }
                 None => {
-                    picture.owners.remove(&pool);
+                    self.owners.remove(&pool);
                 }
             },
             None => log::warn!(key = &*row.place.key; "an unknown row of control"),
@@ -149,22 +147,30 @@
     }
 }
 
+/// Keeps the picture.
+#[derive(Debug)]
+pub(crate) struct Keeper {
+    pub picture: Arc<Mutex<Picture>>,
+    pub clock: Clock,
+    pub blind: bool,
+}
+
 impl Sink for Keeper {
     type Item = Row;
 
     fn reset(&mut self, items: Vec<Row>) {
-        let picture = Arc::clone(&self.picture);
-        let mut picture = picture.lock();
+        let mut picture = self.picture.lock();
+        let now = self.clock.now();
         for row in &items {
-            self.record(&mut picture, row);
+            picture.record(row, now);
         }
     }
 
     fn apply(&mut self, items: Vec<Row>) {
-        let picture = Arc::clone(&self.picture);
-        let mut picture = picture.lock();
+        let mut picture = self.picture.lock();
+        let now = self.clock.now();
         for row in &items {
-            self.record(&mut picture, row);
+            picture.record(row, now);
         }
     }
 
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -51,6 +51,9 @@
 /// Longest time that giving up all pools may take; what is left then is taken over by timeout.
 const RELEASE: Duration = Duration::from_millis(2_500);
 
+/// Longest time that the last heartbeat may take.
+const FAREWELL: Duration = Duration::from_millis(300);
+
 /// What an entry is given.
 #[derive(Clone, Debug)]
 pub struct Parts {
@@ -78,6 +81,7 @@
 #[derive(Debug)]
 pub struct Entry {
     stop: watch::Sender<bool>,
+    parts: Parts,
     leaving: Arc<AtomicBool>,
     elections: JoinHandle<()>,
     background: Vec<JoinHandle<()>>,
@@ -103,7 +107,7 @@
         ];
         let (stop, stopped) = watch::channel(false);
         let elections = Elections {
-            parts,
+            parts: parts.clone(),
             picture,
             owned: BTreeMap::new(),
             stop: stopped,
@@ -111,6 +115,7 @@
         };
         Self {
             stop,
+            parts,
             leaving,
             elections: tokio::spawn(elections.run()),
             background,
@@ -118,8 +123,17 @@
     }
 
     /// Gives up all pools and stops; other entries take them over at once.
+    ///
+    /// The last heartbeat goes out first: it says that this entry takes over nothing more, so that
+    /// its own pools aren't left to it.
     pub async fn stop(self) {
         self.leaving.store(true, Ordering::Relaxed);
+        let farewell = write_beat(&self.parts, u64::MAX, true);
+        match timeout(FAREWELL, farewell).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => warn!(error:% = error; "the last heartbeat failed"),
+            Err(_elapsed) => warn!("the last heartbeat got no answer in time"),
+        }
         self.stop.send_replace(true);
         if timeout(RELEASE, self.elections).await.is_err() {
             warn!("giving up pools took too long");
@@ -130,6 +144,20 @@
     }
 }
 
+async fn write_beat(parts: &Parts, beat: u64, leaving: bool) -> Result<(), Error> {
+    let member = Member {
+        incarnation: parts.incarnation,
+        beat,
+        leaving,
+    };
+    let value = serde_json::to_vec(&member).expect("a heartbeat has plain fields");
+    let txn = Txn {
+        puts: vec![(row::member(&parts.entry), value.into())],
+        ..Txn::default()
+    };
+    parts.rows.commit(txn).await.map(drop)
+}
+
 /// Writes the heartbeat until the task is dropped.
 async fn beat(parts: Parts, leaving: Arc<AtomicBool>) {
     let mut ticks = interval(HEARTBEAT);
@@ -139,18 +167,9 @@
     loop {
         ticks.tick().await;
         number += 1;
-        let member = Member {
-            incarnation: parts.incarnation,
-            beat: number,
-            leaving: leaving.load(Ordering::Relaxed),
-        };
-        let value = serde_json::to_vec(&member).expect("a heartbeat has plain fields");
-        let txn = Txn {
-            puts: vec![(row::member(&parts.entry), value.into())],
-            ..Txn::default()
-        };
-        match parts.rows.commit(txn).await {
-            Ok(_commit) => {
+        let is_leaving = leaving.load(Ordering::Relaxed);
+        match write_beat(&parts, number, is_leaving).await {
+            Ok(()) => {
                 if std::mem::take(&mut failing) {
                     info!("heartbeats work again");
                 }
@@ -243,7 +262,15 @@
         };
         let token = match self.parts.rows.commit(txn).await {
             Ok(Commit::Committed(version)) => Some(version),
-            Ok(Commit::Conflict(_rows)) => None,
+            Ok(Commit::Conflict(rows)) => {
+                // The feed hasn't shown it yet, or the pool is new to the configuration.
+                let now = self.parts.clock.now();
+                let mut picture = self.picture.lock();
+                for row in &rows {
+                    picture.record(row, now);
+                }
+                None
+            }
             Err(Error::Unknown(_detail)) => self.look(&pool, &owner).await,
             Err(error) => {
                 info!(pool = &*pool, error:% = error; "taking the pool failed");
