Let a silent worker's lease lapse; let starts survive a slow store

Change: a worker that didn't answer is only looked at until it does. The window of a start is 2.5 s, and a start without an answer is settled by a stop instead of waiting for the window's end.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -83,6 +83,7 @@
                         moved_at: self.taken_at,
                         load: 0,
                         stop: Stop::No,
+                        stopped_at: None,
                         pace: 100,
                         lasting: shape.is_some_and(|step| step.lasting),
                     };
@@ -205,6 +206,11 @@
             Outcome::Unknown => {
                 if entry.known == Known::Sent {
                     entry.known = Known::Unsure;
+                    // A stop settles it: the worker refuses the run from then on. Waiting for the
+                    // start's deadline instead would delay the task by seconds.
+                    if entry.stop == Stop::No {
+                        entry.stop = Stop::Wanted;
+                    }
                 }
             }
             Outcome::Refused(refusal) => {
@@ -226,6 +232,17 @@
         }
     }
 
+    /// Takes in that a worker has taken the stop of a run.
+    pub fn stopped(&mut self, worker: &Name, task: &TaskId, run: u32, now: Millis) {
+        let worker = self.workers.get_mut(worker);
+        let entry = worker.and_then(|worker| worker.runs.get_mut(task));
+        if let Some(entry) = entry
+            && entry.run == run
+        {
+            entry.stopped_at.get_or_insert(now);
+        }
+    }
+
     /// A run is over without having done its work: its task waits again, if it was the newest run.
     pub(crate) fn back_to_waiting(
         &mut self,
--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -13,8 +13,9 @@
     pub lease: Millis,
     /// Longest time that a worker takes to stop a run.
     pub stop: Millis,
-    /// Time on the worker's clock in which a start must arrive. Twice an order's timeout: shorter,
-    /// and slow networks turn starts down; longer, and a lost one delays its task by more.
+    /// Time on the worker's clock, from the sending of its commit, in which a start must arrive. It
+    /// covers a commit at a store that answers sixty times slower than usual; a successor waits for
+    /// that long before it takes a start of its predecessor for one that never came.
     pub start_window: Millis,
     /// Slack on every wait for something that surely is over, for timers that fire early.
     pub margin: Millis,
@@ -44,7 +45,7 @@
         Self {
             lease,
             stop,
-            start_window: 800,
+            start_window: 2_500,
             margin: 100,
             fresh: 3_200,
             resend: 500,
--- a/crates/cell/src/look.rs
+++ b/crates/cell/src/look.rs
@@ -156,8 +156,12 @@
         let ended = match run.known {
             Known::Sent => false,
             Known::Runs(at) => at < sent_at,
-            // No start that hasn't taken effect by then ever does: the worker refuses it as late.
-            Known::Unsure => sent_at >= run.sure_after,
+            // No start that hasn't taken effect by then ever does: the worker refuses it as late, or
+            // as older than a run that was stopped there.
+            Known::Unsure => {
+                let stopped = run.stopped_at.is_some_and(|at| at < sent_at);
+                stopped || sent_at >= run.sure_after
+            }
         };
         if shown || !ended {
             return true;
@@ -190,6 +194,7 @@
         load: 0,
         // Nothing that is committed says that it should run: it was given up, or its job ended.
         stop: Stop::Wanted,
+        stopped_at: None,
         pace: 100,
         lasting,
     });
--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -351,6 +351,7 @@
         moved_at: now,
         load: 0,
         stop: Stop::No,
+        stopped_at: None,
         pace: 100,
         lasting: step.lasting,
     };
--- a/crates/owner/src/lease.rs
+++ b/crates/owner/src/lease.rs
@@ -81,9 +81,15 @@
 
 impl Watcher {
     /// Looks until the worker's life is over, or the owner stops.
+    ///
+    /// A worker that didn't answer is only looked at until it does. Renewing on and on without an
+    /// answer would move the time at which its lease has surely lapsed, and the tasks of a dead
+    /// worker would never start elsewhere.
     pub(crate) async fn run(mut self) {
+        let mut answers = false;
         loop {
-            let answer = self.look().await;
+            let answer = self.look(answers).await;
+            answers = matches!(answer, Some(Seen::Look(_)));
             match answer {
                 Some(Seen::Look(look)) => {
                     let newest = look.ended.last().map(|ended| ended.number);
@@ -111,10 +117,11 @@
         }
     }
 
-    async fn look(&mut self) -> Option<Seen> {
+    async fn look(&mut self, renew: bool) -> Option<Seen> {
         let confirmed = *self.confirmed.borrow();
         let lease = self.limits.lease;
-        let deadline = self.readings.at(confirmed).map(|clock| clock + lease);
+        let reading = self.readings.at(confirmed).filter(|_clock| renew);
+        let deadline = reading.map(|clock| clock + lease);
         if deadline.is_some() {
             // Told before it is sent: a look that is lost may have renewed the lease all the same.
             self.send(Event::Renewing {
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -79,6 +79,11 @@
         run: u32,
         outcome: Outcome,
     },
+    Stopped {
+        worker: Name,
+        task: TaskId,
+        run: u32,
+    },
     Empty {
         worker: Name,
         wanted: bool,
@@ -294,6 +299,9 @@
                 }
                 self.cell.answered(&worker, &task, run, outcome, now);
             }
+            Event::Stopped { worker, task, run } => {
+                self.cell.stopped(&worker, &task, run, now);
+            }
             Event::Empty { worker, wanted } => self.cell.empty(&worker, wanted),
             Event::Clear(worker) => self.cell.clear(&worker),
         }
@@ -565,13 +573,17 @@
                     run,
                     outcome,
                 };
-                if self.events.send(event).is_err() {
-                    debug!("the pool's loop has ended");
-                }
+                self.tell(event);
             }
             Order::Stop { task, run, .. } => {
                 let answer = self.workers.stop(&self.target, &task, run, self.token);
-                self.note("stop", &task, run, answer.await);
+                let answer = answer.await;
+                let done = answer == Ok(Answer::Done);
+                self.note("stop", &task, run, answer);
+                if done {
+                    let worker = Name::clone(&self.target.id);
+                    self.tell(Event::Stopped { worker, task, run });
+                }
             }
             Order::Pace {
                 task, run, percent, ..
@@ -608,9 +620,7 @@
             Ok(Answer::Refused(refusal)) => Outcome::Refused(refusal),
             Ok(Answer::Gone) => {
                 let event = Event::Gone(Name::clone(&self.target.id));
-                if self.events.send(event).is_err() {
-                    debug!("the pool's loop has ended");
-                }
+                self.tell(event);
                 Outcome::Unsent
             }
             Err(Error::Unknown(_detail)) => Outcome::Unknown,
@@ -619,6 +629,12 @@
         }
     }
 
+    fn tell(&self, event: Event) {
+        if self.events.send(event).is_err() {
+            debug!("the pool's loop has ended");
+        }
+    }
+
     fn note(&self, order: &str, task: &TaskId, run: u32, answer: Result<Answer, Error>) {
         let worker = &*self.target.id;
         match answer {
