Find dead workers in the platform's list; judge others only while own heartbeats work

Change: an entry judges others only while its own heartbeats get through in good time. Workers that don't answer are looked up in the platform's list of instances, which names the life that each instance has; one that isn't named any more is over.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -293,6 +293,16 @@
         found.is_none_or(|worker| worker.runs.is_empty())
     }
 
+    /// Workers that have shown nothing for a while, and on which something may run.
+    pub fn silent(&self, now: Millis) -> BTreeSet<Name> {
+        let since = self.taken_at;
+        let silent = self.workers.iter().filter(|(_id, worker)| {
+            let heard = worker.looked_at.unwrap_or(since);
+            !worker.runs.is_empty() && !worker.gone && now >= heard + self.limits.silent
+        });
+        silent.map(|(id, _worker)| Name::clone(id)).collect()
+    }
+
     /// Number of lasting tasks that may run on a worker.
     pub fn lasting_on(&self, worker: &Name) -> usize {
         let found = self.workers.get(worker);
--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -21,6 +21,8 @@
     pub margin: Millis,
     /// A worker without a look for this long gets nothing new: two looks that went unanswered.
     pub fresh: Millis,
+    /// A worker without a look for this long is asked for at the platform: one look and a half.
+    pub silent: Millis,
     /// Pause before a stop without effect is sent again.
     pub resend: Millis,
     /// Failures in a row, of different jobs, after which a worker gets nothing new for a while.
@@ -48,6 +50,7 @@
             start_window: 2_500,
             margin: 100,
             fresh: 3_200,
+            silent: 1_600,
             resend: 500,
             failures: 3,
             quarantine: 3_000,
--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -92,9 +92,31 @@
     pub owners: BTreeMap<Name, (Owner, Version)>,
     /// Whether the feed shows the table as it is: not before the first read, nor while calls fail.
     pub current: bool,
+    /// When this entry's own heartbeat last got through in good time.
+    pub own_beat_at: Option<Millis>,
 }
 
+/// Age of this entry's own last good heartbeat up to which it judges others. A store that is slow or
+/// turns calls away for everyone keeps their heartbeats out as well: without this, all entries
+/// would take each other's pools at the same moment.
+const OWN_BEAT_AGE: Millis = 1_300;
+
 impl Picture {
+    /// Whether silence of others proves anything.
+    pub(crate) fn judges(&self, now: Millis) -> bool {
+        let heard = self.own_beat_at.is_some_and(|at| now < at + OWN_BEAT_AGE);
+        self.current && heard
+    }
+
+    /// Takes in that this entry's own heartbeat got through. After a time in which none did, others
+    /// get as much time to be heard again.
+    pub(crate) fn beaten(&mut self, now: Millis) {
+        if !self.judges(now) {
+            self.members.blind_until(now);
+        }
+        self.own_beat_at = Some(now);
+    }
+
     /// Pools of `pools` that no live entry owns.
     pub(crate) fn free(&self, pools: &[Name], now: Millis) -> Vec<Name> {
         let free = pools.iter().filter(|pool| {
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -51,6 +51,10 @@
 /// Longest time that giving up all pools may take; what is left then is taken over by timeout.
 const RELEASE: Duration = Duration::from_millis(2_500);
 
+/// A heartbeat that takes this long, in milliseconds, is a sign that the store is in trouble: usual
+/// is a tenth of it.
+const SLOW_BEAT: u64 = 300;
+
 /// Longest time that the last heartbeat may take.
 const FAREWELL: Duration = Duration::from_millis(300);
 
@@ -103,7 +107,11 @@
         };
         let background = vec![
             tokio::spawn(follow("control", table, keeper, CONTROL_PACE)),
-            tokio::spawn(beat(parts.clone(), Arc::clone(&leaving))),
+            tokio::spawn(beat(
+                parts.clone(),
+                Arc::clone(&picture),
+                Arc::clone(&leaving),
+            )),
         ];
         let (stop, stopped) = watch::channel(false);
         let elections = Elections {
@@ -159,7 +167,7 @@
 }
 
 /// Writes the heartbeat until the task is dropped.
-async fn beat(parts: Parts, leaving: Arc<AtomicBool>) {
+async fn beat(parts: Parts, picture: Arc<Mutex<Picture>>, leaving: Arc<AtomicBool>) {
     let mut ticks = interval(HEARTBEAT);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut number = 0;
@@ -168,8 +176,13 @@
         ticks.tick().await;
         number += 1;
         let is_leaving = leaving.load(Ordering::Relaxed);
+        let begin = parts.clock.now();
         match write_beat(&parts, number, is_leaving).await {
             Ok(()) => {
+                let now = parts.clock.now();
+                if now < begin + SLOW_BEAT {
+                    picture.lock().beaten(now);
+                }
                 if std::mem::take(&mut failing) {
                     info!("heartbeats work again");
                 }
@@ -220,10 +233,10 @@
             return Vec::new();
         };
         let picture = self.picture.lock();
-        if !picture.current {
+        let now = self.parts.clock.now();
+        if !picture.judges(now) {
             return Vec::new();
         }
-        let now = self.parts.clock.now();
         let pools = configuration.pools.iter();
         let pools: Vec<Name> = pools.map(|pool| Name::clone(&pool.name)).collect();
         let free = picture.free(&pools, now);
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -494,6 +494,7 @@
             lasting: lasting.collect(),
             empty: empty.map(Name::clone).collect(),
             registered: self.registered.clone(),
+            silent: self.cell.silent(self.context.clock.now()),
         };
         self.status.send_if_modified(|known| {
             let changed = **known != status;
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -1,4 +1,4 @@
-//! Maintenance of a pool's instances: reads what waves ask for, and carries out the next steps.
+//! A pool's instances: carries out what waves ask for, and finds out which workers are over.
 
 use crate::{
     run::{Context, Event},
@@ -20,7 +20,7 @@
 };
 use tokio::{
     sync::{mpsc::UnboundedSender, watch::Receiver},
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 /// Pause between two looks at the instances while a wave is under way: a tenth of the few seconds
@@ -49,20 +49,24 @@
     pub empty: BTreeSet<Name>,
     /// Registered workers of the pool.
     pub registered: BTreeSet<Name>,
+    /// Workers that don't answer, and on which something may run.
+    pub silent: BTreeSet<Name>,
 }
 
 struct Upkeep {
     context: Context,
     status: Receiver<Arc<Status>>,
     events: UnboundedSender<Event>,
+    /// Instances get no order before then.
+    orders_from: Instant,
     /// Workers that are being emptied, and since when.
-    emptying: BTreeMap<Name, tokio::time::Instant>,
+    emptying: BTreeMap<Name, Instant>,
     /// Instances whose order was taken, by wave.
     taken: BTreeMap<u64, BTreeSet<Name>>,
     complete: BTreeSet<u64>,
 }
 
-/// Maintains the pool's instances until the task is dropped.
+/// Looks after the pool's instances until the task is dropped.
 ///
 /// The first order waits: a predecessor may have given one just before it was replaced, and two
 /// holders must not take turns at one instance within the pause between them.
@@ -71,25 +75,32 @@
     status: Receiver<Arc<Status>>,
     events: UnboundedSender<Event>,
 ) {
-    sleep(context.order_pause + HOLDER_SLACK).await;
+    let orders_from = Instant::now() + context.order_pause + HOLDER_SLACK;
     let mut waves = context.watch.waves.clone();
+    let mut news = status.clone();
     let mut upkeep = Upkeep {
         context,
         status,
         events,
+        orders_from,
         emptying: BTreeMap::new(),
         taken: BTreeMap::new(),
         complete: BTreeSet::new(),
     };
     loop {
         let open = upkeep.open(&waves.borrow_and_update());
-        if open.is_empty() {
-            if waves.changed().await.is_err() {
+        let silent = news.borrow_and_update().silent.clone();
+        if open.is_empty() && silent.is_empty() {
+            let changed = tokio::select! {
+                changed = waves.changed() => changed,
+                changed = news.changed() => changed,
+            };
+            if changed.is_err() {
                 return;
             }
             continue;
         }
-        if let Err(error) = upkeep.round(&open).await {
+        if let Err(error) = upkeep.round(&open, &silent).await {
             info!(pool = &*upkeep.context.pool, error:% = error; "a round of maintenance failed");
         }
         sleep(PACE).await;
@@ -103,8 +114,12 @@
         open.cloned().collect()
     }
 
-    async fn round(&mut self, waves: &[Wave]) -> Result<(), Error> {
+    async fn round(&mut self, waves: &[Wave], silent: &BTreeSet<Name>) -> Result<(), Error> {
         let instances = self.context.site.instances().await?;
+        self.bury(&instances, silent);
+        if Instant::now() < self.orders_from {
+            return Ok(());
+        }
         let mut wanted = BTreeSet::new();
         for wave in waves {
             let (progress, version) = self.read(wave.number).await?;
@@ -125,6 +140,18 @@
         Ok(())
     }
 
+    /// Tells which silent workers are over. A worker is one life of an instance, and the platform
+    /// names the life that each instance has: one that it names no more runs nothing, while one
+    /// behind a cut is still named. Without this, tasks of a dead worker wait until its lease has
+    /// surely lapsed.
+    fn bury(&self, instances: &[Instance], silent: &BTreeSet<Name>) {
+        let named = instances.iter().filter_map(|known| known.worker.as_ref());
+        let named: BTreeSet<&Name> = named.collect();
+        for worker in silent.iter().filter(|worker| !named.contains(worker)) {
+            self.tell(Event::Gone(Name::clone(worker)));
+        }
+    }
+
     fn plan(&self, wave: &Wave, progress: &Progress, instances: &[Instance]) -> Vec<Step> {
         let status = self.status.borrow().clone();
         let emptying: BTreeSet<Name> = self.emptying.keys().map(Name::clone).collect();
@@ -161,8 +188,7 @@
         match step {
             Step::Empty(worker) => {
                 info!(wave = wave.number, worker = &*worker; "worker is being emptied");
-                self.emptying
-                    .insert(Name::clone(&worker), tokio::time::Instant::now());
+                self.emptying.insert(Name::clone(&worker), Instant::now());
                 self.tell(Event::Empty {
                     worker,
                     wanted: true,
