Serve short jobs first among those that can be in time

Change: among jobs that can still be in time, the least work left comes first. Short jobs earn most for what they occupy, and one that has begun comes before one like it that hasn't.

--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -31,8 +31,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Waiting {
     class: Class,
-    /// Milliseconds to spare until the objective; negative ones are late.
-    slack: i64,
+    /// What is left of the job's work in core-milliseconds: short jobs earn most for the time that
+    /// they occupy, and a job that has begun comes before one like it that hasn't.
+    work: u64,
     job: JobId,
     occurrence: u32,
     step: u16,
@@ -115,7 +116,7 @@
     };
     Waiting {
         class,
-        slack,
+        work: work_left(job, occurrence),
         job: id.clone(),
         occurrence,
         step,
@@ -126,6 +127,22 @@
     i64::try_from(value).unwrap_or(i64::MAX)
 }
 
+/// Estimated core-milliseconds of the tasks that aren't done.
+fn work_left(job: &Job, occurrence: u32) -> u64 {
+    let Some(progress) = job.progress.steps.get(&occurrence) else {
+        return 0;
+    };
+    let steps = job.accepted.job.steps.iter().zip(progress);
+    let left = steps.map(|(shape, tasks)| {
+        let open = tasks
+            .iter()
+            .filter(|task| task.phase != Phase::Done)
+            .count() as u64;
+        open * shape.demand.cpu * shape.estimate_ms / 1_000
+    });
+    left.sum()
+}
+
 /// Estimated time from now to the job's end, if `step` starts at once.
 fn remaining(job: &Job, occurrence: u32, step: u16) -> u64 {
     let steps = &job.accepted.job.steps;
