--- a/tests/site/maintain.rs
+++ b/tests/site/maintain.rs
@@ -13,6 +13,7 @@
 cases! {
     wave_over_a_pool_with_lasting_tasks => whole_pool();
     wave_goes_on_after_its_owner_is_killed => owner_killed();
+    successor_orders_nothing_at_once => no_order_at_once();
 }
 
 fn wave(instances: impl IntoIterator<Item = Name>, maximum: usize) -> Instruction {
@@ -124,3 +125,30 @@
     nothing_was_cut_off(&bed, &id)?;
     bed.judge()
 }
+
+// The owner hands its pool over in the middle of a wave. Its last order may have gone out a moment
+// ago, so the successor gives none before the pause between two holders has passed.
+async fn no_order_at_once() -> Result<()> {
+    let mut bed = Bed::open(63, 2, 8).await?;
+    let owner = bed.owner(POOL).await?;
+    bed.world.instruct(wave(own_instances(&bed), 1));
+    seconds(4).await;
+    let handed_over = bed.world.now();
+    let node = bed.nodes.remove(&owner);
+    let entry = node.map(|node| node.entry);
+    entry.expect("the owner is one of the entries").stop().await;
+    seconds(20).await;
+    let mut orders: Vec<(u64, Name)> = maintained(&bed)
+        .into_values()
+        .flatten()
+        .map(|(at, entry, _token)| (at, entry))
+        .collect();
+    orders.sort();
+    let first = orders.iter().find(|(_at, entry)| **entry != *owner);
+    let (at, _entry) = first.ok_or_else(|| eyre::eyre!("the wave doesn't go on: {orders:?}"))?;
+    ensure!(
+        *at >= handed_over + 3_000,
+        "handed over at {handed_over}, ordered at {at}"
+    );
+    Ok(())
+}
--- a/tests/site/takeover.rs
+++ b/tests/site/takeover.rs
@@ -5,8 +5,11 @@
     cases,
 };
 use eyre::{Result, ensure};
+use primroseroute_cell::row::{self, Member, Owner};
 use primroseroute_domain::work::State;
+use primroseroute_platform::rows::{Range, Rows, Txn};
 use primroseroute_standin::site::Reach;
+use std::time::Duration;
 
 cases! {
     killed_owner_is_replaced_and_its_runs_go_on => killed();
@@ -17,6 +20,8 @@
     stopped_owner_hands_over_at_once => stopped();
     slow_store_moves_no_pool => slow_store();
     restarted_entry_takes_its_old_pool_over => restarted();
+    replaced_owner_starts_nothing_more => replaced();
+    end_is_acknowledged_only_once_it_is_stored => acknowledged();
 }
 
 // The owner dies while tasks run. Their leases outlast the takeover, so the successor finds them
@@ -159,3 +164,81 @@
     }
     bed.judge()
 }
+
+// Another entry takes the pool over and has committed nothing yet. The old owner, which hasn't heard
+// of it, learns of a job: its commit must fail on the owner's row, so it starts nothing. The new
+// owner has read the pool's rows already, and would start the same tasks.
+async fn replaced() -> Result<()> {
+    let mut bed = Bed::open(29, 1, 3).await?;
+    let ghost = bed.world.caller("ghost");
+    let place = row::owner(POOL);
+    let range = Range {
+        table: place.table.clone(),
+        part: place.part.clone(),
+        from: None,
+        to: None,
+    };
+    let version = ghost.read(range).await?.rows[0].version;
+    let owner = Owner {
+        entry: "ghost".into(),
+        incarnation: 99,
+        attempt: 1,
+        released: false,
+    };
+    let take = Txn {
+        conditions: vec![(place.clone(), version)],
+        puts: vec![(place, serde_json::to_vec(&owner)?.into())],
+        deletes: Vec::new(),
+    };
+    // The old owner asks every 600 ms whether it still owns the pool; this is in between.
+    let id = bed.id();
+    let sent = job("300", 2);
+    let heartbeat = tokio::spawn(async move {
+        for beat in 0.. {
+            let member = Member {
+                incarnation: 99,
+                beat,
+                leaving: false,
+            };
+            let value = serde_json::to_vec(&member).expect("a heartbeat has plain fields");
+            let txn = Txn {
+                puts: vec![(row::member("ghost"), value.into())],
+                ..Txn::default()
+            };
+            if ghost.commit(txn).await.is_err() {
+                return;
+            }
+            if beat == 0 {
+                ghost.commit(take.clone()).await.expect("the store answers");
+            }
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    ensure!(bed.send("e-0", &id, &sent).await.is_success());
+    seconds(3).await;
+    heartbeat.abort();
+    let starts = bed.world.journal().starts(&task(&id, 0, 0));
+    ensure!(starts.is_empty(), "{starts:?}");
+    Ok(())
+}
+
+// A task ends while the store is away, and all entries are killed before it is back. The end isn't
+// stored, so it must not have been acknowledged: the worker shows it to the successor, and the task
+// isn't run a second time.
+async fn acknowledged() -> Result<()> {
+    let mut bed = Bed::open(30, 2, 3).await?;
+    let id = bed.submit("e-0", &job("800", 2)).await?;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    bed.conduct_all(|conduct| conduct.store = Reach::Refused);
+    seconds(2).await;
+    bed.kill("e-0");
+    bed.kill("e-1");
+    bed.start("e-0");
+    bed.until("e-0", &id, State::Completed, 6).await?;
+    for index in 0..2 {
+        let starts = bed.world.journal().starts(&task(&id, 0, index)).len();
+        ensure!(starts == 1, "task {index} was started {starts} times");
+    }
+    bed.judge()
+}
