One line for each decision on a job, bounded by kind, written without blocking

Cause: on-call engineers have only logs; placements, stops and ends wrote none, and lines went to standard output synchronously, so a reader that stops reading would have held the entry up.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -10,7 +10,7 @@
 use primroseroute_domain::work::{Demand, JobId, Name, State, TaskId};
 use primroseroute_platform::{
     site,
-    worker::{Look, Refusal, Target},
+    worker::{Ended, Look, Refusal, Target},
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -173,6 +173,12 @@
         }
     }
 
+    /// The ends of a look that weren't taken in before.
+    pub fn news<'a>(&self, worker: &Name, look: &'a Look) -> impl Iterator<Item = &'a Ended> {
+        let seen = self.workers.get(worker).map_or(0, |worker| worker.seen);
+        look.ended.iter().filter(move |ended| ended.number > seen)
+    }
+
     /// Takes in a look that was asked for at `sent_at` and came at `now`.
     pub fn look(&mut self, worker: &Name, look: &Look, sent_at: Millis, now: Millis, wall_ms: u64) {
         crate::look::take(self, worker, look, sent_at, now, wall_ms);
--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -1,7 +1,7 @@
 //! What a cell wants done, and what came of it.
 
 use bytes::Bytes;
-use primroseroute_domain::work::{JobId, Name, TaskId};
+use primroseroute_domain::work::{JobId, Name, State, TaskId};
 use primroseroute_platform::worker::Refusal;
 
 /// An order to a worker.
@@ -60,6 +60,8 @@
 pub struct Tick {
     /// Progress rows to write.
     pub puts: Vec<(JobId, Bytes)>,
+    /// Jobs that have reached a final state.
+    pub ended: Vec<(JobId, State)>,
     /// Jobs whose progress rows are no longer needed.
     pub forget: Vec<JobId>,
     /// Orders that may be sent only once the rows are committed.
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -10,7 +10,7 @@
     worker::{Stop, Worker},
 };
 use bytes::Bytes;
-use primroseroute_domain::work::{JobId, Name, TaskId};
+use primroseroute_domain::work::{JobId, Name, State, TaskId};
 
 /// Times the promised time that finished jobs' rows stay, in percent: clocks of entries differ.
 const KEEP_PERCENT: u64 = 125;
@@ -25,12 +25,16 @@
     let mut orders = place::run(cell, now, wall_ms);
     orders.extend(pace_all(cell));
     orders.extend(stops(cell, now));
-    let (puts, seen) = rows(cell);
+    let (puts, ended) = rows(cell);
+    let seen = cell.workers.iter();
+    let seen = seen.map(|(id, worker)| (Name::clone(id), worker.seen));
+    let seen = seen.collect();
     let counts = cell.queued();
     let counts_changed = counts != cell.counts;
     cell.counts = counts;
     Tick {
         puts,
+        ended,
         forget: forget(cell, wall_ms),
         orders,
         seen,
@@ -113,22 +117,22 @@
     orders
 }
 
-/// Rows of jobs that have changed, and the ends that they contain.
-fn rows(cell: &mut Cell) -> (Vec<(JobId, Bytes)>, Vec<(Name, u64)>) {
+/// Rows of jobs that have changed, and those of the jobs that have ended.
+fn rows(cell: &mut Cell) -> (Vec<(JobId, Bytes)>, Vec<(JobId, State)>) {
     let mut puts = Vec::new();
+    let mut over = Vec::new();
     for id in std::mem::take(&mut cell.dirty) {
         let Some(job) = cell.jobs.get(&id) else {
             continue;
         };
         puts.push((id.clone(), written(&job.progress)));
         if let Some(ended) = job.progress.ended_ms {
+            over.push((id.clone(), job.progress.state));
             cell.jobs.remove(&id);
             cell.finished.insert(id, ended);
         }
     }
-    let seen = cell.workers.iter();
-    let seen = seen.map(|(id, worker)| (Name::clone(id), worker.seen));
-    (puts, seen.collect())
+    (puts, over)
 }
 
 fn written(progress: &Progress) -> Bytes {
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -13,7 +13,7 @@
 use async_trait::async_trait;
 use log::{debug, info, warn};
 use primroseroute_cell::{Cell, Limits, Millis, Order, Outcome, Tick, row};
-use primroseroute_domain::work::{JobId, Name, TaskId};
+use primroseroute_domain::work::{End, JobId, Name, TaskId};
 use primroseroute_platform::{
     Error,
     rows::{Commit, Feed, Row, Rows, Txn, Version},
@@ -317,7 +317,14 @@
                 look,
                 sent_at,
                 at,
-            } => self.cell.look(&worker, &look, sent_at, at, wall_ms),
+            } => {
+                for ended in self.cell.news(&worker, &look) {
+                    if ended.how != End::Done {
+                        info!(worker = &*worker, task:% = ended.task, run = ended.run, how:? = ended.how; "run ended without its work done");
+                    }
+                }
+                self.cell.look(&worker, &look, sent_at, at, wall_ms);
+            }
             Event::Gone(worker) => {
                 info!(pool = &*self.context.pool, worker = &*worker; "a worker's life is over");
                 self.cell.gone(&worker);
@@ -416,6 +423,7 @@
             *self.confirmed.borrow()
         };
         self.cell.committed(&tick, sent_at);
+        self.tell(&tick, sent_at);
         let seen = tick.seen.iter().map(|(id, seen)| (Name::clone(id), *seen));
         self.seen.send_replace(Arc::new(seen.collect()));
         self.forget(&tick.forget);
@@ -425,6 +433,33 @@
         Ok(())
     }
 
+    /// One line for each decision of a round that touches a job.
+    fn tell(&self, tick: &Tick, sent_at: Millis) {
+        let pool = &*self.context.pool;
+        let commit_ms = self.context.clock.now() - sent_at;
+        for order in &tick.orders {
+            match order {
+                Order::Start {
+                    worker, task, run, ..
+                } => {
+                    info!(pool, worker = &**worker, task:% = task, run, commit_ms; "task placed");
+                }
+                Order::Stop { worker, task, run } => {
+                    info!(pool, worker = &**worker, task:% = task, run; "run is to stop");
+                }
+                Order::Pace {
+                    worker,
+                    task,
+                    percent,
+                    ..
+                } => info!(pool, worker = &**worker, task:% = task, percent; "run is paced"),
+            }
+        }
+        for (job, state) in &tick.ended {
+            info!(pool, job:% = job, state:? = state, commit_ms; "job ended");
+        }
+    }
+
     async fn confirm(&mut self) -> Result<(), Lost> {
         let age = self
             .context
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -4,7 +4,8 @@
 //! a line that concerns one entry or request says so in its fields, as in
 //! `info!(request_id = id; "sent again")`.
 
-use flexi_logger::{DeferredNow, LogSpecification, Logger, LoggerHandle};
+use crate::budget::Outlet;
+use flexi_logger::{DeferredNow, FlexiLoggerError, LogSpecification, Logger, LoggerHandle};
 use log::{LevelFilter, Record};
 use std::{fmt, io};
 
@@ -20,7 +21,7 @@
 /// Why logging could not be started.
 #[derive(Debug, thiserror::Error)]
 #[error("logging cannot be started")]
-pub struct Error(#[from] flexi_logger::FlexiLoggerError);
+pub struct Error(#[from] FlexiLoggerError);
 
 /// The process's logger; lines that are under way are written when it is dropped.
 pub struct Log {
@@ -55,14 +56,13 @@
         })
     }
 
-    /// Starts logging to standard output, down to `level`.
+    /// Starts logging to standard output, down to `level`: bounded by kind, and never blocking.
     ///
     /// # Errors
-    /// [`Error`] where the process has a logger already.
+    /// [`Error`] where the process has a logger already, or no thread can be started.
     pub fn start_on_stdout(level: LevelFilter) -> Result<Self, Error> {
-        let logger = Logger::with(specification(level))
-            .format(line)
-            .log_to_stdout();
+        let outlet = Outlet::spawn(io::stdout()).map_err(FlexiLoggerError::OutputIo)?;
+        let logger = Logger::with(specification(level)).log_to_writer(Box::new(outlet));
         Ok(Self {
             handle: logger.start()?,
         })
--- /dev/null
+++ b/crates/telemetry/tests/all/budget.rs
@@ -0,0 +1,72 @@
+//! Lines are bounded by kind, and a reader that has stopped reading holds nobody up.
+
+use primroseroute_telemetry::budget::{Budget, LINES_A_SECOND, Outlet};
+use std::{
+    io::{self, Write},
+    sync::mpsc::{Receiver, Sender, channel},
+    time::{Duration, Instant},
+};
+
+const KIND: (&str, u32) = ("a.rs", 1);
+const OTHER: (&str, u32) = ("b.rs", 2);
+
+#[test]
+fn lines_over_the_budget_are_left_out_and_told_of() {
+    let mut budget = Budget::default();
+    let begin = Instant::now();
+    let mut written = 0;
+    for _line in 0..LINES_A_SECOND + 7 {
+        written += u32::from(budget.count(KIND, begin).write);
+    }
+    assert_eq!(written, LINES_A_SECOND);
+    assert!(budget.count(OTHER, begin).write);
+    let next = budget.count(OTHER, begin + Duration::from_secs(1));
+    assert_eq!(next.left_out, vec![(KIND, 7)]);
+    assert!(budget.count(KIND, begin + Duration::from_secs(1)).write);
+}
+
+/// A reader that takes nothing until it is told to, then one write for each word.
+struct Stuck {
+    go: Receiver<()>,
+    written: Sender<Vec<u8>>,
+}
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.go.recv().map_err(io::Error::other)?;
+        self.written
+            .send(bytes.to_vec())
+            .map_err(io::Error::other)?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+// The reader of the pipe has stopped. Every push returns at once; what finds no place is counted, and
+// the first line after the reader goes on tells how many were dropped.
+#[test]
+fn full_pipe_drops_lines_and_counts_them() -> io::Result<()> {
+    let (go, wait) = channel();
+    let (written, out) = channel();
+    let outlet = Outlet::spawn(Stuck { go: wait, written })?;
+    for number in 0..2_000 {
+        outlet.push(format!("{number}\n").into_bytes());
+    }
+    let dropped = outlet.dropped();
+    assert!(dropped > 1_000, "{dropped}");
+    let mut told = None;
+    for _write in 0..3 {
+        go.send(()).map_err(io::Error::other)?;
+        let line = out.recv().map_err(io::Error::other)?;
+        let line = String::from_utf8_lossy(&line).into_owned();
+        if line.contains("were dropped") {
+            told = Some(line);
+        }
+    }
+    let wanted = format!("{dropped} lines were dropped");
+    assert!(told.unwrap_or_default().contains(&wanted));
+    Ok(())
+}
--- a/crates/telemetry/tests/all/main.rs
+++ b/crates/telemetry/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Tests of logs and metrics.
 
+mod budget;
 mod lines;
 mod metrics;
