Stop what runs of a cancelled job without waiting for a commit

Ruled out by reading: a job that the owner doesn't know (its runs would be stopped as unknown), runs that it doesn't know (they would have started again), an owner without a lease (they would have lapsed). Left: the cancel came late by the feed, or the stops waited behind a commit.

Change: stops of jobs that have ended go out before the round's commit.

--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -64,6 +64,9 @@
     pub ended: Vec<(JobId, State)>,
     /// Jobs whose progress rows are no longer needed.
     pub forget: Vec<JobId>,
+    /// Stops of runs whose jobs have ended. They need no commit: a job that has ended never goes on,
+    /// so a commit that waits for a slow store must not hold them up.
+    pub urgent: Vec<Order>,
     /// Orders that may be sent only once the rows are committed.
     pub orders: Vec<Order>,
     /// For each worker, the number up to which ends are in the rows.
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -24,7 +24,8 @@
     drain::run(cell, now);
     let mut orders = place::run(cell, now, wall_ms);
     orders.extend(pace_all(cell));
-    orders.extend(stops(cell, now));
+    let (later, urgent) = stops(cell, now);
+    orders.extend(later);
     let (puts, ended) = rows(cell);
     let seen = cell.workers.iter();
     let seen = seen.map(|(id, worker)| (Name::clone(id), worker.seen));
@@ -36,6 +37,7 @@
         puts,
         ended,
         forget: forget(cell, wall_ms),
+        urgent,
         orders,
         seen,
         counts_changed,
@@ -91,9 +93,11 @@
     looked.iter().flat_map(|id| pace::run(cell, id)).collect()
 }
 
-fn stops(cell: &mut Cell, now: Millis) -> Vec<Order> {
+/// Stops that are due: those that wait for a commit, and those that don't.
+fn stops(cell: &mut Cell, now: Millis) -> (Vec<Order>, Vec<Order>) {
     let limits = cell.limits;
     let mut orders = Vec::new();
+    let mut urgent = Vec::new();
     for (id, worker) in &mut cell.workers {
         if worker.gone || worker.info.is_none() {
             continue;
@@ -106,7 +110,10 @@
             };
             if due {
                 run.stop = Stop::SentAt(now);
-                orders.push(Order::Stop {
+                let job = cell.jobs.get(&task.job);
+                let goes_on = job.is_some_and(|job| !job.progress.state.is_final());
+                let queue = if goes_on { &mut orders } else { &mut urgent };
+                queue.push(Order::Stop {
                     worker: Name::clone(id),
                     task: task.clone(),
                     run: run.run,
@@ -114,7 +121,7 @@
             }
         }
     }
-    orders
+    (orders, urgent)
 }
 
 /// Rows of jobs that have changed, and those of the jobs that have ended.
--- a/crates/cell/tests/all/bed.rs
+++ b/crates/cell/tests/all/bed.rs
@@ -96,10 +96,11 @@
     /// One round whose orders are all carried out; the orders.
     pub(crate) fn tick(&mut self) -> Vec<Order> {
         let tick = self.round();
-        for order in &tick.orders {
+        let orders = [tick.urgent, tick.orders].concat();
+        for order in &orders {
             self.carry_out(order);
         }
-        tick.orders
+        orders
     }
 
     /// One round that is committed, and whose orders aren't sent.
--- a/crates/cell/tests/all/ends.rs
+++ b/crates/cell/tests/all/ends.rs
@@ -194,7 +194,7 @@
     let running = bed.running.entry("w-1".into()).or_default();
     running.insert(task(&id, 0, 0), (3, 10));
     bed.after(100);
-    let orders = bed.round().orders;
+    let orders = bed.round().urgent;
     assert!(
         matches!(orders[..], [Order::Stop { run: 3, .. }]),
         "{orders:?}"
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -408,7 +408,10 @@
 
     async fn round(&mut self) -> Result<(), Lost> {
         let clock = self.context.clock;
-        let tick = self.cell.tick(clock.now(), clock.wall_ms());
+        let mut tick = self.cell.tick(clock.now(), clock.wall_ms());
+        let urgent = std::mem::take(&mut tick.urgent);
+        self.tell_orders(&urgent);
+        self.send(urgent, clock.now());
         self.counts_due |= tick.counts_changed;
         let counts = self.counts_due && clock.now() >= self.counted_at + COUNTS_AFTER;
         let sent_at = if !tick.puts.is_empty() || counts {
@@ -427,7 +430,7 @@
         let seen = tick.seen.iter().map(|(id, seen)| (Name::clone(id), *seen));
         self.seen.send_replace(Arc::new(seen.collect()));
         self.forget(&tick.forget);
-        self.send(tick, sent_at);
+        self.send(tick.orders, sent_at);
         self.look_at_workers();
         self.publish();
         Ok(())
@@ -435,15 +438,21 @@
 
     /// One line for each decision of a round that touches a job.
     fn tell(&self, tick: &Tick, sent_at: Millis) {
+        self.tell_orders(&tick.orders);
         let pool = &*self.context.pool;
         let commit_ms = self.context.clock.now() - sent_at;
-        for order in &tick.orders {
+        for (job, state) in &tick.ended {
+            info!(pool, job:% = job, state:? = state, commit_ms; "job ended");
+        }
+    }
+
+    fn tell_orders(&self, orders: &[Order]) {
+        let pool = &*self.context.pool;
+        for order in orders {
             match order {
                 Order::Start {
                     worker, task, run, ..
-                } => {
-                    info!(pool, worker = &**worker, task:% = task, run, commit_ms; "task placed");
-                }
+                } => info!(pool, worker = &**worker, task:% = task, run; "task placed"),
                 Order::Stop { worker, task, run } => {
                     info!(pool, worker = &**worker, task:% = task, run; "run is to stop");
                 }
@@ -455,9 +464,6 @@
                 } => info!(pool, worker = &**worker, task:% = task, percent; "run is paced"),
             }
         }
-        for (job, state) in &tick.ended {
-            info!(pool, job:% = job, state:? = state, commit_ms; "job ended");
-        }
     }
 
     async fn confirm(&mut self) -> Result<(), Lost> {
@@ -474,8 +480,9 @@
         Ok(())
     }
 
-    fn send(&mut self, tick: Tick, sent_at: Millis) {
-        for order in tick.orders {
+    /// Sends orders; starts carry a deadline that begins at `sent_at`.
+    fn send(&mut self, orders: Vec<Order>, sent_at: Millis) {
+        for order in orders {
             let worker = match &order {
                 Order::Start { worker, .. }
                 | Order::Stop { worker, .. }
--- a/tests/site/cancel.rs
+++ b/tests/site/cancel.rs
@@ -13,6 +13,7 @@
     cancel_survives_the_loss_of_all_entries => all_killed();
     cancel_stops_a_start_that_lands_late => late_start();
     cancel_after_the_end_changes_nothing => after_the_end();
+    cancel_stops_while_commits_wait => commits_wait();
 }
 
 async fn stops() -> Result<()> {
@@ -73,3 +74,20 @@
     ensure!(bed.state("e-1", &id).await == Ok(State::Completed));
     Ok(())
 }
+
+// The owner's commits get no answer for seconds, while it still hears of a cancel. What runs of the
+// job stops all the same: the cancel is stored, and stopping needs nothing more.
+async fn commits_wait() -> Result<()> {
+    let mut bed = Bed::open(55, 2, 4).await?;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    let id = bed.submit(&other, &lasting(3)).await?;
+    seconds(2).await;
+    bed.conduct(&owner, |conduct| conduct.late_commits = 1.0);
+    ensure!(bed.cancel(&other, &id).await == StatusCode::OK);
+    seconds(1).await;
+    for index in 0..3 {
+        ensure!(bed.running(&task(&id, 0, index)).is_empty());
+    }
+    bed.judge()
+}
