Keep the new crates clean of lints

Change: what clippy's pedantic set asked for, with reasons where a lint is expected. No behaviour changes. Measured: clippy with warnings as errors passes; the site's 42 cases pass.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -7,7 +7,7 @@
     row::{Accepted, Phase, Progress},
     worker::{Known, Run, Stop, Worker},
 };
-use primroseroute_domain::work::{Demand, JobId, Name, State, TaskId};
+use primroseroute_domain::work::{Demand, JobId, Name, State, Step, TaskId};
 use primroseroute_platform::{
     site,
     worker::{Ended, Look, Refusal, Target},
@@ -76,7 +76,7 @@
                     let shape = job.step(step);
                     let run = Run {
                         run: task.run,
-                        reserved: shape.map(|step| step.reserved()).unwrap_or_default(),
+                        reserved: shape.map(Step::reserved).unwrap_or_default(),
                         known: Known::Unsure,
                         sure_after,
                         percent: 0,
@@ -385,6 +385,6 @@
     pub(crate) fn reserved(&self, task: &TaskId) -> Demand {
         let job = self.jobs.get(&task.job);
         let step = job.and_then(|job| job.step(task.step));
-        step.map(|step| step.reserved()).unwrap_or_default()
+        step.map(Step::reserved).unwrap_or_default()
     }
 }
--- a/crates/cell/src/pace.rs
+++ b/crates/cell/src/pace.rs
@@ -39,9 +39,10 @@
         }
         if step.filler {
             fillers.push(task.clone());
-        } else if step.target_ms > 0 {
-            let share = run.load * 100 / step.target_ms;
-            worst = worst.max(Some(share));
+        } else {
+            // A task without a target has no share.
+            let share = (run.load * 100).checked_div(step.target_ms);
+            worst = worst.max(share);
         }
     }
     let Some(share) = worst else {
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -124,8 +124,11 @@
     (orders, urgent)
 }
 
-/// Rows of jobs that have changed, and those of the jobs that have ended.
-fn rows(cell: &mut Cell) -> (Vec<(JobId, Bytes)>, Vec<(JobId, State)>) {
+/// A job's progress row.
+type Put = (JobId, Bytes);
+
+/// Rows of jobs that have changed, and the final states of those that have ended.
+fn rows(cell: &mut Cell) -> (Vec<Put>, Vec<(JobId, State)>) {
     let mut puts = Vec::new();
     let mut over = Vec::new();
     for id in std::mem::take(&mut cell.dirty) {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -18,6 +18,10 @@
 
 /// A run that may be under way.
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::struct_field_names,
+    reason = "`run` is the number of a run everywhere, in rows and in calls"
+)]
 pub(crate) struct Run {
     pub run: u32,
     /// What it occupies.
@@ -51,6 +55,10 @@
 
 /// A worker.
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is learned from another source, and all combinations occur"
+)]
 pub(crate) struct Worker {
     /// Its registration; the last one for a worker that is no longer registered.
     pub info: Option<site::Worker>,
--- a/crates/cell/tests/all/bed.rs
+++ b/crates/cell/tests/all/bed.rs
@@ -190,7 +190,7 @@
     pub(crate) fn on(&self, task: &TaskId) -> Vec<Name> {
         let with = self.running.iter();
         let with = with.filter(|(_id, running)| running.contains_key(task));
-        with.map(|(id, _running)| id.clone()).collect()
+        with.map(|(id, _running)| Name::clone(id)).collect()
     }
 }
 
@@ -205,7 +205,7 @@
 
 pub(crate) fn starts(orders: &[Order]) -> Vec<(TaskId, Name)> {
     let starts = orders.iter().filter_map(|order| match order {
-        Order::Start { worker, task, .. } => Some((task.clone(), worker.clone())),
+        Order::Start { worker, task, .. } => Some((task.clone(), Name::clone(worker))),
         _ => None,
     });
     starts.collect()
--- a/crates/cell/tests/all/ends.rs
+++ b/crates/cell/tests/all/ends.rs
@@ -25,7 +25,7 @@
     let mut bed = Bed::new(&["w-1", "w-2"]);
     let id = bed.accept(job(vec![step(1, 1_000)]));
     for _attempt in 0..2 {
-        let on = starts(&bed.tick())[0].1.clone();
+        let on = Name::clone(&starts(&bed.tick())[0].1);
         bed.end(&on, &task(&id, 0, 0), End::Failed);
         bed.after(100);
     }
@@ -81,7 +81,7 @@
 fn given_up() {
     let mut bed = Bed::new(&["w-1", "w-2"]);
     let id = bed.accept(job(vec![step(1, 1_000)]));
-    let first = starts(&bed.tick())[0].1.clone();
+    let first = Name::clone(&starts(&bed.tick())[0].1);
     bed.end(&first, &task(&id, 0, 0), End::Done);
     let other: Name = if &*first == "w-1" { "w-2" } else { "w-1" }.into();
     for _second in 0..20 {
@@ -89,7 +89,7 @@
         bed.look_at(&other);
         bed.tick();
     }
-    assert_eq!(bed.on(&task(&id, 0, 0)), vec![other.clone()]);
+    assert_eq!(bed.on(&task(&id, 0, 0)), vec![Name::clone(&other)]);
     bed.look_at(&first);
     let orders = bed.tick();
     let stopped = orders
@@ -136,10 +136,10 @@
 fn waited_out() {
     let mut bed = Bed::new(&["w-1", "w-2"]);
     let id = bed.accept(job(vec![step(1, 1_000)]));
-    let first = starts(&bed.tick())[0].1.clone();
+    let first = Name::clone(&starts(&bed.tick())[0].1);
     let other: Name = if &*first == "w-1" { "w-2" } else { "w-1" }.into();
     let mut waited = 0;
-    while bed.on(&task(&id, 0, 0)) == vec![first.clone()] {
+    while bed.on(&task(&id, 0, 0)) == vec![Name::clone(&first)] {
         bed.now += 100;
         waited += 100;
         bed.look_at(&other);
@@ -153,14 +153,14 @@
 fn renewal() {
     let mut bed = Bed::new(&["w-1", "w-2"]);
     let id = bed.accept(job(vec![step(1, 1_000)]));
-    let first = starts(&bed.tick())[0].1.clone();
+    let first = Name::clone(&starts(&bed.tick())[0].1);
     let other: Name = if &*first == "w-1" { "w-2" } else { "w-1" }.into();
     bed.cell.renewing(&first, 15_000);
     for _tenth in 0..149 {
         bed.now += 100;
         bed.look_at(&other);
         bed.tick();
-        assert_eq!(bed.on(&task(&id, 0, 0)), vec![first.clone()]);
+        assert_eq!(bed.on(&task(&id, 0, 0)), vec![Name::clone(&first)]);
     }
 }
 
--- a/crates/cell/tests/all/lasting.rs
+++ b/crates/cell/tests/all/lasting.rs
@@ -30,7 +30,7 @@
     bed.settle();
     bed.after(100);
     bed.tick();
-    let on = [0, 1].map(|index| bed.on(&task(&id, 0, index))[0].clone());
+    let on = [0, 1].map(|index| Name::clone(&bed.on(&task(&id, 0, index))[0]));
     (bed, id, on)
 }
 
@@ -71,7 +71,7 @@
     let (mut bed, id, on) = bed(&["w-1", "w-2", "w-3"], 1_000);
     // The second task works on, and its worker doesn't answer any more.
     bed.cell.empty(&on[0], true);
-    let silent = on[1].clone();
+    let silent = Name::clone(&on[1]);
     for _tenth in 0..35 {
         bed.now += 100;
         for id in ["w-1", "w-2", "w-3"] {
@@ -81,14 +81,14 @@
         }
     }
     bed.tick();
-    assert_eq!(bed.on(&task(&id, 0, 0)), vec![on[0].clone()]);
+    assert_eq!(bed.on(&task(&id, 0, 0)), vec![Name::clone(&on[0])]);
 }
 
 fn no_room() {
     let (mut bed, id, on) = bed(&["w-1", "w-2"], 6_000);
     bed.cell.empty(&on[0], true);
     bed.tick();
-    assert_eq!(bed.on(&task(&id, 0, 0)), vec![on[0].clone()]);
+    assert_eq!(bed.on(&task(&id, 0, 0)), vec![Name::clone(&on[0])]);
 }
 
 fn leaving() {
--- a/crates/domain/src/work.rs
+++ b/crates/domain/src/work.rs
@@ -122,6 +122,10 @@
 /// A group of like tasks.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a wish of the caller's, independent of the others"
+)]
 pub struct Step {
     /// Number of tasks.
     pub count: u16,
--- a/crates/owner/src/follow.rs
+++ b/crates/owner/src/follow.rs
@@ -11,7 +11,7 @@
 /// How long one call waits for a change. A connection that has gone silent is noticed by its
 /// timeout, which is this and the slack of the call: well inside the time in which a configuration
 /// has to be in force.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 
 /// Pause after a call that failed: long enough not to press a store that is in trouble.
 const PAUSE: Duration = Duration::from_millis(150);
--- a/crates/owner/src/lease.rs
+++ b/crates/owner/src/lease.rs
@@ -17,14 +17,14 @@
 
 /// How long a look waits for an end. Each one renews the lease, so a lease of several seconds
 /// survives a few that fail.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 
 /// Pause after a look that failed.
 const PAUSE: Duration = Duration::from_millis(150);
 
 /// Longest wait for ends to be committed before the worker is looked at again; a store that is away
 /// for longer must not keep the lease from being renewed.
-const COMMIT_WAIT: Duration = Duration::from_millis(1_000);
+const COMMIT_WAIT: Duration = Duration::from_secs(1);
 
 /// Readings of a worker's clock that are kept: enough to find one from before the last confirmation
 /// of the ownership, at up to a few a second.
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -32,7 +32,7 @@
 
 /// Time after which shorter tasks on a worker that is being emptied are stopped: most end by
 /// themselves before, and a wave can't wait for one that hangs.
-const CLEAR_AFTER: Duration = Duration::from_millis(6_000);
+const CLEAR_AFTER: Duration = Duration::from_secs(6);
 
 /// Slack on the pause between two holders of an instance.
 const HOLDER_SLACK: Duration = Duration::from_millis(500);
@@ -242,8 +242,8 @@
         match self.order(wave.number, instance, &holder).await {
             Ok(Ordered::Taken) => {
                 info!(wave = wave.number, instance = &*instance.name, token; "maintenance begun");
-                let taken = self.taken.entry(wave.number).or_default();
-                taken.insert(Name::clone(&instance.name));
+                let known = self.taken.entry(wave.number).or_default();
+                known.insert(Name::clone(&instance.name));
                 if let Some(worker) = &instance.worker {
                     // Its registration outlives it by seconds.
                     self.tell(Event::Gone(Name::clone(worker)));
--- a/crates/standin/src/site/check.rs
+++ b/crates/standin/src/site/check.rs
@@ -51,7 +51,7 @@
 
 #[derive(Default)]
 struct Judge<'a> {
-    running: BTreeMap<&'a TaskId, BTreeMap<(&'a Name, u32), ()>>,
+    running: BTreeMap<&'a TaskId, BTreeSet<(&'a Name, u32)>>,
     done: BTreeSet<&'a TaskId>,
     acknowledged: BTreeSet<&'a TaskId>,
     failures: BTreeMap<&'a TaskId, usize>,
@@ -111,7 +111,7 @@
         if !running.is_empty() {
             self.breaches.push(Breach::Overlap(task.clone(), at));
         }
-        running.insert((worker, run), ());
+        running.insert((worker, run));
         if self.acknowledged.contains(task) {
             self.breaches.push(Breach::AfterDone(task.clone(), at));
         }
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -248,6 +248,9 @@
     }
 
     /// Adds an instance to `pool`, with a worker; the worker's id.
+    ///
+    /// # Panics
+    /// Never: the instance has just been given a worker.
     pub fn add_instance(&self, name: &str, pool: &str) -> Name {
         self.shared.change(|state, now| {
             let name: Name = name.into();
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -19,6 +19,10 @@
 const THOUSAND: u64 = 1_000;
 
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::struct_field_names,
+    reason = "`run` is the number of a run in all calls"
+)]
 struct Run {
     run: u32,
     begun: u64,
--- a/crates/telemetry/tests/all/budget.rs
+++ b/crates/telemetry/tests/all/budget.rs
@@ -32,12 +32,10 @@
 }
 
 impl Write for Stuck {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         self.go.recv().map_err(io::Error::other)?;
-        self.written
-            .send(bytes.to_vec())
-            .map_err(io::Error::other)?;
-        Ok(bytes.len())
+        self.written.send(buf.to_vec()).map_err(io::Error::other)?;
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/tests/site/bed.rs
+++ b/tests/site/bed.rs
@@ -11,7 +11,7 @@
 use primroseroute_platform::site::{
     Codec, Configuration, Instruction, Pool, Queue, RequestLimits, Site,
 };
-use primroseroute_standin::site::{Caller, Options, World, check};
+use primroseroute_standin::site::{Caller, Conduct, Options, World, check};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::time::{sleep, timeout};
 
@@ -184,7 +184,7 @@
     pub(crate) fn start(&mut self, name: &str) {
         self.started += 1;
         self.world
-            .conduct(name, |conduct| *conduct = Default::default());
+            .conduct(name, |conduct| *conduct = Conduct::default());
         // Calls of the killed process go by another name, and stay dead.
         let caller = self.world.caller(&format!("{name}#{}", self.started));
         let site: Arc<dyn Site> = Arc::new(caller.clone());
@@ -229,16 +229,12 @@
     }
 
     /// Sets how the calls of an entry's newest process fare.
-    pub(crate) fn conduct(
-        &self,
-        name: &str,
-        set: impl FnOnce(&mut primroseroute_standin::site::Conduct),
-    ) {
+    pub(crate) fn conduct(&self, name: &str, set: impl FnOnce(&mut Conduct)) {
         self.world.conduct(&self.calls(name), set);
     }
 
     /// Sets how the calls of all entries fare.
-    pub(crate) fn conduct_all(&self, set: impl Fn(&mut primroseroute_standin::site::Conduct)) {
+    pub(crate) fn conduct_all(&self, set: impl Fn(&mut Conduct)) {
         for name in self.nodes.keys() {
             self.conduct(name, &set);
         }
--- a/tests/site/random.rs
+++ b/tests/site/random.rs
@@ -5,7 +5,7 @@
 use eyre::{Result, WrapErr, ensure};
 use http::StatusCode;
 use primroseroute_domain::work::{Job, JobId, State, Step};
-use primroseroute_standin::site::Reach;
+use primroseroute_standin::site::{Conduct, Reach};
 use std::collections::BTreeSet;
 
 /// Histories of each batch.
@@ -211,14 +211,14 @@
             }
             _ => self
                 .bed
-                .conduct_all(|conduct| *conduct = Default::default()),
+                .conduct_all(|conduct| *conduct = Conduct::default()),
         }
     }
 
     /// Ends all faults, and starts what was killed.
     async fn calm(&mut self) {
         self.bed
-            .conduct_all(|conduct| *conduct = Default::default());
+            .conduct_all(|conduct| *conduct = Conduct::default());
         for name in self.names.clone() {
             if !self.bed.nodes.contains_key(&name) {
                 self.bed.start(&name);
--- a/tests/site/takeover.rs
+++ b/tests/site/takeover.rs
@@ -6,7 +6,7 @@
 };
 use eyre::{Result, ensure};
 use primroseroute_cell::row::{self, Member, Owner};
-use primroseroute_domain::work::State;
+use primroseroute_domain::work::{Name, State};
 use primroseroute_platform::rows::{Range, Rows, Txn};
 use primroseroute_standin::site::Reach;
 use std::time::Duration;
@@ -173,8 +173,8 @@
     let ghost = bed.world.caller("ghost");
     let place = row::owner(POOL);
     let range = Range {
-        table: place.table.clone(),
-        part: place.part.clone(),
+        table: Name::clone(&place.table),
+        part: Name::clone(&place.part),
         from: None,
         to: None,
     };
--- a/tests/site/worker.rs
+++ b/tests/site/worker.rs
@@ -5,7 +5,7 @@
     cases,
 };
 use eyre::{Result, ensure};
-use primroseroute_domain::work::State;
+use primroseroute_domain::work::{Name, State};
 
 cases! {
     crashed_worker_is_known_to_be_over_in_seconds => crashed();
@@ -76,7 +76,7 @@
 
 async fn draining() -> Result<()> {
     let mut bed = Bed::open(45, 2, 3).await?;
-    let leaving = bed.world.workers()[0].clone();
+    let leaving = Name::clone(&bed.world.workers()[0]);
     bed.world.drain(&leaving);
     seconds(1).await;
     let from = bed.world.now();
