--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -48,6 +48,25 @@
     pub codec: Arc<dyn Codec>,
     /// The time of day, which orders work.
     pub clock: Arc<dyn Clock>,
+    /// Counts the answers, if somebody does.
+    pub observer: Option<Arc<dyn Observer>>,
+}
+
+/// An answer that goes out.
+#[derive(Clone, Debug)]
+pub struct Answered {
+    /// The queue that was meant, if there is one.
+    pub queue: Option<Name>,
+    /// Its status.
+    pub status: u16,
+    /// Time since the request's head.
+    pub took: Duration,
+}
+
+/// Counts answers.
+pub trait Observer: Send + Sync + std::fmt::Debug {
+    /// An answer goes out.
+    fn answered(&self, answered: &Answered);
 }
 
 /// A configuration, prepared for requests.
@@ -115,6 +134,28 @@
         uri: Uri,
         headers: HeaderMap,
         body: Body,
+    ) -> Response<Body> {
+        let begin = Instant::now();
+        let mut queue = None;
+        let answer = self.answer(method, uri, headers, body, &mut queue);
+        let response = answer.await;
+        if let Some(observer) = &self.parts.observer {
+            observer.answered(&Answered {
+                queue,
+                status: response.status().as_u16(),
+                took: begin.elapsed(),
+            });
+        }
+        response
+    }
+
+    async fn answer(
+        &self,
+        method: Method,
+        uri: Uri,
+        headers: HeaderMap,
+        body: Body,
+        meant: &mut Option<Name>,
     ) -> Response<Body> {
         let request = headers.get(REQUEST_ID).and_then(|id| id.to_str().ok());
         let request = request.unwrap_or_default().to_owned();
@@ -136,6 +177,7 @@
             debug!(host, path = uri.path(), configuration = prepared.number; "no queue");
             return refused(Code::UnknownService, "no queue has this path", &request);
         };
+        *meant = Some(Name::clone(&queue.name));
         if rest.is_empty() {
             return self.queued(&head, queue).await;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,5 +23,5 @@
 pub mod routes;
 mod states;
 
-pub use gateway::{Gateway, Parts};
+pub use gateway::{Answered, Gateway, Observer, Parts};
 pub use ready::Readiness;
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -5,6 +5,7 @@
     control::{Keeper, Picture, Table, parsed},
     elect,
     follow::follow,
+    observe::Observer,
     run::{self, Context, Over},
     watch::Watch,
 };
@@ -79,6 +80,8 @@
     pub workers: Arc<dyn Workers>,
     /// What the platform tells.
     pub watch: Watch,
+    /// Counts what is done.
+    pub observer: Arc<dyn Observer>,
 }
 
 /// A running entry.
@@ -217,6 +220,7 @@
                 _ = ticks.tick() => {}
             }
             self.owned.retain(|_pool, task| !task.is_finished());
+            self.parts.observer.owns(self.owned.len());
             for pool in self.chosen() {
                 self.take(pool).await;
             }
@@ -299,6 +303,7 @@
                 .owners
                 .insert(Name::clone(&pool), (owner, token));
             let task = tokio::spawn(run::own(self.context(&pool), token, self.stop.clone()));
+            self.parts.observer.taken_over(&pool);
             self.owned.insert(pool, task);
         }
     }
@@ -337,6 +342,7 @@
             site: Arc::clone(&self.parts.site),
             workers: Arc::clone(&self.parts.workers),
             watch: self.parts.watch.clone(),
+            observer: Arc::clone(&self.parts.observer),
         }
     }
 }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -30,6 +30,7 @@
 mod lease;
 mod load;
 pub mod members;
+mod observe;
 mod run;
 mod upkeep;
 mod watch;
@@ -37,4 +38,5 @@
 
 pub use clock::Clock;
 pub use entry::{Entry, Parts};
+pub use observe::{Blind, Observer};
 pub use watch::Watch;
--- /dev/null
+++ b/crates/owner/src/observe.rs
@@ -0,0 +1,39 @@
+//! What an owner tells of itself as it goes.
+
+use primroseroute_cell::Outcome;
+use primroseroute_domain::work::{End, Name};
+use std::{fmt, time::Duration};
+
+/// Counts what owners do.
+pub trait Observer: Send + Sync + fmt::Debug {
+    /// What came of a start.
+    fn started(&self, outcome: Outcome);
+
+    /// A run has ended.
+    fn ended(&self, how: End);
+
+    /// A pool was taken over.
+    fn taken_over(&self, pool: &Name);
+
+    /// How many pools this entry owns now.
+    fn owns(&self, pools: usize);
+
+    /// How many jobs of a queue wait to begin.
+    fn queued(&self, queue: &Name, jobs: u64);
+
+    /// A commit has taken this long, retries included.
+    fn committed(&self, took: Duration);
+}
+
+/// Counts nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Blind;
+
+impl Observer for Blind {
+    fn started(&self, _outcome: Outcome) {}
+    fn ended(&self, _how: End) {}
+    fn taken_over(&self, _pool: &Name) {}
+    fn owns(&self, _pools: usize) {}
+    fn queued(&self, _queue: &Name, _jobs: u64) {}
+    fn committed(&self, _took: Duration) {}
+}
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -7,6 +7,7 @@
     follow::{Sink, Source, follow},
     lease::{Readings, Watcher},
     load::{self, Jobs},
+    observe::Observer,
     upkeep::{self, Status},
     watch::{Watch, Workers as Registered},
 };
@@ -104,6 +105,7 @@
     pub site: Arc<dyn Site>,
     pub workers: Arc<dyn Workers>,
     pub watch: Watch,
+    pub observer: Arc<dyn Observer>,
 }
 
 /// How ownership ended.
@@ -319,6 +321,7 @@
                 at,
             } => {
                 for ended in self.cell.news(&worker, &look) {
+                    self.context.observer.ended(ended.how);
                     if ended.how != End::Done {
                         info!(worker = &*worker, task:% = ended.task, run = ended.run, how:? = ended.how; "run ended without its work done");
                     }
@@ -335,6 +338,7 @@
                 run,
                 outcome,
             } => {
+                self.context.observer.started(outcome);
                 if outcome != Outcome::Started {
                     info!(worker = &*worker, task:% = task, run, outcome:? = outcome; "start not confirmed");
                 }
@@ -416,7 +420,12 @@
         let counts = self.counts_due && clock.now() >= self.counted_at + COUNTS_AFTER;
         let sent_at = if !tick.puts.is_empty() || counts {
             let queued = self.cell.queued();
+            for (queue, jobs) in &queued {
+                self.context.observer.queued(queue, *jobs);
+            }
+            let begin = Instant::now();
             let sent_at = self.lane.commit(&tick.puts, &queued).await?;
+            self.context.observer.committed(begin.elapsed());
             self.counts_due = false;
             self.counted_at = clock.now();
             self.confirmed.send_replace(sent_at);
--- a/crates/serve/src/cli.rs
+++ b/crates/serve/src/cli.rs
@@ -33,6 +33,9 @@
         /// Least severe level that is logged.
         #[arg(long, default_value = "info")]
         level: LevelFilter,
+        /// Port of the metrics; none are served without it.
+        #[arg(long)]
+        metrics_port: Option<u16>,
     },
     /// Report every fault of a settings file.
     Check {
@@ -61,7 +64,11 @@
             Ok(_settings) => ExitCode::SUCCESS,
             Err(error) => report(&error),
         }),
-        Command::Site { settings, level } => site::run(settings, level).await,
+        Command::Site {
+            settings,
+            level,
+            metrics_port,
+        } => site::run(settings, level, metrics_port).await,
         Command::Serve { settings } => match Settings::load(&settings) {
             Ok(settings) => serve(&settings).await,
             Err(error) => Ok(report(&error)),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -5,6 +5,8 @@
 
 mod cli;
 mod fields;
+mod metered;
+mod page;
 mod parts;
 mod signal;
 mod site;
--- /dev/null
+++ b/crates/serve/src/metered.rs
@@ -0,0 +1,135 @@
+//! The job path's calls and decisions, counted.
+
+use async_trait::async_trait;
+use primroseroute_cell::Outcome;
+use primroseroute_domain::work::{End, Name, TaskId};
+use primroseroute_gateway::Answered;
+use primroseroute_platform::{
+    Error,
+    rows::{Commit, Feed, Page, Range, Row, Rows, Txn, Version},
+    worker::{Answer, Hold, Seen, Start, Target, Workers},
+};
+use primroseroute_telemetry::site::Meter;
+use std::{sync::Arc, time::Duration};
+use tokio::time::Instant;
+
+/// Counts what gateways and owners tell.
+#[derive(Debug)]
+pub(crate) struct Observer(pub(crate) Meter);
+
+impl primroseroute_gateway::Observer for Observer {
+    fn answered(&self, answered: &Answered) {
+        let Answered {
+            queue,
+            status,
+            took,
+        } = answered;
+        self.0.answered(queue.as_ref(), *status, *took);
+    }
+}
+
+impl primroseroute_owner::Observer for Observer {
+    fn started(&self, outcome: Outcome) {
+        self.0.started(match outcome {
+            Outcome::Started => "started",
+            Outcome::Refused(_) => "refused",
+            Outcome::Unsent => "unsent",
+            Outcome::Unknown => "unknown",
+        });
+    }
+
+    fn ended(&self, how: End) {
+        self.0.ended(how);
+    }
+
+    fn taken_over(&self, pool: &Name) {
+        self.0.taken_over(pool);
+    }
+
+    fn owns(&self, pools: usize) {
+        self.0.owns(pools as u64);
+    }
+
+    fn queued(&self, queue: &Name, jobs: u64) {
+        self.0.queued(queue, jobs);
+    }
+
+    fn committed(&self, took: Duration) {
+        self.0.committed(took);
+    }
+}
+
+/// Something whose calls are counted and timed.
+#[derive(Debug)]
+pub(crate) struct Metered<T: ?Sized> {
+    inner: Arc<T>,
+    meter: Meter,
+}
+
+impl<T: ?Sized> Metered<T> {
+    pub(crate) fn new(inner: Arc<T>, meter: Meter) -> Self {
+        Self { inner, meter }
+    }
+
+    async fn timed<A>(
+        &self,
+        call: &'static str,
+        work: impl Future<Output = Result<A, Error>>,
+    ) -> Result<A, Error> {
+        let begin = Instant::now();
+        let result = work.await;
+        self.meter
+            .called(call, result.as_ref().err(), begin.elapsed());
+        result
+    }
+}
+
+#[async_trait]
+impl Rows for Metered<dyn Rows> {
+    async fn commit(&self, txn: Txn) -> Result<Commit, Error> {
+        self.timed("commit", self.inner.commit(txn)).await
+    }
+
+    async fn read(&self, range: Range) -> Result<Page, Error> {
+        self.timed("read", self.inner.read(range)).await
+    }
+
+    async fn feed(&self, table: &str, after: Version, wait: Duration) -> Result<Feed<Row>, Error> {
+        self.timed("feed", self.inner.feed(table, after, wait))
+            .await
+    }
+}
+
+#[async_trait]
+impl Workers for Metered<dyn Workers> {
+    async fn start(&self, target: &Target, start: &Start) -> Result<Answer, Error> {
+        self.timed("start", self.inner.start(target, start)).await
+    }
+
+    async fn stop(
+        &self,
+        target: &Target,
+        task: &TaskId,
+        run: u32,
+        token: u64,
+    ) -> Result<Answer, Error> {
+        self.timed("stop", self.inner.stop(target, task, run, token))
+            .await
+    }
+
+    async fn hold(&self, target: &Target, hold: Hold) -> Result<Seen, Error> {
+        self.timed("look", self.inner.hold(target, hold)).await
+    }
+
+    async fn pace(
+        &self,
+        target: &Target,
+        task: &TaskId,
+        run: u32,
+        percent: u32,
+        token: u64,
+    ) -> Result<Answer, Error> {
+        let pace = self.inner.pace(target, task, run, percent, token);
+        self.timed("pace", pace).await
+    }
+}
--- /dev/null
+++ b/crates/serve/src/page.rs
@@ -0,0 +1,49 @@
+//! The metrics' page, as a gotham handler.
+
+use gotham::{
+    anyhow,
+    handler::{Handler, HandlerFuture, NewHandler},
+    helpers::http::Body,
+    state::State,
+};
+use http::{HeaderValue, Response, StatusCode, header::CONTENT_TYPE};
+use primroseroute_front::problem;
+use primroseroute_telemetry::site::Meter;
+use std::{panic::AssertUnwindSafe, pin::Pin};
+
+/// Media type of the text format.
+const MEDIA_TYPE: &str = "text/plain; version=0.0.4";
+
+/// Answers every request with the metrics.
+pub(crate) struct Page(AssertUnwindSafe<Meter>);
+
+impl Page {
+    pub(crate) fn new(meter: Meter) -> Self {
+        Self(AssertUnwindSafe(meter))
+    }
+}
+
+impl NewHandler for Page {
+    type Instance = Self;
+
+    fn new_handler(&self) -> anyhow::Result<Self> {
+        Ok(Self::new(self.0.clone()))
+    }
+}
+
+impl Handler for Page {
+    fn handle(self, state: State) -> Pin<Box<HandlerFuture>> {
+        let (status, text) = match self.0.render() {
+            Ok(text) => (StatusCode::OK, text),
+            Err(error) => {
+                log::error!(error:% = error; "metrics can't be rendered");
+                (StatusCode::INTERNAL_SERVER_ERROR, error.to_string())
+            }
+        };
+        let mut response: Response<Body> = Response::new(problem::full(text));
+        *response.status_mut() = status;
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(MEDIA_TYPE));
+        Box::pin(async move { Ok((state, response)) })
+    }
+}
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -1,6 +1,10 @@
 //! One entry on the users' platform: its parts opened and put together, and its graceful stop.
 
-use crate::signal;
+use crate::{
+    metered::{Metered, Observer},
+    page::Page,
+    signal,
+};
 use eyre::{Result, WrapErr};
 use log::{LevelFilter, info, warn};
 use primroseroute_adapter::{Client, Json, Settings, Site, Store, Workers, settings};
@@ -9,8 +13,9 @@
 use primroseroute_gateway::{Gateway, Parts as GatewayParts, Readiness};
 use primroseroute_owner::{Clock, Entry, Parts, Watch};
 use primroseroute_platform::{rows::Rows, site, worker};
-use primroseroute_telemetry::log::Log;
+use primroseroute_telemetry::{log::Log, site::Meter};
 use std::{
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::ExitCode,
     sync::{
@@ -44,7 +49,11 @@
 ///
 /// # Errors
 /// Where it cannot start.
-pub(crate) async fn run(given: Option<PathBuf>, level: LevelFilter) -> Result<ExitCode> {
+pub(crate) async fn run(
+    given: Option<PathBuf>,
+    level: LevelFilter,
+    metrics_port: Option<u16>,
+) -> Result<ExitCode> {
     let Some(path) = given.or_else(path) else {
         eprintln!(
             "name the settings file by --settings or by {}",
@@ -61,7 +70,7 @@
     };
     let log = Log::start_on_stdout(level).wrap_err("starting the log")?;
     let stop = signal::stop()?;
-    let running = Running::start(&settings).await?;
+    let running = Running::start(&settings, metrics_port).await?;
     info!(entry = &*settings.entry, zone = &*settings.zone, callers:% = settings.callers; "entry started");
     let changes = tokio::spawn(watch_settings(path, settings.clone()));
     stop.await;
@@ -77,18 +86,23 @@
     entry: Entry,
     callers: Server,
     readiness: Server,
+    metrics: Option<Server>,
     stopping: Arc<AtomicBool>,
 }
 
 impl Running {
-    async fn start(settings: &Settings) -> Result<Self> {
+    async fn start(settings: &Settings, metrics_port: Option<u16>) -> Result<Self> {
         let clock = Clock::start();
         let client = Client::open(CLIENT_TIMEOUT);
         let store = Store::open(client.clone(), settings.store);
+        let meter = Meter::open().wrap_err("opening the metrics")?;
+        let observer = Arc::new(Observer(meter.clone()));
         let rows: Arc<dyn Rows> = Arc::new(store.clone());
+        let rows: Arc<dyn Rows> = Arc::new(Metered::new(rows, meter.clone()));
         let site: Arc<dyn site::Site> =
             Arc::new(Site::open(client.clone(), store, settings.instances));
         let workers: Arc<dyn worker::Workers> = Arc::new(Workers::open(client));
+        let workers: Arc<dyn worker::Workers> = Arc::new(Metered::new(workers, meter.clone()));
         let (watch, _follow) = Watch::spawn(&site, clock);
         let stopping = Arc::new(AtomicBool::new(false));
         let readiness = readiness(&watch, clock, &stopping);
@@ -97,10 +111,18 @@
             rows: Arc::clone(&rows),
             codec: Arc::new(Json),
             clock: Arc::new(clock),
+            observer: Some(Arc::clone(&observer) as _),
         });
         let options = Options::default();
         let callers = Server::bind(settings.callers, options, gateway.handler()).await?;
         let readiness = Server::bind(settings.readiness, options, readiness).await?;
+        let metrics = match metrics_port {
+            Some(port) => {
+                let address = SocketAddr::new(settings.callers.ip(), port);
+                Some(Server::bind(address, options, Page::new(meter)).await?)
+            }
+            None => None,
+        };
         let entry = Entry::spawn(Parts {
             entry: Arc::clone(&settings.entry),
             incarnation: rand::random::<u64>() >> 1,
@@ -111,11 +133,13 @@
             site,
             workers,
             watch,
+            observer,
         });
         Ok(Self {
             entry,
             callers,
             readiness,
+            metrics,
             stopping,
         })
     }
@@ -131,6 +155,9 @@
         };
         tokio::join!(self.entry.stop(), serving);
         self.readiness.abort();
+        if let Some(metrics) = self.metrics {
+            metrics.abort();
+        }
     }
 }
 
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,11 +5,14 @@
 //! * [`Meter`]: typed instruments over OpenTelemetry. It is handed in at construction and there is
 //!   no global one, so that many entries in one process keep their figures apart.
 //!
+//! * [`site::Meter`]: the same for the job path.
+//!
 //! Labels come from the configuration and from closed sets, never from what a caller sent: a caller
 //! who makes names up could otherwise fill the entry's memory with series.
 
 pub mod budget;
 pub mod log;
 pub mod meter;
+pub mod site;
 
 pub use meter::Meter;
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -18,11 +18,11 @@
 use std::{fmt, sync::Arc, time::Duration};
 
 /// Namespace of every metric.
-const NAMESPACE: &str = "primroseroute";
+pub(crate) const NAMESPACE: &str = "primroseroute";
 
 /// Bounds of the buckets of durations in seconds: from half a hop between availability zones to the
 /// longest default timeout.
-const SECONDS: [f64; 14] = [
+pub(crate) const SECONDS: [f64; 14] = [
     0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0,
 ];
 
@@ -96,7 +96,7 @@
 
 }
 
-fn end(error: Option<&PlatformError>) -> &'static str {
+pub(crate) fn end(error: Option<&PlatformError>) -> &'static str {
     match error {
         None => "ok",
         Some(PlatformError::Unavailable(_)) => "unavailable",
@@ -152,23 +152,29 @@
         .ok()
 }
 
+/// A fresh registry, and the provider of instruments that are rendered from it.
+pub(crate) fn exported() -> Result<(Registry, SdkMeterProvider), Error> {
+    let registry = Registry::new();
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .with_namespace(NAMESPACE)
+        .without_target_info()
+        .scope_info_enabled(false)
+        .build()?;
+    let provider = SdkMeterProvider::builder()
+        .with_reader(exporter)
+        .with_view(wide)
+        .build();
+    Ok((registry, provider))
+}
+
 impl Meter {
     /// Opens a set of instruments of its own.
     ///
     /// # Errors
     /// [`Error::Open`] if the exporter cannot be registered, which its fresh registry rules out.
     pub fn open() -> Result<Self, Error> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .with_namespace(NAMESPACE)
-            .without_target_info()
-            .scope_info_enabled(false)
-            .build()?;
-        let provider = SdkMeterProvider::builder()
-            .with_reader(exporter)
-            .with_view(wide)
-            .build();
+        let (registry, provider) = exported()?;
         let meter = provider.meter(NAMESPACE);
         let counter = |name, about| meter.u64_counter(name).with_description(about).build();
         let gauge = |name, about| meter.u64_gauge(name).with_description(about).build();
--- /dev/null
+++ b/crates/telemetry/src/site.rs
@@ -0,0 +1,159 @@
+//! Instruments of the job path, rendered in Prometheus's text format.
+
+use crate::meter::{Error, NAMESPACE, SECONDS, end, exported};
+use opentelemetry::{
+    KeyValue, StringValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use primroseroute_domain::work::{End, Name};
+use primroseroute_platform::Error as PlatformError;
+use prometheus::{Registry, TextEncoder};
+use std::{fmt, time::Duration};
+
+/// Label of an answer to a request for no queue of the configuration.
+const NONE: &str = "-";
+
+/// The instruments of one entry; clones share them.
+#[derive(Clone)]
+pub struct Meter {
+    registry: Registry,
+    /// Keeps the instruments connected to the registry.
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    answer_seconds: Histogram<f64>,
+    calls: Counter<u64>,
+    call_seconds: Histogram<f64>,
+    starts: Counter<u64>,
+    ends: Counter<u64>,
+    takeovers: Counter<u64>,
+    pools_owned: Gauge<u64>,
+    queued_jobs: Gauge<u64>,
+    commit_seconds: Histogram<f64>,
+}
+
+impl fmt::Debug for Meter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Meter").finish_non_exhaustive()
+    }
+}
+
+fn named(key: &'static str, name: Option<&Name>) -> KeyValue {
+    match name {
+        Some(name) => KeyValue::new(key, StringValue::from(Name::clone(name))),
+        None => KeyValue::new(key, NONE),
+    }
+}
+
+fn how_label(how: End) -> &'static str {
+    match how {
+        End::Done => "done",
+        End::Failed => "failed",
+        End::Stopped => "stopped",
+        End::Lapsed => "lapsed",
+        End::Broken => "broken",
+        End::Alone => "alone",
+    }
+}
+
+impl Meter {
+    /// Opens a set of instruments of its own.
+    ///
+    /// # Errors
+    /// [`Error::Open`] if the exporter cannot be registered, which its fresh registry rules out.
+    pub fn open() -> Result<Self, Error> {
+        let (registry, provider) = exported()?;
+        let meter = provider.meter(NAMESPACE);
+        let counter = |name, about| meter.u64_counter(name).with_description(about).build();
+        let gauge = |name, about| meter.u64_gauge(name).with_description(about).build();
+        let seconds = |name, about| {
+            let histogram = meter
+                .f64_histogram(name)
+                .with_description(about)
+                .with_unit("s");
+            histogram.with_boundaries(SECONDS.to_vec()).build()
+        };
+        Ok(Self {
+            answers: counter("answers", "Answers to callers, by queue and status"),
+            answer_seconds: seconds(
+                "answer_duration",
+                "Time from a request's head to its answer",
+            ),
+            calls: counter(
+                "calls",
+                "Calls to the platform and to workers, by how they ended",
+            ),
+            call_seconds: seconds(
+                "call_duration",
+                "Time of calls to the platform and to workers",
+            ),
+            starts: counter("starts", "Starts of runs, by what came of them"),
+            ends: counter("ends", "Ends of runs, by how"),
+            takeovers: counter("takeovers", "Pools that this entry took over"),
+            pools_owned: gauge("pools_owned", "Pools that this entry owns"),
+            queued_jobs: gauge("queued_jobs", "Jobs of which no task has started, by queue"),
+            commit_seconds: seconds(
+                "commit_duration",
+                "Time of an owner's commits, retries included",
+            ),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts an answer to a caller.
+    pub fn answered(&self, queue: Option<&Name>, status: u16, took: Duration) {
+        let queue = named("queue", queue);
+        self.answer_seconds
+            .record(took.as_secs_f64(), std::slice::from_ref(&queue));
+        let status = KeyValue::new("status", i64::from(status));
+        self.answers.add(1, &[queue, status]);
+    }
+
+    /// Counts a call, which took `took` and ended well or with `error`.
+    pub fn called(&self, call: &'static str, error: Option<&PlatformError>, took: Duration) {
+        let call = KeyValue::new("call", call);
+        self.call_seconds
+            .record(took.as_secs_f64(), std::slice::from_ref(&call));
+        self.calls.add(1, &[call, KeyValue::new("end", end(error))]);
+    }
+
+    /// Counts what came of a start.
+    pub fn started(&self, outcome: &'static str) {
+        self.starts.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts the end of a run.
+    pub fn ended(&self, how: End) {
+        self.ends.add(1, &[KeyValue::new("how", how_label(how))]);
+    }
+
+    /// Counts a takeover.
+    pub fn taken_over(&self, pool: &Name) {
+        self.takeovers.add(1, &[named("pool", Some(pool))]);
+    }
+
+    /// Sets how many pools this entry owns.
+    pub fn owns(&self, pools: u64) {
+        self.pools_owned.record(pools, &[]);
+    }
+
+    /// Sets how many jobs of a queue wait to begin.
+    pub fn queued(&self, queue: &Name, jobs: u64) {
+        self.queued_jobs
+            .record(jobs, &[named("queue", Some(queue))]);
+    }
+
+    /// Records an owner's commit.
+    pub fn committed(&self, took: Duration) {
+        self.commit_seconds.record(took.as_secs_f64(), &[]);
+    }
+
+    /// Every metric in Prometheus's text format.
+    ///
+    /// # Errors
+    /// [`Error::Render`] where the registry holds what the format cannot say.
+    pub fn render(&self) -> Result<String, Error> {
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+}
--- a/crates/telemetry/tests/all/main.rs
+++ b/crates/telemetry/tests/all/main.rs
@@ -3,3 +3,4 @@
 mod budget;
 mod lines;
 mod metrics;
+mod site;
--- /dev/null
+++ b/crates/telemetry/tests/all/site.rs
@@ -0,0 +1,61 @@
+//! The job path's metrics.
+
+use primroseroute_domain::work::{End, Name};
+use primroseroute_platform::Error;
+use primroseroute_telemetry::site::Meter;
+use std::time::Duration;
+
+/// A meter on which every instrument was used.
+fn used() -> Meter {
+    let meter = Meter::open().expect("the registry is fresh");
+    let queue: Name = "holds".into();
+    let took = Duration::from_millis(3);
+    meter.answered(Some(&queue), 200, took);
+    meter.answered(None, 404, took);
+    meter.called("commit", Some(&Error::Throttled), took);
+    meter.started("started");
+    meter.ended(End::Lapsed);
+    meter.taken_over(&"stay".into());
+    meter.owns(2);
+    meter.queued(&queue, 7);
+    meter.committed(took);
+    meter
+}
+
+#[test]
+fn instruments_render_with_their_labels() {
+    let text = used().render().expect("the metrics are plain");
+    for line in [
+        "primroseroute_answers_total{queue=\"holds\",status=\"200\"} 1",
+        "primroseroute_answers_total{queue=\"-\",status=\"404\"} 1",
+        "primroseroute_calls_total{call=\"commit\",end=\"throttled\"} 1",
+        "primroseroute_starts_total{outcome=\"started\"} 1",
+        "primroseroute_ends_total{how=\"lapsed\"} 1",
+        "primroseroute_takeovers_total{pool=\"stay\"} 1",
+        "primroseroute_pools_owned 2",
+        "primroseroute_queued_jobs{queue=\"holds\"} 7",
+        "primroseroute_commit_duration_seconds_count 1",
+    ] {
+        assert!(text.lines().any(|found| found == line), "{line}\n{text}");
+    }
+}
+
+// Operators find each metric on the page, and nothing on the page is missing from the code.
+#[test]
+fn page_lists_every_metric_and_no_other() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATIONS.md");
+    let page = std::fs::read_to_string(page).expect("the page is there");
+    let text = used().render().expect("the metrics are plain");
+    let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let exported: std::collections::BTreeSet<&str> =
+        types.filter_map(|line| line.split(' ').next()).collect();
+    let listed = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `primroseroute_"));
+    let listed = listed.filter_map(|line| line.split(['`', '{']).next());
+    let listed: std::collections::BTreeSet<String> =
+        listed.map(|name| format!("primroseroute_{name}")).collect();
+    let exported: std::collections::BTreeSet<String> =
+        exported.into_iter().map(str::to_owned).collect();
+    assert_eq!(listed, exported);
+}
--- a/tests/site/bed.rs
+++ b/tests/site/bed.rs
@@ -7,7 +7,7 @@
 use primroseroute_cell::Limits;
 use primroseroute_domain::work::{Demand, Job, JobId, Name, State, Step, TaskId};
 use primroseroute_gateway::{Gateway, Parts as GatewayParts};
-use primroseroute_owner::{Clock, Entry, Parts, Watch};
+use primroseroute_owner::{Blind, Clock, Entry, Parts, Watch};
 use primroseroute_platform::site::{
     Codec, Configuration, Instruction, Pool, Queue, RequestLimits, Site,
 };
@@ -194,6 +194,7 @@
             rows: Arc::new(caller.clone()),
             codec: Arc::new(Plain),
             clock: Arc::new(self.clock),
+            observer: None,
         });
         let entry = Entry::spawn(Parts {
             entry: name.into(),
@@ -205,6 +206,7 @@
             site,
             workers: Arc::new(caller.clone()),
             watch,
+            observer: Arc::new(Blind),
         });
         self.nodes.insert(
             name.into(),
