Give commits up once they have taken six times the usual time

Change: a wrapper of the store's table ends a commit as unknown after six times the usual time, at least 0.25 s, and doubles its wait each time. Its sender looks, or sends it again, as before.

--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`members`]: heartbeats, and which entries are alive by this entry's own clock.
 //! * [`elect`]: which entry takes over a pool that nobody owns. Pure.
 //! * `commit`: an owner's commits, one after the other, and what came of those without an answer.
+//! * [`Brisk`]: commits that are given up once they have taken far longer than usual.
 //! * `lease`: looks at one worker, and the renewal of its lease.
 //! * `run`: the loop of one owned pool.
 //! * [`wave`]: which instances are maintained next. Pure.
@@ -21,6 +22,7 @@
 //! since the end of each lease is worked out from the last moment at which the store confirmed the
 //! ownership, on the worker's clock as it was known then.
 
+mod brisk;
 mod clock;
 mod commit;
 mod control;
@@ -36,6 +38,7 @@
 mod watch;
 pub mod wave;
 
+pub use brisk::Brisk;
 pub use clock::Clock;
 pub use entry::{Entry, Parts};
 pub use observe::{Blind, Observer};
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -11,7 +11,7 @@
 use primroseroute_cell::Limits;
 use primroseroute_front::{Options, Server};
 use primroseroute_gateway::{Gateway, Parts as GatewayParts, Readiness};
-use primroseroute_owner::{Clock, Entry, Parts, Watch};
+use primroseroute_owner::{Brisk, Clock, Entry, Parts, Watch};
 use primroseroute_platform::{rows::Rows, site, worker};
 use primroseroute_telemetry::{log::Log, site::Meter};
 use std::{
@@ -99,6 +99,7 @@
         let observer = Arc::new(Observer(meter.clone()));
         let rows: Arc<dyn Rows> = Arc::new(store.clone());
         let rows: Arc<dyn Rows> = Arc::new(Metered::new(rows, meter.clone()));
+        let rows: Arc<dyn Rows> = Arc::new(Brisk::new(rows));
         let site: Arc<dyn site::Site> =
             Arc::new(Site::open(client.clone(), store, settings.instances));
         let workers: Arc<dyn worker::Workers> = Arc::new(Workers::open(client));
--- a/tests/site/bed.rs
+++ b/tests/site/bed.rs
@@ -7,9 +7,10 @@
 use primroseroute_cell::Limits;
 use primroseroute_domain::work::{Demand, Job, JobId, Name, State, Step, TaskId};
 use primroseroute_gateway::{Gateway, Parts as GatewayParts};
-use primroseroute_owner::{Blind, Clock, Entry, Parts, Watch};
-use primroseroute_platform::site::{
-    Codec, Configuration, Instruction, Pool, Queue, RequestLimits, Site,
+use primroseroute_owner::{Blind, Brisk, Clock, Entry, Parts, Watch};
+use primroseroute_platform::{
+    rows::Rows,
+    site::{Codec, Configuration, Instruction, Pool, Queue, RequestLimits, Site},
 };
 use primroseroute_standin::site::{Caller, Conduct, Options, World, check};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -188,10 +189,11 @@
         // Calls of the killed process go by another name, and stay dead.
         let caller = self.world.caller(&format!("{name}#{}", self.started));
         let site: Arc<dyn Site> = Arc::new(caller.clone());
+        let rows: Arc<dyn Rows> = Arc::new(Brisk::new(Arc::new(caller.clone())));
         let (watch, _tasks) = Watch::spawn(&site, self.clock);
         let gateway = Gateway::open(GatewayParts {
             configuration: watch.configuration.clone(),
-            rows: Arc::new(caller.clone()),
+            rows: Arc::clone(&rows),
             codec: Arc::new(Plain),
             clock: Arc::new(self.clock),
             observer: None,
@@ -202,7 +204,7 @@
             clock: self.clock,
             limits: Limits::new(6_000, 200, 120_000),
             order_pause: Duration::from_secs(3),
-            rows: Arc::new(caller.clone()),
+            rows,
             site,
             workers: Arc::new(caller.clone()),
             watch,
--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -7,8 +7,14 @@
 use eyre::{Result, ensure};
 use http::StatusCode;
 use primroseroute_domain::work::State;
-use primroseroute_platform::site::Instruction;
-use primroseroute_standin::site::Reach;
+use primroseroute_owner::Brisk;
+use primroseroute_platform::{
+    rows::{Commit, Place, Rows, Txn},
+    site::Instruction,
+};
+use primroseroute_standin::site::{Options, Reach, World};
+use std::{sync::Arc, time::Duration};
+use tokio::time::Instant;
 
 cases! {
     outage_keeps_what_runs => outage();
@@ -16,6 +22,8 @@
     lost_and_late_commits_start_nothing_twice => lost_and_late();
     dropped_history_is_read_anew => dropped();
     configuration_never_goes_back => forward();
+    lost_answer_costs_a_fraction_of_the_timeout => brisk();
+    slow_store_is_waited_for => slow();
 }
 
 // The store turns everyone away for four seconds. Leases outlast that, so lasting tasks work on, and
@@ -113,3 +121,45 @@
     );
     Ok(())
 }
+
+fn put() -> Txn {
+    Txn {
+        puts: vec![(Place::new("my", "part", "key"), "value".into())],
+        ..Txn::default()
+    }
+}
+
+// An answer is lost, and a call would wait 1.5 s for it. Commits usually take 4 ms, so the sender hears
+// after a quarter of a second that it isn't known what came of it.
+async fn brisk() -> Result<()> {
+    let world = World::open(Options::default());
+    let rows = Brisk::new(Arc::new(world.caller("e-0")));
+    for _commit in 0..20 {
+        rows.commit(put()).await?;
+    }
+    world.conduct("e-0", |conduct| conduct.lost_commits = 1.0);
+    let begin = Instant::now();
+    let error = rows.commit(put()).await.err();
+    ensure!(error.is_some_and(|error| error.may_have_applied()));
+    ensure!(
+        begin.elapsed() < Duration::from_millis(300),
+        "{:?}",
+        begin.elapsed()
+    );
+    Ok(())
+}
+
+// The store becomes a hundred times slower. A few commits are given up; each doubles the wait, so the
+// next ones are waited for and answered.
+async fn slow() -> Result<()> {
+    let world = World::open(Options::default());
+    let rows = Brisk::new(Arc::new(world.caller("e-0")));
+    rows.commit(put()).await?;
+    world.conduct("e-0", |conduct| conduct.delay = Duration::from_millis(700));
+    let mut answered = 0;
+    for _commit in 0..6 {
+        answered += usize::from(matches!(rows.commit(put()).await, Ok(Commit::Committed(_))));
+    }
+    ensure!(answered >= 4, "{answered} of 6 were answered");
+    Ok(())
+}
