Split the pool's loop and the stand-in's calls by job; take out what decides nothing

Change: the orders, the feed of jobs, calls to workers and calls on the site have files of their own; the unused limits and settings are gone. No behaviour changes.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -80,7 +80,6 @@
                         known: Known::Unsure,
                         sure_after,
                         percent: 0,
-                        moved_at: self.taken_at,
                         load: 0,
                         stop: Stop::No,
                         stopped_at: None,
--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -11,8 +11,6 @@
 pub struct Limits {
     /// Longest lease that a worker grants.
     pub lease: Millis,
-    /// Longest time that a worker takes to stop a run.
-    pub stop: Millis,
     /// Time on the worker's clock, from the sending of its commit, in which a start must arrive. It
     /// covers a commit at a store that answers sixty times slower than usual; a successor waits for
     /// that long before it takes a start of its predecessor for one that never came.
@@ -34,19 +32,16 @@
     pub pause: Millis,
     /// How long a lasting task waits for room before shorter ones are stopped for it.
     pub patience: Millis,
-    /// Time without progress after which a run that should move counts as stuck: three looks.
-    pub stuck: Millis,
     /// How long finished jobs' rows stay.
     pub keep: Millis,
 }
 
 impl Limits {
-    /// Limits for workers that grant leases of at most `lease` and stop a run within `stop`, where
-    /// finished jobs stay readable for `keep`.
-    pub fn new(lease: Millis, stop: Millis, keep: Millis) -> Self {
+    /// Limits for workers that grant leases of at most `lease`, where finished jobs stay readable for
+    /// `keep`.
+    pub fn new(lease: Millis, keep: Millis) -> Self {
         Self {
             lease,
-            stop,
             start_window: 2_500,
             margin: 100,
             fresh: 3_200,
@@ -56,7 +51,6 @@
             quarantine: 3_000,
             pause: 400,
             patience: 1_200,
-            stuck: 3_500,
             keep,
         }
     }
--- a/crates/cell/src/look.rs
+++ b/crates/cell/src/look.rs
@@ -190,7 +190,6 @@
         known: Known::Runs(now),
         sure_after: now,
         percent: 0,
-        moved_at: now,
         load: 0,
         // Nothing that is committed says that it should run: it was given up, or its job ended.
         stop: Stop::Wanted,
@@ -204,10 +203,7 @@
     if !matches!(run.known, Known::Runs(_)) {
         run.known = Known::Runs(now);
     }
-    if running.percent != run.percent {
-        run.percent = running.percent;
-        run.moved_at = now;
-    }
+    run.percent = running.percent;
     run.load = running.load;
     if running.checkpoint.is_some()
         && let Some(job) = cell.jobs.get_mut(&running.task.job)
--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -53,7 +53,7 @@
         if !lasting && rooms.values().all(|room| room.cpu == 0) {
             break;
         }
-        let placed = place_step(cell, &waiting, &mut rooms, &kept, now, &mut orders);
+        let placed = place_step(cell, &waiting, &mut rooms, &kept, &mut orders);
         if lasting && !placed {
             make_room(cell, &waiting, &rooms, &mut kept, now);
         }
@@ -171,7 +171,6 @@
     waiting: &Waiting,
     rooms: &mut Rooms,
     kept: &BTreeSet<Name>,
-    now: Millis,
     orders: &mut Vec<Order>,
 ) -> bool {
     let Some(job) = cell.jobs.get(&waiting.job) else {
@@ -182,7 +181,7 @@
     };
     let indexes: Vec<u16> = waiting_tasks(job, waiting.occurrence, waiting.step).collect();
     if step.gang {
-        return place_gang(cell, waiting, &step, &indexes, rooms, kept, now, orders);
+        return place_gang(cell, waiting, &step, &indexes, rooms, kept, orders);
     }
     for index in indexes {
         let task = task_id(waiting, index);
@@ -190,7 +189,7 @@
             return false;
         };
         take_room(rooms, &worker, &step);
-        orders.extend(start(cell, &worker, task, &step, None, now));
+        orders.extend(start(cell, &worker, task, &step, None));
     }
     true
 }
@@ -211,10 +210,6 @@
 }
 
 /// Places all members of a gang under one number of a run, or none.
-#[expect(
-    clippy::too_many_arguments,
-    reason = "the parts of one decision, each borrowed apart"
-)]
 fn place_gang(
     cell: &mut Cell,
     waiting: &Waiting,
@@ -222,7 +217,6 @@
     indexes: &[u16],
     rooms: &mut Rooms,
     kept: &BTreeSet<Name>,
-    now: Millis,
     orders: &mut Vec<Order>,
 ) -> bool {
     let Some(job) = cell.jobs.get(&waiting.job) else {
@@ -254,7 +248,7 @@
     *rooms = left;
     for (task, worker) in members.into_iter().zip(chosen) {
         let given = Some((run, checkpoint.clone()));
-        orders.extend(start(cell, &worker, task, step, given, now));
+        orders.extend(start(cell, &worker, task, step, given));
     }
     true
 }
@@ -348,7 +342,6 @@
     id: TaskId,
     step: &Step,
     gang: Option<(u32, Option<Name>)>,
-    now: Millis,
 ) -> Option<Order> {
     let job = cell.jobs.get_mut(&id.job)?;
     let payload = Name::clone(&job.accepted.job.payload);
@@ -365,7 +358,6 @@
         known: Known::Sent,
         sure_after: Millis::MAX,
         percent: 0,
-        moved_at: now,
         load: 0,
         stop: Stop::No,
         stopped_at: None,
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -29,9 +29,8 @@
     pub known: Known,
     /// From then on a start that hasn't taken effect never will.
     pub sure_after: Millis,
-    /// Share of its work that is done, and when that last grew.
+    /// Share of its work that is done.
     pub percent: u32,
-    pub moved_at: Millis,
     /// Tail of its response time, or thousandths of a core in use.
     pub load: u64,
     /// Whether it is to be stopped, and when the stop was last sent.
--- a/crates/cell/tests/all/bed.rs
+++ b/crates/cell/tests/all/bed.rs
@@ -63,7 +63,7 @@
 impl Bed {
     pub(crate) fn new(workers: &[&str]) -> Self {
         let mut bed = Self {
-            cell: Cell::new(Limits::new(6_000, 200, 120_000), 0),
+            cell: Cell::new(Limits::new(6_000, 120_000), 0),
             now: 0,
             running: BTreeMap::new(),
             ended: BTreeMap::new(),
--- a/crates/cell/tests/all/ends.rs
+++ b/crates/cell/tests/all/ends.rs
@@ -45,7 +45,7 @@
     bed.after(100);
     let tick = bed.round();
     let progress: Progress = serde_json::from_slice(&tick.puts[0].1).expect("progress");
-    let mut successor = Cell::new(Limits::new(6_000, 200, 120_000), 0);
+    let mut successor = Cell::new(Limits::new(6_000, 120_000), 0);
     successor.register(crate::bed::worker("w-1"));
     let accepted = primroseroute_cell::row::Accepted {
         queue: "queue".into(),
--- /dev/null
+++ b/crates/owner/src/jobs.rs
@@ -0,0 +1,60 @@
+//! A pool's accepted jobs and cancels, as the feed of their table shows them.
+
+use crate::{
+    control::read_parts,
+    follow::{Sink, Source},
+    load,
+    run::Event,
+};
+use async_trait::async_trait;
+use log::debug;
+use primroseroute_cell::row;
+use primroseroute_domain::work::Name;
+use primroseroute_platform::{
+    Error,
+    rows::{Feed, Row, Rows, Version},
+};
+use std::{sync::Arc, time::Duration};
+use tokio::sync::mpsc::UnboundedSender;
+
+/// The table of a pool's jobs.
+pub(crate) struct Table {
+    pub rows: Arc<dyn Rows>,
+    pub pool: Name,
+}
+
+#[async_trait]
+impl Source for Table {
+    type Item = Row;
+
+    async fn whole(&self) -> Result<(Vec<Row>, Version), Error> {
+        let parts: Vec<Name> = row::id_parts().map(Name::from).collect();
+        read_parts(&*self.rows, &row::jobs_table(&self.pool), &parts).await
+    }
+
+    async fn since(&self, after: Version, wait: Duration) -> Result<Feed<Row>, Error> {
+        let table = row::jobs_table(&self.pool);
+        self.rows.feed(&table, after, wait).await
+    }
+}
+
+/// Tells the pool's loop of them.
+pub(crate) struct Teller {
+    pub pool: Name,
+    pub events: UnboundedSender<Event>,
+}
+
+impl Sink for Teller {
+    type Item = Row;
+
+    fn reset(&mut self, items: Vec<Row>) {
+        self.apply(items);
+    }
+
+    fn apply(&mut self, items: Vec<Row>) {
+        let jobs = load::sorted(&self.pool, &items);
+        if self.events.send(Event::Jobs(jobs)).is_err() {
+            debug!("the pool's loop has ended");
+        }
+    }
+}
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -10,6 +10,7 @@
 //! * `commit`: an owner's commits, one after the other, and what came of those without an answer.
 //! * [`Brisk`]: commits that are given up once they have taken far longer than usual.
 //! * `lease`: looks at one worker, and the renewal of its lease.
+//! * `send`: one order on its way to a worker.
 //! * `run`: the loop of one owned pool.
 //! * [`wave`]: which instances are maintained next. Pure.
 //! * [`Entry`]: all of it together.
@@ -29,11 +30,13 @@
 pub mod elect;
 mod entry;
 pub mod follow;
+mod jobs;
 mod lease;
 mod load;
 pub mod members;
 mod observe;
 mod run;
+mod send;
 mod upkeep;
 mod watch;
 pub mod wave;
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -3,23 +3,22 @@
 use crate::{
     clock::Clock,
     commit::{Lane, Lost},
-    control::read_parts,
-    follow::{Sink, Source, follow},
+    follow::follow,
+    jobs,
     lease::{Readings, Watcher},
     load::{self, Jobs},
     observe::Observer,
+    send::Sending,
     upkeep::{self, Status},
     watch::{Watch, Workers as Registered},
 };
-use async_trait::async_trait;
 use log::{debug, info, warn};
 use primroseroute_cell::{Cell, Limits, Millis, Order, Outcome, Tick, row};
 use primroseroute_domain::work::{End, JobId, Name, TaskId};
 use primroseroute_platform::{
-    Error,
-    rows::{Commit, Feed, Row, Rows, Txn, Version},
+    rows::{Commit, Rows, Txn, Version},
     site::Site,
-    worker::{Answer, Look, Refusal, Start, Target, Workers},
+    worker::{Look, Target, Workers},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -212,20 +211,20 @@
     fn start(context: Context, cell: Cell, token: Version, last: Version) -> Self {
         let (sender, events) = mpsc::unbounded_channel();
         let (status, status_seen) = watch::channel(Arc::default());
-        let jobs = follow(
+        let follower = follow(
             "jobs",
-            JobTable {
+            jobs::Table {
                 rows: Arc::clone(&context.rows),
                 pool: Name::clone(&context.pool),
             },
-            JobSink {
+            jobs::Teller {
                 pool: Name::clone(&context.pool),
                 events: sender.clone(),
             },
             JOBS_PACE,
         );
         let upkeep = upkeep::run(context.clone(), status_seen, sender.clone());
-        let background = vec![tokio::spawn(jobs), tokio::spawn(upkeep)];
+        let background = vec![tokio::spawn(follower), tokio::spawn(upkeep)];
         let lane = Lane::new(
             Arc::clone(&context.rows),
             context.clock,
@@ -599,149 +598,3 @@
         }
     }
 }
-
-/// An order on its way.
-struct Sending {
-    target: Target,
-    workers: Arc<dyn Workers>,
-    token: u64,
-    deadline_ms: Option<Millis>,
-    slots: Arc<Semaphore>,
-    events: UnboundedSender<Event>,
-}
-
-impl Sending {
-    async fn send(self, order: Order) {
-        let Ok(_slot) = self.slots.acquire().await else {
-            return;
-        };
-        match order {
-            Order::Start {
-                worker,
-                task,
-                run,
-                payload,
-                checkpoint,
-            } => {
-                let outcome = self.start(&task, run, payload, checkpoint).await;
-                let event = Event::Answered {
-                    worker,
-                    task,
-                    run,
-                    outcome,
-                };
-                self.tell(event);
-            }
-            Order::Stop { task, run, .. } => {
-                let answer = self.workers.stop(&self.target, &task, run, self.token);
-                let answer = answer.await;
-                let done = answer == Ok(Answer::Done);
-                self.note("stop", &task, run, answer);
-                if done {
-                    let worker = Name::clone(&self.target.id);
-                    self.tell(Event::Stopped { worker, task, run });
-                }
-            }
-            Order::Pace {
-                task, run, percent, ..
-            } => {
-                let answer = self
-                    .workers
-                    .pace(&self.target, &task, run, percent, self.token);
-                self.note("pace", &task, run, answer.await);
-            }
-        }
-    }
-
-    async fn start(
-        &self,
-        task: &TaskId,
-        run: u32,
-        payload: Name,
-        checkpoint: Option<Name>,
-    ) -> Outcome {
-        let Some(deadline_ms) = self.deadline_ms else {
-            return Outcome::Unsent;
-        };
-        let start = Start {
-            task: task.clone(),
-            run,
-            payload,
-            deadline_ms,
-            token: self.token,
-            checkpoint,
-            ticket: None,
-        };
-        match self.workers.start(&self.target, &start).await {
-            Ok(Answer::Done) => Outcome::Started,
-            Ok(Answer::Refused(refusal)) => Outcome::Refused(refusal),
-            Ok(Answer::Gone) => {
-                let event = Event::Gone(Name::clone(&self.target.id));
-                self.tell(event);
-                Outcome::Unsent
-            }
-            Err(Error::Unknown(_detail)) => Outcome::Unknown,
-            Err(Error::Throttled) => Outcome::Refused(Refusal::Unhealthy),
-            Err(_error) => Outcome::Unsent,
-        }
-    }
-
-    fn tell(&self, event: Event) {
-        if self.events.send(event).is_err() {
-            debug!("the pool's loop has ended");
-        }
-    }
-
-    fn note(&self, order: &str, task: &TaskId, run: u32, answer: Result<Answer, Error>) {
-        let worker = &*self.target.id;
-        match answer {
-            Ok(Answer::Done) => debug!(worker, task:% = task, run; "{order} taken"),
-            Ok(other) => info!(worker, task:% = task, run, answer:? = other; "{order} refused"),
-            // It is sent again while looks still show the run.
-            Err(error) => {
-                info!(worker, task:% = task, run, error:% = error; "{order} without an answer");
-            }
-        }
-    }
-}
-
-/// A pool's jobs, followed by the feed of their table.
-struct JobTable {
-    rows: Arc<dyn Rows>,
-    pool: Name,
-}
-
-#[async_trait]
-impl Source for JobTable {
-    type Item = Row;
-
-    async fn whole(&self) -> Result<(Vec<Row>, Version), Error> {
-        let parts: Vec<Name> = row::id_parts().map(Name::from).collect();
-        read_parts(&*self.rows, &row::jobs_table(&self.pool), &parts).await
-    }
-
-    async fn since(&self, after: Version, wait: Duration) -> Result<Feed<Row>, Error> {
-        let table = row::jobs_table(&self.pool);
-        self.rows.feed(&table, after, wait).await
-    }
-}
-
-struct JobSink {
-    pool: Name,
-    events: UnboundedSender<Event>,
-}
-
-impl Sink for JobSink {
-    type Item = Row;
-
-    fn reset(&mut self, items: Vec<Row>) {
-        self.apply(items);
-    }
-
-    fn apply(&mut self, items: Vec<Row>) {
-        let jobs = load::sorted(&self.pool, &items);
-        if self.events.send(Event::Jobs(jobs)).is_err() {
-            debug!("the pool's loop has ended");
-        }
-    }
-}
--- /dev/null
+++ b/crates/owner/src/send.rs
@@ -0,0 +1,120 @@
+//! One order on its way to a worker.
+
+use crate::run::Event;
+use log::{debug, info};
+use primroseroute_cell::{Millis, Order, Outcome};
+use primroseroute_domain::work::{Name, TaskId};
+use primroseroute_platform::{
+    Error,
+    worker::{Answer, Refusal, Start, Target, Workers},
+};
+use std::sync::Arc;
+use tokio::sync::{Semaphore, mpsc::UnboundedSender};
+
+/// An order on its way.
+pub(crate) struct Sending {
+    pub target: Target,
+    pub workers: Arc<dyn Workers>,
+    pub token: u64,
+    /// Until when on the worker's clock a start may take effect; none where its clock isn't known.
+    pub deadline_ms: Option<Millis>,
+    /// Places for orders to this worker.
+    pub slots: Arc<Semaphore>,
+    pub events: UnboundedSender<Event>,
+}
+
+impl Sending {
+    /// Sends the order, and tells the pool's loop what came of it.
+    pub(crate) async fn send(self, order: Order) {
+        let Ok(_slot) = self.slots.acquire().await else {
+            return;
+        };
+        match order {
+            Order::Start {
+                worker,
+                task,
+                run,
+                payload,
+                checkpoint,
+            } => {
+                let outcome = self.start(&task, run, payload, checkpoint).await;
+                let event = Event::Answered {
+                    worker,
+                    task,
+                    run,
+                    outcome,
+                };
+                self.tell(event);
+            }
+            Order::Stop { task, run, .. } => {
+                let answer = self.workers.stop(&self.target, &task, run, self.token);
+                let answer = answer.await;
+                let done = answer == Ok(Answer::Done);
+                self.note("stop", &task, run, answer);
+                if done {
+                    let worker = Name::clone(&self.target.id);
+                    self.tell(Event::Stopped { worker, task, run });
+                }
+            }
+            Order::Pace {
+                task, run, percent, ..
+            } => {
+                let answer = self
+                    .workers
+                    .pace(&self.target, &task, run, percent, self.token);
+                self.note("pace", &task, run, answer.await);
+            }
+        }
+    }
+
+    async fn start(
+        &self,
+        task: &TaskId,
+        run: u32,
+        payload: Name,
+        checkpoint: Option<Name>,
+    ) -> Outcome {
+        let Some(deadline_ms) = self.deadline_ms else {
+            return Outcome::Unsent;
+        };
+        let start = Start {
+            task: task.clone(),
+            run,
+            payload,
+            deadline_ms,
+            token: self.token,
+            checkpoint,
+            ticket: None,
+        };
+        match self.workers.start(&self.target, &start).await {
+            Ok(Answer::Done) => Outcome::Started,
+            Ok(Answer::Refused(refusal)) => Outcome::Refused(refusal),
+            Ok(Answer::Gone) => {
+                let event = Event::Gone(Name::clone(&self.target.id));
+                self.tell(event);
+                Outcome::Unsent
+            }
+            Err(Error::Unknown(_detail)) => Outcome::Unknown,
+            Err(Error::Throttled) => Outcome::Refused(Refusal::Unhealthy),
+            Err(_error) => Outcome::Unsent,
+        }
+    }
+
+    fn tell(&self, event: Event) {
+        if self.events.send(event).is_err() {
+            debug!("the pool's loop has ended");
+        }
+    }
+
+    fn note(&self, order: &str, task: &TaskId, run: u32, answer: Result<Answer, Error>) {
+        let worker = &*self.target.id;
+        match answer {
+            Ok(Answer::Done) => debug!(worker, task:% = task, run; "{order} taken"),
+            Ok(other) => info!(worker, task:% = task, run, answer:? = other; "{order} refused"),
+            // It is sent again while looks still show the run.
+            Err(error) => {
+                info!(worker, task:% = task, run, error:% = error; "{order} without an answer");
+            }
+        }
+    }
+}
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -175,11 +175,7 @@
 
 fn limits(settings: &Settings) -> Limits {
     let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-    Limits::new(
-        millis(settings.longest_lease),
-        millis(settings.stop),
-        millis(settings.keep_states),
-    )
+    Limits::new(millis(settings.longest_lease), millis(settings.keep_states))
 }
 
 /// How often the settings file is read for changes that no signal tells of.
--- /dev/null
+++ b/crates/standin/src/site/caller/site.rs
@@ -0,0 +1,177 @@
+//! An entry's calls on what the platform tells, and on instances.
+
+use super::Caller;
+use crate::site::{State, journal::Event};
+use async_trait::async_trait;
+use primroseroute_domain::work::Name;
+use primroseroute_platform::{
+    Error,
+    rows::{Feed, Version},
+    site::{Condition, Holder, Instance, Instruction, Ordered, Registration, Site},
+};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use tokio::time::sleep;
+
+#[async_trait]
+impl Site for Caller {
+    async fn workers(&self) -> Result<(Vec<Registration>, Version), Error> {
+        self.to_store().await?;
+        let (all, version) = {
+            let state = self.shared.state.lock();
+            let mut all = BTreeMap::new();
+            for (_version, change) in &state.registrations {
+                all.insert(Name::clone(&change.id), change.clone());
+            }
+            (all, state.store.version())
+        };
+        self.back().await;
+        Ok((all.into_values().collect(), version))
+    }
+
+    async fn worker_feed(
+        &self,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Feed<Registration>, Error> {
+        self.to_store().await?;
+        let news = self.wait_for(wait, |state| since(state, &state.registrations, after));
+        let news = news.await.unwrap_or(Feed::Changes {
+            items: Vec::new(),
+            next: after,
+        });
+        self.back().await;
+        Ok(news)
+    }
+
+    async fn instructions(&self) -> Result<(Vec<Instruction>, Version), Error> {
+        self.to_store().await?;
+        let (all, version) = {
+            let state = self.shared.state.lock();
+            let all = state.instructions.iter();
+            let all: Vec<Instruction> = all.map(|(_version, item)| item.clone()).collect();
+            (all, state.store.version())
+        };
+        self.back().await;
+        Ok((all, version))
+    }
+
+    async fn instruction_feed(
+        &self,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Feed<Instruction>, Error> {
+        self.to_store().await?;
+        let news = self.wait_for(wait, |state| since(state, &state.instructions, after));
+        let news = news.await.unwrap_or(Feed::Changes {
+            items: Vec::new(),
+            next: after,
+        });
+        self.back().await;
+        Ok(news)
+    }
+
+    async fn report_wave(&self, number: u64, complete: bool) -> Result<(), Error> {
+        self.to_store().await?;
+        self.shared.change(|state, _now| {
+            let known = state.waves.entry(number).or_default();
+            *known |= complete;
+        });
+        self.back().await;
+        Ok(())
+    }
+
+    async fn instances(&self) -> Result<Vec<Instance>, Error> {
+        self.alive().await;
+        self.travel().await;
+        let all = self
+            .shared
+            .state
+            .lock()
+            .instances
+            .values()
+            .cloned()
+            .collect();
+        self.back().await;
+        Ok(all)
+    }
+
+    async fn maintain(
+        &self,
+        instance: &Name,
+        _wave: u64,
+        holder: &Holder,
+    ) -> Result<Ordered, Error> {
+        self.alive().await;
+        self.travel().await;
+        let pool = self.shared.change(|state, _now| {
+            let known = state.instances.get(instance)?;
+            (known.condition == Condition::Up).then(|| Name::clone(&known.pool))
+        });
+        let Some(pool) = pool else {
+            return Ok(Ordered::Busy);
+        };
+        self.take_down(instance, pool, Condition::Maintenance, holder);
+        self.back().await;
+        Ok(Ordered::Taken)
+    }
+
+    async fn relocate(
+        &self,
+        instance: &Name,
+        pool: &Name,
+        holder: &Holder,
+    ) -> Result<Ordered, Error> {
+        self.alive().await;
+        self.travel().await;
+        let up = self.shared.change(|state, _now| {
+            let known = state.instances.get(instance);
+            known.is_some_and(|known| known.condition == Condition::Up)
+        });
+        if !up {
+            return Ok(Ordered::Busy);
+        }
+        self.take_down(instance, Name::clone(pool), Condition::Moving, holder);
+        self.back().await;
+        Ok(Ordered::Taken)
+    }
+}
+
+impl Caller {
+    /// Ends an instance's life, and begins the next one in `pool` a while later.
+    fn take_down(&self, instance: &Name, pool: Name, meanwhile: Condition, holder: &Holder) {
+        self.shared.change(|state, now| {
+            state.journal.add(Event::Maintained {
+                at: now,
+                instance: Name::clone(instance),
+                entry: Name::clone(&holder.entry),
+                token: holder.token,
+            });
+            let worker = state.instances[instance].worker.clone();
+            if let Some(worker) = worker {
+                state.kill(&worker, now);
+                state.unregister(&worker);
+            }
+            if let Some(known) = state.instances.get_mut(instance) {
+                known.pool = pool;
+                known.condition = meanwhile;
+            }
+        });
+        let shared = Arc::clone(&self.shared);
+        let instance = Name::clone(instance);
+        tokio::spawn(async move {
+            sleep(shared.options.maintenance).await;
+            shared.change(|state, now| state.revive(&instance, now));
+        });
+    }
+}
+
+/// Changes after a version; none yet if there are none.
+fn since<T: Clone>(state: &State, all: &[(Version, T)], after: Version) -> Option<Feed<T>> {
+    if after < state.store.floor() {
+        return Some(Feed::Lost);
+    }
+    let newer = all.iter().filter(|(version, _item)| *version > after);
+    let items: Vec<T> = newer.map(|(_version, item)| item.clone()).collect();
+    let next = state.store.version();
+    (!items.is_empty()).then_some(Feed::Changes { items, next })
+}
--- /dev/null
+++ b/crates/standin/src/site/caller/workers.rs
@@ -0,0 +1,105 @@
+//! An entry's calls to workers.
+
+use super::{Caller, ORDER_TIMEOUT};
+use crate::site::State;
+use async_trait::async_trait;
+use primroseroute_domain::work::{Name, TaskId};
+use primroseroute_platform::{
+    Error,
+    worker::{Answer, Hold, Refusal, Seen, Start, Target, Workers},
+};
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
+
+#[async_trait]
+impl Workers for Caller {
+    async fn start(&self, target: &Target, start: &Start) -> Result<Answer, Error> {
+        let start = start.clone();
+        let id = Name::clone(&target.id);
+        let order = move |state: &mut State, now| {
+            let State {
+                workers, journal, ..
+            } = state;
+            match workers.get_mut(&id) {
+                Some(worker) if worker.alive => worker.start(&start, now, journal),
+                _ => Answer::Gone,
+            }
+        };
+        self.order(target, order).await
+    }
+
+    async fn stop(
+        &self,
+        target: &Target,
+        task: &TaskId,
+        run: u32,
+        token: u64,
+    ) -> Result<Answer, Error> {
+        let id = Name::clone(&target.id);
+        let task = task.clone();
+        let order = move |state: &mut State, now| match state.workers.get_mut(&id) {
+            Some(worker) if worker.alive => worker.stop(&task, run, token, now),
+            _ => Answer::Gone,
+        };
+        self.order(target, order).await
+    }
+
+    async fn hold(&self, target: &Target, hold: Hold) -> Result<Seen, Error> {
+        self.to_worker(target).await?;
+        let id = Name::clone(&target.id);
+        let longest = self.shared.options.longest_lease.as_millis();
+        let longest = u64::try_from(longest).unwrap_or(u64::MAX);
+        let renewed = self.shared.change(|state, now| {
+            let State {
+                workers, journal, ..
+            } = state;
+            let worker = workers.get_mut(&id)?;
+            Some(worker.renew(&hold, longest, now, journal))
+        });
+        match renewed {
+            None => return Ok(Seen::Gone),
+            Some(false) => return Ok(Seen::Refused(Refusal::Fenced)),
+            Some(true) => {}
+        }
+        let until = Instant::now() + hold.wait;
+        loop {
+            let (news, next) = self.shared.change(|state, _now| {
+                let worker = &state.workers[&id];
+                (worker.has_news() || !worker.alive, worker.next_end())
+            });
+            if news || Instant::now() >= until {
+                break;
+            }
+            let next = next.map(|at| self.shared.start + Duration::from_millis(at));
+            let wake = next.unwrap_or(until).min(until);
+            // A change may bring an end forward, such as a stop.
+            let pace = Instant::now() + Duration::from_millis(50);
+            sleep_until(
+                wake.min(pace)
+                    .max(Instant::now() + Duration::from_millis(1)),
+            )
+            .await;
+        }
+        let (look, alive) = self.shared.change(|state, now| {
+            let worker = &state.workers[&id];
+            (worker.look(now), worker.alive && !worker.cut)
+        });
+        if !alive {
+            sleep(ORDER_TIMEOUT).await;
+            return Err(Error::Unknown("no answer".into()));
+        }
+        self.back().await;
+        Ok(Seen::Look(look))
+    }
+
+    async fn pace(
+        &self,
+        target: &Target,
+        _task: &TaskId,
+        _run: u32,
+        _percent: u32,
+        _token: u64,
+    ) -> Result<Answer, Error> {
+        self.order(target, |_state, _now| Answer::Done).await
+    }
+}
--- a/tests/site/bed.rs
+++ b/tests/site/bed.rs
@@ -202,7 +202,7 @@
             entry: name.into(),
             incarnation: self.started,
             clock: self.clock,
-            limits: Limits::new(6_000, 200, 120_000),
+            limits: Limits::new(6_000, 120_000),
             order_pause: Duration::from_secs(3),
             rows,
             site,
