Give ownership and its events files of their own, and instruments one way to be made

Cause: run.rs still had 600 lines and two jobs, and both sets of instruments spelled out the same builders. One function of the cell was used by nobody.

Change: own.rs has the takeover, the loading and the release, event.rs what the loop is told; the instruments share their registry and builders. No behaviour changes.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -339,19 +339,6 @@
         counts
     }
 
-    /// Processor time in use and in all on registered workers, in thousandths of a core.
-    pub fn load(&self) -> (u64, u64) {
-        let mut used = 0;
-        let mut all = 0;
-        for worker in self.workers.values().filter(|worker| worker.registered) {
-            let capacity = worker.info.as_ref().map(|info| info.capacity);
-            let capacity = capacity.unwrap_or_default();
-            all += capacity.cpu;
-            used += capacity.cpu - worker.room().cpu;
-        }
-        (used, all)
-    }
-
     /// What waits, runs and may come next: rows to commit, and orders to send after that.
     pub fn tick(&mut self, now: Millis, wall_ms: u64) -> Tick {
         crate::tick::run(self, now, wall_ms)
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -6,7 +6,7 @@
     elect,
     follow::follow,
     observe::Observer,
-    run::{self, Context, Over},
+    own::{self, Context, Over},
     watch::Watch,
 };
 use log::{info, warn};
@@ -302,7 +302,7 @@
                 .lock()
                 .owners
                 .insert(Name::clone(&pool), (owner, token));
-            let task = tokio::spawn(run::own(self.context(&pool), token, self.stop.clone()));
+            let task = tokio::spawn(own::own(self.context(&pool), token, self.stop.clone()));
             self.parts.observer.taken_over(&pool);
             self.owned.insert(pool, task);
         }
--- a/crates/owner/src/jobs.rs
+++ b/crates/owner/src/jobs.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     control::read_parts,
+    event::Event,
     follow::{Sink, Source},
     load,
-    run::Event,
 };
 use async_trait::async_trait;
 use log::debug;
--- a/crates/owner/src/lease.rs
+++ b/crates/owner/src/lease.rs
@@ -1,6 +1,6 @@
 //! Looks at one worker, and the renewal of the lease on what runs there.
 
-use crate::{clock::Clock, run::Event};
+use crate::{clock::Clock, event::Event};
 use parking_lot::Mutex;
 use primroseroute_cell::{Limits, Millis};
 use primroseroute_domain::work::Name;
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -11,7 +11,7 @@
 //! * [`Brisk`]: commits that are given up once they have taken far longer than usual.
 //! * `lease`: looks at one worker, and the renewal of its lease.
 //! * `send`: one order on its way to a worker.
-//! * `run`: the loop of one owned pool.
+//! * `own`: one ownership of a pool; `run`: its loop.
 //! * [`wave`]: which instances are maintained next. Pure.
 //! * [`Entry`]: all of it together.
 //!
@@ -29,12 +29,14 @@
 mod control;
 pub mod elect;
 mod entry;
+mod event;
 pub mod follow;
 mod jobs;
 mod lease;
 mod load;
 pub mod members;
 mod observe;
+mod own;
 mod run;
 mod send;
 mod upkeep;
--- /dev/null
+++ b/crates/owner/src/own.rs
@@ -0,0 +1,103 @@
+//! One ownership of a pool, from the takeover to its loss or its release.
+
+use crate::{clock::Clock, load, observe::Observer, run::Owned, watch::Watch};
+use log::{info, warn};
+use primroseroute_cell::{Cell, Limits, row};
+use primroseroute_domain::work::Name;
+use primroseroute_platform::{
+    rows::{Commit, Rows, Txn, Version},
+    site::Site,
+    worker::Workers,
+};
+use std::{sync::Arc, time::Duration};
+use tokio::{sync::watch, time::sleep};
+
+/// Pause after a takeover's reads have failed.
+const LOAD_PAUSE: Duration = Duration::from_millis(150);
+
+/// What a pool's loop needs.
+#[derive(Clone, Debug)]
+pub(crate) struct Context {
+    pub entry: Name,
+    pub pool: Name,
+    pub clock: Clock,
+    pub limits: Limits,
+    /// Pause between the orders of two holders to one instance.
+    pub order_pause: Duration,
+    pub rows: Arc<dyn Rows>,
+    pub site: Arc<dyn Site>,
+    pub workers: Arc<dyn Workers>,
+    pub watch: Watch,
+    pub observer: Arc<dyn Observer>,
+}
+
+/// How ownership ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Over {
+    /// Another entry has taken the pool.
+    Lost,
+    /// It was given up because this entry stops.
+    Released,
+}
+
+/// Owns the pool under `token` until it is lost, or `stop` says to give it up.
+pub(crate) async fn own(context: Context, token: Version, mut stop: watch::Receiver<bool>) -> Over {
+    let loaded = tokio::select! {
+        biased;
+        loaded = load(&context) => Some(loaded),
+        _ = stop.wait_for(|stop| *stop) => None,
+    };
+    let Some((cell, last)) = loaded else {
+        release(&context, token).await;
+        return Over::Released;
+    };
+    let mut owned = Owned::start(context, cell, token, last);
+    let over = owned.run(&mut stop).await;
+    owned.end();
+    over
+}
+
+/// Gives the pool up, so that another entry takes it over without waiting for a timeout. Nothing may
+/// be sent for the pool any more.
+pub(crate) async fn release(context: &Context, token: Version) {
+    let pool = &*context.pool;
+    let place = row::owner(pool);
+    let owner = row::Owner {
+        entry: Name::clone(&context.entry),
+        incarnation: 0,
+        attempt: 0,
+        released: true,
+    };
+    let value = serde_json::to_vec(&owner).expect("an owner has plain fields");
+    let txn = Txn {
+        conditions: vec![(place.clone(), token)],
+        puts: vec![(place, value.into())],
+        deletes: Vec::new(),
+    };
+    match context.rows.commit(txn).await {
+        Ok(Commit::Committed(_version)) => info!(pool; "pool given up"),
+        Ok(Commit::Conflict(_rows)) => info!(pool; "pool was taken already"),
+        // A successor waits until this entry's heartbeat has stopped for long enough.
+        Err(error) => warn!(pool, error:% = error; "giving the pool up failed"),
+    }
+}
+
+/// Reads until it succeeds.
+async fn load(context: &Context) -> (Cell, Version) {
+    loop {
+        let now = context.clock.now();
+        let mut cell = Cell::new(context.limits, now);
+        let wall_ms = context.clock.wall_ms();
+        match load::load(&*context.rows, &context.pool, &mut cell, wall_ms).await {
+            Ok(loaded) => {
+                let took_ms = context.clock.now() - now;
+                info!(pool = &*context.pool, took_ms; "pool loaded");
+                return (cell, loaded.last);
+            }
+            Err(error) => {
+                warn!(pool = &*context.pool, error:% = error; "loading the pool failed");
+                sleep(LOAD_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -1,24 +1,22 @@
 //! The loop of one owned pool: takes in what happens, decides, commits, and sends orders.
 
 use crate::{
-    clock::Clock,
     commit::{Lane, Lost},
+    event::Event,
     follow::follow,
     jobs,
     lease::{Readings, Watcher},
-    load::{self, Jobs},
-    observe::Observer,
+    own::{Context, Over, release},
     send::Sending,
     upkeep::{self, Status},
-    watch::{Watch, Workers as Registered},
+    watch::Workers as Registered,
 };
 use log::{debug, info, warn};
-use primroseroute_cell::{Cell, Limits, Millis, Order, Outcome, Tick, row};
-use primroseroute_domain::work::{End, JobId, Name, TaskId};
+use primroseroute_cell::{Cell, Millis, Order, Outcome, Tick, row};
+use primroseroute_domain::work::{End, JobId, Name};
 use primroseroute_platform::{
-    rows::{Commit, Rows, Txn, Version},
-    site::Site,
-    worker::{Look, Target, Workers},
+    rows::{Txn, Version},
+    worker::Target,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -32,7 +30,7 @@
         watch,
     },
     task::{JoinHandle, JoinSet},
-    time::{Instant, sleep, sleep_until, timeout},
+    time::{Instant, sleep_until, timeout},
 };
 
 /// Least time between two rounds. Each round with news is one writing call: shorter costs calls,
@@ -55,129 +53,6 @@
 /// Most orders to one worker at the same time, each on a connection of its own.
 const ORDERS: usize = 3;
 
-/// Pause after a takeover's reads have failed.
-const LOAD_PAUSE: Duration = Duration::from_millis(150);
-
-/// What a pool's loop is told.
-#[derive(Debug)]
-pub(crate) enum Event {
-    Jobs(Jobs),
-    Renewing {
-        worker: Name,
-        lapses_at: Millis,
-    },
-    Look {
-        worker: Name,
-        look: Look,
-        sent_at: Millis,
-        at: Millis,
-    },
-    Gone(Name),
-    Answered {
-        worker: Name,
-        task: TaskId,
-        run: u32,
-        outcome: Outcome,
-    },
-    Stopped {
-        worker: Name,
-        task: TaskId,
-        run: u32,
-    },
-    Empty {
-        worker: Name,
-        wanted: bool,
-    },
-    Clear(Name),
-}
-
-/// What a pool's loop needs.
-#[derive(Clone, Debug)]
-pub(crate) struct Context {
-    pub entry: Name,
-    pub pool: Name,
-    pub clock: Clock,
-    pub limits: Limits,
-    /// Pause between the orders of two holders to one instance.
-    pub order_pause: Duration,
-    pub rows: Arc<dyn Rows>,
-    pub site: Arc<dyn Site>,
-    pub workers: Arc<dyn Workers>,
-    pub watch: Watch,
-    pub observer: Arc<dyn Observer>,
-}
-
-/// How ownership ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Over {
-    /// Another entry has taken the pool.
-    Lost,
-    /// It was given up because this entry stops.
-    Released,
-}
-
-/// Owns the pool under `token` until it is lost, or `stop` says to give it up.
-pub(crate) async fn own(context: Context, token: Version, mut stop: watch::Receiver<bool>) -> Over {
-    let loaded = tokio::select! {
-        biased;
-        loaded = load(&context) => Some(loaded),
-        _ = stop.wait_for(|stop| *stop) => None,
-    };
-    let Some((cell, last)) = loaded else {
-        release(&context, token).await;
-        return Over::Released;
-    };
-    let mut owned = Owned::start(context, cell, token, last);
-    let over = owned.run(&mut stop).await;
-    owned.end();
-    over
-}
-
-/// Gives the pool up, so that another entry takes it over without waiting for a timeout. Nothing may
-/// be sent for the pool any more.
-async fn release(context: &Context, token: Version) {
-    let pool = &*context.pool;
-    let place = row::owner(pool);
-    let owner = row::Owner {
-        entry: Name::clone(&context.entry),
-        incarnation: 0,
-        attempt: 0,
-        released: true,
-    };
-    let value = serde_json::to_vec(&owner).expect("an owner has plain fields");
-    let txn = Txn {
-        conditions: vec![(place.clone(), token)],
-        puts: vec![(place, value.into())],
-        deletes: Vec::new(),
-    };
-    match context.rows.commit(txn).await {
-        Ok(Commit::Committed(_version)) => info!(pool; "pool given up"),
-        Ok(Commit::Conflict(_rows)) => info!(pool; "pool was taken already"),
-        // A successor waits until this entry's heartbeat has stopped for long enough.
-        Err(error) => warn!(pool, error:% = error; "giving the pool up failed"),
-    }
-}
-
-/// Reads until it succeeds.
-async fn load(context: &Context) -> (Cell, Version) {
-    loop {
-        let now = context.clock.now();
-        let mut cell = Cell::new(context.limits, now);
-        let wall_ms = context.clock.wall_ms();
-        match load::load(&*context.rows, &context.pool, &mut cell, wall_ms).await {
-            Ok(loaded) => {
-                let took_ms = context.clock.now() - now;
-                info!(pool = &*context.pool, took_ms; "pool loaded");
-                return (cell, loaded.last);
-            }
-            Err(error) => {
-                warn!(pool = &*context.pool, error:% = error; "loading the pool failed");
-                sleep(LOAD_PAUSE).await;
-            }
-        }
-    }
-}
-
 /// A worker that is looked at.
 #[derive(Debug)]
 struct Watched {
@@ -187,7 +62,8 @@
     task: JoinHandle<()>,
 }
 
-struct Owned {
+/// The loop's state.
+pub(crate) struct Owned {
     context: Context,
     cell: Cell,
     token: Version,
@@ -208,7 +84,8 @@
 }
 
 impl Owned {
-    fn start(context: Context, cell: Cell, token: Version, last: Version) -> Self {
+    /// Starts what runs beside the loop.
+    pub(crate) fn start(context: Context, cell: Cell, token: Version, last: Version) -> Self {
         let (sender, events) = mpsc::unbounded_channel();
         let (status, status_seen) = watch::channel(Arc::default());
         let follower = follow(
@@ -252,7 +129,8 @@
         }
     }
 
-    async fn run(&mut self, stop: &mut watch::Receiver<bool>) -> Over {
+    /// Runs until the pool is lost, or `stop` says to give it up.
+    pub(crate) async fn run(&mut self, stop: &mut watch::Receiver<bool>) -> Over {
         let mut registered = self.context.watch.workers.clone();
         loop {
             let begin = Instant::now();
@@ -589,7 +467,8 @@
         });
     }
 
-    fn end(self) {
+    /// Ends what runs beside the loop.
+    pub(crate) fn end(self) {
         for watched in self.watched.values() {
             watched.task.abort();
         }
--- a/crates/owner/src/send.rs
+++ b/crates/owner/src/send.rs
@@ -1,6 +1,6 @@
 //! One order on its way to a worker.
 
-use crate::run::Event;
+use crate::event::Event;
 use log::{debug, info};
 use primroseroute_cell::{Millis, Order, Outcome};
 use primroseroute_domain::work::{Name, TaskId};
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -1,7 +1,8 @@
 //! A pool's instances: carries out what waves ask for, and finds out which workers are over.
 
 use crate::{
-    run::{Context, Event},
+    event::Event,
+    own::Context,
     wave::{Situation, Step, steps},
 };
 use bytes::Bytes;
--- a/crates/telemetry/src/meter.rs
+++ b/crates/telemetry/src/meter.rs
@@ -18,11 +18,11 @@
 use std::{fmt, sync::Arc, time::Duration};
 
 /// Namespace of every metric.
-pub(crate) const NAMESPACE: &str = "primroseroute";
+const NAMESPACE: &str = "primroseroute";
 
 /// Bounds of the buckets of durations in seconds: from half a hop between availability zones to the
 /// longest default timeout.
-pub(crate) const SECONDS: [f64; 14] = [
+const SECONDS: [f64; 14] = [
     0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 60.0,
 ];
 
@@ -152,20 +152,63 @@
         .ok()
 }
 
-/// A fresh registry, and the provider of instruments that are rendered from it.
-pub(crate) fn exported() -> Result<(Registry, SdkMeterProvider), Error> {
-    let registry = Registry::new();
-    let exporter = opentelemetry_prometheus::exporter()
-        .with_registry(registry.clone())
-        .with_namespace(NAMESPACE)
-        .without_target_info()
-        .scope_info_enabled(false)
-        .build()?;
-    let provider = SdkMeterProvider::builder()
-        .with_reader(exporter)
-        .with_view(wide)
-        .build();
-    Ok((registry, provider))
+/// A fresh registry, and the meter whose instruments are rendered from it.
+pub(crate) struct Instruments {
+    pub registry: Registry,
+    /// Keeps the instruments connected to the registry.
+    pub provider: SdkMeterProvider,
+    pub meter: opentelemetry::metrics::Meter,
+}
+
+impl Instruments {
+    pub(crate) fn open() -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace(NAMESPACE)
+            .without_target_info()
+            .scope_info_enabled(false)
+            .build()?;
+        let provider = SdkMeterProvider::builder()
+            .with_reader(exporter)
+            .with_view(wide)
+            .build();
+        let meter = provider.meter(NAMESPACE);
+        Ok(Self {
+            registry,
+            provider,
+            meter,
+        })
+    }
+}
+
+pub(crate) fn counter(
+    meter: &opentelemetry::metrics::Meter,
+    name: &'static str,
+    about: &'static str,
+) -> Counter<u64> {
+    meter.u64_counter(name).with_description(about).build()
+}
+
+pub(crate) fn gauge(
+    meter: &opentelemetry::metrics::Meter,
+    name: &'static str,
+    about: &'static str,
+) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(about).build()
+}
+
+/// A histogram of durations.
+pub(crate) fn seconds(
+    meter: &opentelemetry::metrics::Meter,
+    name: &'static str,
+    about: &'static str,
+) -> Histogram<f64> {
+    let histogram = meter
+        .f64_histogram(name)
+        .with_description(about)
+        .with_unit("s");
+    histogram.with_boundaries(SECONDS.to_vec()).build()
 }
 
 impl Meter {
@@ -174,17 +217,14 @@
     /// # Errors
     /// [`Error::Open`] if the exporter cannot be registered, which its fresh registry rules out.
     pub fn open() -> Result<Self, Error> {
-        let (registry, provider) = exported()?;
-        let meter = provider.meter(NAMESPACE);
-        let counter = |name, about| meter.u64_counter(name).with_description(about).build();
-        let gauge = |name, about| meter.u64_gauge(name).with_description(about).build();
-        let seconds = |name, about| {
-            let histogram = meter
-                .f64_histogram(name)
-                .with_description(about)
-                .with_unit("s");
-            histogram.with_boundaries(SECONDS.to_vec()).build()
-        };
+        let Instruments {
+            registry,
+            provider,
+            meter,
+        } = Instruments::open()?;
+        let counter = |name, about| counter(&meter, name, about);
+        let gauge = |name, about| gauge(&meter, name, about);
+        let seconds = |name, about| seconds(&meter, name, about);
         Ok(Self {
             requests: counter("requests", "Finished requests"),
             request_seconds: seconds("request_duration", "Time from a request's head to its end"),
--- a/crates/telemetry/src/site.rs
+++ b/crates/telemetry/src/site.rs
@@ -1,9 +1,9 @@
 //! Instruments of the job path, rendered in Prometheus's text format.
 
-use crate::meter::{Error, NAMESPACE, SECONDS, end, exported};
+use crate::meter::{Error, Instruments, counter, end, gauge, seconds};
 use opentelemetry::{
     KeyValue, StringValue,
-    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use primroseroute_domain::work::{End, Name};
@@ -62,17 +62,14 @@
     /// # Errors
     /// [`Error::Open`] if the exporter cannot be registered, which its fresh registry rules out.
     pub fn open() -> Result<Self, Error> {
-        let (registry, provider) = exported()?;
-        let meter = provider.meter(NAMESPACE);
-        let counter = |name, about| meter.u64_counter(name).with_description(about).build();
-        let gauge = |name, about| meter.u64_gauge(name).with_description(about).build();
-        let seconds = |name, about| {
-            let histogram = meter
-                .f64_histogram(name)
-                .with_description(about)
-                .with_unit("s");
-            histogram.with_boundaries(SECONDS.to_vec()).build()
-        };
+        let Instruments {
+            registry,
+            provider,
+            meter,
+        } = Instruments::open()?;
+        let counter = |name, about| counter(&meter, name, about);
+        let gauge = |name, about| gauge(&meter, name, about);
+        let seconds = |name, about| seconds(&meter, name, about);
         Ok(Self {
             answers: counter("answers", "Answers to callers, by queue and status"),
             answer_seconds: seconds(
