Read a single row in one way, count queued jobs once a round, drop a dead check

Cause: five places spelled out the range that holds one row, two of them each in its own way; a round counted the queued jobs of the pool twice; Tick::is_silent was used by nobody.

Change: rows::read_row beside read_all, used by the gateway, commits, elections and waves; the cell gives out the counts that its round has taken. No check or bound changes.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -29,7 +29,7 @@
     pub(crate) dirty: BTreeSet<JobId>,
     /// Since when a lasting task has found no room.
     pub(crate) waiting: BTreeMap<TaskId, Millis>,
-    /// Counts of queued jobs as they were last given out.
+    /// Counts of queued jobs as of the last round.
     pub(crate) counts: BTreeMap<Name, u64>,
 }
 
@@ -328,8 +328,13 @@
         targets.collect()
     }
 
-    /// For each queue, its jobs without a schedule of which no task has started.
-    pub fn queued(&self) -> BTreeMap<Name, u64> {
+    /// For each queue, its jobs of which no task has started, as of the last round.
+    pub fn queued(&self) -> &BTreeMap<Name, u64> {
+        &self.counts
+    }
+
+    /// Counts what [`Self::queued`] gives out.
+    pub(crate) fn count_queued(&self) -> BTreeMap<Name, u64> {
         let mut counts = BTreeMap::new();
         for job in self.jobs.values() {
             if job.progress.state == State::Pending {
--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -74,10 +74,3 @@
     /// Whether the counts of queued jobs have changed.
     pub counts_changed: bool,
 }
-
-impl Tick {
-    /// Whether there is nothing to commit.
-    pub fn is_silent(&self) -> bool {
-        self.puts.is_empty() && self.forget.is_empty()
-    }
-}
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -30,7 +30,7 @@
     let seen = cell.workers.iter();
     let seen = seen.map(|(id, worker)| (Name::clone(id), worker.seen));
     let seen = seen.collect();
-    let counts = cell.queued();
+    let counts = cell.count_queued();
     let counts_changed = counts != cell.counts;
     cell.counts = counts;
     Tick {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,7 +27,7 @@
 use primroseroute_front::problem::REQUEST_ID;
 use primroseroute_platform::{
     Error,
-    rows::{Commit, Place, Range, Row, Rows, Txn},
+    rows::{Commit, Place, Row, Rows, Txn, read_row},
     site::{Codec, Configuration, Queue, RequestLimits},
 };
 use serde::{Deserialize, de::DeserializeOwned};
@@ -306,16 +306,7 @@
     }
 
     async fn read(&self, place: Place) -> Result<Option<Row>, Error> {
-        // The least key after the one that is wanted.
-        let to = format!("{}\u{0}", place.key);
-        let range = Range {
-            table: place.table,
-            part: place.part,
-            from: Some(place.key),
-            to: Some(to.into()),
-        };
-        let page = self.parts.rows.read(range).await?;
-        Ok(page.rows.into_iter().next())
+        read_row(&*self.parts.rows, place).await
     }
 
     async fn cancel(&self, head: &Head<'_>, id: JobId) -> Response<Body> {
--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -13,7 +13,7 @@
 use primroseroute_domain::work::{JobId, Name};
 use primroseroute_platform::{
     Error,
-    rows::{Commit, Place, Range, Row, Rows, Txn, Version},
+    rows::{Commit, Place, Row, Rows, Txn, Version, read_row},
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::time::sleep;
@@ -153,14 +153,8 @@
 
     /// Looks whether the newest commit stands; `None` where it doesn't, or can't be told.
     async fn look(&mut self) -> Option<Version> {
-        let range = Range {
-            table: row::WORK.into(),
-            part: Name::clone(&self.pool),
-            from: Some(row::BATCH.into()),
-            to: Some(format!("{}~", row::BATCH).into()),
-        };
-        match self.rows.read(range).await {
-            Ok(page) => self.own_batch(&page.rows),
+        match read_row(&*self.rows, row::batch(&self.pool)).await {
+            Ok(found) => self.own_batch(found.as_slice()),
             Err(error) => {
                 self.failed(&error);
                 sleep(PAUSE).await;
@@ -171,18 +165,11 @@
 
     /// Asks the store whether this owner still owns the pool; the time at which it was asked.
     pub(crate) async fn confirm(&mut self) -> Result<Option<Millis>, Lost> {
-        let place = row::owner(&self.pool);
-        let range = Range {
-            table: place.table,
-            part: place.part,
-            from: None,
-            to: None,
-        };
         let sent_at = self.clock.now();
-        match self.rows.read(range).await {
-            Ok(page) => {
+        match read_row(&*self.rows, row::owner(&self.pool)).await {
+            Ok(found) => {
                 self.good();
-                let own = page.rows.iter().any(|row| row.version == self.token);
+                let own = found.is_some_and(|row| row.version == self.token);
                 if own { Ok(Some(sent_at)) } else { Err(Lost) }
             }
             Err(error) => {
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -18,7 +18,7 @@
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
-    rows::{Commit, Range, Rows, Txn, Version},
+    rows::{Commit, Rows, Txn, Version, read_row},
     site::Site,
     worker::Workers,
 };
@@ -311,18 +311,9 @@
     /// The version of the owner's row, if it is `owner`'s: a takeover whose answer was lost. One that
     /// lands later is found by the next election, since its entry is alive and doesn't own it.
     async fn look(&self, pool: &Name, owner: &Owner) -> Option<Version> {
-        let place = row::owner(pool);
-        let range = Range {
-            table: place.table,
-            part: place.part,
-            from: None,
-            to: None,
-        };
-        match self.parts.rows.read(range).await {
-            Ok(page) => page
-                .rows
-                .iter()
-                .find(|row| parsed::<Owner>(row).as_ref() == Some(owner))
+        match read_row(&*self.parts.rows, row::owner(pool)).await {
+            Ok(found) => found
+                .filter(|row| parsed::<Owner>(row).as_ref() == Some(owner))
                 .map(|row| row.version),
             Err(error) => {
                 info!(pool = &**pool, error:% = error; "looking at a pool's owner failed");
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -297,11 +297,11 @@
         let counts = self.counts_due && clock.now() >= self.counted_at + COUNTS_AFTER;
         let sent_at = if !tick.puts.is_empty() || counts {
             let queued = self.cell.queued();
-            for (queue, jobs) in &queued {
+            for (queue, jobs) in queued {
                 self.context.observer.queued(queue, *jobs);
             }
             let begin = Instant::now();
-            let sent_at = self.lane.commit(&tick.puts, &queued).await?;
+            let sent_at = self.lane.commit(&tick.puts, queued).await?;
             self.context.observer.committed(begin.elapsed());
             self.counts_due = false;
             self.counted_at = clock.now();
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -11,7 +11,7 @@
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
-    rows::{Commit, Range, Txn, Version},
+    rows::{Commit, Txn, Version, read_row},
     site::{Holder, Instance, Ordered, Wave},
 };
 use std::{
@@ -283,16 +283,8 @@
     }
 
     async fn read(&self, number: u64) -> Result<(Progress, Version), Error> {
-        let place = row::wave(number);
-        let range = Range {
-            table: place.table,
-            part: place.part,
-            from: Some(Name::clone(&place.key)),
-            to: Some(format!("{}\u{0}", place.key).into()),
-        };
-        let page = self.context.rows.read(range).await?;
-        let row = page.rows.first();
-        let progress = row.and_then(crate::control::parsed);
+        let row = read_row(&*self.context.rows, row::wave(number)).await?;
+        let progress = row.as_ref().and_then(crate::control::parsed);
         let version = row.map_or(0, |row| row.version);
         Ok((progress.unwrap_or_default(), version))
     }
--- a/crates/platform/src/rows.rs
+++ b/crates/platform/src/rows.rs
@@ -122,6 +122,27 @@
     async fn feed(&self, table: &str, after: Version, wait: Duration) -> Result<Feed<Row>, Error>;
 }
 
+/// Reads one row; none where there is no such row.
+///
+/// # Errors
+/// Those of the read.
+pub async fn read_row(rows: &dyn Rows, place: Place) -> Result<Option<Row>, Error> {
+    let to = following(&place.key);
+    let range = Range {
+        table: place.table,
+        part: place.part,
+        from: Some(place.key),
+        to: Some(to),
+    };
+    let page = rows.read(range).await?;
+    Ok(page.rows.into_iter().next())
+}
+
+/// The least key that sorts after `key`.
+fn following(key: &str) -> Name {
+    format!("{key}\u{0}").into()
+}
+
 /// Reads a range whole, page after page.
 ///
 /// # Errors
@@ -138,8 +159,7 @@
         whole.rows.extend(page.rows);
         match whole.rows.last() {
             Some(last) if page.more => {
-                // The least key that sorts after the last one read.
-                range.from = Some(format!("{}\u{0}", last.place.key).into());
+                range.from = Some(following(&last.place.key));
             }
             _ => return Ok(whole),
         }
