--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -3,6 +3,7 @@
 use crate::{
     job::Job,
     limits::{Limits, Millis},
+    need::Needs,
     order::{Order, Outcome, Tick},
     row::{Accepted, Phase, Progress},
     worker::{Known, Run, Stop, Worker},
@@ -31,6 +32,8 @@
     pub(crate) waiting: BTreeMap<TaskId, Millis>,
     /// Counts of queued jobs as of the last round.
     pub(crate) counts: BTreeMap<Name, u64>,
+    /// How many workers it could use lately.
+    pub(crate) needs: Needs,
 }
 
 impl Cell {
@@ -45,6 +48,7 @@
             dirty: BTreeSet::new(),
             waiting: BTreeMap::new(),
             counts: BTreeMap::new(),
+            needs: Needs::default(),
         }
     }
 
@@ -298,6 +302,12 @@
         found.is_none_or(|worker| worker.runs.is_empty())
     }
 
+    /// Whether nothing can run on a worker, and it gets nothing new because it is to be emptied.
+    pub fn is_emptied(&self, worker: &Name) -> bool {
+        let found = self.workers.get(worker);
+        found.is_some_and(|worker| worker.emptying && worker.runs.is_empty())
+    }
+
     /// Workers that have shown nothing for a while, and on which something may run.
     pub fn silent(&self, now: Millis) -> BTreeSet<Name> {
         let since = self.taken_at;
@@ -349,6 +359,11 @@
         crate::tick::run(self, now, wall_ms)
     }
 
+    /// Stops of runs whose jobs have ended, that are due.
+    pub fn urgent(&mut self, now: Millis) -> Vec<Order> {
+        crate::tick::urgent(self, now)
+    }
+
     /// Takes in that `tick` is committed, by a transaction that was sent at `sent_at`.
     pub fn committed(&mut self, tick: &Tick, sent_at: Millis) {
         let sure_after = sent_at + self.limits.stretched(self.limits.start_window);
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -26,6 +26,7 @@
 mod job;
 mod limits;
 mod look;
+mod need;
 mod order;
 mod pace;
 mod place;
@@ -35,4 +36,5 @@
 
 pub use cell::Cell;
 pub use limits::{Limits, Millis};
+pub use need::Need;
 pub use order::{Order, Outcome, Tick};
--- /dev/null
+++ b/crates/cell/src/need.rs
@@ -0,0 +1,220 @@
+//! How many workers a pool can use: what runs, and what waits, in units of its own workers.
+//!
+//! Owners publish this figure. From it and from the list of instances each works out which instances
+//! change pools, so it errs upwards: it follows a rise at once and a fall only after a while.
+
+use crate::{
+    cell::Cell,
+    limits::Millis,
+    place::{self, Waiting},
+    worker::{Stop, Worker},
+};
+use primroseroute_domain::work::{Demand, Step};
+use std::collections::VecDeque;
+
+/// Time in milliseconds in which waiting work should be under way. Short tasks that wait share
+/// workers within it; one that takes longer than this needs all that it occupies. An instance takes
+/// about as long to change pools, so less would ask for instances that come too late.
+const HORIZON_MS: u64 = 1_000;
+
+/// Room that is asked for beyond what is used, in percent: jobs come in irregularly, and short ones
+/// are late before another instance can come.
+const HEADROOM_PERCENT: u64 = 125;
+
+/// Workers beyond that: with few workers, a part of them is less than one task of the next job, and a
+/// pool without any would let its next job wait for the seconds of a move.
+const SPARE: u64 = 1;
+
+/// How long a pool keeps the workers that it has needed before others may have them, in milliseconds:
+/// the gap between two waves of tasks of one job.
+const HOLD_MS: Millis = 1_000;
+
+/// How long it keeps them before they are switched off. An instance that is switched off and on again
+/// costs two moves and takes nothing for their time, about what it costs idle for this long.
+const KEEP_MS: Millis = 4_000;
+
+/// Time from a rise of the need until an instance that comes for it works: publishing, the order, the
+/// move, the registration and the first look. The rise within it is taken to go on.
+const LEAD_MS: Millis = 2_000;
+
+/// Least time between two figures that are remembered.
+const SAMPLE_MS: Millis = 100;
+
+/// What a pool needs, and why.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Need {
+    /// Number of workers that the pool can use, now or when an instance that is asked for now works.
+    pub workers: u64,
+    /// Number below which none is switched off.
+    pub kept: u64,
+    /// What runs.
+    pub runs: Demand,
+    /// What waits, as far as it should be under way soon.
+    pub waits: Demand,
+    /// Workers that are counted as the pool's and take nothing.
+    pub unfit: u64,
+}
+
+/// The figures of the last while.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Needs {
+    recent: VecDeque<(Millis, u64)>,
+    /// Capacity of one worker, as last known.
+    unit: Demand,
+}
+
+impl Needs {
+    /// Takes in the figure of this moment, and drops what is too old.
+    fn record(&mut self, now: Millis, need: u64) {
+        while self
+            .recent
+            .front()
+            .is_some_and(|known| known.0 + KEEP_MS <= now)
+        {
+            self.recent.pop_front();
+        }
+        match self.recent.back_mut() {
+            Some((at, known)) if now < *at + SAMPLE_MS => *known = need.max(*known),
+            _ => self.recent.push_back((now, need)),
+        }
+    }
+
+    /// The highest figure of the last `span`.
+    fn highest(&self, now: Millis, span: Millis) -> u64 {
+        let recent = self.recent.iter().rev();
+        let recent = recent.take_while(|(at, _need)| now < at + span);
+        recent.map(|(_at, need)| *need).max().unwrap_or(0)
+    }
+
+    /// How much the figure has risen to `need` within the lead time.
+    fn rise(&self, now: Millis, need: u64) -> u64 {
+        let mut older = self.recent.iter().rev();
+        let before = older.find(|(at, _need)| now >= at + LEAD_MS);
+        before.map_or(0, |(_at, before)| need.saturating_sub(*before))
+    }
+}
+
+/// Number of workers that the pool can use, and why.
+pub(crate) fn need(cell: &mut Cell, waiting: &[Waiting], now: Millis) -> Need {
+    if let Some(unit) = unit(cell) {
+        cell.needs.unit = unit;
+    }
+    let runs = used(cell);
+    let waits = waits(cell, waiting);
+    let all = runs.plus(waits);
+    let part = Demand {
+        cpu: all.cpu * HEADROOM_PERCENT / 100,
+        memory: all.memory * HEADROOM_PERCENT / 100,
+        accelerators: all.accelerators,
+    };
+    let workers = (units(part, cell.needs.unit) + SPARE).max(spread(cell));
+    let unfit = cell.workers.values();
+    let unfit = unfit.filter(|worker| is_unfit(cell, worker, now)).count() as u64;
+    cell.needs.record(now, workers);
+    let rise = cell.needs.rise(now, workers);
+    Need {
+        workers: cell.needs.highest(now, HOLD_MS) + rise + unfit,
+        kept: cell.needs.highest(now, KEEP_MS) + unfit,
+        runs,
+        waits,
+        unfit,
+    }
+}
+
+/// Mean capacity of the registered workers; `None` without any.
+fn unit(cell: &Cell) -> Option<Demand> {
+    let registered = cell.workers.values().filter(|worker| worker.registered);
+    let capacities = registered.filter_map(|worker| worker.info.as_ref());
+    let (count, sum) = capacities.fold((0, Demand::default()), |(count, sum), info| {
+        (count + 1, sum.plus(info.capacity))
+    });
+    (count > 0).then(|| Demand {
+        cpu: sum.cpu / count,
+        memory: sum.memory / count,
+        accelerators: sum.accelerators / count,
+    })
+}
+
+/// What a task uses: a filler's processor share isn't reserved, but nothing is left for it where all
+/// workers are full.
+fn used_by(step: &Step, count: u64) -> Demand {
+    Demand {
+        cpu: step.demand.cpu * count,
+        memory: step.demand.memory * count,
+        accelerators: step.demand.accelerators * count,
+    }
+}
+
+/// What runs. Runs that are to stop are left out: their tasks wait, or are over.
+fn used(cell: &Cell) -> Demand {
+    let runs = cell.workers.values().flat_map(|worker| &worker.runs);
+    let runs = runs.filter(|(_task, run)| run.stop == Stop::No);
+    let demands = runs.map(|(task, run)| {
+        let job = cell.jobs.get(&task.job);
+        let step = job.and_then(|job| job.step(task.step));
+        step.map_or(run.reserved, |step| used_by(step, 1))
+    });
+    demands.fold(Demand::default(), Demand::plus)
+}
+
+/// What waits and can still be worth something.
+fn waits(cell: &Cell, waiting: &[Waiting]) -> Demand {
+    let steps = place::still_waiting(cell, waiting);
+    let demands = steps.map(|(step, count)| {
+        let all = used_by(step, count);
+        if step.lasting || step.estimate_ms >= HORIZON_MS {
+            return all;
+        }
+        Demand {
+            cpu: (all.cpu * step.estimate_ms)
+                .div_ceil(HORIZON_MS)
+                .max(step.demand.cpu),
+            memory: (all.memory * step.estimate_ms)
+                .div_ceil(HORIZON_MS)
+                .max(step.demand.memory),
+            accelerators: (all.accelerators * step.estimate_ms)
+                .div_ceil(HORIZON_MS)
+                .max(step.demand.accelerators),
+        }
+    });
+    demands.fold(Demand::default(), Demand::plus)
+}
+
+/// Workers that hold `demand`.
+fn units(demand: Demand, unit: Demand) -> u64 {
+    let of = |demand: u64, unit: u64| demand.div_ceil(unit.max(1));
+    let known = unit != Demand::default();
+    if !known {
+        return u64::from(demand != Demand::default());
+    }
+    // An accelerator that no worker has can't be had by more workers like them.
+    let accelerators = if unit.accelerators == 0 {
+        0
+    } else {
+        of(demand.accelerators, unit.accelerators)
+    };
+    of(demand.cpu, unit.cpu)
+        .max(of(demand.memory, unit.memory))
+        .max(accelerators)
+}
+
+/// Workers that the widest step needs whose tasks must be spread.
+fn spread(cell: &Cell) -> u64 {
+    let jobs = cell
+        .jobs
+        .values()
+        .filter(|job| !job.progress.state.is_final());
+    let begun = jobs.filter(|job| !job.progress.steps.is_empty());
+    let steps = begun.flat_map(|job| &job.accepted.job.steps);
+    let spread = steps.filter(|step| step.most_per_worker > 0);
+    let widths = spread.map(|step| u64::from(step.count).div_ceil(u64::from(step.most_per_worker)));
+    widths.max().unwrap_or(0)
+}
+
+/// A worker that is counted as the pool's and takes nothing: it has gone silent, or is shunned. One
+/// that was never looked at has just come.
+fn is_unfit(cell: &Cell, worker: &Worker, now: Millis) -> bool {
+    let silent = worker.looked_at.is_some() && !worker.is_fresh(now, &cell.limits);
+    let shunned = now < worker.shunned_until;
+    worker.registered && !worker.gone && !worker.emptying && (silent || shunned)
+}
--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -1,5 +1,6 @@
 //! What a cell wants done, and what came of it.
 
+use crate::need::Need;
 use bytes::Bytes;
 use primroseroute_domain::work::{JobId, Name, State, TaskId};
 use primroseroute_platform::worker::Refusal;
@@ -49,7 +50,7 @@
     Started,
     /// It doesn't run and never will.
     Refused(Refusal),
-    /// It was never sent.
+    /// It was never sent: its worker can't be reached.
     Unsent,
     /// It may run, or may later.
     Unknown,
@@ -73,4 +74,6 @@
     pub seen: Vec<(Name, u64)>,
     /// Whether the counts of queued jobs have changed.
     pub counts_changed: bool,
+    /// What the pool needs.
+    pub need: Need,
 }
--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -29,7 +29,7 @@
 
 /// A step with waiting tasks.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Waiting {
+pub(crate) struct Waiting {
     class: Class,
     /// What is left of the job's work in core-milliseconds: short jobs earn most for the time that
     /// they occupy, and a job that has begun comes before one like it that hasn't.
@@ -42,26 +42,26 @@
 /// What is free on the workers that take something new.
 type Rooms = BTreeMap<Name, Demand>;
 
-/// Places what fits; gives out the starts.
-pub(crate) fn run(cell: &mut Cell, now: Millis, wall_ms: u64) -> Vec<Order> {
+/// Places what fits of `waiting`, in its order; gives out the starts.
+pub(crate) fn run(cell: &mut Cell, waiting: &[Waiting], now: Millis) -> Vec<Order> {
     let mut rooms = rooms(cell, now);
     // Workers whose free room is kept for a lasting task that fits nowhere yet.
     let mut kept: BTreeSet<Name> = BTreeSet::new();
     let mut full = Full::default();
     let mut orders = Vec::new();
-    for waiting in sorted(cell, wall_ms) {
+    for waiting in waiting {
         let lasting = waiting.class == Class::Lasting;
-        if !lasting && full.rules_out(cell, &waiting) {
+        if !lasting && full.rules_out(cell, waiting) {
             continue;
         }
         if !lasting && rooms.values().all(|room| room.cpu == 0) {
             break;
         }
-        let placed = place_step(cell, &waiting, &mut rooms, &kept, &mut orders);
+        let placed = place_step(cell, waiting, &mut rooms, &kept, &mut orders);
         if lasting && !placed {
-            make_room(cell, &waiting, &rooms, &mut kept, now);
+            make_room(cell, waiting, &rooms, &mut kept, now);
         } else if !placed {
-            full.record(cell, &waiting);
+            full.record(cell, waiting);
         }
     }
     orders
@@ -106,7 +106,8 @@
         .collect()
 }
 
-fn sorted(cell: &Cell, wall_ms: u64) -> Vec<Waiting> {
+/// Steps with waiting tasks whose turn has come, the most urgent first.
+pub(crate) fn sorted(cell: &Cell, wall_ms: u64) -> Vec<Waiting> {
     let mut all = Vec::new();
     for (id, job) in &cell.jobs {
         if job.progress.state.is_final() {
@@ -124,6 +125,21 @@
     all
 }
 
+/// What still waits of `waiting`: each step with the number of its tasks; without those of jobs that
+/// earn nothing any more.
+pub(crate) fn still_waiting<'a>(
+    cell: &'a Cell,
+    waiting: &'a [Waiting],
+) -> impl Iterator<Item = (&'a Step, u64)> {
+    let worthwhile = waiting.iter();
+    let worthwhile = worthwhile.filter(|waiting| waiting.class != Class::Hopeless);
+    worthwhile.filter_map(|waiting| {
+        let job = cell.jobs.get(&waiting.job)?;
+        let count = waiting_tasks(job, waiting.occurrence, waiting.step).count();
+        Some((job.step(waiting.step)?, count as u64))
+    })
+}
+
 fn waiting_tasks(job: &Job, occurrence: u32, step: u16) -> impl Iterator<Item = u16> {
     let steps = job.progress.steps.get(&occurrence);
     let tasks = steps.and_then(|steps| steps.get(usize::from(step)));
--- a/crates/cell/src/row.rs
+++ b/crates/cell/src/row.rs
@@ -8,6 +8,8 @@
 //! | `work` | pool | id | [`Progress`] | the pool's owner |
 //! | `work` | pool | `.batch` | [`Batch`] | the pool's owner, with each commit |
 //! | `control` | pool | `owner` | [`Owner`] | whoever takes the pool over, or gives it up |
+//! | `control` | pool | `wanted` | [`Wanted`] | the pool's owner, with a commit |
+//! | `work` | pool | `.moves` | [`Moves`] | the pool's owner, before it moves instances away |
 //! | `control` | `.members-` and a hash of the entry | entry | [`Member`] | the entry, as its heartbeat |
 //! | `waves` | `waves` | number | [`Wave`] | owners of pools with instances of the wave |
 //!
@@ -48,6 +50,12 @@
 /// Key of a pool's owner.
 const OWNER: &str = "owner";
 
+/// Key of the number of workers that a pool can use.
+const WANTED: &str = "wanted";
+
+/// Key of the row that an owner writes before it moves instances away.
+const MOVES: &str = ".moves";
+
 /// Table of progress.
 pub const WORK: &str = "work";
 
@@ -109,6 +117,16 @@
     Place::new(CONTROL, pool, OWNER)
 }
 
+/// Where the number of workers that a pool can use lies.
+pub fn wanted(pool: &str) -> Place {
+    Place::new(CONTROL, pool, WANTED)
+}
+
+/// Where the newest moves out of a pool lie.
+pub fn moves(pool: &str) -> Place {
+    Place::new(WORK, pool, MOVES)
+}
+
 /// Where an entry's heartbeat lies.
 pub fn member(entry: &str) -> Place {
     let part = hash(entry) % MEMBER_PARTS;
@@ -127,6 +145,8 @@
     Owner(Name),
     /// The heartbeat of this entry.
     Member(Name),
+    /// The number of workers that this pool can use.
+    Wanted(Name),
 }
 
 impl ControlKey {
@@ -136,6 +156,8 @@
             Some(Self::Member(Name::clone(&place.key)))
         } else if &*place.key == OWNER {
             Some(Self::Owner(Name::clone(&place.part)))
+        } else if &*place.key == WANTED {
+            Some(Self::Wanted(Name::clone(&place.part)))
         } else {
             None
         }
@@ -291,6 +313,22 @@
     pub released: bool,
 }
 
+/// How many workers a pool can use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Wanted {
+    /// The number.
+    pub workers: u64,
+}
+
+/// Instances that an owner moves away. The version of this row is the moves' fencing token.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Moves {
+    /// For each instance, the pool that it moves to.
+    pub to: BTreeMap<Name, Name>,
+}
+
 /// An entry's heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -4,6 +4,7 @@
     cell::Cell,
     drain,
     limits::Millis,
+    need,
     order::{Order, Tick},
     pace, place,
     row::Progress,
@@ -22,10 +23,11 @@
     expire(cell, now);
     begin(cell, wall_ms);
     drain::run(cell, now);
-    let mut orders = place::run(cell, now, wall_ms);
+    let waiting = place::sorted(cell, wall_ms);
+    let mut orders = place::run(cell, &waiting, now);
     orders.extend(pace_all(cell));
-    let (later, urgent) = stops(cell, now);
-    orders.extend(later);
+    orders.extend(stops(cell, Which::GoOn, now));
+    let urgent = urgent(cell, now);
     let (puts, ended) = rows(cell);
     let seen = cell.workers.iter();
     let seen = seen.map(|(id, worker)| (Name::clone(id), worker.seen));
@@ -41,6 +43,7 @@
         orders,
         seen,
         counts_changed,
+        need: need::need(cell, &waiting, now),
     }
 }
 
@@ -93,11 +96,23 @@
     looked.iter().flat_map(|id| pace::run(cell, id)).collect()
 }
 
-/// Stops that are due: those that wait for a commit, and those that don't.
-fn stops(cell: &mut Cell, now: Millis) -> (Vec<Order>, Vec<Order>) {
+/// Which stops are asked for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Which {
+    /// Of runs whose jobs go on: they wait for a commit.
+    GoOn,
+    /// Of runs whose jobs have ended.
+    Ended,
+}
+
+/// Stops of runs whose jobs have ended, that are due.
+pub(crate) fn urgent(cell: &mut Cell, now: Millis) -> Vec<Order> {
+    stops(cell, Which::Ended, now)
+}
+
+fn stops(cell: &mut Cell, which: Which, now: Millis) -> Vec<Order> {
     let limits = cell.limits;
     let mut orders = Vec::new();
-    let mut urgent = Vec::new();
     for (id, worker) in &mut cell.workers {
         if worker.gone || worker.info.is_none() {
             continue;
@@ -108,12 +123,15 @@
                 Stop::Wanted => true,
                 Stop::SentAt(at) => now >= at + limits.resend,
             };
-            if due {
+            if !due {
+                continue;
+            }
+            let job = cell.jobs.get(&task.job);
+            let goes_on = job.is_some_and(|job| !job.progress.state.is_final());
+            let of = if goes_on { Which::GoOn } else { Which::Ended };
+            if of == which {
                 run.stop = Stop::SentAt(now);
-                let job = cell.jobs.get(&task.job);
-                let goes_on = job.is_some_and(|job| !job.progress.state.is_final());
-                let queue = if goes_on { &mut orders } else { &mut urgent };
-                queue.push(Order::Stop {
+                orders.push(Order::Stop {
                     worker: Name::clone(id),
                     task: task.clone(),
                     run: run.run,
@@ -121,7 +139,7 @@
             }
         }
     }
-    (orders, urgent)
+    orders
 }
 
 /// A job's progress row.
--- a/crates/cell/tests/all/main.rs
+++ b/crates/cell/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod bed;
 mod ends;
 mod lasting;
+mod need;
 mod order;
 mod pace;
 mod rows;
--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -8,7 +8,7 @@
 use log::{info, warn};
 use primroseroute_cell::{
     Millis,
-    row::{self, Batch},
+    row::{self, Batch, Wanted},
 };
 use primroseroute_domain::work::{JobId, Name};
 use primroseroute_platform::{
@@ -31,6 +31,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Lost;
 
+/// What a commit carries besides progress.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Notes<'a> {
+    /// For each queue, its jobs of which no task has started.
+    pub queued: &'a BTreeMap<Name, u64>,
+    /// The number of workers that the pool can use, where it is to be published.
+    pub wanted: Option<u64>,
+}
+
 /// The lane of one owner.
 #[derive(Debug)]
 pub(crate) struct Lane {
@@ -64,19 +73,19 @@
         }
     }
 
-    /// Commits progress rows and counts; the time at which the last transaction was sent.
+    /// Commits progress rows and what goes with them; the time at which the last transaction was sent.
     ///
     /// Tries until it is committed: without an answer nothing may be concluded, and nothing later
     /// may be committed before it is known what came of it.
     pub(crate) async fn commit(
         &mut self,
         puts: &[(JobId, Bytes)],
-        queued: &BTreeMap<Name, u64>,
+        notes: Notes<'_>,
     ) -> Result<Millis, Lost> {
         let mut rest = puts;
         loop {
             let (now, later) = rest.split_at(fitting(rest));
-            let sent_at = self.commit_one(now, queued).await?;
+            let sent_at = self.commit_one(now, notes).await?;
             if later.is_empty() {
                 return Ok(sent_at);
             }
@@ -87,10 +96,10 @@
     async fn commit_one(
         &mut self,
         puts: &[(JobId, Bytes)],
-        queued: &BTreeMap<Name, u64>,
+        notes: Notes<'_>,
     ) -> Result<Millis, Lost> {
         self.number += 1;
-        let txn = self.txn(puts, queued);
+        let txn = self.txn(puts, notes);
         loop {
             let sent_at = self.clock.now();
             let result = self.rows.commit(txn.clone()).await;
@@ -120,11 +129,11 @@
         }
     }
 
-    fn txn(&self, puts: &[(JobId, Bytes)], queued: &BTreeMap<Name, u64>) -> Txn {
+    fn txn(&self, puts: &[(JobId, Bytes)], notes: Notes<'_>) -> Txn {
         let batch = Batch {
             owner: self.token,
             number: self.number,
-            queued: queued.clone(),
+            queued: notes.queued.clone(),
         };
         let value = serde_json::to_vec(&batch).expect("a batch has text keys");
         let progress = puts
@@ -132,6 +141,10 @@
             .map(|(id, value)| (row::progress(&self.pool, id), value.clone()));
         let mut writes: Vec<(Place, Bytes)> = progress.collect();
         writes.push((row::batch(&self.pool), value.into()));
+        if let Some(workers) = notes.wanted {
+            let value = serde_json::to_vec(&Wanted { workers }).expect("a number serializes");
+            writes.push((row::wanted(&self.pool), value.into()));
+        }
         Txn {
             conditions: vec![
                 (row::owner(&self.pool), self.token),
--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -11,7 +11,7 @@
 use parking_lot::Mutex;
 use primroseroute_cell::{
     Millis,
-    row::{self, ControlKey, Member, Owner},
+    row::{self, ControlKey, Member, Owner, Wanted},
 };
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
@@ -99,6 +99,8 @@
 pub(crate) struct Picture {
     pub members: Members,
     pub owners: BTreeMap<Name, (Owner, Version)>,
+    /// For each pool, the number of workers that it can use.
+    pub wanted: BTreeMap<Name, u64>,
     /// Whether the feed shows the table as it is: not before the first read, nor while calls fail.
     pub current: bool,
     /// When this entry's own heartbeat last got through in good time.
@@ -173,6 +175,11 @@
                     self.owners.remove(&pool);
                 }
             },
+            Some(ControlKey::Wanted(pool)) => {
+                if let Some(wanted) = parsed::<Wanted>(row) {
+                    self.wanted.insert(pool, wanted.workers);
+                }
+            }
             None => log::warn!(key = &*row.place.key; "an unknown row of control"),
         }
     }
--- /dev/null
+++ b/crates/owner/src/emptying.rs
@@ -0,0 +1,133 @@
+//! Workers of a pool that are being emptied, and what for.
+
+use crate::event::Event;
+use primroseroute_domain::work::Name;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    sync::{mpsc::UnboundedSender, watch::Receiver},
+    time::Instant,
+};
+
+/// Time after which shorter tasks on a worker that is emptied for a wave are stopped: most end by
+/// themselves before, and a wave can't wait for one that hangs.
+const CLEAR_AFTER: Duration = Duration::from_secs(6);
+
+/// What runs where.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Status {
+    /// Lasting tasks by worker.
+    pub lasting: BTreeMap<Name, usize>,
+    /// Workers on which nothing can run.
+    pub idle: BTreeSet<Name>,
+    /// Those of them that get nothing new, as was asked.
+    pub emptied: BTreeSet<Name>,
+    /// Registered workers of the pool.
+    pub registered: BTreeSet<Name>,
+    /// Workers that don't answer, and on which something may run.
+    pub silent: BTreeSet<Name>,
+    /// Number of the pool's workers below which none is switched off.
+    pub kept: u64,
+}
+
+/// Why a worker is emptied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// Its instance is due in a wave.
+    Wave,
+    /// Its instance is to move to another pool.
+    Move,
+}
+
+/// The workers that are being emptied.
+#[derive(Debug)]
+pub(crate) struct Emptying {
+    status: Receiver<Arc<Status>>,
+    events: UnboundedSender<Event>,
+    workers: BTreeMap<Name, (Purpose, Instant)>,
+}
+
+impl Emptying {
+    pub(crate) fn new(status: Receiver<Arc<Status>>, events: UnboundedSender<Event>) -> Self {
+        Self {
+            status,
+            events,
+            workers: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn status(&self) -> Arc<Status> {
+        Arc::clone(&self.status.borrow())
+    }
+
+    /// Workers that are emptied for `purpose`.
+    pub(crate) fn of(&self, purpose: Purpose) -> BTreeSet<Name> {
+        let own = self.workers.iter();
+        let own = own.filter(|(_worker, (of, _since))| *of == purpose);
+        own.map(|(worker, _of)| Name::clone(worker)).collect()
+    }
+
+    /// Whether nothing runs on a worker that is being emptied, nor will. One that the cell doesn't
+    /// know runs nothing of the pool.
+    pub(crate) fn is_over(&self, worker: &Name) -> bool {
+        let status = self.status.borrow();
+        let unknown = !status.lasting.contains_key(worker);
+        self.workers.contains_key(worker) && (unknown || status.emptied.contains(worker))
+    }
+
+    /// Asks for a worker to be emptied. A wave goes before a move.
+    pub(crate) fn begin(&mut self, worker: &Name, purpose: Purpose) {
+        let known = self.workers.get(worker).map(|(of, _since)| *of);
+        if known != Some(purpose) {
+            self.workers
+                .insert(Name::clone(worker), (purpose, Instant::now()));
+        }
+    }
+
+    /// Tells the cell once more what is to be emptied: it may have come to know a worker since.
+    pub(crate) fn repeat(&self) {
+        for worker in self.workers.keys() {
+            self.tell(Event::Empty {
+                worker: Name::clone(worker),
+                wanted: true,
+            });
+        }
+    }
+
+    /// Those that are emptied for `purpose` and aren't in `wanted` take new tasks again.
+    pub(crate) fn keep(&mut self, purpose: Purpose, wanted: &BTreeSet<Name>) {
+        for worker in self.of(purpose) {
+            if !wanted.contains(&worker) {
+                self.workers.remove(&worker);
+                self.tell(Event::Empty {
+                    worker,
+                    wanted: false,
+                });
+            }
+        }
+    }
+
+    /// The life of a worker has ended by an order. Its registration outlives it by seconds.
+    pub(crate) fn gone(&mut self, worker: &Name) {
+        self.workers.remove(worker);
+        self.tell(Event::Gone(Name::clone(worker)));
+    }
+
+    /// Stops shorter tasks on workers that a wave has waited for too long.
+    pub(crate) fn clear(&self) {
+        for (worker, (purpose, since)) in &self.workers {
+            if *purpose == Purpose::Wave && since.elapsed() >= CLEAR_AFTER {
+                self.tell(Event::Clear(Name::clone(worker)));
+            }
+        }
+    }
+
+    fn tell(&self, event: Event) {
+        if self.events.send(event).is_err() {
+            log::debug!("the pool's loop has ended");
+        }
+    }
+}
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -4,6 +4,7 @@
     clock::Clock,
     control::{Keeper, Picture, Table, parsed},
     elect,
+    fleet::Fleet,
     follow::follow,
     observe::Observer,
     own::{self, Context, Over},
@@ -47,7 +48,7 @@
 const SETTLE: Duration = Duration::from_millis(1_200);
 
 /// Least time between two calls for changes of owners and heartbeats.
-const CONTROL_PACE: Duration = Duration::from_millis(200);
+const CONTROL_PACE: Duration = Duration::from_millis(100);
 
 /// Longest time that giving up all pools may take; what is left then is taken over by timeout.
 const RELEASE: Duration = Duration::from_millis(2_500);
@@ -120,6 +121,7 @@
         let elections = Elections {
             parts: parts.clone(),
             picture,
+            fleet: Arc::new(Fleet::new(Arc::clone(&parts.site))),
             owned: BTreeMap::new(),
             stop: stopped,
             attempt: 0,
@@ -202,6 +204,7 @@
 struct Elections {
     parts: Parts,
     picture: Arc<Mutex<Picture>>,
+    fleet: Arc<Fleet>,
     owned: BTreeMap<Name, JoinHandle<Over>>,
     stop: watch::Receiver<bool>,
     attempt: u64,
@@ -333,6 +336,8 @@
             site: Arc::clone(&self.parts.site),
             workers: Arc::clone(&self.parts.workers),
             watch: self.parts.watch.clone(),
+            picture: Arc::clone(&self.picture),
+            fleet: Arc::clone(&self.fleet),
             observer: Arc::clone(&self.parts.observer),
         }
     }
--- a/crates/owner/src/own.rs
+++ b/crates/owner/src/own.rs
@@ -1,7 +1,11 @@
 //! One ownership of a pool, from the takeover to its loss or its release.
 
-use crate::{clock::Clock, load, observe::Observer, run::Owned, watch::Watch};
+use crate::{
+    clock::Clock, commit::Lane, control::Picture, fleet::Fleet, load, observe::Observer,
+    run::Owned, watch::Watch,
+};
 use log::{info, warn};
+use parking_lot::Mutex;
 use primroseroute_cell::{Cell, Limits, row};
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
@@ -28,6 +32,9 @@
     pub site: Arc<dyn Site>,
     pub workers: Arc<dyn Workers>,
     pub watch: Watch,
+    pub picture: Arc<Mutex<Picture>>,
+    /// The instances.
+    pub fleet: Arc<Fleet>,
     pub observer: Arc<dyn Observer>,
 }
 
@@ -51,8 +58,15 @@
         release(&context, token).await;
         return Over::Released;
     };
-    let mut owned = Owned::start(context, cell, token, last);
-    let over = owned.run(&mut stop).await;
+    let mut lane = Lane::new(
+        Arc::clone(&context.rows),
+        context.clock,
+        Name::clone(&context.pool),
+        token,
+        last,
+    );
+    let mut owned = Owned::start(context, cell, token);
+    let over = owned.run(&mut lane, &mut stop).await;
     owned.end();
     over
 }
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -1,18 +1,19 @@
 //! The loop of one owned pool: takes in what happens, decides, commits, and sends orders.
 
 use crate::{
-    commit::{Lane, Lost},
+    commit::{Lane, Lost, Notes},
+    emptying::Status,
     event::Event,
     follow::follow,
     jobs,
     lease::{Readings, Watcher},
     own::{Context, Over, release},
     send::Sending,
-    upkeep::{self, Status},
+    upkeep,
     watch::Workers as Registered,
 };
 use log::{debug, info, warn};
-use primroseroute_cell::{Cell, Millis, Order, Outcome, Tick, row};
+use primroseroute_cell::{Cell, Millis, Need, Order, Outcome, Tick, row};
 use primroseroute_domain::work::{End, JobId, Name};
 use primroseroute_platform::{
     rows::{Txn, Version},
@@ -20,6 +21,7 @@
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
+    pin::pin,
     sync::Arc,
     time::Duration,
 };
@@ -47,6 +49,9 @@
 /// Least time between two commits that carry nothing but counts of queued jobs.
 const COUNTS_AFTER: Millis = 500;
 
+/// Least time before a smaller number of wanted workers is published.
+const FALL_AFTER: Millis = 300;
+
 /// Least time between two calls for accepted jobs: what comes in between costs one call.
 const JOBS_PACE: Duration = Duration::from_millis(25);
 
@@ -62,12 +67,35 @@
     task: JoinHandle<()>,
 }
 
+/// The number of workers that was last published.
+#[derive(Clone, Copy, Debug, Default)]
+struct Published {
+    workers: Option<u64>,
+    at: Millis,
+}
+
+impl Published {
+    fn new(workers: u64, at: Millis) -> Self {
+        Self {
+            workers: Some(workers),
+            at,
+        }
+    }
+
+    /// Whether `wanted` is to be published: at once where it has risen, and otherwise after a while.
+    fn due(self, wanted: u64, now: Millis) -> bool {
+        let Some(known) = self.workers else {
+            return true;
+        };
+        wanted > known || (wanted < known && now >= self.at + FALL_AFTER)
+    }
+}
+
 /// The loop's state.
 pub(crate) struct Owned {
     context: Context,
     cell: Cell,
     token: Version,
-    lane: Lane,
     events: UnboundedReceiver<Event>,
     sender: UnboundedSender<Event>,
     confirmed: watch::Sender<Millis>,
@@ -81,11 +109,12 @@
     background: Vec<JoinHandle<()>>,
     counted_at: Millis,
     counts_due: bool,
+    published: Published,
 }
 
 impl Owned {
     /// Starts what runs beside the loop.
-    pub(crate) fn start(context: Context, cell: Cell, token: Version, last: Version) -> Self {
+    pub(crate) fn start(context: Context, cell: Cell, token: Version) -> Self {
         let (sender, events) = mpsc::unbounded_channel();
         let (status, status_seen) = watch::channel(Arc::default());
         let follower = follow(
@@ -100,22 +129,14 @@
             },
             JOBS_PACE,
         );
-        let upkeep = upkeep::run(context.clone(), status_seen, sender.clone());
+        let upkeep = upkeep::run(context.clone(), token, status_seen, sender.clone());
         let background = vec![tokio::spawn(follower), tokio::spawn(upkeep)];
-        let lane = Lane::new(
-            Arc::clone(&context.rows),
-            context.clock,
-            Name::clone(&context.pool),
-            token,
-            last,
-        );
         Self {
             confirmed: watch::Sender::new(context.clock.now()),
             seen: watch::Sender::new(Arc::default()),
             context,
             cell,
             token,
-            lane,
             events,
             sender,
             status,
@@ -126,11 +147,12 @@
             background,
             counted_at: 0,
             counts_due: true,
+            published: Published::default(),
         }
     }
 
     /// Runs until the pool is lost, or `stop` says to give it up.
-    pub(crate) async fn run(&mut self, stop: &mut watch::Receiver<bool>) -> Over {
+    pub(crate) async fn run(&mut self, lane: &mut Lane, stop: &mut watch::Receiver<bool>) -> Over {
         let mut registered = self.context.watch.workers.clone();
         loop {
             let begin = Instant::now();
@@ -141,7 +163,7 @@
             while let Ok(event) = self.events.try_recv() {
                 self.take(event);
             }
-            if self.round().await.is_err() {
+            if self.round(lane).await.is_err() {
                 warn!(pool = &*self.context.pool, token = self.token; "another entry owns the pool");
                 return Over::Lost;
             }
@@ -287,7 +309,7 @@
         }
     }
 
-    async fn round(&mut self) -> Result<(), Lost> {
+    async fn round(&mut self, lane: &mut Lane) -> Result<(), Lost> {
         let clock = self.context.clock;
         let mut tick = self.cell.tick(clock.now(), clock.wall_ms());
         let urgent = std::mem::take(&mut tick.urgent);
@@ -295,20 +317,29 @@
         self.send(urgent, clock.now());
         self.counts_due |= tick.counts_changed;
         let counts = self.counts_due && clock.now() >= self.counted_at + COUNTS_AFTER;
-        let sent_at = if !tick.puts.is_empty() || counts {
-            let queued = self.cell.queued();
-            for (queue, jobs) in queued {
+        let wanted = self.published.due(tick.need.workers, clock.now());
+        let sent_at = if !tick.puts.is_empty() || counts || wanted {
+            let queued = self.cell.queued().clone();
+            for (queue, jobs) in &queued {
                 self.context.observer.queued(queue, *jobs);
             }
+            let notes = Notes {
+                queued: &queued,
+                wanted: wanted.then_some(tick.need.workers),
+            };
             let begin = Instant::now();
-            let sent_at = self.lane.commit(&tick.puts, queued).await?;
+            let sent_at = self.meanwhile(lane.commit(&tick.puts, notes)).await?;
             self.context.observer.committed(begin.elapsed());
+            if wanted {
+                self.tell_need(&tick.need);
+                self.published = Published::new(tick.need.workers, clock.now());
+            }
             self.counts_due = false;
             self.counted_at = clock.now();
             self.confirmed.send_replace(sent_at);
             sent_at
         } else {
-            self.confirm().await?;
+            self.confirm(lane).await?;
             *self.confirmed.borrow()
         };
         self.cell.committed(&tick, sent_at);
@@ -318,7 +349,7 @@
         self.forget(&tick.forget);
         self.send(tick.orders, sent_at);
         self.look_at_workers();
-        self.publish();
+        self.publish(tick.need.kept);
         Ok(())
     }
 
@@ -352,14 +383,47 @@
         }
     }
 
-    async fn confirm(&mut self) -> Result<(), Lost> {
+    fn tell_need(&self, need: &Need) {
+        let Need {
+            workers,
+            kept,
+            runs,
+            waits,
+            unfit,
+        } = need;
+        info!(pool = &*self.context.pool, workers, kept, running_cpu = runs.cpu, waiting_cpu = waits.cpu, unfit, registered = self.registered.len(); "need of workers published");
+    }
+
+    /// Waits for a call to the store, and takes in what happens meanwhile.
+    ///
+    /// The store may take seconds. Without this, a cancel that is stored and known would stop nothing
+    /// until the store answers, and its tasks would run on for that long.
+    async fn meanwhile<T>(&mut self, call: impl Future<Output = T>) -> T {
+        let mut call = pin!(call);
+        loop {
+            let event = tokio::select! {
+                biased;
+                done = &mut call => return done,
+                event = self.events.recv() => event,
+            };
+            if let Some(event) = event {
+                self.take(event);
+            }
+            let now = self.context.clock.now();
+            let urgent = self.cell.urgent(now);
+            self.tell_orders(&urgent);
+            self.send(urgent, now);
+        }
+    }
+
+    async fn confirm(&mut self, lane: &mut Lane) -> Result<(), Lost> {
         let age = self
             .context
             .clock
             .now()
             .saturating_sub(*self.confirmed.borrow());
         if age >= CONFIRM_AFTER
-            && let Some(at) = self.lane.confirm().await?
+            && let Some(at) = self.meanwhile(lane.confirm()).await?
         {
             self.confirmed.send_replace(at);
         }
@@ -445,18 +509,21 @@
     }
 
     /// Tells the upkeep what runs where.
-    fn publish(&self) {
+    fn publish(&self, kept: u64) {
         let workers = self.watched.keys();
         let lasting = workers.clone().map(|id| {
             let lasting = self.cell.lasting_on(id);
             (Name::clone(id), lasting)
         });
-        let empty = workers.filter(|id| self.cell.is_empty(id));
+        let idle = workers.clone().filter(|id| self.cell.is_empty(id));
+        let emptied = workers.filter(|id| self.cell.is_emptied(id));
         let status = Status {
             lasting: lasting.collect(),
-            empty: empty.map(Name::clone).collect(),
+            idle: idle.map(Name::clone).collect(),
+            emptied: emptied.map(Name::clone).collect(),
             registered: self.registered.clone(),
             silent: self.cell.silent(self.context.clock.now()),
+            kept,
         };
         self.status.send_if_modified(|known| {
             let changed = **known != status;
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -1,18 +1,19 @@
-//! A pool's instances: carries out what waves ask for, and finds out which workers are over.
+//! A pool's instances: carries out what waves ask for, moves instances to other pools, and finds out
+//! which workers are over.
 
 use crate::{
+    emptying::{Emptying, Purpose, Status},
     event::Event,
+    maintain::Maintenance,
     own::Context,
-    wave::{Situation, Step, steps},
+    relocate::{self, Relocation},
 };
-use bytes::Bytes;
-use log::{info, warn};
-use primroseroute_cell::row::{self, Wave as Progress};
+use log::info;
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
-    rows::{Commit, Txn, Version, read_row},
-    site::{Holder, Instance, Ordered, Wave},
+    rows::Version,
+    site::{Condition, Instance, Wave},
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -24,320 +25,170 @@
     time::{Instant, sleep},
 };
 
-/// Pause between two looks at the instances while a wave is under way: a tenth of the few seconds
-/// that an instance's maintenance takes, and a few calls a second of the many that are allowed.
-const PACE: Duration = Duration::from_millis(300);
+/// Time between two rounds. Most ask nobody: one with something to do lists the instances, a few calls
+/// a second of the many that are allowed.
+const PACE: Duration = Duration::from_millis(150);
 
-/// Part of a pool's workers that may be emptied at the same time.
-const EMPTIED_PART: usize = 5;
-
-/// Time after which shorter tasks on a worker that is being emptied are stopped: most end by
-/// themselves before, and a wave can't wait for one that hangs.
-const CLEAR_AFTER: Duration = Duration::from_secs(6);
+/// Longest time between two looks at the instances when nothing is to be done: it delays the first
+/// order to an instance that has just come.
+const LOOK_AFTER: Duration = Duration::from_secs(1);
 
 /// Slack on the pause between two holders of an instance.
 const HOLDER_SLACK: Duration = Duration::from_millis(500);
 
-/// Times that an order without an answer is sent; it is idempotent.
-const TRIES: usize = 3;
-
-/// What runs where.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Status {
-    /// Lasting tasks by worker.
-    pub lasting: BTreeMap<Name, usize>,
-    /// Workers on which nothing can run.
-    pub empty: BTreeSet<Name>,
-    /// Registered workers of the pool.
-    pub registered: BTreeSet<Name>,
-    /// Workers that don't answer, and on which something may run.
-    pub silent: BTreeSet<Name>,
-}
-
 struct Upkeep {
     context: Context,
-    status: Receiver<Arc<Status>>,
+    /// Version of the owner's row.
+    owner: Version,
     events: UnboundedSender<Event>,
-    /// Instances get no order before then.
-    orders_from: Instant,
-    /// Workers that are being emptied, and since when.
-    emptying: BTreeMap<Name, Instant>,
-    /// Instances whose order was taken, by wave.
-    taken: BTreeMap<u64, BTreeSet<Name>>,
-    complete: BTreeSet<u64>,
+    emptying: Emptying,
+    maintenance: Maintenance,
+    relocation: Relocation,
+    /// Since when instances are known to be in the pool.
+    here_since: BTreeMap<Name, Instant>,
+    looked_at: Option<Instant>,
 }
 
 /// Looks after the pool's instances until the task is dropped.
-///
-/// The first order waits: a predecessor may have given one just before it was replaced, and two
-/// holders must not take turns at one instance within the pause between them.
 pub(crate) async fn run(
     context: Context,
+    owner: Version,
     status: Receiver<Arc<Status>>,
     events: UnboundedSender<Event>,
 ) {
-    let orders_from = Instant::now() + context.order_pause + HOLDER_SLACK;
-    let mut waves = context.watch.waves.clone();
-    let mut news = status.clone();
+    let waves = context.watch.waves.clone();
     let mut upkeep = Upkeep {
         context,
-        status,
+        owner,
+        emptying: Emptying::new(status, events.clone()),
         events,
-        orders_from,
-        emptying: BTreeMap::new(),
-        taken: BTreeMap::new(),
-        complete: BTreeSet::new(),
+        maintenance: Maintenance::default(),
+        relocation: Relocation::default(),
+        here_since: BTreeMap::new(),
+        looked_at: None,
     };
     loop {
-        let open = upkeep.open(&waves.borrow_and_update());
-        let silent = news.borrow_and_update().silent.clone();
-        if open.is_empty() && silent.is_empty() {
-            let changed = tokio::select! {
-                biased;
-                changed = waves.changed() => changed,
-                changed = news.changed() => changed,
-            };
-            if changed.is_err() {
-                return;
-            }
-            continue;
-        }
-        if let Err(error) = upkeep.round(&open, &silent).await {
-            info!(pool = &*upkeep.context.pool, error:% = error; "a round of maintenance failed");
+        let open = upkeep.maintenance.open(&waves.borrow());
+        if upkeep.is_due(&open)
+            && let Err(error) = upkeep.round(&open).await
+        {
+            info!(pool = &*upkeep.context.pool, error:% = error; "a round of upkeep failed");
         }
         sleep(PACE).await;
     }
 }
 
 impl Upkeep {
-    fn open(&self, waves: &BTreeMap<u64, Wave>) -> Vec<Wave> {
-        let open = waves.values();
-        let open = open.filter(|wave| !self.complete.contains(&wave.number));
-        open.cloned().collect()
+    /// Whether there is anything to be done, or the last look is long ago.
+    fn is_due(&self, waves: &[Wave]) -> bool {
+        let looked = self.looked_at;
+        let stale = looked.is_none_or(|looked_at| looked_at.elapsed() >= LOOK_AFTER);
+        let pools = relocate::pools(&self.context);
+        stale
+            || !waves.is_empty()
+            || !self.emptying.status().silent.is_empty()
+            || relocate::is_due(&self.context, &pools)
     }
 
-    async fn round(&mut self, waves: &[Wave], silent: &BTreeSet<Name>) -> Result<(), Error> {
-        let instances = self.context.site.instances().await?;
-        self.bury(&instances, silent);
-        if Instant::now() < self.orders_from {
-            return Ok(());
-        }
-        let mut wanted = BTreeSet::new();
-        for wave in waves {
-            let (progress, version) = self.read(wave.number).await?;
-            let next = self.plan(wave, &progress, &instances);
-            let due = wave
-                .instances
-                .iter()
-                .filter(|name| !progress.done.contains(*name));
-            let due: BTreeSet<&Name> = due.collect();
-            let workers = instances.iter().filter(|known| due.contains(&known.name));
-            wanted.extend(workers.filter_map(|known| known.worker.clone()));
-            for step in next {
-                self.carry_out(wave, &progress, version, step).await?;
-            }
+    async fn round(&mut self, waves: &[Wave]) -> Result<(), Error> {
+        let now = Instant::now();
+        let listing = self.context.fleet.list(now).await?;
+        self.looked_at = Some(now);
+        let instances = &*listing.instances;
+        self.arrived(instances, now);
+        self.bury(instances);
+        self.emptying.repeat();
+        let rested = self.rested();
+        let waiting = self
+            .maintenance
+            .round(&self.context, waves, instances, &rested, &mut self.emptying)
+            .await?;
+        let blocked = instances.iter().map(|instance| &instance.name);
+        let blocked = blocked.filter(|name| !rested.contains(*name) || waiting.contains(*name));
+        let blocked = blocked.map(Name::clone).collect();
+        self.relocate(instances, &blocked).await
+    }
+
+    /// Takes in which instances are in the pool.
+    fn arrived(&mut self, instances: &[Instance], now: Instant) {
+        let own = instances.iter();
+        let own = own.filter(|instance| instance.pool == self.context.pool);
+        let own: BTreeSet<&Name> = own.map(|instance| &instance.name).collect();
+        self.here_since.retain(|name, _since| own.contains(name));
+        for name in own {
+            self.here_since.entry(Name::clone(name)).or_insert(now);
         }
-        self.release(&wanted);
-        self.clear();
-        Ok(())
+    }
+
+    /// Instances that may get an order.
+    ///
+    /// Whoever owned the pool before, or owned the pool that an instance came from, may have ordered
+    /// it just before it was first seen here, and two holders must not take turns at one instance
+    /// within the pause between them.
+    fn rested(&self) -> BTreeSet<Name> {
+        let pause = self.context.order_pause + HOLDER_SLACK;
+        let rested = self.here_since.iter();
+        let rested = rested.filter(|(_name, since)| since.elapsed() >= pause);
+        rested.map(|(name, _since)| Name::clone(name)).collect()
     }
 
     /// Tells which silent workers are over. A worker is one life of an instance, and the platform
     /// names the life that each instance has: one that it names no more runs nothing, while one
     /// behind a cut is still named. Without this, tasks of a dead worker wait until its lease has
     /// surely lapsed.
-    fn bury(&self, instances: &[Instance], silent: &BTreeSet<Name>) {
+    fn bury(&self, instances: &[Instance]) {
         let named = instances.iter().filter_map(|known| known.worker.as_ref());
         let named: BTreeSet<&Name> = named.collect();
-        for worker in silent.iter().filter(|worker| !named.contains(worker)) {
-            self.tell(Event::Gone(Name::clone(worker)));
-        }
-    }
-
-    fn plan(&self, wave: &Wave, progress: &Progress, instances: &[Instance]) -> Vec<Step> {
-        let status = self.status.borrow().clone();
-        let emptying: BTreeSet<Name> = self.emptying.keys().map(Name::clone).collect();
-        let unknown = |worker: &Name| !status.lasting.contains_key(worker);
-        let mut empty = status.empty.clone();
-        // A worker that the cell doesn't know runs nothing of the pool.
-        empty.extend(
-            emptying
-                .iter()
-                .filter(|worker| unknown(worker))
-                .map(Name::clone),
-        );
-        let workers = status.registered.len();
-        steps(&Situation {
-            wave,
-            progress,
-            pool: &self.context.pool,
-            instances,
-            emptying: &emptying,
-            empty: &empty,
-            lasting: &status.lasting,
-            taken: self.taken.get(&wave.number).unwrap_or(&BTreeSet::new()),
-            most: workers.div_ceil(EMPTIED_PART).max(1),
-        })
-    }
-
-    async fn carry_out(
-        &mut self,
-        wave: &Wave,
-        progress: &Progress,
-        version: Version,
-        step: Step,
-    ) -> Result<(), Error> {
-        match step {
-            Step::Empty(worker) => {
-                info!(wave = wave.number, worker = &*worker; "worker is being emptied");
-                self.emptying.insert(Name::clone(&worker), Instant::now());
-                self.tell(Event::Empty {
-                    worker,
-                    wanted: true,
-                });
-                Ok(())
-            }
-            Step::Begin(instance) | Step::Repeat(instance) => {
-                self.begin(wave, progress, version, &instance).await
-            }
-            Step::Finish(name) => {
-                let mut next = progress.clone();
-                next.active.remove(&name);
-                next.done.insert(Name::clone(&name));
-                if self.write(wave.number, version, &next).await?.is_some() {
-                    info!(wave = wave.number, instance = &*name; "instance is maintained");
-                }
-                Ok(())
-            }
-            Step::Complete => {
-                self.context.site.report_wave(wave.number, true).await?;
-                info!(wave = wave.number; "wave is complete");
-                self.complete.insert(wave.number);
-                Ok(())
+        let status = self.emptying.status();
+        for worker in status
+            .silent
+            .iter()
+            .filter(|worker| !named.contains(worker))
+        {
+            if self.events.send(Event::Gone(Name::clone(worker))).is_err() {
+                log::debug!("the pool's loop has ended");
             }
         }
     }
 
-    /// Counts the instance as in maintenance, then orders it. The version of the count is the
-    /// order's fencing token: it is higher than that of every order before.
-    async fn begin(
+    /// Empties the workers of instances that are to move, and moves those on which nothing runs.
+    async fn relocate(
         &mut self,
-        wave: &Wave,
-        progress: &Progress,
-        version: Version,
-        instance: &Instance,
+        instances: &[Instance],
+        blocked: &BTreeSet<Name>,
     ) -> Result<(), Error> {
-        let mut next = progress.clone();
-        let name = Name::clone(&instance.name);
-        next.active.insert(name, instance.worker.clone());
-        let Some(token) = self.write(wave.number, version, &next).await? else {
-            return Ok(());
-        };
-        if version == 0 {
-            self.context.site.report_wave(wave.number, false).await?;
-        }
-        let holder = Holder {
-            entry: Name::clone(&self.context.entry),
-            token,
-        };
-        match self.order(wave.number, instance, &holder).await {
-            Ok(Ordered::Taken) => {
-                info!(wave = wave.number, instance = &*instance.name, token; "maintenance begun");
-                let known = self.taken.entry(wave.number).or_default();
-                known.insert(Name::clone(&instance.name));
-                if let Some(worker) = &instance.worker {
-                    // Its registration outlives it by seconds.
-                    self.tell(Event::Gone(Name::clone(worker)));
-                }
-                Ok(())
-            }
-            Ok(refused) => {
-                warn!(wave = wave.number, instance = &*instance.name, refused:? = refused; "maintenance refused");
-                next.active.remove(&instance.name);
-                self.write(wave.number, token, &next).await.map(drop)
-            }
-            Err(error) => Err(error),
-        }
-    }
-
-    async fn order(
-        &self,
-        wave: u64,
-        instance: &Instance,
-        holder: &Holder,
-    ) -> Result<Ordered, Error> {
-        let mut last = Error::Throttled;
-        for _try in 0..TRIES {
-            match self
-                .context
-                .site
-                .maintain(&instance.name, wave, holder)
-                .await
-            {
-                Ok(ordered) => return Ok(ordered),
-                Err(error) => last = error,
-            }
-            sleep(PACE).await;
+        let pools = relocate::pools(&self.context);
+        let moves = self
+            .relocation
+            .plan(&self.context, &pools, instances, blocked, &self.emptying);
+        let workers = moves
+            .iter()
+            .filter_map(|wanted| wanted.instance.worker.clone());
+        let workers: BTreeSet<Name> = workers.collect();
+        self.emptying.keep(Purpose::Move, &workers);
+        for worker in &workers {
+            self.emptying.begin(worker, Purpose::Move);
         }
-        Err(last)
-    }
-
-    async fn read(&self, number: u64) -> Result<(Progress, Version), Error> {
-        let row = read_row(&*self.context.rows, row::wave(number)).await?;
-        let progress = row.as_ref().and_then(crate::control::parsed);
-        let version = row.map_or(0, |row| row.version);
-        Ok((progress.unwrap_or_default(), version))
-    }
-
-    /// Writes the wave's row, unless it has changed; its new version.
-    async fn write(
-        &self,
-        number: u64,
-        version: Version,
-        progress: &Progress,
-    ) -> Result<Option<Version>, Error> {
-        let place = row::wave(number);
-        let value = serde_json::to_vec(progress).expect("a wave has text keys");
-        let txn = Txn {
-            conditions: vec![(place.clone(), version)],
-            puts: vec![(place, Bytes::from(value))],
-            deletes: Vec::new(),
-        };
-        match self.context.rows.commit(txn).await? {
-            Commit::Committed(version) => Ok(Some(version)),
-            Commit::Conflict(_rows) => Ok(None),
-        }
-    }
-
-    /// Workers that no wave waits for any more take new tasks again.
-    fn release(&mut self, wanted: &BTreeSet<Name>) {
-        let over: Vec<Name> = self
-            .emptying
-            .keys()
-            .filter(|worker| !wanted.contains(*worker))
-            .map(Name::clone)
-            .collect();
-        for worker in over {
-            self.emptying.remove(&worker);
-            self.tell(Event::Empty {
-                worker,
-                wanted: false,
-            });
+        self.emptying.repeat();
+        let ready = moves.into_iter().filter(|wanted| {
+            let worker = wanted.instance.worker.as_ref();
+            let up = wanted.instance.condition == Condition::Up;
+            up && worker.is_none_or(|worker| self.emptying.is_over(worker))
+        });
+        let ready: Vec<_> = ready.collect();
+        if ready.is_empty() {
+            return Ok(());
         }
-    }
-
-    /// Stops shorter tasks on workers that have been emptied for too long.
-    fn clear(&self) {
-        for (worker, since) in &self.emptying {
-            if since.elapsed() >= CLEAR_AFTER {
-                self.tell(Event::Clear(Name::clone(worker)));
+        let taken = self
+            .relocation
+            .order(&self.context, self.owner, &ready)
+            .await?;
+        for instance in taken {
+            self.here_since.remove(&instance.name);
+            if let Some(worker) = &instance.worker {
+                self.emptying.gone(worker);
             }
         }
-    }
-
-    fn tell(&self, event: Event) {
-        if self.events.send(event).is_err() {
-            log::debug!("the pool's loop has ended");
-        }
+        Ok(())
     }
 }
--- a/crates/owner/src/wave.rs
+++ b/crates/owner/src/wave.rs
@@ -19,6 +19,8 @@
     pub pool: &'a Name,
     /// All instances of the fleet.
     pub instances: &'a [Instance],
+    /// Instances of the pool that may get an order.
+    pub rested: &'a BTreeSet<Name>,
     /// Workers that are being emptied.
     pub emptying: &'a BTreeSet<Name>,
     /// Workers on which nothing can run.
@@ -97,7 +99,8 @@
 fn repeated(situation: &Situation<'_>) -> Vec<Step> {
     let active = situation.progress.active.keys();
     let known = active.filter_map(|name| find(situation.instances, name));
-    let waiting = known.filter(|instance| is_up(situation, instance));
+    let waiting = known
+        .filter(|instance| is_up(situation, instance) && situation.rested.contains(&instance.name));
     waiting
         .map(|instance| Step::Repeat(Instance::clone(instance)))
         .collect()
@@ -140,7 +143,10 @@
     if situation.progress.active.len() >= situation.wave.maximum {
         return Vec::new();
     }
-    let ready = due.iter().find(|instance| {
+    let mut rested = due
+        .iter()
+        .filter(|instance| situation.rested.contains(&instance.name));
+    let ready = rested.find(|instance| {
         let worker = instance.worker.as_ref();
         worker.is_none_or(|worker| {
             situation.emptying.contains(worker) && situation.empty.contains(worker)
--- /dev/null
+++ b/crates/owner/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Decisions of owners, without any store.
+
+mod share;
--- /dev/null
+++ b/crates/owner/tests/all/share.rs
@@ -0,0 +1,181 @@
+//! Moves that the owners of all pools decide on, each by itself, against a planner that sees them all.
+
+use primroseroute_domain::work::Name;
+use primroseroute_owner::share::{Move, Pool, Situation, moves};
+use primroseroute_platform::site::{Condition, Instance};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const STANDBY: &str = "off";
+
+/// A fleet in which every instance is up and may be ordered; nothing runs anywhere.
+struct Fleet {
+    pools: BTreeMap<Name, Pool>,
+    instances: Vec<Instance>,
+    blocked: BTreeSet<Name>,
+    refused: BTreeSet<(Name, Name)>,
+    lasting: BTreeMap<Name, usize>,
+    /// Number of its instances below which a pool switches none off.
+    kept: u64,
+}
+
+impl Fleet {
+    /// Pools with what they have and what they want; the standby pool has `off`.
+    fn new(pools: &[(u64, u64)], off: u64) -> Self {
+        let mut fleet = Self {
+            pools: BTreeMap::new(),
+            instances: Vec::new(),
+            blocked: BTreeSet::new(),
+            refused: BTreeSet::new(),
+            lasting: BTreeMap::new(),
+            kept: 0,
+        };
+        for (number, &(has, wanted)) in pools.iter().enumerate() {
+            let name = format!("p-{number}");
+            fleet.add(&name, has, Some(wanted), false);
+        }
+        fleet.add(STANDBY, off, None, true);
+        fleet
+    }
+
+    fn add(&mut self, pool: &str, has: u64, wanted: Option<u64>, standby: bool) {
+        self.pools.insert(pool.into(), Pool { wanted, standby });
+        for number in 0..has {
+            let name = format!("{pool}-{number}");
+            let worker = (!standby).then(|| Name::from(format!("w-{name}")));
+            if let Some(worker) = &worker {
+                self.lasting.insert(Name::clone(worker), 0);
+            }
+            self.instances.push(Instance {
+                name: name.into(),
+                pool: pool.into(),
+                condition: Condition::Up,
+                worker,
+            });
+        }
+    }
+
+    fn moves_of(&self, pool: &str) -> Vec<Move> {
+        moves(&Situation {
+            pool: &pool.into(),
+            pools: &self.pools,
+            instances: &self.instances,
+            blocked: &self.blocked,
+            refused: &self.refused,
+            emptying: &BTreeSet::new(),
+            idle: &self.lasting.keys().map(Name::clone).collect(),
+            lasting: &self.lasting,
+            kept: self.kept,
+        })
+    }
+
+    fn all_moves(&self) -> Vec<Move> {
+        let pools = self.pools.keys();
+        pools.flat_map(|pool| self.moves_of(pool)).collect()
+    }
+
+    fn count(&self, pool: &str) -> u64 {
+        let own = self.instances.iter().filter(|known| &*known.pool == pool);
+        own.count() as u64
+    }
+}
+
+/// Numbers of moves by their targets.
+fn targets(moves: &[Move]) -> BTreeMap<&str, u64> {
+    let mut counts = BTreeMap::new();
+    for wanted in moves {
+        *counts.entry(&*wanted.to).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn pool_with_the_largest_missing_part_comes_first() {
+    let fleet = Fleet::new(&[(8, 10), (1, 3)], 2);
+    let moves = fleet.moves_of(STANDBY);
+    assert_eq!(targets(&moves), BTreeMap::from([("p-1", 2)]));
+}
+
+#[test]
+fn standby_gives_before_pools_that_serve() {
+    let fleet = Fleet::new(&[(4, 6), (5, 2)], 2);
+    assert_eq!(targets(&fleet.moves_of(STANDBY)), [("p-0", 2)].into());
+    assert_eq!(targets(&fleet.moves_of("p-1")), [(STANDBY, 3)].into());
+}
+
+#[test]
+fn surplus_is_switched_off_only_beyond_what_was_needed_lately() {
+    let mut fleet = Fleet::new(&[(6, 2)], 0);
+    fleet.kept = 5;
+    assert_eq!(targets(&fleet.moves_of("p-0")), [(STANDBY, 1)].into());
+}
+
+#[test]
+fn pool_that_has_said_nothing_keeps_what_it_has() {
+    let mut fleet = Fleet::new(&[(2, 4)], 0);
+    fleet.add("new", 6, None, false);
+    assert_eq!(fleet.all_moves(), []);
+}
+
+#[test]
+fn refused_pairs_are_passed_over() {
+    let mut fleet = Fleet::new(&[(1, 2)], 2);
+    let pair = (Name::from("off-0"), Name::from("p-0"));
+    fleet.refused.insert(pair);
+    let moves = fleet.moves_of(STANDBY);
+    assert_eq!(moves.len(), 1);
+    assert_eq!(&*moves[0].instance.name, "off-1");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// What the owners decide apart adds up to what one planner would: as many moves to pools that
+    /// miss instances as there are, no pool gets more than it misses, and none falls below its need.
+    #[test]
+    fn plans_of_all_owners_add_up(
+        pools in prop::collection::vec((0_u64..8, 0_u64..8), 1..6),
+        off in 0_u64..6,
+    ) {
+        let fleet = Fleet::new(&pools, off);
+        let moves = fleet.all_moves();
+        let names: BTreeSet<&Name> = moves.iter().map(|wanted| &wanted.instance.name).collect();
+        prop_assert_eq!(names.len(), moves.len(), "an instance moves twice");
+        let missing: u64 = pools.iter().map(|(has, wanted)| wanted.saturating_sub(*has)).sum();
+        let extra: u64 = pools.iter().map(|(has, wanted)| has.saturating_sub(*wanted)).sum();
+        let to = targets(&moves);
+        let served: u64 = to.iter().filter(|(pool, _count)| **pool != STANDBY).map(|(_pool, count)| count).sum();
+        prop_assert_eq!(served, missing.min(extra + off));
+        prop_assert_eq!(to.get(STANDBY).copied().unwrap_or(0), extra.saturating_sub(missing.saturating_sub(off)));
+        for (pool, known) in &fleet.pools {
+            let gets = to.get(&**pool).copied().unwrap_or(0);
+            let gives = fleet.moves_of(pool).len() as u64;
+            let Some(wanted) = known.wanted else { continue };
+            let has = fleet.count(pool);
+            prop_assert!(gets <= wanted.saturating_sub(has), "{pool} gets {gets}");
+            prop_assert!(gives <= has.saturating_sub(wanted), "{pool} gives {gives}");
+        }
+    }
+
+    /// Instances that may not be ordered, and those with lasting tasks, stay.
+    #[test]
+    fn blocked_and_lasting_instances_stay(
+        stays in prop::collection::btree_set(0_u64..6, 0..6),
+        lasting in prop::collection::btree_set(0_u64..6, 0..6),
+    ) {
+        let mut fleet = Fleet::new(&[(6, 0)], 0);
+        fleet.blocked = stays.iter().map(|number| format!("p-0-{number}").into()).collect();
+        for number in &lasting {
+            fleet.lasting.insert(format!("w-p-0-{number}").into(), 1);
+        }
+        let moved: BTreeSet<Name> = fleet.all_moves().into_iter().map(|wanted| wanted.instance.name).collect();
+        let free = (0..6).filter(|number| !stays.contains(number) && !lasting.contains(number));
+        let free: BTreeSet<Name> = free.map(|number| format!("p-0-{number}").into()).collect();
+        prop_assert_eq!(moved, free);
+    }
+}
--- a/crates/standin/src/site/caller/site.rs
+++ b/crates/standin/src/site/caller/site.rs
@@ -140,12 +140,9 @@
     /// Ends an instance's life, and begins the next one in `pool` a while later.
     fn take_down(&self, instance: &Name, pool: Name, meanwhile: Condition, holder: &Holder) {
         self.shared.change(|state, now| {
-            state.journal.add(Event::Maintained {
-                at: now,
-                instance: Name::clone(instance),
-                entry: Name::clone(&holder.entry),
-                token: holder.token,
-            });
+            state
+                .journal
+                .add(ordered(now, instance, &pool, meanwhile, holder));
             let worker = state.instances[instance].worker.clone();
             if let Some(worker) = worker {
                 state.kill(&worker, now);
@@ -165,6 +162,29 @@
     }
 }
 
+/// An order as the journal keeps it.
+fn ordered(at: u64, instance: &Name, pool: &Name, meanwhile: Condition, holder: &Holder) -> Event {
+    let instance = Name::clone(instance);
+    let entry = Name::clone(&holder.entry);
+    let token = holder.token;
+    if meanwhile == Condition::Moving {
+        let to = Name::clone(pool);
+        return Event::Moved {
+            at,
+            instance,
+            to,
+            entry,
+            token,
+        };
+    }
+    Event::Maintained {
+        at,
+        instance,
+        entry,
+        token,
+    }
+}
+
 /// Changes after a version; none yet if there are none.
 fn since<T: Clone>(state: &State, all: &[(Version, T)], after: Version) -> Option<Feed<T>> {
     if after < state.store.floor() {
--- a/crates/standin/src/site/check.rs
+++ b/crates/standin/src/site/check.rs
@@ -22,17 +22,23 @@
     Budget(TaskId, u64),
     /// A start of a job whose every submission was refused.
     Refused(TaskId, u64),
+    /// A run that an order to its instance has cut off.
+    CutOff(TaskId, u64),
+    /// Two holders that take turns at an instance, or a lower fencing token after a higher one.
+    Holders(Name, u64),
 }
 
 impl fmt::Display for Breach {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (what, task, at) = match self {
+        let (what, task, at): (_, &dyn fmt::Display, _) = match self {
             Self::Overlap(task, at) => ("two runs at the same time", task, at),
             Self::AfterDone(task, at) => ("a start after the end", task, at),
             Self::Early(task, at) => ("a start before its turn", task, at),
             Self::Unasked(task, at) => ("a start that nobody asked for", task, at),
             Self::Budget(task, at) => ("a start after too many failures", task, at),
             Self::Refused(task, at) => ("a start of a refused job", task, at),
+            Self::CutOff(task, at) => ("a run cut off by an order", task, at),
+            Self::Holders(instance, at) => ("two holders of an instance", instance, at),
         };
         write!(f, "{what}: {task} at {at} ms")
     }
@@ -49,6 +55,17 @@
     pub max_attempts: usize,
 }
 
+/// Least time between the orders of two entries to one instance, in milliseconds.
+const HOLDER_PAUSE: u64 = 3_000;
+
+/// An order to an instance.
+#[derive(Clone, Copy)]
+struct Order<'a> {
+    at: u64,
+    entry: &'a Name,
+    token: u64,
+}
+
 #[derive(Default)]
 struct Judge<'a> {
     running: BTreeMap<&'a TaskId, BTreeSet<(&'a Name, u32)>>,
@@ -58,6 +75,10 @@
     /// Ends of each worker, in the order of their numbers.
     ends: BTreeMap<&'a Name, Vec<(&'a TaskId, End)>>,
     noted: BTreeMap<&'a Name, usize>,
+    /// The last order to each instance.
+    orders: BTreeMap<&'a Name, Order<'a>>,
+    /// When the last order to any instance came: what runs there ends at that moment.
+    ordered_at: Option<u64>,
     breaches: Vec<Breach>,
 }
 
@@ -74,14 +95,36 @@
                 payload,
             } => judge.started(sent, *at, worker, task, *run, payload),
             Event::Ended {
+                at,
                 worker,
                 task,
                 run,
                 how,
-                ..
-            } => judge.ended(worker, task, *run, *how),
+            } => {
+                judge.cut_off(*at, task, *how);
+                judge.ended(worker, task, *run, *how);
+            }
             Event::Noted { worker, number, .. } => judge.noted(worker, *number),
-            Event::Maintained { .. } => {}
+            Event::Maintained {
+                at,
+                instance,
+                entry,
+                token,
+            }
+            | Event::Moved {
+                at,
+                instance,
+                entry,
+                token,
+                ..
+            } => judge.ordered(
+                instance,
+                Order {
+                    at: *at,
+                    entry,
+                    token: *token,
+                },
+            ),
         }
     }
     judge.breaches
@@ -153,6 +196,26 @@
         }
     }
 
+    /// An order to an instance must find nothing running there.
+    fn cut_off(&mut self, at: u64, task: &TaskId, how: Option<End>) {
+        if how.is_none() && self.ordered_at == Some(at) {
+            self.breaches.push(Breach::CutOff(task.clone(), at));
+        }
+    }
+
+    fn ordered(&mut self, instance: &'a Name, order: Order<'a>) {
+        self.ordered_at = Some(order.at);
+        let Some(before) = self.orders.insert(instance, order) else {
+            return;
+        };
+        let turns = before.entry != order.entry && order.at < before.at + HOLDER_PAUSE;
+        let same = before.entry != order.entry && order.token == before.token;
+        if turns || same || order.token < before.token {
+            let instance = Name::clone(instance);
+            self.breaches.push(Breach::Holders(instance, order.at));
+        }
+    }
+
     /// Ends count as known to the entries once they are acknowledged.
     fn noted(&mut self, worker: &'a Name, number: u64) {
         let number = usize::try_from(number).unwrap_or(usize::MAX);
--- a/crates/standin/src/site/journal.rs
+++ b/crates/standin/src/site/journal.rs
@@ -40,6 +40,19 @@
         /// The number.
         number: u64,
     },
+    /// An instance was ordered to move to another pool.
+    Moved {
+        /// When.
+        at: u64,
+        /// The instance.
+        instance: Name,
+        /// Where to.
+        to: Name,
+        /// Who ordered it.
+        entry: Name,
+        /// The order's fencing token.
+        token: u64,
+    },
     /// An instance was ordered to be maintained.
     Maintained {
         /// When.
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -163,16 +163,34 @@
         self.registrations.push((version, registration));
     }
 
-    /// A new life of `instance`, whose worker registers at once.
+    /// Pools whose instances are switched off, by the newest configuration.
+    fn standby(&self) -> BTreeSet<Name> {
+        let newest = self.instructions.iter().rev();
+        let mut newest = newest.filter_map(|(_version, instruction)| match instruction {
+            Instruction::Configuration(configuration) => Some(configuration),
+            Instruction::Wave(_) => None,
+        });
+        let pools = newest.next().into_iter();
+        let pools = pools.flat_map(|configuration| &configuration.pools);
+        let standby = pools.filter(|pool| pool.standby);
+        standby.map(|pool| Name::clone(&pool.name)).collect()
+    }
+
+    /// A new life of `instance`, whose worker registers at once; without one in a standby pool.
     pub(crate) fn revive(&mut self, instance: &Name, now: u64) {
+        let standby = self.standby();
         let Some(known) = self.instances.get_mut(instance) else {
             return;
         };
+        let pool = Name::clone(&known.pool);
+        if standby.contains(&pool) {
+            known.condition = Condition::Up;
+            return;
+        }
         self.born += 1;
         let id: Name = format!("w-{}", self.born).into();
         known.condition = Condition::Up;
         known.worker = Some(Name::clone(&id));
-        let pool = Name::clone(&known.pool);
         let mut worker = Worker::new(&id, pool, now, self.born);
         worker.slow = self.rng.random_range(0..20);
         self.workers.insert(Name::clone(&id), worker);
@@ -247,11 +265,8 @@
         });
     }
 
-    /// Adds an instance to `pool`, with a worker; the worker's id.
-    ///
-    /// # Panics
-    /// Never: the instance has just been given a worker.
-    pub fn add_instance(&self, name: &str, pool: &str) -> Name {
+    /// Adds an instance to `pool`; the id of its worker, which has none in a standby pool.
+    pub fn add_instance(&self, name: &str, pool: &str) -> Option<Name> {
         self.shared.change(|state, now| {
             let name: Name = name.into();
             let instance = Instance {
@@ -262,8 +277,7 @@
             };
             state.instances.insert(Name::clone(&name), instance);
             state.revive(&name, now);
-            let worker = state.instances[&name].worker.as_ref();
-            Name::clone(worker.expect("it was just made"))
+            state.instances[&name].worker.clone()
         })
     }
 
--- a/tests/site/bed.rs
+++ b/tests/site/bed.rs
@@ -22,6 +22,9 @@
 /// Another pool.
 pub(crate) const OTHER: &str = "rest";
 
+/// The pool whose instances are switched off, on a site that has one.
+pub(crate) const STANDBY: &str = "off";
+
 /// Failed runs after which a task has failed.
 pub(crate) const ATTEMPTS: u32 = 3;
 
@@ -102,6 +105,16 @@
     }
 }
 
+/// The same with a pool whose instances are switched off.
+fn with_standby(mut configuration: Configuration) -> Configuration {
+    configuration.pools.push(Pool {
+        name: STANDBY.into(),
+        guarded: true,
+        standby: true,
+    });
+    configuration
+}
+
 /// A step of `count` tasks of two cores each.
 pub(crate) fn step(count: u16) -> Step {
     Step {
@@ -152,16 +165,41 @@
 impl Bed {
     /// A site with `entries` entries and `workers` workers in [`POOL`], after everything is owned.
     pub(crate) async fn open(seed: u64, entries: usize, workers: usize) -> Result<Self> {
+        Self::open_on(configuration(1, POOL), seed, entries, workers).await
+    }
+
+    /// The same with a pool of four more instances that are switched off.
+    pub(crate) async fn open_with_standby(
+        seed: u64,
+        entries: usize,
+        workers: usize,
+    ) -> Result<Self> {
+        let configuration = with_standby(configuration(1, POOL));
+        Self::open_on(configuration, seed, entries, workers).await
+    }
+
+    async fn open_on(
+        configuration: Configuration,
+        seed: u64,
+        entries: usize,
+        workers: usize,
+    ) -> Result<Self> {
         let options = Options {
             seed,
             ..Options::default()
         };
         let world = World::open(options);
+        let has_standby = configuration.pools.iter().any(|pool| pool.standby);
+        world.instruct(Instruction::Configuration(configuration));
+        if has_standby {
+            for number in 0..4 {
+                world.add_instance(&format!("s-{number}"), STANDBY);
+            }
+        }
         for number in 0..workers {
             world.add_instance(&format!("i-{number}"), POOL);
         }
         world.add_instance("j-0", OTHER);
-        world.instruct(Instruction::Configuration(configuration(1, POOL)));
         let mut bed = Self {
             world,
             nodes: BTreeMap::new(),
--- a/tests/site/cancel.rs
+++ b/tests/site/cancel.rs
@@ -7,6 +7,7 @@
 use eyre::{Result, ensure};
 use http::StatusCode;
 use primroseroute_domain::work::State;
+use std::time::Duration;
 
 cases! {
     cancelled_job_stops_and_stays_cancelled => stops();
@@ -14,6 +15,8 @@
     cancel_stops_a_start_that_lands_late => late_start();
     cancel_after_the_end_changes_nothing => after_the_end();
     cancel_stops_while_commits_wait => commits_wait();
+    cancel_stops_while_a_commit_is_under_way => commit_under_way();
+    cancel_of_a_job_whose_start_waits_for_its_commit => start_waits();
 }
 
 async fn stops() -> Result<()> {
@@ -91,3 +94,43 @@
     }
     bed.judge()
 }
+
+// The owner has sent a commit for another job and waits for its answer when the cancel comes. What
+// runs of the cancelled job stops at once: the loop takes the cancel in while it waits.
+async fn commit_under_way() -> Result<()> {
+    let mut bed = Bed::open(56, 2, 4).await?;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    let id = bed.submit(&other, &lasting(3)).await?;
+    seconds(2).await;
+    bed.conduct(&owner, |conduct| conduct.late_commits = 1.0);
+    bed.submit(&other, &job("500", 4)).await?;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    ensure!(bed.cancel(&other, &id).await == StatusCode::OK);
+    seconds(1).await;
+    for index in 0..3 {
+        ensure!(bed.running(&task(&id, 0, index)).is_empty());
+    }
+    bed.judge()
+}
+
+// A job is cancelled while the commit of its first start gets no answer. Its stop goes out before the
+// start does, so that the worker refuses the start.
+async fn start_waits() -> Result<()> {
+    let mut bed = Bed::open(57, 2, 4).await?;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    bed.conduct(&owner, |conduct| conduct.late_commits = 1.0);
+    let id = bed.submit(&other, &job("500", 2)).await?;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    ensure!(bed.cancel(&other, &id).await == StatusCode::OK);
+    seconds(1).await;
+    bed.conduct(&owner, |conduct| conduct.late_commits = 0.0);
+    seconds(8).await;
+    for index in 0..2 {
+        let starts = bed.world.journal().starts(&task(&id, 0, index));
+        ensure!(starts.is_empty(), "{starts:?}");
+    }
+    ensure!(bed.state(&other, &id).await == Ok(State::Cancelled));
+    bed.judge()
+}
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -6,6 +6,7 @@
 mod bed;
 mod cancel;
 mod maintain;
+mod moves;
 mod random;
 mod store;
 mod takeover;
--- /dev/null
+++ b/tests/site/moves.rs
@@ -0,0 +1,150 @@
+//! Instances move between pools: to those that have too few, and away from those that have too many.
+
+use crate::{
+    bed::{Bed, OTHER, POOL, STANDBY, job, lasting, seconds, task},
+    cases,
+};
+use eyre::{Result, ensure, eyre};
+use primroseroute_domain::work::{Name, State};
+use primroseroute_platform::site::Condition;
+use primroseroute_standin::site::Event;
+
+cases! {
+    idle_instances_are_switched_off => switched_off();
+    pool_under_load_gets_the_instances_of_others => under_load();
+    lasting_task_keeps_its_instance => lasting_stays();
+    owner_killed_between_moves => owner_killed();
+    frozen_owner_moves_nothing_after_its_replacement => owner_frozen();
+}
+
+/// Instances of a pool that are up.
+fn up(bed: &Bed, pool: &str) -> usize {
+    let all = bed.world.instances().into_iter();
+    let own = all.filter(|known| &*known.pool == pool && known.condition == Condition::Up);
+    own.count()
+}
+
+/// Moves, each with its time, its instance, its target and who ordered it.
+fn moved(bed: &Bed) -> Vec<(u64, Name, Name, Name)> {
+    let events = bed.world.journal().events.into_iter();
+    let moves = events.filter_map(|event| match event {
+        Event::Moved {
+            at,
+            instance,
+            to,
+            entry,
+            ..
+        } => Some((at, instance, to, entry)),
+        _ => None,
+    });
+    moves.collect()
+}
+
+// Nothing is asked of a pool of six. All but the one that the next job may need are switched off,
+// and the first job after that runs at once.
+async fn switched_off() -> Result<()> {
+    let mut bed = Bed::open_with_standby(71, 2, 6).await?;
+    seconds(15).await;
+    ensure!(up(&bed, POOL) == 1, "{} are up", up(&bed, POOL));
+    ensure!(up(&bed, STANDBY) == 9);
+    let id = bed.submit("e-0", &job("500", 4)).await?;
+    bed.until("e-0", &id, State::Completed, 2).await?;
+    bed.judge()
+}
+
+// Tasks for three times the pool's workers come in. Instances that are switched off join it, and when
+// the work is done they leave again; the other pool keeps its one.
+async fn under_load() -> Result<()> {
+    let mut bed = Bed::open_with_standby(72, 2, 2).await?;
+    seconds(6).await;
+    let mut jobs = Vec::new();
+    for _job in 0..12 {
+        jobs.push(bed.submit("e-0", &job("4000", 4)).await?);
+    }
+    seconds(5).await;
+    ensure!(up(&bed, POOL) == 6, "{} are up", up(&bed, POOL));
+    ensure!(up(&bed, OTHER) == 1);
+    for id in &jobs {
+        // On two workers alone it would take 12 s.
+        bed.until("e-0", id, State::Completed, 6).await?;
+    }
+    seconds(15).await;
+    ensure!(up(&bed, POOL) == 1, "{} are up", up(&bed, POOL));
+    bed.judge()
+}
+
+// Three tasks last on three of six workers. The others are switched off, and those three stay.
+async fn lasting_stays() -> Result<()> {
+    let mut bed = Bed::open_with_standby(73, 2, 6).await?;
+    let id = bed.submit("e-0", &lasting(3)).await?;
+    seconds(20).await;
+    ensure!(up(&bed, POOL) >= 3);
+    ensure!(up(&bed, POOL) < 6, "none was switched off");
+    for index in 0..3 {
+        let task = task(&id, 0, index);
+        let starts = bed.world.journal().starts(&task);
+        ensure!(starts.len() == 1, "{task} was moved: {starts:?}");
+    }
+    bed.judge()
+}
+
+// Load comes and goes while the entries that own the pools are killed, one after the other. Whoever
+// takes over orders no instance before the pause between two holders has passed, which the judge
+// checks for each instance; and instances still come and go.
+async fn owner_killed() -> Result<()> {
+    let mut bed = Bed::open_with_standby(74, 3, 4).await?;
+    seconds(5).await;
+    for pool in [STANDBY, POOL] {
+        for _job in 0..12 {
+            bed.submit("e-0", &job("1500", 4)).await?;
+        }
+        seconds(2).await;
+        let owner = bed.owner(pool).await?;
+        if owner != "e-0" {
+            bed.kill(&owner);
+        }
+        seconds(12).await;
+        if owner != "e-0" {
+            bed.start(&owner);
+        }
+    }
+    seconds(10).await;
+    let owners: std::collections::BTreeSet<_> = moved(&bed)
+        .into_iter()
+        .map(|(_at, _instance, _to, entry)| entry)
+        .collect();
+    ensure!(owners.len() > 1, "only {owners:?} moved instances");
+    bed.judge()
+}
+
+// The process that owns the standby pool stands still while the pool beside it fills up, is replaced,
+// and goes on. Its next move is conditional on the ownership that it has lost: only its successor's
+// orders reach the instances.
+async fn owner_frozen() -> Result<()> {
+    let mut bed = Bed::open_with_standby(75, 3, 2).await?;
+    seconds(5).await;
+    let owner = bed.owner(STANDBY).await?;
+    let caller = bed.bystander(STANDBY).await?;
+    bed.conduct(&owner, |conduct| conduct.frozen = true);
+    for _job in 0..12 {
+        bed.submit(&caller, &job("9000", 4)).await?;
+    }
+    seconds(8).await;
+    let successor = bed.owner(STANDBY).await?;
+    ensure!(successor != owner, "{owner} wasn't replaced");
+    let thawed = bed.world.now();
+    bed.conduct(&owner, |conduct| conduct.frozen = false);
+    seconds(12).await;
+    let moves = moved(&bed);
+    let late = moves
+        .iter()
+        .find(|(at, _instance, _to, entry)| *at >= thawed && **entry == *owner);
+    ensure!(late.is_none(), "{late:?}");
+    let by_successor =
+        |(_at, _instance, _to, entry): &(u64, Name, Name, Name)| **entry == *successor;
+    moves
+        .iter()
+        .find(|found| by_successor(found))
+        .ok_or_else(|| eyre!("{successor} moved nothing: {moves:?}"))?;
+    bed.judge()
+}
--- a/tests/site/random.rs
+++ b/tests/site/random.rs
@@ -42,8 +42,13 @@
     second_batch => batch(1);
     third_batch => batch(2);
     fourth_batch => batch(3);
+    batch_with_moves => batch(4);
+    second_batch_with_moves => batch(5);
 }
 
+/// Histories from this seed on are of a site whose instances move.
+const FIRST_WITH_MOVES: u64 = FIRST + 4 * HISTORIES;
+
 fn batch(number: u64) -> std::ops::Range<u64> {
     let first = FIRST + number * HISTORIES;
     first..first + HISTORIES
@@ -74,7 +79,11 @@
 }
 
 async fn history(seed: u64) -> Result<()> {
-    let bed = Bed::open(seed, 3, 5).await?;
+    let bed = if seed < FIRST_WITH_MOVES {
+        Bed::open(seed, 3, 5).await?
+    } else {
+        Bed::open_with_standby(seed, 3, 5).await?
+    };
     let names = bed.nodes.keys().cloned().collect();
     let mut history = History {
         bed,
