Order instances only under the ownership of their pool; deal out by what pools need at this moment

Orders of waves were conditional on the wave's row alone, so that an owner that was replaced and didn't know it went on ordering, and an order without an answer was sent up to three times under one token, seconds apart.

An order without an answer is left to the next round, under a new token.

With it: the published need says also what a pool has use for at this moment, without headroom, hold and trend. Pools that are short of that get what others have beyond theirs, so that nobody keeps instances for what may come while tasks wait elsewhere. And whether there is anything to be moved is judged by the last list, not by registrations, which outlive by seconds the workers of instances that have moved.

Calls to the platform as before.

--- a/crates/cell/src/need.rs
+++ b/crates/cell/src/need.rs
@@ -7,6 +7,7 @@
     cell::Cell,
     limits::Millis,
     place::{self, Waiting},
+    row::Wanted,
     worker::{Stop, Worker},
 };
 use primroseroute_domain::work::{Demand, Step};
@@ -45,6 +46,8 @@
 pub struct Need {
     /// Number of workers that the pool can use, now or when an instance that is asked for now works.
     pub workers: u64,
+    /// Number of workers that it has use for at this moment; at least one.
+    pub now: u64,
     /// Number below which none is switched off.
     pub kept: u64,
     /// What runs.
@@ -55,6 +58,16 @@
     pub unfit: u64,
 }
 
+impl Need {
+    /// What of it others are told.
+    pub fn wanted(&self) -> Wanted {
+        Wanted {
+            workers: self.workers,
+            now: self.now,
+        }
+    }
+}
+
 /// The figures of the last while.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Needs {
@@ -107,13 +120,16 @@
         memory: all.memory * HEADROOM_PERCENT / 100,
         accelerators: all.accelerators,
     };
-    let workers = (units(part, cell.needs.unit) + SPARE).max(spread(cell));
+    let unit = cell.needs.unit;
+    let spread = spread(cell);
+    let workers = (units(part, unit) + SPARE).max(spread);
     let unfit = cell.workers.values();
     let unfit = unfit.filter(|worker| is_unfit(cell, worker, now)).count() as u64;
     cell.needs.record(now, workers);
     let rise = cell.needs.rise(now, workers);
     Need {
         workers: cell.needs.highest(now, HOLD_MS) + rise + unfit,
+        now: units(all, unit).max(spread).max(SPARE) + unfit,
         kept: cell.needs.highest(now, KEEP_MS) + unfit,
         runs,
         waits,
--- a/crates/cell/src/row.rs
+++ b/crates/cell/src/row.rs
@@ -9,7 +9,7 @@
 //! | `work` | pool | `.batch` | [`Batch`] | the pool's owner, with each commit |
 //! | `control` | pool | `owner` | [`Owner`] | whoever takes the pool over, or gives it up |
 //! | `control` | pool | `wanted` | [`Wanted`] | the pool's owner, with a commit |
-//! | `work` | pool | `.moves` | [`Moves`] | the pool's owner, before it moves instances away |
+//! | `work` | pool | `.orders` | [`Orders`] | the pool's owner, before it orders instances |
 //! | `control` | `.members-` and a hash of the entry | entry | [`Member`] | the entry, as its heartbeat |
 //! | `waves` | `waves` | number | [`Wave`] | owners of pools with instances of the wave |
 //!
@@ -53,8 +53,8 @@
 /// Key of the number of workers that a pool can use.
 const WANTED: &str = "wanted";
 
-/// Key of the row that an owner writes before it moves instances away.
-const MOVES: &str = ".moves";
+/// Key of the row that an owner writes before it orders instances.
+const ORDERS: &str = ".orders";
 
 /// Table of progress.
 pub const WORK: &str = "work";
@@ -122,9 +122,9 @@
     Place::new(CONTROL, pool, WANTED)
 }
 
-/// Where the newest moves out of a pool lie.
-pub fn moves(pool: &str) -> Place {
-    Place::new(WORK, pool, MOVES)
+/// Where the newest orders to a pool's instances lie.
+pub fn orders(pool: &str) -> Place {
+    Place::new(WORK, pool, ORDERS)
 }
 
 /// Where an entry's heartbeat lies.
@@ -317,16 +317,28 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Wanted {
-    /// The number.
+    /// What it uses, expects and wants to spare.
     pub workers: u64,
+    /// What it has use for at this moment.
+    pub now: u64,
 }
 
-/// Instances that an owner moves away. The version of this row is the moves' fencing token.
+/// What an owner orders its instances to do. The version of this row is the orders' fencing token.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Moves {
-    /// For each instance, the pool that it moves to.
-    pub to: BTreeMap<Name, Name>,
+pub struct Orders {
+    /// The orders by instance.
+    pub orders: BTreeMap<Name, Order>,
+}
+
+/// An order to an instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Order {
+    /// Move to this pool.
+    Move(Name),
+    /// Be maintained for the wave with this number.
+    Maintain(u64),
 }
 
 /// An entry's heartbeat.
--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -36,8 +36,8 @@
 pub(crate) struct Notes<'a> {
     /// For each queue, its jobs of which no task has started.
     pub queued: &'a BTreeMap<Name, u64>,
-    /// The number of workers that the pool can use, where it is to be published.
-    pub wanted: Option<u64>,
+    /// What the pool needs, where it is to be published.
+    pub wanted: Option<Wanted>,
 }
 
 /// The lane of one owner.
@@ -141,8 +141,8 @@
             .map(|(id, value)| (row::progress(&self.pool, id), value.clone()));
         let mut writes: Vec<(Place, Bytes)> = progress.collect();
         writes.push((row::batch(&self.pool), value.into()));
-        if let Some(workers) = notes.wanted {
-            let value = serde_json::to_vec(&Wanted { workers }).expect("a number serializes");
+        if let Some(wanted) = notes.wanted {
+            let value = serde_json::to_vec(&wanted).expect("numbers serialize");
             writes.push((row::wanted(&self.pool), value.into()));
         }
         Txn {
--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -99,8 +99,8 @@
 pub(crate) struct Picture {
     pub members: Members,
     pub owners: BTreeMap<Name, (Owner, Version)>,
-    /// For each pool, the number of workers that it can use.
-    pub wanted: BTreeMap<Name, u64>,
+    /// What each pool needs.
+    pub wanted: BTreeMap<Name, Wanted>,
     /// Whether the feed shows the table as it is: not before the first read, nor while calls fail.
     pub current: bool,
     /// When this entry's own heartbeat last got through in good time.
@@ -177,7 +177,7 @@
             },
             Some(ControlKey::Wanted(pool)) => {
                 if let Some(wanted) = parsed::<Wanted>(row) {
-                    self.wanted.insert(pool, wanted.workers);
+                    self.wanted.insert(pool, wanted);
                 }
             }
             None => log::warn!(key = &*row.place.key; "an unknown row of control"),
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -33,6 +33,7 @@
 mod event;
 mod fleet;
 pub mod follow;
+mod holder;
 mod jobs;
 mod lease;
 mod load;
--- a/crates/owner/src/maintain.rs
+++ b/crates/owner/src/maintain.rs
@@ -2,42 +2,43 @@
 
 use crate::{
     emptying::{Emptying, Purpose},
+    holder::hold,
     own::Context,
     wave::{Situation, Step, steps},
 };
 use bytes::Bytes;
 use log::{info, warn};
-use primroseroute_cell::row::{self, Wave as Progress};
+use primroseroute_cell::row::{self, Order, Wave as Progress};
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
     rows::{Commit, Txn, Version, read_row},
-    site::{Holder, Instance, Ordered, Wave},
+    site::{Instance, Ordered, Wave},
 };
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
-use tokio::time::sleep;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Part of a pool's workers that may be emptied at the same time.
 const EMPTIED_PART: usize = 5;
 
-/// Times that an order without an answer is sent; it is idempotent.
-const TRIES: usize = 3;
-
-/// Pause between them.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
-
 /// A pool's part in the waves.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Maintenance {
+    /// Version of the owner's row.
+    owner: Version,
     /// Instances whose order was taken, by wave.
     taken: BTreeMap<u64, BTreeSet<Name>>,
     complete: BTreeSet<u64>,
 }
 
 impl Maintenance {
+    pub(crate) fn new(owner: Version) -> Self {
+        Self {
+            owner,
+            taken: BTreeMap::new(),
+            complete: BTreeSet::new(),
+        }
+    }
+
     /// The waves that aren't complete.
     pub(crate) fn open(&self, waves: &BTreeMap<u64, Wave>) -> Vec<Wave> {
         let open = waves.values();
@@ -135,8 +136,7 @@
         }
     }
 
-    /// Counts the instance as in maintenance, then orders it. The version of the count is the
-    /// order's fencing token: it is higher than that of every order before.
+    /// Counts the instance as in maintenance, then orders it.
     async fn begin(
         &mut self,
         context: &Context,
@@ -146,19 +146,22 @@
     ) -> Result<(), Error> {
         let mut next = progress.clone();
         let name = Name::clone(&instance.name);
-        next.active.insert(name, instance.worker.clone());
-        let Some(token) = write(context, wave.number, version, &next).await? else {
+        next.active
+            .insert(Name::clone(&name), instance.worker.clone());
+        let Some(counted) = write(context, wave.number, version, &next).await? else {
             return Ok(());
         };
         if version == 0 {
             context.site.report_wave(wave.number, false).await?;
         }
-        let holder = Holder {
-            entry: Name::clone(&context.entry),
-            token,
+        let order = BTreeMap::from([(name, Order::Maintain(wave.number))]);
+        let Some(holder) = hold(context, self.owner, order).await? else {
+            return Ok(());
         };
-        match order(context, wave.number, instance, &holder).await {
-            Ok(Ordered::Taken) => {
+        let ordered = context.site.maintain(&instance.name, wave.number, &holder);
+        match ordered.await? {
+            Ordered::Taken => {
+                let token = holder.token;
                 info!(wave = wave.number, instance = &*instance.name, token; "maintenance begun");
                 let known = self.taken.entry(wave.number).or_default();
                 known.insert(Name::clone(&instance.name));
@@ -167,31 +170,13 @@
                 }
                 Ok(())
             }
-            Ok(refused) => {
+            refused => {
                 warn!(wave = wave.number, instance = &*instance.name, refused:? = refused; "maintenance refused");
                 next.active.remove(&instance.name);
-                write(context, wave.number, token, &next).await.map(drop)
+                write(context, wave.number, counted, &next).await.map(drop)
             }
-            Err(error) => Err(error),
-        }
-    }
-}
-
-async fn order(
-    context: &Context,
-    wave: u64,
-    instance: &Instance,
-    holder: &Holder,
-) -> Result<Ordered, Error> {
-    let mut last = Error::Throttled;
-    for _try in 0..TRIES {
-        match context.site.maintain(&instance.name, wave, holder).await {
-            Ok(ordered) => return Ok(ordered),
-            Err(error) => last = error,
         }
-        sleep(RETRY_PAUSE).await;
     }
-    Err(last)
 }
 
 async fn read(context: &Context, number: u64) -> Result<(Progress, Version), Error> {
--- a/crates/owner/src/relocate.rs
+++ b/crates/owner/src/relocate.rs
@@ -2,18 +2,18 @@
 
 use crate::{
     emptying::{Emptying, Purpose},
+    holder::hold,
     own::Context,
     share::{self, Move, Pool},
 };
-use bytes::Bytes;
 use futures::future::join_all;
 use log::{info, warn};
-use primroseroute_cell::row::{self, Moves};
+use primroseroute_cell::row::Order;
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
-    rows::{Commit, Txn, Version},
-    site::{Holder, Instance, Ordered},
+    rows::Version,
+    site::{Instance, Ordered},
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -34,7 +34,7 @@
     let picture = context.picture.lock();
     let pools = known.map(|pool| {
         let known = Pool {
-            wanted: picture.wanted.get(&pool.name).copied(),
+            need: picture.wanted.get(&pool.name).copied(),
             standby: pool.standby,
         };
         (Name::clone(&pool.name), known)
@@ -42,21 +42,27 @@
     pools.collect()
 }
 
-/// Whether the registered workers leave anything to be moved: then the instances are listed.
-pub(crate) fn is_due(context: &Context, pools: &BTreeMap<Name, Pool>) -> bool {
-    let workers = context.watch.workers.borrow().clone();
-    let has = |pool: &Name| {
-        let own = workers.values().filter(|worker| worker.pool == *pool);
-        own.count() as u64
-    };
+/// Whether the instances as last listed leave anything to be moved: then they are listed anew.
+/// Registrations wouldn't do: they outlive by seconds the workers of instances that have moved.
+pub(crate) fn is_due(
+    context: &Context,
+    pools: &BTreeMap<Name, Pool>,
+    instances: &[Instance],
+) -> bool {
+    let has = |pool: &Name| share::has(instances, pool);
     let Some(own) = pools.get(&context.pool) else {
         return false;
     };
+    let has_own = has(&context.pool);
+    // What it can spare at this moment is enough to look: others may be short.
     if !own.standby {
-        return own.wanted.is_some_and(|wanted| has(&context.pool) > wanted);
+        return own
+            .need
+            .is_some_and(|need| has_own > need.now.min(need.workers));
     }
     let mut others = pools.iter().filter(|(_name, pool)| !pool.standby);
-    others.any(|(name, pool)| pool.wanted.is_some_and(|wanted| has(name) < wanted))
+    let missed = others.any(|(name, pool)| pool.need.is_some_and(|need| has(name) < need.workers));
+    missed && has_own > 0
 }
 
 impl Relocation {
@@ -83,12 +89,7 @@
         })
     }
 
-    /// Orders the moves; gives out those that were taken.
-    ///
-    /// The row that is written before them is conditional on the ownership, and its version is their
-    /// fencing token: an owner that was replaced orders nothing. An order without an answer isn't
-    /// repeated here: a repetition that arrives after the next pool's owner has given an order would
-    /// be a second holder.
+    /// Orders the moves; gives out the instances that go.
     pub(crate) async fn order(
         &mut self,
         context: &Context,
@@ -96,13 +97,13 @@
         moves: &[Move],
     ) -> Result<Vec<Instance>, Error> {
         let moves = &moves[..moves.len().min(MOST)];
-        let Some(token) = reserve(context, owner, moves).await? else {
+        let written = moves.iter().map(|wanted| {
+            let instance = Name::clone(&wanted.instance.name);
+            (instance, Order::Move(Name::clone(&wanted.to)))
+        });
+        let Some(holder) = hold(context, owner, written.collect()).await? else {
             return Ok(Vec::new());
         };
-        let holder = Holder {
-            entry: Name::clone(&context.entry),
-            token,
-        };
         let orders = moves.iter().map(|wanted| {
             let order = context
                 .site
@@ -111,7 +112,7 @@
         });
         let mut going = Vec::new();
         for (wanted, result) in join_all(orders).await {
-            if self.settle(wanted, token, result) {
+            if self.settle(wanted, holder.token, result) {
                 going.push(wanted.instance.clone());
             }
         }
@@ -144,26 +145,3 @@
         }
     }
 }
-
-/// Writes down what is about to move; the row's version, unless the pool is lost.
-async fn reserve(
-    context: &Context,
-    owner: Version,
-    moves: &[Move],
-) -> Result<Option<Version>, Error> {
-    let to = moves.iter().map(|wanted| {
-        let instance = Name::clone(&wanted.instance.name);
-        (instance, Name::clone(&wanted.to))
-    });
-    let row = Moves { to: to.collect() };
-    let value = serde_json::to_vec(&row).expect("moves have text keys");
-    let txn = Txn {
-        conditions: vec![(row::owner(&context.pool), owner)],
-        puts: vec![(row::moves(&context.pool), Bytes::from(value))],
-        deletes: Vec::new(),
-    };
-    match context.rows.commit(txn).await? {
-        Commit::Committed(version) => Ok(Some(version)),
-        Commit::Conflict(_rows) => Ok(None),
-    }
-}
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -13,7 +13,10 @@
     watch::Workers as Registered,
 };
 use log::{debug, info, warn};
-use primroseroute_cell::{Cell, Millis, Need, Order, Outcome, Tick, row};
+use primroseroute_cell::{
+    Cell, Millis, Need, Order, Outcome, Tick,
+    row::{self, Wanted},
+};
 use primroseroute_domain::work::{End, JobId, Name};
 use primroseroute_platform::{
     rows::{Txn, Version},
@@ -67,27 +70,21 @@
     task: JoinHandle<()>,
 }
 
-/// The number of workers that was last published.
+/// The need that was last published.
 #[derive(Clone, Copy, Debug, Default)]
 struct Published {
-    workers: Option<u64>,
+    need: Option<Wanted>,
     at: Millis,
 }
 
 impl Published {
-    fn new(workers: u64, at: Millis) -> Self {
-        Self {
-            workers: Some(workers),
-            at,
-        }
-    }
-
-    /// Whether `wanted` is to be published: at once where it has risen, and otherwise after a while.
-    fn due(self, wanted: u64, now: Millis) -> bool {
-        let Some(known) = self.workers else {
+    /// Whether `need` is to be published: at once where it has risen, and otherwise after a while.
+    fn due(self, need: Wanted, now: Millis) -> bool {
+        let Some(known) = self.need else {
             return true;
         };
-        wanted > known || (wanted < known && now >= self.at + FALL_AFTER)
+        let risen = need.workers > known.workers || need.now > known.now;
+        risen || (need != known && now >= self.at + FALL_AFTER)
     }
 }
 
@@ -317,22 +314,26 @@
         self.send(urgent, clock.now());
         self.counts_due |= tick.counts_changed;
         let counts = self.counts_due && clock.now() >= self.counted_at + COUNTS_AFTER;
-        let wanted = self.published.due(tick.need.workers, clock.now());
-        let sent_at = if !tick.puts.is_empty() || counts || wanted {
+        let need = tick.need.wanted();
+        let publish = self.published.due(need, clock.now());
+        let sent_at = if !tick.puts.is_empty() || counts || publish {
             let queued = self.cell.queued().clone();
             for (queue, jobs) in &queued {
                 self.context.observer.queued(queue, *jobs);
             }
             let notes = Notes {
                 queued: &queued,
-                wanted: wanted.then_some(tick.need.workers),
+                wanted: publish.then_some(need),
             };
             let begin = Instant::now();
             let sent_at = self.meanwhile(lane.commit(&tick.puts, notes)).await?;
             self.context.observer.committed(begin.elapsed());
-            if wanted {
+            if publish {
                 self.tell_need(&tick.need);
-                self.published = Published::new(tick.need.workers, clock.now());
+                self.published = Published {
+                    need: Some(need),
+                    at: clock.now(),
+                };
             }
             self.counts_due = false;
             self.counted_at = clock.now();
@@ -386,12 +387,13 @@
     fn tell_need(&self, need: &Need) {
         let Need {
             workers,
+            now,
             kept,
             runs,
             waits,
             unfit,
         } = need;
-        info!(pool = &*self.context.pool, workers, kept, running_cpu = runs.cpu, waiting_cpu = waits.cpu, unfit, registered = self.registered.len(); "need of workers published");
+        info!(pool = &*self.context.pool, workers, now, kept, running_cpu = runs.cpu, waiting_cpu = waits.cpu, unfit, registered = self.registered.len(); "need of workers published");
     }
 
     /// Waits for a call to the store, and takes in what happens meanwhile.
--- a/crates/owner/src/share.rs
+++ b/crates/owner/src/share.rs
@@ -5,15 +5,19 @@
 //! out its own part. Where their figures differ for a moment, a pool may get an instance too many, and
 //! gives it away again.
 
+use primroseroute_cell::row::Wanted;
 use primroseroute_domain::work::Name;
 use primroseroute_platform::site::{Condition, Instance};
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 /// What is known of a pool.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Pool {
-    /// How many workers it can use; `None` where its owner hasn't said yet.
-    pub wanted: Option<u64>,
+    /// What it needs; `None` where its owner hasn't said yet.
+    pub need: Option<Wanted>,
     /// Whether its instances are switched off.
     pub standby: bool,
 }
@@ -50,22 +54,32 @@
     pub to: Name,
 }
 
-/// What a pool has too much or too little of.
+/// What a pool has, and what it needs.
+#[derive(Clone, Copy)]
 struct Balance {
     has: u64,
-    wanted: u64,
+    need: u64,
 }
 
 impl Balance {
     fn missing(&self) -> u64 {
-        self.wanted.saturating_sub(self.has)
+        self.need.saturating_sub(self.has)
     }
 
     fn extra(&self) -> u64 {
-        self.has.saturating_sub(self.wanted)
+        self.has.saturating_sub(self.need)
     }
 }
 
+/// How a pool's need is read.
+#[derive(Clone, Copy)]
+enum Level {
+    /// What it is short of at this moment.
+    Now,
+    /// With what it expects and what it wants to spare.
+    Wanted,
+}
+
 /// The moves out of the pool, the most urgent first.
 pub fn moves(situation: &Situation<'_>) -> Vec<Move> {
     let mut targets = needy(situation);
@@ -73,9 +87,9 @@
     let is_standby = own.is_some_and(|pool| pool.standby);
     let standby = situation.pools.iter().find(|(_name, pool)| pool.standby);
     if !is_standby && let Some((standby, _pool)) = standby {
-        let spare = balance(situation, situation.pool).extra();
-        let spare = spare.min(has(situation, situation.pool).saturating_sub(situation.kept));
-        let spare = spare.saturating_sub(targets.len() as u64);
+        let has = has(situation.instances, situation.pool).saturating_sub(targets.len() as u64);
+        let need = need(situation, situation.pool, Level::Wanted, has);
+        let spare = has.saturating_sub(need.max(situation.kept));
         targets.extend((0..spare).map(|_spare| Name::clone(standby)));
     }
     let mut candidates = candidates(situation);
@@ -96,70 +110,97 @@
     moves
 }
 
-/// Instances that serve a pool, or are about to.
-fn has(situation: &Situation<'_>, name: &Name) -> u64 {
+/// Number of instances that serve a pool, or are about to.
+pub(crate) fn has(instances: &[Instance], name: &Name) -> u64 {
     let serves = |instance: &&Instance| {
         instance.pool == *name && matches!(instance.condition, Condition::Up | Condition::Moving)
     };
-    situation.instances.iter().filter(serves).count() as u64
+    instances.iter().filter(serves).count() as u64
 }
 
-fn balance(situation: &Situation<'_>, name: &Name) -> Balance {
-    let has = has(situation, name);
-    let wanted = match situation.pools.get(name) {
-        Some(pool) if pool.standby => 0,
-        Some(Pool {
-            wanted: Some(wanted),
-            ..
-        }) => *wanted,
+/// How many instances a pool that has `has` needs.
+fn need(situation: &Situation<'_>, name: &Name, level: Level, has: u64) -> u64 {
+    match (situation.pools.get(name), level) {
+        (Some(pool), _) if pool.standby => 0,
+        (
+            Some(Pool {
+                need: Some(need), ..
+            }),
+            level,
+        ) => match level {
+            Level::Now => need.now,
+            Level::Wanted => need.workers,
+        },
         // Nothing is known: it keeps what it has, and gets nothing.
         _ => has,
-    };
-    Balance { has, wanted }
-}
-
-/// Instances of a pool beyond what it wants.
-fn extra(situation: &Situation<'_>, pool: &Name) -> u64 {
-    balance(situation, pool).extra()
+    }
 }
 
-/// The pools that get the own pool's instances, one entry an instance. All missing instances in the
-/// order of need are dealt out to all extra ones, standby pools first and then the largest surplus.
+/// The pools that get the own pool's instances, one entry an instance.
+///
+/// First the pools that are short at this moment get what others have beyond their own needs of this
+/// moment: where there isn't enough for all, nobody keeps instances for what may come while tasks wait
+/// elsewhere. Then the pools that want more get what others don't want.
 fn needy(situation: &Situation<'_>) -> Vec<Name> {
-    let mut givers: Vec<(bool, u64, &Name)> = situation
+    let mut all: BTreeMap<&Name, u64> = situation
         .pools
-        .iter()
-        .map(|(name, pool)| (!pool.standby, extra(situation, name), name))
+        .keys()
+        .map(|name| (name, has(situation.instances, name)))
         .collect();
-    givers.sort_by_key(|&(serves, extra, name)| (serves, std::cmp::Reverse(extra), name));
-    let owners = givers
+    let mut own = Vec::new();
+    for level in [Level::Now, Level::Wanted] {
+        let balances = all.iter().map(|(&name, &has)| {
+            let need = need(situation, name, level, has);
+            (name, Balance { has, need })
+        });
+        let balances: BTreeMap<&Name, Balance> = balances.collect();
+        for (giver, to) in dealt(situation, &balances) {
+            if let Some(has) = all.get_mut(giver) {
+                *has -= 1;
+            }
+            if let Some(has) = all.get_mut(to) {
+                *has += 1;
+            }
+            if giver == situation.pool {
+                own.push(Name::clone(to));
+            }
+        }
+    }
+    own
+}
+
+/// All missing instances in the order of need, dealt out to all extra ones, standby pools first and
+/// then the largest surplus: giver and receiver of each.
+fn dealt<'a>(
+    situation: &Situation<'a>,
+    balances: &BTreeMap<&'a Name, Balance>,
+) -> Vec<(&'a Name, &'a Name)> {
+    let serves = |name: &Name| situation.pools.get(name).is_none_or(|pool| !pool.standby);
+    let givers = balances.iter();
+    let givers = givers.map(|(&name, balance)| (serves(name), Reverse(balance.extra()), name));
+    let mut givers: Vec<(bool, Reverse<u64>, &Name)> = givers.collect();
+    givers.sort_unstable();
+    let units = givers
         .into_iter()
-        .flat_map(|(_serves, extra, name)| (0..extra).map(move |_unit| name));
-    let receivers = receivers(situation);
-    let own = owners.zip(receivers);
-    own.filter(|(giver, _to)| *giver == situation.pool)
-        .map(|(_giver, to)| to)
-        .collect()
+        .flat_map(|(_serves, Reverse(extra), name)| (0..extra).map(move |_unit| name));
+    units.zip(receivers(balances)).collect()
 }
 
 /// Missing instances by pool, that with the largest missing part first.
-fn receivers(situation: &Situation<'_>) -> Vec<Name> {
-    let balances = situation
-        .pools
-        .keys()
-        .map(|name| (name, balance(situation, name)));
-    let mut missing: BTreeMap<&Name, Balance> = balances
-        .filter(|(_name, balance)| balance.missing() > 0)
-        .collect();
+fn receivers<'a>(balances: &BTreeMap<&'a Name, Balance>) -> Vec<&'a Name> {
+    let missing = balances.iter();
+    let missing = missing.filter(|(_name, balance)| balance.missing() > 0);
+    let mut missing: BTreeMap<&Name, Balance> =
+        missing.map(|(&name, balance)| (name, *balance)).collect();
     let mut order = Vec::new();
     loop {
         let neediest = missing
             .iter()
-            .max_by_key(|(_name, balance)| balance.missing() * 1_000 / balance.wanted.max(1));
+            .max_by_key(|(_name, balance)| balance.missing() * 1_000 / balance.need.max(1));
         let Some((&name, _balance)) = neediest else {
             return order;
         };
-        order.push(Name::clone(name));
+        order.push(name);
         if let Some(balance) = missing.get_mut(name) {
             balance.has += 1;
             if balance.missing() == 0 {
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -4,6 +4,7 @@
 use crate::{
     emptying::{Emptying, Purpose, Status},
     event::Event,
+    fleet::Listing,
     maintain::Maintenance,
     own::Context,
     relocate::{self, Relocation},
@@ -46,7 +47,8 @@
     relocation: Relocation,
     /// Since when instances are known to be in the pool.
     here_since: BTreeMap<Name, Instant>,
-    looked_at: Option<Instant>,
+    /// The instances as last listed.
+    listed: Option<Listing>,
 }
 
 /// Looks after the pool's instances until the task is dropped.
@@ -62,10 +64,10 @@
         owner,
         emptying: Emptying::new(status, events.clone()),
         events,
-        maintenance: Maintenance::default(),
+        maintenance: Maintenance::new(owner),
         relocation: Relocation::default(),
         here_since: BTreeMap::new(),
-        looked_at: None,
+        listed: None,
     };
     loop {
         let open = upkeep.maintenance.open(&waves.borrow());
@@ -81,19 +83,20 @@
 impl Upkeep {
     /// Whether there is anything to be done, or the last look is long ago.
     fn is_due(&self, waves: &[Wave]) -> bool {
-        let looked = self.looked_at;
-        let stale = looked.is_none_or(|looked_at| looked_at.elapsed() >= LOOK_AFTER);
+        let Some(listed) = &self.listed else {
+            return true;
+        };
         let pools = relocate::pools(&self.context);
-        stale
+        listed.asked_at.elapsed() >= LOOK_AFTER
             || !waves.is_empty()
             || !self.emptying.status().silent.is_empty()
-            || relocate::is_due(&self.context, &pools)
+            || relocate::is_due(&self.context, &pools, &listed.instances)
     }
 
     async fn round(&mut self, waves: &[Wave]) -> Result<(), Error> {
         let now = Instant::now();
         let listing = self.context.fleet.list(now).await?;
-        self.looked_at = Some(now);
+        self.listed = Some(listing.clone());
         let instances = &*listing.instances;
         self.arrived(instances, now);
         self.bury(instances);
--- a/crates/owner/tests/all/share.rs
+++ b/crates/owner/tests/all/share.rs
@@ -1,5 +1,6 @@
 //! Moves that the owners of all pools decide on, each by itself, against a planner that sees them all.
 
+use primroseroute_cell::row::Wanted;
 use primroseroute_domain::work::Name;
 use primroseroute_owner::share::{Move, Pool, Situation, moves};
 use primroseroute_platform::site::{Condition, Instance};
@@ -39,7 +40,11 @@
     }
 
     fn add(&mut self, pool: &str, has: u64, wanted: Option<u64>, standby: bool) {
-        self.pools.insert(pool.into(), Pool { wanted, standby });
+        let need = wanted.map(|workers| Wanted {
+            workers,
+            now: workers,
+        });
+        self.pools.insert(pool.into(), Pool { need, standby });
         for number in 0..has {
             let name = format!("{pool}-{number}");
             let worker = (!standby).then(|| Name::from(format!("w-{name}")));
@@ -103,6 +108,19 @@
     assert_eq!(targets(&fleet.moves_of("p-1")), [(STANDBY, 3)].into());
 }
 
+/// Tasks wait in a pool that has two and needs six now. Its neighbour has six, needs two now and wants
+/// six: it gives four, and keeps them where nobody is short.
+#[test]
+fn what_a_pool_wants_to_spare_goes_where_tasks_wait() {
+    let mut fleet = Fleet::new(&[(2, 6), (6, 6)], 0);
+    let reserved = Wanted { workers: 6, now: 2 };
+    fleet.pools.get_mut("p-1").expect("a pool").need = Some(reserved);
+    assert_eq!(targets(&fleet.moves_of("p-1")), [("p-0", 4)].into());
+    let short = Wanted { workers: 6, now: 2 };
+    fleet.pools.get_mut("p-0").expect("a pool").need = Some(short);
+    assert_eq!(fleet.all_moves(), []);
+}
+
 #[test]
 fn surplus_is_switched_off_only_beyond_what_was_needed_lately() {
     let mut fleet = Fleet::new(&[(6, 2)], 0);
@@ -155,7 +173,7 @@
         for (pool, known) in &fleet.pools {
             let gets = to.get(&**pool).copied().unwrap_or(0);
             let gives = fleet.moves_of(pool).len() as u64;
-            let Some(wanted) = known.wanted else { continue };
+            let Some(Wanted { workers: wanted, .. }) = known.need else { continue };
             let has = fleet.count(pool);
             prop_assert!(gets <= wanted.saturating_sub(has), "{pool} gets {gets}");
             prop_assert!(gives <= has.saturating_sub(wanted), "{pool} gives {gives}");
--- a/crates/standin/src/site/caller/mod.rs
+++ b/crates/standin/src/site/caller/mod.rs
@@ -8,13 +8,16 @@
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
-    rows::{Commit, Feed, Page, Range, Row, Rows, Txn, Version},
+    rows::{Commit, Feed, Page, Place, Range, Row, Rows, Txn, Version},
     worker::{Answer, Target},
 };
 use rand::RngExt;
 use std::{fmt, future::pending, sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep, timeout};
 
+/// Table of owners and heartbeats.
+const CONTROL: &str = "control";
+
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -83,9 +86,25 @@
 
     /// The way to the store.
     pub(super) async fn to_store(&self) -> Result<(), Error> {
+        self.through(|conduct| conduct.store).await
+    }
+
+    /// The way to a table of the store.
+    async fn to_table(&self, table: &str) -> Result<(), Error> {
+        self.through(|conduct| {
+            if table == CONTROL && conduct.store == Reach::Fine {
+                conduct.control
+            } else {
+                conduct.store
+            }
+        })
+        .await
+    }
+
+    async fn through(&self, way: impl Fn(&Conduct) -> Reach) -> Result<(), Error> {
         self.alive().await;
         self.travel().await;
-        match self.conduct().store {
+        match way(&self.conduct()) {
             Reach::Fine => Ok(()),
             Reach::Refused => Err(Error::Unavailable("503".into())),
             Reach::Silent => {
@@ -199,9 +218,26 @@
 #[async_trait]
 impl Rows for Caller {
     async fn commit(&self, txn: Txn) -> Result<Commit, Error> {
-        self.to_store().await.map_err(|error| {
+        let way = |conduct: &Conduct| {
+            let mut places = txn.conditions.iter().map(|(place, _version)| place);
+            let mut puts = txn.puts.iter().map(|(place, _value)| place);
+            let of_control = |place: &Place| &*place.table == CONTROL;
+            let control = places.any(of_control) || puts.any(of_control);
+            let ways = [
+                conduct.store,
+                conduct.commits,
+                if control {
+                    conduct.control
+                } else {
+                    Reach::Fine
+                },
+            ];
+            let closed = ways.into_iter().find(|way| *way != Reach::Fine);
+            closed.unwrap_or_default()
+        };
+        self.through(way).await.map_err(|error| {
             // Silence proves nothing about a call that changes something.
-            if self.conduct().store == Reach::Silent {
+            if way(&self.conduct()) == Reach::Silent {
                 Error::Unknown("no answer".into())
             } else {
                 error
@@ -233,14 +269,14 @@
     }
 
     async fn read(&self, range: Range) -> Result<Page, Error> {
-        self.to_store().await?;
+        self.to_table(&range.table).await?;
         let page = self.shared.state.lock().store.read(&range);
         self.back().await;
         Ok(page)
     }
 
     async fn feed(&self, table: &str, after: Version, wait: Duration) -> Result<Feed<Row>, Error> {
-        self.to_store().await?;
+        self.to_table(table).await?;
         let news = self.wait_for(wait, |state| state.store.feed(table, after));
         let news = news.await.unwrap_or(Feed::Changes {
             items: Vec::new(),
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -82,6 +82,10 @@
 pub struct Conduct {
     /// Its calls to the store.
     pub store: Reach,
+    /// Its calls to the store that are about the table `control`, where the store fails in part.
+    pub control: Reach,
+    /// Its commits, whatever becomes of other calls.
+    pub commits: Reach,
     /// Its calls to workers.
     pub workers: Reach,
     /// Share of its commits that are done and not answered.
--- a/tests/site/maintain.rs
+++ b/tests/site/maintain.rs
@@ -1,19 +1,20 @@
 //! Waves of maintenance: in time, no more at once than allowed, and no step misses too many tasks.
 
 use crate::{
-    bed::{Bed, POOL, job, lasting, seconds, task},
+    bed::{Bed, POOL, STANDBY, job, lasting, seconds, task},
     cases,
 };
 use eyre::{Result, ensure};
 use primroseroute_domain::work::{JobId, Name};
 use primroseroute_platform::site::{Instruction, Wave};
-use primroseroute_standin::site::Event;
+use primroseroute_standin::site::{Event, Reach};
 use std::{collections::BTreeMap, time::Duration};
 
 cases! {
     wave_over_a_pool_with_lasting_tasks => whole_pool();
     wave_goes_on_after_its_owner_is_killed => owner_killed();
     successor_orders_nothing_at_once => no_order_at_once();
+    replaced_owner_orders_nothing => partly_silent();
 }
 
 fn wave(instances: impl IntoIterator<Item = Name>, maximum: usize) -> Instruction {
@@ -154,3 +155,24 @@
     );
     Ok(())
 }
+
+// The part of the store that holds owners and heartbeats is silent towards the pool's owner, while it
+// reaches the rest and the instances. It is replaced, and doesn't know. Its orders would meet those
+// of its successor at the same instances: each one needs the ownership, and gets no answer.
+async fn partly_silent() -> Result<()> {
+    let mut bed = Bed::open_with_standby(64, 3, 4).await?;
+    let owner = bed.owner(STANDBY).await?;
+    seconds(4).await;
+    let off = bed.world.instances().into_iter();
+    let off = off.filter(|known| &*known.pool == STANDBY);
+    bed.world.instruct(wave(off.map(|known| known.name), 1));
+    seconds(1).await;
+    bed.conduct(&owner, |conduct| conduct.control = Reach::Silent);
+    seconds(14).await;
+    let successor = bed.owner(STANDBY).await?;
+    ensure!(successor != owner, "{owner} wasn't replaced");
+    bed.conduct(&owner, |conduct| conduct.control = Reach::Fine);
+    seconds(30).await;
+    ensure!(bed.world.waves().get(&1) == Some(&true), "not complete");
+    bed.judge()
+}
