Name what the need of workers is counted in

Cause: clippy refused `unit`, `units` and `unfit` beside each other, and a reader would confuse them too.

Change: the capacity of a worker is called so. Behaviour is as before.

--- a/crates/cell/src/need.rs
+++ b/crates/cell/src/need.rs
@@ -73,7 +73,7 @@
 pub(crate) struct Needs {
     recent: VecDeque<(Millis, u64)>,
     /// Capacity of one worker, as last known.
-    unit: Demand,
+    worker: Demand,
 }
 
 impl Needs {
@@ -109,8 +109,8 @@
 
 /// Number of workers that the pool can use, and why.
 pub(crate) fn need(cell: &mut Cell, waiting: &[Waiting], now: Millis) -> Need {
-    if let Some(unit) = unit(cell) {
-        cell.needs.unit = unit;
+    if let Some(capacity) = mean_capacity(cell) {
+        cell.needs.worker = capacity;
     }
     let runs = used(cell);
     let waits = waits(cell, waiting);
@@ -120,16 +120,18 @@
         memory: all.memory * HEADROOM_PERCENT / 100,
         accelerators: all.accelerators,
     };
-    let unit = cell.needs.unit;
+    let capacity = cell.needs.worker;
     let spread = spread(cell);
-    let workers = (units(part, unit) + SPARE).max(spread);
-    let unfit = cell.workers.values();
-    let unfit = unfit.filter(|worker| is_unfit(cell, worker, now)).count() as u64;
+    let workers = (workers_for(part, capacity) + SPARE).max(spread);
+    let all_workers = cell.workers.values();
+    let unfit = all_workers
+        .filter(|worker| is_unfit(cell, worker, now))
+        .count() as u64;
     cell.needs.record(now, workers);
     let rise = cell.needs.rise(now, workers);
     Need {
         workers: cell.needs.highest(now, HOLD_MS) + rise + unfit,
-        now: units(all, unit).max(spread).max(SPARE) + unfit,
+        now: workers_for(all, capacity).max(spread).max(SPARE) + unfit,
         kept: cell.needs.highest(now, KEEP_MS) + unfit,
         runs,
         waits,
@@ -138,7 +140,7 @@
 }
 
 /// Mean capacity of the registered workers; `None` without any.
-fn unit(cell: &Cell) -> Option<Demand> {
+fn mean_capacity(cell: &Cell) -> Option<Demand> {
     let registered = cell.workers.values().filter(|worker| worker.registered);
     let capacities = registered.filter_map(|worker| worker.info.as_ref());
     let (count, sum) = capacities.fold((0, Demand::default()), |(count, sum), info| {
@@ -197,20 +199,20 @@
 }
 
 /// Workers that hold `demand`.
-fn units(demand: Demand, unit: Demand) -> u64 {
-    let of = |demand: u64, unit: u64| demand.div_ceil(unit.max(1));
-    let known = unit != Demand::default();
+fn workers_for(demand: Demand, worker: Demand) -> u64 {
+    let of = |demand: u64, has: u64| demand.div_ceil(has.max(1));
+    let known = worker != Demand::default();
     if !known {
         return u64::from(demand != Demand::default());
     }
     // An accelerator that no worker has can't be had by more workers like them.
-    let accelerators = if unit.accelerators == 0 {
+    let accelerators = if worker.accelerators == 0 {
         0
     } else {
-        of(demand.accelerators, unit.accelerators)
+        of(demand.accelerators, worker.accelerators)
     };
-    of(demand.cpu, unit.cpu)
-        .max(of(demand.memory, unit.memory))
+    of(demand.cpu, worker.cpu)
+        .max(of(demand.memory, worker.memory))
         .max(accelerators)
 }
 
--- a/tests/site/maintain.rs
+++ b/tests/site/maintain.rs
@@ -160,7 +160,7 @@
 // reaches the rest and the instances. It is replaced, and doesn't know. Its orders would meet those
 // of its successor at the same instances: each one needs the ownership, and gets no answer.
 async fn partly_silent() -> Result<()> {
-    let mut bed = Bed::open_with_standby(64, 3, 4).await?;
+    let bed = Bed::open_with_standby(64, 3, 4).await?;
     let owner = bed.owner(STANDBY).await?;
     seconds(4).await;
     let off = bed.world.instances().into_iter();
