Ask the advice service, and start with its tickets

Cause: on a queue whose policy only the advice service knows each start was sent without a ticket, refused, and tried again for ever.

Change: the cell asks about the roomiest thirty workers that it knows nothing of, and places such a step only where it has a ticket that lasts long enough to arrive; a refused or old ticket is asked for again. Questions need no commit and no row; they go out beside the loop, six at most at a time for a pool. Which queues need tickets follows the configuration in force, so a queue may begin to ask for them while its jobs wait.

--- /dev/null
+++ b/crates/cell/src/advice.rs
@@ -0,0 +1,170 @@
+//! Which workers may run the steps of queues whose policy only the advice service knows.
+
+use crate::{
+    cell::Cell,
+    limits::Millis,
+    order::Question,
+    place::{Waiting, allows_apart_from_policy},
+};
+use primroseroute_domain::work::{Name, TaskId};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
+
+/// Workers that one question names: the service takes longer for each, and this many is what a job's
+/// objective allows for.
+const ASKED: usize = 30;
+
+/// Questions of one pool that wait for their answers at the same time; the service turns entries away
+/// that let 32 wait.
+const OPEN: usize = 6;
+
+/// Part of a ticket's time that is left for the start to reach its worker, in milliseconds.
+const SLACK: Millis = 300;
+
+/// Pause after a question without an answer, in milliseconds.
+const PAUSE: Millis = 200;
+
+/// What is known of the workers for one step.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Policy {
+    /// Workers that may not run it, which doesn't change while they live.
+    bad: BTreeSet<Name>,
+    /// Tickets that are still valid, with the time up to which they are used.
+    tickets: BTreeMap<Name, (Name, Millis)>,
+    asking: bool,
+    ask_from: Millis,
+}
+
+impl Policy {
+    /// Drops tickets that are too old to be used.
+    fn expire(&mut self, now: Millis) {
+        self.tickets
+            .retain(|_worker, (_ticket, until)| now < *until);
+    }
+}
+
+/// Drops what is too old, or of steps and workers that are over.
+pub(crate) fn expire(cell: &mut Cell, now: Millis) {
+    let Cell {
+        policies,
+        jobs,
+        workers,
+        ..
+    } = cell;
+    policies.retain(|step, _policy| jobs.contains_key(&step.job));
+    for policy in policies.values_mut() {
+        policy.expire(now);
+        policy.bad.retain(|worker| workers.contains_key(worker));
+    }
+}
+
+fn needs_ticket(cell: &Cell, task: &TaskId) -> bool {
+    let job = cell.jobs.get(&task.job);
+    job.is_some_and(|job| cell.advised.contains(&job.accepted.queue))
+}
+
+/// Whether the queue's policy allows a worker to run a task, as far as is known now.
+pub(crate) fn allows(cell: &Cell, task: &TaskId, worker: &Name) -> bool {
+    !needs_ticket(cell, task) || ticket(cell, task, worker).is_some()
+}
+
+/// The ticket for a start.
+pub(crate) fn ticket(cell: &Cell, task: &TaskId, worker: &Name) -> Option<Name> {
+    let policy = cell.policies.get(&task.step_id())?;
+    let (ticket, _until) = policy.tickets.get(worker)?;
+    Some(Name::clone(ticket))
+}
+
+/// Questions for steps that still wait: about workers with room that weren't asked about, or that may
+/// run the step and whose ticket has become too old. The roomiest come first.
+pub(crate) fn questions(cell: &mut Cell, waiting: &[Waiting], now: Millis) -> Vec<Question> {
+    let open = cell
+        .policies
+        .values()
+        .filter(|policy| policy.asking)
+        .count();
+    let mut questions = Vec::new();
+    for waiting in waiting {
+        if open + questions.len() >= OPEN {
+            break;
+        }
+        let task = waiting.first_task();
+        if !needs_ticket(cell, &task) || !waiting.still_waits(cell) {
+            continue;
+        }
+        let step = task.step_id();
+        let policy = cell.policies.entry(step.clone()).or_default();
+        if policy.asking || now < policy.ask_from {
+            continue;
+        }
+        let workers = candidates(cell, &task, now);
+        if workers.is_empty() {
+            continue;
+        }
+        if let Some(policy) = cell.policies.get_mut(&step) {
+            policy.asking = true;
+        }
+        questions.push(Question { step, workers });
+    }
+    questions
+}
+
+fn candidates(cell: &Cell, task: &TaskId, now: Millis) -> Vec<Name> {
+    let step = cell.jobs.get(&task.job).and_then(|job| job.step(task.step));
+    let policy = cell.policies.get(&task.step_id());
+    let (Some(step), Some(policy)) = (step, policy) else {
+        return Vec::new();
+    };
+    let open = cell.workers.iter().filter(|(id, worker)| {
+        worker.is_open(now, &cell.limits)
+            && step.reserved().fits(worker.room())
+            && allows_apart_from_policy(worker, task, step, 0)
+            && !policy.bad.contains(*id)
+            && !policy.tickets.contains_key(*id)
+    });
+    let mut open: Vec<_> = open
+        .map(|(id, worker)| (Reverse(worker.room().cpu), id))
+        .collect();
+    open.sort_unstable();
+    let ids = open.into_iter().take(ASKED);
+    ids.map(|(_room, id)| Name::clone(id)).collect()
+}
+
+/// Takes in an answer to a question that was sent at `sent_at`; `None` where there was none.
+pub(crate) fn answered(
+    cell: &mut Cell,
+    question: &Question,
+    answer: Option<(BTreeMap<Name, Name>, Millis)>,
+    sent_at: Millis,
+    now: Millis,
+) {
+    let Some(policy) = cell.policies.get_mut(&question.step) else {
+        return;
+    };
+    policy.asking = false;
+    let Some((tickets, valid)) = answer else {
+        policy.ask_from = now + PAUSE;
+        return;
+    };
+    let until = (sent_at + valid).saturating_sub(SLACK);
+    for worker in &question.workers {
+        match tickets.get(worker) {
+            Some(ticket) => {
+                let ticket = (Name::clone(ticket), until);
+                policy.tickets.insert(Name::clone(worker), ticket);
+            }
+            None => {
+                policy.bad.insert(Name::clone(worker));
+            }
+        }
+    }
+}
+
+/// A worker has refused a ticket: it isn't used again.
+pub(crate) fn refused(cell: &mut Cell, task: &TaskId, worker: &Name) {
+    if let Some(policy) = cell.policies.get_mut(&task.step_id()) {
+        policy.tickets.remove(worker);
+    }
+}
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -1,14 +1,15 @@
 //! The cell's state, and what it is told.
 
 use crate::{
+    advice::{self, Policy},
     job::Job,
     limits::{Limits, Millis},
     need::Needs,
-    order::{Order, Outcome, Tick},
+    order::{Order, Outcome, Question, Tick},
     row::{Accepted, Phase, Progress},
     worker::{Known, Run, Stop, Worker},
 };
-use primroseroute_domain::work::{Demand, JobId, Name, State, Step, TaskId};
+use primroseroute_domain::work::{Demand, JobId, Name, State, Step, StepId, TaskId};
 use primroseroute_platform::{
     site,
     worker::{Ended, Look, Refusal, Target},
@@ -34,6 +35,10 @@
     pub(crate) counts: BTreeMap<Name, u64>,
     /// How many workers it could use lately.
     pub(crate) needs: Needs,
+    /// Queues whose starts need a ticket.
+    pub(crate) advised: BTreeSet<Name>,
+    /// What is known of the workers for their steps.
+    pub(crate) policies: BTreeMap<StepId, Policy>,
 }
 
 impl Cell {
@@ -49,6 +54,8 @@
             waiting: BTreeMap::new(),
             counts: BTreeMap::new(),
             needs: Needs::default(),
+            advised: BTreeSet::new(),
+            policies: BTreeMap::new(),
         }
     }
 
@@ -225,11 +232,14 @@
             Outcome::Refused(refusal) => {
                 if matches!(
                     refusal,
-                    Refusal::Unhealthy | Refusal::Room | Refusal::Malformed | Refusal::Ticket
+                    Refusal::Unhealthy | Refusal::Room | Refusal::Malformed
                 ) {
                     found.shunned_until = found.shunned_until.max(now + limits.pause);
                 }
                 found.runs.remove(task);
+                if refusal == Refusal::Ticket {
+                    advice::refused(self, task, worker);
+                }
                 self.back_to_waiting(worker, task, run, None);
             }
             Outcome::Unsent => {
@@ -241,6 +251,23 @@
         }
     }
 
+    /// Takes in for which queues starts need a ticket.
+    pub fn advised(&mut self, queues: BTreeSet<Name>) {
+        self.advised = queues;
+    }
+
+    /// Takes in an answer to a question that was sent at `sent_at`: tickets by worker, and how long
+    /// they are valid; `None` where there was no answer.
+    pub fn advice(
+        &mut self,
+        question: &Question,
+        answer: Option<(BTreeMap<Name, Name>, Millis)>,
+        sent_at: Millis,
+        now: Millis,
+    ) {
+        advice::answered(self, question, answer, sent_at, now);
+    }
+
     /// Takes in that a worker has taken the stop of a run.
     pub fn stopped(&mut self, worker: &Name, task: &TaskId, run: u32, now: Millis) {
         let worker = self.workers.get_mut(worker);
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -21,6 +21,7 @@
 //! * [`row`]: what lies in the store, where, and how it is read.
 //! * [`Cell`] and its parts: jobs, workers, looks, placement, moves of lasting tasks.
 
+mod advice;
 mod cell;
 mod drain;
 mod job;
@@ -37,4 +38,4 @@
 pub use cell::Cell;
 pub use limits::{Limits, Millis};
 pub use need::Need;
-pub use order::{Order, Outcome, Tick};
+pub use order::{Order, Outcome, Question, Tick};
--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -2,7 +2,7 @@
 
 use crate::need::Need;
 use bytes::Bytes;
-use primroseroute_domain::work::{JobId, Name, State, TaskId};
+use primroseroute_domain::work::{JobId, Name, State, StepId, TaskId};
 use primroseroute_platform::worker::Refusal;
 
 /// An order to a worker.
@@ -20,6 +20,8 @@
         payload: Name,
         /// Where to resume from.
         checkpoint: Option<Name>,
+        /// Proof that the queue's policy allows the worker, where it asks for one.
+        ticket: Option<Name>,
     },
     /// Stop a run.
     Stop {
@@ -43,6 +45,15 @@
     },
 }
 
+/// A question to the advice service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// The step.
+    pub step: StepId,
+    /// The workers that might run it.
+    pub workers: Vec<Name>,
+}
+
 /// What came of a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -70,6 +81,8 @@
     pub urgent: Vec<Order>,
     /// Orders that may be sent only once the rows are committed.
     pub orders: Vec<Order>,
+    /// Questions to the advice service; they need no commit.
+    pub questions: Vec<Question>,
     /// For each worker, the number up to which ends are in the rows.
     pub seen: Vec<(Name, u64)>,
     /// Whether the counts of queued jobs have changed.
--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place.rs
@@ -5,6 +5,7 @@
 //! three times their objective, which earn nothing more and only have to finish some day.
 
 use crate::{
+    advice,
     cell::Cell,
     job::Job,
     limits::Millis,
@@ -39,6 +40,22 @@
     step: u16,
 }
 
+impl Waiting {
+    /// The step's first task, which stands for them all.
+    pub(crate) fn first_task(&self) -> TaskId {
+        task_id(self, 0)
+    }
+
+    /// Whether tasks of the step still wait.
+    pub(crate) fn still_waits(&self, cell: &Cell) -> bool {
+        let job = cell.jobs.get(&self.job);
+        job.is_some_and(|job| {
+            let mut tasks = waiting_tasks(job, self.occurrence, self.step);
+            tasks.next().is_some()
+        })
+    }
+}
+
 /// What is free on the workers that take something new.
 type Rooms = BTreeMap<Name, Demand>;
 
@@ -87,7 +104,8 @@
         let Some(step) = job.and_then(|job| job.step(waiting.step)) else {
             return;
         };
-        let plain = step.label.is_none() && step.most_per_worker == 0 && !step.gang;
+        let advised = job.is_some_and(|job| cell.advised.contains(&job.accepted.queue));
+        let plain = step.label.is_none() && step.most_per_worker == 0 && !step.gang && !advised;
         // A worker that still stops an earlier run of the same task is no place for that task alone.
         let stopping = job.is_some_and(|job| {
             let mut tasks = waiting_tasks(job, waiting.occurrence, waiting.step);
@@ -326,7 +344,8 @@
         let worker = &cell.workers[*id];
         step.reserved().fits(**room)
             && (step.lasting || !kept.contains(*id))
-            && allows(worker, task, step, extra.get(*id).copied().unwrap_or(0))
+            && allows_apart_from_policy(worker, task, step, extra.get(*id).copied().unwrap_or(0))
+            && advice::allows(cell, task, id)
     });
     let best = fitting.min_by_key(|(id, room)| {
         let worker = &cell.workers[*id];
@@ -342,8 +361,13 @@
     best.map(|(id, _room)| Name::clone(id))
 }
 
-/// Whether a worker may run a task at all, room aside.
-fn allows(worker: &Worker, task: &TaskId, step: &Step, extra: u16) -> bool {
+/// Whether a worker may run a task at all, room and its queue's policy aside.
+pub(crate) fn allows_apart_from_policy(
+    worker: &Worker,
+    task: &TaskId,
+    step: &Step,
+    extra: u16,
+) -> bool {
     let labelled = step
         .label
         .as_ref()
@@ -397,6 +421,7 @@
     step: &Step,
     gang: Option<(u32, Option<Name>)>,
 ) -> Option<Order> {
+    let ticket = advice::ticket(cell, &id, worker);
     let job = cell.jobs.get_mut(&id.job)?;
     let payload = Name::clone(&job.accepted.job.payload);
     job.progress.state = State::Running;
@@ -426,6 +451,7 @@
         run,
         payload,
         checkpoint,
+        ticket,
     })
 }
 
@@ -450,7 +476,10 @@
     let task = task_id(waiting, index);
     let able = rooms.iter().filter(|(id, _room)| {
         let worker = &cell.workers[*id];
-        !kept.contains(*id) && allows(worker, &task, &step, 0) && could_hold(worker, &step)
+        !kept.contains(*id)
+            && allows_apart_from_policy(worker, &task, &step, 0)
+            && advice::allows(cell, &task, id)
+            && could_hold(worker, &step)
     });
     let Some((id, _room)) = able.max_by_key(|(_id, room)| (room.cpu, room.memory)) else {
         return;
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -1,6 +1,7 @@
 //! One round of decisions.
 
 use crate::{
+    advice,
     cell::Cell,
     drain,
     limits::Millis,
@@ -23,6 +24,7 @@
     expire(cell, now);
     begin(cell, wall_ms);
     drain::run(cell, now);
+    advice::expire(cell, now);
     let waiting = place::sorted(cell, wall_ms);
     let mut orders = place::run(cell, &waiting, now);
     orders.extend(pace_all(cell));
@@ -36,6 +38,7 @@
     let counts_changed = counts != cell.counts;
     cell.counts = counts;
     Tick {
+        questions: advice::questions(cell, &waiting, now),
         puts,
         ended,
         forget: forget(cell, wall_ms),
--- a/crates/cell/tests/all/main.rs
+++ b/crates/cell/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Decisions on a pool's jobs, without any store or worker.
 
+mod advice;
 mod bed;
 mod ends;
 mod lasting;
--- a/crates/domain/src/work.rs
+++ b/crates/domain/src/work.rs
@@ -56,7 +56,34 @@
     pub index: u16,
 }
 
+/// One step of one occurrence of a job.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StepId {
+    /// Its job.
+    pub job: JobId,
+    /// Number of the occurrence; 0 for a job without a schedule.
+    pub occurrence: u32,
+    /// Number of the step within the job.
+    pub step: u16,
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
 impl TaskId {
+    /// The step that the task is one of.
+    pub fn step_id(&self) -> StepId {
+        StepId {
+            job: self.job.clone(),
+            occurrence: self.occurrence,
+            step: self.step,
+        }
+    }
+
     /// Reads `JOB.OCCURRENCE.STEP.INDEX`.
     pub fn parse(text: &str) -> Option<Self> {
         let mut parts = text.split('.');
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -19,6 +19,7 @@
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
+    advice::Advisor,
     rows::{Commit, Rows, Txn, Version, read_row},
     site::Site,
     worker::Workers,
@@ -79,6 +80,8 @@
     pub site: Arc<dyn Site>,
     /// The workers' calls.
     pub workers: Arc<dyn Workers>,
+    /// The advice service.
+    pub advisor: Arc<dyn Advisor>,
     /// What the platform tells.
     pub watch: Watch,
     /// Counts what is done.
@@ -335,6 +338,7 @@
             rows: Arc::clone(&self.parts.rows),
             site: Arc::clone(&self.parts.site),
             workers: Arc::clone(&self.parts.workers),
+            advisor: Arc::clone(&self.parts.advisor),
             watch: self.parts.watch.clone(),
             picture: Arc::clone(&self.picture),
             fleet: Arc::clone(&self.fleet),
--- a/crates/owner/src/event.rs
+++ b/crates/owner/src/event.rs
@@ -1,9 +1,10 @@
 //! What a pool's loop is told.
 
 use crate::load::Jobs;
-use primroseroute_cell::{Millis, Outcome};
+use primroseroute_cell::{Millis, Outcome, Question};
 use primroseroute_domain::work::{Name, TaskId};
 use primroseroute_platform::worker::Look;
+use std::collections::BTreeMap;
 
 /// What a pool's loop is told.
 #[derive(Debug)]
@@ -31,6 +32,12 @@
         task: TaskId,
         run: u32,
     },
+    Advised {
+        question: Question,
+        /// Tickets by worker, and how long they are valid; none where there was no answer.
+        answer: Option<(BTreeMap<Name, Name>, Millis)>,
+        sent_at: Millis,
+    },
     Empty {
         worker: Name,
         wanted: bool,
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -23,6 +23,7 @@
 //! since the end of each lease is worked out from the last moment at which the store confirmed the
 //! ownership, on the worker's clock as it was known then.
 
+mod ask;
 mod brisk;
 mod clock;
 mod commit;
--- a/crates/owner/src/own.rs
+++ b/crates/owner/src/own.rs
@@ -9,6 +9,7 @@
 use primroseroute_cell::{Cell, Limits, row};
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
+    advice::Advisor,
     rows::{Commit, Rows, Txn, Version},
     site::Site,
     worker::Workers,
@@ -31,6 +32,7 @@
     pub rows: Arc<dyn Rows>,
     pub site: Arc<dyn Site>,
     pub workers: Arc<dyn Workers>,
+    pub advisor: Arc<dyn Advisor>,
     pub watch: Watch,
     pub picture: Arc<Mutex<Picture>>,
     /// The instances.
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -1,6 +1,7 @@
 //! The loop of one owned pool: takes in what happens, decides, commits, and sends orders.
 
 use crate::{
+    ask::ask,
     commit::{Lane, Lost, Notes},
     emptying::Status,
     event::Event,
@@ -20,6 +21,7 @@
 use primroseroute_domain::work::{End, JobId, Name};
 use primroseroute_platform::{
     rows::{Txn, Version},
+    site::Configuration,
     worker::Target,
 };
 use std::{
@@ -61,6 +63,13 @@
 /// Most orders to one worker at the same time, each on a connection of its own.
 const ORDERS: usize = 3;
 
+/// Queues of a configuration whose starts need a ticket.
+fn advised(configuration: Option<&Arc<Configuration>>) -> BTreeSet<Name> {
+    let queues = configuration.into_iter().flat_map(|known| &known.queues);
+    let advised = queues.filter(|queue| queue.needs_ticket);
+    advised.map(|queue| Name::clone(&queue.name)).collect()
+}
+
 /// A worker that is looked at.
 #[derive(Debug)]
 struct Watched {
@@ -151,8 +160,14 @@
     /// Runs until the pool is lost, or `stop` says to give it up.
     pub(crate) async fn run(&mut self, lane: &mut Lane, stop: &mut watch::Receiver<bool>) -> Over {
         let mut registered = self.context.watch.workers.clone();
+        let mut configuration = self.context.watch.configuration.clone();
+        configuration.mark_changed();
         loop {
             let begin = Instant::now();
+            if configuration.has_changed().unwrap_or(false) {
+                self.cell
+                    .advised(advised(configuration.borrow_and_update().as_ref()));
+            }
             let workers = registered.borrow_and_update().clone();
             if !Arc::ptr_eq(&workers, &self.known_workers) {
                 self.register(&workers);
@@ -243,6 +258,11 @@
             Event::Stopped { worker, task, run } => {
                 self.cell.stopped(&worker, &task, run, now);
             }
+            Event::Advised {
+                question,
+                answer,
+                sent_at,
+            } => self.cell.advice(&question, answer, sent_at, now),
             Event::Empty { worker, wanted } => self.cell.empty(&worker, wanted),
             Event::Clear(worker) => self.cell.clear(&worker),
         }
@@ -310,6 +330,14 @@
         let clock = self.context.clock;
         let mut tick = self.cell.tick(clock.now(), clock.wall_ms());
         let urgent = std::mem::take(&mut tick.urgent);
+        for question in std::mem::take(&mut tick.questions) {
+            self.orders.spawn(ask(
+                Arc::clone(&self.context.advisor),
+                self.context.clock,
+                question,
+                self.sender.clone(),
+            ));
+        }
         self.tell_orders(&urgent);
         self.send(urgent, clock.now());
         self.counts_due |= tick.counts_changed;
--- a/crates/owner/src/send.rs
+++ b/crates/owner/src/send.rs
@@ -36,8 +36,23 @@
                 run,
                 payload,
                 checkpoint,
+                ticket,
             } => {
-                let outcome = self.start(&task, run, payload, checkpoint).await;
+                let outcome = match self.deadline_ms {
+                    Some(deadline_ms) => {
+                        let start = Start {
+                            task: task.clone(),
+                            run,
+                            payload,
+                            deadline_ms,
+                            token: self.token,
+                            checkpoint,
+                            ticket,
+                        };
+                        self.start(&start).await
+                    }
+                    None => Outcome::Unsent,
+                };
                 let event = Event::Answered {
                     worker,
                     task,
@@ -67,26 +82,8 @@
         }
     }
 
-    async fn start(
-        &self,
-        task: &TaskId,
-        run: u32,
-        payload: Name,
-        checkpoint: Option<Name>,
-    ) -> Outcome {
-        let Some(deadline_ms) = self.deadline_ms else {
-            return Outcome::Unsent;
-        };
-        let start = Start {
-            task: task.clone(),
-            run,
-            payload,
-            deadline_ms,
-            token: self.token,
-            checkpoint,
-            ticket: None,
-        };
-        match self.workers.start(&self.target, &start).await {
+    async fn start(&self, start: &Start) -> Outcome {
+        match self.workers.start(&self.target, start).await {
             Ok(Answer::Done) => Outcome::Started,
             Ok(Answer::Refused(refusal)) => Outcome::Refused(refusal),
             Ok(Answer::Gone) => {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! With the feature `http`, the module `http` implements every trait over HTTP/1.
 
+pub mod advice;
 pub mod error;
 pub mod fleet;
 #[cfg(feature = "http")]
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -7,7 +7,7 @@
 };
 use eyre::{Result, WrapErr};
 use log::{LevelFilter, info, warn};
-use primroseroute_adapter::{Client, Json, Settings, Site, Store, Workers, settings};
+use primroseroute_adapter::{Advisor, Client, Json, Settings, Site, Store, Workers, settings};
 use primroseroute_cell::Limits;
 use primroseroute_front::{Options, Server};
 use primroseroute_gateway::{Gateway, Parts as GatewayParts, Readiness};
@@ -102,7 +102,8 @@
         let rows: Arc<dyn Rows> = Arc::new(Brisk::new(rows));
         let site: Arc<dyn site::Site> =
             Arc::new(Site::open(client.clone(), store, settings.instances));
-        let workers: Arc<dyn worker::Workers> = Arc::new(Workers::open(client));
+        let workers: Arc<dyn worker::Workers> = Arc::new(Workers::open(client.clone()));
+        let advisor = Arc::new(Advisor::open(client, settings.advice));
         let workers: Arc<dyn worker::Workers> = Arc::new(Metered::new(workers, meter.clone()));
         let (watch, _follow) = Watch::spawn(&site, clock);
         let stopping = Arc::new(AtomicBool::new(false));
@@ -133,6 +134,7 @@
             rows,
             site,
             workers,
+            advisor,
             watch,
             observer,
         });
--- a/crates/standin/src/site/caller/workers.rs
+++ b/crates/standin/src/site/caller/workers.rs
@@ -1,16 +1,55 @@
 //! An entry's calls to workers.
 
 use super::{Caller, ORDER_TIMEOUT};
-use crate::site::State;
+use crate::site::{Reach, State, is_allowed, worker::Ticket};
 use async_trait::async_trait;
-use primroseroute_domain::work::{Name, TaskId};
+use primroseroute_domain::work::{Name, StepId, TaskId};
 use primroseroute_platform::{
     Error,
+    advice::{Advice, Advisor},
     worker::{Answer, Hold, Refusal, Seen, Start, Target, Workers},
 };
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until};
 
+/// Time of a question, and of each worker that it names.
+const ADVICE: (Duration, Duration) = (Duration::from_millis(30), Duration::from_millis(1));
+
+/// How long a ticket is valid.
+const VALID: Duration = Duration::from_secs(3);
+
+#[async_trait]
+impl Advisor for Caller {
+    async fn advise(&self, step: &StepId, workers: &[Name]) -> Result<Advice, Error> {
+        self.alive().await;
+        self.travel().await;
+        if self.conduct().advice != Reach::Fine {
+            return Err(Error::Unavailable("503".into()));
+        }
+        let (decide, each) = ADVICE;
+        sleep(decide + each * u32::try_from(workers.len()).unwrap_or(u32::MAX)).await;
+        let until = self.shared.now() + u64::try_from(VALID.as_millis()).unwrap_or(u64::MAX);
+        let step = step.to_string();
+        let allowed = workers.iter().filter(|worker| is_allowed(worker));
+        let tickets = allowed.map(|worker| {
+            let worker = Name::clone(worker);
+            let ticket = Ticket {
+                step: &step,
+                worker: &worker,
+                until,
+            };
+            let ticket = Name::from(ticket.to_string());
+            (worker, ticket)
+        });
+        let tickets = tickets.collect();
+        self.back().await;
+        Ok(Advice {
+            tickets,
+            valid: VALID,
+        })
+    }
+}
+
 #[async_trait]
 impl Workers for Caller {
     async fn start(&self, target: &Target, start: &Start) -> Result<Answer, Error> {
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -88,6 +88,8 @@
     pub commits: Reach,
     /// Its calls to workers.
     pub workers: Reach,
+    /// Its questions to the advice service.
+    pub advice: Reach,
     /// Share of its commits that are done and not answered.
     pub lost_commits: f64,
     /// Share of its commits that aren't answered, and done one to six seconds later.
@@ -376,6 +378,11 @@
     }
 }
 
+/// Whether the policy of queues that need advice allows a worker: every other one.
+pub fn is_allowed(worker: &Name) -> bool {
+    worker.bytes().last().is_some_and(|last| last % 2 == 0)
+}
+
 /// What every worker has: sixteen cores and 64 GB.
 pub const CAPACITY: Demand = Demand {
     cpu: 16_000,
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -10,7 +10,7 @@
     site,
     worker::{Answer, Ended, Hold, Look, Refusal, Running, Start},
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, fmt};
 
 /// Time that a stop takes, in milliseconds.
 const STOP: u64 = 100;
@@ -167,6 +167,9 @@
             return Answer::Refused(Refusal::Late);
         }
         self.lease = self.lease.max(start.deadline_ms);
+        if needs_ticket(&start.payload) && !self.has_ticket(start, now) {
+            return Answer::Refused(Refusal::Ticket);
+        }
         let past = self.past.get(&start.task).copied().unwrap_or(0);
         let known = self.runs.get(&start.task).map(|run| run.run);
         if known == Some(start.run) {
@@ -192,6 +195,14 @@
         Answer::Done
     }
 
+    fn has_ticket(&self, start: &Start, now: u64) -> bool {
+        let ticket = start.ticket.as_deref().and_then(Ticket::parse);
+        let step = start.task.step_id().to_string();
+        ticket.is_some_and(|ticket| {
+            ticket.step == step && ticket.worker == &*self.info.id && now < ticket.until
+        })
+    }
+
     pub(crate) fn stop(&mut self, task: &TaskId, run: u32, token: u64, now: u64) -> Answer {
         if self.fenced(token) {
             return Answer::Refused(Refusal::Fenced);
@@ -262,6 +273,36 @@
     }
 }
 
+/// Whether a payload is of a queue whose starts need a ticket.
+fn needs_ticket(payload: &str) -> bool {
+    payload.ends_with("advised")
+}
+
+/// A ticket in plain text.
+#[derive(Debug)]
+pub(crate) struct Ticket<'a> {
+    pub step: &'a str,
+    pub worker: &'a str,
+    pub until: u64,
+}
+
+impl<'a> Ticket<'a> {
+    fn parse(text: &'a str) -> Option<Self> {
+        let mut parts = text.split('/');
+        Some(Self {
+            step: parts.next()?,
+            worker: parts.next()?,
+            until: parts.next()?.parse().ok()?,
+        })
+    }
+}
+
+impl fmt::Display for Ticket<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.step, self.worker, self.until)
+    }
+}
+
 /// A lasting task is at work half a second after its start.
 const STARTUP: u64 = 500;
 
--- /dev/null
+++ b/tests/site/advice.rs
@@ -0,0 +1,123 @@
+//! Queues whose policy only the advice service knows: their starts carry its tickets.
+
+use crate::{
+    bed::{Bed, POOL, configuration, job, lasting, seconds, task},
+    cases,
+};
+use eyre::{Result, ensure};
+use primroseroute_domain::work::{Job, JobId, State};
+use primroseroute_platform::site::Instruction;
+use primroseroute_standin::site::{Reach, is_allowed};
+use std::time::Duration;
+
+cases! {
+    tasks_start_only_where_the_policy_allows => allowed_only();
+    ticket_that_is_too_old_is_asked_for_again => asked_again();
+    jobs_wait_while_there_is_no_advice => no_advice();
+    successor_asks_anew => successor();
+    queue_that_begins_to_need_tickets => begins();
+}
+
+/// A site whose queue needs tickets, after its configuration is in force.
+async fn open(seed: u64) -> Result<Bed> {
+    let bed = Bed::open(seed, 3, 4).await?;
+    need_tickets(&bed);
+    seconds(1).await;
+    Ok(bed)
+}
+
+fn need_tickets(bed: &Bed) {
+    let mut newer = configuration(2, POOL);
+    newer.queues[0].needs_ticket = true;
+    bed.world.instruct(Instruction::Configuration(newer));
+}
+
+/// A job whose workers refuse a start without a valid ticket.
+fn advised(millis: &str, count: u16) -> Job {
+    job(&format!("{millis} advised"), count)
+}
+
+/// Fails where a task of a job of one step started on a worker that the policy forbids.
+fn policy_was_kept(bed: &Bed, id: &JobId, count: u16) -> Result<()> {
+    for index in 0..count {
+        let starts = bed.world.journal().starts(&task(id, 0, index));
+        ensure!(!starts.is_empty(), "task {index} never started");
+        for (worker, _at) in starts {
+            ensure!(is_allowed(&worker), "task {index} started on {worker}");
+        }
+    }
+    Ok(())
+}
+
+// Two of four workers may run the job. It runs there, and nowhere else.
+async fn allowed_only() -> Result<()> {
+    let mut bed = open(81).await?;
+    let id = bed.submit("e-0", &advised("500", 12)).await?;
+    bed.until("e-0", &id, State::Completed, 4).await?;
+    policy_was_kept(&bed, &id, 12)?;
+    bed.judge()
+}
+
+// Tasks for three rounds of two workers take longer than a ticket is valid: the later ones start with
+// new tickets.
+async fn asked_again() -> Result<()> {
+    let mut bed = open(82).await?;
+    let id = bed.submit("e-0", &advised("2500", 48)).await?;
+    bed.until("e-0", &id, State::Completed, 12).await?;
+    policy_was_kept(&bed, &id, 48)?;
+    bed.judge()
+}
+
+// The advice service is away for seconds. Jobs of its queue wait, and go on when it is back; tasks that
+// run aren't touched.
+async fn no_advice() -> Result<()> {
+    let mut bed = open(83).await?;
+    let last = lasting(2);
+    let steady = Job {
+        payload: "lasts advised".into(),
+        ..last
+    };
+    let steady = bed.submit("e-0", &steady).await?;
+    seconds(1).await;
+    bed.conduct_all(|conduct| conduct.advice = Reach::Refused);
+    let id = bed.submit("e-0", &advised("500", 4)).await?;
+    seconds(5).await;
+    ensure!(bed.state("e-0", &id).await == Ok(State::Pending));
+    ensure!(bed.queued("e-0").await == 1);
+    bed.conduct_all(|conduct| conduct.advice = Reach::Fine);
+    bed.until("e-0", &id, State::Completed, 2).await?;
+    policy_was_kept(&bed, &steady, 2)?;
+    for index in 0..2 {
+        let starts = bed.world.journal().starts(&task(&steady, 0, index));
+        ensure!(starts.len() == 1, "{starts:?}");
+    }
+    bed.judge()
+}
+
+// The owner is killed between its question and the answer. Tickets are in no row: its successor asks
+// again.
+async fn successor() -> Result<()> {
+    let mut bed = open(84).await?;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    let id = bed.submit(&other, &advised("500", 4)).await?;
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    bed.kill(&owner);
+    bed.until(&other, &id, State::Completed, 9).await?;
+    policy_was_kept(&bed, &id, 4)?;
+    bed.judge()
+}
+
+// The queue asks for tickets only from a new configuration on, while a job of it waits for room. The
+// workers refuse starts without one from then on; the owner hears of it, and asks.
+async fn begins() -> Result<()> {
+    let mut bed = Bed::open(85, 2, 4).await?;
+    let filling = bed.submit("e-0", &job("2000", 32)).await?;
+    seconds(1).await;
+    let id = bed.submit("e-0", &advised("500", 4)).await?;
+    need_tickets(&bed);
+    bed.until("e-0", &filling, State::Completed, 4).await?;
+    bed.until("e-0", &id, State::Completed, 4).await?;
+    policy_was_kept(&bed, &id, 4)?;
+    bed.judge()
+}
--- a/tests/site/bed.rs
+++ b/tests/site/bed.rs
@@ -245,6 +245,7 @@
             rows,
             site,
             workers: Arc::new(caller.clone()),
+            advisor: Arc::new(caller.clone()),
             watch,
             observer: Arc::new(Blind),
         });
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -3,6 +3,7 @@
 //! Time is paused and every source of randomness has a seed, so a run repeats.
 
 mod accept;
+mod advice;
 mod bed;
 mod cancel;
 mod maintain;
