List every log line with its fields, and test the list

Cause: OPERATIONS.md listed lines in groups with the union of their fields; some lines were missing, and nothing kept it true.

Change: one row for each text with its own fields. tests/all/lines.rs reads the sources of the job path and fails on a line that isn't listed, is listed with other fields, or is written nowhere.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod input;
 mod jobs;
 mod lend;
+mod lines;
 mod once;
 mod process;
 mod regions;
