A case for silence that proves nothing: commits refused while reads work

Change: the stand-in can refuse an entry's commits alone; store_that_refuses_commits_moves_no_pool refuses them for all, and lets the pool's owner through last. Tried on the sources: with the own heartbeat taken out of the judgement this case and slow_store_moves_no_pool fail; with the time to be heard again taken out this case fails.

--- a/tests/site/bed.rs
+++ b/tests/site/bed.rs
@@ -378,6 +378,21 @@
 
     /// The entry that owns a pool, by what the store says.
     pub(crate) async fn owner(&self, pool: &str) -> Result<String> {
+        let row = self.owner_row(pool).await?;
+        let value = row.and_then(|row| row.value).unwrap_or_default();
+        let owner: primroseroute_cell::row::Owner = serde_json::from_slice(&value)?;
+        ensure!(!owner.released, "{pool} was given up by {}", owner.entry);
+        Ok(owner.entry.to_string())
+    }
+
+    /// The fencing token of a pool's owner: it changes with each takeover, also by the same entry.
+    pub(crate) async fn token(&self, pool: &str) -> Result<u64> {
+        let row = self.owner_row(pool).await?;
+        row.map(|row| row.version)
+            .ok_or_else(|| eyre::eyre!("{pool} has no owner"))
+    }
+
+    async fn owner_row(&self, pool: &str) -> Result<Option<primroseroute_platform::rows::Row>> {
         let place = primroseroute_cell::row::owner(pool);
         let rows = self.world.caller("observer");
         let range = primroseroute_platform::rows::Range {
@@ -387,11 +402,7 @@
             to: None,
         };
         let page = primroseroute_platform::rows::Rows::read(&rows, range).await?;
-        let row = page.rows.first().and_then(|row| row.value.clone());
-        let owner: primroseroute_cell::row::Owner =
-            serde_json::from_slice(&row.unwrap_or_default())?;
-        ensure!(!owner.released, "{pool} was given up by {}", owner.entry);
-        Ok(owner.entry.to_string())
+        Ok(page.rows.first().cloned())
     }
 
     /// An entry that doesn't own a pool.
--- a/tests/site/takeover.rs
+++ b/tests/site/takeover.rs
@@ -19,6 +19,7 @@
     owner_killed_twice_in_a_row => twice();
     stopped_owner_hands_over_at_once => stopped();
     slow_store_moves_no_pool => slow_store();
+    store_that_refuses_commits_moves_no_pool => commits_refused();
     restarted_entry_takes_its_old_pool_over => restarted();
     replaced_owner_starts_nothing_more => replaced();
     end_is_acknowledged_only_once_it_is_stored => acknowledged();
@@ -149,6 +150,27 @@
     Ok(())
 }
 
+// The store turns every commit away at once, and serves reads and feeds as usual. Every entry sees that
+// the others have fallen silent; each one's own heartbeats fail too, so their silence proves nothing.
+// When commits work again, all are heard again before anybody is judged.
+async fn commits_refused() -> Result<()> {
+    let bed = Bed::open(30, 3, 3).await?;
+    let owner = bed.owner(POOL).await?;
+    let token = bed.token(POOL).await?;
+    bed.conduct_all(|conduct| conduct.commits = Reach::Refused);
+    seconds(6).await;
+    // The owner comes last: those that get through before it would judge it.
+    for name in bed.nodes.keys().filter(|name| **name != owner) {
+        bed.conduct(name, |conduct| conduct.commits = Reach::Fine);
+    }
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    bed.conduct(&owner, |conduct| conduct.commits = Reach::Fine);
+    seconds(8).await;
+    let after = bed.token(POOL).await?;
+    ensure!(after == token, "the pool was taken: {after} after {token}");
+    Ok(())
+}
+
 // The owner's process is killed and starts again at once. Its new incarnation doesn't own what the
 // old one did: it takes the pool over like any other entry, and finds the lasting tasks running.
 async fn restarted() -> Result<()> {
