Five stories of failed requests, each traced by its id from captured lines

Cause: OPERATIONS.md tells the way from an id to the cause, and no test walked it.

Change: lines of one test are captured by its thread; each story finds the job's own lines by its id and goes on from what they name (code, worker, time): refused by the store, late for a dead worker, failed by its own fault, a lasting task away, cancelled.

--- /dev/null
+++ b/tests/site/lines.rs
@@ -0,0 +1,89 @@
+//! Log lines of one test, as an operator would collect them from all entries.
+//!
+//! The `log` facade knows one logger a process, so this one keeps lines by thread: each test has a
+//! thread of its own, and its runtime runs all entries there.
+
+use log::{
+    Level, Log, Metadata, Record,
+    kv::{Error, Key, Value, VisitSource},
+};
+use std::{cell::RefCell, collections::BTreeMap, sync::Once};
+use tokio::time::Instant;
+
+/// A line.
+#[derive(Clone, Debug)]
+pub(crate) struct Line {
+    /// When, in milliseconds since the capture began.
+    pub at: u64,
+    pub text: String,
+    fields: BTreeMap<String, String>,
+}
+
+impl Line {
+    pub(crate) fn field(&self, name: &str) -> Option<&str> {
+        self.fields.get(name).map(String::as_str)
+    }
+}
+
+thread_local! {
+    static LINES: RefCell<Option<(Instant, Vec<Line>)>> = const { RefCell::new(None) };
+}
+
+struct ByThread;
+
+struct Fields(BTreeMap<String, String>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        self.0.insert(key.to_string(), value.to_string());
+        Ok(())
+    }
+}
+
+impl Log for ByThread {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= Level::Info
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        LINES.with_borrow_mut(|lines| {
+            let Some((begin, lines)) = lines else {
+                return;
+            };
+            let mut fields = Fields(BTreeMap::new());
+            let visited = record.key_values().visit(&mut fields);
+            assert!(visited.is_ok(), "a field can't be read");
+            lines.push(Line {
+                at: u64::try_from(begin.elapsed().as_millis()).unwrap_or(u64::MAX),
+                text: record.args().to_string(),
+                fields: fields.0,
+            });
+        });
+    }
+
+    fn flush(&self) {}
+}
+
+/// A capture of this thread's lines.
+#[derive(Debug)]
+pub(crate) struct Capture;
+
+/// Begins to keep the lines of this thread.
+pub(crate) fn capture() -> Capture {
+    static INSTALL: Once = Once::new();
+    INSTALL.call_once(|| {
+        log::set_logger(&ByThread).expect("no other logger");
+        log::set_max_level(log::LevelFilter::Info);
+    });
+    LINES.set(Some((Instant::now(), Vec::new())));
+    Capture
+}
+
+impl Capture {
+    /// The lines so far.
+    pub(crate) fn take(&self) -> Vec<Line> {
+        LINES
+            .with_borrow(|lines| lines.as_ref().map(|(_begin, lines)| lines.clone()))
+            .unwrap_or_default()
+    }
+}
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -6,10 +6,12 @@
 mod advice;
 mod bed;
 mod cancel;
+mod lines;
 mod maintain;
 mod moves;
 mod random;
 mod store;
+mod stories;
 mod takeover;
 mod worker;
 
