A worker that is emptied for its maintenance is replaced meanwhile

Pools now keep hardly more workers than they need, so a lasting task on a worker that is to be emptied found no room elsewhere and stayed.

Change: the need counts workers that are emptied for maintenance as missing. Those that are emptied for a move aren't: they are on their way out. One case of the cell.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -7,7 +7,7 @@
     need::Needs,
     order::{Order, Outcome, Question, Tick},
     row::{Accepted, Phase, Progress},
-    worker::{Known, Run, Stop, Worker},
+    worker::{Known, Purpose, Run, Stop, Worker},
 };
 use primroseroute_domain::work::{Demand, JobId, Name, State, Step, StepId, TaskId};
 use primroseroute_platform::{
@@ -305,7 +305,7 @@
     }
 
     /// Asks for a worker to be emptied for planned work, or no more.
-    pub fn empty(&mut self, worker: &Name, wanted: bool) {
+    pub fn empty(&mut self, worker: &Name, wanted: Option<Purpose>) {
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.emptying = wanted;
         }
@@ -332,7 +332,7 @@
     /// Whether nothing can run on a worker, and it gets nothing new because it is to be emptied.
     pub fn is_emptied(&self, worker: &Name) -> bool {
         let found = self.workers.get(worker);
-        found.is_some_and(|worker| worker.emptying && worker.runs.is_empty())
+        found.is_some_and(|worker| worker.emptying.is_some() && worker.runs.is_empty())
     }
 
     /// Workers that have shown nothing for a while, and on which something may run.
--- a/crates/cell/src/drain.rs
+++ b/crates/cell/src/drain.rs
@@ -17,7 +17,7 @@
         let worker = &cell.workers[&id];
         if worker.is_leaving() {
             leave(cell, &id);
-        } else if worker.emptying {
+        } else if worker.emptying.is_some() {
             empty(cell, &id, now);
         }
     }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -39,3 +39,4 @@
 pub use limits::{Limits, Millis};
 pub use need::Need;
 pub use order::{Order, Outcome, Question, Tick};
+pub use worker::Purpose;
--- a/crates/cell/src/need.rs
+++ b/crates/cell/src/need.rs
@@ -8,7 +8,7 @@
     limits::Millis,
     place::{self, Waiting},
     row::Wanted,
-    worker::{Stop, Worker},
+    worker::{Purpose, Stop, Worker},
 };
 use primroseroute_domain::work::{Demand, Step};
 use std::collections::VecDeque;
@@ -229,10 +229,19 @@
     widths.max().unwrap_or(0)
 }
 
-/// A worker that is counted as the pool's and takes nothing: it has gone silent, or is shunned. One
-/// that was never looked at has just come.
+/// A worker that is counted as the pool's and takes nothing: it has gone silent, is shunned, or is
+/// emptied for its maintenance, when its lasting tasks need room elsewhere. One that was never looked at
+/// has just come, and one that is emptied for a move is on its way out.
 fn is_unfit(cell: &Cell, worker: &Worker, now: Millis) -> bool {
-    let silent = worker.looked_at.is_some() && !worker.is_fresh(now, &cell.limits);
-    let shunned = now < worker.shunned_until;
-    worker.registered && !worker.gone && !worker.emptying && (silent || shunned)
+    if !worker.registered || worker.gone {
+        return false;
+    }
+    match worker.emptying {
+        Some(Purpose::Maintenance) => true,
+        Some(Purpose::Move) => false,
+        None => {
+            let silent = worker.looked_at.is_some() && !worker.is_fresh(now, &cell.limits);
+            silent || now < worker.shunned_until
+        }
+    }
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -52,6 +52,15 @@
     SentAt(Millis),
 }
 
+/// Why a worker is emptied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    /// Its instance is due for maintenance, and stays in the pool.
+    Maintenance,
+    /// Its instance is to move to another pool.
+    Move,
+}
+
 /// A worker.
 #[derive(Clone, Debug)]
 #[expect(
@@ -75,7 +84,7 @@
     /// What may run on it.
     pub runs: BTreeMap<TaskId, Run>,
     /// Whether it is being emptied for planned work.
-    pub emptying: bool,
+    pub emptying: Option<Purpose>,
     /// It gets nothing new before then.
     pub shunned_until: Millis,
     /// Jobs whose tasks have failed on it since the last success.
@@ -93,7 +102,7 @@
             gone: false,
             seen: 0,
             runs: BTreeMap::new(),
-            emptying: false,
+            emptying: None,
             shunned_until: 0,
             failures: BTreeSet::new(),
         }
@@ -123,7 +132,7 @@
         self.registered
             && self.is_fresh(now, limits)
             && !self.is_leaving()
-            && !self.emptying
+            && self.emptying.is_none()
             && now >= self.shunned_until
     }
 
--- a/crates/cell/tests/all/lasting.rs
+++ b/crates/cell/tests/all/lasting.rs
@@ -4,6 +4,7 @@
     bed::{Bed, job, step, task},
     cases,
 };
+use primroseroute_cell::Purpose;
 use primroseroute_domain::work::{JobId, Name, Step};
 
 cases! {
@@ -51,7 +52,7 @@
 fn one_at_a_time() {
     let (mut bed, id, on) = bed(&["w-1", "w-2", "w-3", "w-4"], 1_000);
     for worker in &on {
-        bed.cell.empty(worker, true);
+        bed.cell.empty(worker, Some(Purpose::Maintenance));
     }
     for round in 0..40 {
         bed.tick();
@@ -70,7 +71,7 @@
 fn none_while_away() {
     let (mut bed, id, on) = bed(&["w-1", "w-2", "w-3"], 1_000);
     // The second task works on, and its worker doesn't answer any more.
-    bed.cell.empty(&on[0], true);
+    bed.cell.empty(&on[0], Some(Purpose::Maintenance));
     let silent = Name::clone(&on[1]);
     for _tenth in 0..35 {
         bed.now += 100;
@@ -86,7 +87,7 @@
 
 fn no_room() {
     let (mut bed, id, on) = bed(&["w-1", "w-2"], 6_000);
-    bed.cell.empty(&on[0], true);
+    bed.cell.empty(&on[0], Some(Purpose::Maintenance));
     bed.tick();
     assert_eq!(bed.on(&task(&id, 0, 0)), vec![Name::clone(&on[0])]);
 }
--- a/crates/cell/tests/all/need.rs
+++ b/crates/cell/tests/all/need.rs
@@ -4,7 +4,7 @@
     bed::{Bed, job, step},
     cases,
 };
-use primroseroute_cell::Need;
+use primroseroute_cell::{Need, Purpose};
 use primroseroute_domain::work::{End, Name, Step};
 
 cases! {
@@ -16,6 +16,7 @@
     rise_is_taken_to_go_on => rise();
     fall_is_followed_after_a_while => fall();
     silent_worker_is_replaced => silent();
+    worker_emptied_for_maintenance_is_replaced => emptied();
 }
 
 fn need(bed: &mut Bed) -> Need {
@@ -124,3 +125,21 @@
     bed.look_at(&"w-1".into());
     assert_eq!(need(&mut bed).unfit, 1);
 }
+
+/// A lasting task is on one of two workers of which neither has room for another. The one that is due for
+/// maintenance can't be emptied before a third worker is there.
+fn emptied() {
+    let mut bed = Bed::new(&["w-1", "w-2"]);
+    let lasting = Step {
+        lasting: true,
+        ..step(2, 6_000)
+    };
+    bed.accept(job(vec![lasting]));
+    let before = need(&mut bed);
+    assert_eq!((before.now, before.unfit), (2, 0));
+    bed.cell.empty(&"w-1".into(), Some(Purpose::Move));
+    assert_eq!(need(&mut bed).unfit, 0);
+    bed.cell.empty(&"w-1".into(), Some(Purpose::Maintenance));
+    let after = need(&mut bed);
+    assert_eq!((after.now, after.unfit), (3, 1));
+}
--- a/crates/owner/src/emptying.rs
+++ b/crates/owner/src/emptying.rs
@@ -1,6 +1,7 @@
 //! Workers of a pool that are being emptied, and what for.
 
 use crate::event::Event;
+use primroseroute_cell::Purpose;
 use primroseroute_domain::work::Name;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -33,15 +34,6 @@
     pub kept: u64,
 }
 
-/// Why a worker is emptied.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Purpose {
-    /// Its instance is due in a wave.
-    Wave,
-    /// Its instance is to move to another pool.
-    Move,
-}
-
 /// The workers that are being emptied.
 #[derive(Debug)]
 pub(crate) struct Emptying {
@@ -89,10 +81,10 @@
 
     /// Tells the cell once more what is to be emptied: it may have come to know a worker since.
     pub(crate) fn repeat(&self) {
-        for worker in self.workers.keys() {
+        for (worker, (purpose, _since)) in &self.workers {
             self.tell(Event::Empty {
                 worker: Name::clone(worker),
-                wanted: true,
+                wanted: Some(*purpose),
             });
         }
     }
@@ -104,7 +96,7 @@
                 self.workers.remove(&worker);
                 self.tell(Event::Empty {
                     worker,
-                    wanted: false,
+                    wanted: None,
                 });
             }
         }
@@ -119,7 +111,7 @@
     /// Stops shorter tasks on workers that a wave has waited for too long.
     pub(crate) fn clear(&self) {
         for (worker, (purpose, since)) in &self.workers {
-            if *purpose == Purpose::Wave && since.elapsed() >= CLEAR_AFTER {
+            if *purpose == Purpose::Maintenance && since.elapsed() >= CLEAR_AFTER {
                 self.tell(Event::Clear(Name::clone(worker)));
             }
         }
--- a/crates/owner/src/maintain.rs
+++ b/crates/owner/src/maintain.rs
@@ -1,14 +1,17 @@
 //! Carries out what waves of maintenance ask of a pool's instances.
 
 use crate::{
-    emptying::{Emptying, Purpose},
+    emptying::Emptying,
     holder::hold,
     own::Context,
     wave::{Situation, Step, steps},
 };
 use bytes::Bytes;
 use log::{info, warn};
-use primroseroute_cell::row::{self, Order, Wave as Progress};
+use primroseroute_cell::{
+    Purpose,
+    row::{self, Order, Wave as Progress},
+};
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
@@ -70,7 +73,7 @@
         let workers = instances.iter();
         let workers = workers.filter(|known| waiting.contains(&known.name));
         let workers = workers.filter_map(|known| known.worker.clone()).collect();
-        emptying.keep(Purpose::Wave, &workers);
+        emptying.keep(Purpose::Maintenance, &workers);
         emptying.clear();
         Ok(waiting)
     }
@@ -85,7 +88,7 @@
         emptying: &Emptying,
     ) -> Vec<Step> {
         let status = emptying.status();
-        let workers = emptying.of(Purpose::Wave);
+        let workers = emptying.of(Purpose::Maintenance);
         let over = workers.iter().filter(|worker| emptying.is_over(worker));
         steps(&Situation {
             wave,
@@ -111,7 +114,7 @@
         match step {
             Step::Empty(worker) => {
                 info!(wave = wave.number, worker = &*worker; "worker is being emptied");
-                emptying.begin(&worker, Purpose::Wave);
+                emptying.begin(&worker, Purpose::Maintenance);
                 Ok(())
             }
             Step::Begin(instance) | Step::Repeat(instance) => {
--- a/crates/owner/src/relocate.rs
+++ b/crates/owner/src/relocate.rs
@@ -1,14 +1,14 @@
 //! Carries out moves of a pool's instances to other pools.
 
 use crate::{
-    emptying::{Emptying, Purpose},
+    emptying::Emptying,
     holder::hold,
     own::Context,
     share::{self, Move, Pool},
 };
 use futures::future::join_all;
 use log::{info, warn};
-use primroseroute_cell::row::Order;
+use primroseroute_cell::{Purpose, row::Order};
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -2,7 +2,7 @@
 //! which workers are over.
 
 use crate::{
-    emptying::{Emptying, Purpose, Status},
+    emptying::{Emptying, Status},
     event::Event,
     fleet::Listing,
     maintain::Maintenance,
@@ -10,6 +10,7 @@
     relocate::{self, Relocation},
 };
 use log::info;
+use primroseroute_cell::Purpose;
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
