--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -63,10 +63,6 @@
 
 /// A worker.
 #[derive(Clone, Debug)]
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "each is learned from another source, and all combinations occur"
-)]
 pub(crate) struct Worker {
     /// Its registration; the last one for a worker that is no longer registered.
     pub info: Option<site::Worker>,
