--- a/tests/site/lines.rs
+++ b/tests/site/lines.rs
@@ -64,26 +64,19 @@
     fn flush(&self) {}
 }
 
-/// A capture of this thread's lines.
-#[derive(Debug)]
-pub(crate) struct Capture;
-
 /// Begins to keep the lines of this thread.
-pub(crate) fn capture() -> Capture {
+pub(crate) fn capture() {
     static INSTALL: Once = Once::new();
     INSTALL.call_once(|| {
         log::set_logger(&ByThread).expect("no other logger");
         log::set_max_level(log::LevelFilter::Info);
     });
     LINES.set(Some((Instant::now(), Vec::new())));
-    Capture
 }
 
-impl Capture {
-    /// The lines so far.
-    pub(crate) fn take(&self) -> Vec<Line> {
-        LINES
-            .with_borrow(|lines| lines.as_ref().map(|(_begin, lines)| lines.clone()))
-            .unwrap_or_default()
-    }
+/// The lines of this thread so far.
+pub(crate) fn captured() -> Vec<Line> {
+    LINES
+        .with_borrow(|lines| lines.as_ref().map(|(_begin, lines)| lines.clone()))
+        .unwrap_or_default()
 }
--- a/tests/site/stories.rs
+++ b/tests/site/stories.rs
@@ -3,7 +3,7 @@
 use crate::{
     bed::{Bed, POOL, job, lasting, seconds, task},
     cases,
-    lines::{Line, capture},
+    lines::{Line, capture, captured},
 };
 use eyre::{Result, ensure, eyre};
 use http::StatusCode;
@@ -41,7 +41,7 @@
 // The store turns all calls away for two seconds. The refusal's line has the code of it, and that
 // heartbeats of all entries fail at that time tells that it did so for everyone.
 async fn refused() -> Result<()> {
-    let lines = capture();
+    capture();
     let mut bed = Bed::open(91, 3, 3).await?;
     bed.conduct_all(|conduct| conduct.store = Reach::Refused);
     seconds(1).await;
@@ -50,7 +50,7 @@
     ensure!(status == StatusCode::SERVICE_UNAVAILABLE, "{status}");
     bed.conduct_all(|conduct| conduct.store = Reach::Fine);
     seconds(1).await;
-    let lines = lines.take();
+    let lines = captured();
     let own = about(&lines, &id);
     let refusal = first(&own, "job not accepted")?;
     ensure!(refusal.field("code") == Some("601"), "{refusal:?}");
@@ -73,14 +73,14 @@
 // The worker of the first run dies. The job's lines show a second run, the first one's worker, and by
 // that worker's id that its life was over in between.
 async fn late() -> Result<()> {
-    let lines = capture();
+    capture();
     let mut bed = Bed::open(92, 2, 3).await?;
     let id = bed.submit("e-0", &job("2000", 1)).await?;
     seconds(1).await;
     let on = bed.running(&task(&id, 0, 0));
     bed.world.crash(&on[0]);
     bed.until("e-0", &id, State::Completed, 15).await?;
-    let lines = lines.take();
+    let lines = captured();
     let own = about(&lines, &id);
     let placed = with(&own, "task placed");
     ensure!(placed.len() == 2, "{placed:?}");
@@ -100,13 +100,13 @@
 // The job fails by itself wherever it runs. Its lines show as many failed runs as its queue allows, on
 // more than one worker, whose other runs end well.
 async fn failed() -> Result<()> {
-    let lines = capture();
+    capture();
     let mut bed = Bed::open(93, 2, 3).await?;
     let sound = bed.submit("e-0", &job("1500", 9)).await?;
     let id = bed.submit("e-0", &job("300 fails", 1)).await?;
     bed.until("e-0", &id, State::Failed, 9).await?;
     bed.until("e-0", &sound, State::Completed, 9).await?;
-    let lines = lines.take();
+    let lines = captured();
     let own = about(&lines, &id);
     let ends = with(&own, "run ended without its work done");
     ensure!(ends.len() == 3, "{ends:?}");
@@ -120,7 +120,7 @@
 // The worker of a lasting task dies. From the end of its worker's life to the next placement, the lines
 // tell how long the task was away, and why.
 async fn away() -> Result<()> {
-    let lines = capture();
+    capture();
     let mut bed = Bed::open(94, 2, 4).await?;
     let id = bed.submit("e-0", &lasting(2)).await?;
     seconds(2).await;
@@ -129,7 +129,7 @@
     let died_at = bed.world.now();
     bed.world.crash(&on[0]);
     seconds(12).await;
-    let lines = lines.take();
+    let lines = captured();
     let own = about(&lines, &id);
     let name = task.to_string();
     let placed = with(&own, "task placed").into_iter();
@@ -155,14 +155,14 @@
 
 // A caller asks why its job stopped. The cancel's line stands before those of the stops.
 async fn cancelled() -> Result<()> {
-    let lines = capture();
+    capture();
     let mut bed = Bed::open(95, 2, 3).await?;
     let id = bed.submit("e-0", &lasting(2)).await?;
     seconds(2).await;
     let other = bed.bystander(POOL).await?;
     ensure!(bed.cancel(&other, &id).await == StatusCode::OK);
     seconds(1).await;
-    let own = about(&lines.take(), &id);
+    let own = about(&captured(), &id);
     let cancel = first(&own, "cancel accepted")?;
     let stops = with(&own, "run is to stop");
     ensure!(stops.len() == 2, "{stops:?}");
