Changed settings are in force: addresses from the next call on, bounds from a pool's next takeover on

Cause: SIGHUP and silent changes of the settings file were only logged.

Change: the adapter's calls read the addresses of the store, of the instances and of the advice service at each call; leases, the time that states are kept and the pause between two holders reach each pool with its next takeover, since a running owner's leases were given under the old ones. The entry's name, its zone, the addresses that it listens on and the grace stay until the next start, and the line says so by `restart`.

--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -61,6 +61,15 @@
 /// Longest time that the last heartbeat may take.
 const FAREWELL: Duration = Duration::from_millis(300);
 
+/// Times that the platform sets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Times of the cells.
+    pub limits: Limits,
+    /// Pause between the orders of two holders to one instance.
+    pub order_pause: Duration,
+}
+
 /// What an entry is given.
 #[derive(Clone, Debug)]
 pub struct Parts {
@@ -70,10 +79,8 @@
     pub incarnation: u64,
     /// Its clocks.
     pub clock: Clock,
-    /// Times of the cells.
-    pub limits: Limits,
-    /// Pause between the orders of two holders to one instance.
-    pub order_pause: Duration,
+    /// Times that the platform sets; newer ones are in force for a pool from its next takeover on.
+    pub bounds: watch::Receiver<Bounds>,
     /// The store.
     pub rows: Arc<dyn Rows>,
     /// The site.
@@ -329,12 +336,13 @@
     }
 
     fn context(&self, pool: &Name) -> Context {
+        let bounds = *self.parts.bounds.borrow();
         Context {
             entry: Name::clone(&self.parts.entry),
             pool: Name::clone(pool),
             clock: self.parts.clock,
-            limits: self.parts.limits,
-            order_pause: self.parts.order_pause,
+            limits: bounds.limits,
+            order_pause: bounds.order_pause,
             rows: Arc::clone(&self.parts.rows),
             site: Arc::clone(&self.parts.site),
             workers: Arc::clone(&self.parts.workers),
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -52,6 +52,6 @@
 
 pub use brisk::Brisk;
 pub use clock::Clock;
-pub use entry::{Entry, Parts};
+pub use entry::{Bounds, Entry, Parts};
 pub use observe::{Blind, Observer};
 pub use watch::Watch;
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -7,11 +7,13 @@
 };
 use eyre::{Result, WrapErr};
 use log::{LevelFilter, info, warn};
-use primroseroute_adapter::{Advisor, Client, Json, Settings, Site, Store, Workers, settings};
+use primroseroute_adapter::{
+    Advisor, Client, Current, Json, Settings, Site, Store, Workers, settings,
+};
 use primroseroute_cell::Limits;
 use primroseroute_front::{Options, Server};
 use primroseroute_gateway::{Gateway, Parts as GatewayParts, Readiness};
-use primroseroute_owner::{Brisk, Clock, Entry, Parts, Watch};
+use primroseroute_owner::{Bounds, Brisk, Clock, Entry, Parts, Watch};
 use primroseroute_platform::{rows::Rows, site, worker};
 use primroseroute_telemetry::{log::Log, site::Meter};
 use std::{
@@ -24,7 +26,7 @@
     },
     time::Duration,
 };
-use tokio::time::sleep;
+use tokio::{sync::watch, time::sleep};
 
 /// Longest timeout of the short calls that the client makes.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -72,7 +74,8 @@
     let stop = signal::stop()?;
     let running = Running::start(&settings, metrics_port).await?;
     info!(entry = &*settings.entry, zone = &*settings.zone, callers:% = settings.callers; "entry started");
-    let changes = tokio::spawn(watch_settings(path, settings.clone()));
+    let changes = watch_settings(path, settings.clone(), running.live.clone());
+    let changes = tokio::spawn(changes);
     stop.await;
     info!(entry = &*settings.entry; "entry stops");
     changes.abort();
@@ -82,7 +85,44 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Settings that are in force while the entry runs.
+#[derive(Clone, Debug)]
+struct Live {
+    store: Current<SocketAddr>,
+    instances: Current<SocketAddr>,
+    advice: Current<Option<SocketAddr>>,
+    bounds: watch::Sender<Bounds>,
+}
+
+impl Live {
+    fn new(settings: &Settings) -> Self {
+        Self {
+            store: settings.store.into(),
+            instances: settings.instances.into(),
+            advice: settings.advice.into(),
+            bounds: watch::Sender::new(bounds(settings)),
+        }
+    }
+
+    /// Puts newer settings in force: addresses from the next call on, bounds for each pool from its
+    /// next takeover on.
+    fn change(&self, settings: &Settings) {
+        self.store.set(settings.store);
+        self.instances.set(settings.instances);
+        self.advice.set(settings.advice);
+        self.bounds.send_replace(bounds(settings));
+    }
+}
+
+fn bounds(settings: &Settings) -> Bounds {
+    Bounds {
+        limits: limits(settings),
+        order_pause: settings.order_pause,
+    }
+}
+
 struct Running {
+    live: Live,
     entry: Entry,
     callers: Server,
     readiness: Server,
@@ -93,17 +133,18 @@
 impl Running {
     async fn start(settings: &Settings, metrics_port: Option<u16>) -> Result<Self> {
         let clock = Clock::start();
+        let live = Live::new(settings);
         let client = Client::open(CLIENT_TIMEOUT);
-        let store = Store::open(client.clone(), settings.store);
+        let store = Store::open(client.clone(), live.store.clone());
         let meter = Meter::open().wrap_err("opening the metrics")?;
         let observer = Arc::new(Observer(meter.clone()));
         let rows: Arc<dyn Rows> = Arc::new(store.clone());
         let rows: Arc<dyn Rows> = Arc::new(Metered::new(rows, meter.clone()));
         let rows: Arc<dyn Rows> = Arc::new(Brisk::new(rows));
         let site: Arc<dyn site::Site> =
-            Arc::new(Site::open(client.clone(), store, settings.instances));
+            Arc::new(Site::open(client.clone(), store, live.instances.clone()));
         let workers: Arc<dyn worker::Workers> = Arc::new(Workers::open(client.clone()));
-        let advisor = Arc::new(Advisor::open(client, settings.advice));
+        let advisor = Arc::new(Advisor::open(client, live.advice.clone()));
         let workers: Arc<dyn worker::Workers> = Arc::new(Metered::new(workers, meter.clone()));
         let (watch, _follow) = Watch::spawn(&site, clock);
         let stopping = Arc::new(AtomicBool::new(false));
@@ -129,8 +170,7 @@
             entry: Arc::clone(&settings.entry),
             incarnation: rand::random::<u64>() >> 1,
             clock,
-            limits: limits(settings),
-            order_pause: settings.order_pause,
+            bounds: live.bounds.subscribe(),
             rows,
             site,
             workers,
@@ -139,6 +179,7 @@
             observer,
         });
         Ok(Self {
+            live,
             entry,
             callers,
             readiness,
@@ -183,10 +224,9 @@
 /// How often the settings file is read for changes that no signal tells of.
 const REREAD: Duration = Duration::from_secs(2);
 
-/// Reads the settings again at SIGHUP and at intervals. What has changed is logged: addresses and
-/// bounds of a running process are fixed by the platform, so none of them is put in force before
-/// the next start.
-async fn watch_settings(path: PathBuf, known: Settings) {
+/// Reads the settings again at SIGHUP and at intervals, and puts what has changed in force. The entry's
+/// name, its zone and the addresses that it listens on stay as they are until the next start.
+async fn watch_settings(path: PathBuf, known: Settings, live: Live) {
     let mut known = known;
     let Ok(mut hangup) = signal::hangup() else {
         warn!("SIGHUP can't be handled; the settings file is read at intervals only");
@@ -197,20 +237,29 @@
             _ = hangup.recv() => info!("SIGHUP: the settings are read again"),
             () = sleep(REREAD) => {}
         }
-        known = reread(&path, known);
+        if let Some(newer) = reread(&path, &known) {
+            live.change(&newer);
+            known = newer;
+        }
     }
 }
 
-fn reread(path: &Path, known: Settings) -> Settings {
+/// The settings, if they have changed and aren't faulty.
+fn reread(path: &Path, known: &Settings) -> Option<Settings> {
     match Settings::load(path) {
-        Ok(newer) if newer != known => {
-            info!("the settings have changed; they are in force from the next start on");
-            newer
+        Ok(newer) if newer != *known => {
+            let restart = newer.entry != known.entry
+                || newer.zone != known.zone
+                || newer.callers != known.callers
+                || newer.readiness != known.readiness
+                || newer.grace != known.grace;
+            info!(restart; "the settings have changed");
+            Some(newer)
         }
-        Ok(_same) => known,
+        Ok(_same) => None,
         Err(fault) => {
             warn!(fault:% = fault; "the changed settings are faulty and ignored");
-            known
+            None
         }
     }
 }
--- a/tests/site/bed.rs
+++ b/tests/site/bed.rs
@@ -7,14 +7,17 @@
 use primroseroute_cell::Limits;
 use primroseroute_domain::work::{Demand, Job, JobId, Name, State, Step, TaskId};
 use primroseroute_gateway::{Gateway, Parts as GatewayParts};
-use primroseroute_owner::{Blind, Brisk, Clock, Entry, Parts, Watch};
+use primroseroute_owner::{Blind, Bounds, Brisk, Clock, Entry, Parts, Watch};
 use primroseroute_platform::{
     rows::Rows,
     site::{Codec, Configuration, Instruction, Pool, Queue, RequestLimits, Site},
 };
 use primroseroute_standin::site::{Caller, Conduct, Options, World, check};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
-use tokio::time::{sleep, timeout};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 /// The pool that the queue `/stay/` belongs to at first.
 pub(crate) const POOL: &str = "stay";
@@ -74,6 +77,8 @@
     started: u64,
     ids: u64,
     clock: Clock,
+    /// Times that the platform sets, for all entries.
+    pub bounds: watch::Sender<Bounds>,
 }
 
 pub(crate) fn configuration(number: u64, pool: &str) -> Configuration {
@@ -211,6 +216,10 @@
             started: 0,
             ids: 0,
             clock: Clock::simulated(1_000_000),
+            bounds: watch::Sender::new(Bounds {
+                limits: Limits::new(6_000, 120_000),
+                order_pause: Duration::from_secs(3),
+            }),
         };
         for number in 0..entries {
             bed.start(&format!("e-{number}"));
@@ -240,8 +249,7 @@
             entry: name.into(),
             incarnation: self.started,
             clock: self.clock,
-            limits: Limits::new(6_000, 120_000),
-            order_pause: Duration::from_secs(3),
+            bounds: self.bounds.subscribe(),
             rows,
             site,
             workers: Arc::new(caller.clone()),
--- a/tests/site/takeover.rs
+++ b/tests/site/takeover.rs
@@ -5,7 +5,10 @@
     cases,
 };
 use eyre::{Result, ensure};
-use primroseroute_cell::row::{self, Member, Owner};
+use primroseroute_cell::{
+    Limits,
+    row::{self, Member, Owner},
+};
 use primroseroute_domain::work::{Name, State};
 use primroseroute_platform::rows::{Range, Rows, Txn};
 use primroseroute_standin::site::Reach;
@@ -21,6 +24,7 @@
     slow_store_moves_no_pool => slow_store();
     store_that_refuses_commits_moves_no_pool => commits_refused();
     restarted_entry_takes_its_old_pool_over => restarted();
+    newer_bounds_are_in_force_from_a_takeover_on => newer_bounds();
     replaced_owner_starts_nothing_more => replaced();
     end_is_acknowledged_only_once_it_is_stored => acknowledged();
 }
@@ -264,3 +268,28 @@
     }
     bed.judge()
 }
+
+// The platform makes leases longer while the system runs. The owner of that moment goes on with the
+// shorter ones. Its successor knows that leases may last for longer, and waits for that before it starts
+// the task of a silent worker anew.
+async fn newer_bounds() -> Result<()> {
+    let mut bed = Bed::open(31, 3, 2).await?;
+    let owner = bed.owner(POOL).await?;
+    bed.bounds
+        .send_modify(|bounds| bounds.limits = Limits::new(9_000, 120_000));
+    bed.kill(&owner);
+    seconds(5).await;
+    let other = bed.bystander(POOL).await?;
+    let id = bed.submit(&other, &lasting(1)).await?;
+    seconds(2).await;
+    let task = task(&id, 0, 0);
+    let on = bed.running(&task);
+    let cut_at = bed.world.now();
+    bed.world.cut(&on[0], true);
+    seconds(14).await;
+    let starts = bed.world.journal().starts(&task);
+    ensure!(starts.len() == 2, "{starts:?}");
+    let waited = starts[1].1 - cut_at;
+    ensure!(waited > 7_000, "started anew after {waited} ms");
+    Ok(())
+}
