Moves and maintenance by the platform's rate, and many of a wave in one write

Change: the settings' rate of orders (all entries together) sets how many moves one owner orders in a second: three quarters of it. A round of a wave finishes all that are back in one write, or begins as many as there are places for in one write. The rate is a bound like the others, in force from the next takeover on.

Tests: four cases of a wave's steps, one of the rate over whole entries.

--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -62,12 +62,14 @@
 const FAREWELL: Duration = Duration::from_millis(300);
 
 /// Times that the platform sets.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
     /// Times of the cells.
     pub limits: Limits,
     /// Pause between the orders of two holders to one instance.
     pub order_pause: Duration,
+    /// Orders to instances that the platform takes a second from all entries together.
+    pub order_rate: f64,
 }
 
 /// What an entry is given.
@@ -343,6 +345,7 @@
             clock: self.parts.clock,
             limits: bounds.limits,
             order_pause: bounds.order_pause,
+            order_rate: bounds.order_rate,
             rows: Arc::clone(&self.parts.rows),
             site: Arc::clone(&self.parts.site),
             workers: Arc::clone(&self.parts.workers),
--- a/crates/owner/src/maintain.rs
+++ b/crates/owner/src/maintain.rs
@@ -7,6 +7,7 @@
     wave::{Situation, Step, steps},
 };
 use bytes::Bytes;
+use futures::future::join_all;
 use log::{info, warn};
 use primroseroute_cell::{
     Purpose,
@@ -65,10 +66,8 @@
             let due = wave.instances.iter();
             let due = due.filter(|name| !progress.done.contains(*name));
             waiting.extend(due.map(Name::clone));
-            for step in next {
-                let at = (wave, &progress, version);
-                self.carry_out(context, at, step, emptying).await?;
-            }
+            let at = (wave, &progress, version);
+            self.carry_out(context, at, next, emptying).await?;
         }
         let workers = instances.iter();
         let workers = workers.filter(|known| waiting.contains(&known.name));
@@ -104,81 +103,106 @@
         })
     }
 
+    /// Carries out all steps of a round with one write of the wave's row for each sort: the owners of
+    /// all pools write it, and each write makes those of the others fail.
     async fn carry_out(
         &mut self,
         context: &Context,
-        (wave, progress, version): (&Wave, &Progress, Version),
-        step: Step,
+        at: (&Wave, &Progress, Version),
+        steps: Vec<Step>,
         emptying: &mut Emptying,
     ) -> Result<(), Error> {
-        match step {
-            Step::Empty(worker) => {
-                info!(wave = wave.number, worker = &*worker; "worker is being emptied");
-                emptying.begin(&worker, Purpose::Maintenance);
-                Ok(())
-            }
-            Step::Begin(instance) | Step::Repeat(instance) => {
-                let at = (wave, progress, version);
-                self.begin(context, at, &instance, emptying).await
-            }
-            Step::Finish(name) => {
-                let mut next = progress.clone();
-                next.active.remove(&name);
-                next.done.insert(Name::clone(&name));
-                if write(context, wave.number, version, &next).await?.is_some() {
+        let (wave, progress, version) = at;
+        let mut next = progress.clone();
+        let mut due = Vec::new();
+        for step in steps {
+            match step {
+                Step::Empty(worker) => {
+                    info!(wave = wave.number, worker = &*worker; "worker is being emptied");
+                    emptying.begin(&worker, Purpose::Maintenance);
+                }
+                Step::Begin(instance) | Step::Repeat(instance) => due.push(instance),
+                Step::Finish(name) => {
                     info!(wave = wave.number, instance = &*name; "instance is maintained");
+                    next.active.remove(&name);
+                    next.done.insert(name);
+                }
+                Step::Complete => {
+                    context.site.report_wave(wave.number, true).await?;
+                    info!(wave = wave.number; "wave is complete");
+                    self.complete.insert(wave.number);
                 }
-                Ok(())
-            }
-            Step::Complete => {
-                context.site.report_wave(wave.number, true).await?;
-                info!(wave = wave.number; "wave is complete");
-                self.complete.insert(wave.number);
-                Ok(())
             }
         }
+        if next != *progress {
+            // Where another owner was faster, the next round finds the same instances done.
+            write(context, wave.number, version, &next).await?;
+        } else if !due.is_empty() {
+            self.begin(context, at, &due, emptying).await?;
+        }
+        Ok(())
     }
 
-    /// Counts the instance as in maintenance, then orders it.
+    /// Counts the instances as in maintenance, then orders that.
     async fn begin(
         &mut self,
         context: &Context,
         (wave, progress, version): (&Wave, &Progress, Version),
-        instance: &Instance,
+        instances: &[Instance],
         emptying: &mut Emptying,
     ) -> Result<(), Error> {
         let mut next = progress.clone();
-        let name = Name::clone(&instance.name);
-        next.active
-            .insert(Name::clone(&name), instance.worker.clone());
+        for instance in instances {
+            let name = Name::clone(&instance.name);
+            next.active.insert(name, instance.worker.clone());
+        }
         let Some(counted) = write(context, wave.number, version, &next).await? else {
             return Ok(());
         };
         if version == 0 {
             context.site.report_wave(wave.number, false).await?;
         }
-        let order = BTreeMap::from([(name, Order::Maintain(wave.number))]);
-        let Some(holder) = hold(context, self.owner, order).await? else {
+        let order = |instance: &Instance| {
+            let name = Name::clone(&instance.name);
+            (name, Order::Maintain(wave.number))
+        };
+        let orders = instances.iter().map(order).collect();
+        let Some(holder) = hold(context, self.owner, orders).await? else {
             return Ok(());
         };
-        let ordered = context.site.maintain(&instance.name, wave.number, &holder);
-        match ordered.await? {
-            Ordered::Taken => {
-                let token = holder.token;
-                info!(wave = wave.number, instance = &*instance.name, token; "maintenance begun");
-                let known = self.taken.entry(wave.number).or_default();
-                known.insert(Name::clone(&instance.name));
-                if let Some(worker) = &instance.worker {
-                    emptying.gone(worker);
+        let by = &holder;
+        let orders = instances.iter().map(|instance| async move {
+            let order = context.site.maintain(&instance.name, wave.number, by);
+            (instance, order.await)
+        });
+        let before = next.active.len();
+        for (instance, result) in join_all(orders).await {
+            let name = &*instance.name;
+            match result {
+                Ok(Ordered::Taken) => self.begun(wave.number, instance, holder.token, emptying),
+                Ok(refused) => {
+                    warn!(wave = wave.number, instance = name, refused:? = refused; "maintenance refused");
+                    next.active.remove(&instance.name);
+                }
+                // It stays counted, and is ordered again while it is up as before.
+                Err(error) => {
+                    warn!(wave = wave.number, instance = name, error:% = error; "ordering maintenance failed");
                 }
-                Ok(())
-            }
-            refused => {
-                warn!(wave = wave.number, instance = &*instance.name, refused:? = refused; "maintenance refused");
-                next.active.remove(&instance.name);
-                write(context, wave.number, counted, &next).await.map(drop)
             }
         }
+        if next.active.len() < before {
+            write(context, wave.number, counted, &next).await?;
+        }
+        Ok(())
+    }
+
+    fn begun(&mut self, wave: u64, instance: &Instance, token: Version, emptying: &mut Emptying) {
+        info!(wave, instance = &*instance.name, token; "maintenance begun");
+        let known = self.taken.entry(wave).or_default();
+        known.insert(Name::clone(&instance.name));
+        if let Some(worker) = &instance.worker {
+            emptying.gone(worker);
+        }
     }
 }
 
--- a/crates/owner/src/own.rs
+++ b/crates/owner/src/own.rs
@@ -29,6 +29,8 @@
     pub limits: Limits,
     /// Pause between the orders of two holders to one instance.
     pub order_pause: Duration,
+    /// Orders to instances that the platform takes a second from all entries together.
+    pub order_rate: f64,
     pub rows: Arc<dyn Rows>,
     pub site: Arc<dyn Site>,
     pub workers: Arc<dyn Workers>,
--- a/crates/owner/src/relocate.rs
+++ b/crates/owner/src/relocate.rs
@@ -15,16 +15,25 @@
     rows::Version,
     site::{Instance, Ordered},
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+use tokio::time::Instant;
+
+/// Part of the orders that the platform takes which one owner's moves may use up: at most times one pool
+/// lets go, and the rest is for waves and for a second pool. What is turned away is ordered again.
+const RATE_PART: f64 = 0.75;
 
-/// Most moves of one pool at a time: each is a call to a platform that takes a limited number of them
-/// a second from all entries together.
-const MOST: usize = 8;
+/// Time over which orders are counted.
+const SECOND: Duration = Duration::from_secs(1);
 
 /// A pool's moves.
 #[derive(Debug, Default)]
 pub(crate) struct Relocation {
     refused: BTreeSet<(Name, Name)>,
+    /// When moves were ordered within the last second.
+    ordered: VecDeque<Instant>,
 }
 
 /// All pools, as far as this entry knows.
@@ -96,7 +105,10 @@
         owner: Version,
         moves: &[Move],
     ) -> Result<Vec<Instance>, Error> {
-        let moves = &moves[..moves.len().min(MOST)];
+        let moves = &moves[..moves.len().min(self.places(context.order_rate))];
+        if moves.is_empty() {
+            return Ok(Vec::new());
+        }
         let written = moves.iter().map(|wanted| {
             let instance = Name::clone(&wanted.instance.name);
             (instance, Order::Move(Name::clone(&wanted.to)))
@@ -104,6 +116,8 @@
         let Some(holder) = hold(context, owner, written.collect()).await? else {
             return Ok(Vec::new());
         };
+        let now = Instant::now();
+        self.ordered.extend(moves.iter().map(|_wanted| now));
         let orders = moves.iter().map(|wanted| {
             let order = context
                 .site
@@ -119,6 +133,22 @@
         Ok(going)
     }
 
+    /// How many moves may be ordered now.
+    fn places(&mut self, rate: f64) -> usize {
+        let recent = |at: &Instant| at.elapsed() < SECOND;
+        while self.ordered.front().is_some_and(|at| !recent(at)) {
+            self.ordered.pop_front();
+        }
+        // A rate is a small number, and a part of one counts as one.
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "negative and huge rates are cut at the bounds of the type"
+        )]
+        let most = (rate * RATE_PART).ceil() as usize;
+        most.saturating_sub(self.ordered.len())
+    }
+
     /// Takes in what came of an order; whether it was taken.
     fn settle(&mut self, wanted: &Move, token: Version, result: Result<Ordered, Error>) -> bool {
         let instance = &*wanted.instance.name;
--- a/crates/owner/src/wave.rs
+++ b/crates/owner/src/wave.rs
@@ -138,22 +138,23 @@
     due
 }
 
-/// An empty instance begins, if the wave has a place left.
+/// Empty instances begin, as far as the wave has places left.
 fn begun(situation: &Situation<'_>, due: &[&Instance]) -> Vec<Step> {
-    if situation.progress.active.len() >= situation.wave.maximum {
-        return Vec::new();
-    }
-    let mut rested = due
+    let active = situation.progress.active.len();
+    let places = situation.wave.maximum.saturating_sub(active);
+    let rested = due
         .iter()
         .filter(|instance| situation.rested.contains(&instance.name));
-    let ready = rested.find(|instance| {
+    let ready = rested.filter(|instance| {
         let worker = instance.worker.as_ref();
         worker.is_none_or(|worker| {
             situation.emptying.contains(worker) && situation.empty.contains(worker)
         })
     });
-    let begin = ready.map(|instance| Step::Begin(Instance::clone(instance)));
-    begin.into_iter().collect()
+    ready
+        .take(places)
+        .map(|instance| Step::Begin(Instance::clone(instance)))
+        .collect()
 }
 
 /// Workers to empty, up to the limit.
--- a/crates/owner/tests/all/main.rs
+++ b/crates/owner/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Decisions of owners, without any store.
 
 mod share;
+mod wave;
--- /dev/null
+++ b/crates/owner/tests/all/wave.rs
@@ -0,0 +1,126 @@
+//! The next steps of a wave in one pool.
+
+use primroseroute_cell::row::Wave as Progress;
+use primroseroute_domain::work::Name;
+use primroseroute_owner::wave::{Situation, Step, steps};
+use primroseroute_platform::site::{Condition, Instance, Wave};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+/// Five instances, all due, of which three may be in maintenance at a time.
+struct Bed {
+    instances: Vec<Instance>,
+    progress: Progress,
+    rested: BTreeSet<Name>,
+    emptying: BTreeSet<Name>,
+    empty: BTreeSet<Name>,
+    taken: BTreeSet<Name>,
+}
+
+fn instance(number: usize) -> Instance {
+    Instance {
+        name: format!("i-{number}").into(),
+        pool: "pool".into(),
+        condition: Condition::Up,
+        worker: Some(format!("w-{number}").into()),
+    }
+}
+
+impl Bed {
+    fn new() -> Self {
+        let instances: Vec<Instance> = (0..5).map(instance).collect();
+        let workers = instances.iter().filter_map(|known| known.worker.clone());
+        let workers: BTreeSet<Name> = workers.collect();
+        Self {
+            rested: instances
+                .iter()
+                .map(|known| Name::clone(&known.name))
+                .collect(),
+            instances,
+            progress: Progress::default(),
+            emptying: workers.clone(),
+            empty: workers,
+            taken: BTreeSet::new(),
+        }
+    }
+
+    fn steps(&self) -> Vec<Step> {
+        let names = self.instances.iter().map(|known| Name::clone(&known.name));
+        steps(&Situation {
+            wave: &Wave {
+                number: 1,
+                instances: names.collect(),
+                duration: Duration::from_secs(30),
+                maximum: 3,
+            },
+            progress: &self.progress,
+            pool: &"pool".into(),
+            instances: &self.instances,
+            rested: &self.rested,
+            emptying: &self.emptying,
+            empty: &self.empty,
+            lasting: &BTreeMap::new(),
+            taken: &self.taken,
+            most: 5,
+        })
+    }
+
+    /// Names of the instances that begin.
+    fn begun(&self) -> Vec<String> {
+        let steps = self.steps().into_iter();
+        let begun = steps.filter_map(|step| match step {
+            Step::Begin(instance) => Some(instance.name.to_string()),
+            _ => None,
+        });
+        begun.collect()
+    }
+}
+
+#[test]
+fn as_many_begin_as_there_are_places() {
+    let mut bed = Bed::new();
+    assert_eq!(bed.begun(), ["i-0", "i-1", "i-2"]);
+    bed.progress.active.insert("i-9".into(), None);
+    bed.instances.push(Instance {
+        condition: Condition::Maintenance,
+        ..instance(9)
+    });
+    assert_eq!(bed.begun(), ["i-0", "i-1"]);
+}
+
+#[test]
+fn those_that_are_not_empty_or_may_not_be_ordered_are_passed_over() {
+    let mut bed = Bed::new();
+    bed.empty.remove("w-0");
+    bed.rested.remove("i-1");
+    assert_eq!(bed.begun(), ["i-2", "i-3", "i-4"]);
+}
+
+/// Those whose maintenance is over come before anything new, all at once: each makes a place free.
+#[test]
+fn all_that_are_back_are_finished_at_once() {
+    let mut bed = Bed::new();
+    for number in 0..2 {
+        let before = instance(number).worker;
+        bed.progress.active.insert(instance(number).name, before);
+        bed.instances[number].worker = Some("w-new".into());
+    }
+    let finished = [Step::Finish("i-0".into()), Step::Finish("i-1".into())];
+    assert_eq!(bed.steps(), finished);
+}
+
+/// Instance 0 is counted as in maintenance and is up with the worker that it had: its order may not have
+/// come, so it is sent again, unless this owner knows that it was taken.
+#[test]
+fn order_that_may_not_have_come_is_repeated() {
+    let mut bed = Bed::new();
+    let first = instance(0);
+    bed.progress
+        .active
+        .insert(Name::clone(&first.name), first.worker.clone());
+    assert_eq!(bed.steps(), [Step::Repeat(first.clone())]);
+    bed.taken.insert(Name::clone(&first.name));
+    assert_eq!(bed.steps(), [Step::Finish(first.name)]);
+}
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -118,6 +118,7 @@
     Bounds {
         limits: limits(settings),
         order_pause: settings.order_pause,
+        order_rate: settings.order_rate,
     }
 }
 
--- a/tests/site/bed.rs
+++ b/tests/site/bed.rs
@@ -219,6 +219,7 @@
             bounds: watch::Sender::new(Bounds {
                 limits: Limits::new(6_000, 120_000),
                 order_pause: Duration::from_secs(3),
+                order_rate: 64.0,
             }),
         };
         for number in 0..entries {
--- a/tests/site/moves.rs
+++ b/tests/site/moves.rs
@@ -14,6 +14,7 @@
     pool_under_load_gets_the_instances_of_others => under_load();
     lasting_task_keeps_its_instance => lasting_stays();
     owner_killed_between_moves => owner_killed();
+    moves_keep_to_the_platforms_rate => rate();
     frozen_owner_moves_nothing_after_its_replacement => owner_frozen();
 }
 
@@ -148,3 +149,27 @@
         .ok_or_else(|| eyre!("{successor} moved nothing: {moves:?}"))?;
     bed.judge()
 }
+
+// The platform takes four orders a second, and fourteen idle instances are to be switched off. They go
+// three in any second, so that waves and other pools have their part of the rate.
+async fn rate() -> Result<()> {
+    let mut bed = Bed::open_with_standby(76, 3, 15).await?;
+    bed.bounds.send_modify(|bounds| bounds.order_rate = 4.0);
+    let owner = bed.owner(POOL).await?;
+    bed.kill(&owner);
+    let from = bed.world.now() + 2_000;
+    seconds(25).await;
+    let moves = moved(&bed).into_iter();
+    let times: Vec<u64> = moves
+        .map(|(at, _instance, _to, _entry)| at)
+        .filter(|at| *at >= from)
+        .collect();
+    ensure!(times.len() >= 6, "{times:?}");
+    for at in &times {
+        let together = times
+            .iter()
+            .filter(|other| *at <= **other && **other < at + 1_000);
+        ensure!(together.count() <= 3, "{times:?}");
+    }
+    bed.judge()
+}
