Check the platform's settings file, and say why a start got no answer

Cause: `primroseroute check` read only the system's own format; an operator learnt of a faulty file of the platform from an entry that doesn't start.

A start without an answer has the same line as a stop without one, with the error.

Tests: three over the program's process.

--- a/crates/owner/src/send.rs
+++ b/crates/owner/src/send.rs
@@ -91,9 +91,15 @@
                 self.tell(event);
                 Outcome::Unsent
             }
-            Err(Error::Unknown(_detail)) => Outcome::Unknown,
-            Err(Error::Throttled) => Outcome::Refused(Refusal::Unhealthy),
-            Err(_error) => Outcome::Unsent,
+            Err(error) => {
+                let outcome = match error {
+                    Error::Unknown(_) => Outcome::Unknown,
+                    Error::Throttled => Outcome::Refused(Refusal::Unhealthy),
+                    _ => Outcome::Unsent,
+                };
+                self.note("start", &start.task, start.run, Err(error));
+                outcome
+            }
         }
     }
 
--- a/crates/serve/src/cli.rs
+++ b/crates/serve/src/cli.rs
@@ -40,8 +40,11 @@
     /// Report every fault of a settings file.
     Check {
         /// The file.
-        #[arg(long)]
-        settings: PathBuf,
+        #[arg(long, required_unless_present = "platform")]
+        settings: Option<PathBuf>,
+        /// A settings file in the platform's format, as `site` reads it.
+        #[arg(long, conflicts_with = "settings")]
+        platform: Option<PathBuf>,
     },
     /// Print the documented default settings.
     Settings,
@@ -60,10 +63,7 @@
             print!("{}", documented());
             Ok(ExitCode::SUCCESS)
         }
-        Command::Check { settings } => Ok(match Settings::load(&settings) {
-            Ok(_settings) => ExitCode::SUCCESS,
-            Err(error) => report(&error),
-        }),
+        Command::Check { settings, platform } => Ok(check(settings, platform)),
         Command::Site {
             settings,
             level,
@@ -76,6 +76,18 @@
     }
 }
 
+/// Checks the file of either format; the command line takes exactly one.
+fn check(settings: Option<PathBuf>, platform: Option<PathBuf>) -> ExitCode {
+    let own = settings.map(|path| Settings::load(&path));
+    if let Some(Err(error)) = own {
+        return report(&error);
+    }
+    match platform.map(|path| primroseroute_adapter::Settings::load(&path)) {
+        Some(Err(fault)) => site::report(&fault),
+        Some(Ok(_)) | None => ExitCode::SUCCESS,
+    }
+}
+
 fn report(error: &Error) -> ExitCode {
     if error.faults().is_empty() {
         eprintln!("{error}");
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -47,6 +47,14 @@
     std::env::var_os(settings::PATH).map(PathBuf::from)
 }
 
+/// Tells on standard error what is wrong with a settings file, one fault a line.
+pub(crate) fn report(fault: &settings::Fault) -> ExitCode {
+    for line in fault.lines() {
+        eprintln!("{line}");
+    }
+    ExitCode::from(FAULTY)
+}
+
 /// Runs an entry until SIGTERM.
 ///
 /// # Errors
@@ -65,10 +73,7 @@
     };
     let settings = match Settings::load(&path) {
         Ok(settings) => settings,
-        Err(fault) => {
-            eprintln!("{fault}");
-            return Ok(ExitCode::from(FAULTY));
-        }
+        Err(fault) => return Ok(report(&fault)),
     };
     let log = Log::start_on_stdout(level).wrap_err("starting the log")?;
     let stop = signal::stop()?;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Whole entries over sockets, in front of stand-ins: what callers and operators see.
 
 mod acknowledge;
+mod check;
 mod ctl;
 mod demo;
 mod docs;
