An order's right lasts for less than its successor's slack; pools that lack instances look for them

Cause, found by reading: an owner relied for a second on the answer that it owns its pool. A pool that is taken over right after that write could see an order up to a second later, while the successor waits half a second beyond the pause between two holders: the two could be 2.5 s apart where 3 s are owed.

Change: the right lasts for 400 ms, and the compiler holds it under the slack of 500 ms. A pool that lacks instances lists them in each round rather than each second, so that the pause of one that comes begins sooner.

Shown by: order_that_took_long_to_write_down_is_not_given fails with the check taken out.

--- a/crates/owner/src/holder.rs
+++ b/crates/owner/src/holder.rs
@@ -13,10 +13,19 @@
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
-/// Longest time that writing the orders down may take. A successor is there no sooner than an entry's
-/// silence is noticed, and orders nothing before the pause between two holders has passed, so an order
-/// that goes out within this time is at least that pause older than the successor's first.
-const FRESH: Duration = Duration::from_secs(1);
+/// Slack on the pause between two holders of an instance, for the time in which an order of a replaced
+/// owner may still go out.
+pub(crate) const SLACK: Duration = Duration::from_millis(500);
+
+/// Longest time that writing the orders down may take; a store that is twenty times slower than usual is
+/// within it. The pool may be taken over while the answer is on its way, so an order may go out that much
+/// after the takeover, which is within [`SLACK`].
+const FRESH: Duration = Duration::from_millis(400);
+
+const _: () = assert!(
+    FRESH.as_millis() < SLACK.as_millis(),
+    "a successor must wait for longer than its predecessor's last order can take"
+);
 
 /// Writes down what is about to be ordered, on the condition that the pool is still owned; `None` where
 /// it isn't, or where the answer took too long to rely on it.
--- a/crates/owner/src/relocate.rs
+++ b/crates/owner/src/relocate.rs
@@ -63,6 +63,10 @@
         return false;
     };
     let has_own = has(&context.pool);
+    // The sooner an instance that comes is seen, the sooner it may go on.
+    if own.need.is_some_and(|need| has_own < need.workers) {
+        return true;
+    }
     // What it can spare at this moment is enough to look: others may be short.
     if !own.standby {
         return own
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -5,6 +5,7 @@
     emptying::{Emptying, Status},
     event::Event,
     fleet::Listing,
+    holder,
     maintain::Maintenance,
     own::Context,
     relocate::{self, Relocation},
@@ -35,9 +36,6 @@
 /// order to an instance that has just come.
 const LOOK_AFTER: Duration = Duration::from_secs(1);
 
-/// Slack on the pause between two holders of an instance.
-const HOLDER_SLACK: Duration = Duration::from_millis(500);
-
 struct Upkeep {
     context: Context,
     /// Version of the owner's row.
@@ -130,7 +128,7 @@
     /// it just before it was first seen here, and two holders must not take turns at one instance
     /// within the pause between them.
     fn rested(&self) -> BTreeSet<Name> {
-        let pause = self.context.order_pause + HOLDER_SLACK;
+        let pause = self.context.order_pause + holder::SLACK;
         let rested = self.here_since.iter();
         let rested = rested.filter(|(_name, since)| since.elapsed() >= pause);
         rested.map(|(name, _since)| Name::clone(name)).collect()
--- a/tests/site/moves.rs
+++ b/tests/site/moves.rs
@@ -8,6 +8,7 @@
 use primroseroute_domain::work::{Name, State};
 use primroseroute_platform::site::Condition;
 use primroseroute_standin::site::Event;
+use std::time::Duration;
 
 cases! {
     idle_instances_are_switched_off => switched_off();
@@ -15,6 +16,7 @@
     lasting_task_keeps_its_instance => lasting_stays();
     owner_killed_between_moves => owner_killed();
     moves_keep_to_the_platforms_rate => rate();
+    order_that_took_long_to_write_down_is_not_given => slow_store();
     frozen_owner_moves_nothing_after_its_replacement => owner_frozen();
 }
 
@@ -173,3 +175,23 @@
     }
     bed.judge()
 }
+
+// The store takes half a second for each of the owner's writes. Its ownership may be gone by the time it
+// has the answer, so it orders nothing on it. When the store is quick again, its idle instances go.
+async fn slow_store() -> Result<()> {
+    let bed = Bed::open_with_standby(79, 2, 6).await?;
+    let owner = bed.owner(POOL).await?;
+    bed.conduct(&owner, |conduct| conduct.delay = Duration::from_millis(450));
+    let slow_from = bed.world.now();
+    seconds(8).await;
+    let slow_until = bed.world.now();
+    bed.conduct(&owner, |conduct| conduct.delay = Duration::ZERO);
+    seconds(8).await;
+    let moves = moved(&bed);
+    // An order that was on its way when the store became slow is still given.
+    let meanwhile = slow_from + 500..slow_until;
+    let early = moves.iter().find(|(at, ..)| meanwhile.contains(at));
+    ensure!(early.is_none(), "{early:?}");
+    ensure!(moves.iter().any(|(at, ..)| *at >= slow_until), "{moves:?}");
+    bed.judge()
+}
