--- a/crates/cell/src/place.rs
+++ b/crates/cell/src/place/mod.rs
@@ -1,60 +1,22 @@
 //! Which waiting task starts next, and where.
-//!
-//! Lasting tasks come first, since their users wait all the time that they are away. Then jobs that
-//! can still meet their objective, least slack first; then late ones, and last those that are past
-//! three times their objective, which earn nothing more and only have to finish some day.
+
+mod room;
+mod turn;
+
+pub(crate) use turn::{Waiting, sorted, still_waiting};
 
 use crate::{
     advice,
     cell::Cell,
-    job::Job,
     limits::Millis,
     order::Order,
     row::Phase,
     worker::{Known, Run, Stop, Worker},
 };
-use primroseroute_domain::work::{Demand, JobId, Name, State, Step, TaskId};
+use primroseroute_domain::work::{Demand, Name, State, Step, TaskId};
+use room::make_room;
 use std::collections::{BTreeMap, BTreeSet};
-
-/// Times its objective after which a job earns nothing more.
-const HOPELESS: u64 = 3;
-
-/// How urgent a step is; smaller comes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Class {
-    Lasting,
-    InTime,
-    Late,
-    Hopeless,
-}
-
-/// A step with waiting tasks.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Waiting {
-    class: Class,
-    /// What is left of the job's work in core-milliseconds: short jobs earn most for the time that
-    /// they occupy, and a job that has begun comes before one like it that hasn't.
-    work: u64,
-    job: JobId,
-    occurrence: u32,
-    step: u16,
-}
-
-impl Waiting {
-    /// The step's first task, which stands for them all.
-    pub(crate) fn first_task(&self) -> TaskId {
-        task_id(self, 0)
-    }
-
-    /// Whether tasks of the step still wait.
-    pub(crate) fn still_waits(&self, cell: &Cell) -> bool {
-        let job = cell.jobs.get(&self.job);
-        job.is_some_and(|job| {
-            let mut tasks = waiting_tasks(job, self.occurrence, self.step);
-            tasks.next().is_some()
-        })
-    }
-}
+use turn::{Class, task_id, waiting_tasks};
 
 /// What is free on the workers that take something new.
 type Rooms = BTreeMap<Name, Demand>;
@@ -124,119 +86,6 @@
         .collect()
 }
 
-/// Steps with waiting tasks whose turn has come, the most urgent first.
-pub(crate) fn sorted(cell: &Cell, wall_ms: u64) -> Vec<Waiting> {
-    let mut all = Vec::new();
-    for (id, job) in &cell.jobs {
-        if job.progress.state.is_final() {
-            continue;
-        }
-        for &occurrence in job.progress.steps.keys() {
-            for step in job.ready(occurrence) {
-                if waiting_tasks(job, occurrence, step).next().is_some() {
-                    all.push(urgency(id, job, occurrence, step, wall_ms));
-                }
-            }
-        }
-    }
-    all.sort_unstable();
-    all
-}
-
-/// What still waits of `waiting`: each step with the number of its tasks; without those of jobs that
-/// earn nothing any more.
-pub(crate) fn still_waiting<'a>(
-    cell: &'a Cell,
-    waiting: &'a [Waiting],
-) -> impl Iterator<Item = (&'a Step, u64)> {
-    let worthwhile = waiting.iter();
-    let worthwhile = worthwhile.filter(|waiting| waiting.class != Class::Hopeless);
-    worthwhile.filter_map(|waiting| {
-        let job = cell.jobs.get(&waiting.job)?;
-        let count = waiting_tasks(job, waiting.occurrence, waiting.step).count();
-        Some((job.step(waiting.step)?, count as u64))
-    })
-}
-
-fn waiting_tasks(job: &Job, occurrence: u32, step: u16) -> impl Iterator<Item = u16> {
-    let steps = job.progress.steps.get(&occurrence);
-    let tasks = steps.and_then(|steps| steps.get(usize::from(step)));
-    let numbered = (0..).zip(tasks.into_iter().flatten());
-    numbered
-        .filter(|(_index, task)| task.phase == Phase::Waiting)
-        .map(|(index, _task)| index)
-}
-
-fn urgency(id: &JobId, job: &Job, occurrence: u32, step: u16, wall_ms: u64) -> Waiting {
-    let accepted = &job.accepted;
-    let due = accepted
-        .job
-        .schedule
-        .map_or(accepted.at_ms, |schedule| schedule.due_ms(occurrence));
-    let age = signed(wall_ms) - signed(due);
-    let objective = signed(accepted.objective_ms);
-    let slack = objective - age - signed(remaining(job, occurrence, step));
-    let lasting = job.step(step).is_some_and(|step| step.lasting);
-    let class = if lasting {
-        Class::Lasting
-    } else if age > objective * signed(HOPELESS) {
-        Class::Hopeless
-    } else if slack < 0 {
-        Class::Late
-    } else {
-        Class::InTime
-    };
-    Waiting {
-        class,
-        work: work_left(job, occurrence),
-        job: id.clone(),
-        occurrence,
-        step,
-    }
-}
-
-fn signed(value: u64) -> i64 {
-    i64::try_from(value).unwrap_or(i64::MAX)
-}
-
-/// Estimated core-milliseconds of the tasks that aren't done.
-fn work_left(job: &Job, occurrence: u32) -> u64 {
-    let Some(progress) = job.progress.steps.get(&occurrence) else {
-        return 0;
-    };
-    let steps = job.accepted.job.steps.iter().zip(progress);
-    let left = steps.map(|(shape, tasks)| {
-        let open = tasks
-            .iter()
-            .filter(|task| task.phase != Phase::Done)
-            .count() as u64;
-        open * shape.demand.cpu * shape.estimate_ms / 1_000
-    });
-    left.sum()
-}
-
-/// Estimated time from now to the job's end, if `step` starts at once.
-fn remaining(job: &Job, occurrence: u32, step: u16) -> u64 {
-    let steps = &job.accepted.job.steps;
-    let Some(progress) = job.progress.steps.get(&occurrence) else {
-        return 0;
-    };
-    let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
-    for (number, shape) in steps.iter().enumerate() {
-        let over = progress[number]
-            .iter()
-            .all(|task| task.phase == Phase::Done);
-        let before = shape
-            .after
-            .iter()
-            .map(|&earlier| ends[usize::from(earlier)]);
-        let before = before.max().unwrap_or(0);
-        ends.push(if over { 0 } else { before + shape.estimate_ms });
-    }
-    let own = ends.get(usize::from(step)).copied().unwrap_or(0);
-    ends.into_iter().max().unwrap_or(own)
-}
-
 /// Places the waiting tasks of a step; whether all found room.
 fn place_step(
     cell: &mut Cell,
@@ -266,15 +115,6 @@
     true
 }
 
-fn task_id(waiting: &Waiting, index: u16) -> TaskId {
-    TaskId {
-        job: waiting.job.clone(),
-        occurrence: waiting.occurrence,
-        step: waiting.step,
-        index,
-    }
-}
-
 fn take_room(rooms: &mut Rooms, worker: &Name, step: &Step) {
     if let Some(room) = rooms.get_mut(worker) {
         *room = room.minus(step.reserved());
@@ -454,68 +294,3 @@
         ticket,
     })
 }
-
-/// A lasting task fits nowhere: keeps the emptiest worker that may run it free of shorter tasks,
-/// and after a while stops those that are in its way.
-fn make_room(
-    cell: &mut Cell,
-    waiting: &Waiting,
-    rooms: &Rooms,
-    kept: &mut BTreeSet<Name>,
-    now: Millis,
-) {
-    let Some(job) = cell.jobs.get(&waiting.job) else {
-        return;
-    };
-    let Some(step) = job.step(waiting.step).cloned() else {
-        return;
-    };
-    let Some(index) = waiting_tasks(job, waiting.occurrence, waiting.step).next() else {
-        return;
-    };
-    let task = task_id(waiting, index);
-    let able = rooms.iter().filter(|(id, _room)| {
-        let worker = &cell.workers[*id];
-        !kept.contains(*id)
-            && allows_apart_from_policy(worker, &task, &step, 0)
-            && advice::allows(cell, &task, id)
-            && could_hold(worker, &step)
-    });
-    let Some((id, _room)) = able.max_by_key(|(_id, room)| (room.cpu, room.memory)) else {
-        return;
-    };
-    let id = Name::clone(id);
-    kept.insert(Name::clone(&id));
-    let since = *cell.waiting.entry(task).or_insert(now);
-    if now >= since + cell.limits.patience {
-        preempt(cell, &id, &step);
-    }
-}
-
-/// Whether a worker has room for a task of `step` once its shorter tasks are gone.
-fn could_hold(worker: &Worker, step: &Step) -> bool {
-    let short = worker.runs.values().filter(|run| !run.lasting);
-    let freed = short.fold(worker.room(), |room, run| room.plus(run.reserved));
-    step.reserved().fits(freed)
-}
-
-/// Stops shorter tasks, those that have done least first, until a task of `step` has room.
-fn preempt(cell: &mut Cell, id: &Name, step: &Step) {
-    let Some(worker) = cell.workers.get_mut(id) else {
-        return;
-    };
-    let mut room = worker.room();
-    let stopping = worker.runs.values().filter(|run| run.stop != Stop::No);
-    room = stopping.fold(room, |room, run| room.plus(run.reserved));
-    let mut runs: Vec<&mut Run> = worker.runs.values_mut().collect();
-    runs.sort_by_key(|run| run.percent);
-    for run in runs {
-        if step.reserved().fits(room) {
-            break;
-        }
-        if !run.lasting && run.stop == Stop::No {
-            run.stop = Stop::Wanted;
-            room = room.plus(run.reserved);
-        }
-    }
-}
--- /dev/null
+++ b/crates/cell/src/place/room.rs
@@ -0,0 +1,79 @@
+//! Room for lasting tasks that fit nowhere.
+
+use super::{
+    Rooms, allows_apart_from_policy,
+    turn::{Waiting, task_id, waiting_tasks},
+};
+use crate::{
+    advice,
+    cell::Cell,
+    limits::Millis,
+    worker::{Run, Stop, Worker},
+};
+use primroseroute_domain::work::{Name, Step};
+use std::collections::BTreeSet;
+
+/// A lasting task fits nowhere: keeps the emptiest worker that may run it free of shorter tasks,
+/// and after a while stops those that are in its way.
+pub(super) fn make_room(
+    cell: &mut Cell,
+    waiting: &Waiting,
+    rooms: &Rooms,
+    kept: &mut BTreeSet<Name>,
+    now: Millis,
+) {
+    let Some(job) = cell.jobs.get(&waiting.job) else {
+        return;
+    };
+    let Some(step) = job.step(waiting.step).cloned() else {
+        return;
+    };
+    let Some(index) = waiting_tasks(job, waiting.occurrence, waiting.step).next() else {
+        return;
+    };
+    let task = task_id(waiting, index);
+    let able = rooms.iter().filter(|(id, _room)| {
+        let worker = &cell.workers[*id];
+        !kept.contains(*id)
+            && allows_apart_from_policy(worker, &task, &step, 0)
+            && advice::allows(cell, &task, id)
+            && could_hold(worker, &step)
+    });
+    let Some((id, _room)) = able.max_by_key(|(_id, room)| (room.cpu, room.memory)) else {
+        return;
+    };
+    let id = Name::clone(id);
+    kept.insert(Name::clone(&id));
+    let since = *cell.waiting.entry(task).or_insert(now);
+    if now >= since + cell.limits.patience {
+        preempt(cell, &id, &step);
+    }
+}
+
+/// Whether a worker has room for a task of `step` once its shorter tasks are gone.
+fn could_hold(worker: &Worker, step: &Step) -> bool {
+    let short = worker.runs.values().filter(|run| !run.lasting);
+    let freed = short.fold(worker.room(), |room, run| room.plus(run.reserved));
+    step.reserved().fits(freed)
+}
+
+/// Stops shorter tasks, those that have done least first, until a task of `step` has room.
+fn preempt(cell: &mut Cell, id: &Name, step: &Step) {
+    let Some(worker) = cell.workers.get_mut(id) else {
+        return;
+    };
+    let mut room = worker.room();
+    let stopping = worker.runs.values().filter(|run| run.stop != Stop::No);
+    room = stopping.fold(room, |room, run| room.plus(run.reserved));
+    let mut runs: Vec<&mut Run> = worker.runs.values_mut().collect();
+    runs.sort_by_key(|run| run.percent);
+    for run in runs {
+        if step.reserved().fits(room) {
+            break;
+        }
+        if !run.lasting && run.stop == Stop::No {
+            run.stop = Stop::Wanted;
+            room = room.plus(run.reserved);
+        }
+    }
+}
--- /dev/null
+++ b/crates/owner/src/forget.rs
@@ -0,0 +1,32 @@
+//! Rows of jobs that ended long ago.
+
+use log::info;
+use primroseroute_cell::row;
+use primroseroute_domain::work::{JobId, Name};
+use primroseroute_platform::rows::{Rows, Txn, Version};
+use std::sync::Arc;
+
+/// Deletes a job's rows: what tells of its acceptance first, since a successor takes an accepted job
+/// without progress for a new one.
+pub(crate) async fn forget(rows: Arc<dyn Rows>, pool: Name, owner: Version, id: JobId) {
+    let accepted = Txn {
+        deletes: vec![
+            row::claim(&id),
+            row::accepted(&pool, &id),
+            row::cancel(&pool, &id),
+        ],
+        ..Txn::default()
+    };
+    let progress = Txn {
+        conditions: vec![(row::owner(&pool), owner)],
+        deletes: vec![row::progress(&pool, &id)],
+        ..Txn::default()
+    };
+    for txn in [accepted, progress] {
+        if let Err(error) = rows.commit(txn).await {
+            // A successor finds the rows and tries again.
+            info!(job:% = id, error:% = error; "deleting a finished job's rows failed");
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/owner/src/reach.rs
@@ -0,0 +1,159 @@
+//! The workers of a pool as its owner reaches them: one loop of looks each, and orders to them.
+
+use crate::{
+    event::Event,
+    lease::{Readings, Watcher},
+    own::Context,
+    send::Sending,
+};
+use log::debug;
+use primroseroute_cell::{Millis, Order, Outcome};
+use primroseroute_domain::work::Name;
+use primroseroute_platform::{rows::Version, worker::Target};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+use tokio::{
+    sync::{Semaphore, mpsc::UnboundedSender, watch},
+    task::{JoinHandle, JoinSet},
+};
+
+/// Most orders to one worker at the same time, each on a connection of its own.
+const ORDERS: usize = 3;
+
+/// A worker that is looked at.
+#[derive(Debug)]
+struct Watched {
+    target: Target,
+    readings: Arc<Readings>,
+    slots: Arc<Semaphore>,
+    task: JoinHandle<()>,
+}
+
+/// The workers that are looked at, and the orders on their way.
+#[derive(Debug)]
+pub(crate) struct Reach {
+    context: Context,
+    token: Version,
+    events: UnboundedSender<Event>,
+    /// When the store last confirmed the ownership.
+    pub confirmed: watch::Sender<Millis>,
+    /// Up to which number each worker's ends are committed.
+    pub seen: watch::Sender<Arc<BTreeMap<Name, u64>>>,
+    watched: BTreeMap<Name, Watched>,
+    orders: JoinSet<()>,
+}
+
+impl Reach {
+    pub(crate) fn new(context: Context, token: Version, events: UnboundedSender<Event>) -> Self {
+        Self {
+            confirmed: watch::Sender::new(context.clock.now()),
+            seen: watch::Sender::new(Arc::default()),
+            context,
+            token,
+            events,
+            watched: BTreeMap::new(),
+            orders: JoinSet::new(),
+        }
+    }
+
+    /// Ids of the workers that are looked at.
+    pub(crate) fn ids(&self) -> impl Iterator<Item = &Name> + Clone {
+        self.watched.keys()
+    }
+
+    /// Looks at these workers, and at no others.
+    pub(crate) fn look_at(&mut self, targets: Vec<Target>) {
+        let known: BTreeSet<&Name> = targets.iter().map(|target| &target.id).collect();
+        self.watched.retain(|id, watched| {
+            let keep = known.contains(id);
+            if !keep {
+                watched.task.abort();
+            }
+            keep
+        });
+        for target in targets {
+            if !self.watched.contains_key(&target.id) {
+                let watched = self.watch(target);
+                self.watched
+                    .insert(Name::clone(&watched.target.id), watched);
+            }
+        }
+    }
+
+    fn watch(&self, target: Target) -> Watched {
+        let readings = Arc::new(Readings::default());
+        let watcher = Watcher {
+            target: target.clone(),
+            workers: Arc::clone(&self.context.workers),
+            clock: self.context.clock,
+            limits: self.context.limits,
+            token: self.token,
+            readings: Arc::clone(&readings),
+            confirmed: self.confirmed.subscribe(),
+            seen: self.seen.subscribe(),
+            events: self.events.clone(),
+        };
+        Watched {
+            target,
+            readings,
+            slots: Arc::new(Semaphore::new(ORDERS)),
+            task: tokio::spawn(watcher.run()),
+        }
+    }
+
+    /// Sends orders; starts carry a deadline that begins at `sent_at`.
+    pub(crate) fn send(&mut self, orders: Vec<Order>, sent_at: Millis) {
+        while self.orders.try_join_next().is_some() {}
+        for order in orders {
+            let worker = match &order {
+                Order::Start { worker, .. }
+                | Order::Stop { worker, .. }
+                | Order::Pace { worker, .. } => worker,
+            };
+            let Some(watched) = self.watched.get(worker) else {
+                self.unsent(order);
+                continue;
+            };
+            let sending = Sending {
+                target: watched.target.clone(),
+                workers: Arc::clone(&self.context.workers),
+                token: self.token,
+                deadline_ms: watched
+                    .readings
+                    .at(sent_at)
+                    .map(|clock| clock + self.context.limits.start_window),
+                slots: Arc::clone(&watched.slots),
+                events: self.events.clone(),
+            };
+            self.orders.spawn(sending.send(order));
+        }
+    }
+
+    /// An order to a worker that can't be reached by any address.
+    fn unsent(&self, order: Order) {
+        if let Order::Start {
+            worker, task, run, ..
+        } = order
+        {
+            let event = Event::Answered {
+                worker,
+                task,
+                run,
+                outcome: Outcome::Unsent,
+            };
+            if self.events.send(event).is_err() {
+                debug!("the pool's loop has ended");
+            }
+        }
+    }
+
+    /// Sends nothing more, and looks at no worker any more.
+    pub(crate) fn end(&mut self) {
+        for watched in self.watched.values() {
+            watched.task.abort();
+        }
+        self.orders.abort_all();
+    }
+}
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -6,33 +6,20 @@
     emptying::Status,
     event::Event,
     follow::follow,
+    forget::forget,
     jobs,
-    lease::{Readings, Watcher},
     own::{Context, Over, release},
-    send::Sending,
-    upkeep,
+    reach::Reach,
+    tell, upkeep,
     watch::Workers as Registered,
 };
-use log::{debug, info, warn};
-use primroseroute_cell::{
-    Cell, Millis, Need, Order, Outcome, Tick,
-    row::{self, Wanted},
-};
-use primroseroute_domain::work::{End, JobId, Name};
-use primroseroute_platform::{
-    rows::{Txn, Version},
-    site::Configuration,
-    worker::Target,
-};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    pin::pin,
-    sync::Arc,
-    time::Duration,
-};
+use log::{info, warn};
+use primroseroute_cell::{Cell, Millis, Outcome, row::Wanted};
+use primroseroute_domain::work::{End, Name};
+use primroseroute_platform::{rows::Version, site::Configuration};
+use std::{collections::BTreeSet, pin::pin, sync::Arc, time::Duration};
 use tokio::{
     sync::{
-        Semaphore,
         mpsc::{self, UnboundedReceiver, UnboundedSender},
         watch,
     },
@@ -60,9 +47,6 @@
 /// Least time between two calls for accepted jobs: what comes in between costs one call.
 const JOBS_PACE: Duration = Duration::from_millis(25);
 
-/// Most orders to one worker at the same time, each on a connection of its own.
-const ORDERS: usize = 3;
-
 /// Queues of a configuration whose starts need a ticket.
 fn advised(configuration: Option<&Arc<Configuration>>) -> BTreeSet<Name> {
     let queues = configuration.into_iter().flat_map(|known| &known.queues);
@@ -70,15 +54,6 @@
     advised.map(|queue| Name::clone(&queue.name)).collect()
 }
 
-/// A worker that is looked at.
-#[derive(Debug)]
-struct Watched {
-    target: Target,
-    readings: Arc<Readings>,
-    slots: Arc<Semaphore>,
-    task: JoinHandle<()>,
-}
-
 /// The need that was last published.
 #[derive(Clone, Copy, Debug, Default)]
 struct Published {
@@ -104,14 +79,13 @@
     token: Version,
     events: UnboundedReceiver<Event>,
     sender: UnboundedSender<Event>,
-    confirmed: watch::Sender<Millis>,
-    seen: watch::Sender<Arc<BTreeMap<Name, u64>>>,
     status: watch::Sender<Arc<Status>>,
-    watched: BTreeMap<Name, Watched>,
+    reach: Reach,
     registered: BTreeSet<Name>,
     /// The list that `registered` was taken from.
     known_workers: Registered,
-    orders: JoinSet<()>,
+    /// Calls whose end the loop doesn't wait for.
+    beside: JoinSet<()>,
     background: Vec<JoinHandle<()>>,
     counted_at: Millis,
     counts_due: bool,
@@ -138,18 +112,16 @@
         let upkeep = upkeep::run(context.clone(), token, status_seen, sender.clone());
         let background = vec![tokio::spawn(follower), tokio::spawn(upkeep)];
         Self {
-            confirmed: watch::Sender::new(context.clock.now()),
-            seen: watch::Sender::new(Arc::default()),
+            reach: Reach::new(context.clone(), token, sender.clone()),
             context,
             cell,
             token,
             events,
             sender,
             status,
-            watched: BTreeMap::new(),
             registered: BTreeSet::new(),
             known_workers: Registered::default(),
-            orders: JoinSet::new(),
+            beside: JoinSet::new(),
             background,
             counted_at: 0,
             counts_due: true,
@@ -180,14 +152,11 @@
                 return Over::Lost;
             }
             if *stop.borrow() {
-                for watched in self.watched.values() {
-                    watched.task.abort();
-                }
-                self.orders.abort_all();
+                self.reach.end();
                 release(&self.context, self.token).await;
                 return Over::Released;
             }
-            while self.orders.try_join_next().is_some() {}
+            while self.beside.try_join_next().is_some() {}
             sleep_until(begin + ROUND).await;
             self.wait(&mut registered, stop).await;
         }
@@ -282,48 +251,7 @@
         }
         self.registered = now;
         self.known_workers = Arc::clone(workers);
-        self.look_at_workers();
-    }
-
-    /// Looks at the workers that the cell knows, and at no others.
-    fn look_at_workers(&mut self) {
-        let targets = self.cell.targets();
-        let known: BTreeSet<&Name> = targets.iter().map(|target| &target.id).collect();
-        self.watched.retain(|id, watched| {
-            let keep = known.contains(id);
-            if !keep {
-                watched.task.abort();
-            }
-            keep
-        });
-        for target in targets {
-            if !self.watched.contains_key(&target.id) {
-                let watched = self.look_at(target);
-                self.watched
-                    .insert(Name::clone(&watched.target.id), watched);
-            }
-        }
-    }
-
-    fn look_at(&self, target: Target) -> Watched {
-        let readings = Arc::new(Readings::default());
-        let watcher = Watcher {
-            target: target.clone(),
-            workers: Arc::clone(&self.context.workers),
-            clock: self.context.clock,
-            limits: self.context.limits,
-            token: self.token,
-            readings: Arc::clone(&readings),
-            confirmed: self.confirmed.subscribe(),
-            seen: self.seen.subscribe(),
-            events: self.sender.clone(),
-        };
-        Watched {
-            target,
-            readings,
-            slots: Arc::new(Semaphore::new(ORDERS)),
-            task: tokio::spawn(watcher.run()),
-        }
+        self.reach.look_at(self.cell.targets());
     }
 
     async fn round(&mut self, lane: &mut Lane) -> Result<(), Lost> {
@@ -331,15 +259,15 @@
         let mut tick = self.cell.tick(clock.now(), clock.wall_ms());
         let urgent = std::mem::take(&mut tick.urgent);
         for question in std::mem::take(&mut tick.questions) {
-            self.orders.spawn(ask(
+            self.beside.spawn(ask(
                 Arc::clone(&self.context.advisor),
                 self.context.clock,
                 question,
                 self.sender.clone(),
             ));
         }
-        self.tell_orders(&urgent);
-        self.send(urgent, clock.now());
+        tell::orders(&self.context.pool, &urgent);
+        self.reach.send(urgent, clock.now());
         self.counts_due |= tick.counts_changed;
         let counts = self.counts_due && clock.now() >= self.counted_at + COUNTS_AFTER;
         let need = tick.need.wanted();
@@ -357,7 +285,7 @@
             let sent_at = self.meanwhile(lane.commit(&tick.puts, notes)).await?;
             self.context.observer.committed(begin.elapsed());
             if publish {
-                self.tell_need(&tick.need);
+                tell::need(&self.context.pool, &tick.need, self.registered.len());
                 self.published = Published {
                     need: Some(need),
                     at: clock.now(),
@@ -365,65 +293,30 @@
             }
             self.counts_due = false;
             self.counted_at = clock.now();
-            self.confirmed.send_replace(sent_at);
+            self.reach.confirmed.send_replace(sent_at);
             sent_at
         } else {
             self.confirm(lane).await?;
-            *self.confirmed.borrow()
+            *self.reach.confirmed.borrow()
         };
         self.cell.committed(&tick, sent_at);
-        self.tell(&tick, sent_at);
+        tell::orders(&self.context.pool, &tick.orders);
+        tell::ended(&self.context.pool, &tick.ended, clock.now() - sent_at);
         let seen = tick.seen.iter().map(|(id, seen)| (Name::clone(id), *seen));
-        self.seen.send_replace(Arc::new(seen.collect()));
-        self.forget(&tick.forget);
-        self.send(tick.orders, sent_at);
-        self.look_at_workers();
+        self.reach.seen.send_replace(Arc::new(seen.collect()));
+        for id in &tick.forget {
+            self.cell.forgotten(id);
+            let rows = Arc::clone(&self.context.rows);
+            let pool = Name::clone(&self.context.pool);
+            self.beside
+                .spawn(forget(rows, pool, self.token, id.clone()));
+        }
+        self.reach.send(tick.orders, sent_at);
+        self.reach.look_at(self.cell.targets());
         self.publish(tick.need.kept);
         Ok(())
     }
 
-    /// One line for each decision of a round that touches a job.
-    fn tell(&self, tick: &Tick, sent_at: Millis) {
-        self.tell_orders(&tick.orders);
-        let pool = &*self.context.pool;
-        let commit_ms = self.context.clock.now() - sent_at;
-        for (job, state) in &tick.ended {
-            info!(pool, job:% = job, state:? = state, commit_ms; "job ended");
-        }
-    }
-
-    fn tell_orders(&self, orders: &[Order]) {
-        let pool = &*self.context.pool;
-        for order in orders {
-            match order {
-                Order::Start {
-                    worker, task, run, ..
-                } => info!(pool, worker = &**worker, task:% = task, run; "task placed"),
-                Order::Stop { worker, task, run } => {
-                    info!(pool, worker = &**worker, task:% = task, run; "run is to stop");
-                }
-                Order::Pace {
-                    worker,
-                    task,
-                    percent,
-                    ..
-                } => info!(pool, worker = &**worker, task:% = task, percent; "run is paced"),
-            }
-        }
-    }
-
-    fn tell_need(&self, need: &Need) {
-        let Need {
-            workers,
-            now,
-            kept,
-            runs,
-            waits,
-            unfit,
-        } = need;
-        info!(pool = &*self.context.pool, workers, now, kept, running_cpu = runs.cpu, waiting_cpu = waits.cpu, unfit, registered = self.registered.len(); "need of workers published");
-    }
-
     /// Waits for a call to the store, and takes in what happens meanwhile.
     ///
     /// The store may take seconds. Without this, a cancel that is stored and known would stop nothing
@@ -441,8 +334,8 @@
             }
             let now = self.context.clock.now();
             let urgent = self.cell.urgent(now);
-            self.tell_orders(&urgent);
-            self.send(urgent, now);
+            tell::orders(&self.context.pool, &urgent);
+            self.reach.send(urgent, now);
         }
     }
 
@@ -451,96 +344,18 @@
             .context
             .clock
             .now()
-            .saturating_sub(*self.confirmed.borrow());
+            .saturating_sub(*self.reach.confirmed.borrow());
         if age >= CONFIRM_AFTER
             && let Some(at) = self.meanwhile(lane.confirm()).await?
         {
-            self.confirmed.send_replace(at);
+            self.reach.confirmed.send_replace(at);
         }
         Ok(())
     }
 
-    /// Sends orders; starts carry a deadline that begins at `sent_at`.
-    fn send(&mut self, orders: Vec<Order>, sent_at: Millis) {
-        for order in orders {
-            let worker = match &order {
-                Order::Start { worker, .. }
-                | Order::Stop { worker, .. }
-                | Order::Pace { worker, .. } => worker,
-            };
-            let Some(watched) = self.watched.get(worker) else {
-                self.unsent(order);
-                continue;
-            };
-            let sending = Sending {
-                target: watched.target.clone(),
-                workers: Arc::clone(&self.context.workers),
-                token: self.token,
-                deadline_ms: watched
-                    .readings
-                    .at(sent_at)
-                    .map(|clock| clock + self.context.limits.start_window),
-                slots: Arc::clone(&watched.slots),
-                events: self.sender.clone(),
-            };
-            self.orders.spawn(sending.send(order));
-        }
-    }
-
-    /// An order to a worker that can't be reached by any address.
-    fn unsent(&self, order: Order) {
-        if let Order::Start {
-            worker, task, run, ..
-        } = order
-        {
-            let event = Event::Answered {
-                worker,
-                task,
-                run,
-                outcome: Outcome::Unsent,
-            };
-            if self.sender.send(event).is_err() {
-                debug!("the pool's loop has ended");
-            }
-        }
-    }
-
-    /// Deletes the rows of jobs that ended long ago: what tells of their acceptance first, since a
-    /// successor takes an accepted job without progress for a new one.
-    fn forget(&mut self, jobs: &[JobId]) {
-        for id in jobs {
-            self.cell.forgotten(id);
-            let pool = &self.context.pool;
-            let accepted = Txn {
-                deletes: vec![
-                    row::claim(id),
-                    row::accepted(pool, id),
-                    row::cancel(pool, id),
-                ],
-                ..Txn::default()
-            };
-            let progress = Txn {
-                conditions: vec![(row::owner(pool), self.token)],
-                deletes: vec![row::progress(pool, id)],
-                ..Txn::default()
-            };
-            let rows = Arc::clone(&self.context.rows);
-            let id = id.clone();
-            self.orders.spawn(async move {
-                for txn in [accepted, progress] {
-                    if let Err(error) = rows.commit(txn).await {
-                        // A successor finds the rows and tries again.
-                        info!(job:% = id, error:% = error; "deleting a finished job's rows failed");
-                        return;
-                    }
-                }
-            });
-        }
-    }
-
     /// Tells the upkeep what runs where.
     fn publish(&self, kept: u64) {
-        let workers = self.watched.keys();
+        let workers = self.reach.ids();
         let lasting = workers.clone().map(|id| {
             let lasting = self.cell.lasting_on(id);
             (Name::clone(id), lasting)
@@ -565,10 +380,8 @@
     }
 
     /// Ends what runs beside the loop.
-    pub(crate) fn end(self) {
-        for watched in self.watched.values() {
-            watched.task.abort();
-        }
+    pub(crate) fn end(mut self) {
+        self.reach.end();
         for task in &self.background {
             task.abort();
         }
--- /dev/null
+++ b/crates/owner/src/tell.rs
@@ -0,0 +1,45 @@
+//! The lines of a pool's loop.
+
+use log::info;
+use primroseroute_cell::{Need, Order};
+use primroseroute_domain::work::{JobId, State};
+
+/// One line for each order to a worker.
+pub(crate) fn orders(pool: &str, orders: &[Order]) {
+    for order in orders {
+        match order {
+            Order::Start {
+                worker, task, run, ..
+            } => info!(pool, worker = &**worker, task:% = task, run; "task placed"),
+            Order::Stop { worker, task, run } => {
+                info!(pool, worker = &**worker, task:% = task, run; "run is to stop");
+            }
+            Order::Pace {
+                worker,
+                task,
+                percent,
+                ..
+            } => info!(pool, worker = &**worker, task:% = task, percent; "run is paced"),
+        }
+    }
+}
+
+/// One line for each job whose final state is stored, by a commit that took `commit_ms`.
+pub(crate) fn ended(pool: &str, ended: &[(JobId, State)], commit_ms: u64) {
+    for (job, state) in ended {
+        info!(pool, job:% = job, state:? = state, commit_ms; "job ended");
+    }
+}
+
+/// What the pool needs, with what it was worked out from.
+pub(crate) fn need(pool: &str, need: &Need, registered: usize) {
+    let Need {
+        workers,
+        now,
+        kept,
+        runs,
+        waits,
+        unfit,
+    } = need;
+    info!(pool, workers, now, kept, running_cpu = runs.cpu, waiting_cpu = waits.cpu, unfit, registered; "need of workers published");
+}
