--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`Server::stop`] stops accepting, lets every request in flight finish, tells keep-alive
 //!   connections to close, and returns when the last one has.
 
+mod each;
 mod name;
 pub mod problem;
 mod server;
@@ -20,4 +21,5 @@
 #[cfg(doc)]
 use primroseroute_domain::outcome::Code;
 
+pub use each::{Call, each};
 pub use server::{Options, Server};
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,13 +7,7 @@
     states::States,
 };
 use bytes::Bytes;
-use gotham::{
-    anyhow,
-    handler::{Handler, HandlerFuture, NewHandler},
-    helpers::http::Body,
-    prelude::FromState,
-    state::State as Gotham,
-};
+use gotham::{handler::NewHandler, helpers::http::Body};
 use http::{HeaderMap, Method, Response, Uri, header::HOST};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use log::{debug, info};
@@ -24,14 +18,14 @@
     time::{self, Clock},
     work::{Job, JobId, Name, State},
 };
-use primroseroute_front::problem::REQUEST_ID;
+use primroseroute_front::{Call, each, problem::REQUEST_ID};
 use primroseroute_platform::{
     Error,
     rows::{Commit, Place, Row, Rows, Txn, read_row},
     site::{Codec, Configuration, Queue, RequestLimits},
 };
 use serde::{Deserialize, de::DeserializeOwned};
-use std::{collections::BTreeMap, panic::AssertUnwindSafe, pin::Pin, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::{sync::watch::Receiver, time::Instant};
 
 /// Age up to which counts of queued jobs are given out without a new read.
@@ -109,7 +103,15 @@
 
     /// The handler to serve it with.
     pub fn handler(self: &Arc<Self>) -> impl NewHandler + 'static {
-        Each(AssertUnwindSafe(Arc::clone(self)))
+        each(Arc::clone(self), |gateway, call: Call| async move {
+            let Call {
+                method,
+                uri,
+                headers,
+                body,
+            } = call;
+            gateway.serve(method, uri, headers, body).await
+        })
     }
 
     /// The newest configuration; it is prepared once.
@@ -428,30 +430,3 @@
         }
     }
 }
-
-/// gotham catches a handler's panic and wants to know that shared state survives it. Locks of the
-/// gateway are held for single look-ups, so a panic elsewhere leaves nothing half written.
-struct Each(AssertUnwindSafe<Arc<Gateway>>);
-
-impl NewHandler for Each {
-    type Instance = One;
-
-    fn new_handler(&self) -> anyhow::Result<One> {
-        Ok(One(Arc::clone(&self.0)))
-    }
-}
-
-struct One(Arc<Gateway>);
-
-impl Handler for One {
-    fn handle(self, mut state: Gotham) -> Pin<Box<HandlerFuture>> {
-        let method = Method::take_from(&mut state);
-        let uri = Uri::take_from(&mut state);
-        let headers = HeaderMap::take_from(&mut state);
-        let body = Body::take_from(&mut state);
-        Box::pin(async move {
-            let response = self.0.serve(method, uri, headers, body).await;
-            Ok((state, response))
-        })
-    }
-}
--- a/crates/route/src/front.rs
+++ b/crates/route/src/front.rs
@@ -1,16 +1,9 @@
 //! The callers' side of an entry: a gotham handler over the request path.
 
-use crate::{Path, backend::Body};
+use crate::Path;
 use eyre::Result;
-use gotham::{
-    anyhow,
-    handler::{Handler, HandlerFuture, NewHandler},
-    prelude::FromState,
-    state::State,
-};
-use http::{HeaderMap, Method, Uri};
-use primroseroute_front::{Options, Server};
-use std::{net::SocketAddr, panic::AssertUnwindSafe, pin::Pin, sync::Arc};
+use primroseroute_front::{Call, Options, Server, each};
+use std::{net::SocketAddr, sync::Arc};
 
 /// The running listener for callers.
 #[derive(Debug)]
@@ -19,40 +12,21 @@
     path: Arc<Path>,
 }
 
-/// gotham catches a handler's panic and wants to know that shared state survives it. Locks of the
-/// path are held for single decisions, so a panic elsewhere leaves nothing half written.
-struct Each(AssertUnwindSafe<Arc<Path>>);
-
-impl NewHandler for Each {
-    type Instance = One;
-
-    fn new_handler(&self) -> anyhow::Result<One> {
-        Ok(One(Arc::clone(&self.0)))
-    }
-}
-
-struct One(Arc<Path>);
-
-impl Handler for One {
-    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
-        let method = Method::take_from(&mut state);
-        let uri = Uri::take_from(&mut state);
-        let headers = HeaderMap::take_from(&mut state);
-        let body = Body::take_from(&mut state);
-        Box::pin(async move {
-            let response = self.0.serve(method, uri, headers, body).await;
-            Ok((state, response))
-        })
-    }
-}
-
 impl Front {
     /// Binds `address` and serves callers on it.
     ///
     /// # Errors
     /// Where the address cannot be bound.
     pub async fn bind(address: SocketAddr, options: Options, path: Arc<Path>) -> Result<Self> {
-        let handler = Each(AssertUnwindSafe(Arc::clone(&path)));
+        let handler = each(Arc::clone(&path), |path, call: Call| async move {
+            let Call {
+                method,
+                uri,
+                headers,
+                body,
+            } = call;
+            path.serve(method, uri, headers, body).await
+        });
         Ok(Self {
             server: Server::bind(address, options, handler).await?,
             path,
