Show operators the job path from the store: pools, a job's story, waves

Cause: on the users' platform nothing told an operator who owns what, what waits, or what became of a job, but for the lines of all entries.

Change: `primrosectl site` reads rows and the list of instances through the adapter, as tables or JSON: pools with owner, token, needs, instances and queues; a job with what was promised and each task's phase, worker, run and failures, also while its owner is away; waves with their progress. The reading is a crate of its own, inspect; it asks no entry and only reads.

Not done: a dry run of a wave.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -76,6 +76,8 @@
     Report(Report),
     /// Run a small deployment in this process, under load and faults, and judge it.
     Demo(Demo),
+    /// The job path on the users' platform, as its store and its list of instances show it.
+    Site(Site),
     /// Print shell completions.
     Completions {
         /// The shell.
@@ -83,6 +85,30 @@
     },
 }
 
+/// Where the platform is, and what to show of it.
+#[derive(Debug, Args)]
+pub(crate) struct Site {
+    /// An entry's settings file, which the platform writes.
+    #[arg(long, env = "PRIMROSE_SITE_SETTINGS")]
+    pub(crate) settings: PathBuf,
+    #[command(subcommand)]
+    pub(crate) command: SiteCommand,
+}
+
+/// What to show of the job path.
+#[derive(Debug, Subcommand)]
+pub(crate) enum SiteCommand {
+    /// Pools: owners, needs, instances, and jobs that wait.
+    Pools,
+    /// Waves of maintenance with their progress.
+    Waves,
+    /// A job's story, also while its pool has no owner.
+    Job {
+        /// Its id.
+        id: String,
+    },
+}
+
 /// Commands on templates.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Account {
--- a/crates/ctl/src/command/mod.rs
+++ b/crates/ctl/src/command/mod.rs
@@ -7,6 +7,7 @@
 mod job;
 mod list;
 mod report;
+mod site;
 mod wave;
 
 use crate::{
@@ -40,6 +41,7 @@
             return Ok(exit::DONE);
         }
         Command::Demo(options) => return demo::run(&options, &mut printer).await,
+        Command::Site(options) => return site::run(&options, &mut printer).await,
         command => carry_out(command, &open(&cli.target)?, &mut printer).await,
     };
     match done {
@@ -74,7 +76,7 @@
         Command::Status => list::status(admin, printer).await,
         Command::Audit(filter) => audit::run(filter, admin, printer).await,
         Command::Report(options) => report::run(&options, admin, printer).await,
-        Command::Completions { .. } | Command::Demo(_) => Ok(exit::DONE),
+        Command::Completions { .. } | Command::Demo(_) | Command::Site(_) => Ok(exit::DONE),
     }
 }
 
--- /dev/null
+++ b/crates/ctl/src/command/site.rs
@@ -0,0 +1,128 @@
+//! What stands in the store and in the list of instances, on the users' platform.
+
+use crate::{
+    cli::{Site, SiteCommand},
+    exit,
+    output::{Printer, Shown},
+};
+use eyre::{Result, WrapErr, eyre};
+use primroseroute_adapter::{Client, Settings, Site as Adapter, Store};
+use primroseroute_domain::work::JobId;
+use primroseroute_inspect::{Pool, Story, Wave};
+use std::time::Duration;
+
+/// Longest time of a call that names none: an operator waits for the answer.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Shown where there is nothing to show.
+const NONE: &str = "-";
+
+pub(super) async fn run(options: &Site, printer: &mut Printer<'_>) -> Result<u8> {
+    let settings =
+        Settings::load(&options.settings).wrap_err("reading the platform's settings file")?;
+    let client = Client::open(TIMEOUT);
+    let store = Store::open(client.clone(), settings.store);
+    let site = Adapter::open(client, store.clone(), settings.instances);
+    match &options.command {
+        SiteCommand::Pools => {
+            show_pools(&primroseroute_inspect::pools(&store, &site).await?, printer)
+        }
+        SiteCommand::Waves => {
+            show_waves(&primroseroute_inspect::waves(&store, &site).await?, printer)
+        }
+        SiteCommand::Job { id } => {
+            let id =
+                JobId::parse(id).ok_or_else(|| eyre!("a job's id has 16 hexadecimal digits"))?;
+            let Some(told) = primroseroute_inspect::job(&store, &id).await? else {
+                eprintln!("primrosectl: no such job was accepted, or its rows were deleted since");
+                return Ok(exit::FAILED);
+            };
+            show_job(&told, printer)
+        }
+    }
+}
+
+fn or_none<T: ToString>(value: Option<T>) -> String {
+    value.map_or_else(|| NONE.to_owned(), |value| value.to_string())
+}
+
+fn show_pools(pools: &Vec<Pool>, printer: &mut Printer<'_>) -> Result<u8> {
+    let row = |pool: &Pool| {
+        let queued = pool.queued.iter();
+        let queued = queued.map(|(queue, jobs)| format!("{queue} {jobs}"));
+        vec![
+            pool.name.to_string(),
+            if pool.standby { "off" } else { "serves" }.to_owned(),
+            or_none(pool.owner.as_ref()),
+            or_none(pool.wanted),
+            or_none(pool.needed_now),
+            pool.up.to_string(),
+            pool.away.to_string(),
+            queued.collect::<Vec<_>>().join(", "),
+        ]
+    };
+    printer.print(&Shown {
+        value: pools,
+        titles: &[
+            "pool",
+            "state",
+            "owner",
+            "wants",
+            "needs now",
+            "up",
+            "away",
+            "queued",
+        ],
+        rows: pools.iter().map(row).collect(),
+    })?;
+    Ok(exit::DONE)
+}
+
+fn show_waves(waves: &Vec<Wave>, printer: &mut Printer<'_>) -> Result<u8> {
+    let row = |wave: &Wave| {
+        vec![
+            wave.number.to_string(),
+            wave.maximum.to_string(),
+            wave.active.len().to_string(),
+            wave.done.len().to_string(),
+            wave.waiting.len().to_string(),
+        ]
+    };
+    printer.print(&Shown {
+        value: waves,
+        titles: &["wave", "at once", "active", "done", "waiting"],
+        rows: waves.iter().map(row).collect(),
+    })?;
+    Ok(exit::DONE)
+}
+
+fn show_job(story: &Story, printer: &mut Printer<'_>) -> Result<u8> {
+    if printer.output == crate::cli::Output::Table {
+        let ended = or_none(story.ended_ms);
+        printer.line(&format!(
+            "{} of {} on {}: {:?}, accepted {}, objective {} ms, ended {ended}, cancelled {}",
+            story.id,
+            story.queue,
+            story.pool,
+            story.state,
+            story.accepted_ms,
+            story.objective_ms,
+            story.cancelled
+        ))?;
+    }
+    let row = |task: &primroseroute_inspect::Task| {
+        vec![
+            task.name.clone(),
+            task.phase.to_owned(),
+            or_none(task.worker.as_ref()),
+            task.run.to_string(),
+            task.failed.to_string(),
+        ]
+    };
+    printer.print(&Shown {
+        value: story,
+        titles: &["task", "phase", "worker", "run", "failed runs"],
+        rows: story.tasks.iter().map(row).collect(),
+    })?;
+    Ok(exit::DONE)
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod docs;
 mod fleet;
 mod input;
+mod inspect;
 mod jobs;
 mod lend;
 mod lines;
--- /dev/null
+++ b/tests/site/inspect.rs
@@ -0,0 +1,111 @@
+//! What operators see of the job path, without asking an entry.
+
+use crate::{
+    bed::{Bed, OTHER, POOL, STANDBY, job, lasting, seconds},
+    cases,
+};
+use eyre::{Result, ensure, eyre};
+use http::StatusCode;
+use primroseroute_domain::work::{JobId, State};
+use primroseroute_inspect::{Pool, Story};
+use primroseroute_platform::site::{Instruction, Wave};
+use std::time::Duration;
+
+cases! {
+    pools_show_owners_needs_and_queues => pools();
+    story_of_a_job_while_its_owner_is_away => story();
+    job_that_nobody_accepted_has_no_story => unknown();
+    waves_show_their_progress => waves();
+}
+
+async fn look(bed: &Bed) -> Result<Vec<Pool>> {
+    let caller = bed.world.caller("operator");
+    Ok(primroseroute_inspect::pools(&caller, &caller).await?)
+}
+
+async fn tell(bed: &Bed, id: &JobId) -> Result<Option<Story>> {
+    let caller = bed.world.caller("operator");
+    Ok(primroseroute_inspect::job(&caller, id).await?)
+}
+
+fn pool(pools: &[Pool], name: &str) -> Result<Pool> {
+    let found = pools.iter().find(|pool| &*pool.name == name);
+    found.cloned().ok_or_else(|| eyre!("no pool {name}"))
+}
+
+async fn pools() -> Result<()> {
+    let mut bed = Bed::open_with_standby(101, 2, 2).await?;
+    for _job in 0..12 {
+        bed.submit("e-0", &job("4000", 4)).await?;
+    }
+    seconds(1).await;
+    let pools = look(&bed).await?;
+    ensure!(pools.len() == 3);
+    let busy = pool(&pools, POOL)?;
+    ensure!(busy.owner.as_deref() == Some(&*bed.owner(POOL).await?));
+    ensure!(busy.token == bed.token(POOL).await?);
+    ensure!(!busy.standby && busy.wanted > Some(2) && busy.needed_now > Some(2));
+    ensure!(
+        busy.queued.get("holds").copied().unwrap_or(0) > 0,
+        "{busy:?}"
+    );
+    let off = pool(&pools, STANDBY)?;
+    ensure!(
+        off.standby && off.up + busy.up + busy.away >= 6,
+        "{pools:?}"
+    );
+    ensure!(pool(&pools, OTHER)?.up == 1);
+    Ok(())
+}
+
+// The owner is killed. The job's story is still there: what was promised, and where each task runs.
+async fn story() -> Result<()> {
+    let mut bed = Bed::open(102, 2, 3).await?;
+    let id = bed.submit("e-0", &lasting(2)).await?;
+    seconds(1).await;
+    let owner = bed.owner(POOL).await?;
+    bed.kill(&owner);
+    let story = tell(&bed, &id).await?.ok_or_else(|| eyre!("no story"))?;
+    ensure!(story.state == State::Running && !story.cancelled);
+    ensure!(&*story.queue == "holds" && &*story.pool == POOL);
+    ensure!(story.tasks.len() == 2, "{story:?}");
+    for task in &story.tasks {
+        ensure!(task.phase == "placed" && task.worker.is_some() && task.run == 1);
+        ensure!(task.name.starts_with(id.as_str()));
+    }
+    let other = bed.nodes.keys().next().cloned();
+    let other = other.ok_or_else(|| eyre!("no entry is left"))?;
+    ensure!(bed.cancel(&other, &id).await == StatusCode::OK);
+    let story = tell(&bed, &id).await?.ok_or_else(|| eyre!("no story"))?;
+    ensure!(story.cancelled, "{story:?}");
+    Ok(())
+}
+
+async fn unknown() -> Result<()> {
+    let mut bed = Bed::open(103, 1, 1).await?;
+    let id = bed.id();
+    ensure!(tell(&bed, &id).await?.is_none());
+    Ok(())
+}
+
+async fn waves() -> Result<()> {
+    let bed = Bed::open(104, 2, 6).await?;
+    let own = bed.world.instances().into_iter();
+    let own = own.filter(|known| &*known.pool == POOL);
+    bed.world.instruct(Instruction::Wave(Wave {
+        number: 4,
+        instances: own.map(|known| known.name).collect(),
+        duration: Duration::from_secs(40),
+        maximum: 2,
+    }));
+    seconds(6).await;
+    let caller = bed.world.caller("operator");
+    let waves = primroseroute_inspect::waves(&caller, &caller).await?;
+    let [wave] = &*waves else {
+        eyre::bail!("{waves:?}");
+    };
+    ensure!(wave.number == 4 && wave.maximum == 2);
+    ensure!(wave.active.len() <= 2 && !wave.done.is_empty(), "{wave:?}");
+    ensure!(wave.active.len() + wave.done.len() + wave.waiting.len() == 6);
+    Ok(())
+}
