A standby pool without instances doesn't list them in each round

Found by reading: the need that every cell publishes is one at least, so the owner of an empty standby pool took it for a pool that lacks instances. And the need of a pool is read top down rather than by one match.

--- a/crates/owner/src/relocate.rs
+++ b/crates/owner/src/relocate.rs
@@ -63,15 +63,13 @@
         return false;
     };
     let has_own = has(&context.pool);
-    // The sooner an instance that comes is seen, the sooner it may go on.
-    if own.need.is_some_and(|need| has_own < need.workers) {
-        return true;
-    }
-    // What it can spare at this moment is enough to look: others may be short.
     if !own.standby {
-        return own
-            .need
-            .is_some_and(|need| has_own > need.now.min(need.workers));
+        // The sooner an instance that comes is seen, the sooner it may go on. And what the pool can
+        // spare at this moment is enough to look: others may be short.
+        return own.need.is_some_and(|need| {
+            let lacks = has_own < need.workers;
+            lacks || has_own > need.now
+        });
     }
     let mut others = pools.iter().filter(|(_name, pool)| !pool.standby);
     let missed = others.any(|(name, pool)| pool.need.is_some_and(|need| has(name) < need.workers));
--- a/crates/owner/src/share.rs
+++ b/crates/owner/src/share.rs
@@ -120,19 +120,17 @@
 
 /// How many instances a pool that has `has` needs.
 fn need(situation: &Situation<'_>, name: &Name, level: Level, has: u64) -> u64 {
-    match (situation.pools.get(name), level) {
-        (Some(pool), _) if pool.standby => 0,
-        (
-            Some(Pool {
-                need: Some(need), ..
-            }),
-            level,
-        ) => match level {
-            Level::Now => need.now,
-            Level::Wanted => need.workers,
-        },
+    let Some(pool) = situation.pools.get(name) else {
+        return has;
+    };
+    if pool.standby {
+        return 0;
+    }
+    match (pool.need, level) {
+        (Some(need), Level::Now) => need.now,
+        (Some(need), Level::Wanted) => need.workers,
         // Nothing is known: it keeps what it has, and gets nothing.
-        _ => has,
+        (None, _) => has,
     }
 }
 
