An instance is maintained only if its order is known to be taken; another worker proves nothing

A crash renews a worker just as maintenance does. Since orders need a fresh commit, one that isn't given is no longer rare while the store is slow.

Change: an instance is done only after this owner's order was taken and it is up. One that has another worker without that is due again: it is emptied and ordered once more, which has no effect where it was done. The stand-in's maintenance is idempotent for a wave, as the platform's is.

Shown by: crash_is_not_taken_for_maintenance over whole entries fails without it (i-0 wasn't maintained), another_worker_proves_nothing on the pure steps.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -19,7 +19,9 @@
 //! # Modules
 //!
 //! * [`row`]: what lies in the store, where, and how it is read.
-//! * [`Cell`] and its parts: jobs, workers, looks, placement, moves of lasting tasks.
+//! * [`Cell`] and its parts: jobs, workers, looks, placement, moves of lasting tasks, and which workers the
+//!   advice service allows.
+//! * [`Need`]: how many workers the pool can use.
 
 mod advice;
 mod cell;
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -10,16 +10,19 @@
 //! * `commit`: an owner's commits, one after the other, and what came of those without an answer.
 //! * [`Brisk`]: commits that are given up once they have taken far longer than usual.
 //! * `lease`: looks at one worker, and the renewal of its lease.
-//! * `send`: one order on its way to a worker.
-//! * `own`: one ownership of a pool; `run`: its loop.
-//! * [`wave`]: which instances are maintained next. Pure.
+//! * `reach`: the workers of a pool, looks at them and orders to them; `send`: one order on its way.
+//! * `ask`: one question to the advice service.
+//! * `own`: one ownership of a pool; `run`: its loop; `tell`: the loop's lines.
+//! * `upkeep`: a pool's instances; `maintain` and `relocate` carry out what [`wave`] and [`share`], both
+//!   pure, decide; `emptying` keeps which workers are emptied, `fleet` the list of instances.
+//! * `holder`: the right to order instances, which needs the ownership of their pool.
 //! * [`Entry`]: all of it together.
 //!
 //! # Why a paused owner does no harm
 //!
 //! An owner may be suspended at any point and wake up after another has taken over. Its commits fail,
 //! since each is conditional on the row that the successor has replaced. Its starts fail, since their
-//! deadline is fixed by the commit before them. Its renewals can't outlast the wait of the successor,
+//! deadline is fixed by the commit before them. Its orders to instances need a fresh commit. Its renewals can't outlast the wait of the successor,
 //! since the end of each lease is worked out from the last moment at which the store confirmed the
 //! ownership, on the worker's clock as it was known then.
 
--- a/crates/owner/src/maintain.rs
+++ b/crates/owner/src/maintain.rs
@@ -127,6 +127,10 @@
                     next.active.remove(&name);
                     next.done.insert(name);
                 }
+                Step::Again(name) => {
+                    info!(wave = wave.number, instance = &*name; "it isn't known whether an instance was maintained");
+                    next.active.remove(&name);
+                }
                 Step::Complete => {
                     context.site.report_wave(wave.number, true).await?;
                     info!(wave = wave.number; "wave is complete");
--- a/crates/owner/src/wave.rs
+++ b/crates/owner/src/wave.rs
@@ -45,15 +45,18 @@
     Repeat(Instance),
     /// Its maintenance is over, or it has left.
     Finish(Name),
+    /// It isn't known whether it was maintained: it is due again.
+    Again(Name),
     /// All instances of the wave have been maintained or have left.
     Complete,
 }
 
 /// The next steps; none of them depends on another.
 pub fn steps(situation: &Situation<'_>) -> Vec<Step> {
-    let finished = finished(situation);
-    if !finished.is_empty() {
-        return finished;
+    let mut over = finished(situation);
+    over.extend(unproved(situation));
+    if !over.is_empty() {
+        return over;
     }
     if is_complete(situation) {
         return vec![Step::Complete];
@@ -72,11 +75,12 @@
     instances.iter().find(|instance| instance.name == *name)
 }
 
-/// Active instances whose maintenance is over, or that have left the fleet.
+/// Active instances whose maintenance is over, or that have left the fleet. An order takes effect at
+/// once, so an instance that is up after its order was taken has been maintained.
 fn finished(situation: &Situation<'_>) -> Vec<Step> {
     let active = situation.progress.active.iter();
-    let over = active.filter(|(name, before)| match find(situation.instances, name) {
-        Some(instance) => is_back(situation, instance, before.as_ref()),
+    let over = active.filter(|(name, _before)| match find(situation.instances, name) {
+        Some(instance) => is_up(situation, instance) && situation.taken.contains(&instance.name),
         None => true,
     });
     over.map(|(name, _before)| Step::Finish(Name::clone(name)))
@@ -87,12 +91,19 @@
     instance.pool == *situation.pool && instance.condition == Condition::Up
 }
 
-/// Whether an active instance is up again. An order takes effect at once, so one that is up after
-/// its order was taken has been maintained; so has one with another worker than before.
-fn is_back(situation: &Situation<'_>, instance: &Instance, before: Option<&Name>) -> bool {
-    let renewed = instance.worker.is_some() && instance.worker.as_ref() != before;
-    let taken = situation.taken.contains(&instance.name);
-    is_up(situation, instance) && (renewed || taken)
+/// Active instances that have another worker than before, and whose order this owner doesn't know to be
+/// taken: a crash renews a worker just as maintenance does. They are emptied and ordered again; an order
+/// for what was done has no effect.
+fn unproved(situation: &Situation<'_>) -> Vec<Step> {
+    let active = situation.progress.active.iter();
+    let renewed = active.filter(|(name, before)| {
+        let found = find(situation.instances, name).filter(|found| is_up(situation, found));
+        let worker = found.and_then(|found| found.worker.as_ref());
+        worker.is_some() && worker != before.as_ref() && !situation.taken.contains(*name)
+    });
+    renewed
+        .map(|(name, _before)| Step::Again(Name::clone(name)))
+        .collect()
 }
 
 /// Active instances that are up as before, and whose order may never have come.
--- a/crates/owner/tests/all/wave.rs
+++ b/crates/owner/tests/all/wave.rs
@@ -106,6 +106,7 @@
         let before = instance(number).worker;
         bed.progress.active.insert(instance(number).name, before);
         bed.instances[number].worker = Some("w-new".into());
+        bed.taken.insert(instance(number).name);
     }
     let finished = [Step::Finish("i-0".into()), Step::Finish("i-1".into())];
     assert_eq!(bed.steps(), finished);
@@ -124,3 +125,16 @@
     bed.taken.insert(Name::clone(&first.name));
     assert_eq!(bed.steps(), [Step::Finish(first.name)]);
 }
+
+/// Instance 0 is counted as in maintenance, its order is not known to be taken, and it has another worker:
+/// it may have crashed. It is due again, and isn't taken for maintained.
+#[test]
+fn another_worker_proves_nothing() {
+    let mut bed = Bed::new();
+    let first = instance(0);
+    bed.progress
+        .active
+        .insert(Name::clone(&first.name), first.worker);
+    bed.instances[0].worker = Some("w-new".into());
+    assert_eq!(bed.steps(), [Step::Again(first.name)]);
+}
--- a/crates/standin/src/site/caller/site.rs
+++ b/crates/standin/src/site/caller/site.rs
@@ -98,11 +98,16 @@
     async fn maintain(
         &self,
         instance: &Name,
-        _wave: u64,
+        wave: u64,
         holder: &Holder,
     ) -> Result<Ordered, Error> {
         self.alive().await;
         self.travel().await;
+        let done = (wave, Name::clone(instance));
+        if self.shared.state.lock().maintained.contains(&done) {
+            self.back().await;
+            return Ok(Ordered::Taken);
+        }
         let pool = self.shared.change(|state, _now| {
             let known = state.instances.get(instance)?;
             (known.condition == Condition::Up).then(|| Name::clone(&known.pool))
@@ -110,6 +115,7 @@
         let Some(pool) = pool else {
             return Ok(Ordered::Busy);
         };
+        self.shared.state.lock().maintained.insert(done);
         self.take_down(instance, pool, Condition::Maintenance, holder);
         self.back().await;
         Ok(Ordered::Taken)
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -113,6 +113,8 @@
     pub registrations: Vec<(Version, Registration)>,
     pub instructions: Vec<(Version, Instruction)>,
     pub waves: BTreeMap<u64, bool>,
+    /// Instances that were maintained for a wave: a further order for it has no effect.
+    pub maintained: BTreeSet<(u64, Name)>,
     pub conduct: BTreeMap<Name, Conduct>,
     pub journal: Journal,
     pub born: u64,
@@ -240,6 +242,7 @@
             registrations: Vec::new(),
             instructions: Vec::new(),
             waves: BTreeMap::new(),
+            maintained: BTreeSet::new(),
             conduct: BTreeMap::new(),
             journal: Journal::default(),
             born: 0,
@@ -311,6 +314,11 @@
         });
     }
 
+    /// Gives an instance that is down its next life.
+    pub fn restart(&self, instance: &Name) {
+        self.shared.change(|state, now| state.revive(instance, now));
+    }
+
     /// Cuts a worker off from all entries, or joins it again. It works on; its registration goes
     /// after a while and comes back.
     pub fn cut(&self, worker: &Name, is_cut: bool) {
--- a/tests/site/maintain.rs
+++ b/tests/site/maintain.rs
@@ -15,6 +15,7 @@
     wave_goes_on_after_its_owner_is_killed => owner_killed();
     successor_orders_nothing_at_once => no_order_at_once();
     replaced_owner_orders_nothing => partly_silent();
+    crash_is_not_taken_for_maintenance => crashed();
 }
 
 fn wave(instances: impl IntoIterator<Item = Name>, maximum: usize) -> Instruction {
@@ -176,3 +177,42 @@
     ensure!(bed.world.waves().get(&1) == Some(&true), "not complete");
     bed.judge()
 }
+
+// The owner counts an instance as in maintenance and is killed before its order goes out; then the instance's
+// worker crashes and a new one comes. The successor must not take that for the maintenance: the instance
+// has it before the wave is said to be complete.
+async fn crashed() -> Result<()> {
+    let mut bed = Bed::open(65, 2, 3).await?;
+    let name: Name = "i-0".into();
+    let before = bed.world.instances().into_iter();
+    let mut before = before.filter(|known| known.name == name);
+    let worker = before.next().and_then(|known| known.worker);
+    let worker = worker.ok_or_else(|| eyre::eyre!("no worker"))?;
+    // As a predecessor would have left it.
+    let caller = bed.world.caller("predecessor");
+    let progress = primroseroute_cell::row::Wave {
+        active: [(Name::clone(&name), Some(Name::clone(&worker)))].into(),
+        ..primroseroute_cell::row::Wave::default()
+    };
+    let place = primroseroute_cell::row::wave(1);
+    let txn = primroseroute_platform::rows::Txn {
+        puts: vec![(place, serde_json::to_vec(&progress)?.into())],
+        ..primroseroute_platform::rows::Txn::default()
+    };
+    primroseroute_platform::rows::Rows::commit(&caller, txn).await?;
+    bed.world.crash(&worker);
+    bed.world.restart(&name);
+    seconds(1).await;
+    bed.world.instruct(wave(own_instances(&bed), 2));
+    seconds(30).await;
+    ensure!(bed.world.waves().get(&1) == Some(&true), "not complete");
+    let orders = maintained(&bed);
+    ensure!(
+        orders.contains_key(&name),
+        "{name} wasn't maintained: {orders:?}"
+    );
+    let id = bed.submit("e-0", &job("300", 2)).await?;
+    bed.until("e-0", &id, primroseroute_domain::work::State::Completed, 3)
+        .await?;
+    bed.judge()
+}
