A counted instance that isn't empty is due again, not ordered again

Cause, found by reading after the last trace: a successor that finds an instance counted as in maintenance, up with the worker that it had, ordered it once more, though it hadn't emptied that worker and may have placed tasks there since its takeover. What ran would be cut off.

Change: an order is repeated only where nothing runs and nothing will; otherwise the instance is due again, and is emptied first.

Shown by: counted_instance_that_is_not_empty_is_due_again.

--- a/crates/owner/src/wave.rs
+++ b/crates/owner/src/wave.rs
@@ -54,7 +54,7 @@
 /// The next steps; none of them depends on another.
 pub fn steps(situation: &Situation<'_>) -> Vec<Step> {
     let mut over = finished(situation);
-    over.extend(unproved(situation));
+    over.extend(again(situation));
     if !over.is_empty() {
         return over;
     }
@@ -91,29 +91,43 @@
     instance.pool == *situation.pool && instance.condition == Condition::Up
 }
 
-/// Active instances that have another worker than before, and whose order this owner doesn't know to be
-/// taken: a crash renews a worker just as maintenance does. They are emptied and ordered again; an order
-/// for what was done has no effect.
-fn unproved(situation: &Situation<'_>) -> Vec<Step> {
+/// Whether nothing runs on an instance, nor will.
+fn is_ready(situation: &Situation<'_>, instance: &Instance) -> bool {
+    let worker = instance.worker.as_ref();
+    worker.is_none_or(|worker| {
+        situation.emptying.contains(worker) && situation.empty.contains(worker)
+    })
+}
+
+/// Active instances that are up, and whose order isn't known to be taken.
+fn unproved<'a>(situation: &Situation<'a>) -> impl Iterator<Item = (&'a Instance, bool)> {
     let active = situation.progress.active.iter();
-    let renewed = active.filter(|(name, before)| {
-        let found = find(situation.instances, name).filter(|found| is_up(situation, found));
-        let worker = found.and_then(|found| found.worker.as_ref());
-        worker.is_some() && worker != before.as_ref() && !situation.taken.contains(*name)
-    });
-    renewed
-        .map(|(name, _before)| Step::Again(Name::clone(name)))
+    active.filter_map(|(name, before)| {
+        let found = find(situation.instances, name)?;
+        let open = is_up(situation, found) && !situation.taken.contains(name);
+        open.then_some((found, found.worker == *before))
+    })
+}
+
+/// Instances that are due again: those with another worker, since a crash renews a worker just as
+/// maintenance does, and those on which something may run, since a predecessor that emptied them is gone.
+/// They are emptied and ordered once more; an order for what was done has no effect.
+fn again(situation: &Situation<'_>) -> Vec<Step> {
+    let open = unproved(situation);
+    let due = open.filter(|(instance, same)| !same || !is_ready(situation, instance));
+    due.map(|(instance, _same)| Step::Again(Name::clone(&instance.name)))
         .collect()
 }
 
-/// Active instances that are up as before, and whose order may never have come.
+/// Empty instances with the worker that they had, and whose order may never have come.
 fn repeated(situation: &Situation<'_>) -> Vec<Step> {
-    let active = situation.progress.active.keys();
-    let known = active.filter_map(|name| find(situation.instances, name));
-    let waiting = known
-        .filter(|instance| is_up(situation, instance) && situation.rested.contains(&instance.name));
+    let open = unproved(situation);
+    let waiting = open.filter(|(instance, same)| {
+        let rested = situation.rested.contains(&instance.name);
+        *same && rested && is_ready(situation, instance)
+    });
     waiting
-        .map(|instance| Step::Repeat(Instance::clone(instance)))
+        .map(|(instance, _same)| Step::Repeat(Instance::clone(instance)))
         .collect()
 }
 
@@ -156,12 +170,7 @@
     let rested = due
         .iter()
         .filter(|instance| situation.rested.contains(&instance.name));
-    let ready = rested.filter(|instance| {
-        let worker = instance.worker.as_ref();
-        worker.is_none_or(|worker| {
-            situation.emptying.contains(worker) && situation.empty.contains(worker)
-        })
-    });
+    let ready = rested.filter(|instance| is_ready(situation, instance));
     ready
         .take(places)
         .map(|instance| Step::Begin(Instance::clone(instance)))
--- a/crates/owner/tests/all/wave.rs
+++ b/crates/owner/tests/all/wave.rs
@@ -138,3 +138,17 @@
     bed.instances[0].worker = Some("w-new".into());
     assert_eq!(bed.steps(), [Step::Again(first.name)]);
 }
+
+/// A successor finds instance 0 counted, up with the worker that it had, and hasn't emptied it: tasks that it
+/// has placed there since must not be cut off.
+#[test]
+fn counted_instance_that_is_not_empty_is_due_again() {
+    let mut bed = Bed::new();
+    let first = instance(0);
+    bed.progress
+        .active
+        .insert(Name::clone(&first.name), first.worker);
+    bed.emptying.remove("w-0");
+    bed.empty.remove("w-0");
+    assert_eq!(bed.steps(), [Step::Again(first.name)]);
+}
