Fixed holders of instances, need by what comes in, late work last

Holders leave alone what is older than their own row, requests are withdrawn before the instances are used, and each write of them is conditional on the one before.

Tests: three of moves and one of waves took it for granted that the owner of a pool orders and that nothing moves in the first four seconds; they have the same checks on holders and later loads now. New: an instance goes on without a pause; late work gives way; arrivals (seven cases).

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     advice::{self, Policy},
+    arrivals::Arrivals,
     job::Job,
     limits::{Limits, Millis},
     need::Needs,
@@ -35,6 +36,8 @@
     pub(crate) counts: BTreeMap<Name, u64>,
     /// How many workers it could use lately.
     pub(crate) needs: Needs,
+    /// How much work comes in.
+    pub(crate) arrivals: Arrivals,
     /// Queues whose starts need a ticket.
     pub(crate) advised: BTreeSet<Name>,
     /// What is known of the workers for their steps.
@@ -54,6 +57,7 @@
             waiting: BTreeMap::new(),
             counts: BTreeMap::new(),
             needs: Needs::default(),
+            arrivals: Arrivals::default(),
             advised: BTreeSet::new(),
             policies: BTreeMap::new(),
         }
@@ -62,6 +66,7 @@
     /// Takes in an accepted job; one that is known already changes nothing.
     pub fn accept(&mut self, id: JobId, accepted: Accepted) {
         if !self.finished.contains_key(&id) && !self.jobs.contains_key(&id) {
+            self.arrivals.accept(&accepted.job);
             self.jobs.insert(id, Job::new(accepted));
         }
     }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -24,6 +24,7 @@
 //! * [`Need`]: how many workers the pool can use.
 
 mod advice;
+mod arrivals;
 mod cell;
 mod drain;
 mod job;
--- a/crates/cell/src/need.rs
+++ b/crates/cell/src/need.rs
@@ -34,10 +34,6 @@
 /// costs two moves and takes nothing for their time, about what it costs idle for this long.
 const KEEP_MS: Millis = 4_000;
 
-/// Time from a rise of the need until an instance that comes for it works: publishing, the order, the
-/// move, the registration and the first look. The rise within it is taken to go on.
-const LEAD_MS: Millis = 2_000;
-
 /// Least time between two figures that are remembered.
 const SAMPLE_MS: Millis = 100;
 
@@ -46,14 +42,19 @@
 pub struct Need {
     /// Number of workers that the pool can use, now or when an instance that is asked for now works.
     pub workers: u64,
-    /// Number of workers that it has use for at this moment; at least one.
+    /// Number of workers that it has use for at this moment, work that is late already left out; at least
+    /// one.
     pub now: u64,
+    /// Number of workers beyond those that it has use for, for work that is late already.
+    pub late: u64,
     /// Number below which none is switched off.
     pub kept: u64,
     /// What runs.
     pub runs: Demand,
     /// What waits, as far as it should be under way soon.
     pub waits: Demand,
+    /// What the work that comes in will occupy when an instance that is asked for now works.
+    pub expected: Demand,
     /// Workers that are counted as the pool's and take nothing.
     pub unfit: u64,
 }
@@ -64,6 +65,7 @@
         Wanted {
             workers: self.workers,
             now: self.now,
+            late: self.late,
         }
     }
 }
@@ -98,43 +100,71 @@
         let recent = recent.take_while(|(at, _need)| now < at + span);
         recent.map(|(_at, need)| *need).max().unwrap_or(0)
     }
+}
+
+/// What runs or waits, by whether it can still be in time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    in_time: Demand,
+    late: Demand,
+}
+
+impl Load {
+    fn add(&mut self, demand: Demand, late: bool) {
+        let sum = if late {
+            &mut self.late
+        } else {
+            &mut self.in_time
+        };
+        *sum = sum.plus(demand);
+    }
+
+    fn all(self) -> Demand {
+        self.in_time.plus(self.late)
+    }
+}
 
-    /// How much the figure has risen to `need` within the lead time.
-    fn rise(&self, now: Millis, need: u64) -> u64 {
-        let mut older = self.recent.iter().rev();
-        let before = older.find(|(at, _need)| now >= at + LEAD_MS);
-        before.map_or(0, |(_at, before)| need.saturating_sub(*before))
+fn with_headroom(demand: Demand) -> Demand {
+    Demand {
+        cpu: demand.cpu * HEADROOM_PERCENT / 100,
+        memory: demand.memory * HEADROOM_PERCENT / 100,
+        accelerators: demand.accelerators,
     }
 }
 
 /// Number of workers that the pool can use, and why.
-pub(crate) fn need(cell: &mut Cell, waiting: &[Waiting], now: Millis) -> Need {
+pub(crate) fn need(cell: &mut Cell, waiting: &[Waiting], now: Millis, wall_ms: u64) -> Need {
     if let Some(capacity) = mean_capacity(cell) {
         cell.needs.worker = capacity;
     }
-    let runs = used(cell);
-    let waits = waits(cell, waiting);
-    let all = runs.plus(waits);
-    let part = Demand {
-        cpu: all.cpu * HEADROOM_PERCENT / 100,
-        memory: all.memory * HEADROOM_PERCENT / 100,
-        accelerators: all.accelerators,
-    };
     let capacity = cell.needs.worker;
+    let runs = used(cell, wall_ms);
+    let waits = waits(cell, waiting);
+    cell.arrivals.round(now);
+    let expected = cell.arrivals.expected(now);
+    let current = runs.in_time.plus(waits.in_time);
+    let lasting = lasting(cell);
+    let coming = runs
+        .in_time
+        .larger(lasting.plus(expected))
+        .plus(waits.in_time);
     let spread = spread(cell);
-    let workers = (workers_for(part, capacity) + SPARE).max(spread);
+    let workers = (workers_for(with_headroom(coming), capacity) + SPARE).max(spread);
+    let at_once = workers_for(current, capacity).max(spread).max(SPARE);
+    let with_late = workers_for(current.plus(runs.late).plus(waits.late), capacity);
     let all_workers = cell.workers.values();
     let unfit = all_workers
         .filter(|worker| is_unfit(cell, worker, now))
         .count() as u64;
     cell.needs.record(now, workers);
-    let rise = cell.needs.rise(now, workers);
     Need {
-        workers: cell.needs.highest(now, HOLD_MS) + rise + unfit,
-        now: workers_for(all, capacity).max(spread).max(SPARE) + unfit,
+        workers: cell.needs.highest(now, HOLD_MS) + unfit,
+        now: at_once + unfit,
+        late: with_late.saturating_sub(at_once),
         kept: cell.needs.highest(now, KEEP_MS) + unfit,
-        runs,
-        waits,
+        runs: runs.all(),
+        waits: waits.all(),
+        expected,
         unfit,
     }
 }
@@ -164,38 +194,50 @@
 }
 
 /// What runs. Runs that are to stop are left out: their tasks wait, or are over.
-fn used(cell: &Cell) -> Demand {
+fn used(cell: &Cell, wall_ms: u64) -> Load {
+    let mut load = Load::default();
     let runs = cell.workers.values().flat_map(|worker| &worker.runs);
-    let runs = runs.filter(|(_task, run)| run.stop == Stop::No);
-    let demands = runs.map(|(task, run)| {
+    for (task, run) in runs.filter(|(_task, run)| run.stop == Stop::No) {
         let job = cell.jobs.get(&task.job);
         let step = job.and_then(|job| job.step(task.step));
-        step.map_or(run.reserved, |step| used_by(step, 1))
-    });
-    demands.fold(Demand::default(), Demand::plus)
+        let demand = step.map_or(run.reserved, |step| used_by(step, 1));
+        let late = job.is_some_and(|job| place::is_past(job, task.occurrence, wall_ms));
+        load.add(demand, late);
+    }
+    load
+}
+
+/// What lasting tasks occupy.
+fn lasting(cell: &Cell) -> Demand {
+    let runs = cell
+        .workers
+        .values()
+        .flat_map(|worker| worker.runs.values());
+    let lasting = runs.filter(|run| run.lasting && run.stop == Stop::No);
+    lasting.fold(Demand::default(), |sum, run| sum.plus(run.reserved))
 }
 
 /// What waits and can still be worth something.
-fn waits(cell: &Cell, waiting: &[Waiting]) -> Demand {
-    let steps = place::still_waiting(cell, waiting);
-    let demands = steps.map(|(step, count)| {
-        let all = used_by(step, count);
-        if step.lasting || step.estimate_ms >= HORIZON_MS {
-            return all;
-        }
-        Demand {
-            cpu: (all.cpu * step.estimate_ms)
-                .div_ceil(HORIZON_MS)
-                .max(step.demand.cpu),
-            memory: (all.memory * step.estimate_ms)
-                .div_ceil(HORIZON_MS)
-                .max(step.demand.memory),
-            accelerators: (all.accelerators * step.estimate_ms)
-                .div_ceil(HORIZON_MS)
-                .max(step.demand.accelerators),
-        }
-    });
-    demands.fold(Demand::default(), Demand::plus)
+fn waits(cell: &Cell, waiting: &[Waiting]) -> Load {
+    let mut load = Load::default();
+    for (step, count, late) in place::still_waiting(cell, waiting) {
+        load.add(soon(step, count), late);
+    }
+    load
+}
+
+/// What waiting tasks of a step occupy where they are to be under way soon.
+fn soon(step: &Step, count: u64) -> Demand {
+    let all = used_by(step, count);
+    if step.lasting || step.estimate_ms >= HORIZON_MS {
+        return all;
+    }
+    let part = |all: u64, one: u64| (all * step.estimate_ms).div_ceil(HORIZON_MS).max(one);
+    Demand {
+        cpu: part(all.cpu, step.demand.cpu),
+        memory: part(all.memory, step.demand.memory),
+        accelerators: part(all.accelerators, step.demand.accelerators),
+    }
 }
 
 /// Workers that hold `demand`.
--- a/crates/cell/src/place/mod.rs
+++ b/crates/cell/src/place/mod.rs
@@ -3,7 +3,7 @@
 mod room;
 mod turn;
 
-pub(crate) use turn::{Waiting, sorted, still_waiting};
+pub(crate) use turn::{Waiting, is_past, sorted, still_waiting};
 
 use crate::{
     advice,
--- a/crates/cell/src/place/turn.rs
+++ b/crates/cell/src/place/turn.rs
@@ -66,21 +66,29 @@
     all
 }
 
-/// What still waits of `waiting`: each step with the number of its tasks; without those of jobs that
-/// earn nothing any more.
+/// What still waits of `waiting`: each step with the number of its tasks, and whether it is late already;
+/// without those of jobs that earn nothing any more.
 pub(crate) fn still_waiting<'a>(
     cell: &'a Cell,
     waiting: &'a [Waiting],
-) -> impl Iterator<Item = (&'a Step, u64)> {
+) -> impl Iterator<Item = (&'a Step, u64, bool)> {
     let worthwhile = waiting.iter();
     let worthwhile = worthwhile.filter(|waiting| waiting.class != Class::Hopeless);
     worthwhile.filter_map(|waiting| {
         let job = cell.jobs.get(&waiting.job)?;
         let count = waiting_tasks(job, waiting.occurrence, waiting.step).count();
-        Some((job.step(waiting.step)?, count as u64))
+        let late = waiting.class == Class::Late;
+        Some((job.step(waiting.step)?, count as u64, late))
     })
 }
 
+/// Whether a job is past its objective. What runs of it counts as late only then: how much of the estimate
+/// is left of a run isn't known well enough to tell sooner.
+pub(crate) fn is_past(job: &Job, occurrence: u32, wall_ms: u64) -> bool {
+    let lasting = job.accepted.job.lasting();
+    !lasting && age(job, occurrence, wall_ms) > signed(job.accepted.objective_ms)
+}
+
 pub(super) fn waiting_tasks(job: &Job, occurrence: u32, step: u16) -> impl Iterator<Item = u16> {
     let steps = job.progress.steps.get(&occurrence);
     let tasks = steps.and_then(|steps| steps.get(usize::from(step)));
@@ -90,17 +98,22 @@
         .map(|(index, _task)| index)
 }
 
-fn urgency(id: &JobId, job: &Job, occurrence: u32, step: u16, wall_ms: u64) -> Waiting {
+/// Time since an occurrence was due; negative where a clock was ahead.
+fn age(job: &Job, occurrence: u32, wall_ms: u64) -> i64 {
     let accepted = &job.accepted;
     let due = accepted
         .job
         .schedule
         .map_or(accepted.at_ms, |schedule| schedule.due_ms(occurrence));
-    let age = signed(wall_ms) - signed(due);
-    let objective = signed(accepted.objective_ms);
+    signed(wall_ms) - signed(due)
+}
+
+fn class(job: &Job, occurrence: u32, step: u16, wall_ms: u64) -> Class {
+    let age = age(job, occurrence, wall_ms);
+    let objective = signed(job.accepted.objective_ms);
     let slack = objective - age - signed(remaining(job, occurrence, step));
     let lasting = job.step(step).is_some_and(|step| step.lasting);
-    let class = if lasting {
+    if lasting {
         Class::Lasting
     } else if age > objective * signed(HOPELESS) {
         Class::Hopeless
@@ -108,9 +121,12 @@
         Class::Late
     } else {
         Class::InTime
-    };
+    }
+}
+
+fn urgency(id: &JobId, job: &Job, occurrence: u32, step: u16, wall_ms: u64) -> Waiting {
     Waiting {
-        class,
+        class: class(job, occurrence, step, wall_ms),
         work: work_left(job, occurrence),
         job: id.clone(),
         occurrence,
--- a/crates/cell/src/row.rs
+++ b/crates/cell/src/row.rs
@@ -9,7 +9,9 @@
 //! | `work` | pool | `.batch` | [`Batch`] | the pool's owner, with each commit |
 //! | `control` | pool | `owner` | [`Owner`] | whoever takes the pool over, or gives it up |
 //! | `control` | pool | `wanted` | [`Wanted`] | the pool's owner, with a commit |
-//! | `work` | pool | `.orders` | [`Orders`] | the pool's owner, before it orders instances |
+//! | `control` | pool | `orders` | [`Orders`] | the pool's owner, as it asks for orders to its instances |
+//! | `control` | pool | `answer` and a group | [`Answer`] | the holder of the group, before and after it orders |
+//! | `control` | group | `owner` | [`Owner`] | whoever takes the group of instances, or gives it up |
 //! | `control` | `.members-` and a hash of the entry | entry | [`Member`] | the entry, as its heartbeat |
 //! | `waves` | `waves` | number | [`Wave`] | owners of pools with instances of the wave |
 //!
@@ -53,8 +55,19 @@
 /// Key of the number of workers that a pool can use.
 const WANTED: &str = "wanted";
 
-/// Key of the row that an owner writes before it orders instances.
-const ORDERS: &str = ".orders";
+/// Key of the orders that a pool's owner asks for.
+const ORDERS: &str = "orders";
+
+/// Start of the keys of answers to them; the name of the group follows.
+const ANSWER: &str = "answer";
+
+/// Start of the names of groups of instances; no pool's name begins with a dot.
+const GROUP: &str = ".group-";
+
+/// Groups of instances. An order costs its group's holder a few calls and no processor time to speak of,
+/// so the number bounds only what stands still while a holder is replaced: a quarter of the fleet. Each
+/// group that a batch of orders touches costs three calls to the store.
+const GROUPS: u64 = 4;
 
 /// Table of progress.
 pub const WORK: &str = "work";
@@ -122,9 +135,29 @@
     Place::new(CONTROL, pool, WANTED)
 }
 
-/// Where the newest orders to a pool's instances lie.
+/// Where the orders that a pool's owner asks for lie.
 pub fn orders(pool: &str) -> Place {
-    Place::new(WORK, pool, ORDERS)
+    Place::new(CONTROL, pool, ORDERS)
+}
+
+/// Where the holder of a group answers the owner of a pool.
+pub fn answer(pool: &str, group: &str) -> Place {
+    Place::new(CONTROL, pool, &format!("{ANSWER}{group}"))
+}
+
+/// The group of an instance: the same whatever pool it serves.
+pub fn group(instance: &str) -> Name {
+    format!("{GROUP}{}", hash(instance) % GROUPS).into()
+}
+
+/// All groups of instances.
+pub fn groups() -> impl Iterator<Item = Name> {
+    (0..GROUPS).map(|number| format!("{GROUP}{number}").into())
+}
+
+/// Whether `name` is that of a group, and not of a pool.
+pub fn is_group(name: &str) -> bool {
+    name.starts_with(GROUP)
 }
 
 /// Where an entry's heartbeat lies.
@@ -141,12 +174,21 @@
 /// What a place in `control` stands for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ControlKey {
-    /// The owner of this pool.
+    /// The owner of this pool, or the holder of this group.
     Owner(Name),
     /// The heartbeat of this entry.
     Member(Name),
     /// The number of workers that this pool can use.
     Wanted(Name),
+    /// The orders that the owner of this pool asks for.
+    Orders(Name),
+    /// What the holder of a group answers the owner of a pool.
+    Answer {
+        /// The pool.
+        pool: Name,
+        /// The group.
+        group: Name,
+    },
 }
 
 impl ControlKey {
@@ -158,8 +200,14 @@
             Some(Self::Owner(Name::clone(&place.part)))
         } else if &*place.key == WANTED {
             Some(Self::Wanted(Name::clone(&place.part)))
+        } else if &*place.key == ORDERS {
+            Some(Self::Orders(Name::clone(&place.part)))
         } else {
-            None
+            let group = place.key.strip_prefix(ANSWER)?;
+            Some(Self::Answer {
+                pool: Name::clone(&place.part),
+                group: group.into(),
+            })
         }
     }
 }
@@ -167,6 +215,7 @@
 /// Partitions of `control` that a whole read covers.
 pub fn control_parts<'a>(pools: impl Iterator<Item = &'a Name>) -> Vec<Name> {
     let mut parts: Vec<Name> = pools.map(Name::clone).collect();
+    parts.extend(groups());
     parts.extend((0..MEMBER_PARTS).map(|part| format!("{MEMBERS}{part}").into()));
     parts
 }
@@ -311,6 +360,9 @@
     pub attempt: u64,
     /// Whether it has given the pool up.
     pub released: bool,
+    /// The last other entry that had it before; none where nobody had but this entry. Orders to the instances of a group rest for a while after another entry's.
+    #[serde(default)]
+    pub after: Option<Name>,
 }
 
 /// How many workers a pool can use.
@@ -319,18 +371,48 @@
 pub struct Wanted {
     /// What it uses, expects and wants to spare.
     pub workers: u64,
-    /// What it has use for at this moment.
+    /// What it has use for at this moment, work that is late already left out.
     pub now: u64,
+    /// What it has use for beyond that for work that is late already.
+    pub late: u64,
 }
 
-/// What an owner orders its instances to do. The version of this row is the orders' fencing token.
+/// Orders to instances that a pool's owner asks the holders of their groups for. They stand until the
+/// owner writes the row anew, and not longer than its ownership.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Orders {
+    /// Version of the row of the owner that asks.
+    pub owner: u64,
     /// The orders by instance.
     pub orders: BTreeMap<Name, Order>,
 }
 
+/// What the holder of a group has made of a pool's orders. The version of the first such row for a
+/// request is the fencing token of the orders that it gives.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Answer {
+    /// Version of the row of the orders that were asked for.
+    pub asked: u64,
+    /// What came of each; empty while they are being given.
+    pub results: BTreeMap<Name, Given>,
+}
+
+/// What came of an order to an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Given {
+    /// It was taken, or had been carried out before.
+    Taken,
+    /// The instance isn't up, or is leaving.
+    Busy,
+    /// It was refused for good.
+    Refused,
+    /// There was no answer that says so: it may have been carried out.
+    Unknown,
+}
+
 /// An order to an instance.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -46,7 +46,7 @@
         orders,
         seen,
         counts_changed,
-        need: need::need(cell, &waiting, now),
+        need: need::need(cell, &waiting, now, wall_ms),
     }
 }
 
--- a/crates/cell/tests/all/bed.rs
+++ b/crates/cell/tests/all/bed.rs
@@ -61,7 +61,15 @@
 }
 
 impl Bed {
+    /// A cell that has held a round.
     pub(crate) fn new(workers: &[&str]) -> Self {
+        let mut bed = Self::unseen(workers);
+        bed.round();
+        bed
+    }
+
+    /// A cell that was just taken over.
+    pub(crate) fn unseen(workers: &[&str]) -> Self {
         let mut bed = Self {
             cell: Cell::new(Limits::new(6_000, 120_000), 0),
             now: 0,
--- a/crates/domain/src/work.rs
+++ b/crates/domain/src/work.rs
@@ -136,6 +136,15 @@
         }
     }
 
+    /// The larger of both, in each respect.
+    pub fn larger(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// What is left of `self` without `other`, at least nothing.
     pub fn minus(self, other: Self) -> Self {
         Self {
--- a/crates/inspect/src/pool.rs
+++ b/crates/inspect/src/pool.rs
@@ -24,8 +24,10 @@
     pub token: u64,
     /// Workers that it can use, with headroom and trend.
     pub wanted: Option<u64>,
-    /// Workers that it has use for now.
+    /// Workers that it has use for now, for work that can be in time.
     pub needed_now: Option<u64>,
+    /// Workers beyond those that it has use for, for work that is late already.
+    pub needed_late: Option<u64>,
     /// Its instances that are up.
     pub up: usize,
     /// Those that are moving here, or in maintenance, or down.
@@ -79,6 +81,7 @@
         token,
         wanted: wanted.map(|wanted| wanted.workers),
         needed_now: wanted.map(|wanted| wanted.now),
+        needed_late: wanted.map(|wanted| wanted.late),
         up: up.len(),
         away: away.len(),
         queued: batch.map(|batch| batch.queued).unwrap_or_default(),
--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -11,7 +11,7 @@
 use parking_lot::Mutex;
 use primroseroute_cell::{
     Millis,
-    row::{self, ControlKey, Member, Owner, Wanted},
+    row::{self, Answer, ControlKey, Member, Orders, Owner, Wanted},
 };
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
@@ -21,7 +21,7 @@
 };
 use serde::de::DeserializeOwned;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
-use tokio::sync::watch::Receiver;
+use tokio::sync::watch::{self, Receiver};
 
 /// The table of owners and heartbeats.
 #[derive(Debug)]
@@ -101,6 +101,12 @@
     pub owners: BTreeMap<Name, (Owner, Version)>,
     /// What each pool needs.
     pub wanted: BTreeMap<Name, Wanted>,
+    /// The orders that the owner of each pool asks for, with the version of their row.
+    pub orders: BTreeMap<Name, (Orders, Version)>,
+    /// What the holders of groups answer the owners of pools.
+    answers: BTreeMap<(Name, Name), (Answer, Version)>,
+    /// Told of each row that is taken in.
+    news: watch::Sender<()>,
     /// Whether the feed shows the table as it is: not before the first read, nor while calls fail.
     pub current: bool,
     /// When this entry's own heartbeat last got through in good time.
@@ -128,18 +134,37 @@
         self.own_beat_at = Some(now);
     }
 
-    /// Pools of `pools` that no live entry owns.
-    pub(crate) fn free(&self, pools: &[Name], now: Millis) -> Vec<Name> {
-        let free = pools.iter().filter(|pool| {
-            self.owners.get(*pool).is_none_or(|(owner, _version)| {
-                let alive = self.members.is_alive(&owner.entry, owner.incarnation, now);
-                owner.released || !alive
-            })
-        });
-        free.map(Name::clone).collect()
+    /// What the holder of `group` has made of the orders of `pool`'s owner whose row has version `asked`.
+    pub(crate) fn answer(&self, pool: &Name, group: &Name, asked: Version) -> Option<&Answer> {
+        let key = (Name::clone(pool), Name::clone(group));
+        let (answer, _version) = self.answers.get(&key)?;
+        (answer.asked == asked).then_some(answer)
+    }
+
+    /// The live entry that owns a pool or holds a group, and the version of its row.
+    pub(crate) fn held(&self, name: &Name, now: Millis) -> Option<(&Owner, Version)> {
+        let (owner, version) = self.owners.get(name)?;
+        let alive = self.members.is_alive(&owner.entry, owner.incarnation, now);
+        (alive && !owner.released).then_some((owner, *version))
+    }
+
+    /// Tells of each row that is taken in from now on.
+    pub(crate) fn news(&self) -> watch::Receiver<()> {
+        self.news.subscribe()
+    }
+
+    /// Pools or groups of `names` that no live entry owns, each with the entry that had it last.
+    pub(crate) fn free(&self, names: &[Name], now: Millis) -> BTreeMap<Name, Option<Name>> {
+        let free = names.iter().filter(|name| self.held(name, now).is_none());
+        free.map(|name| {
+            let last = self.owners.get(name);
+            let last = last.map(|(owner, _version)| Name::clone(&owner.entry));
+            (Name::clone(name), last)
+        })
+        .collect()
     }
 
-    /// Pools whose row says that this incarnation of an entry owns them.
+    /// Pools and groups whose row says that this incarnation of an entry owns them.
     pub(crate) fn owned_by(&self, entry: &Name, incarnation: u64) -> Vec<Name> {
         let owned = self.owners.iter().filter(|(_pool, (owner, _version))| {
             !owner.released && owner.entry == *entry && owner.incarnation == incarnation
@@ -147,11 +172,11 @@
         owned.map(|(pool, _owner)| Name::clone(pool)).collect()
     }
 
-    /// For each entry, the number of pools that it owns.
-    pub(crate) fn owned(&self) -> BTreeMap<Name, usize> {
+    /// For each entry, the number of pools that it owns, or of groups that it holds.
+    pub(crate) fn owned(&self, groups: bool) -> BTreeMap<Name, usize> {
         let mut counts = BTreeMap::new();
-        for (owner, _version) in self.owners.values() {
-            if !owner.released {
+        for (name, (owner, _version)) in &self.owners {
+            if !owner.released && row::is_group(name) == groups {
                 *counts.entry(Name::clone(&owner.entry)).or_default() += 1;
             }
         }
@@ -160,6 +185,12 @@
 }
 
 impl Picture {
+    /// Takes in a row of requests or answers that this entry has just written: its other parts needn't
+    /// wait for the feed.
+    pub(crate) fn written(&mut self, row: &Row) {
+        self.record(row, 0);
+    }
+
     /// Takes in a row.
     pub(crate) fn record(&mut self, row: &Row, now: Millis) {
         match ControlKey::of(&row.place) {
@@ -180,8 +211,32 @@
                     self.wanted.insert(pool, wanted);
                 }
             }
+            Some(ControlKey::Orders(pool)) => {
+                let known = self
+                    .orders
+                    .get(&pool)
+                    .map_or(0, |(_orders, version)| *version);
+                if row.version > known
+                    && let Some(orders) = parsed::<Orders>(row)
+                {
+                    self.orders.insert(pool, (orders, row.version));
+                }
+            }
+            Some(ControlKey::Answer { pool, group }) => {
+                let key = (pool, group);
+                let known = self
+                    .answers
+                    .get(&key)
+                    .map_or(0, |(_answer, version)| *version);
+                if row.version > known
+                    && let Some(answer) = parsed::<Answer>(row)
+                {
+                    self.answers.insert(key, (answer, row.version));
+                }
+            }
             None => log::warn!(key = &*row.place.key; "an unknown row of control"),
         }
+        self.news.send_replace(());
     }
 }
 
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -6,6 +6,7 @@
     elect,
     fleet::Fleet,
     follow::follow,
+    holder,
     observe::Observer,
     own::{self, Context, Over},
     watch::Watch,
@@ -35,7 +36,7 @@
 use tokio::{
     sync::watch,
     task::JoinHandle,
-    time::{MissedTickBehavior, interval, sleep, timeout},
+    time::{Instant, MissedTickBehavior, interval, timeout},
 };
 
 /// Time between two heartbeats: a third of the silence after which an entry counts as dead.
@@ -44,8 +45,8 @@
 /// Time between two elections.
 const ELECTION: Duration = Duration::from_millis(150);
 
-/// Time after its first heartbeat before an entry takes pools, so that entries which start together
-/// see each other and share them.
+/// Time after its start before an entry takes pools that it hasn't had before, so that entries which start
+/// together see each other and share them.
 const SETTLE: Duration = Duration::from_millis(1_200);
 
 /// Least time between two calls for changes of owners and heartbeats.
@@ -137,6 +138,7 @@
             owned: BTreeMap::new(),
             stop: stopped,
             attempt: 0,
+            started: Instant::now(),
         };
         Self {
             stop,
@@ -220,11 +222,11 @@
     owned: BTreeMap<Name, JoinHandle<Over>>,
     stop: watch::Receiver<bool>,
     attempt: u64,
+    started: Instant,
 }
 
 impl Elections {
     async fn run(mut self) {
-        sleep(SETTLE).await;
         let mut ticks = interval(ELECTION);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut stop = self.stop.clone();
@@ -235,9 +237,10 @@
                 _ = ticks.tick() => {}
             }
             self.owned.retain(|_pool, task| !task.is_finished());
-            self.parts.observer.owns(self.owned.len());
-            for pool in self.chosen() {
-                self.take(pool).await;
+            let pools = self.owned.keys().filter(|name| !row::is_group(name));
+            self.parts.observer.owns(pools.count());
+            for name in self.chosen() {
+                self.take(name).await;
             }
         }
         for (pool, task) in std::mem::take(&mut self.owned) {
@@ -247,7 +250,12 @@
         }
     }
 
-    /// Free pools that this entry is to take.
+    /// Whether entries that started with this one have had the time to be seen.
+    fn is_settled(&self) -> bool {
+        self.started.elapsed() >= SETTLE
+    }
+
+    /// Free pools and groups of instances that this entry is to take.
     fn chosen(&self) -> Vec<Name> {
         let Some(configuration) = self.parts.watch.configuration.borrow().clone() else {
             return Vec::new();
@@ -259,20 +267,26 @@
         }
         let pools = configuration.pools.iter();
         let pools: Vec<Name> = pools.map(|pool| Name::clone(&pool.name)).collect();
-        let free = picture.free(&pools, now);
+        let groups: Vec<Name> = row::groups().collect();
+        let able = picture.members.able(now);
+        // Groups cost their holders little, so that they are spread by themselves.
+        let pools = elect::assign(&picture.free(&pools, now), &picture.owned(false), &able);
+        let groups = elect::assign(&picture.free(&groups, now), &picture.owned(true), &able);
+        let assigned = pools.into_iter().chain(groups);
+        let mine = assigned.filter(|(name, entry)| {
+            let had = picture.owners.get(name);
+            let had = had.is_some_and(|(last, _version)| last.entry == *entry);
+            *entry == self.parts.entry && (had || self.is_settled())
+        });
         // A takeover whose answer was lost, and which took effect all the same.
         let own = picture.owned_by(&self.parts.entry, self.parts.incarnation);
-        let able = picture.members.able(now);
-        let assigned = elect::assign(&free, &picture.owned(), &able);
-        let assigned = assigned.into_iter();
-        let mine = assigned.filter(|(_pool, entry)| *entry == self.parts.entry);
-        mine.map(|(pool, _entry)| pool)
+        mine.map(|(name, _entry)| name)
             .chain(own)
-            .filter(|pool| !self.owned.contains_key(pool))
+            .filter(|name| !self.owned.contains_key(name))
             .collect()
     }
 
-    /// Takes a pool over under the condition that its owner's row hasn't changed.
+    /// Takes a pool or a group over under the condition that its owner's row hasn't changed.
     async fn take(&mut self, pool: Name) {
         let known = {
             let picture = self.picture.lock();
@@ -280,11 +294,21 @@
         };
         let version = known.as_ref().map_or(0, |(_owner, version)| *version);
         self.attempt += 1;
+        // Whether an earlier incarnation of this entry had rested isn't known, so that what it came after
+        // stays.
+        let after = known.as_ref().and_then(|(last, _version)| {
+            if last.entry == self.parts.entry {
+                last.after.clone()
+            } else {
+                Some(Name::clone(&last.entry))
+            }
+        });
         let owner = Owner {
             entry: Name::clone(&self.parts.entry),
             incarnation: self.parts.incarnation,
             attempt: self.attempt,
             released: false,
+            after: after.clone(),
         };
         let place = row::owner(&pool);
         let value = serde_json::to_vec(&owner).expect("an owner has plain fields");
@@ -312,13 +336,20 @@
         };
         if let Some(token) = token {
             let from = known.map_or_else(|| "".into(), |(owner, _version)| owner.entry);
-            info!(pool = &*pool, token, from = &*from; "pool taken over");
             self.picture
                 .lock()
                 .owners
                 .insert(Name::clone(&pool), (owner, token));
-            let task = tokio::spawn(own::own(self.context(&pool), token, self.stop.clone()));
-            self.parts.observer.taken_over(&pool);
+            let stop = self.stop.clone();
+            let task = if row::is_group(&pool) {
+                info!(group = &*pool, token, from = &*from; "group of instances taken over");
+                let rests = after.is_some();
+                tokio::spawn(holder::hold(self.holding(&pool), token, rests, stop))
+            } else {
+                info!(pool = &*pool, token, from = &*from; "pool taken over");
+                self.parts.observer.taken_over(&pool);
+                tokio::spawn(own::own(self.context(&pool), token, stop))
+            };
             self.owned.insert(pool, task);
         }
     }
@@ -337,6 +368,17 @@
         }
     }
 
+    fn holding(&self, group: &Name) -> holder::Parts {
+        holder::Parts {
+            entry: Name::clone(&self.parts.entry),
+            group: Name::clone(group),
+            rows: Arc::clone(&self.parts.rows),
+            site: Arc::clone(&self.parts.site),
+            picture: Arc::clone(&self.picture),
+            order_pause: self.parts.bounds.borrow().order_pause,
+        }
+    }
+
     fn context(&self, pool: &Name) -> Context {
         let bounds = *self.parts.bounds.borrow();
         Context {
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -15,14 +15,14 @@
 //! * `own`: one ownership of a pool; `run`: its loop; `tell`: the loop's lines.
 //! * `upkeep`: a pool's instances; `maintain` and `relocate` carry out what [`wave`] and [`share`], both
 //!   pure, decide; `emptying` keeps which workers are emptied, `fleet` the list of instances.
-//! * `holder`: the right to order instances, which needs the ownership of their pool.
+//! * `holder`: orders to the instances of a group, for the owners of their pools; `request`: how these ask.
 //! * [`Entry`]: all of it together.
 //!
 //! # Why a paused owner does no harm
 //!
 //! An owner may be suspended at any point and wake up after another has taken over. Its commits fail,
 //! since each is conditional on the row that the successor has replaced. Its starts fail, since their
-//! deadline is fixed by the commit before them. Its orders to instances need a fresh commit. Its renewals can't outlast the wait of the successor,
+//! deadline is fixed by the commit before them. Its requests for orders to instances stand only while it owns the pool. Its renewals can't outlast the wait of the successor,
 //! since the end of each lease is worked out from the last moment at which the store confirmed the
 //! ownership, on the worker's clock as it was known then.
 
@@ -48,6 +48,7 @@
 mod own;
 mod reach;
 mod relocate;
+mod request;
 mod run;
 mod send;
 pub mod share;
--- a/crates/owner/src/maintain.rs
+++ b/crates/owner/src/maintain.rs
@@ -2,22 +2,21 @@
 
 use crate::{
     emptying::Emptying,
-    holder::hold,
     own::Context,
+    request::Requests,
     wave::{Situation, Step, steps},
 };
 use bytes::Bytes;
-use futures::future::join_all;
 use log::{info, warn};
 use primroseroute_cell::{
     Purpose,
-    row::{self, Order, Wave as Progress},
+    row::{self, Given, Order, Wave as Progress},
 };
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
     rows::{Commit, Txn, Version, read_row},
-    site::{Instance, Ordered, Wave},
+    site::{Instance, Wave},
 };
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -25,24 +24,14 @@
 const EMPTIED_PART: usize = 5;
 
 /// A pool's part in the waves.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Maintenance {
-    /// Version of the owner's row.
-    owner: Version,
     /// Instances whose order was taken, by wave.
     taken: BTreeMap<u64, BTreeSet<Name>>,
     complete: BTreeSet<u64>,
 }
 
 impl Maintenance {
-    pub(crate) fn new(owner: Version) -> Self {
-        Self {
-            owner,
-            taken: BTreeMap::new(),
-            complete: BTreeSet::new(),
-        }
-    }
-
     /// The waves that aren't complete.
     pub(crate) fn open(&self, waves: &BTreeMap<u64, Wave>) -> Vec<Wave> {
         let open = waves.values();
@@ -50,31 +39,41 @@
         open.cloned().collect()
     }
 
-    /// Takes the next steps of all `waves`; gives out the instances that wait for their maintenance.
+    /// Takes the next steps of all `waves`; gives out the instances that stay for it: those that are emptied
+    /// for their maintenance, or may be in it. Others may move meanwhile, and have theirs where they are
+    /// then. While all that were due stayed, half of a fleet stood still for most of a wave.
     pub(crate) async fn round(
         &mut self,
         context: &Context,
         waves: &[Wave],
         instances: &[Instance],
         rested: &BTreeSet<Name>,
-        emptying: &mut Emptying,
+        (emptying, requests): (&mut Emptying, &mut Requests),
     ) -> Result<BTreeSet<Name>, Error> {
         let mut waiting = BTreeSet::new();
+        let mut active = BTreeSet::new();
         for wave in waves {
             let (progress, version) = read(context, wave.number).await?;
             let next = self.plan(context, wave, &progress, instances, rested, emptying);
             let due = wave.instances.iter();
             let due = due.filter(|name| !progress.done.contains(*name));
             waiting.extend(due.map(Name::clone));
+            active.extend(progress.active.keys().map(Name::clone));
             let at = (wave, &progress, version);
-            self.carry_out(context, at, next, emptying).await?;
+            self.carry_out(context, at, next, (emptying, requests))
+                .await?;
         }
         let workers = instances.iter();
         let workers = workers.filter(|known| waiting.contains(&known.name));
         let workers = workers.filter_map(|known| known.worker.clone()).collect();
         emptying.keep(Purpose::Maintenance, &workers);
         emptying.clear();
-        Ok(waiting)
+        let emptied = emptying.of(Purpose::Maintenance);
+        let stays = instances.iter().filter(|known| {
+            let worker = known.worker.as_ref();
+            active.contains(&known.name) || worker.is_some_and(|worker| emptied.contains(worker))
+        });
+        Ok(stays.map(|known| Name::clone(&known.name)).collect())
     }
 
     fn plan(
@@ -110,7 +109,7 @@
         context: &Context,
         at: (&Wave, &Progress, Version),
         steps: Vec<Step>,
-        emptying: &mut Emptying,
+        (emptying, requests): (&mut Emptying, &mut Requests),
     ) -> Result<(), Error> {
         let (wave, progress, version) = at;
         let mut next = progress.clone();
@@ -142,7 +141,7 @@
             // Where another owner was faster, the next round finds the same instances done.
             write(context, wave.number, version, &next).await?;
         } else if !due.is_empty() {
-            self.begin(context, at, &due, emptying).await?;
+            self.begin(context, at, &due, (emptying, requests)).await?;
         }
         Ok(())
     }
@@ -153,7 +152,7 @@
         context: &Context,
         (wave, progress, version): (&Wave, &Progress, Version),
         instances: &[Instance],
-        emptying: &mut Emptying,
+        (emptying, requests): (&mut Emptying, &mut Requests),
     ) -> Result<(), Error> {
         let mut next = progress.clone();
         for instance in instances {
@@ -171,26 +170,19 @@
             (name, Order::Maintain(wave.number))
         };
         let orders = instances.iter().map(order).collect();
-        let Some(holder) = hold(context, self.owner, orders).await? else {
-            return Ok(());
-        };
-        let by = &holder;
-        let orders = instances.iter().map(|instance| async move {
-            let order = context.site.maintain(&instance.name, wave.number, by);
-            (instance, order.await)
-        });
+        let results = requests.order(orders).await?;
         let before = next.active.len();
-        for (instance, result) in join_all(orders).await {
+        for instance in instances {
             let name = &*instance.name;
-            match result {
-                Ok(Ordered::Taken) => self.begun(wave.number, instance, holder.token, emptying),
-                Ok(refused) => {
+            match results.get(&instance.name) {
+                Some(Given::Taken) => self.begun(wave.number, instance, emptying),
+                Some(refused @ (Given::Busy | Given::Refused)) => {
                     warn!(wave = wave.number, instance = name, refused:? = refused; "maintenance refused");
                     next.active.remove(&instance.name);
                 }
                 // It stays counted, and is ordered again while it is up as before.
-                Err(error) => {
-                    warn!(wave = wave.number, instance = name, error:% = error; "ordering maintenance failed");
+                Some(Given::Unknown) | None => {
+                    info!(wave = wave.number, instance = name; "it isn't known whether maintenance was ordered");
                 }
             }
         }
@@ -200,8 +192,8 @@
         Ok(())
     }
 
-    fn begun(&mut self, wave: u64, instance: &Instance, token: Version, emptying: &mut Emptying) {
-        info!(wave, instance = &*instance.name, token; "maintenance begun");
+    fn begun(&mut self, wave: u64, instance: &Instance, emptying: &mut Emptying) {
+        info!(wave, instance = &*instance.name; "maintenance begun");
         let known = self.taken.entry(wave).or_default();
         known.insert(Name::clone(&instance.name));
         if let Some(worker) = &instance.worker {
--- a/crates/owner/src/own.rs
+++ b/crates/owner/src/own.rs
@@ -59,7 +59,7 @@
         _ = stop.wait_for(|stop| *stop) => None,
     };
     let Some((cell, last)) = loaded else {
-        release(&context, token).await;
+        release(&*context.rows, &context.entry, &context.pool, token).await;
         return Over::Released;
     };
     let mut lane = Lane::new(
@@ -75,16 +75,16 @@
     over
 }
 
-/// Gives the pool up, so that another entry takes it over without waiting for a timeout. Nothing may
-/// be sent for the pool any more.
-pub(crate) async fn release(context: &Context, token: Version) {
-    let pool = &*context.pool;
-    let place = row::owner(pool);
+/// Gives a pool or a group of instances up, so that another entry takes it over without waiting for a
+/// timeout. Nothing may be sent for it any more.
+pub(crate) async fn release(rows: &dyn Rows, entry: &Name, name: &Name, token: Version) {
+    let place = row::owner(name);
     let owner = row::Owner {
-        entry: Name::clone(&context.entry),
+        entry: Name::clone(entry),
         incarnation: 0,
         attempt: 0,
         released: true,
+        after: None,
     };
     let value = serde_json::to_vec(&owner).expect("an owner has plain fields");
     let txn = Txn {
@@ -92,11 +92,12 @@
         puts: vec![(place, value.into())],
         deletes: Vec::new(),
     };
-    match context.rows.commit(txn).await {
-        Ok(Commit::Committed(_version)) => info!(pool; "pool given up"),
-        Ok(Commit::Conflict(_rows)) => info!(pool; "pool was taken already"),
+    let name = &**name;
+    match rows.commit(txn).await {
+        Ok(Commit::Committed(_version)) => info!(name; "given up"),
+        Ok(Commit::Conflict(_rows)) => info!(name; "taken by another entry before it was given up"),
         // A successor waits until this entry's heartbeat has stopped for long enough.
-        Err(error) => warn!(pool, error:% = error; "giving the pool up failed"),
+        Err(error) => warn!(name, error:% = error; "giving up failed"),
     }
 }
 
--- a/crates/owner/src/relocate.rs
+++ b/crates/owner/src/relocate.rs
@@ -2,19 +2,17 @@
 
 use crate::{
     emptying::Emptying,
-    holder::hold,
     own::Context,
+    request::Requests,
     share::{self, Move, Pool},
 };
-use futures::future::join_all;
 use log::{info, warn};
-use primroseroute_cell::{Purpose, row::Order};
-use primroseroute_domain::work::Name;
-use primroseroute_platform::{
-    Error,
-    rows::Version,
-    site::{Instance, Ordered},
+use primroseroute_cell::{
+    Purpose,
+    row::{Given, Order},
 };
+use primroseroute_domain::work::Name;
+use primroseroute_platform::{Error, site::Instance};
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
@@ -68,12 +66,15 @@
         // The sooner an instance that comes is seen, the sooner it may go on. And what the pool can
         // spare at this moment is enough to look: others may be short.
         return own.need.is_some_and(|need| {
-            let lacks = has_own < need.workers;
+            let lacks = has_own < need.workers.max(need.now + need.late);
             lacks || has_own > need.now
         });
     }
     let mut others = pools.iter().filter(|(_name, pool)| !pool.standby);
-    let missed = others.any(|(name, pool)| pool.need.is_some_and(|need| has(name) < need.workers));
+    let missed = others.any(|(name, pool)| {
+        pool.need
+            .is_some_and(|need| has(name) < need.workers.max(need.now + need.late))
+    });
     missed && has_own > 0
 }
 
@@ -105,7 +106,7 @@
     pub(crate) async fn order(
         &mut self,
         context: &Context,
-        owner: Version,
+        requests: &mut Requests,
         moves: &[Move],
     ) -> Result<Vec<Instance>, Error> {
         let moves = &moves[..moves.len().min(self.places(context.order_rate))];
@@ -116,20 +117,13 @@
             let instance = Name::clone(&wanted.instance.name);
             (instance, Order::Move(Name::clone(&wanted.to)))
         });
-        let Some(holder) = hold(context, owner, written.collect()).await? else {
-            return Ok(Vec::new());
-        };
         let now = Instant::now();
         self.ordered.extend(moves.iter().map(|_wanted| now));
-        let orders = moves.iter().map(|wanted| {
-            let order = context
-                .site
-                .relocate(&wanted.instance.name, &wanted.to, &holder);
-            async move { (wanted, order.await) }
-        });
+        let results = requests.order(written.collect()).await?;
         let mut going = Vec::new();
-        for (wanted, result) in join_all(orders).await {
-            if self.settle(wanted, holder.token, result) {
+        for wanted in moves {
+            let given = results.get(&wanted.instance.name).copied();
+            if self.settle(wanted, given.unwrap_or(Given::Unknown)) {
                 going.push(wanted.instance.clone());
             }
         }
@@ -153,26 +147,26 @@
     }
 
     /// Takes in what came of an order; whether it was taken.
-    fn settle(&mut self, wanted: &Move, token: Version, result: Result<Ordered, Error>) -> bool {
+    fn settle(&mut self, wanted: &Move, given: Given) -> bool {
         let instance = &*wanted.instance.name;
         let to = &*wanted.to;
-        match result {
-            Ok(Ordered::Taken) => {
-                info!(instance, to, token; "instance moves");
+        match given {
+            Given::Taken => {
+                info!(instance, to; "instance moves");
                 true
             }
-            Ok(Ordered::Busy) => {
-                info!(instance, to, token; "instance can't move now");
+            Given::Busy => {
+                info!(instance, to; "instance can't move now");
                 false
             }
-            Ok(Ordered::Refused) => {
-                warn!(instance, to, token; "instance can't move to this pool");
+            Given::Refused => {
+                warn!(instance, to; "instance can't move to this pool");
                 let pair = (Name::clone(&wanted.instance.name), Name::clone(&wanted.to));
                 self.refused.insert(pair);
                 false
             }
-            Err(error) => {
-                warn!(instance, to, token, error:% = error; "ordering a move failed");
+            Given::Unknown => {
+                info!(instance, to; "it isn't known whether an instance moves");
                 false
             }
         }
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -67,7 +67,7 @@
         let Some(known) = self.need else {
             return true;
         };
-        let risen = need.workers > known.workers || need.now > known.now;
+        let risen = need.workers > known.workers || need.now > known.now || need.late > known.late;
         risen || (need != known && now >= self.at + FALL_AFTER)
     }
 }
@@ -153,7 +153,10 @@
             }
             if *stop.borrow() {
                 self.reach.end();
-                release(&self.context, self.token).await;
+                let Context {
+                    rows, entry, pool, ..
+                } = &self.context;
+                release(&**rows, entry, pool, self.token).await;
                 return Over::Released;
             }
             while self.beside.try_join_next().is_some() {}
--- a/crates/owner/src/share.rs
+++ b/crates/owner/src/share.rs
@@ -78,6 +78,8 @@
     Now,
     /// With what it expects and what it wants to spare.
     Wanted,
+    /// With what work that is late already could use.
+    Late,
 }
 
 /// The moves out of the pool, the most urgent first.
@@ -90,7 +92,7 @@
     if !is_standby && let Some((standby, _pool)) = standby {
         let has = counts.get(situation.pool).copied().unwrap_or(0);
         let has = has.saturating_sub(targets.len() as u64);
-        let need = need(situation, situation.pool, Level::Wanted, has);
+        let need = need(situation, situation.pool, Level::Late, has);
         let spare = has.saturating_sub(need.max(situation.kept));
         targets.extend((0..spare).map(|_spare| Name::clone(standby)));
     }
@@ -133,7 +135,8 @@
     }
     match (pool.need, level) {
         (Some(need), Level::Now) => need.now,
-        (Some(need), Level::Wanted) => need.workers,
+        (Some(need), Level::Wanted) => need.workers.max(need.now),
+        (Some(need), Level::Late) => need.workers.max(need.now + need.late),
         // Nothing is known: it keeps what it has, and gets nothing.
         (None, _) => has,
     }
@@ -143,7 +146,8 @@
 ///
 /// First the pools that are short at this moment get what others have beyond their own needs of this
 /// moment: where there isn't enough for all, nobody keeps instances for what may come while tasks wait
-/// elsewhere. Then the pools that want more get what others don't want.
+/// elsewhere. Then the pools that want more get what others don't want, and last those with work that is
+/// late already: what is late earns a fraction, and must not hold up what can still be in time elsewhere.
 fn needy(situation: &Situation<'_>, counts: &BTreeMap<&Name, u64>) -> Vec<Name> {
     let mut all: BTreeMap<&Name, u64> = situation
         .pools
@@ -151,7 +155,7 @@
         .map(|name| (name, counts.get(name).copied().unwrap_or(0)))
         .collect();
     let mut own = Vec::new();
-    for level in [Level::Now, Level::Wanted] {
+    for level in [Level::Now, Level::Wanted, Level::Late] {
         let balances = all.iter().map(|(&name, &has)| {
             let need = need(situation, name, level, has);
             (name, Balance { has, need })
--- a/crates/owner/src/tell.rs
+++ b/crates/owner/src/tell.rs
@@ -36,10 +36,12 @@
     let Need {
         workers,
         now,
+        late,
         kept,
         runs,
         waits,
+        expected,
         unfit,
     } = need;
-    info!(pool, workers, now, kept, running_cpu = runs.cpu, waiting_cpu = waits.cpu, unfit, registered; "need of workers published");
+    info!(pool, workers, now, late, kept, running_cpu = runs.cpu, waiting_cpu = waits.cpu, expected_cpu = expected.cpu, unfit, registered; "need of workers published");
 }
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -9,9 +9,10 @@
     maintain::Maintenance,
     own::Context,
     relocate::{self, Relocation},
+    request::Requests,
 };
 use log::info;
-use primroseroute_cell::Purpose;
+use primroseroute_cell::{Purpose, row};
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
@@ -38,14 +39,13 @@
 
 struct Upkeep {
     context: Context,
-    /// Version of the owner's row.
-    owner: Version,
+    requests: Requests,
     events: UnboundedSender<Event>,
     emptying: Emptying,
     maintenance: Maintenance,
     relocation: Relocation,
-    /// Since when instances are known to be in the pool.
-    here_since: BTreeMap<Name, Instant>,
+    /// The holders of the groups of instances, by the version of their row, and when they give orders.
+    holders: BTreeMap<Name, (Version, Instant)>,
     /// The instances as last listed.
     listed: Option<Listing>,
 }
@@ -59,13 +59,13 @@
 ) {
     let waves = context.watch.waves.clone();
     let mut upkeep = Upkeep {
+        requests: Requests::new(context.clone(), owner),
         context,
-        owner,
         emptying: Emptying::new(status, events.clone()),
         events,
-        maintenance: Maintenance::new(owner),
+        maintenance: Maintenance::default(),
         relocation: Relocation::default(),
-        here_since: BTreeMap::new(),
+        holders: BTreeMap::new(),
         listed: None,
     };
     loop {
@@ -97,13 +97,14 @@
         let listing = self.context.fleet.list(now).await?;
         self.listed = Some(listing.clone());
         let instances = &*listing.instances;
-        self.arrived(instances, now);
         self.bury(instances);
+        self.requests.settle().await?;
         self.emptying.repeat();
-        let rested = self.rested();
+        let rested = self.rested(instances);
+        let tools = (&mut self.emptying, &mut self.requests);
         let waiting = self
             .maintenance
-            .round(&self.context, waves, instances, &rested, &mut self.emptying)
+            .round(&self.context, waves, instances, &rested, tools)
             .await?;
         let blocked = instances.iter().map(|instance| &instance.name);
         let blocked = blocked.filter(|name| !rested.contains(*name) || waiting.contains(*name));
@@ -111,27 +112,35 @@
         self.relocate(instances, &blocked).await
     }
 
-    /// Takes in which instances are in the pool.
-    fn arrived(&mut self, instances: &[Instance], now: Instant) {
-        let own = instances.iter();
-        let own = own.filter(|instance| instance.pool == self.context.pool);
-        let own: BTreeSet<&Name> = own.map(|instance| &instance.name).collect();
-        self.here_since.retain(|name, _since| own.contains(name));
-        for name in own {
-            self.here_since.entry(Name::clone(name)).or_insert(now);
-        }
-    }
-
-    /// Instances that may get an order.
+    /// Instances of the pool that may get an order: those of groups whose holder lives, and gives orders.
     ///
-    /// Whoever owned the pool before, or owned the pool that an instance came from, may have ordered
-    /// it just before it was first seen here, and two holders must not take turns at one instance
-    /// within the pause between them.
-    fn rested(&self) -> BTreeSet<Name> {
-        let pause = self.context.order_pause + holder::SLACK;
-        let rested = self.here_since.iter();
-        let rested = rested.filter(|(_name, since)| since.elapsed() >= pause);
-        rested.map(|(name, _since)| Name::clone(name)).collect()
+    /// A holder that has just taken its group over gives none for the pause between two holders, and
+    /// an instance that is emptied meanwhile would stand idle.
+    fn rested(&mut self, instances: &[Instance]) -> BTreeSet<Name> {
+        let now = Instant::now();
+        let picture = self.context.picture.lock();
+        let at = self.context.clock.now();
+        for group in row::groups() {
+            let Some((holder, version)) = picture.held(&group, at) else {
+                self.holders.remove(&group);
+                continue;
+            };
+            let known = self.holders.get(&group);
+            if known.is_none_or(|(known, _ready)| *known != version) {
+                let rests = holder.after.is_some();
+                let pause = self.context.order_pause + holder::SLACK;
+                let ready = if rests { now + pause } else { now };
+                self.holders.insert(group, (version, ready));
+            }
+        }
+        drop(picture);
+        let is_ready = |instance: &&Instance| {
+            let holder = self.holders.get(&row::group(&instance.name));
+            instance.pool == self.context.pool
+                && holder.is_some_and(|(_version, ready)| now >= *ready)
+        };
+        let ready = instances.iter().filter(is_ready);
+        ready.map(|instance| Name::clone(&instance.name)).collect()
     }
 
     /// Tells which silent workers are over. A worker is one life of an instance, and the platform
@@ -182,10 +191,9 @@
         }
         let taken = self
             .relocation
-            .order(&self.context, self.owner, &ready)
+            .order(&self.context, &mut self.requests, &ready)
             .await?;
         for instance in taken {
-            self.here_since.remove(&instance.name);
             if let Some(worker) = &instance.worker {
                 self.emptying.gone(worker);
             }
--- a/tests/site/takeover.rs
+++ b/tests/site/takeover.rs
@@ -210,6 +210,7 @@
         incarnation: 99,
         attempt: 1,
         released: false,
+        after: None,
     };
     let take = Txn {
         conditions: vec![(place.clone(), version)],
