--- a/crates/cell/src/row.rs
+++ b/crates/cell/src/row.rs
@@ -433,6 +433,14 @@
     pub beat: u64,
     /// Whether it is about to stop, and takes over nothing.
     pub leaving: bool,
+    /// Its processor's share of a core, in thousandths.
+    #[serde(default = "usual_strength")]
+    pub strength: u32,
+}
+
+/// Strength of an entry that doesn't say: all such entries count alike.
+fn usual_strength() -> u32 {
+    250
 }
 
 /// How far a wave is.
--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -153,11 +153,13 @@
         self.news.subscribe()
     }
 
-    /// Pools or groups of `names` that no live entry owns, each with the entry that had it last.
+    /// Pools or groups of `names` that no live entry owns, each with the entry that had it last and didn't give
+    /// it up.
     pub(crate) fn free(&self, names: &[Name], now: Millis) -> BTreeMap<Name, Option<Name>> {
         let free = names.iter().filter(|name| self.held(name, now).is_none());
         free.map(|name| {
             let last = self.owners.get(name);
+            let last = last.filter(|(owner, _version)| !owner.released);
             let last = last.map(|(owner, _version)| Name::clone(&owner.entry));
             (Name::clone(name), last)
         })
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -49,6 +49,10 @@
 /// together see each other and share them.
 const SETTLE: Duration = Duration::from_millis(1_200);
 
+/// Least time for which an entry keeps what it has taken, and between two pools that it gives up to stronger
+/// entries: a heartbeat has shown all of them, and a takeover is over.
+const KEEPS: Duration = Duration::from_millis(1_500);
+
 /// Least time between two calls for changes of owners and heartbeats.
 const CONTROL_PACE: Duration = Duration::from_millis(100);
 
@@ -80,6 +84,8 @@
     pub entry: Name,
     /// Number that is new for each start of the process.
     pub incarnation: u64,
+    /// Its processor's share of a core, in thousandths: strong entries own more.
+    pub strength: u32,
     /// Its clocks.
     pub clock: Clock,
     /// Times that the platform sets; newer ones are in force for a pool from its next takeover on.
@@ -176,6 +182,7 @@
         incarnation: parts.incarnation,
         beat,
         leaving,
+        strength: parts.strength,
     };
     let value = serde_json::to_vec(&member).expect("a heartbeat has plain fields");
     let txn = Txn {
@@ -215,11 +222,18 @@
     }
 }
 
+/// A pool that is owned, or a group that is held.
+struct Charge {
+    stop: watch::Sender<bool>,
+    task: JoinHandle<Over>,
+    since: Instant,
+}
+
 struct Elections {
     parts: Parts,
     picture: Arc<Mutex<Picture>>,
     fleet: Arc<Fleet>,
-    owned: BTreeMap<Name, JoinHandle<Over>>,
+    owned: BTreeMap<Name, Charge>,
     stop: watch::Receiver<bool>,
     attempt: u64,
     started: Instant,
@@ -236,20 +250,54 @@
                 _ = stop.wait_for(|stop| *stop) => break,
                 _ = ticks.tick() => {}
             }
-            self.owned.retain(|_pool, task| !task.is_finished());
-            let pools = self.owned.keys().filter(|name| !row::is_group(name));
-            self.parts.observer.owns(pools.count());
+            self.owned
+                .retain(|_pool, charge| !charge.task.is_finished());
+            self.parts.observer.owns(self.pools().len());
+            self.give_up();
             for name in self.chosen() {
                 self.take(name).await;
             }
         }
-        for (pool, task) in std::mem::take(&mut self.owned) {
-            if let Err(error) = task.await {
+        for charge in self.owned.values() {
+            charge.stop.send_replace(true);
+        }
+        for (pool, charge) in std::mem::take(&mut self.owned) {
+            if let Err(error) = charge.task.await {
                 warn!(pool = &*pool, error:% = error; "a pool's loop failed");
             }
         }
     }
 
+    /// The pools that this entry owns.
+    fn pools(&self) -> Vec<Name> {
+        let pools = self.owned.keys().filter(|name| !row::is_group(name));
+        pools.map(Name::clone).collect()
+    }
+
+    /// Gives a pool up for which a far stronger entry is there, a while after the last change.
+    fn give_up(&mut self) {
+        let recent = |charge: &Charge| charge.since.elapsed() < KEEPS;
+        if self.owned.values().any(recent) {
+            return;
+        }
+        let pools = self.pools();
+        let picture = self.picture.lock();
+        let now = self.parts.clock.now();
+        if !picture.judges(now) {
+            return;
+        }
+        let able = picture.members.able(now);
+        let own = &self.parts.entry;
+        let Some(pool) = elect::given_up(own, &pools, &picture.owned(false), &able) else {
+            return;
+        };
+        if let Some(charge) = self.owned.get_mut(pool) {
+            info!(pool = &**pool; "pool is given up to a stronger entry");
+            charge.stop.send_replace(true);
+            charge.since = Instant::now();
+        }
+    }
+
     /// Whether entries that started with this one have had the time to be seen.
     fn is_settled(&self) -> bool {
         self.started.elapsed() >= SETTLE
@@ -340,17 +388,18 @@
                 .lock()
                 .owners
                 .insert(Name::clone(&pool), (owner, token));
-            let stop = self.stop.clone();
+            let (stop, stopped) = watch::channel(false);
             let task = if row::is_group(&pool) {
                 info!(group = &*pool, token, from = &*from; "group of instances taken over");
                 let rests = after.is_some();
-                tokio::spawn(holder::hold(self.holding(&pool), token, rests, stop))
+                tokio::spawn(holder::hold(self.holding(&pool), token, rests, stopped))
             } else {
                 info!(pool = &*pool, token, from = &*from; "pool taken over");
                 self.parts.observer.taken_over(&pool);
-                tokio::spawn(own::own(self.context(&pool), token, stop))
+                tokio::spawn(own::own(self.context(&pool), token, stopped))
             };
-            self.owned.insert(pool, task);
+            let since = Instant::now();
+            self.owned.insert(pool, Charge { stop, task, since });
         }
     }
 
--- a/crates/owner/src/members.rs
+++ b/crates/owner/src/members.rs
@@ -51,11 +51,12 @@
         seen.is_some_and(|seen| seen.member.incarnation == incarnation && fresh(seen, now))
     }
 
-    /// The entries that can take pools over.
-    pub fn able(&self, now: Millis) -> Vec<Name> {
+    /// The entries that can take pools over, with their strengths.
+    pub fn able(&self, now: Millis) -> BTreeMap<Name, u32> {
         let able = self.known.iter();
         let able = able.filter(|(_entry, seen)| fresh(seen, now) && !seen.member.leaving);
-        able.map(|(entry, _seen)| Name::clone(entry)).collect()
+        able.map(|(entry, seen)| (Name::clone(entry), seen.member.strength))
+            .collect()
     }
 }
 
--- /dev/null
+++ b/crates/owner/tests/all/elect.rs
@@ -0,0 +1,94 @@
+//! Who takes a free pool, and which pool goes to a stronger entry.
+
+use primroseroute_domain::work::Name;
+use primroseroute_owner::elect::{assign, given_up};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+fn entries(strengths: &[u32]) -> BTreeMap<Name, u32> {
+    let numbered = strengths.iter().enumerate();
+    numbered
+        .map(|(number, strength)| (format!("e-{number}").into(), *strength))
+        .collect()
+}
+
+fn free(pools: usize) -> BTreeMap<Name, Option<Name>> {
+    (0..pools)
+        .map(|number| (format!("p-{number}").into(), None))
+        .collect()
+}
+
+/// Number of pools by entry.
+fn counts(assigned: &BTreeMap<Name, Name>) -> BTreeMap<Name, usize> {
+    let mut counts = BTreeMap::new();
+    for entry in assigned.values() {
+        *counts.entry(Name::clone(entry)).or_default() += 1;
+    }
+    counts
+}
+
+/// Two strong entries and four weak ones start together: the six pools go to the strong ones.
+#[test]
+fn strong_entries_own_pools_while_weak_ones_idle() {
+    let able = entries(&[120, 500, 120, 500, 120, 120]);
+    let owned = counts(&assign(&free(6), &BTreeMap::new(), &able));
+    let three = |name: &str| (Name::from(name), 3);
+    assert_eq!(owned, [three("e-1"), three("e-3")].into());
+}
+
+/// The entry that had the pool is there again: it gets it, though another has nothing to do.
+#[test]
+fn pool_goes_back_to_the_entry_that_had_it() {
+    let able = entries(&[250, 250]);
+    let free = [("p-0".into(), Some("e-0".into()))].into();
+    let owned = [("e-0".into(), 2)].into();
+    let back = assign(&free, &owned, &able);
+    assert_eq!(back, [("p-0".into(), "e-0".into())].into());
+    let gone = assign(&free, &owned, &entries(&[])).len();
+    assert_eq!(gone, 0);
+}
+
+/// A weak entry gives its pool up where a strong one is there; among equals one that owns two pools keeps them.
+#[test]
+fn pool_is_given_up_to_a_far_stronger_entry_only() {
+    let own = Name::from("e-0");
+    let pools = [Name::from("p-0"), Name::from("p-1")];
+    let owned = [(Name::clone(&own), 2)].into();
+    let kept = given_up(&own, &pools, &owned, &entries(&[250, 250, 250]));
+    assert_eq!(kept, None);
+    let given = given_up(&own, &pools, &owned, &entries(&[120, 500]));
+    assert_eq!(given, Some(&pools[0]));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Against a naive twin that tries each entry for each pool. And giving up ends: whoever gets a pool doesn't give it
+    /// up in turn.
+    #[test]
+    fn each_pool_goes_where_most_is_left(
+        strengths in prop::collection::vec(1_u32..1_000, 1..7),
+        pools in 1_usize..9,
+    ) {
+        let able = entries(&strengths);
+        let assigned = assign(&free(pools), &BTreeMap::new(), &able);
+        prop_assert_eq!(assigned.len(), pools);
+        let mut owned: BTreeMap<Name, usize> = BTreeMap::new();
+        for entry in assigned.values() {
+            let share = |entry: &Name| u64::from(able[entry]) / (owned.get(entry).copied().unwrap_or(0) as u64 + 1);
+            let best = able.keys().map(share).max();
+            prop_assert_eq!(Some(share(entry)), best);
+            *owned.entry(Name::clone(entry)).or_default() += 1;
+        }
+        for entry in able.keys() {
+            let own = assigned.iter().filter(|(_pool, owner)| *owner == entry);
+            let own: Vec<Name> = own.map(|(pool, _owner)| Name::clone(pool)).collect();
+            prop_assert_eq!(given_up(entry, &own, &owned, &able), None);
+        }
+    }
+}
--- a/crates/owner/tests/all/main.rs
+++ b/crates/owner/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Decisions of owners, without any store.
 
+mod elect;
 mod share;
 mod wave;
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -175,6 +175,7 @@
         let entry = Entry::spawn(Parts {
             entry: Arc::clone(&settings.entry),
             incarnation: rand::random::<u64>() >> 1,
+            strength: settings.strength,
             clock,
             bounds: live.bounds.subscribe(),
             rows,
--- a/tests/site/bed.rs
+++ b/tests/site/bed.rs
@@ -31,6 +31,9 @@
 /// Failed runs after which a task has failed.
 pub(crate) const ATTEMPTS: u32 = 3;
 
+/// Usual strength of an entry, in thousandths of a core.
+const STRENGTH: u32 = 250;
+
 /// How long a caller waits for an answer; then it knows nothing, as after a gateway's timeout.
 const CALLER_WAITS: Duration = Duration::from_secs(4);
 
@@ -74,6 +77,8 @@
     pub sent: check::Sent,
     /// Jobs whose acceptance was confirmed to a caller.
     pub accepted: Vec<JobId>,
+    /// Strengths of entries, where they aren't the usual one.
+    strengths: BTreeMap<String, u32>,
     started: u64,
     ids: u64,
     clock: Clock,
@@ -170,7 +175,17 @@
 impl Bed {
     /// A site with `entries` entries and `workers` workers in [`POOL`], after everything is owned.
     pub(crate) async fn open(seed: u64, entries: usize, workers: usize) -> Result<Self> {
-        Self::open_on(configuration(1, POOL), seed, entries, workers).await
+        let strengths = vec![STRENGTH; entries];
+        Self::open_on(configuration(1, POOL), seed, &strengths, workers).await
+    }
+
+    /// The same with entries of these strengths.
+    pub(crate) async fn open_with_strengths(
+        seed: u64,
+        strengths: &[u32],
+        workers: usize,
+    ) -> Result<Self> {
+        Self::open_on(configuration(1, POOL), seed, strengths, workers).await
     }
 
     /// The same with a pool of four more instances that are switched off.
@@ -180,13 +195,14 @@
         workers: usize,
     ) -> Result<Self> {
         let configuration = with_standby(configuration(1, POOL));
-        Self::open_on(configuration, seed, entries, workers).await
+        let strengths = vec![STRENGTH; entries];
+        Self::open_on(configuration, seed, &strengths, workers).await
     }
 
     async fn open_on(
         configuration: Configuration,
         seed: u64,
-        entries: usize,
+        strengths: &[u32],
         workers: usize,
     ) -> Result<Self> {
         let options = Options {
@@ -213,6 +229,10 @@
                 ..check::Sent::default()
             },
             accepted: Vec::new(),
+            strengths: (0..)
+                .zip(strengths)
+                .map(|(number, strength)| (format!("e-{number}"), *strength))
+                .collect(),
             started: 0,
             ids: 0,
             clock: Clock::simulated(1_000_000),
@@ -222,7 +242,7 @@
                 order_rate: 64.0,
             }),
         };
-        for number in 0..entries {
+        for number in 0..strengths.len() {
             bed.start(&format!("e-{number}"));
         }
         sleep(Duration::from_secs(4)).await;
@@ -249,6 +269,7 @@
         let entry = Entry::spawn(Parts {
             entry: name.into(),
             incarnation: self.started,
+            strength: self.strengths.get(name).copied().unwrap_or(STRENGTH),
             clock: self.clock,
             bounds: self.bounds.subscribe(),
             rows,
--- a/tests/site/takeover.rs
+++ b/tests/site/takeover.rs
@@ -1,7 +1,7 @@
 //! Owners are killed, cut off and suspended: their pools go on elsewhere, and no task runs twice.
 
 use crate::{
-    bed::{Bed, POOL, job, lasting, seconds, task},
+    bed::{Bed, OTHER, POOL, job, lasting, seconds, task},
     cases,
 };
 use eyre::{Result, ensure};
@@ -27,6 +27,7 @@
     newer_bounds_are_in_force_from_a_takeover_on => newer_bounds();
     replaced_owner_starts_nothing_more => replaced();
     end_is_acknowledged_only_once_it_is_stored => acknowledged();
+    strong_entry_that_comes_back_gets_its_pools => strong_comes_back();
 }
 
 // The owner dies while tasks run. Their leases outlast the takeover, so the successor finds them
@@ -226,6 +227,7 @@
                 incarnation: 99,
                 beat,
                 leaving: false,
+                strength: 250,
             };
             let value = serde_json::to_vec(&member).expect("a heartbeat has plain fields");
             let txn = Txn {
@@ -294,3 +296,31 @@
     ensure!(waited > 7_000, "started anew after {waited} ms");
     Ok(())
 }
+
+// One entry of three has four times the processor of the others, and owns all pools. It dies and comes back; the
+// others own its pools meanwhile and give them up to it, one after the other. What runs isn't disturbed.
+async fn strong_comes_back() -> Result<()> {
+    let mut bed = Bed::open_with_strengths(57, &[250, 1_000, 250], 4).await?;
+    for pool in [POOL, OTHER] {
+        ensure!(bed.owner(pool).await? == "e-1", "{pool}");
+    }
+    let id = bed.submit("e-0", &job("20000", 4)).await?;
+    bed.until("e-0", &id, State::Running, 2).await?;
+    bed.kill("e-1");
+    seconds(5).await;
+    for pool in [POOL, OTHER] {
+        ensure!(bed.owner(pool).await? != "e-1", "{pool}");
+    }
+    bed.start("e-1");
+    seconds(10).await;
+    for pool in [POOL, OTHER] {
+        ensure!(bed.owner(pool).await? == "e-1", "{pool}");
+    }
+    bed.until("e-0", &id, State::Completed, 10).await?;
+    for index in 0..4 {
+        let task = task(&id, 0, index);
+        let starts = bed.world.journal().starts(&task);
+        ensure!(starts.len() == 1, "{task} was disturbed: {starts:?}");
+    }
+    bed.judge()
+}
