--- a/crates/cell/src/row.rs
+++ b/crates/cell/src/row.rs
@@ -363,6 +363,10 @@
     /// The last other entry that had it before; none where nobody had but this entry. Orders to the instances of a group rest for a while after another entry's.
     #[serde(default)]
     pub after: Option<Name>,
+    /// Of a group: the instances that others may not order yet, with the milliseconds that are left from the
+    /// writing of this row on; none where it isn't known, and all of them rest.
+    #[serde(default)]
+    pub resting: Option<BTreeMap<Name, u64>>,
 }
 
 /// How many workers a pool can use.
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -9,6 +9,7 @@
     holder,
     observe::Observer,
     own::{self, Context, Over},
+    rest::Rest,
     watch::Watch,
 };
 use log::{info, warn};
@@ -351,12 +352,18 @@
                 Some(Name::clone(&last.entry))
             }
         });
+        // What a holder says when it gives a group up is all there is; after one that died it isn't.
+        let resting = known.as_ref().and_then(|(last, _version)| {
+            let known = last.released || last.entry == self.parts.entry;
+            last.resting.clone().filter(|_resting| known)
+        });
         let owner = Owner {
             entry: Name::clone(&self.parts.entry),
             incarnation: self.parts.incarnation,
             attempt: self.attempt,
             released: false,
             after: after.clone(),
+            resting,
         };
         let place = row::owner(&pool);
         let value = serde_json::to_vec(&owner).expect("an owner has plain fields");
@@ -387,12 +394,13 @@
             self.picture
                 .lock()
                 .owners
-                .insert(Name::clone(&pool), (owner, token));
+                .insert(Name::clone(&pool), (owner.clone(), token));
             let (stop, stopped) = watch::channel(false);
             let task = if row::is_group(&pool) {
                 info!(group = &*pool, token, from = &*from; "group of instances taken over");
-                let rests = after.is_some();
-                tokio::spawn(holder::hold(self.holding(&pool), token, rests, stopped))
+                let holding = self.holding(&pool);
+                let rest = Rest::of(&owner, holding.order_pause, Instant::now());
+                tokio::spawn(holder::hold(holding, token, rest, stopped))
             } else {
                 info!(pool = &*pool, token, from = &*from; "pool taken over");
                 self.parts.observer.taken_over(&pool);
--- a/crates/owner/src/holder.rs
+++ b/crates/owner/src/holder.rs
@@ -17,6 +17,7 @@
 use crate::{
     control::Picture,
     own::{Over, release},
+    rest::{Rest, SLACK},
 };
 use bytes::Bytes;
 use futures::future::join_all;
@@ -35,10 +36,6 @@
     time::{Instant, timeout},
 };
 
-/// Slack on the pause between two holders of an instance, for the time in which an order of a replaced
-/// holder may still go out.
-pub(crate) const SLACK: Duration = Duration::from_millis(500);
-
 /// Age of the proof that the group is held and the request stands up to which orders are given; a store that
 /// is twenty times slower than usual is within it.
 const FRESH: Duration = Duration::from_millis(400);
@@ -74,40 +71,46 @@
     parts: Parts,
     /// Version of the group's row.
     token: Version,
-    /// When the predecessor's last order is long enough ago; none where there was no other entry before.
-    rests_until: Option<Instant>,
+    /// Which instances the holder before may have ordered a moment ago.
+    rest: Rest,
+    /// The same for the next one: those, and what this one has ordered.
+    next: Rest,
     /// For each pool, the version of the newest request that was dealt with.
     settled: BTreeMap<Name, Version>,
 }
 
-/// Holds the group under `token` until it is lost, or `stop` says to give it up; `rests` says whether another
-/// entry held it before.
+/// Holds the group under `token` until it is lost, or `stop` says to give it up; `rest` is what its instances
+/// need after the holder before.
 pub(crate) async fn hold(
     parts: Parts,
     token: Version,
-    rests: bool,
+    rest: Rest,
     mut stop: watch::Receiver<bool>,
 ) -> Over {
     let mut news = parts.picture.lock().news();
     let mut group = Group {
         token,
-        rests_until: rests.then(|| Instant::now() + parts.order_pause + SLACK),
+        next: rest.clone(),
+        rest,
         parts,
         settled: BTreeMap::new(),
     };
     loop {
         if *stop.borrow() {
+            let Group { parts, next, .. } = &group;
             let Parts {
-                rows, entry, group, ..
-            } = &group.parts;
-            release(&**rows, entry, group, token).await;
+                rows,
+                entry,
+                group: name,
+                ..
+            } = parts;
+            let resting = next.left(Instant::now());
+            release(&**rows, entry, (name, token), resting).await;
             return Over::Released;
         }
         news.mark_unchanged();
-        if group.is_rested() {
-            for request in group.open() {
-                group.serve(request).await;
-            }
+        for request in group.open() {
+            group.serve(request).await;
         }
         if group.is_lost() {
             warn!(group = &*group.parts.group, token; "another entry holds the group");
@@ -134,10 +137,6 @@
 }
 
 impl Group {
-    fn is_rested(&self) -> bool {
-        self.rests_until.is_none_or(|until| Instant::now() >= until)
-    }
-
     /// Whether the feed shows a successor.
     fn is_lost(&self) -> bool {
         let picture = self.parts.picture.lock();
@@ -162,6 +161,10 @@
             let own: BTreeMap<Name, Order> = own
                 .map(|(instance, order)| (Name::clone(instance), order.clone()))
                 .collect();
+            let now = Instant::now();
+            if !own.keys().all(|instance| self.rest.is_over(instance, now)) {
+                continue;
+            }
             if own.is_empty() {
                 self.settled.insert(Name::clone(pool), *version);
                 continue;
@@ -200,6 +203,10 @@
             warn!(group, pool, took_ms = took.as_millis(); "orders to instances were written down too slowly to be given");
             return;
         }
+        for instance in request.orders.orders.keys() {
+            self.next
+                .ordered(instance, self.parts.order_pause, Instant::now());
+        }
         let results = self.give(&request, token).await;
         self.settled
             .insert(Name::clone(&request.pool), request.version);
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -15,7 +15,8 @@
 //! * `own`: one ownership of a pool; `run`: its loop; `tell`: the loop's lines.
 //! * `upkeep`: a pool's instances; `maintain` and `relocate` carry out what [`wave`] and [`share`], both
 //!   pure, decide; `emptying` keeps which workers are emptied, `fleet` the list of instances.
-//! * `holder`: orders to the instances of a group, for the owners of their pools; `request`: how these ask.
+//! * `holder`: orders to the instances of a group, for the owners of their pools; `request`: how these ask;
+//!   [`rest`]: which instances rest after another holder's orders. Pure.
 //! * [`Entry`]: all of it together.
 //!
 //! # Why a paused owner does no harm
@@ -49,6 +50,7 @@
 mod reach;
 mod relocate;
 mod request;
+pub mod rest;
 mod run;
 mod send;
 pub mod share;
--- a/crates/owner/src/own.rs
+++ b/crates/owner/src/own.rs
@@ -14,7 +14,7 @@
     site::Site,
     worker::Workers,
 };
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::{sync::watch, time::sleep};
 
 /// Pause after a takeover's reads have failed.
@@ -59,7 +59,7 @@
         _ = stop.wait_for(|stop| *stop) => None,
     };
     let Some((cell, last)) = loaded else {
-        release(&*context.rows, &context.entry, &context.pool, token).await;
+        release(&*context.rows, &context.entry, (&context.pool, token), None).await;
         return Over::Released;
     };
     let mut lane = Lane::new(
@@ -77,7 +77,15 @@
 
 /// Gives a pool or a group of instances up, so that another entry takes it over without waiting for a
 /// timeout. Nothing may be sent for it any more.
-pub(crate) async fn release(rows: &dyn Rows, entry: &Name, name: &Name, token: Version) {
+///
+/// `resting` are the instances of a group that its next holder may not order yet, with the milliseconds that
+/// are left.
+pub(crate) async fn release(
+    rows: &dyn Rows,
+    entry: &Name,
+    (name, token): (&Name, Version),
+    resting: Option<BTreeMap<Name, u64>>,
+) {
     let place = row::owner(name);
     let owner = row::Owner {
         entry: Name::clone(entry),
@@ -85,6 +93,7 @@
         attempt: 0,
         released: true,
         after: None,
+        resting,
     };
     let value = serde_json::to_vec(&owner).expect("an owner has plain fields");
     let txn = Txn {
--- a/crates/owner/src/request.rs
+++ b/crates/owner/src/request.rs
@@ -1,6 +1,6 @@
 //! Orders to a pool's instances, asked of the holders of their groups.
 
-use crate::{holder::SLACK, own::Context};
+use crate::{own::Context, rest::SLACK};
 use bytes::Bytes;
 use log::info;
 use primroseroute_cell::row::{self, Given, Order, Orders};
--- /dev/null
+++ b/crates/owner/src/rest.rs
@@ -0,0 +1,70 @@
+//! Which instances of a group rest after another holder's orders.
+
+use primroseroute_cell::row::Owner;
+use primroseroute_domain::work::Name;
+use std::{collections::BTreeMap, time::Duration};
+use tokio::time::Instant;
+
+/// Slack on the pause between two holders of an instance, for the time in which an order of a replaced
+/// holder may still go out.
+pub const SLACK: Duration = Duration::from_millis(500);
+
+/// When the instances of a group may be ordered by its new holder.
+///
+/// A holder that gives its group up says which instances it has ordered within the pause; the others needn't
+/// rest. Without this, all moves stood still for the pause at each step of a roll-out of entries.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Rest {
+    /// All instances rest until then.
+    all: Option<Instant>,
+    /// These rest until then.
+    some: BTreeMap<Name, Instant>,
+}
+
+impl Rest {
+    /// The rest of a group whose holder's row was seen at `now`, or before.
+    pub fn of(holder: &Owner, pause: Duration, now: Instant) -> Self {
+        let whole = now + pause + SLACK;
+        match (&holder.after, &holder.resting) {
+            (None, None) => Self::default(),
+            (Some(_other), None) => Self {
+                all: Some(whole),
+                some: BTreeMap::new(),
+            },
+            (_, Some(resting)) => Self {
+                all: None,
+                some: resting
+                    .iter()
+                    .map(|(name, left)| {
+                        let until = now + Duration::from_millis(*left) + SLACK;
+                        (Name::clone(name), until.min(whole))
+                    })
+                    .collect(),
+            },
+        }
+    }
+
+    /// Whether an instance may be ordered.
+    pub fn is_over(&self, instance: &Name, now: Instant) -> bool {
+        let over = |until: &Instant| now >= *until;
+        self.all.as_ref().is_none_or(over) && self.some.get(instance).is_none_or(over)
+    }
+
+    /// Takes in that an instance is ordered: whoever comes next lets it rest for the whole pause.
+    pub fn ordered(&mut self, instance: &Name, pause: Duration, now: Instant) {
+        self.some.insert(Name::clone(instance), now + pause);
+    }
+
+    /// What a successor has to know, if `now` is the end of this holder's time; none where it knows too little.
+    pub fn left(&self, now: Instant) -> Option<BTreeMap<Name, u64>> {
+        if self.all.is_some_and(|until| now < until) {
+            return None;
+        }
+        let left = self.some.iter().filter(|(_name, until)| now < **until);
+        let left = left.map(|(name, until)| {
+            let millis = u64::try_from((*until - now).as_millis()).unwrap_or(u64::MAX);
+            (Name::clone(name), millis + 1)
+        });
+        Some(left.collect())
+    }
+}
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -156,7 +156,7 @@
                 let Context {
                     rows, entry, pool, ..
                 } = &self.context;
-                release(&**rows, entry, pool, self.token).await;
+                release(&**rows, entry, (pool, self.token), None).await;
                 return Over::Released;
             }
             while self.beside.try_join_next().is_some() {}
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -5,11 +5,11 @@
     emptying::{Emptying, Status},
     event::Event,
     fleet::Listing,
-    holder,
     maintain::Maintenance,
     own::Context,
     relocate::{self, Relocation},
     request::Requests,
+    rest::Rest,
 };
 use log::info;
 use primroseroute_cell::{Purpose, row};
@@ -44,8 +44,8 @@
     emptying: Emptying,
     maintenance: Maintenance,
     relocation: Relocation,
-    /// The holders of the groups of instances, by the version of their row, and when they give orders.
-    holders: BTreeMap<Name, (Version, Instant)>,
+    /// The holders of the groups of instances, by the version of their row, and which instances rest.
+    holders: BTreeMap<Name, (Version, Rest)>,
     /// The instances as last listed.
     listed: Option<Listing>,
 }
@@ -126,18 +126,16 @@
                 continue;
             };
             let known = self.holders.get(&group);
-            if known.is_none_or(|(known, _ready)| *known != version) {
-                let rests = holder.after.is_some();
-                let pause = self.context.order_pause + holder::SLACK;
-                let ready = if rests { now + pause } else { now };
-                self.holders.insert(group, (version, ready));
+            if known.is_none_or(|(known, _rest)| *known != version) {
+                let rest = Rest::of(holder, self.context.order_pause, now);
+                self.holders.insert(group, (version, rest));
             }
         }
         drop(picture);
         let is_ready = |instance: &&Instance| {
             let holder = self.holders.get(&row::group(&instance.name));
             instance.pool == self.context.pool
-                && holder.is_some_and(|(_version, ready)| now >= *ready)
+                && holder.is_some_and(|(_version, rest)| rest.is_over(&instance.name, now))
         };
         let ready = instances.iter().filter(is_ready);
         ready.map(|instance| Name::clone(&instance.name)).collect()
--- a/crates/owner/tests/all/main.rs
+++ b/crates/owner/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of owners, without any store.
 
 mod elect;
+mod rest;
 mod share;
 mod wave;
--- a/tests/site/maintain.rs
+++ b/tests/site/maintain.rs
@@ -131,9 +131,9 @@
     bed.judge()
 }
 
-// An entry that holds groups of instances hands them over in the middle of a wave. Its last order may have
-// gone out a moment ago, so its successor gives the instances of those groups none before the pause
-// between two holders has passed, and the wave goes on after that.
+// An entry that holds groups of instances is killed in the middle of a wave. Its last order may have gone
+// out a moment ago, and nobody can say to which instance, so its successor gives the instances of those groups
+// none before the pause between two holders has passed, and the wave goes on after that.
 async fn no_order_at_once() -> Result<()> {
     let mut bed = Bed::open(63, 2, 8).await?;
     let holder = bed.owner(POOL).await?;
@@ -146,13 +146,8 @@
     ensure!(!groups.is_empty(), "{holder} holds nothing");
     bed.world.instruct(wave(own_instances(&bed), 1));
     seconds(4).await;
-    let handed_over = bed.world.now();
-    let node = bed.nodes.remove(&holder);
-    let entry = node.map(|node| node.entry);
-    entry
-        .expect("the holder is one of the entries")
-        .stop()
-        .await;
+    let killed = bed.world.now();
+    bed.kill(&holder);
     seconds(30).await;
     let orders = maintained(&bed);
     let of_groups = orders
@@ -167,11 +162,8 @@
     let at = later
         .first()
         .ok_or_else(|| eyre::eyre!("the wave doesn't go on: {orders:?}"))?;
-    ensure!(
-        *at >= handed_over + 3_000,
-        "handed over at {handed_over}, ordered at {at}"
-    );
-    Ok(())
+    ensure!(*at >= killed + 3_000, "killed at {killed}, ordered at {at}");
+    bed.judge()
 }
 
 // The part of the store that holds owners and heartbeats is silent towards the pool's owner, while it
--- a/tests/site/moves.rs
+++ b/tests/site/moves.rs
@@ -20,6 +20,7 @@
     order_that_took_long_to_write_down_is_not_given => slow_store();
     frozen_owner_moves_nothing_after_its_replacement => owner_frozen();
     instance_goes_on_without_a_pause => at_once();
+    groups_that_are_given_up_go_on_at_once => given_up();
 }
 
 /// Instances of a pool that are up.
@@ -238,3 +239,25 @@
     ensure!(again, "no instance went on within the pause: {moves:?}");
     bed.judge()
 }
+
+// Both holders of groups but one stop, one after the other, while nothing moves; then a pool fills up. Whoever has
+// their groups now needn't wait out a pause: the holders before have said that they ordered nothing lately.
+async fn given_up() -> Result<()> {
+    let mut bed = Bed::open_with_standby(81, 3, 2).await?;
+    seconds(6).await;
+    for name in ["e-1", "e-2"] {
+        let node = bed.nodes.remove(name);
+        let entry = node.map(|node| node.entry);
+        entry.expect("one of the entries").stop().await;
+        seconds(1).await;
+    }
+    let from = bed.world.now();
+    for _job in 0..12 {
+        bed.submit("e-0", &job("4000", 4)).await?;
+    }
+    sleep(Duration::from_millis(1_500)).await;
+    let moves = moved(&bed);
+    let soon = moves.iter().filter(|(at, ..)| *at >= from);
+    ensure!(soon.count() >= 4, "{moves:?}");
+    bed.judge()
+}
--- a/tests/site/takeover.rs
+++ b/tests/site/takeover.rs
@@ -212,6 +212,7 @@
         attempt: 1,
         released: false,
         after: None,
+        resting: None,
     };
     let take = Txn {
         conditions: vec![(place.clone(), version)],
