What a pool will need soon comes before what others keep; instances with the fewest runs go first

One to three instances a second move. And those that are asked to go are taken by name, so that one with eight runs is waited for beside one with one.

Change: pools publish also what they will have use for, without headroom or holding; the plan deals that out before it looks at what is kept. Candidates are sorted by their runs.

Two cases of the plan.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -328,10 +328,11 @@
         }
     }
 
-    /// Whether nothing can run on a worker.
-    pub fn is_empty(&self, worker: &Name) -> bool {
-        let found = self.workers.get(worker);
-        found.is_none_or(|worker| worker.runs.is_empty())
+    /// Number of runs that may be under way on a worker.
+    pub fn runs_on(&self, worker: &Name) -> usize {
+        self.workers
+            .get(worker)
+            .map_or(0, |worker| worker.runs.len())
     }
 
     /// Whether nothing can run on a worker, and it gets nothing new because it is to be emptied.
--- a/crates/cell/src/need.rs
+++ b/crates/cell/src/need.rs
@@ -45,7 +45,10 @@
     /// Number of workers that it has use for at this moment, work that is late already left out; at least
     /// one.
     pub now: u64,
-    /// Number of workers beyond those that it has use for, for work that is late already.
+    /// Number of workers that it will have use for when an instance that is asked for now works, without
+    /// headroom; at least `now`.
+    pub soon: u64,
+    /// Number of workers beyond `now` that it has use for, for work that is late already.
     pub late: u64,
     /// Number below which none is switched off.
     pub kept: u64,
@@ -65,6 +68,7 @@
         Wanted {
             workers: self.workers,
             now: self.now,
+            soon: self.soon,
             late: self.late,
         }
     }
@@ -160,6 +164,7 @@
     Need {
         workers: cell.needs.highest(now, HOLD_MS) + unfit,
         now: at_once + unfit,
+        soon: workers_for(coming, capacity).max(at_once) + unfit,
         late: with_late.saturating_sub(at_once),
         kept: cell.needs.highest(now, KEEP_MS) + unfit,
         runs: runs.all(),
--- a/crates/cell/src/row.rs
+++ b/crates/cell/src/row.rs
@@ -377,7 +377,10 @@
     pub workers: u64,
     /// What it has use for at this moment, work that is late already left out.
     pub now: u64,
-    /// What it has use for beyond that for work that is late already.
+    /// What it will have use for when an instance that is asked for now works, by what comes in; at least
+    /// `now`.
+    pub soon: u64,
+    /// What it has use for beyond `now` for work that is late already.
     pub late: u64,
 }
 
--- a/crates/cell/tests/all/lasting.rs
+++ b/crates/cell/tests/all/lasting.rs
@@ -64,7 +64,7 @@
         }
     }
     for worker in &on {
-        assert!(bed.cell.is_empty(worker), "{worker} isn't empty");
+        assert_eq!(bed.cell.runs_on(worker), 0, "{worker} isn't empty");
     }
 }
 
--- a/crates/owner/src/emptying.rs
+++ b/crates/owner/src/emptying.rs
@@ -22,9 +22,9 @@
 pub(crate) struct Status {
     /// Lasting tasks by worker.
     pub lasting: BTreeMap<Name, usize>,
-    /// Workers on which nothing can run.
-    pub idle: BTreeSet<Name>,
-    /// Those of them that get nothing new, as was asked.
+    /// Runs by worker.
+    pub runs: BTreeMap<Name, usize>,
+    /// Workers on which nothing can run, and that get nothing new, as was asked.
     pub emptied: BTreeSet<Name>,
     /// Registered workers of the pool.
     pub registered: BTreeSet<Name>,
--- a/crates/owner/src/relocate.rs
+++ b/crates/owner/src/relocate.rs
@@ -96,7 +96,7 @@
             blocked,
             refused: &self.refused,
             emptying: &emptying.of(Purpose::Move),
-            idle: &status.idle,
+            runs: &status.runs,
             lasting: &status.lasting,
             kept: status.kept,
         })
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -367,11 +367,13 @@
             let lasting = self.cell.lasting_on(id);
             (Name::clone(id), lasting)
         });
-        let idle = workers.clone().filter(|id| self.cell.is_empty(id));
+        let runs = workers
+            .clone()
+            .map(|id| (Name::clone(id), self.cell.runs_on(id)));
         let emptied = workers.filter(|id| self.cell.is_emptied(id));
         let status = Status {
             lasting: lasting.collect(),
-            idle: idle.map(Name::clone).collect(),
+            runs: runs.collect(),
             emptied: emptied.map(Name::clone).collect(),
             registered: self.registered.clone(),
             silent: self.cell.silent(self.context.clock.now()),
--- a/crates/owner/src/share.rs
+++ b/crates/owner/src/share.rs
@@ -37,8 +37,8 @@
     pub refused: &'a BTreeSet<(Name, Name)>,
     /// Workers that are being emptied to be moved.
     pub emptying: &'a BTreeSet<Name>,
-    /// Workers on which nothing runs.
-    pub idle: &'a BTreeSet<Name>,
+    /// For each worker, the number of runs on it.
+    pub runs: &'a BTreeMap<Name, usize>,
     /// For each worker, the number of lasting tasks on it.
     pub lasting: &'a BTreeMap<Name, usize>,
     /// Number of the pool's instances below which none is switched off.
@@ -76,6 +76,8 @@
 enum Level {
     /// What it is short of at this moment.
     Now,
+    /// What it will be short of when an instance that is ordered now works.
+    Soon,
     /// With what it expects and what it wants to spare.
     Wanted,
     /// With what work that is late already could use.
@@ -135,7 +137,8 @@
     }
     match (pool.need, level) {
         (Some(need), Level::Now) => need.now,
-        (Some(need), Level::Wanted) => need.workers.max(need.now),
+        (Some(need), Level::Soon) => need.soon.max(need.now),
+        (Some(need), Level::Wanted) => need.workers.max(need.soon),
         (Some(need), Level::Late) => need.workers.max(need.now + need.late),
         // Nothing is known: it keeps what it has, and gets nothing.
         (None, _) => has,
@@ -146,7 +149,8 @@
 ///
 /// First the pools that are short at this moment get what others have beyond their own needs of this
 /// moment: where there isn't enough for all, nobody keeps instances for what may come while tasks wait
-/// elsewhere. Then the pools that want more get what others don't want, and last those with work that is
+/// elsewhere. Then those that will be short soon get what others won't use, whatever these keep as headroom or
+/// for a while; then pools that want more get what others don't want, and last those with work that is
 /// late already: what is late earns a fraction, and must not hold up what can still be in time elsewhere.
 fn needy(situation: &Situation<'_>, counts: &BTreeMap<&Name, u64>) -> Vec<Name> {
     let mut all: BTreeMap<&Name, u64> = situation
@@ -155,7 +159,7 @@
         .map(|name| (name, counts.get(name).copied().unwrap_or(0)))
         .collect();
     let mut own = Vec::new();
-    for level in [Level::Now, Level::Wanted, Level::Late] {
+    for level in [Level::Now, Level::Soon, Level::Wanted, Level::Late] {
         let balances = all.iter().map(|(&name, &has)| {
             let need = need(situation, name, level, has);
             (name, Balance { has, need })
@@ -218,7 +222,7 @@
 }
 
 /// Instances of the own pool that may move: those that are being emptied first, so that a decision
-/// stands, then idle ones. Those with lasting tasks stay.
+/// stands, then those with the fewest runs, which are empty soonest. Those with lasting tasks stay.
 fn candidates<'a>(situation: &Situation<'a>) -> Vec<&'a Instance> {
     let own = situation.instances.iter().filter(|instance| {
         let worker = instance.worker.as_ref();
@@ -229,14 +233,11 @@
             && lasting.copied().unwrap_or(0) == 0
     });
     let mut own: Vec<&Instance> = own.collect();
-    let within = |set: &BTreeSet<Name>, instance: &Instance| {
-        let worker = instance.worker.as_ref();
-        worker.is_none_or(|worker| set.contains(worker))
-    };
     own.sort_by_key(|instance| {
-        let emptying = within(situation.emptying, instance);
-        let idle = within(situation.idle, instance);
-        (!emptying, !idle)
+        let worker = instance.worker.as_ref();
+        let emptying = worker.is_none_or(|worker| situation.emptying.contains(worker));
+        let runs = worker.and_then(|worker| situation.runs.get(worker));
+        (!emptying, runs.copied().unwrap_or(0))
     });
     own
 }
--- a/crates/owner/src/tell.rs
+++ b/crates/owner/src/tell.rs
@@ -36,6 +36,7 @@
     let Need {
         workers,
         now,
+        soon,
         late,
         kept,
         runs,
@@ -43,5 +44,5 @@
         expected,
         unfit,
     } = need;
-    info!(pool, workers, now, late, kept, running_cpu = runs.cpu, waiting_cpu = waits.cpu, expected_cpu = expected.cpu, unfit, registered; "need of workers published");
+    info!(pool, workers, now, soon, late, kept, running_cpu = runs.cpu, waiting_cpu = waits.cpu, expected_cpu = expected.cpu, unfit, registered; "need of workers published");
 }
--- a/crates/owner/tests/all/share.rs
+++ b/crates/owner/tests/all/share.rs
@@ -16,6 +16,7 @@
     blocked: BTreeSet<Name>,
     refused: BTreeSet<(Name, Name)>,
     lasting: BTreeMap<Name, usize>,
+    runs: BTreeMap<Name, usize>,
     /// Number of its instances below which a pool switches none off.
     kept: u64,
 }
@@ -29,6 +30,7 @@
             blocked: BTreeSet::new(),
             refused: BTreeSet::new(),
             lasting: BTreeMap::new(),
+            runs: BTreeMap::new(),
             kept: 0,
         };
         for (number, &(has, wanted)) in pools.iter().enumerate() {
@@ -43,6 +45,7 @@
         let need = wanted.map(|workers| Wanted {
             workers,
             now: workers,
+            soon: workers,
             late: 0,
         });
         self.pools.insert(pool.into(), Pool { need, standby });
@@ -69,7 +72,7 @@
             blocked: &self.blocked,
             refused: &self.refused,
             emptying: &BTreeSet::new(),
-            idle: &self.lasting.keys().map(Name::clone).collect(),
+            runs: &self.runs,
             lasting: &self.lasting,
             kept: self.kept,
         })
@@ -117,6 +120,7 @@
     let reserved = Wanted {
         workers: 6,
         now: 2,
+        soon: 2,
         late: 0,
     };
     fleet.pools.get_mut("p-1").expect("a pool").need = Some(reserved);
@@ -124,6 +128,7 @@
     let short = Wanted {
         workers: 6,
         now: 2,
+        soon: 2,
         late: 0,
     };
     fleet.pools.get_mut("p-0").expect("a pool").need = Some(short);
@@ -138,6 +143,7 @@
     fleet.pools.get_mut("p-0").expect("a pool").need = Some(Wanted {
         workers: 1,
         now: 1,
+        soon: 1,
         late: 5,
     });
     assert_eq!(targets(&fleet.all_moves()), [("p-1", 3)].into());
@@ -150,11 +156,44 @@
     fleet.pools.get_mut("p-0").expect("a pool").need = Some(Wanted {
         workers: 1,
         now: 1,
+        soon: 1,
         late: 4,
     });
     assert_eq!(targets(&fleet.all_moves()), [("p-0", 3)].into());
 }
 
+/// A turn has ended in one pool: it uses two of eight instances and keeps all for a while. In the next it begins: one
+/// is used, and five will be. Four go there at once.
+#[test]
+fn what_will_be_needed_comes_before_what_is_kept() {
+    let mut fleet = Fleet::new(&[(8, 8), (1, 5)], 0);
+    let needs = [("p-0", 8, 2, 2), ("p-1", 5, 1, 5)];
+    for (pool, workers, now, soon) in needs {
+        fleet.pools.get_mut(pool).expect("a pool").need = Some(Wanted {
+            workers,
+            now,
+            soon,
+            late: 0,
+        });
+    }
+    assert_eq!(targets(&fleet.all_moves()), [("p-1", 4)].into());
+}
+
+/// The instance with the fewest runs is empty soonest.
+#[test]
+fn instances_with_the_fewest_runs_go_first() {
+    let mut fleet = Fleet::new(&[(3, 1), (0, 1)], 0);
+    let runs = [("w-p-0-0", 5), ("w-p-0-1", 1), ("w-p-0-2", 2)];
+    fleet.runs = runs.map(|(worker, runs)| (worker.into(), runs)).into();
+    let moves = fleet.moves_of("p-0");
+    let to_other: Vec<&str> = moves
+        .iter()
+        .filter(|wanted| &*wanted.to == "p-1")
+        .map(|wanted| &*wanted.instance.name)
+        .collect();
+    assert_eq!(to_other, ["p-0-1"]);
+}
+
 #[test]
 fn surplus_is_switched_off_only_beyond_what_was_needed_lately() {
     let mut fleet = Fleet::new(&[(6, 2)], 0);
