An entry that joins others takes what they give up after 0.4 s

Change: where another entry owns something, entries haven't all started together, and 0.4 s are enough. The new case fails without it.

--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -15,7 +15,7 @@
 use log::{info, warn};
 use parking_lot::Mutex;
 use primroseroute_cell::{
-    Limits,
+    Limits, Millis,
     row::{self, Member, Owner},
 };
 use primroseroute_domain::work::Name;
@@ -57,6 +57,11 @@
 /// Least time between two calls for changes of owners and heartbeats.
 const CONTROL_PACE: Duration = Duration::from_millis(100);
 
+/// The same where another entry owns something already: it has started before. Entries that start together do so within
+/// 0.3 s. In a roll-out the pools of each entry that stops fall to one that has just come back, and waited for it to
+/// settle for up to half a second.
+const JOIN: Duration = Duration::from_millis(400);
+
 /// Longest time that giving up all pools may take; what is left then is taken over by timeout.
 const RELEASE: Duration = Duration::from_millis(2_500);
 
@@ -300,8 +305,16 @@
     }
 
     /// Whether entries that started with this one have had the time to be seen.
-    fn is_settled(&self) -> bool {
-        self.started.elapsed() >= SETTLE
+    fn is_settled(&self, picture: &Picture, now: Millis) -> bool {
+        let others = || {
+            let mut held = picture
+                .owners
+                .keys()
+                .filter_map(|name| picture.held(name, now));
+            held.any(|(owner, _version)| owner.entry != self.parts.entry)
+        };
+        let elapsed = self.started.elapsed();
+        elapsed >= SETTLE || (elapsed >= JOIN && others())
     }
 
     /// Free pools and groups of instances that this entry is to take.
@@ -322,10 +335,11 @@
         let pools = elect::assign(&picture.free(&pools, now), &picture.owned(false), &able);
         let groups = elect::assign(&picture.free(&groups, now), &picture.owned(true), &able);
         let assigned = pools.into_iter().chain(groups);
+        let settled = self.is_settled(&picture, now);
         let mine = assigned.filter(|(name, entry)| {
             let had = picture.owners.get(name);
             let had = had.is_some_and(|(last, _version)| last.entry == *entry);
-            *entry == self.parts.entry && (had || self.is_settled())
+            *entry == self.parts.entry && (had || settled)
         });
         // A takeover whose answer was lost, and which took effect all the same.
         let own = picture.owned_by(&self.parts.entry, self.parts.incarnation);
--- a/tests/site/takeover.rs
+++ b/tests/site/takeover.rs
@@ -28,6 +28,7 @@
     replaced_owner_starts_nothing_more => replaced();
     end_is_acknowledged_only_once_it_is_stored => acknowledged();
     strong_entry_that_comes_back_gets_its_pools => strong_comes_back();
+    entry_that_joins_takes_what_is_given_up => joins();
 }
 
 // The owner dies while tasks run. Their leases outlast the takeover, so the successor finds them
@@ -325,3 +326,22 @@
     }
     bed.judge()
 }
+
+// One of three entries has just come back, and owns nothing, when another stops and gives up what it has. The third
+// shows that they haven't all started together, so there is nobody to wait for: all has an owner again half a second later.
+async fn joins() -> Result<()> {
+    let mut bed = Bed::open(58, 3, 4).await?;
+    bed.kill("e-1");
+    seconds(5).await;
+    bed.start("e-1");
+    tokio::time::sleep(std::time::Duration::from_millis(450)).await;
+    let node = bed.nodes.remove("e-0");
+    let entry = node.map(|node| node.entry);
+    entry.expect("one of the entries").stop().await;
+    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+    let names = [POOL, OTHER].map(Name::from).into_iter();
+    for name in names.chain(row::groups()) {
+        ensure!(bed.owner(&name).await? != "e-0", "{name}");
+    }
+    bed.judge()
+}
