--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -6,7 +6,7 @@
 //! * [`follow`]: follows a table by its feed, and reads it whole where history was lost.
 //! * [`Watch`]: configuration, workers and waves as the platform tells them.
 //! * [`members`]: heartbeats, and which entries are alive by this entry's own clock.
-//! * [`elect`]: which entry takes over a pool that nobody owns. Pure.
+//! * `elections`: what an entry takes and gives up; [`elect`]: which entry takes over a pool that nobody owns. Pure.
 //! * `commit`: an owner's commits, one after the other, and what came of those without an answer.
 //! * [`Brisk`]: commits that are given up once they have taken far longer than usual.
 //! * `lease`: looks at one worker, and the renewal of its lease.
@@ -33,6 +33,7 @@
 mod commit;
 mod control;
 pub mod elect;
+mod elections;
 mod emptying;
 mod entry;
 mod event;
--- a/tests/site/moves.rs
+++ b/tests/site/moves.rs
@@ -67,7 +67,7 @@
     for _job in 0..12 {
         jobs.push(bed.submit("e-0", &job("4000", 4)).await?);
     }
-    seconds(5).await;
+    seconds(4).await;
     ensure!(up(&bed, POOL) == 6, "{} are up", up(&bed, POOL));
     ensure!(up(&bed, OTHER) == 1);
     for id in &jobs {
