Nothing is held for a second, and no worker is asked for to spare

Since rises are seen by what comes in, both only keep instances from where they are needed.

Change: both are gone; a pool asks for one worker at least, since one without any would let its next job wait for a move.

--- a/crates/cell/src/need.rs
+++ b/crates/cell/src/need.rs
@@ -22,15 +22,10 @@
 /// are late before another instance can come.
 const HEADROOM_PERCENT: u64 = 125;
 
-/// Workers beyond that: with few workers, a part of them is less than one task of the next job, and a
-/// pool without any would let its next job wait for the seconds of a move.
-const SPARE: u64 = 1;
+/// Least number of workers: a pool without any would let its next job wait for the seconds of a move.
+const LEAST: u64 = 1;
 
-/// How long a pool keeps the workers that it has needed before others may have them, in milliseconds:
-/// the gap between two waves of tasks of one job.
-const HOLD_MS: Millis = 1_000;
-
-/// How long it keeps them before they are switched off. An instance that is switched off and on again
+/// How long a pool keeps the workers that it has needed before they are switched off. An instance that is switched off and on again
 /// costs two moves and takes nothing for their time; kept idle for four seconds in place of two, it costs more
 /// than that (0.005 to 0.011 of a day's worth on six of six days).
 const KEEP_MS: Millis = 2_000;
@@ -99,11 +94,13 @@
         }
     }
 
-    /// The highest figure of the last `span`.
-    fn highest(&self, now: Millis, span: Millis) -> u64 {
-        let recent = self.recent.iter().rev();
-        let recent = recent.take_while(|(at, _need)| now < at + span);
-        recent.map(|(_at, need)| *need).max().unwrap_or(0)
+    /// The highest figure that is remembered.
+    fn highest(&self) -> u64 {
+        self.recent
+            .iter()
+            .map(|(_at, need)| *need)
+            .max()
+            .unwrap_or(0)
     }
 }
 
@@ -154,8 +151,9 @@
         .larger(lasting.plus(expected))
         .plus(waits.in_time);
     let spread = spread(cell);
-    let workers = (workers_for(with_headroom(coming), capacity) + SPARE).max(spread);
-    let at_once = workers_for(current, capacity).max(spread).max(SPARE);
+    let least = spread.max(LEAST);
+    let workers = workers_for(with_headroom(coming), capacity).max(least);
+    let at_once = workers_for(current, capacity).max(least);
     let with_late = workers_for(current.plus(runs.late).plus(waits.late), capacity);
     let all_workers = cell.workers.values();
     let unfit = all_workers
@@ -163,11 +161,11 @@
         .count() as u64;
     cell.needs.record(now, workers);
     Need {
-        workers: cell.needs.highest(now, HOLD_MS) + unfit,
+        workers: workers + unfit,
         now: at_once + unfit,
         soon: workers_for(coming, capacity).max(at_once) + unfit,
         late: with_late.saturating_sub(at_once),
-        kept: cell.needs.highest(now, KEEP_MS) + unfit,
+        kept: cell.needs.highest() + unfit,
         runs: runs.all(),
         waits: waits.all(),
         expected,
