A new owner asks for no moves before it knows what runs where

Cause: the loop that looks after instances starts with the cell's, and plans as soon as it has the list of instances; until the cell's first commit is through it hasn't told what runs where, and a worker that nothing is known of counted as empty. Workers known by their runs alone, without a registration, were left out in the same way.

Change: that loop waits for the first word of the cell, and the cell tells of all workers that it knows.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -328,6 +328,11 @@
         }
     }
 
+    /// The workers that are known, those among them that are known by what may run on them only.
+    pub fn workers(&self) -> impl Iterator<Item = &Name> + Clone {
+        self.workers.keys()
+    }
+
     /// Number of runs that may be under way on a worker.
     pub fn runs_on(&self, worker: &Name) -> usize {
         self.workers
--- a/crates/owner/src/emptying.rs
+++ b/crates/owner/src/emptying.rs
@@ -20,6 +20,8 @@
 /// What runs where.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Status {
+    /// Whether the cell has told it; nothing is known before.
+    pub told: bool,
     /// Lasting tasks by worker.
     pub lasting: BTreeMap<Name, usize>,
     /// Runs by worker.
@@ -51,6 +53,16 @@
         }
     }
 
+    /// Waits until the cell has told for the first time what runs where.
+    ///
+    /// Before that every worker looks as if nothing ran on it, and a new owner would move instances away under
+    /// the lasting tasks that it has just loaded.
+    pub(crate) async fn told(&mut self) {
+        if self.status.wait_for(|status| status.told).await.is_err() {
+            log::debug!("the pool's loop has ended");
+        }
+    }
+
     pub(crate) fn status(&self) -> Arc<Status> {
         Arc::clone(&self.status.borrow())
     }
--- a/crates/owner/src/reach.rs
+++ b/crates/owner/src/reach.rs
@@ -58,11 +58,6 @@
         }
     }
 
-    /// Ids of the workers that are looked at.
-    pub(crate) fn ids(&self) -> impl Iterator<Item = &Name> + Clone {
-        self.watched.keys()
-    }
-
     /// Looks at these workers, and at no others.
     pub(crate) fn look_at(&mut self, targets: Vec<Target>) {
         let known: BTreeSet<&Name> = targets.iter().map(|target| &target.id).collect();
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -362,7 +362,7 @@
 
     /// Tells the upkeep what runs where.
     fn publish(&self, kept: u64) {
-        let workers = self.reach.ids();
+        let workers = self.cell.workers();
         let lasting = workers.clone().map(|id| {
             let lasting = self.cell.lasting_on(id);
             (Name::clone(id), lasting)
@@ -372,6 +372,7 @@
             .map(|id| (Name::clone(id), self.cell.runs_on(id)));
         let emptied = workers.filter(|id| self.cell.is_emptied(id));
         let status = Status {
+            told: true,
             lasting: lasting.collect(),
             runs: runs.collect(),
             emptied: emptied.map(Name::clone).collect(),
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -68,6 +68,7 @@
         holders: BTreeMap::new(),
         listed: None,
     };
+    upkeep.emptying.told().await;
     loop {
         let open = upkeep.maintenance.open(&waves.borrow());
         if upkeep.is_due(&open)
--- a/tests/site/inspect.rs
+++ b/tests/site/inspect.rs
@@ -38,7 +38,7 @@
     for _job in 0..12 {
         bed.submit("e-0", &job("4000", 4)).await?;
     }
-    seconds(1).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
     let pools = look(&bed).await?;
     ensure!(pools.len() == 3);
     let busy = pool(&pools, POOL)?;
--- a/tests/site/moves.rs
+++ b/tests/site/moves.rs
@@ -21,6 +21,7 @@
     frozen_owner_moves_nothing_after_its_replacement => owner_frozen();
     instance_goes_on_without_a_pause => at_once();
     groups_that_are_given_up_go_on_at_once => given_up();
+    new_owner_moves_nothing_under_lasting_tasks => taken_over();
 }
 
 /// Instances of a pool that are up.
@@ -261,3 +262,39 @@
     ensure!(soon.count() >= 4, "{moves:?}");
     bed.judge()
 }
+
+// Six tasks last on six of ten instances of a pool whose owner is killed while the pool beside it fills up. The
+// new owner has instances to give, and a commit takes longer than the list of instances: it must not take those that it
+// has told itself nothing of yet for empty, and move them away under the tasks that it has just loaded.
+async fn taken_over() -> Result<()> {
+    for entries in [3, 4, 5] {
+        let mut bed = Bed::open(82, entries, 10).await?;
+        let id = bed.submit("e-0", &lasting(6)).await?;
+        seconds(4).await;
+        bed.world
+            .instruct(Instruction::Configuration(configuration(2, OTHER)));
+        seconds(1).await;
+        let owner = bed.owner(POOL).await?;
+        let caller = bed.bystander(POOL).await?;
+        bed.kill(&owner);
+        let killed = bed.world.now();
+        sleep(Duration::from_millis(1_500)).await;
+        for _job in 0..12 {
+            bed.submit(&caller, &job("3000", 4)).await?;
+        }
+        bed.conduct_all(|conduct| conduct.delay = Duration::from_millis(120));
+        seconds(5).await;
+        let moves = moved(&bed);
+        ensure!(moves.iter().any(|(at, ..)| *at > killed), "{moves:?}");
+        for index in 0..6 {
+            let task = task(&id, 0, index);
+            let starts = bed.world.journal().starts(&task);
+            ensure!(
+                starts.len() == 1,
+                "{entries} entries: {task} was disturbed: {starts:?}"
+            );
+        }
+        bed.judge()?;
+    }
+    Ok(())
+}
