An emptied worker that is used again counts as such before the commit is through

A worker that was emptied, let go and given a lasting task within that time counted as emptied, and its instance could be ordered away. Commits take 0.2 s and more in a roll-out.

Change: workers that aren't emptied any more are taken off the list before the commit. What else there is to tell still waits for it.

No test fails without it: the window is one commit wide.

--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -260,6 +260,7 @@
     async fn round(&mut self, lane: &mut Lane) -> Result<(), Lost> {
         let clock = self.context.clock;
         let mut tick = self.cell.tick(clock.now(), clock.wall_ms());
+        self.occupied();
         let urgent = std::mem::take(&mut tick.urgent);
         for question in std::mem::take(&mut tick.questions) {
             self.beside.spawn(ask(
@@ -360,6 +361,21 @@
         Ok(())
     }
 
+    /// Tells the upkeep at once which emptied workers may be in use again.
+    ///
+    /// What else there is to tell waits for the commit of the round, which may take long. Without this, a worker that was
+    /// emptied, let go and given a lasting task counts as emptied until then, and its instance may be ordered away.
+    fn occupied(&self) {
+        self.status.send_if_modified(|known| {
+            let occupied = known.emptied.iter().any(|id| !self.cell.is_emptied(id));
+            if occupied {
+                let status = Arc::make_mut(known);
+                status.emptied.retain(|id| self.cell.is_emptied(id));
+            }
+            occupied
+        });
+    }
+
     /// Tells the upkeep what runs where.
     fn publish(&self, kept: u64) {
         let workers = self.cell.workers();
