Failing tests: starts of a cancelled job go out after its cancel was acknowledged

Why no test saw it: the judge of the random histories knew nothing of acknowledged cancels. The stand-in learns slow reads, feeds that fail by themselves, slow orders and stops that are late.

--- a/crates/standin/src/site/caller/workers.rs
+++ b/crates/standin/src/site/caller/workers.rs
@@ -1,7 +1,7 @@
 //! An entry's calls to workers.
 
 use super::{Caller, ORDER_TIMEOUT};
-use crate::site::{Reach, State, is_allowed, worker::Ticket};
+use crate::site::{Conduct, Reach, State, is_allowed, worker::Ticket};
 use async_trait::async_trait;
 use primroseroute_domain::work::{Name, StepId, TaskId};
 use primroseroute_platform::{
@@ -64,7 +64,7 @@
                 _ => Answer::Gone,
             }
         };
-        self.order(target, order).await
+        self.order(target, Conduct::late_order, order).await
     }
 
     async fn stop(
@@ -80,7 +80,7 @@
             Some(worker) if worker.alive => worker.stop(&task, run, token, now),
             _ => Answer::Gone,
         };
-        self.order(target, order).await
+        self.order(target, Conduct::late_stop, order).await
     }
 
     async fn hold(&self, target: &Target, hold: Hold) -> Result<Seen, Error> {
@@ -139,6 +139,7 @@
         _percent: u32,
         _token: u64,
     ) -> Result<Answer, Error> {
-        self.order(target, |_state, _now| Answer::Done).await
+        let order = |_state: &mut State, _now| Answer::Done;
+        self.order(target, Conduct::late_order, order).await
     }
 }
--- a/crates/standin/src/site/check.rs
+++ b/crates/standin/src/site/check.rs
@@ -22,6 +22,8 @@
     Budget(TaskId, u64),
     /// A start of a job whose every submission was refused.
     Refused(TaskId, u64),
+    /// A start of a job long after its cancel was acknowledged.
+    Cancelled(TaskId, u64),
     /// A run that an order to its instance has cut off.
     CutOff(TaskId, u64),
     /// Two holders that take turns at an instance, or a lower fencing token after a higher one.
@@ -37,6 +39,7 @@
             Self::Unasked(task, at) => ("a start that nobody asked for", task, at),
             Self::Budget(task, at) => ("a start after too many failures", task, at),
             Self::Refused(task, at) => ("a start of a refused job", task, at),
+            Self::Cancelled(task, at) => ("a start of a cancelled job", task, at),
             Self::CutOff(task, at) => ("a run cut off by an order", task, at),
             Self::Holders(instance, at) => ("two holders of an instance", instance, at),
         };
@@ -51,10 +54,16 @@
     pub jobs: BTreeMap<JobId, Job>,
     /// Those whose every submission was refused for good.
     pub refused: BTreeSet<JobId>,
+    /// When the cancel of a job was acknowledged to its caller, in milliseconds since the site began.
+    pub cancelled: BTreeMap<JobId, u64>,
     /// Failed runs after which a task has failed.
     pub max_attempts: usize,
 }
 
+/// Longest time from the acknowledgement of a job's cancel to the last start of its work, in milliseconds: the
+/// shortest that callers are promised anywhere.
+const CANCEL_WITHIN: u64 = 3_000;
+
 /// Least time between the orders of two entries to one instance, in milliseconds.
 const HOLDER_PAUSE: u64 = 3_000;
 
@@ -150,6 +159,10 @@
         if sent.refused.contains(&task.job) {
             self.breaches.push(Breach::Refused(task.clone(), at));
         }
+        let cancelled = sent.cancelled.get(&task.job);
+        if cancelled.is_some_and(|cancelled| at > cancelled + CANCEL_WITHIN) {
+            self.breaches.push(Breach::Cancelled(task.clone(), at));
+        }
         let running = self.running.entry(task).or_default();
         if !running.is_empty() {
             self.breaches.push(Breach::Overlap(task.clone(), at));
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -86,10 +86,16 @@
     pub control: Reach,
     /// Its commits, whatever becomes of other calls.
     pub commits: Reach,
+    /// Its feeds, whatever becomes of other calls to the store.
+    pub feeds: Reach,
+    /// Further time of each of its reads of the store: a thin link, or a process that gets little processor time.
+    pub reads: Duration,
     /// Its calls to workers.
     pub workers: Reach,
     /// Its questions to the advice service.
     pub advice: Reach,
+    /// Further time until its orders reach their workers.
+    pub orders: Duration,
     /// Share of its commits that are done and not answered.
     pub lost_commits: f64,
     /// Share of its commits that aren't answered, and done one to six seconds later.
@@ -97,6 +103,8 @@
     /// Share of its orders to workers that aren't answered, and carried out two to twelve seconds
     /// later.
     pub late_orders: f64,
+    /// Share of its stops that fare like that, where other orders don't: calls on different connections overtake each other.
+    pub late_stops: f64,
     /// Further time of each of its calls.
     pub delay: Duration,
     /// Whether its process is gone: no call of it goes out, and none comes back.
@@ -105,6 +113,18 @@
     pub frozen: bool,
 }
 
+impl Conduct {
+    /// Share of its orders other than stops that are late.
+    pub(crate) fn late_order(&self) -> f64 {
+        self.late_orders
+    }
+
+    /// Share of its stops that are late.
+    pub(crate) fn late_stop(&self) -> f64 {
+        self.late_orders.max(self.late_stops)
+    }
+}
+
 pub(crate) struct State {
     pub rng: ChaCha8Rng,
     pub store: Store,
--- a/tests/site/cancel.rs
+++ b/tests/site/cancel.rs
@@ -6,7 +6,9 @@
 };
 use eyre::{Result, ensure};
 use http::StatusCode;
-use primroseroute_domain::work::State;
+use primroseroute_cell::row;
+use primroseroute_domain::work::{JobId, State};
+use primroseroute_standin::site::Reach;
 use std::time::Duration;
 
 cases! {
@@ -17,6 +19,10 @@
     cancel_stops_while_commits_wait => commits_wait();
     cancel_stops_while_a_commit_is_under_way => commit_under_way();
     cancel_of_a_job_whose_start_waits_for_its_commit => start_waits();
+    cancel_that_the_owner_hears_of_seconds_late => hears_late();
+    cancel_while_a_successor_reads_the_pool => successor_reads();
+    cancel_whose_stop_is_late_stops_the_start_that_waits => stop_is_late();
+    cancel_while_the_start_waits_behind_others => behind_others();
 }
 
 async fn stops() -> Result<()> {
@@ -134,3 +140,106 @@
     ensure!(bed.state(&other, &id).await == Ok(State::Cancelled));
     bed.judge()
 }
+
+// A task of a cancelled job was started four seconds after its caller was told that it is cancelled. The job waits for
+// room; its owner's feed brings nothing for seconds, while its commits go through; then room comes, and the owner
+// starts what it knows nothing against. Only the age of the commit was bound, not the age of what it rests on.
+async fn hears_late() -> Result<()> {
+    let mut bed = Bed::open(58, 2, 1).await?;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    bed.submit(&other, &job("5000", 8)).await?;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let waits = bed.submit(&other, &job("500", 4)).await?;
+    bed.conduct(&owner, |conduct| conduct.feeds = Reach::Silent);
+    // The call that was on its way has come back by then.
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    ensure!(bed.cancel(&other, &waits).await == StatusCode::OK);
+    seconds(8).await;
+    bed.conduct(&owner, |conduct| conduct.feeds = Reach::Fine);
+    seconds(2).await;
+    bed.judge()?;
+    ensure!(bed.state(&other, &waits).await == Ok(State::Cancelled));
+    Ok(())
+}
+
+// The same during a takeover. A weak successor takes seconds to read the pool's jobs; the cancel is stored just after
+// it has read the job's partition, and it then reads everything once more before it follows the feed. It starts
+// the job as soon as it has read it, and hears of the cancel seconds later.
+async fn successor_reads() -> Result<()> {
+    let mut bed = Bed::open(59, 2, 4).await?;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    // Everything waits: none of the workers takes anything before the takeover.
+    bed.conduct(&owner, |conduct| conduct.workers = Reach::Refused);
+    let id = first_part(&mut bed);
+    ensure!(bed.send(&other, &id, &job("500", 4)).await.is_success());
+    seconds(1).await;
+    let before = bed.token(POOL).await?;
+    bed.kill(&owner);
+    bed.start(&owner);
+    bed.conduct_all(|conduct| conduct.reads = Duration::from_millis(800));
+    while bed.token(POOL).await? == before {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // By then it has read the job's partition, and not all.
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let bystander = bed.bystander(POOL).await?;
+    ensure!(bed.cancel(&bystander, &id).await == StatusCode::OK);
+    seconds(14).await;
+    bed.judge()
+}
+
+/// An id in the partition that a successor reads first.
+fn first_part(bed: &mut Bed) -> JobId {
+    loop {
+        let id = bed.id();
+        if row::id_part(&id) == "0" {
+            return id;
+        }
+    }
+}
+
+// The commit of a job's starts waits, and the job is cancelled meanwhile. Its stops go out at once and come late, as
+// calls on other connections may; then the commit is through, and the starts must not follow.
+async fn stop_is_late() -> Result<()> {
+    let mut bed = Bed::open(60, 2, 4).await?;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    bed.conduct(&owner, |conduct| {
+        conduct.commits = Reach::Refused;
+        conduct.late_stops = 1.0;
+    });
+    let id = bed.submit(&other, &job("500", 2)).await?;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    ensure!(bed.cancel(&other, &id).await == StatusCode::OK);
+    seconds(1).await;
+    bed.conduct(&owner, |conduct| conduct.commits = Reach::Fine);
+    seconds(8).await;
+    for index in 0..2 {
+        let starts = bed.world.journal().starts(&task(&id, 0, index));
+        ensure!(starts.is_empty(), "{starts:?}");
+    }
+    ensure!(bed.state(&other, &id).await == Ok(State::Cancelled));
+    bed.judge()
+}
+
+// A worker answers slowly, so that starts wait for their turn on its few connections. The job is cancelled; the starts that
+// haven't left yet must not leave, as its stops would wait for the same turn.
+async fn behind_others() -> Result<()> {
+    let mut bed = Bed::open(61, 2, 1).await?;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    let slow = Duration::from_millis(800);
+    bed.conduct(&owner, |conduct| conduct.orders = slow);
+    let id = bed.submit(&other, &job("500", 8)).await?;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    ensure!(bed.cancel(&other, &id).await == StatusCode::OK);
+    seconds(6).await;
+    let journal = bed.world.journal();
+    let started = (0..8).filter(|&index| !journal.starts(&task(&id, 0, index)).is_empty());
+    // As many as an entry sends to one worker at the same time.
+    let started = started.count();
+    ensure!(started <= 3, "{started} tasks were started");
+    bed.judge()
+}
