Failing test: a successor hears of no cancel while it reads its pool a second time

Three lasting tasks run on after their cancel is acknowledged: the successor owns the pool and renews their leases, and its feed begins only after another whole read of the jobs' table, 2.1 s in this case.

--- a/tests/site/cancel.rs
+++ b/tests/site/cancel.rs
@@ -21,6 +21,7 @@
     cancel_of_a_job_whose_start_waits_for_its_commit => start_waits();
     cancel_that_the_owner_hears_of_seconds_late => hears_late();
     cancel_while_a_successor_reads_the_pool => successor_reads();
+    cancel_after_a_successor_has_read_the_pool => successor_has_read();
     cancel_whose_stop_is_late_stops_the_start_that_waits => stop_is_late();
     cancel_while_the_start_waits_behind_others => behind_others();
 }
@@ -190,6 +191,32 @@
     bed.judge()
 }
 
+// Lasting tasks ran on for seconds after their cancel was acknowledged. A weak successor has read the pool and owns it, with looks and
+// commits in order, but reads everything once more before it follows the feed, and hears of nothing until then.
+async fn successor_has_read() -> Result<()> {
+    let mut bed = Bed::open(62, 2, 4).await?;
+    let owner = bed.owner(POOL).await?;
+    let id = bed.submit(&owner, &lasting(3)).await?;
+    seconds(2).await;
+    let before = bed.token(POOL).await?;
+    bed.kill(&owner);
+    bed.start(&owner);
+    bed.conduct_all(|conduct| conduct.reads = Duration::from_millis(350));
+    while bed.token(POOL).await? == before {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // Seven reads, one after the other, load the pool.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let bystander = bed.bystander(POOL).await?;
+    ensure!(bed.running(&task(&id, 0, 0)).len() == 1);
+    ensure!(bed.cancel(&bystander, &id).await == StatusCode::OK);
+    seconds(1).await;
+    for index in 0..3 {
+        ensure!(bed.running(&task(&id, 0, index)).is_empty());
+    }
+    bed.judge()
+}
+
 /// An id in the partition that a successor reads first.
 fn first_part(bed: &mut Bed) -> JobId {
     loop {
