A start is bound by what its owner knows of cancels, and taken back when its job has ended

Cause: the age of a start was bound from the sending of its commit (2.5 s) and not from the moment up to which its owner had heard of cancels, so that the lag of a busy, cut-off or newly come owner came on top; and between the decision and the call nothing looked at the job again.

Change: the feed of jobs tells up to when it is complete, and starts must arrive within 2.8 s of that; without half a second left nothing is placed, and no lasting task is taken away that couldn't start elsewhere. A start whose job ends while its commit is under way or while it waits behind others isn't sent; a stop takes it out of the queue. A successor follows the feed from where it has read its pool, in place of reading everything once more.

--- a/crates/cell/src/drain.rs
+++ b/crates/cell/src/drain.rs
@@ -12,6 +12,10 @@
 const AT_WORK: u32 = 100;
 
 pub(crate) fn run(cell: &mut Cell, now: Millis) {
+    // What is stopped now couldn't start elsewhere.
+    if !cell.may_start(now) {
+        return;
+    }
     let ids: Vec<Name> = cell.workers.keys().map(Name::clone).collect();
     for id in ids {
         let worker = &cell.workers[&id];
--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -15,6 +15,9 @@
     /// covers a commit at a store that answers sixty times slower than usual; a successor waits for
     /// that long before it takes a start of its predecessor for one that never came.
     pub start_window: Millis,
+    /// Time on the worker's clock, from the moment up to which the owner has heard of all cancels, in which a start must
+    /// arrive. On a clock that is slow it is over 0.14 s before the 3 s in which work of a cancelled job may still begin.
+    pub cancel_window: Millis,
     /// Slack on every wait for something that surely is over, for timers that fire early.
     pub margin: Millis,
     /// A worker without a look for this long gets nothing new: two looks that went unanswered.
@@ -43,6 +46,7 @@
         Self {
             lease,
             start_window: 2_500,
+            cancel_window: 2_800,
             margin: 100,
             fresh: 3_200,
             silent: 1_600,
--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -63,6 +63,8 @@
     Refused(Refusal),
     /// It was never sent: its worker can't be reached.
     Unsent,
+    /// It was never sent: its job has ended meanwhile, or its time was over.
+    Withdrawn,
     /// It may run, or may later.
     Unknown,
 }
--- a/crates/cell/src/place/mod.rs
+++ b/crates/cell/src/place/mod.rs
@@ -23,6 +23,9 @@
 
 /// Places what fits of `waiting`, in its order; gives out the starts.
 pub(crate) fn run(cell: &mut Cell, waiting: &[Waiting], now: Millis) -> Vec<Order> {
+    if !cell.may_start(now) {
+        return Vec::new();
+    }
     let mut rooms = rooms(cell, now);
     // Workers whose free room is kept for a lasting task that fits nowhere yet.
     let mut kept: BTreeSet<Name> = BTreeSet::new();
--- a/crates/cell/tests/all/bed.rs
+++ b/crates/cell/tests/all/bed.rs
@@ -113,6 +113,7 @@
 
     /// One round that is committed, and whose orders aren't sent.
     pub(crate) fn round(&mut self) -> Tick {
+        self.cell.heard(self.now);
         let tick = self.cell.tick(self.now, WALL + self.now);
         self.cell.committed(&tick, self.now);
         tick
--- a/crates/owner/src/clock.rs
+++ b/crates/owner/src/clock.rs
@@ -35,6 +35,12 @@
         u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Steady time at `instant`.
+    pub fn at(&self, instant: Instant) -> Millis {
+        let passed = instant.saturating_duration_since(self.start);
+        u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Time of day in milliseconds since 1970. It may jump: it orders work and proves nothing.
     pub fn wall_ms(&self) -> u64 {
         match self.simulated {
--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -21,7 +21,10 @@
 };
 use serde::de::DeserializeOwned;
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
-use tokio::sync::watch::{self, Receiver};
+use tokio::{
+    sync::watch::{self, Receiver},
+    time::Instant,
+};
 
 /// The table of owners and heartbeats.
 #[derive(Debug)]
@@ -269,7 +272,7 @@
         }
     }
 
-    fn confirmed(&mut self) {
+    fn confirmed(&mut self, _at: Instant) {
         if std::mem::take(&mut self.blind) {
             let mut picture = self.picture.lock();
             picture.members.blind_until(self.clock.now());
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -4,7 +4,7 @@
     clock::Clock,
     control::{Keeper, Picture, Table},
     elections::Elections,
-    follow::follow,
+    follow::{Rhythm, WAIT, follow},
     observe::Observer,
     watch::Watch,
 };
@@ -38,8 +38,11 @@
 /// Time between two heartbeats: a third of the silence after which an entry counts as dead.
 const HEARTBEAT: Duration = Duration::from_millis(700);
 
-/// Least time between two calls for changes of owners and heartbeats.
-const CONTROL_PACE: Duration = Duration::from_millis(100);
+/// Calls for changes of owners and heartbeats.
+const CONTROL_RHYTHM: Rhythm = Rhythm {
+    pace: Duration::from_millis(100),
+    wait: WAIT,
+};
 
 /// Longest time that giving up all pools may take; what is left then is taken over by timeout.
 const RELEASE: Duration = Duration::from_millis(2_500);
@@ -114,7 +117,7 @@
             blind: true,
         };
         let background = vec![
-            tokio::spawn(follow("control", table, keeper, CONTROL_PACE)),
+            tokio::spawn(follow("control", table, keeper, CONTROL_RHYTHM, None)),
             tokio::spawn(beat(
                 parts.clone(),
                 Arc::clone(&picture),
--- a/crates/owner/src/event.rs
+++ b/crates/owner/src/event.rs
@@ -10,6 +10,8 @@
 #[derive(Debug)]
 pub(crate) enum Event {
     Jobs(Jobs),
+    /// All jobs and cancels that were stored by then have been told.
+    Heard(Millis),
     Renewing {
         worker: Name,
         lapses_at: Millis,
--- a/crates/owner/src/follow.rs
+++ b/crates/owner/src/follow.rs
@@ -8,14 +8,23 @@
 use std::{fmt, time::Duration};
 use tokio::time::{Instant, sleep, sleep_until};
 
-/// How long one call waits for a change. A connection that has gone silent is noticed by its
+/// How long one call usually waits for a change. A connection that has gone silent is noticed by its
 /// timeout, which is this and the slack of the call: well inside the time in which a configuration
 /// has to be in force.
-const WAIT: Duration = Duration::from_secs(1);
+pub const WAIT: Duration = Duration::from_secs(1);
 
 /// Pause after a call that failed: long enough not to press a store that is in trouble.
 const PAUSE: Duration = Duration::from_millis(150);
 
+/// How calls for changes follow each other.
+#[derive(Clone, Copy, Debug)]
+pub struct Rhythm {
+    /// They begin at least this far apart, so that many small changes cost one call.
+    pub pace: Duration,
+    /// How long one of them waits for a change.
+    pub wait: Duration,
+}
+
 /// What is followed.
 #[async_trait]
 pub trait Source: Send + Sync {
@@ -46,24 +55,33 @@
     /// Changes, in order.
     fn apply(&mut self, items: Vec<Self::Item>);
 
-    /// A call has succeeded; what was told is as new as this moment.
-    fn confirmed(&mut self) {}
+    /// A call has succeeded; all that had changed by `at` was told.
+    fn confirmed(&mut self, _at: Instant) {}
 
     /// Calls fail: what was told may be old.
     fn interrupted(&mut self) {}
 }
 
-/// Follows `source` until the task is dropped. Calls begin at least `pace` apart, so that many small
-/// changes cost one call.
-pub async fn follow<T, S, K>(name: &str, source: S, mut sink: K, pace: Duration)
-where
+/// Follows `source` until the task is dropped: from `known` on where the sink has been told all up to that version,
+/// and otherwise by reading the whole first.
+pub async fn follow<T, S, K>(
+    name: &str,
+    source: S,
+    mut sink: K,
+    rhythm: Rhythm,
+    known: Option<Version>,
+) where
     T: Send,
     S: Source<Item = T>,
     K: Sink<Item = T>,
 {
     let mut health = Health::new(name);
     let mut newest: Version = 0;
+    if let Some(known) = known {
+        newest = tail(&source, &mut sink, known, rhythm, &mut health).await;
+    }
     loop {
+        let begin = Instant::now();
         let next = match source.whole().await {
             // A read that is older than what was seen is stale, and would take the view back.
             Ok((_items, version)) if version < newest => {
@@ -84,8 +102,8 @@
             }
         };
         health.good();
-        sink.confirmed();
-        newest = tail(&source, &mut sink, next, pace, &mut health).await;
+        sink.confirmed(begin);
+        newest = tail(&source, &mut sink, next, rhythm, &mut health).await;
     }
 }
 
@@ -94,7 +112,7 @@
     source: &S,
     sink: &mut K,
     mut next: Version,
-    pace: Duration,
+    rhythm: Rhythm,
     health: &mut Health<'_>,
 ) -> Version
 where
@@ -103,15 +121,15 @@
 {
     loop {
         let begin = Instant::now();
-        match source.since(next, WAIT).await {
+        match source.since(next, rhythm.wait).await {
             Ok(Feed::Changes { items, next: later }) => {
                 next = next.max(later);
                 if !items.is_empty() {
                     sink.apply(items);
                 }
                 health.good();
-                sink.confirmed();
-                sleep_until(begin + pace).await;
+                sink.confirmed(begin);
+                sleep_until(begin + rhythm.pace).await;
             }
             Ok(Feed::Lost) => {
                 log::warn!(feed = health.name, after = next; "history was lost; reading the whole");
--- a/crates/owner/src/jobs.rs
+++ b/crates/owner/src/jobs.rs
@@ -1,6 +1,7 @@
 //! A pool's accepted jobs and cancels, as the feed of their table shows them.
 
 use crate::{
+    clock::Clock,
     control::read_parts,
     event::Event,
     follow::{Sink, Source},
@@ -15,7 +16,7 @@
     rows::{Feed, Row, Rows, Version},
 };
 use std::{sync::Arc, time::Duration};
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::{sync::mpsc::UnboundedSender, time::Instant};
 
 /// The table of a pool's jobs.
 pub(crate) struct Table {
@@ -41,9 +42,18 @@
 /// Tells the pool's loop of them.
 pub(crate) struct Teller {
     pub pool: Name,
+    pub clock: Clock,
     pub events: UnboundedSender<Event>,
 }
 
+impl Teller {
+    fn tell(&self, event: Event) {
+        if self.events.send(event).is_err() {
+            debug!("the pool's loop has ended");
+        }
+    }
+}
+
 impl Sink for Teller {
     type Item = Row;
 
@@ -52,9 +62,10 @@
     }
 
     fn apply(&mut self, items: Vec<Row>) {
-        let jobs = load::sorted(&self.pool, &items);
-        if self.events.send(Event::Jobs(jobs)).is_err() {
-            debug!("the pool's loop has ended");
-        }
+        self.tell(Event::Jobs(load::sorted(&self.pool, &items)));
+    }
+
+    fn confirmed(&mut self, at: Instant) {
+        self.tell(Event::Heard(self.clock.at(at)));
     }
 }
--- a/crates/owner/src/load.rs
+++ b/crates/owner/src/load.rs
@@ -1,6 +1,9 @@
 //! What a new owner of a pool reads before it does anything.
 
-use crate::control::{parsed, read_parts};
+use crate::{
+    clock::Clock,
+    control::{parsed, read_parts},
+};
 use primroseroute_cell::{
     Cell,
     row::{self, Accepted, JobKey, Progress},
@@ -13,10 +16,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What was read besides the jobs.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Loaded {
     /// Version of the row of the predecessor's last commit; 0 if there is none.
     pub last: Version,
+    /// Where the feed of the jobs' table goes on.
+    pub next: Version,
 }
 
 /// Reads the pool's jobs into `cell`.
@@ -27,10 +32,12 @@
     rows: &dyn Rows,
     pool: &Name,
     cell: &mut Cell,
-    wall_ms: u64,
+    clock: Clock,
 ) -> Result<Loaded, Error> {
     let (work, _version) = read_parts(rows, row::WORK, &[Name::clone(pool)]).await?;
-    let jobs = jobs(rows, pool).await?;
+    let begin = clock.now();
+    let (jobs, next) = jobs(rows, pool).await?;
+    cell.heard(begin);
     let last = work.iter().find(|row| &*row.place.key == row::BATCH);
     let last = last.map_or(0, |row| row.version);
     let mut progress: BTreeMap<JobId, Progress> = BTreeMap::new();
@@ -48,9 +55,9 @@
         }
     }
     for id in jobs.cancelled {
-        cell.cancel(&id, wall_ms);
+        cell.cancel(&id, clock.wall_ms());
     }
-    Ok(Loaded { last })
+    Ok(Loaded { last, next })
 }
 
 /// A pool's jobs, as gateways have written them.
@@ -60,12 +67,12 @@
     pub cancelled: BTreeSet<JobId>,
 }
 
-/// Reads all jobs of a pool.
-pub(crate) async fn jobs(rows: &dyn Rows, pool: &Name) -> Result<Jobs, Error> {
+/// Reads all jobs of a pool; a feed from the version that comes with them misses nothing.
+async fn jobs(rows: &dyn Rows, pool: &Name) -> Result<(Jobs, Version), Error> {
     let parts: Vec<Name> = row::id_parts().map(Name::from).collect();
     let table = row::jobs_table(pool);
-    let (found, _version) = read_parts(rows, &table, &parts).await?;
-    Ok(sorted(pool, &found))
+    let (found, version) = read_parts(rows, &table, &parts).await?;
+    Ok((sorted(pool, &found), version))
 }
 
 /// Sorts rows of accepted jobs and of cancels; those of other pools in the same table are left out.
--- a/crates/owner/src/own.rs
+++ b/crates/owner/src/own.rs
@@ -1,8 +1,14 @@
 //! One ownership of a pool, from the takeover to its loss or its release.
 
 use crate::{
-    clock::Clock, commit::Lane, control::Picture, fleet::Fleet, load, observe::Observer,
-    run::Owned, watch::Watch,
+    clock::Clock,
+    commit::Lane,
+    control::Picture,
+    fleet::Fleet,
+    load::{self, Loaded},
+    observe::Observer,
+    run::Owned,
+    watch::Watch,
 };
 use log::{info, warn};
 use parking_lot::Mutex;
@@ -58,7 +64,7 @@
         loaded = load(&context) => Some(loaded),
         _ = stop.wait_for(|stop| *stop) => None,
     };
-    let Some((cell, last)) = loaded else {
+    let Some((cell, loaded)) = loaded else {
         release(&*context.rows, &context.entry, (&context.pool, token), None).await;
         return Over::Released;
     };
@@ -67,9 +73,9 @@
         context.clock,
         Name::clone(&context.pool),
         token,
-        last,
+        loaded.last,
     );
-    let mut owned = Owned::start(context, cell, token);
+    let mut owned = Owned::start(context, cell, token, loaded.next);
     let over = owned.run(&mut lane, &mut stop).await;
     owned.end();
     over
@@ -111,16 +117,15 @@
 }
 
 /// Reads until it succeeds.
-async fn load(context: &Context) -> (Cell, Version) {
+async fn load(context: &Context) -> (Cell, Loaded) {
     loop {
         let now = context.clock.now();
         let mut cell = Cell::new(context.limits, now);
-        let wall_ms = context.clock.wall_ms();
-        match load::load(&*context.rows, &context.pool, &mut cell, wall_ms).await {
+        match load::load(&*context.rows, &context.pool, &mut cell, context.clock).await {
             Ok(loaded) => {
                 let took_ms = context.clock.now() - now;
                 info!(pool = &*context.pool, took_ms; "pool loaded");
-                return (cell, loaded.last);
+                return (cell, loaded);
             }
             Err(error) => {
                 warn!(pool = &*context.pool, error:% = error; "loading the pool failed");
--- a/crates/owner/src/reach.rs
+++ b/crates/owner/src/reach.rs
@@ -4,11 +4,11 @@
     event::Event,
     lease::{Readings, Watcher},
     own::Context,
-    send::Sending,
+    send::{Queue, Sending},
 };
 use log::debug;
 use primroseroute_cell::{Millis, Order, Outcome};
-use primroseroute_domain::work::Name;
+use primroseroute_domain::work::{Name, TaskId};
 use primroseroute_platform::{rows::Version, worker::Target};
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -28,6 +28,7 @@
     target: Target,
     readings: Arc<Readings>,
     slots: Arc<Semaphore>,
+    queue: Arc<Queue>,
     task: JoinHandle<()>,
 }
 
@@ -94,12 +95,15 @@
             target,
             readings,
             slots: Arc::new(Semaphore::new(ORDERS)),
+            queue: Arc::default(),
             task: tokio::spawn(watcher.run()),
         }
     }
 
-    /// Sends orders; starts carry a deadline that begins at `sent_at`.
-    pub(crate) fn send(&mut self, orders: Vec<Order>, sent_at: Millis) {
+    /// Sends orders; starts carry a deadline `window` after `sent_at`.
+    ///
+    /// A stop takes back a start that still waits for its turn: behind it, it would let the work begin first.
+    pub(crate) fn send(&mut self, orders: Vec<Order>, sent_at: Millis, window: Millis) {
         while self.orders.try_join_next().is_some() {}
         for order in orders {
             let worker = match &order {
@@ -108,18 +112,26 @@
                 | Order::Pace { worker, .. } => worker,
             };
             let Some(watched) = self.watched.get(worker) else {
-                self.unsent(order);
+                self.unsent(&order);
                 continue;
             };
+            match &order {
+                Order::Start { task, run, .. } => watched.queue.add(task, *run),
+                Order::Stop { worker, task, run } if watched.queue.take(task, *run) => {
+                    self.answered(worker, task, *run, Outcome::Withdrawn);
+                    continue;
+                }
+                _ => {}
+            }
             let sending = Sending {
                 target: watched.target.clone(),
                 workers: Arc::clone(&self.context.workers),
                 token: self.token,
-                deadline_ms: watched
-                    .readings
-                    .at(sent_at)
-                    .map(|clock| clock + self.context.limits.start_window),
+                clock: self.context.clock,
+                expires_at: sent_at + window,
+                deadline_ms: watched.readings.at(sent_at).map(|clock| clock + window),
                 slots: Arc::clone(&watched.slots),
+                queue: Arc::clone(&watched.queue),
                 events: self.events.clone(),
             };
             self.orders.spawn(sending.send(order));
@@ -127,20 +139,24 @@
     }
 
     /// An order to a worker that can't be reached by any address.
-    fn unsent(&self, order: Order) {
+    fn unsent(&self, order: &Order) {
         if let Order::Start {
             worker, task, run, ..
         } = order
         {
-            let event = Event::Answered {
-                worker,
-                task,
-                run,
-                outcome: Outcome::Unsent,
-            };
-            if self.events.send(event).is_err() {
-                debug!("the pool's loop has ended");
-            }
+            self.answered(worker, task, *run, Outcome::Unsent);
+        }
+    }
+
+    fn answered(&self, worker: &Name, task: &TaskId, run: u32, outcome: Outcome) {
+        let event = Event::Answered {
+            worker: Name::clone(worker),
+            task: task.clone(),
+            run,
+            outcome,
+        };
+        if self.events.send(event).is_err() {
+            debug!("the pool's loop has ended");
         }
     }
 
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -5,7 +5,7 @@
     commit::{Lane, Lost, Notes},
     emptying::Status,
     event::Event,
-    follow::follow,
+    follow::{Rhythm, follow},
     forget::forget,
     jobs,
     own::{Context, Over, release},
@@ -14,7 +14,7 @@
     watch::Workers as Registered,
 };
 use log::{info, warn};
-use primroseroute_cell::{Cell, Millis, Outcome, row::Wanted};
+use primroseroute_cell::{Cell, Millis, Order, Outcome, row::Wanted};
 use primroseroute_domain::work::{End, Name};
 use primroseroute_platform::{rows::Version, site::Configuration};
 use std::{collections::BTreeSet, pin::pin, sync::Arc, time::Duration};
@@ -44,8 +44,12 @@
 /// Least time before a smaller number of wanted workers is published.
 const FALL_AFTER: Millis = 300;
 
-/// Least time between two calls for accepted jobs: what comes in between costs one call.
-const JOBS_PACE: Duration = Duration::from_millis(25);
+/// Calls for accepted jobs and cancels. What comes within the pace costs one call. A call proves nothing later than its own
+/// beginning: one that waited a second would leave starts of a quiet pool half a second of their window.
+const JOBS_RHYTHM: Rhythm = Rhythm {
+    pace: Duration::from_millis(25),
+    wait: Duration::from_millis(400),
+};
 
 /// Queues of a configuration whose starts need a ticket.
 fn advised(configuration: Option<&Arc<Configuration>>) -> BTreeSet<Name> {
@@ -94,7 +98,10 @@
 
 impl Owned {
     /// Starts what runs beside the loop.
-    pub(crate) fn start(context: Context, cell: Cell, token: Version) -> Self {
+    ///
+    /// The feed of jobs goes on from `next`, where the read of the pool has ended: reading the whole once more would leave
+    /// the owner without any news for as long as that takes.
+    pub(crate) fn start(context: Context, cell: Cell, token: Version, next: Version) -> Self {
         let (sender, events) = mpsc::unbounded_channel();
         let (status, status_seen) = watch::channel(Arc::default());
         let follower = follow(
@@ -105,9 +112,11 @@
             },
             jobs::Teller {
                 pool: Name::clone(&context.pool),
+                clock: context.clock,
                 events: sender.clone(),
             },
-            JOBS_PACE,
+            JOBS_RHYTHM,
+            Some(next),
         );
         let upkeep = upkeep::run(context.clone(), token, status_seen, sender.clone());
         let background = vec![tokio::spawn(follower), tokio::spawn(upkeep)];
@@ -196,6 +205,7 @@
                     self.cell.cancel(&id, wall_ms);
                 }
             }
+            Event::Heard(at) => self.cell.heard(at),
             Event::Renewing { worker, lapses_at } => self.cell.renewing(&worker, lapses_at),
             Event::Look {
                 worker,
@@ -271,7 +281,7 @@
             ));
         }
         tell::orders(&self.context.pool, &urgent);
-        self.reach.send(urgent, clock.now());
+        self.send(urgent, clock.now());
         self.counts_due |= tick.counts_changed;
         let counts = self.counts_due && clock.now() >= self.counted_at + COUNTS_AFTER;
         let need = tick.need.wanted();
@@ -304,7 +314,8 @@
             *self.reach.confirmed.borrow()
         };
         self.cell.committed(&tick, sent_at);
-        tell::orders(&self.context.pool, &tick.orders);
+        let orders = self.cell.standing(std::mem::take(&mut tick.orders));
+        tell::orders(&self.context.pool, &orders);
         tell::ended(&self.context.pool, &tick.ended, clock.now() - sent_at);
         let seen = tick.seen.iter().map(|(id, seen)| (Name::clone(id), *seen));
         self.reach.seen.send_replace(Arc::new(seen.collect()));
@@ -315,7 +326,7 @@
             self.beside
                 .spawn(forget(rows, pool, self.token, id.clone()));
         }
-        self.reach.send(tick.orders, sent_at);
+        self.send(orders, sent_at);
         self.reach.look_at(self.cell.targets());
         self.publish(tick.need.kept);
         Ok(())
@@ -343,10 +354,16 @@
             let now = self.context.clock.now();
             let urgent = self.cell.urgent(now);
             tell::orders(&self.context.pool, &urgent);
-            self.reach.send(urgent, now);
+            self.send(urgent, now);
         }
     }
 
+    /// Sends orders that were committed by a transaction which was sent at `sent_at`.
+    fn send(&mut self, orders: Vec<Order>, sent_at: Millis) {
+        let window = self.cell.start_window(sent_at);
+        self.reach.send(orders, sent_at, window);
+    }
+
     async fn confirm(&mut self, lane: &mut Lane) -> Result<(), Lost> {
         let age = self
             .context
--- a/crates/owner/src/send.rs
+++ b/crates/owner/src/send.rs
@@ -1,25 +1,46 @@
 //! One order on its way to a worker.
 
-use crate::event::Event;
+use crate::{clock::Clock, event::Event};
 use log::{debug, info};
+use parking_lot::Mutex;
 use primroseroute_cell::{Millis, Order, Outcome};
 use primroseroute_domain::work::{Name, TaskId};
 use primroseroute_platform::{
     Error,
     worker::{Answer, Refusal, Start, Target, Workers},
 };
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 use tokio::sync::{Semaphore, mpsc::UnboundedSender};
 
+/// Starts to one worker that wait for their turn.
+#[derive(Debug, Default)]
+pub(crate) struct Queue(Mutex<BTreeSet<(TaskId, u32)>>);
+
+impl Queue {
+    /// Adds a start.
+    pub(crate) fn add(&self, task: &TaskId, run: u32) {
+        self.0.lock().insert((task.clone(), run));
+    }
+
+    /// Takes a start out, to send it or never to; whether it was still there.
+    pub(crate) fn take(&self, task: &TaskId, run: u32) -> bool {
+        self.0.lock().remove(&(task.clone(), run))
+    }
+}
+
 /// An order on its way.
 pub(crate) struct Sending {
     pub target: Target,
     pub workers: Arc<dyn Workers>,
     pub token: u64,
+    pub clock: Clock,
+    /// When a start that waits for its turn isn't worth sending any more.
+    pub expires_at: Millis,
     /// Until when on the worker's clock a start may take effect; none where its clock isn't known.
     pub deadline_ms: Option<Millis>,
     /// Places for orders to this worker.
     pub slots: Arc<Semaphore>,
+    pub queue: Arc<Queue>,
     pub events: UnboundedSender<Event>,
 }
 
@@ -38,7 +59,11 @@
                 checkpoint,
                 ticket,
             } => {
+                if !self.queue.take(&task, run) {
+                    return;
+                }
                 let outcome = match self.deadline_ms {
+                    _ if self.clock.now() >= self.expires_at => Outcome::Withdrawn,
                     Some(deadline_ms) => {
                         let start = Start {
                             task: task.clone(),
--- a/crates/owner/src/watch.rs
+++ b/crates/owner/src/watch.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::Clock,
-    follow::{Sink, Source, follow},
+    follow::{Rhythm, Sink, Source, WAIT, follow},
 };
 use async_trait::async_trait;
 use primroseroute_cell::Millis;
@@ -16,15 +16,21 @@
 use tokio::{
     sync::watch::{self, Receiver, Sender},
     task::JoinHandle,
+    time::Instant,
 };
 
-/// Least time between two calls for changes of the workers. Starts wait for nothing that this
-/// shows, and a draining worker gets nothing new well inside the time it gives.
-const WORKERS_PACE: Duration = Duration::from_millis(250);
+/// Calls for changes of the workers. Starts wait for nothing that this shows, and a draining worker gets
+/// nothing new well inside the time it gives.
+const WORKERS_RHYTHM: Rhythm = Rhythm {
+    pace: Duration::from_millis(250),
+    wait: WAIT,
+};
 
-/// Least time between two calls for changes of the operators' rows, so that a storm of changes
-/// costs a few calls a second.
-const INSTRUCTIONS_PACE: Duration = Duration::from_millis(100);
+/// Calls for changes of the operators' rows, paced so that a storm of changes costs a few a second.
+const INSTRUCTIONS_RHYTHM: Rhythm = Rhythm {
+    pace: Duration::from_millis(100),
+    wait: WAIT,
+};
 
 /// Registered workers by id.
 pub type Workers = Arc<BTreeMap<Name, Worker>>;
@@ -66,13 +72,15 @@
                 "operators",
                 Arc::clone(site),
                 instructions,
-                INSTRUCTIONS_PACE,
+                INSTRUCTIONS_RHYTHM,
+                None,
             )),
             tokio::spawn(follow(
                 "workers",
                 Registry(Arc::clone(site)),
                 registrations,
-                WORKERS_PACE,
+                WORKERS_RHYTHM,
+                None,
             )),
         ];
         let watch = Self {
@@ -125,7 +133,7 @@
         }
     }
 
-    fn confirmed(&mut self) {
+    fn confirmed(&mut self, _at: Instant) {
         self.contact.send_replace(self.clock.now());
     }
 }
--- a/crates/serve/src/metered.rs
+++ b/crates/serve/src/metered.rs
@@ -35,6 +35,7 @@
             Outcome::Refused(_) => "refused",
             Outcome::Unsent => "unsent",
             Outcome::Unknown => "unknown",
+            Outcome::Withdrawn => "withdrawn",
         });
     }
 
