One line a round for lives that are over, and for ends of one kind that come together

Cause: where a pool gives instances away or loses an availability zone, hundreds of workers' lives end at once with a line each, again for each sign of it, and push what matters out of the lines that are kept.

A life is told of once.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -200,11 +200,10 @@
         }
     }
 
-    /// Takes in that a life of a worker is over: nothing runs on it any more.
-    pub fn gone(&mut self, worker: &Name) {
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.gone = true;
-        }
+    /// Takes in that a life of a worker is over: nothing runs on it any more. Whether that is news.
+    pub fn gone(&mut self, worker: &Name) -> bool {
+        let found = self.workers.get_mut(worker);
+        found.is_some_and(|worker| !std::mem::replace(&mut worker.gone, true))
     }
 
     /// Takes in that a renewal is sent: the worker's lease may hold until `lapses_at`.
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -32,6 +32,7 @@
 mod clock;
 mod commit;
 mod control;
+mod digest;
 pub mod elect;
 mod elections;
 mod emptying;
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -3,6 +3,7 @@
 use crate::{
     ask::ask,
     commit::{Lane, Lost, Notes},
+    digest::Digest,
     emptying::Status,
     event::Event,
     follow::{Rhythm, follow},
@@ -94,6 +95,7 @@
     counted_at: Millis,
     counts_due: bool,
     published: Published,
+    digest: Digest,
 }
 
 impl Owned {
@@ -135,6 +137,7 @@
             counted_at: 0,
             counts_due: true,
             published: Published::default(),
+            digest: Digest::new(),
         }
     }
 
@@ -216,14 +219,17 @@
                 for ended in self.cell.news(&worker, &look) {
                     self.context.observer.ended(ended.how);
                     if ended.how != End::Done {
-                        info!(worker = &*worker, task:% = ended.task, run = ended.run, how:? = ended.how; "run ended without its work done");
+                        self.digest
+                            .ended(&worker, &ended.task, ended.run, ended.how);
                     }
                 }
                 self.cell.look(&worker, &look, sent_at, at, wall_ms);
             }
             Event::Gone(worker) => {
-                info!(pool = &*self.context.pool, worker = &*worker; "a worker's life is over");
-                self.cell.gone(&worker);
+                let runs = self.cell.runs_on(&worker);
+                if self.cell.gone(&worker) {
+                    self.digest.over(worker, runs);
+                }
             }
             Event::Answered {
                 worker,
@@ -269,6 +275,7 @@
 
     async fn round(&mut self, lane: &mut Lane) -> Result<(), Lost> {
         let clock = self.context.clock;
+        self.digest.tell(&self.context.pool);
         let mut tick = self.cell.tick(clock.now(), clock.wall_ms());
         self.occupied();
         let urgent = std::mem::take(&mut tick.urgent);
@@ -351,6 +358,7 @@
             while let Ok(event) = self.events.try_recv() {
                 self.take(event);
             }
+            self.digest.tell_held(&self.context.pool);
             let now = self.context.clock.now();
             let urgent = self.cell.urgent(now);
             tell::orders(&self.context.pool, &urgent);
--- a/tests/site/lines.rs
+++ b/tests/site/lines.rs
@@ -23,6 +23,12 @@
     pub(crate) fn field(&self, name: &str) -> Option<&str> {
         self.fields.get(name).map(String::as_str)
     }
+
+    /// Whether a field is a list of names with this one.
+    pub(crate) fn lists(&self, field: &str, name: &str) -> bool {
+        let names = self.field(field).unwrap_or_default();
+        names.split(',').any(|listed| listed == name)
+    }
 }
 
 thread_local! {
