An owner tells when it takes a cancel in, and when the job's runs are over

Cause: nothing told when an owner had heard of a cancel, so that a late cancel, a slow loop, a takeover and a start that waited for its commit looked the same in the lines.

Change: a line for each cancel that ends a job: the runs that it stops, before how long at most it was stored, and how long the feed's answer waited for the loop; another text where a new owner has found it; and a line when nothing of the job runs any more. The row has no time, and clocks of entries differ, so the bound is the time since the call of the feed was sent that hadn't shown it.

Tests: four stories, one of them the existing one of a cancel, extended.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -152,11 +152,35 @@
         self.start_window(now) >= START_TIME
     }
 
-    /// Takes in a cancel that is committed.
-    pub fn cancel(&mut self, id: &JobId, wall_ms: u64) {
-        if self.jobs.contains_key(id) {
-            self.finish(id, State::Cancelled, wall_ms);
+    /// Up to when all cancels that were stored are taken in.
+    pub fn heard_at(&self) -> Millis {
+        self.heard_at.unwrap_or(self.taken_at)
+    }
+
+    /// Takes in a cancel that is committed; how many runs are to stop, or none where the job has ended or isn't
+    /// known.
+    pub fn cancel(&mut self, id: &JobId, wall_ms: u64) -> Option<usize> {
+        let job = self.jobs.get(id)?;
+        if job.progress.state.is_final() {
+            return None;
         }
+        self.finish(id, State::Cancelled, wall_ms);
+        Some(self.runs_of(id))
+    }
+
+    /// Number of runs of a job that may be under way.
+    pub fn runs_of(&self, job: &JobId) -> usize {
+        let first = TaskId {
+            job: job.clone(),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        let of = |worker: &Worker| {
+            let runs = worker.runs.range(&first..);
+            runs.take_while(|(task, _run)| task.job == *job).count()
+        };
+        self.workers.values().map(of).sum()
     }
 
     /// Ends a job: what runs of it is to be stopped, and its final state to be committed.
--- a/crates/owner/src/event.rs
+++ b/crates/owner/src/event.rs
@@ -9,7 +9,8 @@
 /// What a pool's loop is told.
 #[derive(Debug)]
 pub(crate) enum Event {
-    Jobs(Jobs),
+    /// Jobs and cancels, and when they came.
+    Jobs(Jobs, Millis),
     /// All jobs and cancels that were stored by then have been told.
     Heard(Millis),
     Renewing {
--- a/crates/owner/src/jobs.rs
+++ b/crates/owner/src/jobs.rs
@@ -62,7 +62,8 @@
     }
 
     fn apply(&mut self, items: Vec<Row>) {
-        self.tell(Event::Jobs(load::sorted(&self.pool, &items)));
+        let jobs = load::sorted(&self.pool, &items);
+        self.tell(Event::Jobs(jobs, self.clock.now()));
     }
 
     fn confirmed(&mut self, at: Instant) {
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -29,6 +29,7 @@
 
 mod ask;
 mod brisk;
+mod cancels;
 mod clock;
 mod commit;
 mod control;
--- a/crates/owner/src/load.rs
+++ b/crates/owner/src/load.rs
@@ -1,6 +1,7 @@
 //! What a new owner of a pool reads before it does anything.
 
 use crate::{
+    cancels::Cancels,
     clock::Clock,
     control::{parsed, read_parts},
 };
@@ -16,12 +17,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What was read besides the jobs.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 pub(crate) struct Loaded {
     /// Version of the row of the predecessor's last commit; 0 if there is none.
     pub last: Version,
     /// Where the feed of the jobs' table goes on.
     pub next: Version,
+    /// Cancelled jobs of which something may run.
+    pub cancels: Cancels,
 }
 
 /// Reads the pool's jobs into `cell`.
@@ -54,10 +57,13 @@
             None => cell.accept(id, accepted),
         }
     }
-    for id in jobs.cancelled {
-        cell.cancel(&id, clock.wall_ms());
-    }
-    Ok(Loaded { last, next })
+    let mut cancels = Cancels::new(pool);
+    cancels.found(cell, &jobs.cancelled, clock.wall_ms());
+    Ok(Loaded {
+        last,
+        next,
+        cancels,
+    })
 }
 
 /// A pool's jobs, as gateways have written them.
--- a/crates/owner/src/own.rs
+++ b/crates/owner/src/own.rs
@@ -75,7 +75,7 @@
         token,
         loaded.last,
     );
-    let mut owned = Owned::start(context, cell, token, loaded.next);
+    let mut owned = Owned::start(context, cell, token, loaded);
     let over = owned.run(&mut lane, &mut stop).await;
     owned.end();
     over
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     ask::ask,
+    cancels::{Cancels, Read},
     commit::{Lane, Lost, Notes},
     digest::Digest,
     emptying::Status,
@@ -9,6 +10,7 @@
     follow::{Rhythm, follow},
     forget::forget,
     jobs,
+    load::Loaded,
     own::{Context, Over, release},
     reach::Reach,
     tell, upkeep,
@@ -96,14 +98,15 @@
     counts_due: bool,
     published: Published,
     digest: Digest,
+    cancels: Cancels,
 }
 
 impl Owned {
     /// Starts what runs beside the loop.
     ///
-    /// The feed of jobs goes on from `next`, where the read of the pool has ended: reading the whole once more would leave
+    /// The feed of jobs goes on from where the read of the pool has ended: reading the whole once more would leave
     /// the owner without any news for as long as that takes.
-    pub(crate) fn start(context: Context, cell: Cell, token: Version, next: Version) -> Self {
+    pub(crate) fn start(context: Context, cell: Cell, token: Version, loaded: Loaded) -> Self {
         let (sender, events) = mpsc::unbounded_channel();
         let (status, status_seen) = watch::channel(Arc::default());
         let follower = follow(
@@ -118,7 +121,7 @@
                 events: sender.clone(),
             },
             JOBS_RHYTHM,
-            Some(next),
+            Some(loaded.next),
         );
         let upkeep = upkeep::run(context.clone(), token, status_seen, sender.clone());
         let background = vec![tokio::spawn(follower), tokio::spawn(upkeep)];
@@ -138,6 +141,7 @@
             counts_due: true,
             published: Published::default(),
             digest: Digest::new(),
+            cancels: loaded.cancels,
         }
     }
 
@@ -200,13 +204,17 @@
         let now = self.context.clock.now();
         let wall_ms = self.context.clock.wall_ms();
         match event {
-            Event::Jobs(jobs) => {
+            Event::Jobs(jobs, at) => {
+                let read = Read {
+                    before: self.cell.heard_at(),
+                    at,
+                };
                 for (id, accepted) in jobs.accepted {
                     self.cell.accept(id, accepted);
                 }
-                for id in jobs.cancelled {
-                    self.cell.cancel(&id, wall_ms);
-                }
+                let times = (now, wall_ms);
+                self.cancels
+                    .take(&mut self.cell, &jobs.cancelled, read, times);
             }
             Event::Heard(at) => self.cell.heard(at),
             Event::Renewing { worker, lapses_at } => self.cell.renewing(&worker, lapses_at),
@@ -277,6 +285,7 @@
         let clock = self.context.clock;
         self.digest.tell(&self.context.pool);
         let mut tick = self.cell.tick(clock.now(), clock.wall_ms());
+        self.cancels.tell_over(&self.cell, clock.now());
         self.occupied();
         let urgent = std::mem::take(&mut tick.urgent);
         for question in std::mem::take(&mut tick.questions) {
--- a/tests/site/stories.rs
+++ b/tests/site/stories.rs
@@ -9,7 +9,7 @@
 use http::StatusCode;
 use primroseroute_domain::work::{JobId, State};
 use primroseroute_standin::site::Reach;
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 cases! {
     refused_because_the_store_turned_calls_away => refused();
@@ -17,6 +17,9 @@
     failed_by_its_own_fault => failed();
     lasting_task_away_because_its_worker_died => away();
     cancelled_while_it_ran => cancelled();
+    cancelled_and_heard_of_late => heard_late();
+    cancelled_while_its_start_waits => cancelled_before_its_start();
+    cancelled_before_a_takeover => found_at_takeover();
     many_lives_end_in_few_lines => many_lives();
     many_runs_end_in_few_lines => many_ends();
 }
@@ -35,6 +38,10 @@
     lines.iter().filter(|line| line.text == text).collect()
 }
 
+fn number(line: &Line, field: &str) -> Result<u64> {
+    Ok(line.field(field).unwrap_or_default().parse()?)
+}
+
 /// The line of the end of a worker's life.
 fn life_over<'a>(lines: &'a [Line], worker: Option<&str>) -> Result<&'a Line> {
     let worker = worker.ok_or_else(|| eyre!("no worker"))?;
@@ -172,6 +179,86 @@
     ensure!(stops.len() == 2, "{stops:?}");
     ensure!(stops.iter().all(|stop| stop.at >= cancel.at));
     ensure!(first(&own, "job ended")?.field("state") == Some("Cancelled"));
+    let taken = first(&own, "cancel taken in")?;
+    ensure!(taken.field("pool") == Some(POOL) && taken.field("runs") == Some("2"));
+    ensure!(taken.at >= cancel.at && taken.at - cancel.at <= number(taken, "stored_within_ms")?);
+    ensure!(number(taken, "waited_ms")? <= 50, "{taken:?}");
+    let over = first(&own, "runs of a cancelled job are over")?;
+    ensure!(number(over, "took_ms")? == over.at - taken.at, "{over:?}");
+    ensure!(stops.iter().all(|stop| stop.at <= over.at));
+    Ok(())
+}
+
+// Work of a cancelled job goes on for a while: answers to its pool's owner are held up on their way, so that it
+// hears of the cancel late. Its line bounds how old the cancel was when it was taken in, and that it was taken in
+// as soon as the answer came tells that the loop had no part in it.
+async fn heard_late() -> Result<()> {
+    capture();
+    let mut bed = Bed::open(98, 2, 3).await?;
+    let id = bed.submit("e-0", &lasting(2)).await?;
+    seconds(2).await;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    bed.conduct(&owner, |conduct| conduct.frozen = true);
+    ensure!(bed.cancel(&other, &id).await == StatusCode::OK);
+    seconds(1).await;
+    bed.conduct(&owner, |conduct| conduct.frozen = false);
+    seconds(1).await;
+    let own = about(&captured(), &id);
+    let cancel = first(&own, "cancel accepted")?;
+    let taken = first(&own, "cancel taken in")?;
+    let late = taken.at - cancel.at;
+    ensure!(late >= 800, "{late}");
+    ensure!(late <= number(taken, "stored_within_ms")?, "{taken:?}");
+    ensure!(number(taken, "waited_ms")? <= 50, "{taken:?}");
+    ensure!(with(&own, "cancel found at a takeover").is_empty());
+    Ok(())
+}
+
+// A job is cancelled while the commit of its first start waits. The owner's lines stand in this order: the cancel
+// with the runs that were decided, their stops, and only then the starts, which the workers refuse.
+async fn cancelled_before_its_start() -> Result<()> {
+    capture();
+    let mut bed = Bed::open(57, 2, 4).await?;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    bed.conduct(&owner, |conduct| conduct.late_commits = 1.0);
+    let id = bed.submit(&other, &job("500", 2)).await?;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    ensure!(bed.cancel(&other, &id).await == StatusCode::OK);
+    seconds(1).await;
+    bed.conduct(&owner, |conduct| conduct.late_commits = 0.0);
+    seconds(8).await;
+    let own = about(&captured(), &id);
+    let taken = first(&own, "cancel taken in")?;
+    ensure!(taken.field("runs") == Some("2"), "{taken:?}");
+    let stop = first(&own, "run is to stop")?;
+    let over = first(&own, "runs of a cancelled job are over")?;
+    ensure!(taken.at <= stop.at && stop.at <= over.at);
+    let placed = with(&own, "task placed");
+    ensure!(placed.iter().all(|placed| placed.at > taken.at));
+    Ok(())
+}
+
+// The owner dies, and the job is cancelled before another takes the pool over. The successor's line tells that it
+// found the cancel, and how many of its predecessor's runs it has to stop.
+async fn found_at_takeover() -> Result<()> {
+    capture();
+    let mut bed = Bed::open(99, 2, 3).await?;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    let id = bed.submit(&other, &lasting(2)).await?;
+    seconds(2).await;
+    bed.kill(&owner);
+    ensure!(bed.cancel(&other, &id).await == StatusCode::OK);
+    bed.until(&other, &id, State::Cancelled, 9).await?;
+    seconds(2).await;
+    let own = about(&captured(), &id);
+    let found = first(&own, "cancel found at a takeover")?;
+    ensure!(found.field("pool") == Some(POOL) && found.field("runs") == Some("2"));
+    ensure!(with(&own, "cancel taken in").is_empty());
+    let over = first(&own, "runs of a cancelled job are over")?;
+    ensure!(found.at <= over.at);
     Ok(())
 }
 
