Metrics of a pool's loop: age of what it knows of jobs, time of a round, wait of orders

Cause: neither lines nor metrics told a loop that is short of processor time from one whose feed answers late, or whose orders queue behind others.

Change: three histograms. The age counts from the call that gave the newest answer of the feed, the wait of an order from the decision until it is sent, so that a start's has its commit in it.

--- a/crates/owner/src/observe.rs
+++ b/crates/owner/src/observe.rs
@@ -23,6 +23,16 @@
 
     /// A commit has taken this long, retries included.
     fn committed(&self, took: Duration);
+
+    /// How long ago the call was sent that gave the newest answer of the feed of a pool's jobs: what its owner knows is
+    /// as old as that.
+    fn jobs_read(&self, pool: &Name, ago: Duration);
+
+    /// A round of a pool's loop has taken this long, its commit included.
+    fn round(&self, pool: &Name, took: Duration);
+
+    /// An order of this kind has waited this long from the decision until it was sent.
+    fn sending(&self, order: &'static str, waited: Duration);
 }
 
 /// Counts nothing.
@@ -36,4 +46,7 @@
     fn owns(&self, _pools: usize) {}
     fn queued(&self, _queue: &Name, _jobs: u64) {}
     fn committed(&self, _took: Duration) {}
+    fn jobs_read(&self, _pool: &Name, _ago: Duration) {}
+    fn round(&self, _pool: &Name, _took: Duration) {}
+    fn sending(&self, _order: &'static str, _waited: Duration) {}
 }
--- a/crates/owner/src/reach.rs
+++ b/crates/owner/src/reach.rs
@@ -4,7 +4,7 @@
     event::Event,
     lease::{Readings, Watcher},
     own::Context,
-    send::{Queue, Sending},
+    send::{Queue, Sending, Times},
 };
 use log::debug;
 use primroseroute_cell::{Millis, Order, Outcome};
@@ -100,10 +100,15 @@
         }
     }
 
-    /// Sends orders; starts carry a deadline `window` after `sent_at`.
+    /// Sends orders; starts carry a deadline, the window after their commit's sending.
     ///
     /// A stop takes back a start that still waits for its turn: behind it, it would let the work begin first.
-    pub(crate) fn send(&mut self, orders: Vec<Order>, sent_at: Millis, window: Millis) {
+    pub(crate) fn send(&mut self, orders: Vec<Order>, times: Times) {
+        let Times {
+            decided,
+            sent_at,
+            window,
+        } = times;
         while self.orders.try_join_next().is_some() {}
         for order in orders {
             let worker = match &order {
@@ -133,6 +138,8 @@
                 slots: Arc::clone(&watched.slots),
                 queue: Arc::clone(&watched.queue),
                 events: self.events.clone(),
+                decided,
+                observer: Arc::clone(&self.context.observer),
             };
             self.orders.spawn(sending.send(order));
         }
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -13,6 +13,7 @@
     load::Loaded,
     own::{Context, Over, release},
     reach::Reach,
+    send::Times,
     tell, upkeep,
     watch::Workers as Registered,
 };
@@ -163,7 +164,9 @@
             while let Ok(event) = self.events.try_recv() {
                 self.take(event);
             }
-            if self.round(lane).await.is_err() {
+            let round = self.round(lane).await;
+            self.observe(begin.elapsed());
+            if round.is_err() {
                 warn!(pool = &*self.context.pool, token = self.token; "another entry owns the pool");
                 return Over::Lost;
             }
@@ -181,6 +184,18 @@
         }
     }
 
+    fn observe(&self, round: Duration) {
+        let Context {
+            clock,
+            observer,
+            pool,
+            ..
+        } = &self.context;
+        let ago = clock.now().saturating_sub(self.cell.heard_at());
+        observer.jobs_read(pool, Duration::from_millis(ago));
+        observer.round(pool, round);
+    }
+
     /// Waits for news, for the time at which the next round is due without any, or for the stop.
     async fn wait(
         &mut self,
@@ -284,6 +299,7 @@
     async fn round(&mut self, lane: &mut Lane) -> Result<(), Lost> {
         let clock = self.context.clock;
         self.digest.tell(&self.context.pool);
+        let decided = Instant::now();
         let mut tick = self.cell.tick(clock.now(), clock.wall_ms());
         self.cancels.tell_over(&self.cell, clock.now());
         self.occupied();
@@ -297,7 +313,7 @@
             ));
         }
         tell::orders(&self.context.pool, &urgent);
-        self.send(urgent, clock.now());
+        self.send(urgent, clock.now(), decided);
         self.counts_due |= tick.counts_changed;
         let counts = self.counts_due && clock.now() >= self.counted_at + COUNTS_AFTER;
         let need = tick.need.wanted();
@@ -342,7 +358,7 @@
             self.beside
                 .spawn(forget(rows, pool, self.token, id.clone()));
         }
-        self.send(orders, sent_at);
+        self.send(orders, sent_at, decided);
         self.reach.look_at(self.cell.targets());
         self.publish(tick.need.kept);
         Ok(())
@@ -369,16 +385,21 @@
             }
             self.digest.tell_held(&self.context.pool);
             let now = self.context.clock.now();
+            let decided = Instant::now();
             let urgent = self.cell.urgent(now);
             tell::orders(&self.context.pool, &urgent);
-            self.send(urgent, now);
+            self.send(urgent, now, decided);
         }
     }
 
     /// Sends orders that were committed by a transaction which was sent at `sent_at`.
-    fn send(&mut self, orders: Vec<Order>, sent_at: Millis) {
-        let window = self.cell.start_window(sent_at);
-        self.reach.send(orders, sent_at, window);
+    fn send(&mut self, orders: Vec<Order>, sent_at: Millis, decided: Instant) {
+        let times = Times {
+            decided,
+            sent_at,
+            window: self.cell.start_window(sent_at),
+        };
+        self.reach.send(orders, times);
     }
 
     async fn confirm(&mut self, lane: &mut Lane) -> Result<(), Lost> {
--- a/crates/owner/src/send.rs
+++ b/crates/owner/src/send.rs
@@ -1,6 +1,6 @@
 //! One order on its way to a worker.
 
-use crate::{clock::Clock, event::Event};
+use crate::{clock::Clock, event::Event, observe::Observer};
 use log::{debug, info};
 use parking_lot::Mutex;
 use primroseroute_cell::{Millis, Order, Outcome};
@@ -10,7 +10,21 @@
     worker::{Answer, Refusal, Start, Target, Workers},
 };
 use std::{collections::BTreeSet, sync::Arc};
-use tokio::sync::{Semaphore, mpsc::UnboundedSender};
+use tokio::{
+    sync::{Semaphore, mpsc::UnboundedSender},
+    time::Instant,
+};
+
+/// When orders were decided and committed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Times {
+    /// When they were decided.
+    pub decided: Instant,
+    /// When their commit was sent.
+    pub sent_at: Millis,
+    /// Time after that in which starts must arrive.
+    pub window: Millis,
+}
 
 /// Starts to one worker that wait for their turn.
 #[derive(Debug, Default)]
@@ -42,6 +56,17 @@
     pub slots: Arc<Semaphore>,
     pub queue: Arc<Queue>,
     pub events: UnboundedSender<Event>,
+    /// When the order was decided.
+    pub decided: Instant,
+    pub observer: Arc<dyn Observer>,
+}
+
+fn kind(order: &Order) -> &'static str {
+    match order {
+        Order::Start { .. } => "start",
+        Order::Stop { .. } => "stop",
+        Order::Pace { .. } => "pace",
+    }
 }
 
 impl Sending {
@@ -50,6 +75,7 @@
         let Ok(_slot) = self.slots.acquire().await else {
             return;
         };
+        self.observer.sending(kind(&order), self.decided.elapsed());
         match order {
             Order::Start {
                 worker,
--- a/crates/serve/src/metered.rs
+++ b/crates/serve/src/metered.rs
@@ -58,6 +58,18 @@
     fn committed(&self, took: Duration) {
         self.0.committed(took);
     }
+
+    fn jobs_read(&self, pool: &Name, ago: Duration) {
+        self.0.jobs_read(pool, ago);
+    }
+
+    fn round(&self, pool: &Name, took: Duration) {
+        self.0.round(pool, took);
+    }
+
+    fn sending(&self, order: &'static str, waited: Duration) {
+        self.0.sending(order, waited);
+    }
 }
 
 /// Something whose calls are counted and timed.
--- a/crates/telemetry/src/site.rs
+++ b/crates/telemetry/src/site.rs
@@ -30,6 +30,9 @@
     pools_owned: Gauge<u64>,
     queued_jobs: Gauge<u64>,
     commit_seconds: Histogram<f64>,
+    jobs_read_seconds: Histogram<f64>,
+    round_seconds: Histogram<f64>,
+    order_seconds: Histogram<f64>,
 }
 
 impl fmt::Debug for Meter {
@@ -93,6 +96,18 @@
                 "commit_duration",
                 "Time of an owner's commits, retries included",
             ),
+            jobs_read_seconds: seconds(
+                "jobs_read_age",
+                "Age of the newest answer of the feed of a pool's jobs, at each round",
+            ),
+            round_seconds: seconds(
+                "round_duration",
+                "Time of a round of a pool's loop, its commit included",
+            ),
+            order_seconds: seconds(
+                "order_wait",
+                "Time of orders to workers from the decision until they are sent",
+            ),
             registry,
             _provider: provider,
         })
@@ -146,6 +161,24 @@
         self.commit_seconds.record(took.as_secs_f64(), &[]);
     }
 
+    /// Records the age of the newest answer of the feed of a pool's jobs.
+    pub fn jobs_read(&self, pool: &Name, ago: Duration) {
+        self.jobs_read_seconds
+            .record(ago.as_secs_f64(), &[named("pool", Some(pool))]);
+    }
+
+    /// Records a round of a pool's loop.
+    pub fn round(&self, pool: &Name, took: Duration) {
+        self.round_seconds
+            .record(took.as_secs_f64(), &[named("pool", Some(pool))]);
+    }
+
+    /// Records how long an order to a worker has waited.
+    pub fn sending(&self, order: &'static str, waited: Duration) {
+        self.order_seconds
+            .record(waited.as_secs_f64(), &[KeyValue::new("order", order)]);
+    }
+
     /// Every metric in Prometheus's text format.
     ///
     /// # Errors
--- a/crates/telemetry/tests/all/site.rs
+++ b/crates/telemetry/tests/all/site.rs
@@ -19,6 +19,9 @@
     meter.owns(2);
     meter.queued(&queue, 7);
     meter.committed(took);
+    meter.jobs_read(&"stay".into(), took);
+    meter.round(&"stay".into(), took);
+    meter.sending("start", took);
     meter
 }
 
@@ -35,6 +38,9 @@
         "primroseroute_pools_owned 2",
         "primroseroute_queued_jobs{queue=\"holds\"} 7",
         "primroseroute_commit_duration_seconds_count 1",
+        "primroseroute_jobs_read_age_seconds_count{pool=\"stay\"} 1",
+        "primroseroute_round_duration_seconds_count{pool=\"stay\"} 1",
+        "primroseroute_order_wait_seconds_count{order=\"start\"} 1",
     ] {
         assert!(text.lines().any(|found| found == line), "{line}\n{text}");
     }
--- a/tests/site/bed.rs
+++ b/tests/site/bed.rs
@@ -1,5 +1,6 @@
 //! A small site with entries, gateways and callers.
 
+use crate::figures::Figures;
 use bytes::Bytes;
 use eyre::{Result, ensure};
 use gotham::helpers::http::Body;
@@ -7,7 +8,7 @@
 use primroseroute_cell::Limits;
 use primroseroute_domain::work::{Demand, Job, JobId, Name, State, Step, TaskId};
 use primroseroute_gateway::{Gateway, Parts as GatewayParts};
-use primroseroute_owner::{Blind, Bounds, Brisk, Clock, Entry, Parts, Watch};
+use primroseroute_owner::{Bounds, Brisk, Clock, Entry, Parts, Watch};
 use primroseroute_platform::{
     rows::Rows,
     site::{Codec, Configuration, Instruction, Pool, Queue, RequestLimits, Site},
@@ -82,6 +83,8 @@
     started: u64,
     ids: u64,
     clock: Clock,
+    /// What all entries tell of their loops.
+    pub figures: Arc<Figures>,
     /// Times that the platform sets, for all entries.
     pub bounds: watch::Sender<Bounds>,
 }
@@ -236,6 +239,7 @@
             started: 0,
             ids: 0,
             clock: Clock::simulated(1_000_000),
+            figures: Arc::default(),
             bounds: watch::Sender::new(Bounds {
                 limits: Limits::new(6_000, 120_000),
                 order_pause: Duration::from_secs(3),
@@ -277,7 +281,7 @@
             workers: Arc::new(caller.clone()),
             advisor: Arc::new(caller.clone()),
             watch,
-            observer: Arc::new(Blind),
+            observer: Arc::<Figures>::clone(&self.figures),
         });
         self.nodes.insert(
             name.into(),
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -6,6 +6,7 @@
 mod advice;
 mod bed;
 mod cancel;
+mod figures;
 mod inspect;
 mod lines;
 mod maintain;
