Failing tests: workers that are taken for empty, or for over, while they aren't

- `Emptying::is_over` takes a worker that the cell doesn't know for empty, and the cell drops the word to empty one that it doesn't know.
A worker that is listed before its registration is known gets tasks while the order to its instance is on its way.
- `Emptying::gone` takes an order that was answered as taken for the end of the worker that the instance had when it was listed.
An order that was carried out before is answered as taken too, and ends nothing.
In a roll-out that is the usual case, as a successor can't know which orders to maintain its predecessor gave.

Either alone: a worker at work isn't used until some other worker registers; a move cuts lasting tasks off.

The site in memory can refuse an entry the registrations alone.

--- a/crates/standin/src/site/caller/mod.rs
+++ b/crates/standin/src/site/caller/mod.rs
@@ -110,7 +110,7 @@
         }
     }
 
-    async fn through(&self, way: impl Fn(&Conduct) -> Reach) -> Result<(), Error> {
+    pub(super) async fn through(&self, way: impl Fn(&Conduct) -> Reach) -> Result<(), Error> {
         self.alive().await;
         self.travel().await;
         match way(&self.conduct()) {
--- a/crates/standin/src/site/caller/site.rs
+++ b/crates/standin/src/site/caller/site.rs
@@ -1,7 +1,7 @@
 //! An entry's calls on what the platform tells, and on instances.
 
 use super::Caller;
-use crate::site::{State, journal::Event};
+use crate::site::{Reach, State, journal::Event};
 use async_trait::async_trait;
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
@@ -15,7 +15,7 @@
 #[async_trait]
 impl Site for Caller {
     async fn workers(&self) -> Result<(Vec<Registration>, Version), Error> {
-        self.to_store().await?;
+        self.to_registry().await?;
         let (all, version) = {
             let state = self.shared.state.lock();
             let mut all = BTreeMap::new();
@@ -33,13 +33,14 @@
         after: Version,
         wait: Duration,
     ) -> Result<Feed<Registration>, Error> {
-        self.to_store().await?;
+        self.to_registry().await?;
         let news = self.wait_for(wait, |state| since(state, &state.registrations, after));
         let news = news.await.unwrap_or(Feed::Changes {
             items: Vec::new(),
             next: after,
         });
-        self.back().await;
+        // A call that waited while the way was closed brings nothing.
+        self.to_registry().await?;
         Ok(news)
     }
 
@@ -143,6 +144,18 @@
 }
 
 impl Caller {
+    /// The way to the registrations of workers.
+    async fn to_registry(&self) -> Result<(), Error> {
+        self.through(|conduct| {
+            if conduct.store == Reach::Fine {
+                conduct.registry
+            } else {
+                conduct.store
+            }
+        })
+        .await
+    }
+
     /// Ends an instance's life, and begins the next one in `pool` a while later.
     fn take_down(&self, instance: &Name, pool: Name, meanwhile: Condition, holder: &Holder) {
         self.shared.change(|state, now| {
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -90,6 +90,8 @@
     pub feeds: Reach,
     /// Further time of each of its reads of the store: a thin link, or a process that gets little processor time.
     pub reads: Duration,
+    /// Its calls about the registrations of workers, whatever becomes of other calls to the store.
+    pub registry: Reach,
     /// Its calls to workers.
     pub workers: Reach,
     /// Its questions to the advice service.
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -9,6 +9,7 @@
 mod figures;
 mod inspect;
 mod lines;
+mod lives;
 mod maintain;
 mod moves;
 mod random;
