A worker is empty, and over, only where that is known of itself

Cause: two ways by which an owner was wrong about a worker, both common in a roll-out beside a wave (see the failing tests).

- A worker that the cell didn't know counted as empty, and the word to empty it was dropped.
Now the cell remembers it, and only its own word counts: what is emptied before its registration comes gets nothing when it comes.
- A worker counted as over when the order to its instance was taken, also where that had been carried out before and ended nothing.
Now the list of instances tells, asked for after the order: a worker that an instance in use has lives on.
Until then it gets nothing new.
An order whose answer is missing may end a life as well, and is dealt with in the same way.

Cost: one more list after a round that ordered something, and one more round for an instance that is listed before its worker is known.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -114,13 +114,7 @@
                         step,
                         index,
                     };
-                    let worker = Name::clone(worker);
-                    let lapses_at = self.taken_at + self.limits.stretched(self.limits.lease);
-                    let worker = self
-                        .workers
-                        .entry(worker)
-                        .or_insert_with(|| Worker::new(lapses_at));
-                    worker.runs.insert(task, run);
+                    self.worker(worker).runs.insert(task, run);
                 }
             }
         }
@@ -207,11 +201,8 @@
 
     /// Takes in a worker's registration.
     pub fn register(&mut self, info: site::Worker) {
-        let lapses_at = self.taken_at + self.limits.stretched(self.limits.lease);
-        let worker = self
-            .workers
-            .entry(Name::clone(&info.id))
-            .or_insert_with(|| Worker::new(lapses_at));
+        let id = Name::clone(&info.id);
+        let worker = self.worker(&id);
         worker.info = Some(info);
         worker.registered = true;
     }
@@ -360,12 +351,24 @@
     }
 
     /// Asks for a worker to be emptied for planned work, or no more.
+    ///
+    /// One that isn't known yet is remembered: the platform may list it before its registration comes. Otherwise it would
+    /// get tasks then, while the order to its instance is on its way.
     pub fn empty(&mut self, worker: &Name, wanted: Option<Purpose>) {
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.emptying = wanted;
+        if wanted.is_some() {
+            self.worker(worker).emptying = wanted;
+        } else if let Some(worker) = self.workers.get_mut(worker) {
+            worker.emptying = None;
         }
     }
 
+    /// A worker, which may not have been known before.
+    fn worker(&mut self, id: &Name) -> &mut Worker {
+        let lapses_at = self.taken_at + self.limits.stretched(self.limits.lease);
+        let worker = self.workers.entry(Name::clone(id));
+        worker.or_insert_with(|| Worker::new(lapses_at))
+    }
+
     /// Asks for everything but lasting tasks on a worker to be stopped.
     pub fn clear(&mut self, worker: &Name) {
         let Some(worker) = self.workers.get_mut(worker) else {
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -74,7 +74,7 @@
         cell.back_to_waiting(&worker, &task, run, None);
     }
     cell.workers.retain(|_id, worker| {
-        let known = worker.registered && !worker.gone;
+        let known = !worker.gone && (worker.registered || worker.emptying.is_some());
         known || !worker.runs.is_empty() || worker.is_fresh(now, &limits)
     });
 }
--- a/crates/owner/src/emptying.rs
+++ b/crates/owner/src/emptying.rs
@@ -3,6 +3,7 @@
 use crate::event::Event;
 use primroseroute_cell::Purpose;
 use primroseroute_domain::work::Name;
+use primroseroute_platform::site::{Condition, Instance};
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -42,6 +43,8 @@
     status: Receiver<Arc<Status>>,
     events: UnboundedSender<Event>,
     workers: BTreeMap<Name, (Purpose, Instant)>,
+    /// Workers whose instances were ordered away since the last list, or may have been.
+    ordered: BTreeSet<Name>,
 }
 
 impl Emptying {
@@ -50,6 +53,7 @@
             status,
             events,
             workers: BTreeMap::new(),
+            ordered: BTreeSet::new(),
         }
     }
 
@@ -74,12 +78,13 @@
         own.map(|(worker, _of)| Name::clone(worker)).collect()
     }
 
-    /// Whether nothing runs on a worker that is being emptied, nor will. One that the cell doesn't
-    /// know runs nothing of the pool.
+    /// Whether nothing runs on a worker that is being emptied, nor will.
+    ///
+    /// Only the cell's word counts. A worker that it doesn't know may be registered, and at work, before an order
+    /// reaches its instance: the order would cut its tasks off.
     pub(crate) fn is_over(&self, worker: &Name) -> bool {
         let status = self.status.borrow();
-        let unknown = !status.lasting.contains_key(worker);
-        self.workers.contains_key(worker) && (unknown || status.emptied.contains(worker))
+        self.workers.contains_key(worker) && status.emptied.contains(worker)
     }
 
     /// Asks for a worker to be emptied; the newest purpose counts. Instances that a wave waits for are
@@ -115,10 +120,34 @@
         }
     }
 
-    /// The life of a worker has ended by an order. Its registration outlives it by seconds.
-    pub(crate) fn gone(&mut self, worker: &Name) {
-        self.workers.remove(worker);
-        self.tell(Event::Gone(Name::clone(worker)));
+    /// An order to the instance of a worker is about to be asked for, and may end its life.
+    ///
+    /// That it was taken doesn't prove that it did: one that was carried out before has no effect and is answered in the same
+    /// way, also where a predecessor gave it. A worker that is wrongly thought to be over works on, and its tasks
+    /// would start elsewhere beside it. It gets nothing new until a list tells.
+    pub(crate) fn ordered(&mut self, worker: &Name) {
+        self.ordered.insert(Name::clone(worker));
+    }
+
+    /// Whether workers may be over by orders, and no list has told yet.
+    pub(crate) fn is_unsettled(&self) -> bool {
+        !self.ordered.is_empty()
+    }
+
+    /// Takes in a list that was asked for after all orders so far, and tells which workers are over by them: those that no
+    /// instance in use has any more. Their registrations outlive them by seconds.
+    pub(crate) fn settle(&mut self, instances: &[Instance]) {
+        let away = |known: &&Instance| {
+            matches!(known.condition, Condition::Moving | Condition::Maintenance)
+        };
+        let in_use = instances.iter().filter(|known| !away(known));
+        let lives: BTreeSet<&Name> = in_use.filter_map(|known| known.worker.as_ref()).collect();
+        for worker in std::mem::take(&mut self.ordered) {
+            if !lives.contains(&worker) {
+                self.workers.remove(&worker);
+                self.tell(Event::Gone(worker));
+            }
+        }
     }
 
     /// Stops shorter tasks on workers that a wave has waited for too long.
--- a/crates/owner/src/maintain.rs
+++ b/crates/owner/src/maintain.rs
@@ -171,12 +171,15 @@
             (name, Order::Maintain(wave.number))
         };
         let orders = instances.iter().map(order).collect();
+        for worker in instances.iter().filter_map(|known| known.worker.as_ref()) {
+            emptying.ordered(worker);
+        }
         let results = requests.order(orders).await?;
         let before = next.active.len();
         for instance in instances {
             let name = &*instance.name;
             match results.get(&instance.name) {
-                Some(Given::Taken) => self.begun(wave.number, instance, emptying),
+                Some(Given::Taken) => self.begun(wave.number, instance),
                 Some(refused @ (Given::Busy | Given::Refused)) => {
                     warn!(wave = wave.number, instance = name, refused:? = refused; "maintenance refused");
                     next.active.remove(&instance.name);
@@ -193,13 +196,10 @@
         Ok(())
     }
 
-    fn begun(&mut self, wave: u64, instance: &Instance, emptying: &mut Emptying) {
+    fn begun(&mut self, wave: u64, instance: &Instance) {
         info!(wave, instance = &*instance.name; "maintenance begun");
         let known = self.taken.entry(wave).or_default();
         known.insert(Name::clone(&instance.name));
-        if let Some(worker) = &instance.worker {
-            emptying.gone(worker);
-        }
     }
 }
 
--- a/crates/owner/src/relocate.rs
+++ b/crates/owner/src/relocate.rs
@@ -102,16 +102,22 @@
         })
     }
 
-    /// Orders the moves; gives out the instances that go.
+    /// Orders the moves, as many as may be ordered now.
     pub(crate) async fn order(
         &mut self,
         context: &Context,
-        requests: &mut Requests,
+        (emptying, requests): (&mut Emptying, &mut Requests),
         moves: &[Move],
-    ) -> Result<Vec<Instance>, Error> {
+    ) -> Result<(), Error> {
         let moves = &moves[..moves.len().min(self.places(context.order_rate))];
         if moves.is_empty() {
-            return Ok(Vec::new());
+            return Ok(());
+        }
+        let workers = moves
+            .iter()
+            .filter_map(|wanted| wanted.instance.worker.as_ref());
+        for worker in workers {
+            emptying.ordered(worker);
         }
         let written = moves.iter().map(|wanted| {
             let instance = Name::clone(&wanted.instance.name);
@@ -120,14 +126,11 @@
         let now = Instant::now();
         self.ordered.extend(moves.iter().map(|_wanted| now));
         let results = requests.order(written.collect()).await?;
-        let mut going = Vec::new();
         for wanted in moves {
             let given = results.get(&wanted.instance.name).copied();
-            if self.settle(wanted, given.unwrap_or(Given::Unknown)) {
-                going.push(wanted.instance.clone());
-            }
+            self.settle(wanted, given.unwrap_or(Given::Unknown));
         }
-        Ok(going)
+        Ok(())
     }
 
     /// How many moves may be ordered now.
@@ -146,29 +149,19 @@
         most.saturating_sub(self.ordered.len())
     }
 
-    /// Takes in what came of an order; whether it was taken.
-    fn settle(&mut self, wanted: &Move, given: Given) -> bool {
+    /// Takes in what came of an order.
+    fn settle(&mut self, wanted: &Move, given: Given) {
         let instance = &*wanted.instance.name;
         let to = &*wanted.to;
         match given {
-            Given::Taken => {
-                info!(instance, to; "instance moves");
-                true
-            }
-            Given::Busy => {
-                info!(instance, to; "instance can't move now");
-                false
-            }
+            Given::Taken => info!(instance, to; "instance moves"),
+            Given::Busy => info!(instance, to; "instance can't move now"),
             Given::Refused => {
                 warn!(instance, to; "instance can't move to this pool");
                 let pair = (Name::clone(&wanted.instance.name), Name::clone(&wanted.to));
                 self.refused.insert(pair);
-                false
-            }
-            Given::Unknown => {
-                info!(instance, to; "it isn't known whether an instance moves");
-                false
             }
+            Given::Unknown => info!(instance, to; "it isn't known whether an instance moves"),
         }
     }
 }
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -90,16 +90,15 @@
         listed.asked_at.elapsed() >= LOOK_AFTER
             || !waves.is_empty()
             || !self.emptying.status().silent.is_empty()
+            || self.emptying.is_unsettled()
             || relocate::is_due(&self.context, &pools, &listed.instances)
     }
 
     async fn round(&mut self, waves: &[Wave]) -> Result<(), Error> {
-        let now = Instant::now();
-        let listing = self.context.fleet.list(now).await?;
-        self.listed = Some(listing.clone());
-        let instances = &*listing.instances;
-        self.bury(instances);
+        // First, so that the list shows what came of all orders.
         self.requests.settle().await?;
+        let instances = &*self.list().await?;
+        self.bury(instances);
         self.emptying.repeat();
         let rested = self.rested(instances);
         let tools = (&mut self.emptying, &mut self.requests);
@@ -110,7 +109,20 @@
         let blocked = instances.iter().map(|instance| &instance.name);
         let blocked = blocked.filter(|name| !rested.contains(*name) || waiting.contains(*name));
         let blocked = blocked.map(Name::clone).collect();
-        self.relocate(instances, &blocked).await
+        self.relocate(instances, &blocked).await?;
+        if self.emptying.is_unsettled() {
+            self.list().await?;
+        }
+        Ok(())
+    }
+
+    /// The instances as they are now, by which it is told what orders have ended.
+    async fn list(&mut self) -> Result<Arc<Vec<Instance>>, Error> {
+        let listing = self.context.fleet.list(Instant::now()).await?;
+        let instances = Arc::clone(&listing.instances);
+        self.listed = Some(listing);
+        self.emptying.settle(&instances);
+        Ok(instances)
     }
 
     /// Instances of the pool that may get an order: those of groups whose holder lives, and gives orders.
@@ -188,15 +200,7 @@
         if ready.is_empty() {
             return Ok(());
         }
-        let taken = self
-            .relocation
-            .order(&self.context, &mut self.requests, &ready)
-            .await?;
-        for instance in taken {
-            if let Some(worker) = &instance.worker {
-                self.emptying.gone(worker);
-            }
-        }
-        Ok(())
+        let tools = (&mut self.emptying, &mut self.requests);
+        self.relocation.order(&self.context, tools, &ready).await
     }
 }
