Failing tests: a list that is older than a worker, and a commit that stands after a takeover

- Which workers are silent is asked after the list of instances has come.
A worker that joined, got tasks and went silent while the list was on its way isn't named by it, and is taken for dead.
- A commit whose answer was lost is found to stand by the row of commits alone.
Where a successor has taken the pool and committed nothing yet, the owner sends its starts, with deadlines and leases that count from after the takeover.

The site in memory can let lists of instances come late.

--- a/crates/standin/src/site/caller/mod.rs
+++ b/crates/standin/src/site/caller/mod.rs
@@ -59,7 +59,7 @@
         &self.name
     }
 
-    fn conduct(&self) -> Conduct {
+    pub(super) fn conduct(&self) -> Conduct {
         let state = self.shared.state.lock();
         state.conduct.get(&self.name).copied().unwrap_or_default()
     }
--- a/crates/standin/src/site/caller/site.rs
+++ b/crates/standin/src/site/caller/site.rs
@@ -92,6 +92,7 @@
             .values()
             .cloned()
             .collect();
+        sleep(self.conduct().lists).await;
         self.back().await;
         Ok(all)
     }
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -92,6 +92,8 @@
     pub reads: Duration,
     /// Its calls about the registrations of workers, whatever becomes of other calls to the store.
     pub registry: Reach,
+    /// Further time from a list of instances until it comes: what it shows is that old.
+    pub lists: Duration,
     /// Its calls to workers.
     pub workers: Reach,
     /// Its questions to the advice service.
--- a/tests/site/lives.rs
+++ b/tests/site/lives.rs
@@ -20,6 +20,7 @@
     worker_that_is_not_known_yet_is_not_taken_for_empty => unknown();
     order_that_was_carried_out_before_ends_no_life => done_before();
     worker_that_is_not_known_yet_is_not_moved_under_its_tasks => moved();
+    list_from_before_a_worker_came_does_not_say_that_it_is_over => old_list();
 }
 
 /// Further time of each call of the holder that orders: several orders to workers fit into the time from a request to
@@ -198,3 +199,31 @@
     ensure!(counts.values().all(|count| *count == 1), "{counts:?}");
     Ok(())
 }
+
+// The list of instances takes five seconds to come. Meanwhile a worker joins, gets tasks, and doesn't answer for
+// a while. The list that comes doesn't name it, and is older than it: the tasks there run on, and must not start elsewhere.
+async fn old_list() -> Result<()> {
+    let mut bed = Bed::open(94, 2, 2).await?;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    let others = bed.submit(&other, &job("20000", 16)).await?;
+    seconds(1).await;
+    bed.conduct(&owner, |conduct| conduct.lists = Duration::from_secs(5));
+    sleep(Duration::from_millis(1_500)).await;
+    bed.world.add_instance("n-0", POOL);
+    let id = bed.submit(&other, &job("6000", 4)).await?;
+    bed.until(&other, &id, State::Running, 1).await?;
+    sleep(Duration::from_millis(100)).await;
+    bed.conduct(&owner, |conduct| conduct.workers = Reach::Silent);
+    sleep(Duration::from_millis(3_800)).await;
+    bed.conduct(&owner, |conduct| conduct.workers = Reach::Fine);
+    // Room for the tasks elsewhere.
+    ensure!(bed.cancel(&other, &others).await.is_success());
+    bed.until(&other, &id, State::Completed, 10).await?;
+    bed.judge()?;
+    for index in 0..4 {
+        let starts = bed.world.journal().starts(&task(&id, 0, index));
+        ensure!(starts.len() == 1, "task {index}: {starts:?}");
+    }
+    Ok(())
+}
--- a/tests/site/takeover.rs
+++ b/tests/site/takeover.rs
@@ -26,6 +26,8 @@
     restarted_entry_takes_its_old_pool_over => restarted();
     newer_bounds_are_in_force_from_a_takeover_on => newer_bounds();
     replaced_owner_starts_nothing_more => replaced();
+    commit_that_stands_does_not_prove_the_ownership => stands(0.0);
+    commit_that_is_found_to_stand_does_not_prove_it_either => stands(1.0);
     end_is_acknowledged_only_once_it_is_stored => acknowledged();
     strong_entry_that_comes_back_gets_its_pools => strong_comes_back();
     entry_that_joins_takes_what_is_given_up => joins();
@@ -254,6 +256,45 @@
     Ok(())
 }
 
+// An owner's commit stands, its answer is lost, and the store turns the owner away from then on. Another entry takes the
+// pool and commits nothing yet; the workers don't hear of it, since it reaches none of them. Then the store takes the owner's
+// calls again, and shows its old commit as the newest. Starts that count from then would come after the takeover, for longer
+// than the successor waits for them. It learns of the commit by the conflict of its repeat, or, where that answer is `lost` too, by
+// reading the row.
+async fn stands(lost: f64) -> Result<()> {
+    let mut bed = Bed::open(33, 2, 3).await?;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    let token = bed.token(POOL).await?;
+    bed.conduct(&other, |conduct| conduct.workers = Reach::Silent);
+    bed.conduct(&owner, |conduct| conduct.lost_commits = 1.0);
+    let id = bed.submit(&other, &job("300", 2)).await?;
+    tokio::time::sleep(Duration::from_millis(60)).await;
+    bed.conduct(&owner, |conduct| {
+        conduct.lost_commits = 0.0;
+        conduct.store = Reach::Refused;
+    });
+    while bed.token(POOL).await? == token {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    bed.conduct(&other, |conduct| conduct.commits = Reach::Refused);
+    seconds(3).await;
+    bed.conduct(&owner, |conduct| {
+        conduct.store = Reach::Fine;
+        conduct.lost_commits = lost;
+    });
+    seconds(1).await;
+    let starts = bed.world.journal().starts(&task(&id, 0, 0));
+    ensure!(starts.is_empty(), "{starts:?}");
+    bed.conduct(&owner, |conduct| conduct.lost_commits = 0.0);
+    bed.conduct(&other, |conduct| {
+        conduct.commits = Reach::Fine;
+        conduct.workers = Reach::Fine;
+    });
+    bed.until(&other, &id, State::Completed, 10).await?;
+    bed.judge()
+}
+
 // A task ends while the store is away, and all entries are killed before it is back. The end isn't
 // stored, so it must not have been acknowledged: the worker shows it to the successor, and the task
 // isn't run a second time.
