Only workers that were silent before the list was asked for are buried by it

Cause: the list of instances may take seconds to come; which workers are silent was read after that. One that had joined, got tasks and gone silent meanwhile wasn't named, passed for dead, and its tasks started elsewhere while they ran.

Change: the silent ones are read first. Whoever is silent then was registered before, and a list that is asked for later names it if it lives.

Measured: list_from_before_a_worker_came_does_not_say_that_it_is_over failed before and passes.

--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -97,8 +97,9 @@
     async fn round(&mut self, waves: &[Wave]) -> Result<(), Error> {
         // First, so that the list shows what came of all orders.
         self.requests.settle().await?;
+        let status = self.emptying.status();
         let instances = &*self.list().await?;
-        self.bury(instances);
+        self.bury(&status.silent, instances);
         self.emptying.repeat();
         let rested = self.rested(instances);
         let tools = (&mut self.emptying, &mut self.requests);
@@ -158,15 +159,12 @@
     /// names the life that each instance has: one that it names no more runs nothing, while one
     /// behind a cut is still named. Without this, tasks of a dead worker wait until its lease has
     /// surely lapsed.
-    fn bury(&self, instances: &[Instance]) {
+    ///
+    /// `silent` is from before the list was asked for: one that has joined since isn't named by it either.
+    fn bury(&self, silent: &BTreeSet<Name>, instances: &[Instance]) {
         let named = instances.iter().filter_map(|known| known.worker.as_ref());
         let named: BTreeSet<&Name> = named.collect();
-        let status = self.emptying.status();
-        for worker in status
-            .silent
-            .iter()
-            .filter(|worker| !named.contains(worker))
-        {
+        for worker in silent.iter().filter(|worker| !named.contains(worker)) {
             if self.events.send(Event::Gone(Name::clone(worker))).is_err() {
                 log::debug!("the pool's loop has ended");
             }
