A commit that is found to stand counts only while the pool is owned

Cause: what came of a commit without an answer was told by the batch row alone, found in the conflict of a repeat or by a read. A successor that has taken the pool and committed nothing yet leaves that row as it is. The owner then took the time of its last repeat for a time at which it owned the pool: its starts and leases ran beyond what the successor waits for.

Change: the owner's row counts as well. It comes with the conflict anyway; the read asks for both rows at once, so it takes no longer.

Measured: commit_that_stands_does_not_prove_the_ownership and commit_that_is_found_to_stand_does_not_prove_it_either failed before (starts 3.0 and 3.5 s after the takeover) and pass, with all others of tests/site (84), owner and cell.

--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -110,13 +110,12 @@
                     return Ok(sent_at);
                 }
                 Ok(Commit::Conflict(current)) => {
-                    let own = self.own_batch(&current);
-                    self.last = own.ok_or(Lost)?;
+                    self.last = self.stands(&current)?.ok_or(Lost)?;
                     return Ok(sent_at);
                 }
                 Err(Error::Unknown(detail)) => {
                     self.failed(&detail);
-                    if let Some(version) = self.look().await {
+                    if let Some(version) = self.look().await? {
                         self.last = version;
                         return Ok(sent_at);
                     }
@@ -155,6 +154,19 @@
         }
     }
 
+    /// The version of the newest commit, if it stands by the rows of the owner and of the batch as they are.
+    ///
+    /// The owner's row counts as well: a successor that has committed nothing yet leaves the batch row as it was. An owner
+    /// that finds its commit there would start tasks with deadlines and leases that count from after the takeover.
+    fn stands(&self, rows: &[Row]) -> Result<Option<Version>, Lost> {
+        let place = row::owner(&self.pool);
+        let owner = rows.iter().find(|row| row.place == place);
+        if owner.is_none_or(|row| row.version != self.token) {
+            return Err(Lost);
+        }
+        Ok(self.own_batch(rows))
+    }
+
     /// The version of the batch row among `rows`, if this owner's newest commit wrote it.
     fn own_batch(&self, rows: &[Row]) -> Option<Version> {
         let place = row::batch(&self.pool);
@@ -165,13 +177,18 @@
     }
 
     /// Looks whether the newest commit stands; `None` where it doesn't, or can't be told.
-    async fn look(&mut self) -> Option<Version> {
-        match read_row(&*self.rows, row::batch(&self.pool)).await {
-            Ok(found) => self.own_batch(found.as_slice()),
+    async fn look(&mut self) -> Result<Option<Version>, Lost> {
+        let owner = read_row(&*self.rows, row::owner(&self.pool));
+        let batch = read_row(&*self.rows, row::batch(&self.pool));
+        match tokio::try_join!(owner, batch) {
+            Ok((owner, batch)) => {
+                let rows: Vec<Row> = owner.into_iter().chain(batch).collect();
+                self.stands(&rows)
+            }
             Err(error) => {
                 self.failed(&error);
                 sleep(PAUSE).await;
-                None
+                Ok(None)
             }
         }
     }
