Commit the stop of a lasting run before it is sent

Cause: a stop stood in no row. Between the order and the end of the run a worker shows it at work, for up to the time that a stop may take. An owner that was replaced in that time left tasks behind that were being ended, and its successor counted them as at work: it ended as many others of the step as may be missed.

Change: a task that is to leave its worker has a phase of its own in the row. The row is committed in the round of the stop, so only the owner of the pool can stop a lasting run, and its successor counts the task as away and repeats the stop. A lasting run's stop waits for that commit.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -92,9 +92,10 @@
         for (&occurrence, steps) in &job.progress.steps {
             for (step, tasks) in (0..).zip(steps) {
                 for (index, task) in (0..).zip(tasks) {
-                    let Phase::Placed(worker) = &task.phase else {
+                    let Some(worker) = task.phase.worker() else {
                         continue;
                     };
+                    let leaves = matches!(task.phase, Phase::Leaving(_));
                     let shape = job.step(step);
                     let run = Run {
                         run: task.run,
@@ -103,7 +104,7 @@
                         sure_after,
                         percent: 0,
                         load: 0,
-                        stop: Stop::No,
+                        stop: if leaves { Stop::Wanted } else { Stop::No },
                         stopped_at: None,
                         pace: 100,
                         lasting: shape.is_some_and(|step| step.lasting),
@@ -339,7 +340,7 @@
         let Some(task) = job.task_mut(id) else {
             return;
         };
-        let placed_here = matches!(&task.phase, Phase::Placed(at) if at == worker);
+        let placed_here = task.phase.worker() == Some(worker);
         if !placed_here || task.run != run {
             return;
         }
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -1,7 +1,7 @@
 //! One job in memory.
 
 use crate::row::{Accepted, Phase, Progress, Steps, Task};
-use primroseroute_domain::work::{State, Step, TaskId};
+use primroseroute_domain::work::{Name, State, Step, TaskId};
 use std::collections::BTreeMap;
 
 /// A job that isn't finished.
@@ -40,6 +40,23 @@
             .get_mut(usize::from(id.index))
     }
 
+    /// Records that a run on `worker` is to stop while the job goes on; whether that is news.
+    ///
+    /// It is committed before the stop is sent. A worker shows a run until it has ended, so a successor that
+    /// found it at work would count its task as at work, and end others of the step beside it: more would be
+    /// away than the step can miss. By the row the successor counts it as away, and repeats the stop.
+    pub(crate) fn leaves(&mut self, id: &TaskId, worker: &Name, run: u32) -> bool {
+        let Some(task) = self.task_mut(id) else {
+            return false;
+        };
+        let here = matches!(&task.phase, Phase::Placed(at) if at == worker);
+        if !here || task.run != run {
+            return false;
+        }
+        task.phase = Phase::Leaving(Name::clone(worker));
+        true
+    }
+
     /// Begins the occurrences that are due; whether there were any.
     pub(crate) fn begin(&mut self, wall_ms: u64) -> bool {
         let before = self.progress.next;
--- a/crates/cell/src/row/mod.rs
+++ b/crates/cell/src/row/mod.rs
@@ -258,10 +258,22 @@
     Waiting,
     /// Its highest run may be under way on this worker.
     Placed(Name),
+    /// The same, and it is to stop there while its job goes on.
+    Leaving(Name),
     /// It has done its work.
     Done,
 }
 
+impl Phase {
+    /// The worker on which the highest run may be under way.
+    pub fn worker(&self) -> Option<&Name> {
+        match self {
+            Self::Placed(worker) | Self::Leaving(worker) => Some(worker),
+            Self::Waiting | Self::Done => None,
+        }
+    }
+}
+
 /// A task as it is stored: a list takes half of the bytes of an object.
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -129,11 +129,17 @@
             if !due {
                 continue;
             }
-            let job = cell.jobs.get(&task.job);
-            let goes_on = job.is_some_and(|job| !job.progress.state.is_final());
-            let of = if goes_on { Which::GoOn } else { Which::Ended };
+            let job = cell.jobs.get_mut(&task.job);
+            let job = job.filter(|job| !job.progress.state.is_final());
+            let of = job.as_ref().map_or(Which::Ended, |_job| Which::GoOn);
             if of == which {
                 run.stop = Stop::SentAt(now);
+                if run.lasting
+                    && let Some(job) = job
+                    && job.leaves(task, id, run.run)
+                {
+                    cell.dirty.insert(task.job.clone());
+                }
                 orders.push(Order::Stop {
                     worker: Name::clone(id),
                     task: task.clone(),
--- a/crates/cell/tests/all/rows.rs
+++ b/crates/cell/tests/all/rows.rs
@@ -23,9 +23,13 @@
 
 fn progress() {
     let waiting = Task::default();
+    let leaving = Task {
+        phase: Phase::Leaving("i-2".into()),
+        ..task("i-2")
+    };
     let progress = Progress {
         state: State::Running,
-        steps: BTreeMap::from([(0, vec![vec![task("i-1"), waiting]])]),
+        steps: BTreeMap::from([(0, vec![vec![task("i-1"), waiting, leaving]])]),
         next: 1,
         ended_ms: None,
     };
--- a/crates/inspect/src/job.rs
+++ b/crates/inspect/src/job.rs
@@ -39,7 +39,7 @@
 pub struct Task {
     /// Its name, as workers and log lines have it.
     pub name: String,
-    /// Whether it waits, is placed, or is done.
+    /// Whether it waits, is placed, leaves its worker, or is done.
     pub phase: &'static str,
     /// Where it is placed.
     pub worker: Option<Name>,
@@ -95,6 +95,7 @@
                 let (phase, worker) = match &task.phase {
                     Phase::Waiting => ("waiting", None),
                     Phase::Placed(worker) => ("placed", Some(Name::clone(worker))),
+                    Phase::Leaving(worker) => ("leaving", Some(Name::clone(worker))),
                     Phase::Done => ("done", None),
                 };
                 tasks.push(Task {
