Starts that rest on what is known, in a module of their own; a gang is taken back whole

Cause: where one member of a gang is to stop before any has left, the others would be sent and wait for it until they end alone. Change: no member of its step is sent.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -36,6 +36,7 @@
 mod place;
 pub mod row;
 mod tick;
+mod window;
 mod worker;
 
 pub use cell::Cell;
--- a/crates/cell/tests/all/main.rs
+++ b/crates/cell/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod pace;
 mod rows;
 mod twin;
+mod window;
 
 /// Names each case; a case that panics fails.
 macro_rules! cases {
--- /dev/null
+++ b/crates/cell/tests/all/window.rs
@@ -0,0 +1,82 @@
+//! Starts rest on what is known of cancels, and are taken back when it changes.
+
+use crate::{
+    bed::{Bed, WALL, job, starts, step, task},
+    cases,
+};
+use primroseroute_cell::{Limits, Order, Outcome};
+use primroseroute_domain::work::Step;
+
+cases! {
+    nothing_starts_on_old_knowledge => old();
+    window_of_a_start_ends_with_what_is_known => window();
+    start_of_a_job_that_was_cancelled_meanwhile_is_taken_back => cancelled();
+    gang_is_taken_back_whole => gang();
+    withdrawn_start_is_placed_again => withdrawn();
+}
+
+// The owner has heard nothing of cancels for too long: what it would start now could be cancelled. It starts when it has heard.
+fn old() {
+    let mut bed = Bed::new(&["w-1"]);
+    let id = bed.accept(job(vec![step(1, 1_000)]));
+    bed.after(2_500);
+    let tick = bed.cell.tick(bed.now, WALL + bed.now);
+    assert_eq!(starts(&tick.orders), Vec::new());
+    bed.cell.heard(bed.now);
+    let tick = bed.cell.tick(bed.now, WALL + bed.now);
+    assert_eq!(starts(&tick.orders)[0].0, task(&id, 0, 0));
+}
+
+fn window() {
+    let mut bed = Bed::new(&["w-1"]);
+    let limits = Limits::new(6_000, 120_000);
+    assert_eq!(bed.cell.start_window(0), limits.start_window);
+    assert_eq!(bed.cell.start_window(1_000), limits.cancel_window - 1_000);
+    assert_eq!(bed.cell.start_window(9_000), 0);
+    bed.cell.heard(9_000);
+    assert_eq!(bed.cell.start_window(9_000), limits.start_window);
+}
+
+// The job is cancelled while the commit of its start is under way.
+fn cancelled() {
+    let mut bed = Bed::new(&["w-1"]);
+    let ended = bed.accept(job(vec![step(1, 1_000)]));
+    let other = bed.accept(job(vec![step(1, 1_000)]));
+    let tick = bed.round();
+    bed.cell.cancel(&ended, WALL);
+    let standing = starts(&bed.cell.standing(tick.orders));
+    assert_eq!(standing.len(), 1);
+    assert_eq!(standing[0].0, task(&other, 0, 0));
+    assert_eq!(bed.cell.runs_of(&ended), 0);
+}
+
+// One member of a gang is to stop before any has left. The others would wait for it until they end alone.
+fn gang() {
+    let mut bed = Bed::new(&["w-1", "w-2"]);
+    let together = Step {
+        gang: true,
+        most_per_worker: 1,
+        ..step(2, 1_000)
+    };
+    let id = bed.accept(job(vec![together]));
+    let tick = bed.round();
+    assert_eq!(starts(&tick.orders).len(), 2);
+    bed.cell.clear(&"w-1".into());
+    assert_eq!(starts(&bed.cell.standing(tick.orders)), Vec::new());
+    assert_eq!(starts(&bed.tick()).len(), 2);
+    assert_eq!(bed.on(&task(&id, 0, 0)).len(), 1);
+}
+
+fn withdrawn() {
+    let mut bed = Bed::new(&["w-1"]);
+    let id = bed.accept(job(vec![step(1, 1_000)]));
+    bed.round();
+    let worker = "w-1".into();
+    let now = bed.now;
+    bed.cell
+        .answered(&worker, &task(&id, 0, 0), 1, Outcome::Withdrawn, now);
+    assert_eq!(bed.cell.runs_on(&worker), 0);
+    // Under the next number, since the old one is in the row.
+    let again = bed.tick();
+    assert!(matches!(*again, [Order::Start { run: 2, .. }]));
+}
