Orders are looked at once more when their commit is through; a finished job is forgotten once its rows are gone

An order rests on what was known when it was decided, its commit may take seconds, and nothing looked again. And an owner forgot a finished job before its rows were deleted, so that a later read of the whole took it for a new one.

Change: after the commit a start on a worker that drains meanwhile, and a stop of a lasting task that its step can miss no more, are taken back and told of. A member of a gang that is withdrawn has the others stopped before they end alone. A job is forgotten after the deletion stands, tried again after 5 s, and remembered for a minute against reads that had begun before. A feed's answer that may have been cut proves nothing about what is behind it. The time that is left to a start is counted on its worker's clock as well, and a feed that failed is asked again at once.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -30,6 +30,8 @@
     pub(crate) jobs: BTreeMap<JobId, Job>,
     /// Finished jobs whose rows are kept, with the time of day of their end.
     pub(crate) finished: BTreeMap<JobId, u64>,
+    /// Jobs whose rows were deleted lately, with the time of day of that.
+    pub(crate) forgotten: BTreeMap<JobId, u64>,
     /// Jobs whose progress isn't committed.
     pub(crate) dirty: BTreeSet<JobId>,
     /// Since when a lasting task has found no room.
@@ -56,6 +58,7 @@
             workers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             finished: BTreeMap::new(),
+            forgotten: BTreeMap::new(),
             dirty: BTreeSet::new(),
             waiting: BTreeMap::new(),
             counts: BTreeMap::new(),
@@ -68,7 +71,8 @@
 
     /// Takes in an accepted job; one that is known already changes nothing.
     pub fn accept(&mut self, id: JobId, accepted: Accepted) {
-        if !self.finished.contains_key(&id) && !self.jobs.contains_key(&id) {
+        let over = self.finished.contains_key(&id) || self.forgotten.contains_key(&id);
+        if !over && !self.jobs.contains_key(&id) {
             self.arrivals.accept(&accepted.job);
             self.jobs.insert(id, Job::new(accepted));
         }
@@ -102,6 +106,7 @@
                         percent: 0,
                         load: 0,
                         stop: if leaves { Stop::Wanted } else { Stop::No },
+                        stop_left: false,
                         stopped_at: None,
                         pace: 100,
                         lasting: shape.is_some_and(|step| step.lasting),
@@ -119,9 +124,10 @@
         self.jobs.insert(id, job);
     }
 
-    /// Takes in the row of a finished job that isn't needed any more.
-    pub fn forgotten(&mut self, id: &JobId) {
-        self.finished.remove(id);
+    /// Takes in that the rows of a finished job are deleted.
+    pub fn forgotten(&mut self, id: JobId, wall_ms: u64) {
+        self.finished.remove(&id);
+        self.forgotten.insert(id, wall_ms);
     }
 
     /// Takes in a cancel that is committed; how many runs are to stop, or none where the job has ended or isn't
--- a/crates/cell/src/drain.rs
+++ b/crates/cell/src/drain.rs
@@ -46,22 +46,22 @@
 /// are away for whatever cause, and only where another worker has room for it.
 fn empty(cell: &mut Cell, id: &Name, now: Millis) {
     for task in lasting_runs(cell, id) {
-        let Some(job) = cell.jobs.get(&task.job) else {
-            continue;
-        };
-        let Some(step) = job.step(task.step) else {
-            continue;
-        };
-        let may_miss = usize::from(step.may_miss);
-        if may_miss > 0 && away(cell, &task, now) >= may_miss {
-            continue;
-        }
-        if crate::place::has_room(cell, &task, now) {
+        if can_miss(cell, &task, now) && crate::place::has_room(cell, &task, now) {
             want_stop(cell, id, &task);
         }
     }
 }
 
+/// Whether a lasting task may be taken away by planned work.
+pub(crate) fn can_miss(cell: &Cell, task: &TaskId, now: Millis) -> bool {
+    let job = cell.jobs.get(&task.job);
+    let Some(step) = job.and_then(|job| job.step(task.step)) else {
+        return false;
+    };
+    let may_miss = usize::from(step.may_miss);
+    may_miss == 0 || away(cell, task, now) < may_miss
+}
+
 fn want_stop(cell: &mut Cell, worker: &Name, task: &TaskId) {
     if let Some(worker) = cell.workers.get_mut(worker)
         && let Some(run) = worker.runs.get_mut(task)
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -57,6 +57,18 @@
         true
     }
 
+    /// Records that a run that was to stop goes on, since its stop was never sent; whether that is news.
+    pub(crate) fn stays(&mut self, id: &TaskId) -> bool {
+        let Some(task) = self.task_mut(id) else {
+            return false;
+        };
+        let Phase::Leaving(worker) = &task.phase else {
+            return false;
+        };
+        task.phase = Phase::Placed(Name::clone(worker));
+        true
+    }
+
     /// Begins the occurrences that are due; whether there were any.
     pub(crate) fn begin(&mut self, wall_ms: u64) -> bool {
         let before = self.progress.next;
--- a/crates/cell/src/place/mod.rs
+++ b/crates/cell/src/place/mod.rs
@@ -223,7 +223,7 @@
     labelled && apart && !worker.runs.contains_key(task)
 }
 
-fn is_sibling(other: &TaskId, task: &TaskId) -> bool {
+pub(crate) fn is_sibling(other: &TaskId, task: &TaskId) -> bool {
     other.job == task.job && other.occurrence == task.occurrence && other.step == task.step
 }
 
@@ -282,6 +282,7 @@
         percent: 0,
         load: 0,
         stop: Stop::No,
+        stop_left: false,
         stopped_at: None,
         pace: 100,
         lasting: step.lasting,
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -17,6 +17,13 @@
 /// Times the promised time that finished jobs' rows stay, in percent: clocks of entries differ.
 const KEEP_PERCENT: u64 = 125;
 
+/// Milliseconds after which rows whose deletion didn't succeed are deleted again.
+const FORGET_AGAIN: u64 = 5_000;
+
+/// Milliseconds for which a job whose rows are deleted is remembered. A read of the whole that had begun before may still show
+/// its acceptance, and it would run again; such a read takes seconds where one entry's link is thin.
+const REMEMBER: u64 = 60_000;
+
 /// Most finished jobs whose rows are given up in one round, so that it stays short.
 const FORGET: usize = 10;
 
@@ -177,9 +184,16 @@
     json.into()
 }
 
-fn forget(cell: &Cell, wall_ms: u64) -> Vec<JobId> {
+/// Finished jobs whose rows are to be deleted now; again after a while, if that fails.
+fn forget(cell: &mut Cell, wall_ms: u64) -> Vec<JobId> {
+    cell.forgotten.retain(|_id, at| wall_ms < *at + REMEMBER);
     let keep = cell.limits.keep * KEEP_PERCENT / 100;
-    let old = cell.finished.iter();
-    let old = old.filter(|(_id, ended)| wall_ms >= **ended + keep);
-    old.map(|(id, _ended)| id.clone()).take(FORGET).collect()
+    let due = cell.finished.iter_mut();
+    let due = due.filter(|(_id, ended)| wall_ms >= **ended + keep);
+    let mut ids = Vec::new();
+    for (id, ended) in due.take(FORGET) {
+        *ended = wall_ms.saturating_sub(keep) + FORGET_AGAIN;
+        ids.push(id.clone());
+    }
+    ids
 }
--- a/crates/cell/src/window.rs
+++ b/crates/cell/src/window.rs
@@ -1,8 +1,14 @@
 //! Up to when an owner knows what callers have cancelled, and the starts that rest on it.
 
-use crate::{cell::Cell, limits::Millis, order::Order, worker::Stop};
-use primroseroute_domain::work::{Name, StepId, TaskId};
-use std::collections::BTreeSet;
+use crate::{
+    cell::Cell,
+    drain,
+    limits::Millis,
+    order::Order,
+    place::is_sibling,
+    worker::{Run, Stop},
+};
+use primroseroute_domain::work::{Name, TaskId};
 
 /// Least time that a start needs from its decision to its worker: a commit and a call, thirty times slower than usual.
 const START_TIME: Millis = 500;
@@ -33,38 +39,81 @@
         self.heard_at.unwrap_or(self.taken_at)
     }
 
-    /// Of orders that are committed, those that still hold; the rest were never sent and are taken back.
+    /// Of orders that are committed, those that still hold, and those that don't: they were never sent and are taken back.
     ///
-    /// A cancel that comes while the commit is under way has its stops sent at once, and a start that followed them could
-    /// overtake them on another connection. Members of a gang go together: the rest would wait for the missing one in vain.
-    pub fn standing(&mut self, orders: Vec<Order>) -> Vec<Order> {
-        let broken: BTreeSet<StepId> = orders
-            .iter()
-            .filter(|order| !self.stands(order))
-            .filter_map(|order| self.gang(order))
-            .collect();
-        let (standing, withdrawn) = orders.into_iter().partition(|order| {
-            let whole = self.gang(order).is_none_or(|gang| !broken.contains(&gang));
-            whole && self.stands(order)
-        });
-        for order in withdrawn {
-            if let Order::Start {
-                worker, task, run, ..
-            } = order
+    /// What was decided before the commit may be wrong after it, which can take seconds. A cancelled job's stops went out at once,
+    /// and a start that followed could overtake them on another connection; a worker that drains has said so; a lasting task
+    /// that its step could miss is missed no more once another one has ended.
+    pub fn standing(&mut self, orders: Vec<Order>, now: Millis) -> (Vec<Order>, Vec<Order>) {
+        let mut standing = orders;
+        let mut withdrawn = Vec::new();
+        loop {
+            // A member of a gang that is withdrawn takes the others with it, in the next pass.
+            let (holds, fallen): (Vec<Order>, Vec<Order>) = standing
+                .into_iter()
+                .partition(|order| self.stands(order, now));
+            standing = holds;
+            if fallen.is_empty() {
+                break;
+            }
+            for order in &fallen {
+                self.take_back(order);
+            }
+            withdrawn.extend(fallen);
+        }
+        for order in &standing {
+            if let Order::Stop { worker, task, .. } = order
+                && let Some(entry) = self.run_mut(worker, task)
             {
-                self.withdraw(&worker, &task, run);
+                entry.stop_left = true;
+            }
+        }
+        (standing, withdrawn)
+    }
+
+    fn run_mut(&mut self, worker: &Name, task: &TaskId) -> Option<&mut Run> {
+        self.workers.get_mut(worker)?.runs.get_mut(task)
+    }
+
+    fn stands(&self, order: &Order, now: Millis) -> bool {
+        match order {
+            Order::Start {
+                worker, task, run, ..
+            } => {
+                let worker = self.workers.get(worker);
+                let worker = worker.filter(|worker| !worker.is_leaving());
+                let entry = worker.and_then(|worker| worker.runs.get(task));
+                entry.is_some_and(|entry| entry.run == *run && entry.stop == Stop::No)
+            }
+            Order::Stop { worker, task, .. } => {
+                let emptied = self.workers.get(worker);
+                let emptied =
+                    emptied.filter(|worker| worker.emptying.is_some() && !worker.is_leaving());
+                let entry = emptied.and_then(|worker| worker.runs.get(task));
+                let moves = entry.is_some_and(|entry| entry.lasting && !entry.stop_left);
+                !moves || drain::can_miss(self, task, now)
             }
+            Order::Pace { .. } => true,
         }
-        standing
     }
 
-    /// The step of a start whose members go together.
-    fn gang(&self, order: &Order) -> Option<StepId> {
-        let Order::Start { task, .. } = order else {
-            return None;
-        };
-        let step = self.jobs.get(&task.job)?.step(task.step)?;
-        step.gang.then(|| task.step_id())
+    fn take_back(&mut self, order: &Order) {
+        match order {
+            Order::Start {
+                worker, task, run, ..
+            } => self.withdraw(worker, task, *run),
+            Order::Stop { worker, task, .. } => {
+                if let Some(entry) = self.run_mut(worker, task) {
+                    entry.stop = Stop::No;
+                }
+                if let Some(job) = self.jobs.get_mut(&task.job)
+                    && job.stays(task)
+                {
+                    self.dirty.insert(task.job.clone());
+                }
+            }
+            Order::Pace { .. } => {}
+        }
     }
 
     /// A start was never sent: its run is over, and its task waits again if its job goes on.
@@ -75,17 +124,22 @@
             worker.runs.remove(task);
         }
         self.back_to_waiting(worker, task, run, None);
+        let step = self.jobs.get(&task.job).and_then(|job| job.step(task.step));
+        if step.is_some_and(|step| step.gang) {
+            self.stop_gang(task, run);
+        }
     }
 
-    fn stands(&self, order: &Order) -> bool {
-        let Order::Start {
-            worker, task, run, ..
-        } = order
-        else {
-            return true;
-        };
-        let worker = self.workers.get(worker);
-        let entry = worker.and_then(|worker| worker.runs.get(task));
-        entry.is_some_and(|entry| entry.run == *run && entry.stop == Stop::No)
+    /// Members that have left would wait for the missing one until they end alone.
+    fn stop_gang(&mut self, of: &TaskId, run: u32) {
+        let runs = self
+            .workers
+            .values_mut()
+            .flat_map(|worker| &mut worker.runs);
+        for (task, entry) in runs {
+            if is_sibling(task, of) && entry.run == run && entry.stop == Stop::No {
+                entry.stop = Stop::Wanted;
+            }
+        }
     }
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -35,6 +35,8 @@
     pub load: u64,
     /// Whether it is to be stopped, and when the stop was last sent.
     pub stop: Stop,
+    /// Whether a stop of it may have left.
+    pub stop_left: bool,
     /// When the worker took the stop: from then on it refuses a start that comes late.
     pub stopped_at: Option<Millis>,
     /// Share of its speed that it was last given.
--- a/crates/cell/tests/all/bed.rs
+++ b/crates/cell/tests/all/bed.rs
@@ -149,6 +149,12 @@
         tick
     }
 
+    /// Orders of a round that still hold once it is committed.
+    pub(crate) fn standing(&mut self, tick: Tick) -> Vec<Order> {
+        let (standing, _withdrawn) = self.cell.standing(tick.orders, self.now);
+        standing
+    }
+
     pub(crate) fn carry_out(&mut self, order: &Order) {
         match order {
             Order::Start {
--- a/crates/cell/tests/all/window.rs
+++ b/crates/cell/tests/all/window.rs
@@ -48,7 +48,7 @@
     let other = bed.accept(job(vec![step(1, 1_000)]));
     let tick = bed.round();
     bed.cell.cancel(&ended, WALL);
-    let standing = starts(&bed.cell.standing(tick.orders));
+    let standing = starts(&bed.standing(tick));
     assert_eq!(standing.len(), 1);
     assert_eq!(standing[0].0, task(&other, 0, 0));
     assert_eq!(bed.cell.runs_of(&ended), 0);
@@ -66,7 +66,7 @@
     let tick = bed.round();
     assert_eq!(starts(&tick.orders).len(), 2);
     bed.cell.clear(&"w-1".into());
-    assert_eq!(starts(&bed.cell.standing(tick.orders)), Vec::new());
+    assert_eq!(starts(&bed.standing(tick)), Vec::new());
     assert_eq!(starts(&bed.tick()).len(), 2);
     assert_eq!(bed.on(&task(&id, 0, 0)).len(), 1);
 }
@@ -95,7 +95,7 @@
     };
     bed.accept(job(vec![together]));
     let tick = bed.round();
-    let orders = bed.cell.standing(tick.orders);
+    let orders = bed.standing(tick);
     for order in &orders[..2] {
         bed.carry_out(order);
     }
@@ -124,7 +124,7 @@
         draining: true,
         ..worker("w-1")
     });
-    assert_eq!(starts(&bed.cell.standing(tick.orders)), Vec::new());
+    assert_eq!(starts(&bed.standing(tick)), Vec::new());
 }
 
 // A lasting task is to leave a worker that is emptied, since its step can miss one. While the commit of the stop is under way the
@@ -149,7 +149,7 @@
     assert_eq!(tick.orders.len(), 1);
     bed.end(&other, &task(&id, 0, 1), End::Failed);
     bed.after(1_000);
-    assert_eq!(bed.cell.standing(tick.orders), Vec::new());
+    assert_eq!(bed.standing(tick), Vec::new());
     assert_eq!(bed.on(&task(&id, 0, 0)), vec![from]);
     // Once the other one is at work again it goes.
     bed.tick();
--- a/crates/owner/src/event.rs
+++ b/crates/owner/src/event.rs
@@ -2,7 +2,7 @@
 
 use crate::load::Jobs;
 use primroseroute_cell::{Millis, Outcome, Purpose, Question};
-use primroseroute_domain::work::{Name, TaskId};
+use primroseroute_domain::work::{JobId, Name, TaskId};
 use primroseroute_platform::worker::Look;
 use std::collections::BTreeMap;
 
@@ -24,6 +24,8 @@
         at: Millis,
     },
     Gone(Name),
+    /// The rows of a finished job are deleted.
+    Forgotten(JobId),
     Answered {
         worker: Name,
         task: TaskId,
--- a/crates/owner/src/follow.rs
+++ b/crates/owner/src/follow.rs
@@ -119,17 +119,25 @@
     S: Source,
     K: Sink<Item = S::Item>,
 {
+    let mut wait = rhythm.wait;
     loop {
         let begin = Instant::now();
-        match source.since(next, rhythm.wait).await {
-            Ok(Feed::Changes { items, next: later }) => {
+        match source.since(next, wait).await {
+            Ok(Feed::Changes {
+                items,
+                next: later,
+                complete,
+            }) => {
+                wait = rhythm.wait;
                 next = next.max(later);
                 if !items.is_empty() {
                     sink.apply(items);
                 }
                 health.good();
-                sink.confirmed(begin);
-                sleep_until(begin + rhythm.pace).await;
+                if complete {
+                    sink.confirmed(begin);
+                    sleep_until(begin + rhythm.pace).await;
+                }
             }
             Ok(Feed::Lost) => {
                 log::warn!(feed = health.name, after = next; "history was lost; reading the whole");
@@ -139,6 +147,8 @@
                 health.failed(&error);
                 sink.interrupted();
                 sleep(PAUSE).await;
+                // What changed meanwhile is behind by that much already.
+                wait = Duration::ZERO;
             }
         }
     }
--- a/crates/owner/src/forget.rs
+++ b/crates/owner/src/forget.rs
@@ -1,14 +1,22 @@
 //! Rows of jobs that ended long ago.
 
-use log::info;
+use crate::event::Event;
+use log::{debug, info};
 use primroseroute_cell::row;
 use primroseroute_domain::work::{JobId, Name};
 use primroseroute_platform::rows::{Rows, Txn, Version};
 use std::sync::Arc;
+use tokio::sync::mpsc::UnboundedSender;
 
 /// Deletes a job's rows: what tells of its acceptance first, since a successor takes an accepted job
 /// without progress for a new one.
-pub(crate) async fn forget(rows: Arc<dyn Rows>, pool: Name, owner: Version, id: JobId) {
+pub(crate) async fn forget(
+    rows: Arc<dyn Rows>,
+    pool: Name,
+    owner: Version,
+    id: JobId,
+    events: UnboundedSender<Event>,
+) {
     let accepted = Txn {
         deletes: vec![
             row::claim(&id),
@@ -24,9 +32,13 @@
     };
     for txn in [accepted, progress] {
         if let Err(error) = rows.commit(txn).await {
-            // A successor finds the rows and tries again.
+            // It is tried again after a while, by a successor as well.
             info!(job:% = id, error:% = error; "deleting a finished job's rows failed");
             return;
         }
     }
+    // Only now: a job that is forgotten while its rows stand looks as if it had just been accepted.
+    if events.send(Event::Forgotten(id)).is_err() {
+        debug!("the pool's loop has ended");
+    }
 }
--- a/crates/owner/src/reach.rs
+++ b/crates/owner/src/reach.rs
@@ -4,7 +4,7 @@
     event::Event,
     lease::{Readings, Watcher},
     own::Context,
-    send::{Queue, Sending, Times},
+    send::{Pending, Sending, Times},
 };
 use log::debug;
 use primroseroute_cell::{Millis, Order, Outcome};
@@ -22,13 +22,25 @@
 /// Most orders to one worker at the same time, each on a connection of its own.
 const ORDERS: usize = 3;
 
+/// Until when on its worker's clock a start may take effect; `None` where that clock isn't known.
+///
+/// What is left of the time since `heard_at` is counted on the worker's clock too, where it was read before: a process that was
+/// suspended since knows too little of it by its own.
+fn deadline(readings: &Readings, times: Times, cancel_window: Millis) -> Option<Millis> {
+    let by_commit = readings.at(times.sent_at)? + times.window;
+    let by_knowledge = readings
+        .at(times.heard_at)
+        .map(|clock| clock + cancel_window);
+    Some(by_knowledge.map_or(by_commit, |known| known.min(by_commit)))
+}
+
 /// A worker that is looked at.
 #[derive(Debug)]
 struct Watched {
     target: Target,
     readings: Arc<Readings>,
     slots: Arc<Semaphore>,
-    queue: Arc<Queue>,
+    pending: Arc<Pending>,
     task: JoinHandle<()>,
 }
 
@@ -95,7 +107,7 @@
             target,
             readings,
             slots: Arc::new(Semaphore::new(ORDERS)),
-            queue: Arc::default(),
+            pending: Arc::default(),
             task: tokio::spawn(watcher.run()),
         }
     }
@@ -108,7 +120,9 @@
             decided,
             sent_at,
             window,
+            ..
         } = times;
+        let cancel_window = self.context.limits.cancel_window;
         while self.orders.try_join_next().is_some() {}
         for order in orders {
             let worker = match &order {
@@ -121,8 +135,8 @@
                 continue;
             };
             match &order {
-                Order::Start { task, run, .. } => watched.queue.add(task, *run),
-                Order::Stop { worker, task, run } if watched.queue.take(task, *run) => {
+                Order::Start { task, run, .. } => watched.pending.add(task, *run),
+                Order::Stop { worker, task, run } if watched.pending.take(task, *run) => {
                     self.answered(worker, task, *run, Outcome::Withdrawn);
                     continue;
                 }
@@ -134,9 +148,9 @@
                 token: self.token,
                 clock: self.context.clock,
                 expires_at: sent_at + window,
-                deadline_ms: watched.readings.at(sent_at).map(|clock| clock + window),
+                deadline_ms: deadline(&watched.readings, times, cancel_window),
                 slots: Arc::clone(&watched.slots),
-                queue: Arc::clone(&watched.queue),
+                pending: Arc::clone(&watched.pending),
                 events: self.events.clone(),
                 decided,
                 observer: Arc::clone(&self.context.observer),
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -269,6 +269,7 @@
             Event::Stopped { worker, task, run } => {
                 self.cell.stopped(&worker, &task, run, now);
             }
+            Event::Forgotten(id) => self.cell.forgotten(id, wall_ms),
             Event::Advised {
                 question,
                 answer,
@@ -346,17 +347,31 @@
             *self.reach.confirmed.borrow()
         };
         self.cell.committed(&tick, sent_at);
-        let orders = self.cell.standing(std::mem::take(&mut tick.orders));
+        // The commit may have taken long.
+        let workers = self.context.watch.workers.borrow().clone();
+        if !Arc::ptr_eq(&workers, &self.known_workers) {
+            self.register(&workers);
+        }
+        let orders = std::mem::take(&mut tick.orders);
+        let (orders, withdrawn) = self.cell.standing(orders, clock.now());
+        for order in &withdrawn {
+            self.context.observer.withdrawn();
+            tell::withdrawn(&self.context.pool, order);
+        }
         tell::orders(&self.context.pool, &orders);
         tell::ended(&self.context.pool, &tick.ended, clock.now() - sent_at);
         let seen = tick.seen.iter().map(|(id, seen)| (Name::clone(id), *seen));
         self.reach.seen.send_replace(Arc::new(seen.collect()));
         for id in &tick.forget {
-            self.cell.forgotten(id);
             let rows = Arc::clone(&self.context.rows);
             let pool = Name::clone(&self.context.pool);
-            self.beside
-                .spawn(forget(rows, pool, self.token, id.clone()));
+            self.beside.spawn(forget(
+                rows,
+                pool,
+                self.token,
+                id.clone(),
+                self.sender.clone(),
+            ));
         }
         self.send(orders, sent_at, decided);
         self.reach.look_at(self.cell.targets());
@@ -396,6 +411,7 @@
     fn send(&mut self, orders: Vec<Order>, sent_at: Millis, decided: Instant) {
         let times = Times {
             decided,
+            heard_at: self.cell.heard_at(),
             sent_at,
             window: self.cell.start_window(sent_at),
         };
--- a/crates/owner/src/send.rs
+++ b/crates/owner/src/send.rs
@@ -20,17 +20,19 @@
 pub(crate) struct Times {
     /// When they were decided.
     pub decided: Instant,
+    /// Up to when the owner had heard of all cancels.
+    pub heard_at: Millis,
     /// When their commit was sent.
     pub sent_at: Millis,
     /// Time after that in which starts must arrive.
     pub window: Millis,
 }
 
-/// Starts to one worker that wait for their turn.
+/// Starts to one worker that wait for their turn, and that a stop can still take back.
 #[derive(Debug, Default)]
-pub(crate) struct Queue(Mutex<BTreeSet<(TaskId, u32)>>);
+pub(crate) struct Pending(Mutex<BTreeSet<(TaskId, u32)>>);
 
-impl Queue {
+impl Pending {
     /// Adds a start.
     pub(crate) fn add(&self, task: &TaskId, run: u32) {
         self.0.lock().insert((task.clone(), run));
@@ -54,7 +56,7 @@
     pub deadline_ms: Option<Millis>,
     /// Places for orders to this worker.
     pub slots: Arc<Semaphore>,
-    pub queue: Arc<Queue>,
+    pub pending: Arc<Pending>,
     pub events: UnboundedSender<Event>,
     /// When the order was decided.
     pub decided: Instant,
@@ -85,11 +87,12 @@
                 checkpoint,
                 ticket,
             } => {
-                if !self.queue.take(&task, run) {
+                if !self.pending.take(&task, run) {
                     return;
                 }
+                let is_late = self.clock.now() >= self.expires_at;
                 let outcome = match self.deadline_ms {
-                    _ if self.clock.now() >= self.expires_at => Outcome::Withdrawn,
+                    _ if is_late => Outcome::Withdrawn,
                     Some(deadline_ms) => {
                         let start = Start {
                             task: task.clone(),
--- a/crates/owner/src/tell.rs
+++ b/crates/owner/src/tell.rs
@@ -24,6 +24,19 @@
     }
 }
 
+/// One line for an order that was committed and doesn't hold any more.
+pub(crate) fn withdrawn(pool: &str, order: &Order) {
+    match order {
+        Order::Start {
+            worker, task, run, ..
+        } => info!(pool, worker = &**worker, task:% = task, run; "start withdrawn"),
+        Order::Stop { worker, task, run } => {
+            info!(pool, worker = &**worker, task:% = task, run; "stop withdrawn");
+        }
+        Order::Pace { .. } => {}
+    }
+}
+
 /// One line for each job whose final state is stored, by a commit that took `commit_ms`.
 pub(crate) fn ended(pool: &str, ended: &[(JobId, State)], commit_ms: u64) {
     for (job, state) in ended {
--- a/crates/platform/src/rows.rs
+++ b/crates/platform/src/rows.rs
@@ -95,6 +95,8 @@
         items: Vec<T>,
         /// Where the feed goes on.
         next: Version,
+        /// Whether that is all: a long answer may have been cut, with more behind it.
+        complete: bool,
     },
     /// The history that was asked for has been dropped: the table must be read whole.
     Lost,
--- a/crates/standin/src/site/caller/mod.rs
+++ b/crates/standin/src/site/caller/mod.rs
@@ -293,6 +293,7 @@
         let news = news.await.unwrap_or(Feed::Changes {
             items: Vec::new(),
             next: after,
+            complete: true,
         });
         self.back().await;
         Ok(news)
--- a/crates/standin/src/site/caller/site.rs
+++ b/crates/standin/src/site/caller/site.rs
@@ -38,6 +38,7 @@
         let news = news.await.unwrap_or(Feed::Changes {
             items: Vec::new(),
             next: after,
+            complete: true,
         });
         // A call that waited while the way was closed brings nothing.
         self.to_registry().await?;
@@ -66,6 +67,7 @@
         let news = news.await.unwrap_or(Feed::Changes {
             items: Vec::new(),
             next: after,
+            complete: true,
         });
         self.back().await;
         Ok(news)
@@ -213,5 +215,9 @@
     let newer = all.iter().filter(|(version, _item)| *version > after);
     let items: Vec<T> = newer.map(|(_version, item)| item.clone()).collect();
     let next = state.store.version();
-    (!items.is_empty()).then_some(Feed::Changes { items, next })
+    (!items.is_empty()).then_some(Feed::Changes {
+        items,
+        next,
+        complete: true,
+    })
 }
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -100,6 +100,10 @@
         let changes = changes.filter(|row| &*row.place.table == table && row.version > after);
         let items: Vec<Row> = changes.cloned().collect();
         let next = self.version;
-        (!items.is_empty()).then_some(Feed::Changes { items, next })
+        (!items.is_empty()).then_some(Feed::Changes {
+            items,
+            next,
+            complete: true,
+        })
     }
 }
