--- a/crates/cell/tests/all/rows.rs
+++ b/crates/cell/tests/all/rows.rs
@@ -21,12 +21,16 @@
     }
 }
 
+fn leaving(worker: &str) -> Task {
+    Task {
+        phase: Phase::Leaving(worker.into()),
+        ..task(worker)
+    }
+}
+
 fn progress() {
     let waiting = Task::default();
-    let leaving = Task {
-        phase: Phase::Leaving("i-2".into()),
-        ..task("i-2")
-    };
+    let leaving = leaving("i-2");
     let progress = Progress {
         state: State::Running,
         steps: BTreeMap::from([(0, vec![vec![task("i-1"), waiting, leaving]])]),
@@ -42,7 +46,7 @@
     let most = usize::try_from(primroseroute_domain::work::MAX_TASKS).expect("small");
     let progress = Progress {
         state: State::Running,
-        steps: BTreeMap::from([(0, vec![vec![task("i-7f3a91c2ab"); most]])]),
+        steps: BTreeMap::from([(0, vec![vec![leaving("i-7f3a91c2ab"); most]])]),
         next: 1,
         ended_ms: None,
     };
