--- a/tests/site/worker.rs
+++ b/tests/site/worker.rs
@@ -6,11 +6,14 @@
 };
 use eyre::{Result, ensure};
 use primroseroute_domain::work::{Name, State};
+use std::time::Duration;
+use tokio::time::sleep;
 
 cases! {
     crashed_worker_is_known_to_be_over_in_seconds => crashed();
     cut_off_worker_runs_on_and_nothing_overlaps => cut_off();
     late_orders_start_nothing_twice => late_orders();
+    start_without_an_answer_costs_half_a_second => unanswered();
     job_that_always_fails_is_failed_after_its_attempts => fails();
     draining_worker_gets_nothing_new => draining();
 }
@@ -65,6 +68,30 @@
     bed.judge()
 }
 
+// A start gets no answer, and its stop does: from then on the run can't begin. But only a look that is sent later shows
+// that it hasn't begun before. The one on its way waited a second for an end, and the next one another second, so that the task
+// waited up to two seconds for its next start beside workers that had nothing to do.
+async fn unanswered() -> Result<()> {
+    let mut bed = Bed::open(46, 2, 4).await?;
+    for round in 0..4 {
+        sleep(Duration::from_millis(1_000 + round * 230)).await;
+        bed.conduct_all(|conduct| conduct.late_orders = 1.0);
+        let from = bed.world.now();
+        let id = bed.submit("e-0", &job("200", 1)).await?;
+        sleep(Duration::from_millis(200)).await;
+        bed.conduct_all(|conduct| conduct.late_orders = 0.0);
+        bed.until("e-1", &id, State::Completed, 4).await?;
+        let starts = bed.world.journal().starts(&task(&id, 0, 0));
+        let waited = starts.first().map(|(_worker, at)| at - from);
+        ensure!(
+            waited.is_some_and(|waited| waited < 700),
+            "round {round}: {waited:?} ms"
+        );
+    }
+    seconds(13).await;
+    bed.judge()
+}
+
 async fn fails() -> Result<()> {
     let mut bed = Bed::open(44, 2, 4).await?;
     let id = bed.submit("e-0", &job("200 fails", 1)).await?;
