A worker is looked at at once where a stop is to settle a start without an answer

The look on its way waits up to a second for an end, and the next one another second, so the task waited up to two seconds for its next start, and an instance that was to move as long to be empty.

Change: where the stop settles such a start, a look that doesn't wait goes out beside the others, a millisecond later. It renews nothing and acknowledges nothing. cell.rs, run.rs and reach.rs are touched for it: only the loop knows that the run is unsure and when the stop was taken in.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -293,15 +293,16 @@
         advice::answered(self, question, answer, sent_at, now);
     }
 
-    /// Takes in that a worker has taken the stop of a run.
-    pub fn stopped(&mut self, worker: &Name, task: &TaskId, run: u32, now: Millis) {
+    /// Takes in that a worker has taken the stop of a run; whether a look that is sent later will tell what came of
+    /// the run, and no end of it need come.
+    pub fn stopped(&mut self, worker: &Name, task: &TaskId, run: u32, now: Millis) -> bool {
         let worker = self.workers.get_mut(worker);
         let entry = worker.and_then(|worker| worker.runs.get_mut(task));
-        if let Some(entry) = entry
-            && entry.run == run
-        {
-            entry.stopped_at.get_or_insert(now);
-        }
+        let Some(entry) = entry.filter(|entry| entry.run == run) else {
+            return false;
+        };
+        entry.stopped_at.get_or_insert(now);
+        entry.known == Known::Unsure
     }
 
     /// A run is over without having done its work: its task waits again, if it was the newest run.
--- a/crates/owner/src/lease.rs
+++ b/crates/owner/src/lease.rs
@@ -184,3 +184,52 @@
         }
     }
 }
+
+/// Time after which the clock surely shows a later millisecond.
+const NEXT: Duration = Duration::from_millis(1);
+
+/// A look that doesn't wait for an end, renews nothing and acknowledges nothing.
+///
+/// A start that wasn't answered is settled by a stop and a look that is sent later. The look on its way waits a
+/// second for an end, and so does the next one: without this, such a task waits up to two seconds for its next start, and the
+/// instance of its worker as long to be emptied.
+#[derive(Debug)]
+pub(crate) struct Glance {
+    pub target: Target,
+    pub workers: Arc<dyn Workers>,
+    pub clock: Clock,
+    pub token: u64,
+    pub events: UnboundedSender<Event>,
+}
+
+impl Glance {
+    /// Looks, and tells the pool's loop. A glance that fails isn't repeated: the other looks go on.
+    pub(crate) async fn run(self) {
+        // A look that was sent in the millisecond of the stop's answer may have been sent before it.
+        sleep(NEXT).await;
+        let sent_at = self.clock.now();
+        let hold = Hold {
+            deadline_ms: None,
+            token: self.token,
+            seen: 0,
+            wait: Duration::ZERO,
+        };
+        let worker = Name::clone(&self.target.id);
+        let look = match self.workers.hold(&self.target, hold).await {
+            Ok(Seen::Look(look)) => look,
+            other => {
+                log::debug!(worker = &*worker, answer:? = other; "glance failed");
+                return;
+            }
+        };
+        let event = Event::Look {
+            worker,
+            look,
+            sent_at,
+            at: self.clock.now(),
+        };
+        if self.events.send(event).is_err() {
+            log::debug!(worker = &*self.target.id; "the pool's loop has ended");
+        }
+    }
+}
--- a/crates/owner/src/reach.rs
+++ b/crates/owner/src/reach.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     event::Event,
-    lease::{Readings, Watcher},
+    lease::{Glance, Readings, Watcher},
     own::Context,
     send::{Pending, Sending, Times},
 };
@@ -112,6 +112,20 @@
         }
     }
 
+    /// Looks at a worker at once, beside the looks that wait for an end.
+    pub(crate) fn glance(&mut self, worker: &Name) {
+        if let Some(watched) = self.watched.get(worker) {
+            let glance = Glance {
+                target: watched.target.clone(),
+                workers: Arc::clone(&self.context.workers),
+                clock: self.context.clock,
+                token: self.token,
+                events: self.events.clone(),
+            };
+            self.orders.spawn(glance.run());
+        }
+    }
+
     /// Sends orders; starts carry a deadline, the window after their commit's sending.
     ///
     /// A stop takes back a start that still waits for its turn: behind it, it would let the work begin first.
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -267,7 +267,9 @@
                 self.cell.answered(&worker, &task, run, outcome, now);
             }
             Event::Stopped { worker, task, run } => {
-                self.cell.stopped(&worker, &task, run, now);
+                if self.cell.stopped(&worker, &task, run, now) {
+                    self.reach.glance(&worker);
+                }
             }
             Event::Forgotten(id) => self.cell.forgotten(id, wall_ms),
             Event::Advised {
