A round decides, and carries out once it is committed; a stop that settles a start isn't taken back

Cause: reading the change. The round of a pool's loop had grown long, and a stop of a lasting run whose start had no answer looked like one of a move. Change: two functions in place of one; only runs that are known to be there are looked at again.

--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -16,7 +16,8 @@
     /// that long before it takes a start of its predecessor for one that never came.
     pub start_window: Millis,
     /// Time on the worker's clock, from the moment up to which the owner has heard of all cancels, in which a start must
-    /// arrive. On a clock that is slow it is over 0.14 s before the 3 s in which work of a cancelled job may still begin.
+    /// arrive. Work of a cancelled job may begin for 3 s after the acknowledgement; on a worker's clock that is as slow as it
+    /// may be, this is over 0.14 s earlier.
     pub cancel_window: Millis,
     /// Slack on every wait for something that surely is over, for timers that fire early.
     pub margin: Millis,
--- a/crates/cell/src/window.rs
+++ b/crates/cell/src/window.rs
@@ -6,7 +6,7 @@
     limits::Millis,
     order::Order,
     place::is_sibling,
-    worker::{Run, Stop},
+    worker::{Known, Run, Stop},
 };
 use primroseroute_domain::work::{Name, TaskId};
 
@@ -90,7 +90,9 @@
                 let emptied =
                     emptied.filter(|worker| worker.emptying.is_some() && !worker.is_leaving());
                 let entry = emptied.and_then(|worker| worker.runs.get(task));
-                let moves = entry.is_some_and(|entry| entry.lasting && !entry.stop_left);
+                let moves = entry.is_some_and(|entry| {
+                    entry.lasting && !entry.stop_left && matches!(entry.known, Known::Runs(_))
+                });
                 !moves || drain::can_miss(self, task, now)
             }
             Order::Pace { .. } => true,
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -18,7 +18,7 @@
     watch::Workers as Registered,
 };
 use log::{info, warn};
-use primroseroute_cell::{Cell, Millis, Order, Outcome, row::Wanted};
+use primroseroute_cell::{Cell, Millis, Order, Outcome, Tick, row::Wanted};
 use primroseroute_domain::work::{End, Name};
 use primroseroute_platform::{rows::Version, site::Configuration};
 use std::{collections::BTreeSet, pin::pin, sync::Arc, time::Duration};
@@ -348,6 +348,13 @@
             self.confirm(lane).await?;
             *self.reach.confirmed.borrow()
         };
+        self.carry_out(tick, sent_at, decided);
+        Ok(())
+    }
+
+    /// Sends what still holds of a round, once it is committed by a transaction that was sent at `sent_at`.
+    fn carry_out(&mut self, mut tick: Tick, sent_at: Millis, decided: Instant) {
+        let clock = self.context.clock;
         self.cell.committed(&tick, sent_at);
         // The commit may have taken long.
         let workers = self.context.watch.workers.borrow().clone();
@@ -378,7 +385,6 @@
         self.send(orders, sent_at, decided);
         self.reach.look_at(self.cell.targets());
         self.publish(tick.need.kept);
-        Ok(())
     }
 
     /// Waits for a call to the store, and takes in what happens meanwhile.
@@ -409,7 +415,7 @@
         }
     }
 
-    /// Sends orders that were committed by a transaction which was sent at `sent_at`.
+    /// Sends orders; starts among them were committed by a transaction that was sent at `sent_at`.
     fn send(&mut self, orders: Vec<Order>, sent_at: Millis, decided: Instant) {
         let times = Times {
             decided,
