A look that is taken in late shows nothing new

What callers saw: AVAIL, a task of a lasting step was ended while another of the step had been over for seconds and one may be.

Cause: a look counted as new from the moment it was taken in. Where the owner's process stands still, or gets no processor time, answers wait in its sockets; taken in after it goes on they show tasks at work that have ended since. History 610098: the second task's lease lapsed at 33.4 s, its owner's calls stood still until 49.9 s, the look of before came with them, and the first task was moved at 51.6 s by it.

Change: a look that comes later than one can take counts from when it was sent. In mixed histories an instance takes its time from one life to the next also where a spell begins: three of the findings before (610241, 610395, 610601) were lives that followed each other in the same millisecond, which no instance does.

--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -21,6 +21,8 @@
     pub cancel_window: Millis,
     /// Slack on every wait for something that surely is over, for timers that fire early.
     pub margin: Millis,
+    /// Longest time from the sending of a look to its answer: it waits a second for an end, and has half of one for its way.
+    pub look: Millis,
     /// A worker without a look for this long gets nothing new: two looks that went unanswered.
     pub fresh: Millis,
     /// A worker without a look for this long is asked for at the platform: one look and a half.
@@ -51,6 +53,7 @@
             start_window: 2_500,
             cancel_window: 2_800,
             margin: 100,
+            look: 1_500,
             fresh: 3_200,
             silent: 1_600,
             resend: 500,
--- a/crates/cell/src/look.rs
+++ b/crates/cell/src/look.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     cell::Cell,
-    limits::Millis,
+    limits::{Limits, Millis},
     row::Phase,
     worker::{Known, Run, Stop},
 };
@@ -24,7 +24,9 @@
     let Some(worker) = cell.workers.get_mut(id) else {
         return;
     };
-    worker.looked_at = Some(now);
+    worker.looked_at = worker
+        .looked_at
+        .max(Some(seen_at(cell.limits, sent_at, now)));
     worker.paced = false;
     let known = worker.seen;
     for ended in look.ended.iter().filter(|ended| ended.number > known) {
@@ -40,6 +42,19 @@
     }
 }
 
+/// Up to when what a look shows surely was so.
+///
+/// A look is answered within its own wait. One that is taken in later was answered long before: its owner's process stood still, or
+/// got no processor time. Taken for new, it showed tasks at work that had ended seconds ago, and others of their step were ended
+/// beside them, more than it may miss.
+fn seen_at(limits: Limits, sent_at: Millis, now: Millis) -> Millis {
+    if now <= sent_at + limits.look {
+        now
+    } else {
+        sent_at
+    }
+}
+
 /// Takes in an end that wasn't seen before.
 fn end(cell: &mut Cell, id: &Name, ended: &Ended, now: Millis, wall_ms: u64) {
     let limits = cell.limits;
--- a/crates/cell/tests/all/bed.rs
+++ b/crates/cell/tests/all/bed.rs
@@ -214,6 +214,11 @@
     }
 
     pub(crate) fn look_at(&mut self, id: &Name) {
+        self.look_sent_at(id, self.now);
+    }
+
+    /// Takes in a look that was sent at `sent_at`.
+    pub(crate) fn look_sent_at(&mut self, id: &Name, sent_at: Millis) {
         let running = self.running[id].iter();
         let running = running.map(|(task, (run, percent))| Running {
             task: task.clone(),
@@ -228,7 +233,7 @@
             ended: self.ended.get(id).cloned().unwrap_or_default(),
         };
         let wall = WALL + self.now;
-        self.cell.look(id, &look, self.now, self.now, wall);
+        self.cell.look(id, &look, sent_at, self.now, wall);
     }
 
     /// Workers on which a task runs.
--- a/crates/cell/tests/all/lasting.rs
+++ b/crates/cell/tests/all/lasting.rs
@@ -10,6 +10,7 @@
 cases! {
     one_task_of_a_step_moves_at_a_time => one_at_a_time();
     nothing_moves_while_another_is_away => none_while_away();
+    nothing_moves_beside_a_task_that_only_a_late_look_shows => late_look();
     nothing_moves_without_room_elsewhere => no_room();
     leaving_worker_is_left_at_once => leaving();
     successor_counts_tasks_that_are_being_stopped => taken_over();
@@ -89,6 +90,25 @@
     assert_eq!(bed.on(&task(&id, 0, 0)), vec![Name::clone(&on[0])]);
 }
 
+// The owner's process stands still for twelve seconds. The worker of the second task dies meanwhile, and answers to looks that were
+// sent before are taken in when the owner goes on. They show the second task at work, as it was then; the first one was moved by
+// that, and both were away.
+fn late_look() {
+    let (mut bed, id, on) = bed(&["w-1", "w-2", "w-3"], 1_000);
+    let sent_at = bed.now;
+    bed.now += 12_000;
+    bed.look_sent_at(&on[1], sent_at);
+    for worker in ["w-1", "w-2", "w-3"].map(Name::from) {
+        if worker != on[1] {
+            bed.look_at(&worker);
+        }
+    }
+    bed.cell.empty(&on[0], Some(Purpose::Maintenance));
+    let orders = bed.tick();
+    let stops = |order: &Order| matches!(order, Order::Stop { task: stopped, .. } if *stopped == task(&id, 0, 0));
+    assert!(!orders.iter().any(stops), "{orders:?}");
+}
+
 fn no_room() {
     let (mut bed, id, on) = bed(&["w-1", "w-2"], 6_000);
     bed.cell.empty(&on[0], Some(Purpose::Maintenance));
--- a/tests/site/random/mixed.rs
+++ b/tests/site/random/mixed.rs
@@ -21,6 +21,8 @@
 pub(super) const REGRESSIONS: &[u64] = &[
     // A stop was sent again, by the next owners too, while a crash had taken another task of the step.
     600_032, 600_445,
+    // A look from before its owner stood still for seconds was taken for new.
+    610_098,
 ];
 
 /// Seconds of faults and spells in a history.
@@ -99,6 +101,7 @@
     }
     mixed.end_faults();
     let last_fault = mixed.history.bed.world.now();
+    mixed.restart_all().await;
     mixed.history.calm().await;
     mixed.history.was_calm(last_fault);
     mixed.history.finish().await?;
@@ -282,15 +285,16 @@
         }
     }
 
-    /// Ends all faults, and brings back what is away.
+    /// Ends all faults, and brings back what is away; instances whose workers have just crashed take their time.
     fn end_faults(&mut self) {
         self.rolling.clear();
-        for later in std::mem::take(&mut self.later).into_values().flatten() {
-            self.come(later);
-        }
-        // What has just crashed comes back too.
-        for later in std::mem::take(&mut self.later).into_values().flatten() {
-            self.come(later);
+        for (second, all) in std::mem::take(&mut self.later) {
+            for later in all {
+                match later {
+                    Later::Restart(_) => self.later.entry(second).or_default().push(later),
+                    other => self.come(other),
+                }
+            }
         }
         let bed = &mut self.history.bed;
         bed.conduct_all(|conduct| *conduct = Conduct::default());
@@ -301,6 +305,17 @@
         }
     }
 
+    /// Waits until all instances whose workers have crashed have their next lives.
+    async fn restart_all(&mut self) {
+        while !self.later.is_empty() {
+            for later in self.later.remove(&self.second).unwrap_or_default() {
+                self.come(later);
+            }
+            self.second += 1;
+            seconds(1).await;
+        }
+    }
+
     /// Each lasting task of a job that goes on runs once.
     fn all_at_work(&self) -> Result<()> {
         let History {
