An entry that comes back doesn't vouch for the orders of its earlier process

Cause: an entry that takes a group of instances back keeps what its predecessor had told it, and needn't wait for its own orders. When it gave the group up itself it handed just that on; what its earlier process had ordered after that takeover was missing.

Change: after a holder that told nothing all instances rest for the next one, also where that holder was the same entry.

--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -189,8 +189,7 @@
         let last = known.map(|(owner, _version)| owner);
         let owner = self.successor(last.as_ref());
         if let Some(token) = self.claim(&name, version, &owner).await {
-            let from = last.map_or_else(|| "".into(), |last| last.entry);
-            self.begin(name, &owner, token, &from);
+            self.begin(name, &owner, token, last.as_ref());
         }
     }
 
@@ -247,7 +246,9 @@
     }
 
     /// Starts what a pool or a group needs.
-    fn begin(&mut self, name: Name, owner: &Owner, token: Version, from: &str) {
+    fn begin(&mut self, name: Name, owner: &Owner, token: Version, last: Option<&Owner>) {
+        let from = last.map_or("", |last| &*last.entry);
+        let told = last.is_none_or(|last| last.released);
         let known = (owner.clone(), token);
         self.picture.lock().owners.insert(Name::clone(&name), known);
         let (stop, stopped) = watch::channel(false);
@@ -256,7 +257,8 @@
             info!(group = &*name, token, from; "group of instances taken over");
             let holding = self.holding(&name);
             let rest = Rest::of(owner, holding.order_pause, since);
-            tokio::spawn(holder::hold(holding, token, rest, stopped))
+            let next = rest.handed_on(told, holding.order_pause, since);
+            tokio::spawn(holder::hold(holding, token, (rest, next), stopped))
         } else {
             info!(pool = &*name, token, from; "pool taken over");
             self.parts.observer.taken_over(&name);
--- a/crates/owner/src/holder.rs
+++ b/crates/owner/src/holder.rs
@@ -80,17 +80,17 @@
 }
 
 /// Holds the group under `token` until it is lost, or `stop` says to give it up; `rest` is what its instances
-/// need after the holder before.
+/// need after the holder before, and `next` what they need before the next one as long as nothing is ordered.
 pub(crate) async fn hold(
     parts: Parts,
     token: Version,
-    rest: Rest,
+    (rest, next): (Rest, Rest),
     mut stop: watch::Receiver<bool>,
 ) -> Over {
     let mut news = parts.picture.lock().news();
     let mut group = Group {
         token,
-        next: rest.clone(),
+        next,
         rest,
         parts,
         settled: BTreeMap::new(),
--- a/crates/owner/src/rest.rs
+++ b/crates/owner/src/rest.rs
@@ -44,6 +44,21 @@
         }
     }
 
+    /// What the next holder has to know of a group that is taken with this rest, where the one before has `told` what it had
+    /// ordered or hasn't.
+    ///
+    /// An entry that comes back needn't wait for its own earlier orders. It doesn't know them either: without this, it
+    /// stopped within the pause, said that nothing rests, and the next holder ordered an instance that the earlier
+    /// process had ordered less than the pause before.
+    #[must_use]
+    pub fn handed_on(&self, told: bool, pause: Duration, now: Instant) -> Self {
+        let own = (!told).then(|| now + pause);
+        Self {
+            all: self.all.max(own),
+            some: self.some.clone(),
+        }
+    }
+
     /// Whether an instance may be ordered.
     pub fn is_over(&self, instance: &Name, now: Instant) -> bool {
         let over = |until: &Instant| now >= *until;
--- a/crates/owner/tests/all/rest.rs
+++ b/crates/owner/tests/all/rest.rs
@@ -71,6 +71,19 @@
     assert_eq!(told.keys().collect::<Vec<_>>(), [&Name::from("i-1")]);
 }
 
+/// An entry dies and comes back within the pause, and is told to stop at once. It may order itself what it had ordered before;
+/// what that was it can't tell the next holder, for which all instances rest.
+#[test]
+fn entry_that_comes_back_knows_not_what_it_had_ordered() {
+    let now = Instant::now();
+    let rest = Rest::of(&holder(Some("e-1"), Some(&[])), PAUSE, now);
+    let next = rest.handed_on(false, PAUSE, now);
+    assert!(rest.is_over(&"i-1".into(), now));
+    assert_eq!(next.left(now + Duration::from_secs(1)), None);
+    assert_eq!(next.left(now + PAUSE), Some(BTreeMap::new()));
+    assert_eq!(rest.handed_on(true, PAUSE, now), rest);
+}
+
 /// A row that can't be right makes nothing rest for longer than the pause.
 #[test]
 fn nothing_rests_for_longer_than_the_pause() {
--- a/tests/site/random/mixed.rs
+++ b/tests/site/random/mixed.rs
@@ -23,6 +23,8 @@
     600_032, 600_445,
     // A look from before its owner stood still for seconds was taken for new.
     610_098,
+    // An entry that came back stopped at once, and told the next holder that nothing it held had been ordered.
+    610_919, 612_399,
 ];
 
 /// Seconds of faults and spells in a history.
