Instances are ordered by a list that is half a second old at most

What callers could have seen: AVAIL, tasks at work are ended by an order to their instance.

Cause: a worker counts as emptied by the cell, and its instance is found in the list of instances. Where that list takes seconds, the worker may have died and the instance may have its next life meanwhile, with tasks: in 612767 the instance is maintained at 18.2 s, its new worker has four lasting tasks from 20.3 s on, and the order by the older list ends them at 21.790 s.

Change: an order is asked for only while the list is at most half a second old. The holder gives it within 0.8 s, and the next life begins 1.5 s after the end of the one before at the earliest. A wave waits where the platform's lists take longer; 'orders to instances wait for a newer list' tells.

--- a/crates/owner/src/request.rs
+++ b/crates/owner/src/request.rs
@@ -19,6 +19,12 @@
 /// take a fifth of it; a holder that doesn't answer in this time is away, or its store is slow.
 const ANSWERS: Duration = Duration::from_millis(800);
 
+/// Age of the list of instances up to which orders are asked for by it. An instance's next life begins a second and a half after
+/// the end of the one before at the earliest; until then nothing runs there, and an order by this list, which its holder gives
+/// within [`ANSWERS`], cuts nothing off. The platform's answers may take seconds: an order by an older list ended tasks of a
+/// life that the list didn't show.
+const LIST_AGE: Duration = Duration::from_millis(500);
+
 /// What a pool's owner asks for; one request at a time.
 #[derive(Debug)]
 pub(crate) struct Requests {
@@ -29,6 +35,8 @@
     last: Option<Version>,
     /// Whether a request may stand that nobody waits for.
     standing: bool,
+    /// When the list of instances was asked for by which orders are decided.
+    listed_at: Option<Instant>,
 }
 
 impl Requests {
@@ -39,10 +47,16 @@
             owner,
             last: None,
             standing: false,
+            listed_at: None,
         }
     }
 
-    /// Asks for orders to instances of the pool; what came of each that was answered.
+    /// Takes in when the list was asked for by which the next orders are decided.
+    pub(crate) fn listed(&mut self, asked_at: Instant) {
+        self.listed_at = Some(asked_at);
+    }
+
+    /// Asks for orders to instances of the pool; what came of each that was answered: of none where the list is too old.
     ///
     /// Where an answer is missing the request is withdrawn, and this returns only when no order of it can
     /// go out any more, since the owner may use the instances again.
@@ -53,6 +67,13 @@
         &mut self,
         orders: BTreeMap<Name, Order>,
     ) -> Result<BTreeMap<Name, Given>, Error> {
+        if let Some(listed_at) = self.listed_at
+            && listed_at.elapsed() > LIST_AGE
+        {
+            let age_ms = listed_at.elapsed().as_millis();
+            info!(pool = &*self.context.pool, orders = orders.len(), age_ms; "orders to instances wait for a newer list");
+            return Ok(BTreeMap::new());
+        }
         let instances: BTreeSet<Name> = orders.keys().map(Name::clone).collect();
         self.standing = true;
         let Some(asked) = self.write(orders).await? else {
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -121,6 +121,7 @@
     async fn list(&mut self) -> Result<Arc<Vec<Instance>>, Error> {
         let listing = self.context.fleet.list(Instant::now()).await?;
         let instances = Arc::clone(&listing.instances);
+        self.requests.listed(listing.asked_at);
         self.listed = Some(listing);
         self.emptying.settle(&instances);
         Ok(instances)
--- a/tests/site/random/mixed.rs
+++ b/tests/site/random/mixed.rs
@@ -25,6 +25,8 @@
     610_098,
     // An entry that came back stopped at once, and told the next holder that nothing it held had been ordered.
     610_919, 612_399,
+    // An instance was ordered by a list that showed the life before, and tasks of the new one were cut off.
+    612_767,
 ];
 
 /// Seconds of faults and spells in a history.
