An owner whose feed fails reads the jobs and cancels in its place

Cause: the feed of jobs and cancels was repeated without end, and nothing else was asked.

Change: where the feed of jobs has failed for a second the whole is read in its place, after each further call that fails, so that cancels are heard within two seconds or so. Starts stay bound by what was heard. Not the feed of heartbeats: reading those every two seconds would make live entries look dead. What is left: an owner that can neither follow nor read keeps its pool and starts nothing; giving it up would let leases lapse where all are deaf.

The stand-in can refuse reads and feeds of jobs together (Conduct::jobs); hears_late keeps its case and has a second one with that. The two new cases of tests/site/cancel.rs fail without the change.

--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -42,6 +42,7 @@
 const CONTROL_RHYTHM: Rhythm = Rhythm {
     pace: Duration::from_millis(100),
     wait: WAIT,
+    read_after: None,
 };
 
 /// Longest time that giving up all pools may take; what is left then is taken over by timeout.
--- a/crates/owner/src/follow.rs
+++ b/crates/owner/src/follow.rs
@@ -23,6 +23,8 @@
     pub pace: Duration,
     /// How long one of them waits for a change.
     pub wait: Duration,
+    /// How long calls may fail before the whole is read in their place, again and again until one succeeds; never without.
+    pub read_after: Option<Duration>,
 }
 
 /// What is followed.
@@ -120,6 +122,8 @@
     K: Sink<Item = S::Item>,
 {
     let mut wait = rhythm.wait;
+    // When something was last told.
+    let mut told_at = Instant::now();
     loop {
         let begin = Instant::now();
         match source.since(next, wait).await {
@@ -129,6 +133,7 @@
                 complete,
             }) => {
                 wait = rhythm.wait;
+                told_at = begin;
                 next = next.max(later);
                 if !items.is_empty() {
                     sink.apply(items);
@@ -149,11 +154,43 @@
                 sleep(PAUSE).await;
                 // What changed meanwhile is behind by that much already.
                 wait = Duration::ZERO;
+                let due = rhythm.read_after;
+                if due.is_some_and(|after| told_at.elapsed() >= after)
+                    && let Some((version, at)) = read(source, sink, next).await
+                {
+                    next = version;
+                    told_at = at;
+                }
             }
         }
     }
 }
 
+/// Reads the whole while the feed fails; the version to go on from and when the read began, if it succeeded.
+///
+/// A store may refuse the one and serve the other. Without this, an owner whose feed alone failed started nothing, and work of
+/// cancelled jobs ran on for as long.
+async fn read<S, K>(source: &S, sink: &mut K, newest: Version) -> Option<(Version, Instant)>
+where
+    S: Source,
+    K: Sink<Item = S::Item>,
+{
+    let begin = Instant::now();
+    match source.whole().await {
+        // A read that is older than what was seen is stale.
+        Ok((items, version)) if version >= newest => {
+            sink.reset(items);
+            sink.confirmed(begin);
+            Some((version, begin))
+        }
+        Ok(_stale) => None,
+        Err(error) => {
+            log::debug!("the whole can't be read either: {error}");
+            None
+        }
+    }
+}
+
 /// One line when a feed is lost, and one when it is back.
 struct Health<'a> {
     name: &'a str,
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -53,6 +53,8 @@
 const JOBS_RHYTHM: Rhythm = Rhythm {
     pace: Duration::from_millis(25),
     wait: Duration::from_millis(400),
+    // A cancel has to be heard of, and the work stopped, within 3 s of its acknowledgement.
+    read_after: Some(Duration::from_secs(1)),
 };
 
 /// Queues of a configuration whose starts need a ticket.
--- a/crates/owner/src/watch.rs
+++ b/crates/owner/src/watch.rs
@@ -24,12 +24,14 @@
 const WORKERS_RHYTHM: Rhythm = Rhythm {
     pace: Duration::from_millis(250),
     wait: WAIT,
+    read_after: None,
 };
 
 /// Calls for changes of the operators' rows, paced so that a storm of changes costs a few a second.
 const INSTRUCTIONS_RHYTHM: Rhythm = Rhythm {
     pace: Duration::from_millis(100),
     wait: WAIT,
+    read_after: None,
 };
 
 /// Registered workers by id.
--- a/crates/standin/src/site/caller/mod.rs
+++ b/crates/standin/src/site/caller/mod.rs
@@ -18,6 +18,9 @@
 /// Table of owners and heartbeats.
 const CONTROL: &str = "control";
 
+/// How the names of the tables of accepted jobs begin.
+const JOBS: &str = "jobs-";
+
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -91,12 +94,10 @@
 
     /// The way to a table of the store.
     async fn to_table(&self, table: &str) -> Result<(), Error> {
-        self.through(|conduct| {
-            if table == CONTROL && conduct.store == Reach::Fine {
-                conduct.control
-            } else {
-                conduct.store
-            }
+        self.through(|conduct| match conduct.store {
+            Reach::Fine if table == CONTROL => conduct.control,
+            Reach::Fine if table.starts_with(JOBS) => conduct.jobs,
+            store => store,
         })
         .await
     }
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -91,6 +91,8 @@
     pub commits: Reach,
     /// Its feeds, whatever becomes of other calls to the store.
     pub feeds: Reach,
+    /// Its reads and feeds of accepted jobs and of cancels, whatever becomes of other calls to the store.
+    pub jobs: Reach,
     /// Further time of each of its reads of the store: a thin link, or a process that gets little processor time.
     pub reads: Duration,
     /// Its calls about the registrations of workers, whatever becomes of other calls to the store.
--- a/tests/site/cancel.rs
+++ b/tests/site/cancel.rs
@@ -8,7 +8,7 @@
 use http::StatusCode;
 use primroseroute_cell::row;
 use primroseroute_domain::work::{JobId, State};
-use primroseroute_standin::site::Reach;
+use primroseroute_standin::site::{Conduct, Reach};
 use std::time::Duration;
 
 cases! {
@@ -19,7 +19,10 @@
     cancel_stops_while_commits_wait => commits_wait();
     cancel_stops_while_a_commit_is_under_way => commit_under_way();
     cancel_of_a_job_whose_start_waits_for_its_commit => start_waits();
-    cancel_that_the_owner_hears_of_seconds_late => hears_late();
+    cancel_that_the_owner_hears_of_seconds_late => hears_late(|conduct| conduct.feeds = Reach::Silent);
+    cancel_that_the_owner_can_neither_follow_nor_read => hears_late(|conduct| conduct.jobs = Reach::Silent);
+    cancel_that_an_owner_without_a_feed_reads => reads_in_place(Reach::Silent);
+    cancel_that_an_owner_whose_feed_is_refused_reads => reads_in_place(Reach::Refused);
     cancel_while_a_successor_reads_the_pool => successor_reads();
     cancel_after_a_successor_has_read_the_pool => successor_has_read();
     cancel_whose_stop_is_late_stops_the_start_that_waits => stop_is_late();
@@ -145,20 +148,20 @@
 // A task of a cancelled job was started four seconds after its caller was told that it is cancelled. The job waits for
 // room; its owner's feed brings nothing for seconds, while its commits go through; then room comes, and the owner
 // starts what it knows nothing against. Only the age of the commit was bound, not the age of what it rests on.
-async fn hears_late() -> Result<()> {
+async fn hears_late(deafen: impl FnOnce(&mut Conduct)) -> Result<()> {
     let mut bed = Bed::open(58, 2, 1).await?;
     let owner = bed.owner(POOL).await?;
     let other = bed.bystander(POOL).await?;
     bed.submit(&other, &job("5000", 8)).await?;
     tokio::time::sleep(Duration::from_millis(300)).await;
     let waits = bed.submit(&other, &job("500", 4)).await?;
-    bed.conduct(&owner, |conduct| conduct.feeds = Reach::Silent);
+    bed.conduct(&owner, deafen);
     // The call that was on its way has come back by then.
     tokio::time::sleep(Duration::from_millis(1_200)).await;
     let goes_on = bed.submit(&other, &job("500", 4)).await?;
     ensure!(bed.cancel(&other, &waits).await == StatusCode::OK);
     seconds(8).await;
-    bed.conduct(&owner, |conduct| conduct.feeds = Reach::Fine);
+    bed.conduct(&owner, |conduct| *conduct = Conduct::default());
     seconds(2).await;
     bed.judge()?;
     ensure!(bed.state(&other, &waits).await == Ok(State::Cancelled));
@@ -166,6 +169,27 @@
     Ok(())
 }
 
+// Tasks of a cancelled job ran on for as long as their owner's feed failed, while its commits and its looks went through, so that
+// nobody took its pool: the owner waited for the feed alone. It reads what it can't follow, once a second or two.
+async fn reads_in_place(feeds: Reach) -> Result<()> {
+    let mut bed = Bed::open(63, 2, 4).await?;
+    let owner = bed.owner(POOL).await?;
+    let other = bed.bystander(POOL).await?;
+    let id = bed.submit(&other, &lasting(3)).await?;
+    seconds(2).await;
+    bed.conduct(&owner, |conduct| conduct.feeds = feeds);
+    seconds(3).await;
+    let later = bed.submit(&other, &job("300", 2)).await?;
+    ensure!(bed.cancel(&other, &id).await == StatusCode::OK);
+    seconds(3).await;
+    for index in 0..3 {
+        ensure!(bed.running(&task(&id, 0, index)).is_empty());
+    }
+    ensure!(bed.state(&other, &later).await == Ok(State::Completed));
+    ensure!(bed.owner(POOL).await? == owner);
+    bed.judge()
+}
+
 // The same during a takeover. A weak successor takes seconds to read the pool's jobs; the cancel is stored just after
 // it has read the job's partition, and it then reads everything once more before it follows the feed. It starts
 // the job as soon as it has read it, and hears of the cancel seconds later.
