A holder that gives its group up without knowing what rests says so to itself as well

What callers could have seen: ONE, two holders take turns at an instance within the pause.

Cause: e-1 took a group from an entry that had died (17.360 s), was told to stop and gave it up at once, with nothing to tell of what rests. That row had no holder before it either; back again, e-1 took it at 17.536 s for a group that nobody had held, and ordered an instance at 18.838 s that the dead holder had ordered at 16.426 s.

Change: such a row names its writer as the one that orders came from, so that all instances rest for whoever takes it, the same entry too.

--- a/crates/owner/src/own.rs
+++ b/crates/owner/src/own.rs
@@ -98,7 +98,9 @@
         incarnation: 0,
         attempt: 0,
         released: true,
-        after: None,
+        // Where it isn't known what rests, all of it does, also for this entry when it comes back: without this, it took its
+        // own release for that of a holder after which nothing rests.
+        after: resting.is_none().then(|| Name::clone(entry)),
         resting,
     };
     let value = serde_json::to_vec(&owner).expect("an owner has plain fields");
--- a/tests/site/random/mixed.rs
+++ b/tests/site/random/mixed.rs
@@ -27,6 +27,8 @@
     610_919, 612_399,
     // An instance was ordered by a list that showed the life before, and tasks of the new one were cut off.
     612_767,
+    // An entry that gave a group up without knowing what rests took it back, and took nothing for resting.
+    623_208,
 ];
 
 /// Seconds of faults and spells in a history.
