--- a/crates/standin/src/site/check/mod.rs
+++ b/crates/standin/src/site/check/mod.rs
@@ -55,9 +55,13 @@
     done: BTreeSet<&'a TaskId>,
     acknowledged: BTreeSet<&'a TaskId>,
     failures: BTreeMap<&'a TaskId, usize>,
-    /// Ends of each worker, in the order of their numbers.
-    ends: BTreeMap<&'a Name, Vec<(&'a TaskId, End)>>,
+    /// Ends of each worker, in the order of their numbers, with their times.
+    ends: BTreeMap<&'a Name, Vec<(&'a TaskId, End, u64)>>,
     noted: BTreeMap<&'a Name, usize>,
+    /// When the lease of a worker last lapsed.
+    lapsed: BTreeMap<&'a Name, u64>,
+    /// Starts of tasks that were done, of which the end may be acknowledged yet.
+    again: BTreeMap<&'a TaskId, Vec<u64>>,
     /// The last order to each instance.
     orders: BTreeMap<&'a Name, Order<'a>>,
     /// When the last order to any instance came: what runs there ends at that moment.
@@ -95,6 +99,9 @@
                 judge.cut_off(sent, *at, task, *how);
                 judge.ended(sent, *at, (worker, task), *run, *how);
             }
+            Event::Lapsed { at, worker } => {
+                judge.lapsed.insert(worker, *at);
+            }
             Event::Noted { worker, number, .. } => judge.noted(worker, *number),
             Event::Maintained {
                 at,
@@ -154,6 +161,8 @@
         self.steps.started(task, at);
         if self.acknowledged.contains(task) {
             self.breaches.push(Breach::AfterDone(task.clone(), at));
+        } else if self.done.contains(task) {
+            self.again.entry(task).or_default().push(at);
         }
         if !self.is_due(job, task) {
             self.breaches.push(Breach::Early(task.clone(), at));
@@ -211,7 +220,7 @@
         let Some(how) = how else {
             return;
         };
-        self.ends.entry(worker).or_default().push((task, how));
+        self.ends.entry(worker).or_default().push((task, how, at));
         if how == End::Done {
             self.done.insert(task);
         }
@@ -239,16 +248,24 @@
         }
     }
 
-    /// Ends count as known to the entries once they are acknowledged.
+    /// Ends count as known to the entries once they are acknowledged, but for those after which the lease of their worker lapsed
+    /// before: their tasks may have been started elsewhere by then.
     fn noted(&mut self, worker: &'a Name, number: u64) {
         let number = usize::try_from(number).unwrap_or(usize::MAX);
         let from = self.noted.get(worker).copied().unwrap_or(0);
         let ends = self.ends.get(worker).map_or(&[][..], Vec::as_slice);
         let upto = number.min(ends.len());
-        for (task, how) in &ends[from.min(upto)..upto] {
+        let lapsed = self.lapsed.get(worker).copied();
+        let counted = ends[from.min(upto)..upto].iter();
+        let counted = counted.filter(|(_task, _how, at)| lapsed.is_none_or(|lapsed| lapsed < *at));
+        for (task, how, at) in counted {
             match how {
                 End::Done => {
                     self.acknowledged.insert(task);
+                    let again = self.again.remove(task).unwrap_or_default();
+                    let after = again.into_iter().filter(|begun| begun >= at);
+                    let after = after.map(|begun| Breach::AfterDone((*task).clone(), begun));
+                    self.breaches.extend(after);
                 }
                 End::Failed => *self.failures.entry(task).or_default() += 1,
                 _ => {}
--- a/crates/standin/src/site/journal.rs
+++ b/crates/standin/src/site/journal.rs
@@ -51,6 +51,13 @@
         /// How; none where the worker's life ended with it.
         how: Option<End>,
     },
+    /// The lease of a worker had lapsed before it was renewed, whether anything ran there or not.
+    Lapsed {
+        /// When it lapsed.
+        at: u64,
+        /// The worker.
+        worker: Name,
+    },
     /// Ends up to this number were acknowledged to the worker.
     Noted {
         /// When.
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -256,6 +256,13 @@
         if self.fenced(hold.token) {
             return false;
         }
+        let lapsed_at = self.when(self.lease);
+        if lapsed_at < now {
+            journal.add(Event::Lapsed {
+                at: lapsed_at,
+                worker: Name::clone(&self.info.id),
+            });
+        }
         if let Some(deadline) = hold.deadline_ms {
             let most = self.clock(now) + longest;
             self.lease = self.lease.max(deadline.min(most));
