A lasting task stays where its worker is let go before its stop is sent

A stop that was decided to empty a worker was sent also where the worker had been let go while the round's commit was under way: the task moved for nothing and was away for a start's time. Such a stop is taken back now, if its run is the task's newest one; the case of tests/all/window.rs fails without it. The least time of a start is one of the limits, and the cell's first page tells what no order outlives.

--- a/crates/cell/src/drain.rs
+++ b/crates/cell/src/drain.rs
@@ -70,9 +70,16 @@
 /// work, or leaves with its worker, isn't held.
 pub(crate) fn may_repeat(cell: &Cell, worker: &Name, task: &TaskId, now: Millis) -> bool {
     let leaving = cell.workers.get(worker).is_some_and(Worker::is_leaving);
-    let placed = cell.jobs.get(&task.job).and_then(|job| job.task(task));
-    let leaves = placed.is_some_and(|placed| placed.phase == Phase::Leaving(Name::clone(worker)));
-    leaving || !leaves || can_miss(cell, task, now)
+    leaving || !leaves(cell, worker, task) || can_miss(cell, task, now)
+}
+
+/// Whether the newest run of a task is on a worker, and is to stop there while its job goes on.
+pub(crate) fn leaves(cell: &Cell, worker: &Name, task: &TaskId) -> bool {
+    let newest = cell.jobs.get(&task.job).and_then(|job| job.task(task));
+    let on = cell.workers.get(worker).and_then(|on| on.runs.get(task));
+    newest.zip(on).is_some_and(|(newest, on)| {
+        newest.run == on.run && newest.phase == Phase::Leaving(Name::clone(worker))
+    })
 }
 
 fn want_stop(cell: &mut Cell, worker: &Name, task: &TaskId) {
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -16,6 +16,12 @@
 //! * What runs on a silent worker counts as running until the worker's lease has surely lapsed.
 //! * An end is acknowledged to its worker only after it is committed.
 //!
+//! # No order outlives what it rests on
+//!
+//! * A start takes effect within a bound of the moment up to which its owner has heard of all cancels, and of its commit.
+//! * What a round has decided is looked at once more when its commit is through, and a stop of a task at work whenever it is sent
+//!   again: what has ended, been cancelled or gone away meanwhile counts.
+//!
 //! # Modules
 //!
 //! * [`row`]: what lies in the store, where, and how it is read.
--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -15,6 +15,8 @@
     /// covers a commit at a store that answers sixty times slower than usual; a successor waits for
     /// that long before it takes a start of its predecessor for one that never came.
     pub start_window: Millis,
+    /// Least time that a start needs from its decision to its worker: a commit and a call, thirty times slower than usual.
+    pub start_time: Millis,
     /// Time on the worker's clock, from the moment up to which the owner has heard of all cancels, in which a start must
     /// arrive. Work of a cancelled job may begin for 3 s after the acknowledgement; on a worker's clock that is as slow as it
     /// may be, this is over 0.14 s earlier.
@@ -51,6 +53,7 @@
         Self {
             lease,
             start_window: 2_500,
+            start_time: 500,
             cancel_window: 2_800,
             margin: 100,
             look: 1_500,
--- a/crates/cell/src/window.rs
+++ b/crates/cell/src/window.rs
@@ -1,4 +1,4 @@
-//! Up to when an owner knows what callers have cancelled, and the starts that rest on it.
+//! Up to when an owner knows what callers have cancelled, and which orders still hold once their commit is through.
 
 use crate::{
     cell::Cell,
@@ -10,9 +10,6 @@
 };
 use primroseroute_domain::work::{Name, TaskId};
 
-/// Least time that a start needs from its decision to its worker: a commit and a call, thirty times slower than usual.
-const START_TIME: Millis = 500;
-
 impl Cell {
     /// Takes in that all jobs and cancels which were stored by `at` have been told.
     pub fn heard(&mut self, at: Millis) {
@@ -31,7 +28,7 @@
 
     /// Whether enough is left of the window for starts that are decided now.
     pub(crate) fn may_start(&self, now: Millis) -> bool {
-        self.start_window(now) >= START_TIME
+        self.start_window(now) >= self.limits.start_time
     }
 
     /// Up to when all cancels that were stored are taken in.
@@ -95,8 +92,11 @@
                     return drain::may_repeat(self, worker, task, now);
                 }
                 let runs = entry.is_some_and(|entry| matches!(entry.known, Known::Runs(_)));
-                let moves = runs && on.emptying.is_some() && !on.is_leaving();
-                !moves || drain::can_miss(self, task, now)
+                if !runs || on.is_leaving() || !drain::leaves(self, worker, task) {
+                    return true;
+                }
+                // It may have been let go meanwhile, and then its tasks stay.
+                on.emptying.is_some() && drain::can_miss(self, task, now)
             }
             Order::Pace { .. } => true,
         }
--- a/crates/cell/tests/all/window.rs
+++ b/crates/cell/tests/all/window.rs
@@ -17,6 +17,7 @@
     withdrawn_member_of_a_gang_stops_the_others => rest_of_gang();
     start_on_a_worker_that_drains_meanwhile_is_taken_back => drains();
     stop_of_a_move_is_taken_back_when_another_task_ends => stop_of_a_move();
+    stop_of_a_move_is_taken_back_when_the_worker_is_let_go => let_go();
 }
 
 // The owner has heard nothing of cancels for too long: what it would start now could be cancelled. It starts when it has heard.
@@ -162,3 +163,27 @@
             .any(|order| matches!(order, Order::Stop { .. }))
     );
 }
+
+// A worker is emptied for a move, and let go while the commit of a stop there is under way. Its lasting task was moved for nothing.
+fn let_go() {
+    let mut bed = Bed::new(&["w-1", "w-2"]);
+    let lasting = Step {
+        lasting: true,
+        may_miss: 1,
+        ..step(1, 1_000)
+    };
+    let id = bed.accept(job(vec![lasting]));
+    bed.tick();
+    bed.settle();
+    bed.after(100);
+    bed.tick();
+    let on = Name::clone(&bed.on(&task(&id, 0, 0))[0]);
+    bed.cell.empty(&on, Some(Purpose::Move));
+    let tick = bed.round();
+    assert_eq!(tick.orders.len(), 1);
+    bed.cell.empty(&on, None);
+    assert_eq!(bed.standing(tick), Vec::new());
+    bed.after(1_000);
+    assert_eq!(bed.tick(), Vec::new());
+    assert_eq!(bed.on(&task(&id, 0, 0)), vec![on]);
+}
