One look whether the list of workers is new; a withdrawn stop isn't counted as a start

Owned::register looks itself whether its list is new, where both callers did. What a round withdraws after its commit is counted as the start that it was, and stops aren't counted among starts; Observer loses the method for it.

--- a/crates/owner/src/observe.rs
+++ b/crates/owner/src/observe.rs
@@ -9,9 +9,6 @@
     /// What came of a start.
     fn started(&self, outcome: Outcome);
 
-    /// A start or a stop was withdrawn after its commit.
-    fn withdrawn(&self);
-
     /// A run has ended.
     fn ended(&self, how: End);
 
@@ -44,7 +41,6 @@
 
 impl Observer for Blind {
     fn started(&self, _outcome: Outcome) {}
-    fn withdrawn(&self) {}
     fn ended(&self, _how: End) {}
     fn taken_over(&self, _pool: &Name) {}
     fn owns(&self, _pools: usize) {}
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -159,10 +159,7 @@
                 self.cell
                     .advised(advised(configuration.borrow_and_update().as_ref()));
             }
-            let workers = registered.borrow_and_update().clone();
-            if !Arc::ptr_eq(&workers, &self.known_workers) {
-                self.register(&workers);
-            }
+            self.register(registered.borrow_and_update().clone());
             while let Ok(event) = self.events.try_recv() {
                 self.take(event);
             }
@@ -284,8 +281,11 @@
         }
     }
 
-    /// Takes in the registered workers.
-    fn register(&mut self, workers: &Registered) {
+    /// Takes in the registered workers, if the list is new.
+    fn register(&mut self, workers: Registered) {
+        if Arc::ptr_eq(&workers, &self.known_workers) {
+            return;
+        }
         let own = workers.values();
         let own = own.filter(|worker| worker.pool == self.context.pool);
         let mut now: BTreeSet<Name> = BTreeSet::new();
@@ -297,7 +297,7 @@
             self.cell.unregister(left);
         }
         self.registered = now;
-        self.known_workers = Arc::clone(workers);
+        self.known_workers = workers;
         self.reach.look_at(self.cell.targets());
     }
 
@@ -360,13 +360,13 @@
         self.cell.committed(&tick, sent_at);
         // The commit may have taken long.
         let workers = self.context.watch.workers.borrow().clone();
-        if !Arc::ptr_eq(&workers, &self.known_workers) {
-            self.register(&workers);
-        }
+        self.register(workers);
         let orders = std::mem::take(&mut tick.orders);
         let (orders, withdrawn) = self.cell.standing(orders, clock.now());
         for order in &withdrawn {
-            self.context.observer.withdrawn();
+            if matches!(order, Order::Start { .. }) {
+                self.context.observer.started(Outcome::Withdrawn);
+            }
             tell::withdrawn(&self.context.pool, order);
         }
         tell::orders(&self.context.pool, &orders);
--- a/crates/serve/src/metered.rs
+++ b/crates/serve/src/metered.rs
@@ -39,10 +39,6 @@
         });
     }
 
-    fn withdrawn(&self) {
-        self.0.started("withdrawn");
-    }
-
     fn ended(&self, how: End) {
         self.0.ended(how);
     }
--- a/tests/site/bed.rs
+++ b/tests/site/bed.rs
@@ -220,13 +220,22 @@
         workers: usize,
     ) -> Result<Self> {
         let strengths = vec![STRENGTH; entries];
-        Self::open_mixed(seed, &strengths, workers).await
+        Self::open_mixed(seed, &strengths, workers, options(seed).stop).await
     }
 
-    /// The same with entries of these strengths.
-    pub(crate) async fn open_mixed(seed: u64, strengths: &[u32], workers: usize) -> Result<Self> {
+    /// The same with entries of these strengths, and workers that take `stop` to stop a run.
+    pub(crate) async fn open_mixed(
+        seed: u64,
+        strengths: &[u32],
+        workers: usize,
+        stop: Duration,
+    ) -> Result<Self> {
         let configuration = with_standby(configuration(1, POOL));
-        Self::open_on(configuration, options(seed), strengths, workers).await
+        let options = Options {
+            stop,
+            ..options(seed)
+        };
+        Self::open_on(configuration, options, strengths, workers).await
     }
 
     async fn open_on(
--- a/tests/site/figures.rs
+++ b/tests/site/figures.rs
@@ -45,7 +45,6 @@
 
 impl Observer for Figures {
     fn started(&self, _outcome: Outcome) {}
-    fn withdrawn(&self) {}
     fn ended(&self, _how: End) {}
     fn taken_over(&self, _pool: &Name) {}
     fn owns(&self, _pools: usize) {}
--- a/tests/site/random/mixed.rs
+++ b/tests/site/random/mixed.rs
@@ -17,6 +17,12 @@
 /// Seeds of such histories.
 pub(super) const SEEDS: RangeInclusive<u64> = 500_000..=1_999_999;
 
+/// Seeds from this one on are of histories in which workers take long to stop a run, so that much can happen meanwhile.
+pub(super) const FIRST_WITH_SLOW_STOPS: u64 = 1_000_000;
+
+/// Time that a worker takes to stop a run in those, and in the others.
+const STOP: [Duration; 2] = [Duration::from_millis(800), Duration::from_millis(100)];
+
 /// Seeds that have shown a fault, each with its cause.
 pub(super) const REGRESSIONS: &[u64] = &[
     // A stop was sent again, by the next owners too, while a crash had taken another task of the step.
@@ -80,7 +86,8 @@
 
 pub(super) async fn history(seed: u64) -> Result<()> {
     let strengths = STRENGTHS[usize::try_from(seed % 2)?];
-    let bed = Bed::open_mixed(seed, strengths, WORKERS).await?;
+    let stop = STOP[usize::from(seed < FIRST_WITH_SLOW_STOPS)];
+    let bed = Bed::open_mixed(seed, strengths, WORKERS, stop).await?;
     let mut mixed = Mixed {
         history: History::new(bed, seed),
         second: 0,
--- a/tests/site/random/mod.rs
+++ b/tests/site/random/mod.rs
@@ -56,6 +56,7 @@
     second_batch_with_moves => batch(5);
     mixed_batch => mixed::SEEDS.take(MIXED);
     second_mixed_batch => mixed::SEEDS.skip(MIXED).take(MIXED);
+    mixed_batch_with_slow_stops => (mixed::FIRST_WITH_SLOW_STOPS..).take(MIXED);
     mixed_seeds_that_have_shown_a_fault => mixed::REGRESSIONS.iter().copied();
     seeds_by_hand => by_hand()?;
 }
