--- a/crates/owner/src/follow.rs
+++ b/crates/owner/src/follow.rs
@@ -158,6 +158,7 @@
                 if due.is_some_and(|after| told_at.elapsed() >= after)
                     && let Some((version, at)) = read(source, sink, next).await
                 {
+                    log::info!(feed = health.name, version; "the whole is read in place of the feed");
                     next = version;
                     told_at = at;
                 }
