What a new owner's look doesn't show never begins

Cause, from a play's log: a start is committed and its owner gives the pool up before sending it. The next owner waited 2.6 s from its own takeover on, until the start would be late; the one after it waited anew (takeovers at 16.681, 17.781 and 20.656 s, the task placed again at 24.397 s).

Change: a look of a new owner carries its token, and a worker that has seen it refuses what has a lower one. A run that such a look doesn't show never begins. Workers that don't answer are waited for as before.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -81,15 +81,18 @@
     /// Takes in what a predecessor has committed of a job.
     ///
     /// Its placed runs may be under way or not: the predecessor may have stopped between the commit
-    /// and the call, so only looks tell. No start of the predecessor takes effect later than the
-    /// start window after the takeover, since its deadline was fixed by a commit before that.
+    /// and the call, so only looks tell. A worker that has answered a look of this owner has seen its token, and refuses
+    /// whatever a predecessor sent: a run that the look doesn't show never begins. Where a worker can't be looked at, no start
+    /// of a predecessor takes effect later than the start window after the takeover, since its deadline was fixed by a
+    /// commit before that. Waiting for that window everywhere kept tasks from starting for as long as owners followed each other
+    /// in less time.
     pub fn restore(&mut self, id: JobId, accepted: Accepted, progress: Progress) {
         if let Some(ended) = progress.ended_ms {
             self.finished.insert(id, ended);
             return;
         }
         let job = Job { accepted, progress };
-        let sure_after = self.taken_at + self.limits.stretched(self.limits.start_window);
+        let lapses_at = self.taken_at + self.limits.stretched(self.limits.start_window);
         for (&occurrence, steps) in &job.progress.steps {
             for (step, tasks) in (0..).zip(steps) {
                 for (index, task) in (0..).zip(tasks) {
@@ -102,7 +105,7 @@
                         run: task.run,
                         reserved: shape.map(Step::reserved).unwrap_or_default(),
                         known: Known::Unsure,
-                        sure_after,
+                        sure_after: self.taken_at,
                         percent: 0,
                         load: 0,
                         stop: if leaves { Stop::Wanted } else { Stop::No },
@@ -118,7 +121,9 @@
                         step,
                         index,
                     };
-                    self.worker(worker).runs.insert(task, run);
+                    let worker = self.worker(worker);
+                    worker.lapses_at = worker.lapses_at.max(lapses_at);
+                    worker.runs.insert(task, run);
                 }
             }
         }
