--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -13,7 +13,7 @@
     pub lease: Millis,
     /// Time on the worker's clock, from the sending of its commit, in which a start must arrive. It
     /// covers a commit at a store that answers sixty times slower than usual; a successor waits for
-    /// that long before it takes a start of its predecessor for one that never came.
+    /// that long for a start of its predecessor on a worker that doesn't answer.
     pub start_window: Millis,
     /// Least time that a start needs from its decision to its worker: a commit and a call, thirty times slower than usual.
     pub start_time: Millis,
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -122,7 +122,12 @@
 
 fn stops(cell: &mut Cell, which: Which, now: Millis) -> Vec<Order> {
     let mut orders = Vec::new();
-    for (worker, task, is_repeat) in due_stops(cell, which, now) {
+    for Due {
+        worker,
+        task,
+        is_repeat,
+    } in due_stops(cell, which, now)
+    {
         // Each stop that goes out may keep the next one back.
         if is_repeat && !drain::may_repeat(cell, &worker, &task, now) {
             continue;
@@ -148,8 +153,15 @@
     orders
 }
 
-/// Runs whose stop is due, each with its worker and whether a stop of a lasting task whose job goes on is repeated by it.
-fn due_stops(cell: &Cell, which: Which, now: Millis) -> Vec<(Name, TaskId, bool)> {
+/// A run whose stop is due.
+struct Due {
+    worker: Name,
+    task: TaskId,
+    /// Whether that repeats a stop of a lasting task whose job goes on.
+    is_repeat: bool,
+}
+
+fn due_stops(cell: &Cell, which: Which, now: Millis) -> Vec<Due> {
     let limits = &cell.limits;
     let reached = cell.workers.iter();
     let reached = reached.filter(|(_id, worker)| !worker.gone && worker.info.is_some());
@@ -166,7 +178,11 @@
             let of = if goes_on { Which::GoOn } else { Which::Ended };
             if is_due && of == which {
                 let is_repeat = goes_on && run.lasting && run.stop_left_at.is_some();
-                due.push((Name::clone(id), task.clone(), is_repeat));
+                due.push(Due {
+                    worker: Name::clone(id),
+                    task: task.clone(),
+                    is_repeat,
+                });
             }
         }
     }
