A look that is taken in late shows nothing new of runs; that its worker answers is as good as new

Change: the age of what a look shows counts for which lasting tasks are at work, as the fault needed, and not for where something may be placed.

--- a/crates/cell/src/drain.rs
+++ b/crates/cell/src/drain.rs
@@ -117,7 +117,7 @@
             let goes_on = !run.may_be_stopping(now, &cell.limits);
             matches!(run.known, Known::Runs(_)) && goes_on && run.percent >= AT_WORK
         });
-        !at_work || !worker.is_fresh(now, &cell.limits)
+        !at_work || !worker.is_shown(now, &cell.limits)
     });
     gone.count()
 }
--- a/crates/cell/src/look.rs
+++ b/crates/cell/src/look.rs
@@ -24,9 +24,9 @@
     let Some(worker) = cell.workers.get_mut(id) else {
         return;
     };
-    worker.looked_at = worker
-        .looked_at
-        .max(Some(seen_at(cell.limits, sent_at, now)));
+    worker.looked_at = Some(now);
+    let shown_at = shown_at(cell.limits, sent_at, now);
+    worker.shown_at = worker.shown_at.max(Some(shown_at));
     worker.paced = false;
     let known = worker.seen;
     for ended in look.ended.iter().filter(|ended| ended.number > known) {
@@ -46,8 +46,9 @@
 ///
 /// A look is answered within its own wait. One that is taken in later was answered long before: its owner's process stood still, or
 /// got no processor time. Taken for new, it showed tasks at work that had ended seconds ago, and others of their step were ended
-/// beside them, more than it may miss.
-fn seen_at(limits: Limits, sent_at: Millis, now: Millis) -> Millis {
+/// beside them, more than it may miss. That the worker answers at all is as good as new: a busy owner that took its workers for
+/// silent by this would place nothing on them.
+fn shown_at(limits: Limits, sent_at: Millis, now: Millis) -> Millis {
     if now <= sent_at + limits.look {
         now
     } else {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -79,6 +79,8 @@
     pub registered: bool,
     /// When its newest look came.
     pub looked_at: Option<Millis>,
+    /// Up to when what its looks have shown surely was so.
+    pub shown_at: Option<Millis>,
     /// Whether fillers were paced after that look.
     pub paced: bool,
     /// From then on its lease has surely lapsed, if it isn't renewed.
@@ -103,6 +105,7 @@
             info: None,
             registered: false,
             looked_at: None,
+            shown_at: None,
             paced: true,
             lapses_at,
             gone: false,
@@ -128,6 +131,12 @@
         looked && !self.gone
     }
 
+    /// Whether what its looks show of its runs is recent.
+    pub(crate) fn is_shown(&self, now: Millis, limits: &Limits) -> bool {
+        let shown = self.shown_at.is_some_and(|at| now < at + limits.fresh);
+        shown && !self.gone
+    }
+
     /// Whether it leaves by itself.
     pub(crate) fn is_leaving(&self) -> bool {
         self.info.as_ref().is_some_and(|info| info.draining)
