--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -173,10 +173,14 @@
                 Stop::Wanted => true,
                 Stop::SentAt(at) => now >= at + limits.resend,
             };
+            // Few of thousands are due, and this is looked for after each event.
+            if !is_due {
+                continue;
+            }
             let job = cell.jobs.get(&task.job);
             let goes_on = job.is_some_and(|job| !job.progress.state.is_final());
             let of = if goes_on { Which::GoOn } else { Which::Ended };
-            if is_due && of == which {
+            if of == which {
                 let is_repeat = goes_on && run.lasting && run.stop_left_at.is_some();
                 due.push(Due {
                     worker: Name::clone(id),
