--- a/crates/cell/tests/all/lasting.rs
+++ b/crates/cell/tests/all/lasting.rs
@@ -182,8 +182,8 @@
     assert_eq!(bed.on(&task(id, 0, 1)), Vec::<Name>::new());
 }
 
-/// The worker comes back, and the second task is at work there.
-fn restore_second(bed: &mut Bed) {
+/// Another worker comes, the second task is at work there, and the first one may go.
+fn moves_once_missed(bed: &mut Bed, stop: &Order) {
     bed.cell.register(crate::bed::worker("w-9"));
     bed.running
         .insert("w-9".into(), std::collections::BTreeMap::new());
@@ -191,6 +191,7 @@
     bed.tick();
     bed.settle();
     bed.after(100);
+    assert!(bed.tick().contains(stop), "the first doesn't move any more");
 }
 
 // A step may miss one of two tasks. The stop of the first, which moves, doesn't reach its worker. Then the second one's worker
@@ -202,11 +203,7 @@
         bed.after(600);
         assert!(!bed.tick().contains(&stop), "both are away");
     }
-    restore_second(&mut bed);
-    assert!(
-        bed.tick().contains(&stop),
-        "the first doesn't move any more"
-    );
+    moves_once_missed(&mut bed, &stop);
 }
 
 // The same, and another owner takes the pool over. It found in the row that the first task is to stop, and sent the stop in its
@@ -218,11 +215,7 @@
     assert!(!bed.tick().contains(&stop), "nothing is known of the other");
     bed.after(600);
     assert!(!bed.tick().contains(&stop), "both are away");
-    restore_second(&mut bed);
-    assert!(
-        bed.tick().contains(&stop),
-        "the first doesn't move any more"
-    );
+    moves_once_missed(&mut bed, &stop);
 }
 
 // The starts of both tasks of a step get no answer, nor do the stops that are to settle them, and both are at work. Each is to
