Entries that own nothing read what they need; one thread on one core

Cause: each of 147 entries followed the table of owners (147 heartbeats each 0.7 s, needs, orders, answers; ten calls a second) and the list of 1,100 workers, which changes with each move, though five own a pool: a cost of entries times entries and of entries times workers. And a second thread on one core only hands work over.

Change: the list of workers is followed while this entry owns a pool; a takeover reads it beside the pool's jobs. Of the entries that could take over, the strongest sixteen (or twice as many as there is to own) stand ready, look closely and are the ones that take over; the others look every two seconds and wait that much longer before they take anybody for dead. Up to sixteen entries nothing changes. An entry comes near at its start, and when those before it are gone. The runtime has one thread where there is one core.

--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -23,14 +23,33 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use tokio::{
     sync::watch::{self, Receiver},
-    time::Instant,
+    time::{Instant, timeout},
 };
 
+/// Time between two looks at the table by an entry that owns nothing and isn't near to owning anything.
+const FAR_PACE: Duration = Duration::from_secs(2);
+
+/// How old what such an entry sees may be, in milliseconds: a pace, and a call that is late.
+const FAR_LAG: Millis = 2_400;
+
 /// The table of owners and heartbeats.
 #[derive(Debug)]
 pub(crate) struct Table {
     pub rows: Arc<dyn Rows>,
     pub configuration: Receiver<Option<Arc<Configuration>>>,
+    /// Whether this entry owns something, or is near to it.
+    pub near: Receiver<bool>,
+}
+
+impl Table {
+    /// Waits for the next look, or until this entry comes near to owning something.
+    async fn pace(&self) {
+        let mut near = self.near.clone();
+        let comes_near = near.wait_for(|near| *near);
+        if timeout(FAR_PACE, comes_near).await.is_err() {
+            log::trace!("the table of owners is looked at again");
+        }
+    }
 }
 
 #[async_trait]
@@ -50,6 +69,7 @@
     }
 
     async fn since(&self, after: Version, wait: Duration) -> Result<Feed<Row>, Error> {
+        self.pace().await;
         self.rows.feed(row::CONTROL, after, wait).await
     }
 }
@@ -114,6 +134,8 @@
     pub current: bool,
     /// When this entry's own heartbeat last got through in good time.
     pub own_beat_at: Option<Millis>,
+    /// Since when this entry has been near to owning something; `None` while it isn't.
+    near_since: Option<Millis>,
 }
 
 /// Age of this entry's own last good heartbeat up to which it judges others. A store that is slow or
@@ -128,6 +150,21 @@
         self.current && heard
     }
 
+    /// Takes in whether this entry is near to owning something, and looks at the table closely.
+    ///
+    /// What it saw before it came near is old: for as long it goes on to wait longer for others.
+    pub(crate) fn near(&mut self, near: bool, now: Millis) {
+        if !near {
+            self.near_since = None;
+            self.members.seen_late(FAR_LAG);
+            return;
+        }
+        let since = *self.near_since.get_or_insert(now);
+        if now >= since + FAR_LAG {
+            self.members.seen_late(0);
+        }
+    }
+
     /// Takes in that this entry's own heartbeat got through. After a time in which none did, others
     /// get as much time to be heard again.
     pub(crate) fn beaten(&mut self, now: Millis) {
--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -43,6 +43,9 @@
 /// entries: a heartbeat has shown all of them, and a takeover is over.
 const KEEPS: Duration = Duration::from_millis(1_500);
 
+/// Least time for which an entry is near to owning something: after its start, and after it last was.
+const NEAR_FOR: Duration = Duration::from_secs(8);
+
 /// A pool that is owned, or a group that is held.
 struct Charge {
     stop: watch::Sender<bool>,
@@ -55,6 +58,10 @@
     picture: Arc<Mutex<Picture>>,
     fleet: Arc<Fleet>,
     owned: BTreeMap<Name, Charge>,
+    /// Tells whether this entry owns something, or is near to it.
+    near: watch::Sender<bool>,
+    /// Until when it counts as near.
+    near_until: Instant,
     stop: watch::Receiver<bool>,
     attempt: u64,
     started: Instant,
@@ -64,6 +71,7 @@
     pub(crate) fn new(
         parts: Parts,
         picture: Arc<Mutex<Picture>>,
+        near: watch::Sender<bool>,
         stop: watch::Receiver<bool>,
     ) -> Self {
         Self {
@@ -71,6 +79,8 @@
             parts,
             picture,
             owned: BTreeMap::new(),
+            near,
+            near_until: Instant::now() + NEAR_FOR,
             stop,
             attempt: 0,
             started: Instant::now(),
@@ -91,6 +101,7 @@
             self.owned
                 .retain(|_pool, charge| !charge.task.is_finished());
             self.parts.observer.owns(self.pools().len());
+            self.come_near();
             self.give_up();
             for name in self.chosen() {
                 self.take(name).await;
@@ -112,6 +123,24 @@
         pools.map(Name::clone).collect()
     }
 
+    /// Tells whether this entry owns something, or is among those that would take it over.
+    fn come_near(&mut self) {
+        let (pools, groups) = self.charges();
+        let mut picture = self.picture.lock();
+        let now = self.parts.clock.now();
+        let able = picture.members.able(now);
+        let ready = elect::ready(&able, pools.len() + groups.len());
+        if !self.owned.is_empty() || ready.contains_key(&self.parts.entry) {
+            self.near_until = Instant::now() + NEAR_FOR;
+        }
+        let near = Instant::now() < self.near_until;
+        picture.near(near, now);
+        let known = self.near.send_replace(near);
+        if known != near {
+            info!(near; "closeness to ownership has changed");
+        }
+    }
+
     /// Gives a pool up for which a far stronger entry is there, a while after the last change.
     fn give_up(&mut self) {
         let recent = |charge: &Charge| charge.since.elapsed() < KEEPS;
@@ -149,20 +178,26 @@
         elapsed >= SETTLE || (elapsed >= JOIN && others())
     }
 
+    /// All pools, as far as they are known, and all groups of instances.
+    fn charges(&self) -> (Vec<Name>, Vec<Name>) {
+        let configuration = self.parts.watch.configuration.borrow();
+        let pools = configuration.iter().flat_map(|known| &known.pools);
+        let pools = pools.map(|pool| Name::clone(&pool.name)).collect();
+        (pools, row::groups().collect())
+    }
+
     /// Free pools and groups of instances that this entry is to take.
     fn chosen(&self) -> Vec<Name> {
-        let Some(configuration) = self.parts.watch.configuration.borrow().clone() else {
+        let (pools, groups) = self.charges();
+        if pools.is_empty() {
             return Vec::new();
-        };
+        }
         let picture = self.picture.lock();
         let now = self.parts.clock.now();
         if !picture.judges(now) {
             return Vec::new();
         }
-        let pools = configuration.pools.iter();
-        let pools: Vec<Name> = pools.map(|pool| Name::clone(&pool.name)).collect();
-        let groups: Vec<Name> = row::groups().collect();
-        let able = picture.members.able(now);
+        let able = elect::ready(&picture.members.able(now), pools.len() + groups.len());
         // Groups cost their holders little, so that they are spread by themselves.
         let pools = elect::assign(&picture.free(&pools, now), &picture.owned(false), &able);
         let groups = elect::assign(&picture.free(&groups, now), &picture.owned(true), &able);
--- a/crates/owner/src/members.rs
+++ b/crates/owner/src/members.rs
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     known: BTreeMap<Name, Seen>,
+    /// How old what is seen of them may be, in milliseconds.
+    lag: Millis,
 }
 
 #[derive(Clone, Debug)]
@@ -45,21 +47,26 @@
         }
     }
 
+    /// Takes in that heartbeats are seen up to `lag` milliseconds late: an entry is given that much longer.
+    pub fn seen_late(&mut self, lag: Millis) {
+        self.lag = lag;
+    }
+
     /// Whether this incarnation of an entry is alive.
     pub fn is_alive(&self, entry: &Name, incarnation: u64, now: Millis) -> bool {
         let seen = self.known.get(entry);
-        seen.is_some_and(|seen| seen.member.incarnation == incarnation && fresh(seen, now))
+        seen.is_some_and(|seen| seen.member.incarnation == incarnation && self.is_fresh(seen, now))
     }
 
     /// The entries that can take pools over, with their strengths.
     pub fn able(&self, now: Millis) -> BTreeMap<Name, u32> {
         let able = self.known.iter();
-        let able = able.filter(|(_entry, seen)| fresh(seen, now) && !seen.member.leaving);
+        let able = able.filter(|(_entry, seen)| self.is_fresh(seen, now) && !seen.member.leaving);
         able.map(|(entry, seen)| (Name::clone(entry), seen.member.strength))
             .collect()
     }
-}
 
-fn fresh(seen: &Seen, now: Millis) -> bool {
-    now < seen.at + DEAD_AFTER
+    fn is_fresh(&self, seen: &Seen, now: Millis) -> bool {
+        now < seen.at + DEAD_AFTER + self.lag
+    }
 }
--- a/crates/owner/src/own.rs
+++ b/crates/owner/src/own.rs
@@ -26,6 +26,10 @@
 /// Pause after a takeover's reads have failed.
 const LOAD_PAUSE: Duration = Duration::from_millis(150);
 
+/// Longest wait of a takeover for the registered workers. Without them the pool would seem to need next to none, and its
+/// instances would go to others; where they can't be read, cancels are to be carried out all the same.
+const WORKERS_WAIT: Duration = Duration::from_secs(1);
+
 /// What a pool's loop needs.
 #[derive(Clone, Debug)]
 pub(crate) struct Context {
@@ -59,9 +63,11 @@
 
 /// Owns the pool under `token` until it is lost, or `stop` says to give it up.
 pub(crate) async fn own(context: Context, token: Version, mut stop: watch::Receiver<bool>) -> Over {
+    let registered = context.watch.roster.follow();
+    let known = async { tokio::join!(load(&context), registered.known(WORKERS_WAIT)).0 };
     let loaded = tokio::select! {
         biased;
-        loaded = load(&context) => Some(loaded),
+        loaded = known => Some(loaded),
         _ = stop.wait_for(|stop| *stop) => None,
     };
     let Some((cell, loaded)) = loaded else {
@@ -75,7 +81,7 @@
         token,
         loaded.last,
     );
-    let mut owned = Owned::start(context, cell, token, loaded);
+    let mut owned = Owned::start(context, cell, token, loaded, registered);
     let over = owned.run(&mut lane, &mut stop).await;
     owned.end();
     over
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -15,7 +15,7 @@
     reach::Reach,
     send::Times,
     tell, upkeep,
-    watch::Workers as Registered,
+    watch::{Followed, Workers as Registered},
 };
 use log::{info, warn};
 use primroseroute_cell::{Cell, Millis, Order, Outcome, Tick, row::Wanted};
@@ -93,7 +93,9 @@
     reach: Reach,
     registered: BTreeSet<Name>,
     /// The list that `registered` was taken from.
-    known_workers: Registered,
+    known_workers: Option<Registered>,
+    /// The list of workers as it is followed.
+    roster: Followed,
     /// Calls whose end the loop doesn't wait for.
     beside: JoinSet<()>,
     background: Vec<JoinHandle<()>>,
@@ -109,7 +111,13 @@
     ///
     /// The feed of jobs goes on from where the read of the pool has ended: reading the whole once more would leave
     /// the owner without any news for as long as that takes.
-    pub(crate) fn start(context: Context, cell: Cell, token: Version, loaded: Loaded) -> Self {
+    pub(crate) fn start(
+        context: Context,
+        cell: Cell,
+        token: Version,
+        loaded: Loaded,
+        roster: Followed,
+    ) -> Self {
         let (sender, events) = mpsc::unbounded_channel();
         let (status, status_seen) = watch::channel(Arc::default());
         let follower = follow(
@@ -137,7 +145,8 @@
             sender,
             status,
             registered: BTreeSet::new(),
-            known_workers: Registered::default(),
+            known_workers: None,
+            roster,
             beside: JoinSet::new(),
             background,
             counted_at: 0,
@@ -150,7 +159,7 @@
 
     /// Runs until the pool is lost, or `stop` says to give it up.
     pub(crate) async fn run(&mut self, lane: &mut Lane, stop: &mut watch::Receiver<bool>) -> Over {
-        let mut registered = self.context.watch.workers.clone();
+        let mut registered = self.roster.workers.clone();
         let mut configuration = self.context.watch.configuration.clone();
         configuration.mark_changed();
         loop {
@@ -198,7 +207,7 @@
     /// Waits for news, for the time at which the next round is due without any, or for the stop.
     async fn wait(
         &mut self,
-        registered: &mut watch::Receiver<Registered>,
+        registered: &mut watch::Receiver<Option<Registered>>,
         stop: &mut watch::Receiver<bool>,
     ) {
         let news = async {
@@ -282,8 +291,12 @@
     }
 
     /// Takes in the registered workers, if the list is new.
-    fn register(&mut self, workers: Registered) {
-        if Arc::ptr_eq(&workers, &self.known_workers) {
+    fn register(&mut self, workers: Option<Registered>) {
+        let Some(workers) = workers else {
+            return;
+        };
+        let known = self.known_workers.as_ref();
+        if known.is_some_and(|known| Arc::ptr_eq(&workers, known)) {
             return;
         }
         let own = workers.values();
@@ -297,7 +310,7 @@
             self.cell.unregister(left);
         }
         self.registered = now;
-        self.known_workers = workers;
+        self.known_workers = Some(workers);
         self.reach.look_at(self.cell.targets());
     }
 
@@ -359,7 +372,7 @@
         let clock = self.context.clock;
         self.cell.committed(&tick, sent_at);
         // The commit may have taken long.
-        let workers = self.context.watch.workers.borrow().clone();
+        let workers = self.roster.workers.borrow().clone();
         self.register(workers);
         let orders = std::mem::take(&mut tick.orders);
         let (orders, withdrawn) = self.cell.standing(orders, clock.now());
--- a/crates/owner/src/watch.rs
+++ b/crates/owner/src/watch.rs
@@ -16,7 +16,7 @@
 use tokio::{
     sync::watch::{self, Receiver, Sender},
     task::JoinHandle,
-    time::Instant,
+    time::{Instant, timeout},
 };
 
 /// Calls for changes of the workers. Starts wait for nothing that this shows, and a draining worker gets
@@ -37,6 +37,81 @@
 /// Registered workers by id.
 pub type Workers = Arc<BTreeMap<Name, Worker>>;
 
+/// The registered workers, which are followed while somebody needs them.
+///
+/// Their list changes with each instance that moves. Followed by every entry, it cost the store as many times its bytes, and most
+/// entries own nothing.
+#[derive(Clone, Debug)]
+pub(crate) struct Roster {
+    /// Number of those who need it.
+    needed: Sender<usize>,
+    workers: Receiver<Option<Workers>>,
+}
+
+impl Roster {
+    fn spawn(site: &Arc<dyn Site>) -> (Self, JoinHandle<()>) {
+        let (sink, workers) = watch::channel(None);
+        let (needed, is_needed) = watch::channel(0);
+        let task = tokio::spawn(follow_while_needed(Arc::clone(site), is_needed, sink));
+        (Self { needed, workers }, task)
+    }
+
+    /// Follows the workers until the last of these is dropped.
+    pub(crate) fn follow(&self) -> Followed {
+        self.needed.send_modify(|needed| *needed += 1);
+        Followed {
+            needed: self.needed.clone(),
+            workers: self.workers.clone(),
+        }
+    }
+}
+
+/// The registered workers as somebody follows them.
+#[derive(Debug)]
+pub(crate) struct Followed {
+    needed: Sender<usize>,
+    /// None before they were read.
+    pub workers: Receiver<Option<Workers>>,
+}
+
+impl Followed {
+    /// Waits until the workers were read, for `longest` at most.
+    pub(crate) async fn known(&self, longest: Duration) {
+        let mut workers = self.workers.clone();
+        if timeout(longest, workers.wait_for(Option::is_some))
+            .await
+            .is_err()
+        {
+            log::warn!("the registered workers can't be read yet");
+        }
+    }
+}
+
+impl Drop for Followed {
+    fn drop(&mut self) {
+        self.needed.send_modify(|needed| *needed -= 1);
+    }
+}
+
+async fn follow_while_needed(
+    site: Arc<dyn Site>,
+    mut needed: Receiver<usize>,
+    sink: Sender<Option<Workers>>,
+) {
+    while needed.wait_for(|needed| *needed > 0).await.is_ok() {
+        let registrations = Registrations {
+            workers: sink.clone(),
+        };
+        let source = Registry(Arc::clone(&site));
+        let follower = follow("workers", source, registrations, WORKERS_RHYTHM, None);
+        tokio::select! {
+            () = follower => {}
+            _ = needed.wait_for(|needed| *needed == 0) => {}
+        }
+        sink.send_replace(None);
+    }
+}
+
 /// Requested waves by number.
 pub type Waves = Arc<BTreeMap<u64, Wave>>;
 
@@ -46,7 +121,7 @@
     /// The configuration; none before the first.
     pub configuration: Receiver<Option<Arc<Configuration>>>,
     /// The workers.
-    pub workers: Receiver<Workers>,
+    pub(crate) roster: Roster,
     /// The waves.
     pub waves: Receiver<Waves>,
     /// When the store was last heard of, on the steady clock.
@@ -58,7 +133,7 @@
     pub fn spawn(site: &Arc<dyn Site>, clock: Clock) -> (Self, Vec<JoinHandle<()>>) {
         let (configuration_sink, configuration) = watch::channel(None);
         let (waves_sink, waves) = watch::channel(Waves::default());
-        let (workers_sink, workers) = watch::channel(Workers::default());
+        let (roster, registrations) = Roster::spawn(site);
         let (contact_sink, contact) = watch::channel(0);
         let instructions = Instructions {
             configuration: configuration_sink,
@@ -66,9 +141,6 @@
             contact: contact_sink,
             clock,
         };
-        let registrations = Registrations {
-            workers: workers_sink,
-        };
         let tasks = vec![
             tokio::spawn(follow(
                 "operators",
@@ -77,17 +149,11 @@
                 INSTRUCTIONS_RHYTHM,
                 None,
             )),
-            tokio::spawn(follow(
-                "workers",
-                Registry(Arc::clone(site)),
-                registrations,
-                WORKERS_RHYTHM,
-                None,
-            )),
+            registrations,
         ];
         let watch = Self {
             configuration,
-            workers,
+            roster,
             waves,
             contact,
         };
@@ -174,19 +240,17 @@
 }
 
 struct Registrations {
-    workers: Sender<Workers>,
+    workers: Sender<Option<Workers>>,
 }
 
-fn record(workers: &mut BTreeMap<Name, Worker>, change: Registration) -> bool {
+fn record(workers: &mut BTreeMap<Name, Worker>, change: Registration) {
     match change.worker {
         Some(worker) => {
-            let known = workers.get(&change.id) == Some(&worker);
-            if !known {
-                workers.insert(change.id, worker);
-            }
-            !known
+            workers.insert(change.id, worker);
+        }
+        None => {
+            workers.remove(&change.id);
         }
-        None => workers.remove(&change.id).is_some(),
     }
 }
 
@@ -198,17 +262,25 @@
         for change in items {
             record(&mut all, change);
         }
-        self.workers.send_replace(Arc::new(all));
+        self.workers.send_replace(Some(Arc::new(all)));
     }
 
     fn apply(&mut self, items: Vec<Registration>) {
         self.workers.send_if_modified(|workers| {
+            let Some(workers) = workers else {
+                return false;
+            };
+            // What has only been written again is no reason to copy the list.
+            let is_new = |change: &Registration| workers.get(&change.id) != change.worker.as_ref();
+            let news: Vec<Registration> = items.into_iter().filter(is_new).collect();
+            if news.is_empty() {
+                return false;
+            }
             let workers = Arc::make_mut(workers);
-            let mut changed = false;
-            for change in items {
-                changed |= record(workers, change);
+            for change in news {
+                record(workers, change);
             }
-            changed
+            true
         });
     }
 }
--- a/crates/owner/tests/all/elect.rs
+++ b/crates/owner/tests/all/elect.rs
@@ -1,7 +1,7 @@
 //! Who takes a free pool, and which pool goes to a stronger entry.
 
 use primroseroute_domain::work::Name;
-use primroseroute_owner::elect::{assign, given_up};
+use primroseroute_owner::elect::{assign, given_up, ready};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -92,3 +92,21 @@
         }
     }
 }
+
+/// Hundreds of weak entries beside a few strong ones: the strong ones stand ready, and a few of the others; of few entries, all do.
+#[test]
+fn strong_entries_stand_ready() {
+    let mut strengths = vec![120; 130];
+    strengths.extend([500; 15]);
+    let able = entries(&strengths);
+    let ready_ones = ready(&able, 9);
+    assert_eq!(ready_ones.len(), 18);
+    let strong = able.iter().filter(|(_entry, strength)| **strength == 500);
+    assert!(
+        strong
+            .into_iter()
+            .all(|(entry, _)| ready_ones.contains_key(entry))
+    );
+    assert_eq!(ready(&entries(&[250; 7]), 9).len(), 7);
+    assert_eq!(ready(&able, 280).len(), 145);
+}
--- a/src/bin/primroseroute.rs
+++ b/src/bin/primroseroute.rs
@@ -2,11 +2,27 @@
 
 use clap::Parser;
 use primroseroute_serve::{Cli, run};
-use std::process::ExitCode;
+use std::{io, num::NonZero, process::ExitCode, thread::available_parallelism};
+use tokio::runtime::{Builder, Runtime};
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    run(Cli::parse()).await.unwrap_or_else(|report| {
+/// The runtime for as many processor cores as the process may use.
+///
+/// On one core a second thread does nothing but wake up and hand work over, and a small entry has no time for that.
+fn runtime() -> io::Result<Runtime> {
+    let cores = available_parallelism().map_or(1, NonZero::get);
+    let mut builder = if cores > 1 {
+        Builder::new_multi_thread()
+    } else {
+        Builder::new_current_thread()
+    };
+    builder.enable_all().build()
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let result = runtime().map_err(Into::into);
+    let result = result.and_then(|runtime| runtime.block_on(run(cli)));
+    result.unwrap_or_else(|report| {
         eprintln!("primroseroute: {report:#}");
         ExitCode::FAILURE
     })
--- a/tests/site/takeover.rs
+++ b/tests/site/takeover.rs
@@ -10,6 +10,7 @@
     row::{self, Member, Owner},
 };
 use primroseroute_domain::work::{JobId, Name, State, TaskId};
+use primroseroute_owner::elect;
 use primroseroute_platform::{
     rows::{Range, Rows, Txn},
     site::{Instruction, Wave},
@@ -36,6 +37,8 @@
     end_is_acknowledged_only_once_it_is_stored => acknowledged();
     strong_entry_that_comes_back_gets_its_pools => strong_comes_back();
     entry_that_joins_takes_what_is_given_up => joins();
+    pool_goes_to_an_entry_that_stands_ready => ready_takes_over();
+    entries_that_stand_aside_take_over_when_all_others_are_gone => all_ready_killed();
 }
 
 // The owner dies while tasks run. Their leases outlast the takeover, so the successor finds them
@@ -462,3 +465,54 @@
     }
     bed.judge()
 }
+
+/// More entries than stand ready to take anything over.
+const MANY: usize = 24;
+
+/// The entries that stand ready.
+fn ready(bed: &Bed) -> BTreeSet<String> {
+    let able = bed.nodes.keys().map(|name| (Name::from(&**name), 250));
+    let ready = elect::ready(&able.collect(), 2 + row::groups().count());
+    ready.into_keys().map(|name| name.to_string()).collect()
+}
+
+// Of many entries the most look at the others every few seconds only, and one of them is no slower to be replaced for that: the
+// pool goes to an entry that looks closely.
+async fn ready_takes_over() -> Result<()> {
+    let mut bed = Bed::open(38, MANY, 3).await?;
+    seconds(10).await;
+    let owner = bed.owner(POOL).await?;
+    ensure!(ready(&bed).contains(&owner), "{owner} owns and isn't ready");
+    bed.kill(&owner);
+    seconds(4).await;
+    let successor = bed.owner(POOL).await?;
+    ensure!(successor != owner, "{owner} wasn't replaced in time");
+    ensure!(ready(&bed).contains(&successor), "{successor} isn't ready");
+    let id = bed.submit("e-0", &job("500", 4)).await?;
+    bed.until("e-0", &id, State::Completed, 3).await?;
+    bed.judge()
+}
+
+// All entries that look closely lose power at once. The others see it later, and take over: nothing that was accepted is lost,
+// and no living one of them is taken for dead.
+async fn all_ready_killed() -> Result<()> {
+    let mut bed = Bed::open(39, MANY, 3).await?;
+    seconds(10).await;
+    let gone = ready(&bed);
+    let far = bed.nodes.keys().find(|name| !gone.contains(*name)).cloned();
+    let far = far.ok_or_else(|| eyre!("all entries are ready"))?;
+    let id = bed.submit(&far, &job("3000", 4)).await?;
+    seconds(1).await;
+    for name in &gone {
+        bed.kill(name);
+    }
+    seconds(9).await;
+    let token = bed.token(POOL).await?;
+    bed.until(&far, &id, State::Completed, 6).await?;
+    seconds(10).await;
+    ensure!(
+        bed.token(POOL).await? == token,
+        "the pool changed hands again"
+    );
+    bed.judge()
+}
