Lasting tasks are gathered on few workers

What users saw: each turn began on instances that the others' lasting tasks held in their pools: 576 tasks lay on as many of 923 workers, one on each, since each went to the worker with the fewest.

Change: a lasting task goes to the tightest worker that has one already, except where one there comes near the response time that it must stay under; anti-affinity holds as before. The others can go where a turn has begun, or be switched off.

Two cases: tasks of several jobs are gathered; a worker near its target gets no other.

--- a/crates/cell/src/place/mod.rs
+++ b/crates/cell/src/place/mod.rs
@@ -212,14 +212,24 @@
             .as_ref()
             .is_some_and(|rack| !worker.has_label(rack));
         let apart = !siblings.is_empty() && !siblings.contains(&labels(worker));
-        let lasting = if step.lasting { lasting_on(worker) } else { 0 };
-        (
-            far,
-            apart,
-            has_failed(place),
-            lasting,
-            rooms.free(place).cpu,
-        )
+        let strained = step.lasting && is_strained(cell, worker);
+        // Lasting tasks are gathered: a worker without any can go where it is needed, or be switched off.
+        let alone = step.lasting && lasting_on(worker) == 0;
+        let free = rooms.free(place).cpu;
+        (far, apart, has_failed(place), strained, alone, free)
+    })
+}
+
+/// Share of its target, in percent, at which the tail of a lasting task shows that its worker is to get no other one.
+const STRAINED: u64 = 60;
+
+/// Whether a lasting task on a worker comes near the response time that it must stay under.
+fn is_strained(cell: &Cell, worker: &Worker) -> bool {
+    worker.runs.iter().any(|(task, run)| {
+        let job = cell.jobs.get(&task.job);
+        let step = job.and_then(|job| job.step(task.step));
+        let target = step.map_or(0, |step| step.target_ms);
+        run.lasting && target > 0 && run.load * 100 >= target * STRAINED
     })
 }
 
--- a/crates/cell/tests/all/bed.rs
+++ b/crates/cell/tests/all/bed.rs
@@ -27,6 +27,8 @@
     pub now: Millis,
     /// What runs on each worker, with its percent.
     pub running: BTreeMap<Name, BTreeMap<TaskId, (u32, u32)>>,
+    /// Tails of response times of lasting tasks, where they aren't 0.
+    pub tails: BTreeMap<TaskId, u64>,
     ended: BTreeMap<Name, Vec<Ended>>,
     /// The jobs as they were accepted.
     accepted: BTreeMap<JobId, Accepted>,
@@ -82,6 +84,7 @@
             cell: Cell::new(Limits::new(6_000, 120_000), 0),
             now: 0,
             running: BTreeMap::new(),
+            tails: BTreeMap::new(),
             ended: BTreeMap::new(),
             accepted: BTreeMap::new(),
             rows: BTreeMap::new(),
@@ -225,7 +228,7 @@
             run: *run,
             checkpoint: None,
             percent: *percent,
-            load: 0,
+            load: self.tails.get(task).copied().unwrap_or(0),
         });
         let look = Look {
             clock_ms: self.now,
--- a/crates/cell/tests/all/lasting.rs
+++ b/crates/cell/tests/all/lasting.rs
@@ -17,6 +17,8 @@
     stop_is_repeated_only_while_the_task_can_be_missed => repeated();
     successor_repeats_a_stop_only_while_the_task_can_be_missed => repeated_by_successor();
     stop_without_effect_holds_nothing_up_for_good => held_for_good();
+    tasks_of_several_jobs_are_gathered => gathered();
+    worker_near_its_target_gets_no_other_task => strained();
 }
 
 fn lasting(count: u16, cpu: u64) -> Step {
@@ -256,3 +258,42 @@
     };
     assert!(runs.iter().all(settled), "a stop waits for good");
 }
+
+/// Workers with lasting tasks.
+fn occupied(bed: &Bed) -> usize {
+    let running = bed.running.values();
+    running.filter(|running| !running.is_empty()).count()
+}
+
+// A pool of many workers whose lasting tasks need few of them: the others can go to where a turn has begun, or be switched off.
+fn gathered() {
+    let mut bed = Bed::new(&["w-1", "w-2", "w-3", "w-4", "w-5", "w-6"]);
+    for _job in 0..3 {
+        bed.accept(job(vec![lasting(2, 3_000)]));
+        bed.tick();
+        bed.settle();
+        bed.after(100);
+    }
+    assert_eq!(occupied(&bed), 2);
+    bed.accept(job(vec![lasting(2, 3_000)]));
+    bed.tick();
+    assert_eq!(occupied(&bed), 4);
+}
+
+// The tail of one task's response time comes near its target: what else is placed on its worker would push it over.
+fn strained() {
+    let mut bed = Bed::new(&["w-1", "w-2", "w-3"]);
+    let step = Step {
+        target_ms: 100,
+        ..lasting(1, 1_000)
+    };
+    let first = bed.accept(job(vec![step.clone()]));
+    bed.tick();
+    bed.tails.insert(task(&first, 0, 0), 70);
+    bed.settle();
+    bed.after(100);
+    let second = bed.accept(job(vec![step]));
+    bed.tick();
+    let on = |id: &JobId| bed.on(&task(id, 0, 0));
+    assert_ne!(on(&first), on(&second));
+}
