A pool keeps what it was given until its first work comes

What users saw: while the site starts, its pools had nothing to do and gave 890 of 923 instances up to be switched off; when the first turn began its pool had 33 workers, and half of what came in the first two seconds was late.

Change: until a pool has had work that ends by itself, its own or a predecessor's, as many instances as it has are kept. Others may still get those it doesn't use.

A case tells the pattern.

--- a/crates/cell/src/arrivals.rs
+++ b/crates/cell/src/arrivals.rs
@@ -52,6 +52,8 @@
     recent: VecDeque<(Millis, Sum)>,
     /// Whether a round has been held: what was there before that has not just come in.
     begun: bool,
+    /// Whether anything that ends by itself was ever taken in.
+    any: bool,
 }
 
 /// What a job occupies, times the milliseconds that it takes; nothing for what lasts or is scheduled.
@@ -77,8 +79,9 @@
 impl Arrivals {
     /// Takes in a job that was accepted.
     pub(crate) fn accept(&mut self, job: &Job) {
+        let work = work(job);
+        self.any |= work != Demand::default();
         if self.begun {
-            let work = work(job);
             self.fresh = self.fresh.plus(Sum {
                 all: work,
                 largest: work,
@@ -86,6 +89,16 @@
         }
     }
 
+    /// Takes in a job that a predecessor has worked on.
+    pub(crate) fn found(&mut self, job: &Job) {
+        self.any |= work(job) != Demand::default();
+    }
+
+    /// Whether any work was ever taken in, a predecessor's included.
+    pub(crate) fn any(&self) -> bool {
+        self.any
+    }
+
     /// Takes in that a round is held at `now`.
     pub(crate) fn round(&mut self, now: Millis) {
         self.begun = true;
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -93,6 +93,7 @@
     /// commit before that. Waiting for that window everywhere kept tasks from starting for as long as owners followed each other
     /// in less time.
     pub fn restore(&mut self, id: JobId, accepted: Accepted, progress: Progress) {
+        self.arrivals.found(&accepted.job);
         if let Some(ended) = progress.ended_ms {
             self.finished.insert(id, ended);
             return;
--- a/crates/cell/src/need.rs
+++ b/crates/cell/src/need.rs
@@ -165,7 +165,7 @@
         now: at_once + unfit,
         soon: workers_for(coming, capacity).max(at_once) + unfit,
         late: with_late.saturating_sub(at_once),
-        kept: cell.needs.highest() + unfit,
+        kept: kept(cell) + unfit,
         runs: runs.all(),
         waits: waits.all(),
         expected,
@@ -173,6 +173,18 @@
     }
 }
 
+/// Number of workers below which none is switched off.
+///
+/// Before any work has come in, what the pool was given is all that is known of its need: switched off while a site starts, its
+/// instances were missing when its first turn began.
+fn kept(cell: &Cell) -> u64 {
+    if cell.arrivals.any() {
+        return cell.needs.highest();
+    }
+    let registered = cell.workers.values().filter(|worker| worker.registered);
+    registered.count() as u64
+}
+
 /// Mean capacity of the registered workers; `None` without any.
 fn mean_capacity(cell: &Cell) -> Option<Demand> {
     let registered = cell.workers.values().filter(|worker| worker.registered);
--- a/crates/cell/tests/all/need.rs
+++ b/crates/cell/tests/all/need.rs
@@ -21,6 +21,7 @@
     late_work_is_counted_by_itself => late();
     work_that_runs_past_its_objective_is_late => runs_late();
     fall_is_followed_after_a_while => fall();
+    pool_without_work_yet_keeps_what_it_was_given => given();
     silent_worker_is_replaced => silent();
     worker_emptied_for_maintenance_is_replaced => emptied();
 }
@@ -196,6 +197,31 @@
     assert_eq!(need(&mut bed).kept, 1);
 }
 
+/// A site starts, and its pools have nothing to do until the first turn. Lasting tasks are no turn. Once work has come in, and
+/// has ended, what isn't needed is given up.
+fn given() {
+    let mut bed = Bed::new(&["w-1", "w-2", "w-3"]);
+    let lasting = Step {
+        lasting: true,
+        ..step(1, 1_000)
+    };
+    bed.accept(job(vec![lasting]));
+    bed.now += 10_000;
+    bed.look();
+    let need = need(&mut bed);
+    assert_eq!((need.workers, need.kept), (1, 3));
+    let id = bed.accept(job(vec![step(1, 1_000)]));
+    wanted(&mut bed);
+    for (worker, runs) in bed.running.clone() {
+        for task in runs.into_keys().filter(|task| task.job == id) {
+            bed.end(&worker, &task, End::Done);
+        }
+    }
+    bed.now += 10_000;
+    bed.look();
+    assert_eq!(self::need(&mut bed).kept, 1);
+}
+
 /// A worker that was there and is silent is no help: another is asked for in its place. One that has
 /// just come and wasn't looked at yet is waited for.
 fn silent() {
