The rate of a queue in which many jobs come in is taken as it is

Cause: the rate is taken over 0.6 s, in which a turn shows only as it fills the span, and the rise against the 1.2 s before is extrapolated by up to three times. That was made for queues of ten jobs a second.

Change: where fifty jobs come in within 0.3 s, the newest fifty tell the rate, and nothing is extrapolated. Where fewer come, all is as before.

--- a/crates/cell/src/arrivals.rs
+++ b/crates/cell/src/arrivals.rs
@@ -20,15 +20,23 @@
 /// registration and the first look.
 const LEAD_MS: Millis = 2_000;
 
+/// Number of jobs whose work tells the rate well. A queue in which so many come in within half of the near span shows its rise as
+/// it is, and nothing has to be guessed of how it goes on.
+const ENOUGH: u64 = 50;
+
+/// Times the near rate that the newest jobs' has to be, in percent, to be taken for a rise and not for chance.
+const CLEAR_PERCENT: u64 = 125;
+
 /// Most that a rise is taken to multiply the newest rate by: few jobs after none look like a steep rise.
 const MOST_RISE: u64 = 3;
 
 /// Least time between two sums that are remembered.
-const SAMPLE_MS: Millis = 50;
+const SAMPLE_MS: Millis = 20;
 
 /// Work of some jobs.
 #[derive(Clone, Copy, Debug, Default)]
 struct Sum {
+    jobs: u64,
     all: Demand,
     /// The most that one of them has, in each respect.
     largest: Demand,
@@ -37,6 +45,7 @@
 impl Sum {
     fn plus(self, other: Self) -> Self {
         Self {
+            jobs: self.jobs + other.jobs,
             all: self.all.plus(other.all),
             largest: self.largest.larger(other.largest),
         }
@@ -83,6 +92,7 @@
         self.any |= work != Demand::default();
         if self.begun {
             self.fresh = self.fresh.plus(Sum {
+                jobs: u64::from(work != Demand::default()),
                 all: work,
                 largest: work,
             });
@@ -122,12 +132,28 @@
         });
         let sum = within.fold(Sum::default(), |all, (_at, sum)| all.plus(*sum));
         let span = until - from;
-        let rate = |work: Demand| Demand {
-            cpu: work.cpu / span,
-            memory: work.memory / span,
-            accelerators: work.accelerators.div_ceil(span),
-        };
-        (rate(sum.all), rate(sum.all.minus(sum.largest)))
+        let several = sum.all.minus(sum.largest);
+        (
+            per_millisecond(sum.all, span),
+            per_millisecond(several, span),
+        )
+    }
+
+    /// What would be occupied by the work of the newest jobs, if it went on to come in so; `None` where too few have come.
+    fn newest(&self, now: Millis) -> Option<Demand> {
+        let mut sum = Sum::default();
+        for (at, earlier) in self.recent.iter().rev() {
+            let span = now.saturating_sub(*at);
+            if span > NEAR_MS / 2 {
+                return None;
+            }
+            // What a round has taken in came after the round before it.
+            if sum.jobs >= ENOUGH && span > 0 {
+                return Some(per_millisecond(sum.all, span));
+            }
+            sum = sum.plus(*earlier);
+        }
+        None
     }
 
     /// What will be occupied a lead time from now, if the demand goes on as it has begun.
@@ -136,6 +162,10 @@
     /// a queue of few large jobs from its instances for a second: it cost 0.02 to 0.03 of the mean worth.
     pub(crate) fn expected(&self, now: Millis) -> Demand {
         let (near, several) = self.rate(now, 0, NEAR_MS);
+        if let Some(newest) = self.newest(now) {
+            let rises = newest.cpu * 100 >= near.cpu * CLEAR_PERCENT;
+            return if rises { newest } else { near };
+        }
         let (before, _several) = self.rate(now, NEAR_MS, NEAR_MS + BEFORE_MS);
         Demand {
             cpu: ahead(near.cpu, several.cpu, before.cpu),
@@ -145,6 +175,14 @@
     }
 }
 
+fn per_millisecond(work: Demand, span: Millis) -> Demand {
+    Demand {
+        cpu: work.cpu / span,
+        memory: work.memory / span,
+        accelerators: work.accelerators.div_ceil(span),
+    }
+}
+
 /// The rate a lead time after now, where it was `before` and is `near`, or `several` without its largest job.
 fn ahead(near: u64, several: u64, before: u64) -> u64 {
     // The rates stand for the middles of their spans.
--- a/crates/cell/tests/all/need.rs
+++ b/crates/cell/tests/all/need.rs
@@ -16,6 +16,7 @@
     steady_arrivals_ask_for_what_they_will_occupy => steady();
     rise_of_arrivals_is_taken_to_go_on => rise();
     arrivals_that_end_are_forgotten => ebb();
+    turn_of_many_jobs_is_seen_as_it_is => turn();
     one_job_is_no_rate => one_job();
     jobs_that_a_new_owner_finds_have_not_just_come => found();
     late_work_is_counted_by_itself => late();
@@ -197,6 +198,34 @@
     assert_eq!(need(&mut bed).kept, 1);
 }
 
+/// Workers that are expected to be occupied while jobs of a task of ten cores and half a second come in for `rounds` rounds, `jobs`
+/// of them a round of 25 ms.
+fn expected(bed: &mut Bed, jobs: usize, rounds: usize) -> Vec<u64> {
+    let one = Step {
+        estimate_ms: 500,
+        ..step(1, 10_000)
+    };
+    let round = |_round| {
+        for _job in 0..jobs {
+            bed.accept(job(vec![one.clone()]));
+        }
+        need(bed).expected.cpu / 10_000
+    };
+    (0..rounds).map(round).collect()
+}
+
+/// A turn begins from one moment to the next: 400 jobs a second that will occupy 200 workers of ten cores. Within a fifth of a
+/// second as many are expected, and at no time many more: each one too many is moved there and back.
+fn turn() {
+    let mut bed = Bed::new(&["w-1"]);
+    expected(&mut bed, 0, 100);
+    let expected = expected(&mut bed, 10, 60);
+    let first = expected.iter().position(|workers| *workers >= 180);
+    assert!(first.is_some_and(|first| first < 8), "{expected:?}");
+    let most = expected.iter().max();
+    assert!(most.is_some_and(|most| *most <= 260), "{expected:?}");
+}
+
 /// A site starts, and its pools have nothing to do until the first turn. Lasting tasks are no turn. Once work has come in, and
 /// has ended, what isn't needed is given up.
 fn given() {
