--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -26,27 +26,27 @@
     time::{Instant, timeout},
 };
 
-/// Time between two looks at the table by an entry that owns nothing and isn't near to owning anything.
-const FAR_PACE: Duration = Duration::from_secs(2);
+/// Time between two looks at the table by an entry that is no candidate.
+const OBSERVER_PACE: Duration = Duration::from_secs(2);
 
 /// How old what such an entry sees may be, in milliseconds: a pace, and a call that is late.
-const FAR_LAG: Millis = 2_400;
+const OBSERVER_LAG: Millis = 2_400;
 
 /// The table of owners and heartbeats.
 #[derive(Debug)]
 pub(crate) struct Table {
     pub rows: Arc<dyn Rows>,
     pub configuration: Receiver<Option<Arc<Configuration>>>,
-    /// Whether this entry owns something, or is near to it.
-    pub near: Receiver<bool>,
+    /// Whether this entry owns something, or would take it over.
+    pub candidate: Receiver<bool>,
 }
 
 impl Table {
-    /// Waits for the next look, or until this entry comes near to owning something.
+    /// Waits until the next look is due; a candidate doesn't wait.
     async fn pace(&self) {
-        let mut near = self.near.clone();
-        let comes_near = near.wait_for(|near| *near);
-        if timeout(FAR_PACE, comes_near).await.is_err() {
+        let mut candidate = self.candidate.clone();
+        let stands = candidate.wait_for(|candidate| *candidate);
+        if timeout(OBSERVER_PACE, stands).await.is_err() {
             log::trace!("the table of owners is looked at again");
         }
     }
@@ -134,8 +134,8 @@
     pub current: bool,
     /// When this entry's own heartbeat last got through in good time.
     pub own_beat_at: Option<Millis>,
-    /// Since when this entry has been near to owning something; `None` while it isn't.
-    near_since: Option<Millis>,
+    /// Since when this entry has been a candidate; `None` while it isn't one.
+    candidate_since: Option<Millis>,
 }
 
 /// Age of this entry's own last good heartbeat up to which it judges others. A store that is slow or
@@ -150,17 +150,17 @@
         self.current && heard
     }
 
-    /// Takes in whether this entry is near to owning something, and looks at the table closely.
+    /// Takes in whether this entry is a candidate, and looks at the table all the time.
     ///
-    /// What it saw before it came near is old: for as long it goes on to wait longer for others.
-    pub(crate) fn near(&mut self, near: bool, now: Millis) {
-        if !near {
-            self.near_since = None;
-            self.members.seen_late(FAR_LAG);
+    /// What it saw before it became one is old: for as long it goes on to wait longer for others.
+    pub(crate) fn candidate(&mut self, candidate: bool, now: Millis) {
+        if !candidate {
+            self.candidate_since = None;
+            self.members.seen_late(OBSERVER_LAG);
             return;
         }
-        let since = *self.near_since.get_or_insert(now);
-        if now >= since + FAR_LAG {
+        let since = *self.candidate_since.get_or_insert(now);
+        if now >= since + OBSERVER_LAG {
             self.members.seen_late(0);
         }
     }
--- a/crates/owner/src/elect.rs
+++ b/crates/owner/src/elect.rs
@@ -12,21 +12,21 @@
     u64::from(strength) / (pools as u64).max(1)
 }
 
-/// Least number of entries that are ready to take something over.
-const READY: usize = 16;
+/// Least number of candidates, where there are as many entries.
+const CANDIDATES: usize = 16;
 
 /// Of the entries that can take pools and groups over, those that do: the strongest, twice as many as there is to own.
 ///
 /// They watch each other closely, which costs each of them news of all the others. Done by every entry, that grew with the
 /// square of their number.
-pub fn ready(able: &BTreeMap<Name, u32>, charges: usize) -> BTreeMap<Name, u32> {
+pub fn candidates(able: &BTreeMap<Name, u32>, charges: usize) -> BTreeMap<Name, u32> {
     let mut ranked: Vec<(&Name, u32)> = able
         .iter()
         .map(|(entry, strength)| (entry, *strength))
         .collect();
     ranked.sort_by_key(|(entry, strength)| (std::cmp::Reverse(*strength), hash(entry)));
-    let ready = ranked.into_iter().take(READY.max(charges * 2));
-    ready
+    let chosen = ranked.into_iter().take(CANDIDATES.max(charges * 2));
+    chosen
         .map(|(entry, strength)| (Name::clone(entry), strength))
         .collect()
 }
--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -43,8 +43,8 @@
 /// entries: a heartbeat has shown all of them, and a takeover is over.
 const KEEPS: Duration = Duration::from_millis(1_500);
 
-/// Least time for which an entry is near to owning something: after its start, and after it last was.
-const NEAR_FOR: Duration = Duration::from_secs(8);
+/// Least time for which an entry is a candidate: after its start, and after it last owned something or was among the strongest.
+const CANDIDATE_FOR: Duration = Duration::from_secs(8);
 
 /// A pool that is owned, or a group that is held.
 struct Charge {
@@ -58,10 +58,10 @@
     picture: Arc<Mutex<Picture>>,
     fleet: Arc<Fleet>,
     owned: BTreeMap<Name, Charge>,
-    /// Tells whether this entry owns something, or is near to it.
-    near: watch::Sender<bool>,
-    /// Until when it counts as near.
-    near_until: Instant,
+    /// Tells whether this entry is a candidate: whether it owns something, or would take it over.
+    candidate: watch::Sender<bool>,
+    /// Until when it is one.
+    candidate_until: Instant,
     stop: watch::Receiver<bool>,
     attempt: u64,
     started: Instant,
@@ -71,7 +71,7 @@
     pub(crate) fn new(
         parts: Parts,
         picture: Arc<Mutex<Picture>>,
-        near: watch::Sender<bool>,
+        candidate: watch::Sender<bool>,
         stop: watch::Receiver<bool>,
     ) -> Self {
         Self {
@@ -79,8 +79,8 @@
             parts,
             picture,
             owned: BTreeMap::new(),
-            near,
-            near_until: Instant::now() + NEAR_FOR,
+            candidate,
+            candidate_until: Instant::now() + CANDIDATE_FOR,
             stop,
             attempt: 0,
             started: Instant::now(),
@@ -101,7 +101,7 @@
             self.owned
                 .retain(|_pool, charge| !charge.task.is_finished());
             self.parts.observer.owns(self.pools().len());
-            self.come_near();
+            self.stand();
             self.give_up();
             for name in self.chosen() {
                 self.take(name).await;
@@ -123,21 +123,21 @@
         pools.map(Name::clone).collect()
     }
 
-    /// Tells whether this entry owns something, or is among those that would take it over.
-    fn come_near(&mut self) {
+    /// Tells whether this entry is a candidate.
+    fn stand(&mut self) {
         let (pools, groups) = self.charges();
         let mut picture = self.picture.lock();
         let now = self.parts.clock.now();
         let able = picture.members.able(now);
-        let ready = elect::ready(&able, pools.len() + groups.len());
-        if !self.owned.is_empty() || ready.contains_key(&self.parts.entry) {
-            self.near_until = Instant::now() + NEAR_FOR;
+        let candidates = elect::candidates(&able, pools.len() + groups.len());
+        if !self.owned.is_empty() || candidates.contains_key(&self.parts.entry) {
+            self.candidate_until = Instant::now() + CANDIDATE_FOR;
         }
-        let near = Instant::now() < self.near_until;
-        picture.near(near, now);
-        let known = self.near.send_replace(near);
-        if known != near {
-            info!(near; "closeness to ownership has changed");
+        let candidate = Instant::now() < self.candidate_until;
+        picture.candidate(candidate, now);
+        let known = self.candidate.send_replace(candidate);
+        if known != candidate {
+            info!(candidate; "candidacy for pools and groups has changed");
         }
     }
 
@@ -197,7 +197,7 @@
         if !picture.judges(now) {
             return Vec::new();
         }
-        let able = elect::ready(&picture.members.able(now), pools.len() + groups.len());
+        let able = elect::candidates(&picture.members.able(now), pools.len() + groups.len());
         // Groups cost their holders little, so that they are spread by themselves.
         let pools = elect::assign(&picture.free(&pools, now), &picture.owned(false), &able);
         let groups = elect::assign(&picture.free(&groups, now), &picture.owned(true), &able);
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -108,11 +108,11 @@
     pub fn spawn(parts: Parts) -> Self {
         let picture = Arc::new(Mutex::new(Picture::default()));
         let leaving = Arc::new(AtomicBool::new(false));
-        let (near, is_near) = watch::channel(true);
+        let (candidate, is_candidate) = watch::channel(true);
         let table = Table {
             rows: Arc::clone(&parts.rows),
             configuration: parts.watch.configuration.clone(),
-            near: is_near,
+            candidate: is_candidate,
         };
         let keeper = Keeper {
             picture: Arc::clone(&picture),
@@ -128,7 +128,7 @@
             )),
         ];
         let (stop, stopped) = watch::channel(false);
-        let elections = Elections::new(parts.clone(), picture, near, stopped);
+        let elections = Elections::new(parts.clone(), picture, candidate, stopped);
         Self {
             stop,
             parts,
--- a/crates/owner/tests/all/elect.rs
+++ b/crates/owner/tests/all/elect.rs
@@ -1,7 +1,7 @@
 //! Who takes a free pool, and which pool goes to a stronger entry.
 
 use primroseroute_domain::work::Name;
-use primroseroute_owner::elect::{assign, given_up, ready};
+use primroseroute_owner::elect::{assign, candidates, given_up};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -93,20 +93,20 @@
     }
 }
 
-/// Hundreds of weak entries beside a few strong ones: the strong ones stand ready, and a few of the others; of few entries, all do.
+/// Hundreds of weak entries beside a few strong ones: the strong ones are candidates, and a few of the others; of few entries, all are.
 #[test]
-fn strong_entries_stand_ready() {
+fn strong_entries_are_candidates() {
     let mut strengths = vec![120; 130];
     strengths.extend([500; 15]);
     let able = entries(&strengths);
-    let ready_ones = ready(&able, 9);
-    assert_eq!(ready_ones.len(), 18);
+    let chosen = candidates(&able, 9);
+    assert_eq!(chosen.len(), 18);
     let strong = able.iter().filter(|(_entry, strength)| **strength == 500);
     assert!(
         strong
             .into_iter()
-            .all(|(entry, _)| ready_ones.contains_key(entry))
+            .all(|(entry, _)| chosen.contains_key(entry))
     );
-    assert_eq!(ready(&entries(&[250; 7]), 9).len(), 7);
-    assert_eq!(ready(&able, 280).len(), 145);
+    assert_eq!(candidates(&entries(&[250; 7]), 9).len(), 7);
+    assert_eq!(candidates(&able, 280).len(), 145);
 }
--- a/tests/site/takeover.rs
+++ b/tests/site/takeover.rs
@@ -37,8 +37,8 @@
     end_is_acknowledged_only_once_it_is_stored => acknowledged();
     strong_entry_that_comes_back_gets_its_pools => strong_comes_back();
     entry_that_joins_takes_what_is_given_up => joins();
-    pool_goes_to_an_entry_that_stands_ready => ready_takes_over();
-    entries_that_stand_aside_take_over_when_all_others_are_gone => all_ready_killed();
+    pool_goes_to_a_candidate => candidate_takes_over();
+    observers_take_over_when_all_candidates_are_gone => all_candidates_killed();
 }
 
 // The owner dies while tasks run. Their leases outlast the takeover, so the successor finds them
@@ -466,49 +466,55 @@
     bed.judge()
 }
 
-/// More entries than stand ready to take anything over.
+/// More entries than are candidates for anything.
 const MANY: usize = 24;
 
-/// The entries that stand ready.
-fn ready(bed: &Bed) -> BTreeSet<String> {
+/// The entries that would take something over.
+fn candidates(bed: &Bed) -> BTreeSet<String> {
     let able = bed.nodes.keys().map(|name| (Name::from(&**name), 250));
-    let ready = elect::ready(&able.collect(), 2 + row::groups().count());
-    ready.into_keys().map(|name| name.to_string()).collect()
+    let chosen = elect::candidates(&able.collect(), 2 + row::groups().count());
+    chosen.into_keys().map(|name| name.to_string()).collect()
 }
 
-// Of many entries the most look at the others every few seconds only, and one of them is no slower to be replaced for that: the
-// pool goes to an entry that looks closely.
-async fn ready_takes_over() -> Result<()> {
+// Of many entries the most look at the others every few seconds only. An owner is replaced no later for that: its pool goes to a
+// candidate, which looks all the time.
+async fn candidate_takes_over() -> Result<()> {
     let mut bed = Bed::open(38, MANY, 3).await?;
     seconds(10).await;
     let owner = bed.owner(POOL).await?;
-    ensure!(ready(&bed).contains(&owner), "{owner} owns and isn't ready");
+    ensure!(
+        candidates(&bed).contains(&owner),
+        "{owner} owns and is no candidate"
+    );
     bed.kill(&owner);
     seconds(4).await;
     let successor = bed.owner(POOL).await?;
     ensure!(successor != owner, "{owner} wasn't replaced in time");
-    ensure!(ready(&bed).contains(&successor), "{successor} isn't ready");
+    ensure!(
+        candidates(&bed).contains(&successor),
+        "{successor} is no candidate"
+    );
     let id = bed.submit("e-0", &job("500", 4)).await?;
     bed.until("e-0", &id, State::Completed, 3).await?;
     bed.judge()
 }
 
-// All entries that look closely lose power at once. The others see it later, and take over: nothing that was accepted is lost,
+// All candidates lose power at once. The others see it later, and take over: nothing that was accepted is lost,
 // and no living one of them is taken for dead.
-async fn all_ready_killed() -> Result<()> {
+async fn all_candidates_killed() -> Result<()> {
     let mut bed = Bed::open(39, MANY, 3).await?;
     seconds(10).await;
-    let gone = ready(&bed);
-    let far = bed.nodes.keys().find(|name| !gone.contains(*name)).cloned();
-    let far = far.ok_or_else(|| eyre!("all entries are ready"))?;
-    let id = bed.submit(&far, &job("3000", 4)).await?;
+    let gone = candidates(&bed);
+    let observer = bed.nodes.keys().find(|name| !gone.contains(*name)).cloned();
+    let observer = observer.ok_or_else(|| eyre!("all entries are candidates"))?;
+    let id = bed.submit(&observer, &job("3000", 4)).await?;
     seconds(1).await;
     for name in &gone {
         bed.kill(name);
     }
     seconds(9).await;
     let token = bed.token(POOL).await?;
-    bed.until(&far, &id, State::Completed, 6).await?;
+    bed.until(&observer, &id, State::Completed, 6).await?;
     seconds(10).await;
     ensure!(
         bed.token(POOL).await? == token,
