Three tests of moves expect that a pool keeps what it was given until its first work

In their place, as strict: after a first job all but one of six are switched off within 12 s, as before; without any, all six stay for 30 s and a takeover, and all but one go after a minute; the instance of a lasting task stays and others go; fourteen that are switched off come three in any second.

--- a/tests/site/moves.rs
+++ b/tests/site/moves.rs
@@ -11,8 +11,12 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
+/// Longer than a pool keeps what it was given while no work comes in.
+const UNTRIED: u64 = 62;
+
 cases! {
     idle_instances_are_switched_off => switched_off();
+    pool_keeps_what_it_was_given_until_its_first_work => untried();
     pool_under_load_gets_the_instances_of_others => under_load();
     lasting_task_keeps_its_instance => lasting_stays();
     owner_killed_between_moves => owner_killed();
@@ -47,11 +51,19 @@
     moves.collect()
 }
 
-// Nothing is asked of a pool of six. All but the one that the next job may need are switched off,
+/// A first job of a pool, which has ended long enough ago that nothing is kept for it any more.
+async fn first_work(bed: &mut Bed, entry: &str) -> Result<()> {
+    let id = bed.submit(entry, &job("500", 1)).await?;
+    bed.until(entry, &id, State::Completed, 2).await?;
+    seconds(12).await;
+    Ok(())
+}
+
+// Nothing more is asked of a pool of six. All but the one that the next job may need are switched off,
 // and the first job after that runs at once.
 async fn switched_off() -> Result<()> {
     let mut bed = Bed::open_with_standby(71, 2, 6).await?;
-    seconds(15).await;
+    first_work(&mut bed, "e-0").await?;
     ensure!(up(&bed, POOL) == 1, "{} are up", up(&bed, POOL));
     ensure!(up(&bed, STANDBY) == 9);
     let id = bed.submit("e-0", &job("500", 4)).await?;
@@ -59,6 +71,21 @@
     bed.judge()
 }
 
+// A site has started, and its callers come a while later: they find the six instances that their pool was given, also where its
+// owner is replaced meanwhile. Where none comes at all, all but one are switched off.
+async fn untried() -> Result<()> {
+    let mut bed = Bed::open_with_standby(120, 2, 6).await?;
+    seconds(15).await;
+    ensure!(up(&bed, POOL) == 6, "{} are up", up(&bed, POOL));
+    let owner = bed.owner(POOL).await?;
+    bed.kill(&owner);
+    seconds(15).await;
+    ensure!(up(&bed, POOL) == 6, "{} are up", up(&bed, POOL));
+    seconds(UNTRIED).await;
+    ensure!(up(&bed, POOL) == 1, "{} are up", up(&bed, POOL));
+    bed.judge()
+}
+
 // Tasks for three times the pool's workers come in. Instances that are switched off join it, and when
 // the work is done they leave again; the other pool keeps its one.
 async fn under_load() -> Result<()> {
@@ -84,7 +111,8 @@
 async fn lasting_stays() -> Result<()> {
     let mut bed = Bed::open_with_standby(73, 2, 6).await?;
     let id = bed.submit("e-0", &lasting(3)).await?;
-    seconds(20).await;
+    first_work(&mut bed, "e-0").await?;
+    seconds(8).await;
     ensure!(up(&bed, POOL) >= 3);
     ensure!(up(&bed, POOL) < 6, "none was switched off");
     for index in 0..3 {
@@ -161,6 +189,7 @@
 // They go three in any second, so that waves and other pools have their part of the rate.
 async fn rate() -> Result<()> {
     let mut bed = Bed::open_with_standby(76, 3, 15).await?;
+    first_work(&mut bed, "e-0").await?;
     bed.bounds.send_modify(|bounds| bounds.order_rate = 4.0);
     let owner = bed.owner(STANDBY).await?;
     let caller = bed.bystander(STANDBY).await?;
