--- a/crates/cell/src/look.rs
+++ b/crates/cell/src/look.rs
@@ -131,6 +131,8 @@
         return;
     };
     let id = &ended.task;
+    let may_run_on = job.may_run_on;
+    // Tasks of which further runs may be under way.
     let mut over = Vec::new();
     if let Some(steps) = job.progress.steps.get_mut(&id.occurrence)
         && let Some(tasks) = steps.get_mut(usize::from(id.step))
@@ -138,16 +140,18 @@
         for (index, task) in (0..).zip(tasks) {
             if gang || index == id.index {
                 task.phase = Phase::Done;
-                over.push(TaskId {
-                    index,
-                    ..id.clone()
-                });
+                if may_run_on {
+                    over.push(TaskId {
+                        index,
+                        ..id.clone()
+                    });
+                }
             }
         }
     }
     cell.dirty.insert(id.job.clone());
     let settled = job.settle();
-    if job.may_run_on {
+    if may_run_on {
         for worker in cell.workers.values_mut() {
             for task in &over {
                 if let Some(run) = worker.runs.get_mut(task)
--- a/crates/cell/src/place/rooms.rs
+++ b/crates/cell/src/place/rooms.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 /// A worker that takes something new.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct Open {
     id: Name,
     free: Demand,
@@ -17,7 +17,7 @@
 ///
 /// A busy pool starts hundreds of tasks a round on hundreds of workers: what fits is looked for from the tightest room on, and
 /// not among all workers for each task.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(super) struct Rooms {
     /// In the order of their ids.
     open: Vec<Open>,
--- a/crates/owner/tests/all/wave.rs
+++ b/crates/owner/tests/all/wave.rs
@@ -76,6 +76,14 @@
         })
     }
 
+    /// Counts an instance as in maintenance, with the worker that it has.
+    fn count(&mut self, number: usize) -> Instance {
+        let counted = instance(number);
+        let name = Name::clone(&counted.name);
+        self.progress.active.insert(name, counted.worker.clone());
+        counted
+    }
+
     /// Names of the instances that begin.
     fn begun(&self) -> Vec<String> {
         let steps = self.steps().into_iter();
@@ -112,10 +120,9 @@
 fn all_that_are_back_are_finished_at_once() {
     let mut bed = Bed::new();
     for number in 0..2 {
-        let before = instance(number).worker;
-        bed.progress.active.insert(instance(number).name, before);
+        let counted = bed.count(number);
         bed.instances[number].worker = Some("w-new".into());
-        bed.taken.insert(instance(number).name);
+        bed.taken.insert(counted.name);
     }
     let finished = [Step::Finish("i-0".into()), Step::Finish("i-1".into())];
     assert_eq!(bed.steps(), finished);
@@ -126,10 +133,7 @@
 #[test]
 fn order_that_may_not_have_come_is_repeated() {
     let mut bed = Bed::new();
-    let first = instance(0);
-    bed.progress
-        .active
-        .insert(Name::clone(&first.name), first.worker.clone());
+    let first = bed.count(0);
     assert_eq!(bed.steps(), [Step::Repeat(first.clone())]);
     bed.taken.insert(Name::clone(&first.name));
     assert_eq!(bed.steps(), [Step::Finish(first.name)]);
@@ -140,10 +144,7 @@
 #[test]
 fn another_worker_proves_nothing() {
     let mut bed = Bed::new();
-    let first = instance(0);
-    bed.progress
-        .active
-        .insert(Name::clone(&first.name), first.worker);
+    let first = bed.count(0);
     bed.instances[0].worker = Some("w-new".into());
     assert_eq!(bed.steps(), [Step::Again(first.name)]);
 }
@@ -153,10 +154,7 @@
 #[test]
 fn counted_instance_that_is_not_empty_is_due_again() {
     let mut bed = Bed::new();
-    let first = instance(0);
-    bed.progress
-        .active
-        .insert(Name::clone(&first.name), first.worker);
+    let first = bed.count(0);
     bed.emptying.remove("w-0");
     bed.empty.remove("w-0");
     assert_eq!(bed.steps(), [Step::Again(first.name)]);
@@ -167,15 +165,12 @@
 #[test]
 fn counted_instance_stays_counted_while_orders_may_be_on_their_way() {
     let mut bed = Bed::new();
-    let first = instance(0);
-    bed.progress
-        .active
-        .insert(Name::clone(&first.name), first.worker);
+    let first = bed.count(0);
     bed.emptying.remove("w-0");
     bed.empty.remove("w-0");
     bed.settled = false;
     assert_eq!(bed.begun(), ["i-1", "i-2"]);
-    assert!(!bed.steps().contains(&Step::Again("i-0".into())));
+    assert!(!bed.steps().contains(&Step::Again(first.name)));
 }
 
 /// An order had effect without an answer, and is refused when it is sent again: the instance is down and counts. Where a list
@@ -183,10 +178,7 @@
 #[test]
 fn refused_instance_counts_until_a_list_shows_it_up() {
     let mut bed = Bed::new();
-    let first = instance(0);
-    bed.progress
-        .active
-        .insert(Name::clone(&first.name), first.worker);
+    let first = bed.count(0);
     bed.busy.insert(Name::clone(&first.name));
     bed.instances[0].condition = Condition::Maintenance;
     assert_eq!(bed.begun(), ["i-1", "i-2"]);
