A start that never reached its worker isn't blamed for the end of an earlier life

Cause: two crashes among many neighbours made the task a suspect. Run 4 is placed at 14.982 s on w-14, which lives; its owner's calls to workers get no answer, so neither the start nor six stops reach it. The next owner's first look at w-14, at 18.677 s, doesn't show the run. What isn't there and was accepted before this life of the worker began (12.728 s) passed for lost with an earlier life, and was blamed; one more crash by another cause, and the job had failed.

Change: the row of a task with crashes holds one digit of the life of the worker that it was placed on. Where a new owner's first look shows that life, the start has never reached it and crashed nothing. All other runs are judged by the time of birth as before, so the first crashes of a task are counted as they were.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -45,6 +45,8 @@
     pub(crate) losses: Vec<Loss>,
     /// Tasks that were given up since then.
     pub(crate) culprits: Vec<Culprit>,
+    /// Tasks that were acquitted since then.
+    pub(crate) acquitted: Vec<TaskId>,
     /// Counts of queued jobs as of the last round.
     pub(crate) counts: BTreeMap<Name, u64>,
     /// How many workers it could use lately.
@@ -78,6 +80,7 @@
             reserved: BTreeSet::new(),
             losses: Vec::new(),
             culprits: Vec::new(),
+            acquitted: Vec::new(),
             counts: BTreeMap::new(),
             needs: Needs::default(),
             arrivals: Arrivals::default(),
@@ -143,6 +146,7 @@
                         // The predecessor may have sent it.
                         stop_left_at: leaves.then_some(self.taken_at),
                         found: true,
+                        life: task.life,
                         ..Run::new(task.run, reserved, lasting)
                     };
                     let worker = self.worker(worker);
--- a/crates/cell/src/crash.rs
+++ b/crates/cell/src/crash.rs
@@ -121,8 +121,10 @@
         let task = job.and_then(|job| job.task_mut(&id));
         if let Some(task) = task.filter(|task| task.run == run) {
             task.crashed.clear();
+            task.life = None;
             cell.crashed.remove(&id);
-            cell.dirty.insert(id.job);
+            cell.dirty.insert(id.job.clone());
+            cell.acquitted.push(id);
         }
     }
 }
--- a/crates/cell/src/life.rs
+++ b/crates/cell/src/life.rs
@@ -9,6 +9,7 @@
     crash,
     limits::Millis,
     order::Cause,
+    row::Life,
     worker::{Gone, Known, Stop},
 };
 use primroseroute_domain::work::{Name, TaskId};
@@ -44,8 +45,9 @@
 
 /// Takes in the first look at a worker: what a predecessor has placed in an earlier life of it is lost.
 ///
-/// The rows don't say in which life. What was accepted before this one began, and isn't there, was placed in an earlier one, but for
-/// a start that its predecessor didn't come to send.
+/// The row of a task with crashes says in which life it was placed: where it is this one, its start has never reached the worker, and
+/// crashed nothing. The other rows don't. What was accepted before this life began, and isn't there, was placed in an earlier one, but
+/// for a start that its predecessor didn't come to send.
 fn lose_found(cell: &mut Cell, id: &Name, look: &Look, wall_ms: u64) {
     let (jobs, Some(worker)) = (&cell.jobs, cell.workers.get(id)) else {
         return;
@@ -55,8 +57,10 @@
         let job = jobs.get(&task.job);
         job.is_some_and(|job| job.accepted.at_ms < look.born)
     };
+    let now = Life::of(look.born);
     let lost = worker.runs_where(|task, run| {
-        run.found && is_older(task) && !of_this_life.contains(&(task, run.run))
+        let may_be_older = run.life != Some(now) && is_older(task);
+        run.found && may_be_older && !of_this_life.contains(&(task, run.run))
     });
     if !lost.is_empty() {
         let new = lost.clone();
--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -120,6 +120,8 @@
     pub losses: Vec<Loss>,
     /// Tasks that are given up since they crash their workers.
     pub culprits: Vec<Culprit>,
+    /// Tasks that are held for innocent of the crashes of their workers.
+    pub acquitted: Vec<TaskId>,
     /// Questions to the advice service; they need no commit.
     pub questions: Vec<Question>,
     /// For each worker, up to where its ends are in the rows.
--- a/crates/cell/src/place/mod.rs
+++ b/crates/cell/src/place/mod.rs
@@ -13,7 +13,7 @@
     crash,
     limits::Millis,
     order::Order,
-    row::Phase,
+    row::{Life, Phase},
     worker::{Run, Worker},
 };
 use primroseroute_domain::work::{Demand, Name, State, Step, TaskId};
@@ -316,6 +316,7 @@
     gang: Option<(u32, Option<Name>)>,
 ) -> Option<Order> {
     let ticket = advice::ticket(cell, &id, worker);
+    let born = cell.workers.get(worker).map_or(0, |worker| worker.born);
     let job = cell.jobs.get_mut(&id.job)?;
     let payload = Name::clone(&job.accepted.job.payload);
     job.progress.state = State::Running;
@@ -323,6 +324,7 @@
     let (run, checkpoint) = gang.unwrap_or_else(|| (task.run + 1, task.checkpoint.clone()));
     task.run = run;
     task.phase = Phase::Placed(Name::clone(worker));
+    task.life = (!task.crashed.is_empty()).then(|| Life::of(born));
     job.may_run_on |= run > 1 || step.gang;
     cell.dirty.insert(id.job.clone());
     cell.waiting.remove(&id);
--- a/crates/cell/src/row/mod.rs
+++ b/crates/cell/src/row/mod.rs
@@ -249,6 +249,20 @@
     pub checkpoint: Option<Name>,
     /// The runs that may have crashed their workers, since one has gone on for a while.
     pub crashed: BTreeSet<u32>,
+    /// Of a task with such runs: the life of the worker that it was placed on.
+    pub life: Option<Life>,
+}
+
+/// What tells a worker's life from most others of it: one digit, so that the largest job still fits into a row.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Life(u8);
+
+impl Life {
+    /// Of a life that began at `born` by the worker's clock.
+    pub fn of(born: u64) -> Self {
+        Self(u8::try_from(born % 9).unwrap_or(0) + 1)
+    }
 }
 
 /// Where a task stands.
@@ -285,16 +299,18 @@
     BTreeSet<u32>,
     Option<Name>,
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")] BTreeSet<u32>,
+    #[serde(default, skip_serializing_if = "Option::is_none")] Option<Life>,
 );
 
 impl From<Packed> for Task {
-    fn from(Packed(phase, run, failed, checkpoint, crashed): Packed) -> Self {
+    fn from(Packed(phase, run, failed, checkpoint, crashed, life): Packed) -> Self {
         Self {
             phase,
             run,
             failed,
             checkpoint,
             crashed,
+            life,
         }
     }
 }
@@ -307,6 +323,7 @@
             task.failed,
             task.checkpoint,
             task.crashed,
+            task.life,
         )
     }
 }
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -55,6 +55,7 @@
         orders,
         losses: std::mem::take(&mut cell.losses),
         culprits: std::mem::take(&mut cell.culprits),
+        acquitted: std::mem::take(&mut cell.acquitted),
         seen,
         counts_changed,
         need: need::need(cell, &waiting, now, wall_ms),
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -3,6 +3,7 @@
 use crate::{
     limits::{Limits, Millis},
     order::TakenIn,
+    row::Life,
 };
 use primroseroute_domain::work::{Demand, JobId, Name, TaskId};
 use primroseroute_platform::site;
@@ -48,6 +49,8 @@
     pub lasting: bool,
     /// Whether this owner has found it, and not started it.
     pub found: bool,
+    /// Of one that was found: the life that it was placed in, as far as the row tells.
+    pub life: Option<Life>,
     /// Where the life that it was sent to is over and it got no answer: until when it may still reach the next one.
     pub doubtful_until: Option<Millis>,
 }
@@ -68,6 +71,7 @@
             pace: 100,
             lasting,
             found: false,
+            life: None,
             doubtful_until: None,
         }
     }
--- a/crates/cell/tests/all/life.rs
+++ b/crates/cell/tests/all/life.rs
@@ -29,6 +29,8 @@
     unanswered_start_is_over_when_no_late_order_is => never_back();
     /// A crash that the next owner takes for a start that never left.
     crash_before_a_takeover_is_blamed => before_takeover();
+    /// A start that never reached its worker, taken for one that crashed an earlier life of it.
+    start_that_never_reached_its_life_is_not_blamed => never_reached();
     /// A life that is given up for the end of the one before, by a list that came late.
     end_of_the_life_before_ends_no_other => late_list();
     /// A run of the next life that is taken for lost with the one before.
@@ -242,6 +244,23 @@
     assert_eq!(tick.losses[0].blamed, vec![task(&id, 0, 0)]);
 }
 
+fn never_reached() {
+    let mut bed = Bed::new(&[WORKER]);
+    let id = bed.accept(job(vec![step(1, 1_000)]));
+    bed.tick();
+    bed.now += 3_000;
+    let second = look(WALL + 2_000);
+    take(&mut bed, &second);
+    let tick = bed.round();
+    assert_eq!(tick.losses[0].blamed, vec![task(&id, 0, 0)]);
+    assert_eq!(starts(&tick.orders).len(), 1);
+    bed.replace_owner();
+    take(&mut bed, &second);
+    let tick = bed.round();
+    assert_eq!(tick.losses, Vec::new());
+    assert_eq!(starts(&tick.orders).len(), 1);
+}
+
 fn late_list() {
     let mut bed = Bed::new(&[WORKER]);
     take(&mut bed, &look(NEXT));
--- a/crates/cell/tests/all/rows.rs
+++ b/crates/cell/tests/all/rows.rs
@@ -1,7 +1,7 @@
 //! Rows, and where they lie.
 
 use crate::cases;
-use primroseroute_cell::row::{self, ControlKey, JobKey, Phase, Progress, Task};
+use primroseroute_cell::row::{self, ControlKey, JobKey, Life, Phase, Progress, Task};
 use primroseroute_domain::work::{JobId, State};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -20,6 +20,7 @@
         failed: BTreeSet::from([3, 7]),
         checkpoint: Some("00000bb87a21d94b".into()),
         crashed: BTreeSet::from([2, 9]),
+        life: Some(Life::of(4)),
     }
 }
 
@@ -47,6 +48,7 @@
 fn without_crashes() {
     let task = Task {
         crashed: BTreeSet::new(),
+        life: None,
         ..task("i-1")
     };
     let json = serde_json::to_string(&task).expect("it serializes");
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -332,6 +332,7 @@
         }
         tell::losses(&self.context.pool, &tick.losses);
         tell::culprits(&self.context.pool, &tick.culprits);
+        tell::acquitted(&self.context.pool, &tick.acquitted);
         let urgent = std::mem::take(&mut tick.urgent);
         for question in std::mem::take(&mut tick.questions) {
             self.beside.spawn(ask(
--- a/crates/owner/src/tell.rs
+++ b/crates/owner/src/tell.rs
@@ -3,7 +3,7 @@
 use crate::digest::first;
 use log::{info, warn};
 use primroseroute_cell::{Culprit, Loss, Need, Order};
-use primroseroute_domain::work::{JobId, State};
+use primroseroute_domain::work::{JobId, State, TaskId};
 
 /// One line for each order to a worker.
 pub(crate) fn orders(pool: &str, orders: &[Order]) {
@@ -60,6 +60,13 @@
     }
 }
 
+/// One line for each task that is held for innocent of the crashes of its workers.
+pub(crate) fn acquitted(pool: &str, acquitted: &[TaskId]) {
+    for task in acquitted {
+        info!(pool, task:% = task; "a task has outlived its trial");
+    }
+}
+
 /// One line for each job whose final state is stored, by a commit that took `commit_ms`.
 pub(crate) fn ended(pool: &str, ended: &[(JobId, State)], commit_ms: u64) {
     for (job, state) in ended {
