The end of a trial is looked for at once

Cause: three of its four crashes are real ones of its workers; the fourth blame is for run 3 on w-12, begun at 16.420 s, done with all its work at 18.920 s. A run that is at work for a second acquits its task, but only a look shows it, and a look waits up to a second for an end: run 3 of a sibling, begun at 16.037 s, is acquitted at 18.016 s. The owner is killed at 18.260 s, the worker at 20.276 s, and the next owner finds a suspect's run on a dead worker and nothing that says how long it had been at work.

Change: a round names the workers on which a run of a task with crashes has been at work for that second, and they are looked at at once, once a run. The row says so a round later: 1.0 to 1.3 s after the start and not 1 to 2 s.

This closes the second in which the proof was there and nobody had asked for it. A run whose owner dies within a second of its start is blamed as before: nobody knows.

--- a/crates/cell/src/crash.rs
+++ b/crates/cell/src/crash.rs
@@ -14,9 +14,10 @@
 
 use crate::{
     cell::Cell,
+    limits::Millis,
     order::{Cause, Loss},
     row::{Phase, Task},
-    worker::Worker,
+    worker::{Known, Worker},
 };
 use primroseroute_domain::work::{Name, State, TaskId};
 
@@ -129,6 +130,30 @@
     }
 }
 
+/// Workers of which a look may acquit a task, each once a run.
+///
+/// A look waits up to a second for an end. An owner that dies meanwhile leaves its successor a run of a suspect that has been at work for
+/// long, and nothing that says so.
+pub(crate) fn glances(cell: &mut Cell, now: Millis) -> Vec<Name> {
+    if cell.crashed.is_empty() {
+        return Vec::new();
+    }
+    let (crashed, settle) = (&cell.crashed, cell.limits.settle);
+    let mut glances = Vec::new();
+    for (id, worker) in &mut cell.workers {
+        let shown_at = worker.shown_at;
+        for (task, run) in &mut worker.runs {
+            let due = matches!(run.known, Known::Runs(at) if now >= at + settle && shown_at < Some(at + settle));
+            if due && !run.found && !run.glanced && crashed.contains_key(task) {
+                run.glanced = true;
+                glances.push(Name::clone(id));
+            }
+        }
+    }
+    glances.dedup();
+    glances
+}
+
 /// Whether workers have crashed under a task.
 pub(crate) fn has_crashed(cell: &Cell, task: &TaskId) -> bool {
     cell.crashed.contains_key(task)
--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -116,6 +116,8 @@
     pub urgent: Vec<Order>,
     /// Orders that may be sent only once the rows are committed.
     pub orders: Vec<Order>,
+    /// Workers to be looked at at once, besides the looks that wait for an end.
+    pub glances: Vec<Name>,
     /// Runs that were lost since the last round.
     pub losses: Vec<Loss>,
     /// Tasks that are given up since they crash their workers.
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -53,6 +53,7 @@
         forget: forget(cell, wall_ms),
         urgent,
         orders,
+        glances: crash::glances(cell, now),
         losses: std::mem::take(&mut cell.losses),
         culprits: std::mem::take(&mut cell.culprits),
         acquitted: std::mem::take(&mut cell.acquitted),
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -53,6 +53,8 @@
     pub life: Option<Life>,
     /// Where the life that it was sent to is over and it got no answer: until when it may still reach the next one.
     pub doubtful_until: Option<Millis>,
+    /// Whether a look was asked for that may acquit its task.
+    pub glanced: bool,
 }
 
 impl Run {
@@ -73,6 +75,7 @@
             found: false,
             life: None,
             doubtful_until: None,
+            glanced: false,
         }
     }
 
--- a/crates/cell/tests/all/crash.rs
+++ b/crates/cell/tests/all/crash.rs
@@ -27,6 +27,8 @@
     lapsed_lease_is_no_crash => lapsed();
     /// Crashes by other causes that add up over a long life.
     task_that_passes_its_trial_is_acquitted => acquitted();
+    /// A suspect that has long outlived its trial, by nobody's knowledge when its owner dies.
+    end_of_a_trial_is_looked_for_at_once => end_of_trial();
     /// A crash that becomes known only after the lease has lapsed.
     lapse_that_was_a_crash_counts => lapse_was_crash();
     /// A lapse that is taken for a crash, of a worker that comes back and crashes then.
@@ -208,6 +210,19 @@
     assert!(started(&mut bed, &task(&id, 0, 0)).is_some());
 }
 
+fn end_of_trial() {
+    let mut bed = Bed::new(&["w-1", "w-2", "w-3"]);
+    let id = suspect(&mut bed);
+    let on = started(&mut bed, &task(&id, 0, 0)).expect("it starts");
+    bed.now += 900;
+    assert_eq!(bed.round().glances, Vec::<Name>::new());
+    bed.now += 100;
+    assert_eq!(bed.round().glances, vec![Name::clone(&on)]);
+    assert_eq!(bed.round().glances, Vec::<Name>::new());
+    bed.look_at(&on);
+    assert_eq!(bed.round().acquitted, vec![task(&id, 0, 0)]);
+}
+
 /// A task whose worker falls silent until its lease has lapsed; the worker, and the loss.
 fn lapse(bed: &mut Bed) -> (JobId, Name, Loss) {
     let id = bed.accept(job(vec![step(1, 1_000)]));
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -333,6 +333,9 @@
         tell::losses(&self.context.pool, &tick.losses);
         tell::culprits(&self.context.pool, &tick.culprits);
         tell::acquitted(&self.context.pool, &tick.acquitted);
+        for worker in &tick.glances {
+            self.reach.glance(worker);
+        }
         let urgent = std::mem::take(&mut tick.urgent);
         for question in std::mem::take(&mut tick.questions) {
             self.beside.spawn(ask(
