A start that was answered after the list of instances was asked for may be of the next life

Cause: w-4 crashes at 15.281 s and is back under its id at 18.281 s. Its owner still takes it for alive, since its looks are slow, places a task there at 18.215 s, and the new life takes and answers the start at 18.323 s. At 18.800 s a list of instances that was asked for before says that w-4 is over. An answer to a start doesn't name the life that has taken it, and counted as one of the life before: the run was lost, and its task started anew beside it.

Evidence: trace of the history; start_that_was_answered_after_the_list_waits_for_a_look in crates/cell/tests/all/life.rs fails without the change in tick.rs.

Change: the word that a life is over says when it was asked for. A run whose start was answered later waits for the next life's first look, or until no order can come late, as one without an answer does. A list that was asked for after the answer proves the run lost, as before, so that an ordinary crash delays nothing.

Signatures of Cell::gone in three test files follow; nothing that they assert changed.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -242,10 +242,17 @@
     /// Takes in that a life of a worker is over: nothing runs on it any more, but what has got no answer may reach its next
     /// life. Whether that is news.
     ///
-    /// Whoever tells may have asked long ago, and mean the life before: `born` is what was known of the worker then.
-    pub fn gone(&mut self, worker: &Name, born: u64) -> bool {
-        let known = self.workers.get(worker).map(|worker| worker.born);
-        known == Some(born) && self.over(worker, Gone::ItsLife)
+    /// Whoever tells may have asked long ago, and mean the life before: `born` is what was known of the worker then, and
+    /// `asked_at` is when it was asked. A start that was answered later may be of the next life.
+    pub fn gone(&mut self, worker: &Name, born: u64, asked_at: Millis) -> bool {
+        let Some(known) = self.workers.get_mut(worker) else {
+            return false;
+        };
+        if known.born != born {
+            return false;
+        }
+        known.over_by = asked_at;
+        self.over(worker, Gone::ItsLife)
     }
 
     /// Takes in that another worker answers in the place of one, which never comes back. Whether that is news.
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -119,8 +119,9 @@
     if worker.gone != Gone::ItsLife {
         return runs;
     }
+    let over_by = worker.over_by;
     let (doubtful, over) = runs.into_iter().partition(|(_task, run)| {
-        run.may_come_late() && run.doubtful_until.is_none_or(|until| now < until)
+        run.may_be_of_next_life(over_by) && run.doubtful_until.is_none_or(|until| now < until)
     });
     worker.runs = doubtful;
     for run in worker.runs.values_mut() {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -79,11 +79,13 @@
         }
     }
 
-    /// Whether its start may still reach the next life of its worker.
+    /// Whether its start may reach the next life of its worker, or has reached it, where the one before was over by `over_by`.
     ///
-    /// A successor's token keeps starts of its predecessor out, once it has looked at that life.
-    pub(crate) fn may_come_late(&self) -> bool {
-        !self.found && !matches!(self.known, Known::Runs(_))
+    /// A successor's token keeps starts of its predecessor out, once it has looked at that life. An answer to a start doesn't tell
+    /// which life has taken it.
+    pub(crate) fn may_be_of_next_life(&self, over_by: Millis) -> bool {
+        let answered = matches!(self.known, Known::Runs(at) if at < over_by);
+        !self.found && !answered
     }
 
     /// Whether a stop of it may be on its way, or may have reached its worker without an answer.
@@ -149,6 +151,8 @@
     pub lapses_at: Millis,
     /// Whether this life of it is over.
     pub gone: Gone,
+    /// Where this life is over: it was by then.
+    pub over_by: Millis,
     /// Highest number of this life's ends that was taken in.
     pub seen: u64,
     /// What may run on it.
@@ -175,6 +179,7 @@
             paced: true,
             lapses_at,
             gone: Gone::No,
+            over_by: 0,
             seen: 0,
             runs: BTreeMap::new(),
             lapsed: None,
--- a/crates/cell/tests/all/crash.rs
+++ b/crates/cell/tests/all/crash.rs
@@ -79,7 +79,8 @@
 fn crash_unplaced(bed: &mut Bed, id: &Name) {
     bed.running.remove(id);
     // A new owner that hasn't looked at it knows no time of birth.
-    assert!(bed.cell.gone(id, 1) || bed.cell.gone(id, 0));
+    let now = bed.now;
+    assert!(bed.cell.gone(id, 1, now) || bed.cell.gone(id, 0, now));
 }
 
 fn given_up() {
--- a/crates/cell/tests/all/lasting.rs
+++ b/crates/cell/tests/all/lasting.rs
@@ -177,7 +177,7 @@
 fn lose_others(bed: &mut Bed, id: &JobId, on: &[Name; 2]) {
     let others: Vec<Name> = bed.running.keys().map(Name::clone).collect();
     for other in others.iter().filter(|other| **other != on[0]) {
-        bed.cell.gone(other, 1);
+        bed.cell.gone(other, 1, bed.now);
         bed.running.remove(other);
     }
     bed.round();
--- a/crates/cell/tests/all/life.rs
+++ b/crates/cell/tests/all/life.rs
@@ -33,6 +33,8 @@
     start_that_never_reached_its_life_is_not_blamed => never_reached();
     /// A life that is given up for the end of the one before, by a list that came late.
     end_of_the_life_before_ends_no_other => late_list();
+    /// A start that is answered by the next life, and lost by a list from before that life.
+    start_that_was_answered_after_the_list_waits_for_a_look => answered_by_the_next();
     /// A run of the next life that is taken for lost with the one before.
     start_that_has_reached_the_next_life_goes_on => reached();
     /// A task that crashes workers which keep their ids.
@@ -205,7 +207,7 @@
     bed.cell.empty(&"w-2".into(), Some(Purpose::Move));
     let id = without_answer(bed);
     bed.cell.empty(&"w-2".into(), None);
-    assert!(bed.cell.gone(&worker(), 1));
+    assert!(bed.cell.gone(&worker(), 1, bed.now));
     id
 }
 
@@ -266,10 +268,41 @@
     take(&mut bed, &look(NEXT));
     bed.accept(job(vec![step(1, 1_000)]));
     assert_eq!(starts(&bed.tick()).len(), 1);
-    assert!(!bed.cell.gone(&worker(), 1));
+    assert!(!bed.cell.gone(&worker(), 1, bed.now));
     assert_eq!(bed.round().losses, Vec::new());
 }
 
+fn answered_by_the_next() {
+    let mut bed = Bed::new(&[WORKER, "w-2"]);
+    let id = bed.accept(job(vec![step(1, 1_000)]));
+    bed.now += 100;
+    let asked_at = bed.now;
+    bed.now += 500;
+    let started = bed.tick();
+    let [(_task, on)] = &starts(&started)[..] else {
+        panic!("{started:?}");
+    };
+    assert!(bed.cell.gone(on, 1, asked_at));
+    assert_eq!(starts(&bed.tick()), Vec::new());
+    bed.now += 300;
+    let runs = Look {
+        running: vec![Running {
+            task: task(&id, 0, 0),
+            run: 1,
+            checkpoint: None,
+            percent: 30,
+            load: 0,
+        }],
+        ..look(NEXT)
+    };
+    let now = bed.now;
+    bed.cell.look(on, &runs, now, now, WALL + now);
+    let tick = bed.round();
+    assert_eq!(starts(&tick.orders), Vec::new());
+    let lost = tick.losses.iter().map(|loss| loss.runs.len());
+    assert_eq!(lost.sum::<usize>(), 0);
+}
+
 fn reached() {
     let mut bed = Bed::new(&[WORKER]);
     let id = bed.accept(job(vec![step(1, 1_000)]));
--- a/crates/owner/src/emptying.rs
+++ b/crates/owner/src/emptying.rs
@@ -1,7 +1,7 @@
 //! Workers of a pool that are being emptied, and what for.
 
 use crate::event::Event;
-use primroseroute_cell::Purpose;
+use primroseroute_cell::{Millis, Purpose};
 use primroseroute_domain::work::Name;
 use primroseroute_platform::site::{Condition, Instance};
 use std::{
@@ -139,7 +139,7 @@
 
     /// Takes in a list that was asked for after all orders so far, and tells which workers are over by them: those that no
     /// instance in use has any more. Their registrations outlive them by seconds.
-    pub(crate) fn settle(&mut self, instances: &[Instance]) {
+    pub(crate) fn settle(&mut self, instances: &[Instance], asked_at: Millis) {
         let away = |known: &&Instance| {
             matches!(known.condition, Condition::Moving | Condition::Maintenance)
         };
@@ -148,7 +148,11 @@
         for (worker, born) in std::mem::take(&mut self.ordered) {
             if !lives.contains(&worker) {
                 self.workers.remove(&worker);
-                self.tell(Event::Gone { worker, born });
+                self.tell(Event::Gone {
+                    worker,
+                    born,
+                    asked_at,
+                });
             }
         }
     }
--- a/crates/owner/src/event.rs
+++ b/crates/owner/src/event.rs
@@ -23,10 +23,11 @@
         sent_at: Millis,
         at: Millis,
     },
-    /// The life of a worker is over that began at this time, by its own clock.
+    /// The life of a worker is over that began at `born`, by its own clock; it was when somebody asked.
     Gone {
         worker: Name,
         born: u64,
+        asked_at: Millis,
     },
     /// Another worker answers in the place of this one.
     Replaced(Name),
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -256,8 +256,12 @@
                 }
                 self.cell.look(&worker, &look, sent_at, at, wall_ms);
             }
-            Event::Gone { worker, born } => {
-                self.over(worker, |cell, worker| cell.gone(worker, born));
+            Event::Gone {
+                worker,
+                born,
+                asked_at,
+            } => {
+                self.over(worker, |cell, worker| cell.gone(worker, born, asked_at));
             }
             Event::Replaced(worker) => self.over(worker, Cell::replaced),
             Event::Answered {
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -12,7 +12,7 @@
     rest::Rest,
 };
 use log::info;
-use primroseroute_cell::{Purpose, row};
+use primroseroute_cell::{Millis, Purpose, row};
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
@@ -98,8 +98,9 @@
         // First, so that the list shows what came of all orders.
         self.requests.settle().await?;
         let status = self.emptying.status();
-        let instances = &*self.list().await?;
-        self.bury(&status, instances);
+        let (instances, asked_at) = self.list().await?;
+        let instances = &*instances;
+        self.bury(&status, instances, asked_at);
         self.emptying.repeat();
         let rested = self.rested(instances);
         let tools = (&mut self.emptying, &mut self.requests);
@@ -117,14 +118,15 @@
         Ok(())
     }
 
-    /// The instances as they are now, by which it is told what orders have ended.
-    async fn list(&mut self) -> Result<Arc<Vec<Instance>>, Error> {
+    /// The instances as they are now, by which it is told what orders have ended, and when they were asked for.
+    async fn list(&mut self) -> Result<(Arc<Vec<Instance>>, Millis), Error> {
         let listing = self.context.fleet.list(Instant::now()).await?;
         let instances = Arc::clone(&listing.instances);
+        let asked_at = self.context.clock.at(listing.asked_at);
         self.requests.listed(listing.asked_at);
         self.listed = Some(listing);
-        self.emptying.settle(&instances);
-        Ok(instances)
+        self.emptying.settle(&instances, asked_at);
+        Ok((instances, asked_at))
     }
 
     /// Instances of the pool that may get an order: those of groups whose holder lives, and gives orders.
@@ -162,7 +164,7 @@
     ///
     /// `status` is from before the list was asked for: one that has joined since isn't named by it either, nor is a life that has
     /// begun since.
-    fn bury(&self, status: &Status, instances: &[Instance]) {
+    fn bury(&self, status: &Status, instances: &[Instance], asked_at: Millis) {
         let named = instances.iter().filter_map(|known| known.worker.as_ref());
         let named: BTreeSet<&Name> = named.collect();
         let silent = status.silent.iter();
@@ -170,6 +172,7 @@
             let gone = Event::Gone {
                 worker: Name::clone(worker),
                 born: status.lives.get(worker).copied().unwrap_or(0),
+                asked_at,
             };
             if self.events.send(gone).is_err() {
                 log::debug!("the pool's loop has ended");
--- a/tests/site/random/mixed.rs
+++ b/tests/site/random/mixed.rs
@@ -70,6 +70,8 @@
     3_000_061, 3_000_325, 3_000_358,
     // A start had a deadline on the old clock and a token for the new life.
     3_000_249, 3_000_426,
+    // An answered start was lost by a list that was asked for before the life that had answered it began.
+    4_720_263,
     // A late start of a former owner reached a life that nobody had reached yet.
     3_000_363,
 ];
