Lives of a worker that follow each other differ in the row of a task with crashes

What callers saw: random histories 3340286 and 4730062, a task is started a third time after three workers have crashed under it (BUDGET).

The row's digit was the time of birth modulo nine milliseconds, so that one next life in nine passed for the life before, and the crash of a task that was found by a successor went uncounted. In 4730062 the births are 18,690 and 24,612 ms, in 3340286 14,114 and 17,156 ms: the same digit. The count has room for one uncounted crash, and a worker that was about to leave takes that room too.

Change: the digit counts spans of 2 s. A worker takes longer than that to come back, so lives that begin within 18 s of each other differ for sure, and those of a worker that crashes again and again do.

--- a/crates/cell/src/row/mod.rs
+++ b/crates/cell/src/row/mod.rs
@@ -254,14 +254,22 @@
 }
 
 /// What tells a worker's life from most others of it: one digit, so that the largest job still fits into a row.
+///
+/// Lives that begin less than [`Self::DIGITS`] spans apart differ for sure, and a worker that crashes again and again lives for less.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Life(u8);
 
 impl Life {
+    /// Shortest time in milliseconds between the births of two lives: a worker takes longer than that to come back.
+    const SPAN: u64 = 2_000;
+
+    /// Number of values.
+    const DIGITS: u64 = 10;
+
     /// Of a life that began at `born` by the worker's clock.
     pub fn of(born: u64) -> Self {
-        Self(u8::try_from(born % 9).unwrap_or(0) + 1)
+        Self(u8::try_from(born / Self::SPAN % Self::DIGITS).unwrap_or(0))
     }
 }
 
--- a/crates/cell/tests/all/rows.rs
+++ b/crates/cell/tests/all/rows.rs
@@ -9,6 +9,8 @@
     progress_survives_its_row => progress();
     task_without_crashes_is_read_and_takes_no_room_for_them => without_crashes();
     largest_job_fits_into_a_row => largest();
+    /// A crash that goes uncounted since the next life of its worker passes for the one before.
+    lives_that_follow_each_other_differ => lives();
     keys_are_read_as_they_were_written => keys();
     heartbeats_and_ids_spread_over_partitions => spread();
 }
@@ -69,6 +71,14 @@
     assert!(json.len() <= 65_536, "{} bytes", json.len());
 }
 
+fn lives() {
+    for apart in 2_000..18_000 {
+        for born in [0, 1, 999, 1_900] {
+            assert_ne!(Life::of(born), Life::of(born + apart), "{born} {apart}");
+        }
+    }
+}
+
 fn keys() {
     let id = JobId::parse("5c0e7a21d94b36f8").expect("16 digits");
     let accepted = row::accepted("pool", &id);
--- a/tests/site/random/mixed.rs
+++ b/tests/site/random/mixed.rs
@@ -70,6 +70,8 @@
     3_000_061, 3_000_325, 3_000_358,
     // A start had a deadline on the old clock and a token for the new life.
     3_000_249, 3_000_426,
+    // The next life of a worker passed for the one before, and its crash went uncounted.
+    3_340_286, 4_730_062,
     // An answered start was lost by a list that was asked for before the life that had answered it began.
     4_720_263,
     // A late start of a former owner reached a life that nobody had reached yet.
