The stand-in's workers shorten the lease that a start brings, as they do with renewals

Cause: the stand-in. In 3340289 a start with a deadline on the old clock reaches w-12's next life at 24.534 s, 0.2 s after its birth. The worker is cut off at 30.8 s; its owner takes the lease for lapsed at 36.414 s, and the run goes on until the worker is taken down at 41.075 s. A renewal was shortened to the longest lease, a start wasn't, so that its lease had no end. The product relies on it: an answered start counts as a full lease from its answer on.

--- a/crates/standin/src/site/caller/workers.rs
+++ b/crates/standin/src/site/caller/workers.rs
@@ -59,12 +59,13 @@
     async fn start(&self, target: &Target, start: &Start) -> Result<Answer, Error> {
         let start = start.clone();
         let id = Name::clone(&target.id);
+        let longest = millis(self.shared.options.longest_lease);
         let order = move |state: &mut State, now| {
             let State {
                 workers, journal, ..
             } = state;
             match workers.get_mut(&id) {
-                Some(worker) if worker.alive => worker.start(&start, now, journal),
+                Some(worker) if worker.alive => worker.start(&start, longest, now, journal),
                 _ => Answer::Gone,
             }
         };
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -237,7 +237,13 @@
         fenced
     }
 
-    pub(crate) fn start(&mut self, start: &Start, now: u64, journal: &mut Journal) -> Answer {
+    pub(crate) fn start(
+        &mut self,
+        start: &Start,
+        longest: u64,
+        now: u64,
+        journal: &mut Journal,
+    ) -> Answer {
         if let Some(before) = &self.before {
             let past = before.past.get(&start.task).copied().unwrap_or(0);
             let clock = now.saturating_add_signed(before.clock);
@@ -251,7 +257,7 @@
         if start.deadline_ms < self.clock(now) {
             return Answer::Refused(Refusal::Late);
         }
-        self.lease = self.lease.max(start.deadline_ms);
+        self.extend(start.deadline_ms, longest, now);
         if needs_ticket(&start.payload) && !self.has_ticket(start, now) {
             return Answer::Refused(Refusal::Ticket);
         }
@@ -326,6 +332,12 @@
         Answer::Done
     }
 
+    /// Lets the lease hold until its clock shows `deadline`; a lease that is longer than `longest` is shortened to that.
+    fn extend(&mut self, deadline: u64, longest: u64, now: u64) {
+        let most = self.clock(now) + longest;
+        self.lease = self.lease.max(deadline.min(most));
+    }
+
     /// Takes in a renewal; whether it was accepted.
     pub(crate) fn renew(
         &mut self,
@@ -345,8 +357,7 @@
             });
         }
         if let Some(deadline) = hold.deadline_ms {
-            let most = self.clock(now) + longest;
-            self.lease = self.lease.max(deadline.min(most));
+            self.extend(deadline, longest, now);
         }
         let before = self.ended.len();
         self.ended.retain(|ended| ended.number > hold.seen);
--- a/tests/site/random/mixed.rs
+++ b/tests/site/random/mixed.rs
@@ -74,6 +74,8 @@
     3_340_286, 4_730_062,
     // An answered start was lost by a list that was asked for before the life that had answered it began.
     4_720_263,
+    // A start with a deadline on the clock of the life before gave a worker a lease without end.
+    3_340_140, 3_340_289, 3_340_365,
     // A late start of a former owner reached a life that nobody had reached yet.
     3_000_363,
 ];
