A trial begins on a worker that has answered just now

Cause: after two crashes beside neighbours and a third by another cause the suspect's trial is placed on w-16 at 29.050 s. The worker had died at 28.871 s, and its owner didn't know: looks wait up to a second for an end. The start gets no answer, w-16 is told to be over at 32.630 s, and its end is held against a task that it had never begun.

Change: a trial begins once its worker has answered a look of the last 0.2 s; otherwise it is looked at at once, and the trial waits for the answer, by 25 to 50 ms as a rule. The answer counts for a second, so that an owner whose rounds wait for a slow store gets to its trials.

A worker that dies in the time between, or a start that is lost on its way to one that dies later, is held against the suspect as before.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -41,6 +41,8 @@
     pub(crate) crashed: BTreeMap<TaskId, usize>,
     /// Workers that are reserved for trials of such tasks.
     pub(crate) reserved: BTreeSet<Name>,
+    /// Workers that are to be looked at at once, since trials wait for it.
+    pub(crate) asked: Vec<Name>,
     /// Runs that were lost with the lives of workers since the last round.
     pub(crate) losses: Vec<Loss>,
     /// Tasks that were given up since then.
@@ -78,6 +80,7 @@
             waiting: BTreeMap::new(),
             crashed: BTreeMap::new(),
             reserved: BTreeSet::new(),
+            asked: Vec::new(),
             losses: Vec::new(),
             culprits: Vec::new(),
             acquitted: Vec::new(),
--- a/crates/cell/src/crash.rs
+++ b/crates/cell/src/crash.rs
@@ -130,16 +130,16 @@
     }
 }
 
-/// Workers of which a look may acquit a task, each once a run.
+/// Workers that are to be looked at at once: those that trials wait for, and those of which a look may acquit a task.
 ///
-/// A look waits up to a second for an end. An owner that dies meanwhile leaves its successor a run of a suspect that has been at work for
-/// long, and nothing that says so.
+/// The looks that go on anyway wait up to a second for an end. An owner that dies meanwhile leaves its successor a run of a suspect
+/// that has been at work for long, and nothing that says so.
 pub(crate) fn glances(cell: &mut Cell, now: Millis) -> Vec<Name> {
+    let mut glances = std::mem::take(&mut cell.asked);
     if cell.crashed.is_empty() {
-        return Vec::new();
+        return glances;
     }
     let (crashed, settle) = (&cell.crashed, cell.limits.settle);
-    let mut glances = Vec::new();
     for (id, worker) in &mut cell.workers {
         let shown_at = worker.shown_at;
         for (task, run) in &mut worker.runs {
--- a/crates/cell/src/place/mod.rs
+++ b/crates/cell/src/place/mod.rs
@@ -36,7 +36,7 @@
             make_room(cell, waiting, &mut rooms, now);
         }
     }
-    orders.extend(trial::run(cell, &mut rooms));
+    orders.extend(trial::run(cell, &mut rooms, now));
     let mut full = Full::default();
     for waiting in short {
         if full.rules_out(cell, waiting) {
--- a/crates/cell/src/place/trial.rs
+++ b/crates/cell/src/place/trial.rs
@@ -5,15 +5,21 @@
 //! that their worker survives them.
 
 use super::{allows_apart_from_policy, room::could_hold, rooms::Rooms, start};
-use crate::{advice, cell::Cell, crash, order::Order, row::Phase};
+use crate::{advice, cell::Cell, crash, limits::Millis, order::Order, row::Phase};
 use primroseroute_domain::work::{Name, Step, TaskId};
 use std::collections::BTreeSet;
 
 /// Part of the open workers that may be reserved: one in this many. More are where none of them may run a suspect.
 const PART: usize = 4;
 
+/// Age up to which a look shows that a worker answers.
+const RECENT: Millis = 200;
+
+/// How long an answer counts that a trial has asked for: a round may have to wait for the store.
+const ASKED: Millis = 1_000;
+
 /// Starts suspects whose turn has come, and reserves workers for those that have to wait.
-pub(super) fn run(cell: &mut Cell, rooms: &mut Rooms) -> Vec<Order> {
+pub(super) fn run(cell: &mut Cell, rooms: &mut Rooms, now: Millis) -> Vec<Order> {
     let mut orders = Vec::new();
     let mut claimed = BTreeSet::new();
     for task in due(cell) {
@@ -25,7 +31,7 @@
         };
         claimed.insert(place);
         rooms.keep(place);
-        if is_ready(cell, rooms, place, &step) {
+        if is_ready(cell, rooms, place, &step) && answers(cell, rooms.id(place), now) {
             orders.extend(start(cell, rooms.id(place), task, &step, None));
             rooms.close(place);
         }
@@ -94,6 +100,27 @@
     })
 }
 
+/// Whether a worker has answered just now; one that hasn't is asked.
+///
+/// A worker that has died by itself looks as it did in its last look, up to a second ago. A trial that begins on it would be held
+/// against a task whose start never reached anybody.
+fn answers(cell: &mut Cell, id: &Name, now: Millis) -> bool {
+    let Some(worker) = cell.workers.get_mut(id) else {
+        return false;
+    };
+    let shown_by = |age: Millis| worker.shown_at.is_some_and(|at| now <= at + age);
+    let answered = worker.asked_at.is_some() && worker.shown_at >= worker.asked_at;
+    if shown_by(RECENT) || (answered && shown_by(ASKED)) {
+        worker.asked_at = None;
+        return true;
+    }
+    if worker.asked_at.is_none_or(|at| now >= at + RECENT) {
+        worker.asked_at = Some(now);
+        cell.asked.push(Name::clone(id));
+    }
+    false
+}
+
 /// Whether a suspect can be started in a place now, and be tried apart from others.
 fn is_ready(cell: &Cell, rooms: &Rooms, place: usize, step: &Step) -> bool {
     let worker = &cell.workers[rooms.id(place)];
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -145,6 +145,8 @@
     pub looked_at: Option<Millis>,
     /// Up to when what its looks have shown surely was so.
     pub shown_at: Option<Millis>,
+    /// When it was last to be looked at at once for a trial.
+    pub asked_at: Option<Millis>,
     /// Whether fillers were paced after that look.
     pub paced: bool,
     /// From then on its lease has surely lapsed, if it isn't renewed.
@@ -176,6 +178,7 @@
             born_before: 0,
             looked_at: None,
             shown_at: None,
+            asked_at: None,
             paced: true,
             lapses_at,
             gone: Gone::No,
--- a/crates/cell/tests/all/crash.rs
+++ b/crates/cell/tests/all/crash.rs
@@ -27,6 +27,8 @@
     lapsed_lease_is_no_crash => lapsed();
     /// Crashes by other causes that add up over a long life.
     task_that_passes_its_trial_is_acquitted => acquitted();
+    /// A trial on a worker that has died by itself, whose end is held against the suspect.
+    trial_waits_until_its_worker_answers => answers_first();
     /// A suspect that has long outlived its trial, by nobody's knowledge when its owner dies.
     end_of_a_trial_is_looked_for_at_once => end_of_trial();
     /// A crash that becomes known only after the lease has lapsed.
@@ -211,6 +213,24 @@
     assert!(started(&mut bed, &task(&id, 0, 0)).is_some());
 }
 
+fn answers_first() {
+    let mut bed = Bed::new(&["w-1", "w-2", "w-3"]);
+    let id = suspect(&mut bed);
+    bed.now += 300;
+    let tick = bed.round();
+    let [on] = &tick.glances[..] else {
+        panic!("one worker is asked: {:?}", tick.glances);
+    };
+    assert_eq!(starts(&tick.orders), Vec::new());
+    assert_eq!(starts(&bed.round().orders), Vec::new());
+    bed.now += 50;
+    bed.look_at(on);
+    // The store may hold the next round up.
+    bed.now += 400;
+    let placed = starts(&bed.round().orders);
+    assert_eq!(placed, vec![(task(&id, 0, 0), Name::clone(on))]);
+}
+
 fn end_of_trial() {
     let mut bed = Bed::new(&["w-1", "w-2", "w-3"]);
     let id = suspect(&mut bed);
--- a/tests/site/random/mixed.rs
+++ b/tests/site/random/mixed.rs
@@ -53,6 +53,7 @@
 pub(super) const CRASH_REGRESSIONS: &[u64] = &[
     // One crash by another cause during a trial was enough.
     2_001_047, // Its owner died before a look showed that the run had outlived its trial.
+    4_740_270, // The worker had died just before the trial began, and the start reached nobody.
     2_312_061, // The start had never reached its worker, and a successor took it for lost with an earlier life.
     2_000_057, // A successor took what it found at work for new.
     2_000_102,
