--- a/crates/cell/tests/all/crash.rs
+++ b/crates/cell/tests/all/crash.rs
@@ -218,7 +218,7 @@
     let id = suspect(&mut bed);
     bed.now += 300;
     let tick = bed.round();
-    let [on] = &tick.glances[..] else {
+    let [on] = &*tick.glances else {
         panic!("one worker is asked: {:?}", tick.glances);
     };
     assert_eq!(starts(&tick.orders), Vec::new());
--- a/crates/cell/tests/all/life.rs
+++ b/crates/cell/tests/all/life.rs
@@ -279,7 +279,7 @@
     let asked_at = bed.now;
     bed.now += 500;
     let started = bed.tick();
-    let [(_task, on)] = &starts(&started)[..] else {
+    let [(_task, on)] = &*starts(&started) else {
         panic!("{started:?}");
     };
     assert!(bed.cell.gone(on, 1, asked_at));
