--- a/crates/pace/src/pace.rs
+++ b/crates/pace/src/pace.rs
@@ -28,7 +28,11 @@
 
 #[derive(Debug)]
 struct State {
+    /// What is read.
+    name: Name,
     pause: Duration,
+    /// Whether the pause has reached its length since there was none.
+    pressed: bool,
     /// When the pause last grew.
     raised_at: Option<Instant>,
     /// Feeds that were refused, with the time before which they aren't called again.
@@ -46,6 +50,9 @@
             self.pause = (self.pause * 2).clamp(FIRST, LONGEST);
             self.raised_at = Some(Instant::now());
         }
+        if self.pause == LONGEST && !std::mem::replace(&mut self.pressed, true) {
+            log::warn!(reads = &*self.name; "reads are refused for their rate");
+        }
         self.rng.random_range(Duration::ZERO..=self.pause)
     }
 
@@ -53,15 +60,21 @@
         self.pause -= self.pause / FALL;
         if self.pause < FIRST / 2 {
             self.pause = Duration::ZERO;
+            if std::mem::take(&mut self.pressed) {
+                log::info!(reads = &*self.name; "reads are taken again");
+            }
         }
     }
 }
 
 impl Pace {
-    /// A pace without a pause; `seed` is the source of its jitter, and differs from one entry to the next.
-    pub fn new(seed: u64) -> Self {
+    /// A pace without a pause, of what is called `name` in the log; `seed` is the source of its jitter, and differs from one entry to
+    /// the next.
+    pub fn new(name: &str, seed: u64) -> Self {
         let state = State {
+            name: name.into(),
             pause: Duration::ZERO,
+            pressed: false,
             raised_at: None,
             held: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
--- a/crates/pace/tests/all/main.rs
+++ b/crates/pace/tests/all/main.rs
@@ -87,7 +87,7 @@
 }
 
 fn paced(store: &Arc<Store>, seed: u64) -> Rows {
-    Rows::new(Arc::clone(store) as _, Pace::new(seed))
+    Rows::new(Arc::clone(store) as _, Pace::new("store", seed))
 }
 
 fn range() -> Range {
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -149,9 +149,13 @@
         let rows: Arc<dyn Rows> = Arc::new(Metered::new(rows, meter.clone()));
         let rows: Arc<dyn Rows> = Arc::new(Brisk::new(rows));
         let incarnation = rand::random::<u64>() >> 1;
-        let pace = Pace::new(incarnation);
+        let pace = Pace::new("store", incarnation);
         let site = Site::open(client.clone(), store, live.instances.clone());
-        let site = pace::Site::new(Arc::new(site), pace.clone(), Pace::new(incarnation));
+        let site = pace::Site::new(
+            Arc::new(site),
+            pace.clone(),
+            Pace::new("instances", incarnation),
+        );
         let site: Arc<dyn site::Site> = Arc::new(site);
         let workers: Arc<dyn worker::Workers> = Arc::new(Workers::open(client.clone()));
         let advisor = Arc::new(Advisor::open(client, live.advice.clone()));
--- a/tests/site/bed/mod.rs
+++ b/tests/site/bed/mod.rs
@@ -226,10 +226,10 @@
             .conduct(name, |conduct| *conduct = Conduct::default());
         // Calls of the killed process go by another name, and stay dead.
         let caller = self.world.caller(&format!("{name}#{}", self.started));
-        let pace = || Pace::new(self.started);
-        let store = pace();
+        let store = Pace::new("store", self.started);
+        let instances = Pace::new("instances", self.started);
         let site: Arc<dyn Site> = Arc::new(caller.clone());
-        let site: Arc<dyn Site> = Arc::new(pace::Site::new(site, store.clone(), pace()));
+        let site: Arc<dyn Site> = Arc::new(pace::Site::new(site, store.clone(), instances));
         let rows: Arc<dyn Rows> = Arc::new(Brisk::new(Arc::new(caller.clone())));
         let (watch, _tasks) = Watch::spawn(&site, self.clock);
         let gateway = Gateway::open(GatewayParts {
