Reads of less than a whole partition aren't paced

From reading the change again: an owner that has nothing to commit proves that it still owns its pool by a read of one row, and starts nothing until that call ends. A refusal was sent again for up to 2.5 s; it is passed on at once, as before the pace. The other reads of one row (a holder's proof, an unanswered commit, claims) have deadlines of their own as well. Whole partitions, lists and feeds, which make a herd, are paced as they were.

Test: refused_read_of_one_row_is_the_callers_matter in crates/pace/tests/all/main.rs. Workers to be looked at at once are named once each.

--- a/crates/cell/src/crash.rs
+++ b/crates/cell/src/crash.rs
@@ -150,6 +150,7 @@
             }
         }
     }
+    glances.sort();
     glances.dedup();
     glances
 }
--- a/crates/pace/src/lib.rs
+++ b/crates/pace/src/lib.rs
@@ -11,8 +11,9 @@
 //! * A refused read is sent again by itself. Whoever reads many parts keeps those that it has.
 //! * A refused feed is told of at once, since its follower must not take its own silence for that of others; the next
 //!   call for the same feed waits.
-//! * A commit is passed on as it is: what a refusal means, and how long it may be tried again, differs from one
-//!   caller to the next.
+//! * A commit is passed on as it is, and so is a read of less than a whole partition: what a refusal means, and how long the call may be
+//!   tried again, differs from one caller to the next. An owner that waited here for the proof that it still owns its pool
+//!   would start nothing meanwhile.
 
 mod pace;
 mod rows;
--- a/crates/pace/src/rows.rs
+++ b/crates/pace/src/rows.rs
@@ -29,6 +29,9 @@
     }
 
     async fn read(&self, range: Range) -> Result<Page, Error> {
+        if range.to.is_some() {
+            return self.rows.read(range).await;
+        }
         self.pace.read(|| self.rows.read(range.clone())).await
     }
 
--- a/crates/pace/tests/all/main.rs
+++ b/crates/pace/tests/all/main.rs
@@ -5,7 +5,7 @@
 use primroseroute_pace::{LONGEST, Pace, Rows};
 use primroseroute_platform::{
     Error,
-    rows::{Commit, Feed, Page, Range, Row, Rows as _, Txn, Version},
+    rows::{Commit, Feed, Page, Place, Range, Row, Rows as _, Txn, Version, read_row},
 };
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::time::Instant;
@@ -30,6 +30,8 @@
     /// A follower that isn't told takes its own silence for that of others.
     refused_feed_is_told_at_once_and_waits_the_next_time => feed();
     refused_commit_is_the_callers_matter => commit();
+    /// An owner that starts nothing while it waits for the proof that it owns its pool.
+    refused_read_of_one_row_is_the_callers_matter => one_row();
     other_failure_is_passed_on_at_once => unavailable();
     pause_is_over_once_reads_are_taken => recovered();
 }
@@ -156,6 +158,15 @@
     assert_eq!((store.count(), begin.elapsed()), (1, Duration::ZERO));
 }
 
+async fn one_row() {
+    let store = Store::failing(&Error::Throttled, 1);
+    let begin = Instant::now();
+    let place = Place::new("table", "", "key");
+    let result = read_row(&paced(&store, 1), place).await;
+    assert_eq!(result, Err(Error::Throttled));
+    assert_eq!((store.count(), begin.elapsed()), (1, Duration::ZERO));
+}
+
 async fn unavailable() {
     let store = Store::failing(&Error::Unavailable("503".into()), 1);
     let begin = Instant::now();
