--- a/crates/owner/src/follow.rs
+++ b/crates/owner/src/follow.rs
@@ -84,14 +84,7 @@
     }
     loop {
         let begin = Instant::now();
-        let next = match source.whole().await {
-            // A read that is older than what was seen is stale, and would take the view back.
-            Ok((_items, version)) if version < newest => {
-                health.failed(&"the read is older than what was read before");
-                sink.interrupted();
-                sleep(PAUSE).await;
-                continue;
-            }
+        let next = match whole(&source, newest).await {
             Ok((items, version)) => {
                 sink.reset(items);
                 version
@@ -177,14 +170,12 @@
     K: Sink<Item = S::Item>,
 {
     let begin = Instant::now();
-    match source.whole().await {
-        // A read that is older than what was seen is stale.
-        Ok((items, version)) if version >= newest => {
+    match whole(source, newest).await {
+        Ok((items, version)) => {
             sink.reset(items);
             sink.confirmed(begin);
             Some((version, begin))
         }
-        Ok(_stale) => None,
         Err(error) => {
             log::debug!("the whole can't be read either: {error}");
             None
@@ -192,6 +183,16 @@
     }
 }
 
+/// Reads the whole. One that is older than `newest`, what was seen before, is stale and would take the view back: it fails.
+async fn whole<S: Source>(source: &S, newest: Version) -> Result<(Vec<S::Item>, Version), Error> {
+    let (items, version) = source.whole().await?;
+    if version < newest {
+        let detail = "the read is older than what was read before";
+        return Err(Error::Unavailable(detail.into()));
+    }
+    Ok((items, version))
+}
+
 /// One line when a feed is lost, and one when it is back.
 struct Health<'a> {
     name: &'a str,
