A feed is asked for again while the read in its place is refused

What callers would see: a job that is accepted isn't started, and a cancelled one runs on, for up to ten seconds.

Where an owner's feed fails for a second, the whole is read in its place. That read failed with its first refusal, and the feed was asked for again; since parts that are refused are read again alone, it goes on for up to ten seconds, and the feed isn't asked for meanwhile.

Change: the read in place of a feed takes as long as one call, then the feed has its turn.

Test: feed_is_asked_for_beside_refused_reads in tests/site/herd.rs fails before (the job is still pending after 5 s), and passes. The stand-in can refuse for its rate, and refuse reads of jobs apart from their feed.

--- a/crates/owner/src/follow.rs
+++ b/crates/owner/src/follow.rs
@@ -6,7 +6,7 @@
     rows::{Feed, Version},
 };
 use std::{fmt, time::Duration};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// How long one call usually waits for a change. A connection that has gone silent is noticed by its
 /// timeout, which is this and the slack of the call: well inside the time in which a configuration
@@ -27,6 +27,10 @@
     pub read_after: Option<Duration>,
 }
 
+/// Longest time of a read in place of a feed that fails, about that of one call: the feed isn't asked for meanwhile. A whole read goes on
+/// for as long as parts of it are refused.
+const IN_PLACE: Duration = Duration::from_millis(1_500);
+
 /// What is followed.
 #[async_trait]
 pub trait Source: Send + Sync {
@@ -170,7 +174,8 @@
     K: Sink<Item = S::Item>,
 {
     let begin = Instant::now();
-    match whole(source, newest).await {
+    let read = timeout(IN_PLACE, whole(source, newest)).await;
+    match read.unwrap_or_else(|elapsed| Err(Error::Unavailable(elapsed.to_string()))) {
         Ok((items, version)) => {
             sink.reset(items);
             sink.confirmed(begin);
--- a/crates/standin/src/site/caller/mod.rs
+++ b/crates/standin/src/site/caller/mod.rs
@@ -129,6 +129,7 @@
         match way(&self.conduct()) {
             Reach::Fine => Ok(()),
             Reach::Refused => Err(Error::Unavailable("503".into())),
+            Reach::Throttled => Err(Error::Throttled),
             Reach::Silent => {
                 sleep(STORE_TIMEOUT).await;
                 Err(Error::Unavailable("no answer".into()))
@@ -294,6 +295,9 @@
     }
 
     async fn read(&self, range: Range) -> Result<Page, Error> {
+        if range.table.starts_with(JOBS) && self.conduct().job_reads != Reach::Fine {
+            self.through(|conduct| conduct.job_reads).await?;
+        }
         self.to_table(&range.table).await?;
         let page = self.shared.state.lock().store.read(&range);
         sleep(self.conduct().reads).await;
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -92,6 +92,8 @@
     Fine,
     /// It is turned away at once, and nothing is done.
     Refused,
+    /// The same, for a rate that it doesn't keep.
+    Throttled,
     /// Nothing comes back, and nothing is done.
     Silent,
 }
@@ -109,6 +111,8 @@
     pub feeds: Reach,
     /// Its reads and feeds of accepted jobs and of cancels, whatever becomes of other calls to the store.
     pub jobs: Reach,
+    /// Its reads of accepted jobs and of cancels, whatever becomes of their feeds.
+    pub job_reads: Reach,
     /// Further time of each of its reads of the store: a thin link, or a process that gets little processor time.
     pub reads: Duration,
     /// Its calls about the registrations of workers, whatever becomes of other calls to the store.
--- a/tests/site/herd.rs
+++ b/tests/site/herd.rs
@@ -13,6 +13,8 @@
     entries_that_start_together_get_to_work => start();
     /// The same once the store has been away and has forgotten its history.
     entries_that_read_anew_together_get_to_work => return_of_the_store();
+    /// A feed that isn't asked for while the read in its place is refused again and again.
+    feed_is_asked_for_beside_refused_reads => feed_beside_reads();
 }
 
 /// Entries of the site.
@@ -53,6 +55,20 @@
     settles(&bed).await
 }
 
+async fn feed_beside_reads() -> Result<()> {
+    let mut bed = Bed::open(63, 2, 4).await?;
+    let owner = bed.owner(POOL).await?;
+    bed.conduct(&owner, |conduct| {
+        conduct.feeds = Reach::Throttled;
+        conduct.job_reads = Reach::Throttled;
+    });
+    seconds(4).await;
+    bed.conduct(&owner, |conduct| conduct.feeds = Reach::Fine);
+    let id = bed.submit(&owner, &job("300", 2)).await?;
+    bed.until(&owner, &id, State::Completed, 5).await?;
+    bed.judge()
+}
+
 /// A job is accepted and completed.
 async fn serves(bed: &mut Bed) -> Result<()> {
     let id = bed.submit("e-0", &job("300", 2)).await?;
