The crate that backs off is called so

From reading the change as a newcomer: in the cell, pace is the share of its speed that a task is given; backoff is the field's word for what the new crate does.

--- a/crates/pace/src/pace.rs
+++ b/crates/backoff/src/backoff.rs
@@ -20,9 +20,9 @@
 /// How long a read is sent again: about as long as a call without an answer is waited for.
 const PATIENCE: Duration = Duration::from_secs(1);
 
-/// The pace of one entry's reads; clones share it.
+/// The backoff of one entry's reads; clones share it.
 #[derive(Clone, Debug)]
-pub struct Pace {
+pub struct Backoff {
     state: Arc<Mutex<State>>,
 }
 
@@ -67,8 +67,8 @@
     }
 }
 
-impl Pace {
-    /// A pace without a pause, of what is called `name` in the log; `seed` is the source of its jitter, and differs from one entry to
+impl Backoff {
+    /// A backoff without a pause, of what is called `name` in the log; `seed` is the source of its jitter, and differs from one entry to
     /// the next.
     pub fn new(name: &str, seed: u64) -> Self {
         let state = State {
@@ -103,7 +103,7 @@
                 }
                 Err(_) => return result,
             };
-            // Also before the refusal is passed on: whoever reads again right away is paced as well.
+            // Also before the refusal is passed on: whoever reads again right away backs off as well.
             sleep(pause).await;
             if begin.elapsed() >= PATIENCE {
                 return result;
--- a/crates/pace/src/lib.rs
+++ b/crates/backoff/src/lib.rs
@@ -4,7 +4,7 @@
 //! outage, each refused read that is sent again at a fixed pause is one more call over the rate: the retries alone keep the
 //! store over it for good, long after what began it has passed.
 //!
-//! [`Pace`] is what one entry learns from refusals: a pause that doubles while reads are refused and shrinks with each one that is
+//! [`Backoff`] is what one entry learns from refusals: a pause that doubles while reads are refused and shrinks with each one that is
 //! taken. [`Rows`] and [`Site`] wait a random part of it before they send a refused read again, so that all loops of an
 //! entry back off together, and entries that were refused together don't come back together.
 //!
@@ -15,10 +15,10 @@
 //!   tried again, differs from one caller to the next. An owner that waited here for the proof that it still owns its pool
 //!   would start nothing meanwhile.
 
-mod pace;
+mod backoff;
 mod rows;
 mod site;
 
-pub use pace::{LONGEST, Pace};
+pub use backoff::{Backoff, LONGEST};
 pub use rows::Rows;
 pub use site::Site;
--- a/crates/pace/src/rows.rs
+++ b/crates/backoff/src/rows.rs
@@ -1,6 +1,6 @@
 //! The table, with reads that back off.
 
-use crate::Pace;
+use crate::Backoff;
 use async_trait::async_trait;
 use primroseroute_platform::{
     Error,
@@ -8,17 +8,17 @@
 };
 use std::{sync::Arc, time::Duration};
 
-/// A table whose refused reads are sent again at an entry's pace.
+/// A table whose refused reads are sent again after an entry's backoff.
 #[derive(Debug)]
 pub struct Rows {
     rows: Arc<dyn rows::Rows>,
-    pace: Pace,
+    backoff: Backoff,
 }
 
 impl Rows {
-    /// Reads `rows` at `pace`.
-    pub fn new(rows: Arc<dyn rows::Rows>, pace: Pace) -> Self {
-        Self { rows, pace }
+    /// Reads `rows` with `backoff`.
+    pub fn new(rows: Arc<dyn rows::Rows>, backoff: Backoff) -> Self {
+        Self { rows, backoff }
     }
 }
 
@@ -32,11 +32,11 @@
         if range.to.is_some() {
             return self.rows.read(range).await;
         }
-        self.pace.read(|| self.rows.read(range.clone())).await
+        self.backoff.read(|| self.rows.read(range.clone())).await
     }
 
     async fn feed(&self, table: &str, after: Version, wait: Duration) -> Result<Feed<Row>, Error> {
-        self.pace
+        self.backoff
             .feed(table, self.rows.feed(table, after, wait))
             .await
     }
--- a/crates/pace/src/site.rs
+++ b/crates/backoff/src/site.rs
@@ -1,6 +1,6 @@
 //! What the platform tells, with reads that back off.
 
-use crate::Pace;
+use crate::Backoff;
 use async_trait::async_trait;
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
@@ -16,11 +16,11 @@
 /// Name of the operators' feed.
 const INSTRUCTIONS: &str = "instructions";
 
-/// A site whose refused reads are sent again at an entry's pace.
+/// A site whose refused reads are sent again after an entry's backoff.
 pub struct Site {
     inner: Arc<dyn site::Site>,
-    store: Pace,
-    instances: Pace,
+    store: Backoff,
+    instances: Backoff,
 }
 
 impl fmt::Debug for Site {
@@ -30,9 +30,9 @@
 }
 
 impl Site {
-    /// Reads `inner`: what lies in the store at the pace `store`, and the list of instances, which has a rate of its own, at the
-    /// pace `instances`.
-    pub fn new(inner: Arc<dyn site::Site>, store: Pace, instances: Pace) -> Self {
+    /// Reads `inner`: what lies in the store with the backoff `store`, and the list of instances, which has a rate of its own, with
+    /// the backoff `instances`.
+    pub fn new(inner: Arc<dyn site::Site>, store: Backoff, instances: Backoff) -> Self {
         Self {
             inner,
             store,
--- a/crates/pace/tests/all/main.rs
+++ b/crates/backoff/tests/all/main.rs
@@ -2,7 +2,7 @@
 
 use async_trait::async_trait;
 use parking_lot::Mutex;
-use primroseroute_pace::{LONGEST, Pace, Rows};
+use primroseroute_backoff::{Backoff, LONGEST, Rows};
 use primroseroute_platform::{
     Error,
     rows::{Commit, Feed, Page, Place, Range, Row, Rows as _, Txn, Version, read_row},
@@ -88,8 +88,8 @@
     }
 }
 
-fn paced(store: &Arc<Store>, seed: u64) -> Rows {
-    Rows::new(Arc::clone(store) as _, Pace::new("store", seed))
+fn backing_off(store: &Arc<Store>, seed: u64) -> Rows {
+    Rows::new(Arc::clone(store) as _, Backoff::new("store", seed))
 }
 
 fn range() -> Range {
@@ -103,7 +103,7 @@
 
 async fn taken_in_the_end() {
     let store = Store::failing(&Error::Throttled, 2);
-    let result = paced(&store, 1).read(range()).await;
+    let result = backing_off(&store, 1).read(range()).await;
     assert!(result.is_ok(), "{result:?}");
     assert_eq!(store.count(), 3);
 }
@@ -112,7 +112,7 @@
     /// Time for which the store refuses everything.
     const REFUSES: Duration = Duration::from_secs(60);
     let store = Store::failing(&Error::Throttled, 10_000);
-    let rows = paced(&store, 1);
+    let rows = backing_off(&store, 1);
     let begin = Instant::now();
     while begin.elapsed() < REFUSES {
         assert_eq!(rows.read(range()).await, Err(Error::Throttled));
@@ -127,7 +127,7 @@
     for seed in 0..50 {
         let store = Store::failing(&Error::Throttled, 4);
         let begin = Instant::now();
-        let result = paced(&store, seed).read(range()).await;
+        let result = backing_off(&store, seed).read(range()).await;
         assert!(result.is_ok() || result == Err(Error::Throttled));
         second.insert(store.calls.lock()[1] - begin);
     }
@@ -136,7 +136,7 @@
 
 async fn feed() {
     let store = Store::failing(&Error::Throttled, 6);
-    let rows = paced(&store, 3);
+    let rows = backing_off(&store, 3);
     let begin = Instant::now();
     for _refusal in 0..6 {
         let called = Instant::now();
@@ -153,7 +153,7 @@
 async fn commit() {
     let store = Store::failing(&Error::Throttled, 1);
     let begin = Instant::now();
-    let result = paced(&store, 1).commit(Txn::default()).await;
+    let result = backing_off(&store, 1).commit(Txn::default()).await;
     assert_eq!(result, Err(Error::Throttled));
     assert_eq!((store.count(), begin.elapsed()), (1, Duration::ZERO));
 }
@@ -162,7 +162,7 @@
     let store = Store::failing(&Error::Throttled, 1);
     let begin = Instant::now();
     let place = Place::new("table", "", "key");
-    let result = read_row(&paced(&store, 1), place).await;
+    let result = read_row(&backing_off(&store, 1), place).await;
     assert_eq!(result, Err(Error::Throttled));
     assert_eq!((store.count(), begin.elapsed()), (1, Duration::ZERO));
 }
@@ -170,13 +170,13 @@
 async fn unavailable() {
     let store = Store::failing(&Error::Unavailable("503".into()), 1);
     let begin = Instant::now();
-    assert!(paced(&store, 1).read(range()).await.is_err());
+    assert!(backing_off(&store, 1).read(range()).await.is_err());
     assert_eq!((store.count(), begin.elapsed()), (1, Duration::ZERO));
 }
 
 async fn recovered() {
     let store = Store::failing(&Error::Throttled, 20);
-    let rows = paced(&store, 1);
+    let rows = backing_off(&store, 1);
     while rows.read(range()).await.is_err() {}
     for _read in 0..100 {
         assert!(rows.read(range()).await.is_ok());
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -10,11 +10,11 @@
 use primroseroute_adapter::{
     Advisor, Client, Current, Json, Settings, Site, Store, Workers, settings,
 };
+use primroseroute_backoff::{self as backoff, Backoff};
 use primroseroute_cell::Limits;
 use primroseroute_front::{Options, Server};
 use primroseroute_gateway::{Gateway, Parts as GatewayParts, Readiness};
 use primroseroute_owner::{Bounds, Brisk, Clock, Entry, Parts, Watch};
-use primroseroute_pace::{self as pace, Pace};
 use primroseroute_platform::{rows::Rows, site, worker};
 use primroseroute_telemetry::{log::Log, site::Meter};
 use std::{
@@ -149,12 +149,12 @@
         let rows: Arc<dyn Rows> = Arc::new(Metered::new(rows, meter.clone()));
         let rows: Arc<dyn Rows> = Arc::new(Brisk::new(rows));
         let incarnation = rand::random::<u64>() >> 1;
-        let pace = Pace::new("store", incarnation);
+        let store_backoff = Backoff::new("store", incarnation);
         let site = Site::open(client.clone(), store, live.instances.clone());
-        let site = pace::Site::new(
+        let site = backoff::Site::new(
             Arc::new(site),
-            pace.clone(),
-            Pace::new("instances", incarnation),
+            store_backoff.clone(),
+            Backoff::new("instances", incarnation),
         );
         let site: Arc<dyn site::Site> = Arc::new(site);
         let workers: Arc<dyn worker::Workers> = Arc::new(Workers::open(client.clone()));
@@ -186,7 +186,7 @@
             strength: settings.strength,
             clock,
             bounds: live.bounds.subscribe(),
-            rows: Arc::new(pace::Rows::new(rows, pace)),
+            rows: Arc::new(backoff::Rows::new(rows, store_backoff)),
             site,
             workers,
             advisor,
--- a/tests/site/bed/mod.rs
+++ b/tests/site/bed/mod.rs
@@ -10,11 +10,11 @@
 use eyre::{Result, ensure};
 use gotham::helpers::http::Body;
 use http::{HeaderMap, Method, StatusCode, header::HOST};
+use primroseroute_backoff::{self as backoff, Backoff};
 use primroseroute_cell::Limits;
 use primroseroute_domain::work::{Job, JobId, State};
 use primroseroute_gateway::{Gateway, Parts as GatewayParts};
 use primroseroute_owner::{Bounds, Brisk, Clock, Entry, Parts, Watch};
-use primroseroute_pace::{self as pace, Pace};
 use primroseroute_platform::{
     rows::Rows,
     site::{Codec, Configuration, Instruction, Site},
@@ -226,10 +226,10 @@
             .conduct(name, |conduct| *conduct = Conduct::default());
         // Calls of the killed process go by another name, and stay dead.
         let caller = self.world.caller(&format!("{name}#{}", self.started));
-        let store = Pace::new("store", self.started);
-        let instances = Pace::new("instances", self.started);
+        let store = Backoff::new("store", self.started);
+        let instances = Backoff::new("instances", self.started);
         let site: Arc<dyn Site> = Arc::new(caller.clone());
-        let site: Arc<dyn Site> = Arc::new(pace::Site::new(site, store.clone(), instances));
+        let site: Arc<dyn Site> = Arc::new(backoff::Site::new(site, store.clone(), instances));
         let rows: Arc<dyn Rows> = Arc::new(Brisk::new(Arc::new(caller.clone())));
         let (watch, _tasks) = Watch::spawn(&site, self.clock);
         let gateway = Gateway::open(GatewayParts {
@@ -245,7 +245,7 @@
             strength: self.strengths.get(name).copied().unwrap_or(STRENGTH),
             clock: self.clock,
             bounds: self.bounds.subscribe(),
-            rows: Arc::new(pace::Rows::new(rows, store)),
+            rows: Arc::new(backoff::Rows::new(rows, store)),
             site,
             workers: Arc::new(caller.clone()),
             advisor: Arc::new(caller.clone()),
