From reading the change once more: a rate that nothing uses goes, a comment returns to its seed, one look is made in one place

- The stand-in's rate for commits: no test set it or read its count.
The rate for reads and feeds, which the herd tests use, stays.
- The comment had slipped to the line of 1003, whose own cause was lost.
Both have theirs.
- Two cases of life.rs built the same look of the next life.

Nothing asserted changed.

--- a/crates/cell/tests/all/life.rs
+++ b/crates/cell/tests/all/life.rs
@@ -58,6 +58,20 @@
     }
 }
 
+/// A look that the next life answers, with the first run of a job's first task.
+fn at_work(id: &JobId, percent: u32) -> Look {
+    Look {
+        running: vec![Running {
+            task: task(id, 0, 0),
+            run: 1,
+            checkpoint: None,
+            percent,
+            load: 0,
+        }],
+        ..look(NEXT)
+    }
+}
+
 fn take(bed: &mut Bed, look: &Look) {
     let now = bed.now;
     bed.cell.look(&worker(), look, now, now, WALL + now);
@@ -285,16 +299,7 @@
     assert!(bed.cell.gone(on, 1, asked_at));
     assert_eq!(starts(&bed.tick()), Vec::new());
     bed.now += 300;
-    let runs = Look {
-        running: vec![Running {
-            task: task(&id, 0, 0),
-            run: 1,
-            checkpoint: None,
-            percent: 30,
-            load: 0,
-        }],
-        ..look(NEXT)
-    };
+    let runs = at_work(&id, 30);
     let now = bed.now;
     bed.cell.look(on, &runs, now, now, WALL + now);
     let tick = bed.round();
@@ -308,16 +313,7 @@
     let id = bed.accept(job(vec![step(1, 1_000)]));
     bed.tick();
     bed.now += 100;
-    let runs = Look {
-        running: vec![Running {
-            task: task(&id, 0, 0),
-            run: 1,
-            checkpoint: None,
-            percent: 10,
-            load: 0,
-        }],
-        ..look(NEXT)
-    };
+    let runs = at_work(&id, 10);
     take(&mut bed, &runs);
     let tick = bed.round();
     assert_eq!(tick.orders, Vec::new());
--- a/crates/standin/src/site/caller/mod.rs
+++ b/crates/standin/src/site/caller/mod.rs
@@ -97,11 +97,6 @@
         self.shared.state.lock().reads.admit()
     }
 
-    /// Whether the store takes one more commit, by its rate.
-    pub(super) fn admit_commit(&self) -> Result<(), Error> {
-        self.shared.state.lock().commits.admit()
-    }
-
     /// The way to a table of the store.
     async fn to_table(&self, table: &str) -> Result<(), Error> {
         self.through(|conduct| match conduct.store {
@@ -268,7 +263,6 @@
                 error
             }
         })?;
-        self.admit_commit()?;
         match self.commit_fate() {
             Fate::Answered => {
                 let result = self.shared.change(|state, _now| state.store.commit(&txn));
--- a/crates/standin/src/site/caller/site.rs
+++ b/crates/standin/src/site/caller/site.rs
@@ -79,7 +79,6 @@
 
     async fn report_wave(&self, number: u64, complete: bool) -> Result<(), Error> {
         self.to_store().await?;
-        self.admit_commit()?;
         self.shared.change(|state, _now| {
             let known = state.waves.entry(number).or_default();
             *known |= complete;
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -63,8 +63,6 @@
     pub same_id: f64,
     /// Reads and feeds that the store takes a second from all callers together; without it, all of them.
     pub reads_per_second: Option<u32>,
-    /// Commits that the store takes a second from all callers together; without it, all of them.
-    pub commits_per_second: Option<u32>,
 }
 
 impl Default for Options {
@@ -79,7 +77,6 @@
             restart: Duration::from_secs(3),
             same_id: 0.0,
             reads_per_second: None,
-            commits_per_second: None,
         }
     }
 }
@@ -176,7 +173,6 @@
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             store: Store::default(),
             reads: Rate::new(options.reads_per_second),
-            commits: Rate::new(options.commits_per_second),
             workers: BTreeMap::new(),
             instances: BTreeMap::new(),
             registrations: Vec::new(),
@@ -221,11 +217,6 @@
         self.shared.state.lock().reads.calls
     }
 
-    /// Commits to the store so far.
-    pub fn commits(&self) -> Calls {
-        self.shared.state.lock().commits.calls
-    }
-
     /// Adds an instance to `pool`; the id of its worker, which has none in a standby pool.
     pub fn add_instance(&self, name: &str, pool: &str) -> Option<Name> {
         self.shared.change(|state, now| {
--- a/crates/standin/src/site/state.rs
+++ b/crates/standin/src/site/state.rs
@@ -40,7 +40,6 @@
     pub rng: ChaCha8Rng,
     pub store: Store,
     pub reads: Rate,
-    pub commits: Rate,
     pub workers: BTreeMap<Name, Worker>,
     pub instances: BTreeMap<Name, Instance>,
     pub registrations: Vec<(Version, Registration)>,
--- a/tests/site/random/mod.rs
+++ b/tests/site/random/mod.rs
@@ -23,9 +23,8 @@
 
 /// Seeds that have shown a fault, each with its cause.
 const REGRESSIONS: &[u64] = &[
-    // Looks without a known clock followed each other at once while the store was away.
-    1_003, // Tasks had crashed all workers when one was to be cut off.
-    5_731_112,
+    1_003,     // Looks without a known clock followed each other at once while the store was away.
+    5_731_112, // Tasks had crashed all workers when one was to be cut off.
 ];
 
 /// Seconds of faults in a history.
