The test of the metrics waits for the attempts that it counts, and no health check comes between

It sends 30 requests to three workers of which one resets every connection, and wants that one ejected, which takes five failures in a row. - The choice among the workers is a draw. A quarantined worker has left the choice by the view and doesn't count as ejected; that is right.

Change: the stand-in has a mode that resets requests and answers health checks. The test sends until the failing worker has got its five attempts, at most 500 requests, and compares exact numbers where it had lower bounds: all requests completed, five retries, one worker ejected.

--- a/crates/standin/src/backend/mod.rs
+++ b/crates/standin/src/backend/mod.rs
@@ -62,8 +62,10 @@
     Slow(Duration),
     /// Executes nothing and answers 503 at once.
     FailAll,
-    /// Executes, then closes the connection without an answer.
+    /// Executes, then closes the connection without an answer, health checks too.
     Reset,
+    /// The same, but health checks are answered.
+    ResetRequests,
     /// Executes, and answers this much later, when the slot is free again.
     Late(Duration),
     /// Executes, promises more bytes than it sends, and closes.
@@ -253,7 +255,8 @@
                 sleep(later).await;
                 Ok(answer.whole())
             }
-            Mode::Reset => Err(answer::Broken),
+            Mode::ResetRequests if asked.path == HEALTH_PATH => Ok(answer.whole()),
+            Mode::Reset | Mode::ResetRequests => Err(answer::Broken),
             Mode::Truncated => Ok(answer.truncated()),
             Mode::TruncatedChunks => Ok(answer.truncated_chunks()),
             Mode::Garbage => {
--- a/crates/standin/tests/all/backend.rs
+++ b/crates/standin/tests/all/backend.rs
@@ -100,6 +100,29 @@
     shows(Mode::Reset, 1, expect![[r""]]).await;
 }
 
+#[tokio::test]
+async fn reset_requests_executes_and_says_nothing() {
+    shows(Mode::ResetRequests, 1, expect![[r""]]).await;
+}
+
+#[tokio::test]
+async fn reset_requests_answers_health_checks() {
+    let backend = in_mode(Mode::ResetRequests).await;
+    let mut stream = TcpStream::connect(backend.address())
+        .await
+        .expect("it listens");
+    stream
+        .write_all(b"GET /healthz HTTP/1.1\r\nhost: b\r\nconnection: close\r\n\r\n")
+        .await
+        .expect("the request fits the socket");
+    let mut answer = String::new();
+    stream
+        .read_to_string(&mut answer)
+        .await
+        .expect("the answer comes whole");
+    assert!(answer.starts_with("HTTP/1.1 200 OK"), "{answer}");
+}
+
 #[tokio::test]
 async fn truncated_promises_more() {
     shows(
--- a/tests/all/told.rs
+++ b/tests/all/told.rs
@@ -28,41 +28,51 @@
     line.rsplit(' ').next()?.parse().ok()
 }
 
+/// Failures in a row that eject a worker.
+const CONSECUTIVE: u32 = 5;
+
+/// Most requests until the worker that fails has got that many: it is drawn among three.
+const REQUESTS: u32 = 500;
+
 async fn metrics() -> Result<()> {
     let mut site = Site::open(Layout::small(), platform::Options::default()).await?;
     site.converge().await?;
-    site.worker("stay-0").set_mode(Mode::Reset);
+    let failing = site.worker("stay-0");
+    // Health checks are answered: a quarantined worker wouldn't count as ejected.
+    failing.set_mode(Mode::ResetRequests);
     let caller = Caller::open(caller_token("stay"));
-    for _ in 0..30 {
+    let mut requests = 0;
+    while failing.count().executions < u64::from(CONSECUTIVE) && requests < REQUESTS {
         let to = site.entry("entry-0").callers;
         let answer = caller
             .send(to, Method::GET, "/stay/a", &[], "", LIMIT)
             .await;
         assert_eq!(answer.said, Said::Completed, "{answer:?}");
+        requests += 1;
     }
     let (status, text) = page(&site, "entry-0", "/metrics").await;
     assert_eq!(status, 200);
     let value = |name, labels: &[&str]| series(&text, name, labels).unwrap_or_default();
+    let counts = |name, labels: &[&str], want: f64| {
+        let told = value(name, labels);
+        assert!((told - want).abs() < 0.5, "{name} {told} {want}\n{text}");
+    };
     let completed = [
         "account=\"stay\"",
         "service=\"stay\"",
         "verdict=\"completed\"",
     ];
-    assert!(
-        (value("primroseroute_requests_total", &completed) - 30.0).abs() < 0.5,
-        "{text}"
-    );
-    assert!(
-        value(
-            "primroseroute_retries_total",
-            &["service=\"stay\"", "code=\"302\""]
-        ) >= 1.0,
-        "{text}"
+    counts(
+        "primroseroute_requests_total",
+        &completed,
+        f64::from(requests),
     );
-    assert!(
-        value("primroseroute_ejected", &["pool=\"stay\""]) >= 1.0,
-        "{text}"
+    counts(
+        "primroseroute_retries_total",
+        &["service=\"stay\"", "code=\"302\""],
+        f64::from(CONSECUTIVE),
     );
+    counts("primroseroute_ejected", &["pool=\"stay\""], 1.0);
     assert!(
         value(
             "primroseroute_store_calls_total",
