A job counts as queued until its start is known to have taken effect

Cause, by tests: a job counted as begun with the commit that places its first task. The start leaves after the commit, and may take long, be refused, be withdrawn or get no answer. A job whose only start was refused or withdrawn counted as begun for as long as it waited for the next one.

Change: a job has begun once a start of it is answered, or a look shows a run or an end of it. Of a job that a predecessor placed it is presumed until a look tells otherwise. Falling counts ride on the pool's next commit, or have one of their own after a second; counts that are where they were published last need none.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -4,7 +4,7 @@
     advice::{self, Policy},
     arrivals::Arrivals,
     crash::Culprit,
-    job::Job,
+    job::{Begun, Job},
     limits::{Limits, Millis},
     need::Needs,
     order::{Loss, Order, Outcome, Question, Tick},
@@ -117,11 +117,7 @@
             self.finished.insert(id, ended);
             return;
         }
-        let job = Job {
-            accepted,
-            progress,
-            may_run_on: true,
-        };
+        let job = Job::restored(accepted, progress);
         let lapses_at = self.taken_at + self.limits.stretched(self.limits.start_window);
         for (&occurrence, steps) in &job.progress.steps {
             for (step, tasks) in (0..).zip(steps) {
@@ -319,6 +315,9 @@
                 if !matches!(entry.known, Known::Runs(_)) {
                     entry.known = Known::Runs(now);
                 }
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.begun = Begun::Yes;
+                }
             }
             Outcome::Unknown => {
                 if entry.known == Known::Sent {
@@ -404,6 +403,9 @@
         if checkpoint.is_some() {
             task.checkpoint = checkpoint;
         }
+        if job.begun == Begun::Presumed {
+            job.begun = Begun::No;
+        }
         self.dirty.insert(id.job.clone());
     }
 
@@ -514,7 +516,7 @@
     pub(crate) fn count_queued(&self) -> BTreeMap<Name, u64> {
         let mut counts = BTreeMap::new();
         for job in self.jobs.values() {
-            if job.progress.state == State::Pending {
+            if job.begun == Begun::No {
                 *counts.entry(Name::clone(&job.accepted.queue)).or_default() += 1;
             }
         }
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -4,6 +4,17 @@
 use primroseroute_domain::work::{Name, State, Step, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Whether a task of a job has started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Begun {
+    /// None is known to have.
+    No,
+    /// A predecessor has placed one, and no look has told of it yet.
+    Presumed,
+    /// One has.
+    Yes,
+}
+
 /// A job that isn't finished.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
@@ -12,6 +23,8 @@
     /// Whether runs of it may be under way beside or after those that have done its work: where a task was started again, runs
     /// that were given up, and where a step is a gang, its other members.
     pub may_run_on: bool,
+    /// Its state is that of its row, which says that it runs as soon as a task is placed.
+    pub begun: Begun,
 }
 
 impl Job {
@@ -25,6 +38,31 @@
                 ended_ms: None,
             },
             may_run_on: false,
+            begun: Begun::No,
+        }
+    }
+
+    /// A job of which a predecessor has committed `progress`.
+    pub(crate) fn restored(accepted: Accepted, progress: Progress) -> Self {
+        let tasks = || progress.steps.values().flatten().flatten();
+        let has_run = |task: &Task| {
+            let told = !task.failed.is_empty() || !task.crashed.is_empty();
+            told || task.checkpoint.is_some() || task.phase == Phase::Done
+        };
+        // An occurrence whose tasks are all done has no row any more.
+        let is_over = progress.steps.len() < progress.next as usize;
+        let begun = if is_over || tasks().any(has_run) {
+            Begun::Yes
+        } else if tasks().any(|task| task.phase.worker().is_some()) {
+            Begun::Presumed
+        } else {
+            Begun::No
+        };
+        Self {
+            accepted,
+            progress,
+            may_run_on: true,
+            begun,
         }
     }
 
--- a/crates/cell/src/look.rs
+++ b/crates/cell/src/look.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     cell::Cell,
-    crash, life,
+    crash,
+    job::Begun,
+    life,
     limits::{Limits, Millis},
     row::Phase,
     worker::{Known, Run, Stop},
@@ -89,6 +91,7 @@
     let Some(job) = cell.jobs.get_mut(&ended.task.job) else {
         return;
     };
+    job.begun = Begun::Yes;
     let Some(step) = job.step(ended.task.step).cloned() else {
         return;
     };
@@ -206,6 +209,9 @@
     }
     if !matches!(run.known, Known::Runs(_)) {
         run.known = Known::Runs(now);
+        if let Some(job) = cell.jobs.get_mut(&running.task.job) {
+            job.begun = Begun::Yes;
+        }
     }
     run.percent = running.percent;
     run.load = running.load;
@@ -223,6 +229,9 @@
     let step = cell.step(&running.task);
     let reserved = step.map(Step::reserved);
     let lasting = step.is_some_and(|step| step.lasting);
+    if let Some(job) = cell.jobs.get_mut(&running.task.job) {
+        job.begun = Begun::Yes;
+    }
     let Some(worker) = cell.workers.get_mut(id) else {
         return;
     };
--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -128,8 +128,6 @@
     pub questions: Vec<Question>,
     /// For each worker, up to where its ends are in the rows.
     pub seen: Vec<(Name, TakenIn)>,
-    /// Whether the counts of queued jobs have changed.
-    pub counts_changed: bool,
     /// What the pool needs.
     pub need: Need,
 }
--- a/crates/cell/src/tick.rs
+++ b/crates/cell/src/tick.rs
@@ -43,9 +43,7 @@
     let seen = cell.workers.iter();
     let seen = seen.map(|(id, worker)| (Name::clone(id), worker.taken_in()));
     let seen = seen.collect();
-    let counts = cell.count_queued();
-    let counts_changed = counts != cell.counts;
-    cell.counts = counts;
+    cell.counts = cell.count_queued();
     Tick {
         questions: advice::questions(cell, &waiting, now),
         puts,
@@ -58,7 +56,6 @@
         culprits: std::mem::take(&mut cell.culprits),
         acquitted: std::mem::take(&mut cell.acquitted),
         seen,
-        counts_changed,
         need: need::need(cell, &waiting, now, wall_ms),
     }
 }
--- a/crates/cell/tests/all/main.rs
+++ b/crates/cell/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod need;
 mod order;
 mod pace;
+mod queued;
 mod rows;
 mod twin;
 mod window;
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod members;
 mod observe;
 mod own;
+mod published;
 mod reach;
 mod relocate;
 mod request;
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -12,13 +12,14 @@
     jobs,
     load::Loaded,
     own::{Context, Over, release},
+    published,
     reach::Reach,
     send::Times,
     tell, upkeep,
     watch::{Followed, Workers as Registered},
 };
 use log::{info, warn};
-use primroseroute_cell::{Cell, Millis, Order, Outcome, Tick, row::Wanted};
+use primroseroute_cell::{Cell, Millis, Order, Outcome, Tick};
 use primroseroute_domain::work::{End, Name};
 use primroseroute_platform::{rows::Version, site::Configuration};
 use std::{collections::BTreeSet, pin::pin, sync::Arc, time::Duration};
@@ -42,12 +43,6 @@
 /// much earlier than they could.
 const CONFIRM_AFTER: Millis = 600;
 
-/// Least time between two commits that carry nothing but counts of queued jobs.
-const COUNTS_AFTER: Millis = 500;
-
-/// Least time before a smaller number of wanted workers is published.
-const FALL_AFTER: Millis = 300;
-
 /// Calls for accepted jobs and cancels. What comes within the pace costs one call. A call proves nothing later than its own
 /// beginning: one that waited a second would leave starts of a quiet pool half a second of their window.
 const JOBS_RHYTHM: Rhythm = Rhythm {
@@ -64,24 +59,6 @@
     advised.map(|queue| Name::clone(&queue.name)).collect()
 }
 
-/// The need that was last published.
-#[derive(Clone, Copy, Debug, Default)]
-struct Published {
-    need: Option<Wanted>,
-    at: Millis,
-}
-
-impl Published {
-    /// Whether `need` is to be published: at once where it has risen, and otherwise after a while.
-    fn due(self, need: Wanted, now: Millis) -> bool {
-        let Some(known) = self.need else {
-            return true;
-        };
-        let risen = need.workers > known.workers || need.now > known.now || need.late > known.late;
-        risen || (need != known && now >= self.at + FALL_AFTER)
-    }
-}
-
 /// The loop's state.
 pub(crate) struct Owned {
     context: Context,
@@ -99,9 +76,8 @@
     /// Calls whose end the loop doesn't wait for.
     beside: JoinSet<()>,
     background: Vec<JoinHandle<()>>,
-    counted_at: Millis,
-    counts_due: bool,
-    published: Published,
+    counts: published::Counts,
+    need: published::Need,
     digest: Digest,
     cancels: Cancels,
 }
@@ -149,9 +125,8 @@
             roster,
             beside: JoinSet::new(),
             background,
-            counted_at: 0,
-            counts_due: true,
-            published: Published::default(),
+            counts: published::Counts::default(),
+            need: published::Need::default(),
             digest: Digest::new(),
             cancels: loaded.cancels,
         }
@@ -351,10 +326,9 @@
         }
         tell::orders(&self.context.pool, &urgent);
         self.send(urgent, clock.now(), decided);
-        self.counts_due |= tick.counts_changed;
-        let counts = self.counts_due && clock.now() >= self.counted_at + COUNTS_AFTER;
+        let counts = self.counts.is_due(self.cell.queued(), clock.now());
         let need = tick.need.wanted();
-        let publish = self.published.due(need, clock.now());
+        let publish = self.need.is_due(need, clock.now());
         let sent_at = if !tick.puts.is_empty() || counts || publish {
             let queued = self.cell.queued().clone();
             for (queue, jobs) in &queued {
@@ -369,13 +343,9 @@
             self.context.observer.committed(begin.elapsed());
             if publish {
                 tell::need(&self.context.pool, &tick.need, self.registered.len());
-                self.published = Published {
-                    need: Some(need),
-                    at: clock.now(),
-                };
+                self.need.put(need, clock.now());
             }
-            self.counts_due = false;
-            self.counted_at = clock.now();
+            self.counts.put(queued, clock.now());
             self.reach.confirmed.send_replace(sent_at);
             sent_at
         } else {
--- a/tests/site/accept.rs
+++ b/tests/site/accept.rs
@@ -20,6 +20,10 @@
     malformed_job_is_refused_for_good => malformed();
     unknown_job_is_gone => unknown();
     queue_counts_jobs_that_have_not_begun => counted();
+    /// Jobs count as begun while their starts are on their way.
+    queue_counts_jobs_whose_starts_are_on_their_way => on_their_way();
+    /// A job stays counted as queued while it runs and its pool commits nothing else.
+    queue_does_not_count_a_job_that_runs => not_counted();
 }
 
 async fn two_steps() -> Result<()> {
@@ -186,3 +190,30 @@
     ensure!(queued == 4, "{queued} are said to wait");
     Ok(())
 }
+
+async fn on_their_way() -> Result<()> {
+    let mut bed = Bed::open(11, 2, 1).await?;
+    let starts_take = std::time::Duration::from_secs(2);
+    bed.conduct_all(|conduct| conduct.orders = starts_take);
+    let mut jobs = Vec::new();
+    for _job in 0..2 {
+        jobs.push(bed.submit("e-0", &job("4000", 4)).await?);
+    }
+    seconds(1).await;
+    let journal = bed.world.journal();
+    let has_begun = |id: &JobId| !journal.starts(&task(id, 0, 0)).is_empty();
+    ensure!(!jobs.iter().any(has_begun));
+    let queued = bed.queued("e-1").await;
+    ensure!(queued == 2, "{queued} are said to wait");
+    Ok(())
+}
+
+async fn not_counted() -> Result<()> {
+    let mut bed = Bed::open(10, 2, 1).await?;
+    let id = bed.submit("e-0", &job("9000", 1)).await?;
+    seconds(3).await;
+    ensure!(bed.state("e-1", &id).await == Ok(State::Running));
+    let queued = bed.queued("e-1").await;
+    ensure!(queued == 0, "{queued} are said to wait");
+    Ok(())
+}
