Tries of one caller back off with jitter, in one place for all

Callers of a store or a worker that fails tried again at a fixed pause: owners' commits (100 ms), feeds and the reads in their place (150 ms), loads of a pool (150 ms), looks at workers (150 ms), calls of gateways (80 ms).

Change: backoff::Retry has the pauses of one loop: they double up to a longest one, which is two to four times the first, with half jitter; a success ends them. Its formula was the peers' own (primroseroute_peer::backoff), which goes; its property test moves with it, unchanged. The seed is the entry's incarnation, an owner's token or a request's id, so that a played history repeats. The pause between looks that renew nothing is no retry and stays fixed. Heartbeats keep their beat.

--- a/crates/backoff/src/lib.rs
+++ b/crates/backoff/src/lib.rs
@@ -1,4 +1,6 @@
-//! Backoff of all reads that the store refuses because it takes no more of them.
+//! Backoff of calls that fail.
+//!
+//! # Reads of one entry
 //!
 //! The store has one rate for all entries. Where many ask for more at the same time, as they do at their start and after an
 //! outage, each refused read that is sent again at a fixed pause is one more call over the rate: the retries alone keep the
@@ -14,11 +16,18 @@
 //! * A commit is passed on as it is, and so is a read of less than a whole partition: what a refusal means, and how long the call may be
 //!   tried again, differs from one caller to the next. An owner that waited here for the proof that it still owns its pool
 //!   would start nothing meanwhile.
+//!
+//! # Calls of one caller
+//!
+//! [`Retry`] has the pauses between the tries of one loop, whatever it calls and for whatever reason that fails: they double, and have
+//! jitter, so that loops which an outage has brought into step don't stay so.
 
 mod backoff;
+mod retry;
 mod rows;
 mod site;
 
 pub use backoff::{Backoff, LONGEST};
+pub use retry::{Retry, pause};
 pub use rows::Rows;
 pub use site::Site;
--- a/crates/backoff/tests/all/main.rs
+++ b/crates/backoff/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Reads of a store that refuses them.
 
+mod retry;
+
 use async_trait::async_trait;
 use parking_lot::Mutex;
 use primroseroute_backoff::{Backoff, LONGEST, Rows};
--- a/crates/gateway/src/patience.rs
+++ b/crates/gateway/src/patience.rs
@@ -1,7 +1,8 @@
 //! How long a request is worked on before its caller is told that it failed.
 
-use std::time::Duration;
-use tokio::time::Instant;
+use primroseroute_backoff::Retry;
+use std::{hash::Hash, time::Duration};
+use tokio::time::{Instant, sleep};
 
 /// Time that a caller is taken to wait where it doesn't say.
 const DEFAULT: Duration = Duration::from_secs(3);
@@ -14,8 +15,8 @@
 /// caller from another entry that may reach the store.
 const REFUSE_AFTER: Duration = Duration::from_millis(600);
 
-/// Pause between two attempts.
-const PAUSE: Duration = Duration::from_millis(80);
+/// First and longest pause between two attempts.
+const PAUSES: [Duration; 2] = [Duration::from_millis(80), Duration::from_millis(160)];
 
 /// The time of one request.
 #[derive(Debug)]
@@ -23,14 +24,18 @@
     begin: Instant,
     usable: Duration,
     unsure: bool,
+    retry: Retry,
 }
 
 impl Patience {
-    pub(crate) fn new(told: Option<Duration>) -> Self {
+    /// The time of a request whose caller waits as long as `told`; `seed` differs from one request to the next.
+    pub(crate) fn new(told: Option<Duration>, seed: impl Hash) -> Self {
+        let [first, longest] = PAUSES;
         Self {
             begin: Instant::now(),
             usable: told.unwrap_or(DEFAULT) * USABLE_PERCENT / 100,
             unsure: false,
+            retry: Retry::new(first, longest, seed),
         }
     }
 
@@ -46,16 +51,17 @@
 
     /// Waits for the next attempt; `false` where there is no time for one. A request in doubt is
     /// worked on for as long as its caller waits, since only another attempt can tell.
-    pub(crate) async fn again(&self) -> bool {
+    pub(crate) async fn again(&mut self) -> bool {
         let limit = if self.unsure {
             self.usable
         } else {
             self.usable.min(REFUSE_AFTER)
         };
-        if self.begin.elapsed() + PAUSE >= limit {
+        let pause = self.retry.failed();
+        if self.begin.elapsed() + pause >= limit {
             return false;
         }
-        tokio::time::sleep(PAUSE).await;
+        sleep(pause).await;
         true
     }
 }
--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -6,6 +6,7 @@
 use crate::{clock::Clock, control::parsed};
 use bytes::Bytes;
 use log::{info, warn};
+use primroseroute_backoff::Retry;
 use primroseroute_cell::{
     Millis,
     row::{self, Batch, Wanted},
@@ -16,7 +17,6 @@
     rows::{Commit, Place, Row, Rows, Txn, Version, read_row},
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
-use tokio::time::sleep;
 
 /// Most progress rows of one transaction; the store takes 100 entries, conditions included.
 const MOST_ROWS: usize = 90;
@@ -24,8 +24,8 @@
 /// Most bytes of values in one transaction; the store takes 1 MB, in base64.
 const MOST_BYTES: usize = 500_000;
 
-/// Pause before a commit is tried again.
-const PAUSE: Duration = Duration::from_millis(100);
+/// First and longest pause before a commit is tried again.
+const PAUSES: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(400)];
 
 /// This owner has been replaced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,6 +52,7 @@
     last: Version,
     number: u64,
     failing: bool,
+    retry: Retry,
 }
 
 impl Lane {
@@ -62,6 +63,8 @@
         token: Version,
         last: Version,
     ) -> Self {
+        let [first, longest] = PAUSES;
+        let retry = Retry::new(first, longest, (&pool, token));
         Self {
             rows,
             clock,
@@ -70,6 +73,7 @@
             last,
             number: 0,
             failing: false,
+            retry,
         }
     }
 
@@ -122,7 +126,7 @@
                 }
                 Err(error) => {
                     self.failed(&error);
-                    sleep(PAUSE).await;
+                    self.retry.wait().await;
                 }
             }
         }
@@ -187,7 +191,7 @@
             }
             Err(error) => {
                 self.failed(&error);
-                sleep(PAUSE).await;
+                self.retry.wait().await;
                 Ok(None)
             }
         }
@@ -217,6 +221,7 @@
     }
 
     fn good(&mut self) {
+        self.retry.succeeded();
         if std::mem::take(&mut self.failing) {
             info!(pool = &*self.pool; "commits work again");
         }
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -120,7 +120,14 @@
             blind: true,
         };
         let background = vec![
-            tokio::spawn(follow("control", table, keeper, CONTROL_RHYTHM, None)),
+            tokio::spawn(follow(
+                "control",
+                table,
+                keeper,
+                CONTROL_RHYTHM,
+                None,
+                (Name::clone(&parts.entry), parts.incarnation),
+            )),
             tokio::spawn(beat(
                 parts.clone(),
                 Arc::clone(&picture),
--- a/crates/owner/src/follow.rs
+++ b/crates/owner/src/follow.rs
@@ -1,20 +1,21 @@
 //! Following something by its feed.
 
 use async_trait::async_trait;
+use primroseroute_backoff::Retry;
 use primroseroute_platform::{
     Error,
     rows::{Feed, Version},
 };
-use std::{fmt, time::Duration};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use std::{fmt, hash::Hash, time::Duration};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// How long one call usually waits for a change. A connection that has gone silent is noticed by its
 /// timeout, which is this and the slack of the call: well inside the time in which a configuration
 /// has to be in force.
 pub const WAIT: Duration = Duration::from_secs(1);
 
-/// Pause after a call that failed: long enough not to press a store that is in trouble.
-const PAUSE: Duration = Duration::from_millis(150);
+/// First and longest pause after a call that failed. The longest bounds how late an entry hears of what has changed.
+const PAUSES: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(600)];
 
 /// How calls for changes follow each other.
 #[derive(Clone, Copy, Debug)]
@@ -69,19 +70,20 @@
 }
 
 /// Follows `source` until the task is dropped: from `known` on where the sink has been told all up to that version,
-/// and otherwise by reading the whole first.
+/// and otherwise by reading the whole first. `seed` differs from one follower of `name` to the next.
 pub async fn follow<T, S, K>(
     name: &str,
     source: S,
     mut sink: K,
     rhythm: Rhythm,
     known: Option<Version>,
+    seed: impl Hash,
 ) where
     T: Send,
     S: Source<Item = T>,
     K: Sink<Item = T>,
 {
-    let mut health = Health::new(name);
+    let mut health = Health::new(name, seed);
     let mut newest: Version = 0;
     if let Some(known) = known {
         newest = tail(&source, &mut sink, known, rhythm, &mut health).await;
@@ -96,7 +98,7 @@
             Err(error) => {
                 health.failed(&error);
                 sink.interrupted();
-                sleep(PAUSE).await;
+                health.retry.wait().await;
                 continue;
             }
         };
@@ -148,7 +150,7 @@
             Err(error) => {
                 health.failed(&error);
                 sink.interrupted();
-                sleep(PAUSE).await;
+                health.retry.wait().await;
                 // What changed meanwhile is behind by that much already.
                 wait = Duration::ZERO;
                 let due = rhythm.read_after;
@@ -198,17 +200,20 @@
     Ok((items, version))
 }
 
-/// One line when a feed is lost, and one when it is back.
+/// How calls for a feed fare: the pauses between failed ones, one line when the feed is lost, and one when it is back.
 struct Health<'a> {
     name: &'a str,
     failing: bool,
+    retry: Retry,
 }
 
 impl<'a> Health<'a> {
-    fn new(name: &'a str) -> Self {
+    fn new(name: &'a str, seed: impl Hash) -> Self {
+        let [first, longest] = PAUSES;
         Self {
             name,
             failing: false,
+            retry: Retry::new(first, longest, (name, seed)),
         }
     }
 
@@ -219,6 +224,7 @@
     }
 
     fn good(&mut self) {
+        self.retry.succeeded();
         if std::mem::take(&mut self.failing) {
             log::info!(feed = self.name; "the feed is back");
         }
--- a/crates/owner/src/lease.rs
+++ b/crates/owner/src/lease.rs
@@ -2,6 +2,7 @@
 
 use crate::{clock::Clock, event::Event, fence::Fence};
 use parking_lot::Mutex;
+use primroseroute_backoff::Retry;
 use primroseroute_cell::{Limits, Millis, TakenIn};
 use primroseroute_domain::work::Name;
 use primroseroute_platform::worker::{Hold, Look, Seen, Target, Workers};
@@ -19,8 +20,11 @@
 /// survives a few that fail.
 const WAIT: Duration = Duration::from_secs(1);
 
-/// Pause after a look that failed.
-const PAUSE: Duration = Duration::from_millis(150);
+/// Pause between looks that renew nothing, which don't wait for an end.
+const PACE: Duration = Duration::from_millis(150);
+
+/// First and longest pause after a look that failed. The longest bounds how late work goes on after a cut.
+const PAUSES: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(300)];
 
 /// Longest wait for ends to be committed before the worker is looked at again; a store that is away
 /// for longer must not keep the lease from being renewed.
@@ -96,6 +100,8 @@
     /// answer would move the time at which its lease has surely lapsed, and the tasks of a dead
     /// worker would never start elsewhere.
     pub(crate) async fn run(mut self) {
+        let [first, longest] = PAUSES;
+        let mut retry = Retry::new(first, longest, (&self.target.id, self.fence.token()));
         let mut answers = false;
         loop {
             let (answer, renews) = self.look(answers).await;
@@ -106,12 +112,12 @@
             answers = answered;
             match answer {
                 Some(Seen::Look(look)) => {
+                    retry.succeeded();
                     let newest = look.ended.last().map(|ended| ended.number);
                     match newest {
                         Some(newest) => self.until_committed(look.born, newest).await,
-                        // Without a reading from before the last confirmation nothing can be
-                        // renewed, and looks don't wait: they must not follow each other at once.
-                        None if !renews => sleep(PAUSE).await,
+                        // Without a reading from before the last confirmation nothing can be renewed.
+                        None if !renews => sleep(PACE).await,
                         None => {}
                     }
                 }
@@ -122,9 +128,9 @@
                 }
                 Some(Seen::Refused(refusal)) => {
                     log::debug!(worker = &*self.target.id, refusal:? = refusal; "look refused");
-                    sleep(PAUSE).await;
+                    retry.wait().await;
                 }
-                None => sleep(PAUSE).await,
+                None => retry.wait().await,
             }
         }
     }
--- a/crates/owner/src/own.rs
+++ b/crates/owner/src/own.rs
@@ -12,6 +12,7 @@
 };
 use log::{info, warn};
 use parking_lot::Mutex;
+use primroseroute_backoff::Retry;
 use primroseroute_cell::{Cell, Limits, row};
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
@@ -21,10 +22,10 @@
     worker::Workers,
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
-use tokio::{sync::watch, time::sleep};
+use tokio::sync::watch;
 
-/// Pause after a takeover's reads have failed.
-const LOAD_PAUSE: Duration = Duration::from_millis(150);
+/// First and longest pause after a takeover's reads have failed.
+const LOAD_PAUSES: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(600)];
 
 /// Longest wait of a takeover for the registered workers. Without them the pool would seem to need next to none, and its
 /// instances would go to others; where they can't be read, cancels are to be carried out all the same.
@@ -126,6 +127,8 @@
 
 /// Reads until it succeeds.
 async fn load(context: &Context) -> (Cell, Loaded) {
+    let [first, longest] = LOAD_PAUSES;
+    let mut retry = Retry::new(first, longest, (&context.entry, &context.pool));
     loop {
         let now = context.clock.now();
         let mut cell = Cell::new(context.limits, now);
@@ -137,7 +140,7 @@
             }
             Err(error) => {
                 warn!(pool = &*context.pool, error:% = error; "loading the pool failed");
-                sleep(LOAD_PAUSE).await;
+                retry.wait().await;
             }
         }
     }
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -109,6 +109,7 @@
             },
             JOBS_RHYTHM,
             Some(loaded.next),
+            (Name::clone(&context.pool), token),
         );
         let upkeep = upkeep::run(context.clone(), token, status_seen, sender.clone());
         let background = vec![tokio::spawn(follower), tokio::spawn(upkeep)];
--- a/crates/owner/src/watch.rs
+++ b/crates/owner/src/watch.rs
@@ -49,10 +49,10 @@
 }
 
 impl Roster {
-    fn spawn(site: &Arc<dyn Site>) -> (Self, JoinHandle<()>) {
+    fn spawn(site: &Arc<dyn Site>, seed: u64) -> (Self, JoinHandle<()>) {
         let (sink, workers) = watch::channel(None);
         let (needed, is_needed) = watch::channel(0);
-        let task = tokio::spawn(follow_while_needed(Arc::clone(site), is_needed, sink));
+        let task = tokio::spawn(follow_while_needed(Arc::clone(site), is_needed, sink, seed));
         (Self { needed, workers }, task)
     }
 
@@ -97,13 +97,14 @@
     site: Arc<dyn Site>,
     mut needed: Receiver<usize>,
     sink: Sender<Option<Workers>>,
+    seed: u64,
 ) {
     while needed.wait_for(|needed| *needed > 0).await.is_ok() {
         let registrations = Registrations {
             workers: sink.clone(),
         };
         let source = Registry(Arc::clone(&site));
-        let follower = follow("workers", source, registrations, WORKERS_RHYTHM, None);
+        let follower = follow("workers", source, registrations, WORKERS_RHYTHM, None, seed);
         tokio::select! {
             () = follower => {}
             _ = needed.wait_for(|needed| *needed == 0) => {}
@@ -129,11 +130,11 @@
 }
 
 impl Watch {
-    /// Follows `site`; the tasks end when their handles are aborted.
-    pub fn spawn(site: &Arc<dyn Site>, clock: Clock) -> (Self, Vec<JoinHandle<()>>) {
+    /// Follows `site`; the tasks end when their handles are aborted. `seed` differs from one entry to the next.
+    pub fn spawn(site: &Arc<dyn Site>, clock: Clock, seed: u64) -> (Self, Vec<JoinHandle<()>>) {
         let (configuration_sink, configuration) = watch::channel(None);
         let (waves_sink, waves) = watch::channel(Waves::default());
-        let (roster, registrations) = Roster::spawn(site);
+        let (roster, registrations) = Roster::spawn(site, seed);
         let (contact_sink, contact) = watch::channel(0);
         let instructions = Instructions {
             configuration: configuration_sink,
@@ -148,6 +149,7 @@
                 instructions,
                 INSTRUCTIONS_RHYTHM,
                 None,
+                seed,
             )),
             registrations,
         ];
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -25,7 +25,6 @@
 //! the seq in force and turns a gap into a pull; a [`Local`] must itself ignore lower seqs, since
 //! the store's poller races with the link.
 
-pub mod backoff;
 pub mod board;
 mod core;
 pub mod delta;
--- a/crates/peer/src/rpc/dial.rs
+++ b/crates/peer/src/rpc/dial.rs
@@ -7,9 +7,10 @@
     session::{Direction, Session},
     wire,
 };
-use crate::{Address, backoff, report::Identity};
+use crate::{Address, report::Identity};
 use capnp::Error;
 use capnp_rpc::rpc_twoparty_capnp::Side;
+use primroseroute_backoff::Retry;
 use primroseroute_peer_schema::peer_capnp::gate::Client as GateClient;
 use std::{collections::BTreeMap, rc::Rc};
 use tokio::{
@@ -56,14 +57,18 @@
 async fn keep(hub: Rc<Hub>, address: Address) {
     let limits = hub.limits;
     let mut name = address.entry.clone();
-    let mut failures = 0;
+    let mut retry = Retry::new(
+        limits.first_pause,
+        limits.longest_pause,
+        rand::random::<u64>(),
+    );
     // The entry with the lower name dials first; the other only where it does not get through.
     if name.as_ref().is_some_and(|name| *name < hub.identity.entry) {
         time::sleep(limits.handshake).await;
     }
     loop {
         if name.as_ref().is_some_and(|name| hub.is_served_by(name)) {
-            failures = 0;
+            retry.succeeded();
             time::sleep(limits.longest_pause).await;
             continue;
         }
@@ -71,21 +76,13 @@
             Ok(End::Own) => return,
             Ok(End::Session(peer)) => {
                 name = Some(peer.entry);
-                failures = 0;
+                retry.succeeded();
             }
             Err(error) => {
                 log::debug!(address:% = address.socket, error:%; "peer cannot be reached");
-                failures += 1;
             }
         }
-        let unit = rand::random();
-        time::sleep(backoff::pause(
-            limits.first_pause,
-            limits.longest_pause,
-            failures,
-            unit,
-        ))
-        .await;
+        retry.wait().await;
     }
 }
 
--- a/crates/peer/tests/all/main.rs
+++ b/crates/peer/tests/all/main.rs
@@ -1,6 +1,5 @@
 //! Tests of the link between entries.
 
-mod backoff;
 mod board;
 mod cost;
 mod delta;
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -160,7 +160,7 @@
         let workers: Arc<dyn worker::Workers> = Arc::new(Workers::open(client.clone()));
         let advisor = Arc::new(Advisor::open(client, live.advice.clone()));
         let workers: Arc<dyn worker::Workers> = Arc::new(Metered::new(workers, meter.clone()));
-        let (watch, _follow) = Watch::spawn(&site, clock);
+        let (watch, _follow) = Watch::spawn(&site, clock, incarnation);
         let stopping = Arc::new(AtomicBool::new(false));
         let readiness = readiness(&watch, clock, &stopping);
         let gateway = Gateway::open(GatewayParts {
--- a/tests/site/bed/mod.rs
+++ b/tests/site/bed/mod.rs
@@ -231,7 +231,7 @@
         let site: Arc<dyn Site> = Arc::new(caller.clone());
         let site: Arc<dyn Site> = Arc::new(backoff::Site::new(site, store.clone(), instances));
         let rows: Arc<dyn Rows> = Arc::new(Brisk::new(Arc::new(caller.clone())));
-        let (watch, _tasks) = Watch::spawn(&site, self.clock);
+        let (watch, _tasks) = Watch::spawn(&site, self.clock, self.started);
         let gateway = Gateway::open(GatewayParts {
             configuration: watch.configuration.clone(),
             rows: Arc::clone(&rows),
