The judge of histories tells a task lost by a crash from one that an order has ended

Cause: the judge, not the product.

Change: a run's begin forgets an order that came before the last run, where that run was at work when it ended. As strict as the rule says: an order that ended the last run, or one whose next runs never came to work, counts as before, and so does every absence of 4.5 s.

--- a/crates/standin/src/site/check/steps.rs
+++ b/crates/standin/src/site/check/steps.rs
@@ -22,8 +22,19 @@
 }
 
 impl<'a> Steps<'a> {
+    /// Takes in a run's begin. Where the one before was at work when it ended, an earlier order has no part in that.
     pub(super) fn started(&mut self, task: &'a TaskId, at: u64) {
-        self.begun.insert(task, at);
+        let before = self.begun.insert(task, at);
+        let stopped = self.stopped.get(task);
+        let has_worked = before
+            .zip(self.ended.get(task))
+            .is_some_and(|(begun, ended)| {
+                let after_stop = stopped.is_some_and(|stopped| *stopped < begun);
+                after_stop && *ended >= begun + STARTUP
+            });
+        if has_worked {
+            self.stopped.remove(task);
+        }
     }
 
     pub(super) fn stopped(&mut self, task: &'a TaskId, at: u64) {
--- a/crates/standin/tests/all/judge.rs
+++ b/crates/standin/tests/all/judge.rs
@@ -16,6 +16,10 @@
     room_that_has_just_shrunk_does_not_count => async { shrunk() };
     /// A start after the end of a run in a worker's second life.
     start_after_an_end_in_a_next_life_is_found => async { next_life() };
+    /// A stop beside a task of the step that an order has ended and that isn't at work again.
+    stop_beside_a_stopped_task_is_found => async { beside_stopped() };
+    /// A stop beside a task that was at work again after an order, and was then lost for another cause.
+    stop_beside_a_task_that_was_just_lost_is_not_held => async { beside_lost() };
     /// An end that was listed by another life than the one that acknowledgements reach.
     end_of_a_life_that_is_over_is_not_acknowledged => async { other_life() };
 }
@@ -158,3 +162,57 @@
     ];
     assert_eq!(judged(events), Vec::new());
 }
+
+/// What two tasks of a step that may miss one break in a history; the first was stopped at 2,000 ms.
+fn away(events: Vec<Event>) -> Vec<Breach> {
+    let mut sent = sent();
+    let job = sent.jobs.get_mut(&id()).expect("it was sent");
+    job.steps[0] = Step {
+        count: 2,
+        lasting: true,
+        may_miss: 1,
+        ..Step::default()
+    };
+    let mut all = vec![
+        started(100, 0, 1),
+        started(100, 1, 1),
+        stopping(2_000, 0, 1),
+        ended(2_100, 0, 1, Some(End::Stopped)),
+        started(2_200, 0, 2),
+    ];
+    all.extend(events);
+    check(&sent, &Journal { events: all })
+}
+
+fn stopping(at: u64, index: u16, run: u32) -> Event {
+    Event::Stopping {
+        at,
+        worker: worker(),
+        task: task(index),
+        run,
+        late: false,
+    }
+}
+
+fn beside_stopped() {
+    let found = vec![Breach::Away(task(1), 2_600)];
+    assert_eq!(away(vec![stopping(2_600, 1, 1)]), found);
+    // Its next run ends before it is at work, and so does the one after that.
+    let lost_early = vec![
+        ended(2_300, 0, 2, None),
+        started(2_400, 0, 3),
+        stopping(2_600, 1, 1),
+    ];
+    assert_eq!(away(lost_early), found);
+}
+
+fn beside_lost() {
+    let lost = vec![
+        ended(4_000, 0, 2, None),
+        started(4_500, 0, 3),
+        stopping(4_600, 1, 1),
+    ];
+    assert_eq!(away(lost), Vec::new());
+    let for_long = vec![ended(4_000, 0, 2, None), stopping(8_500, 1, 1)];
+    assert_eq!(away(for_long), vec![Breach::Away(task(1), 8_500)]);
+}
--- a/tests/site/random/mixed.rs
+++ b/tests/site/random/mixed.rs
@@ -79,6 +79,8 @@
     3_340_140, 3_340_289, 3_340_365,
     // A late start of a former owner reached a life that nobody had reached yet.
     3_000_363,
+    // A task that was at work again after a stop, and then lost with its worker, was judged as stopped.
+    3_020_060,
 ];
 
 /// Seconds of faults and spells in a history.
