A life that began after a takeover has nothing of a predecessor's

Fresh history 3020148: a task that crashes its workers is started six times, three of them after three crashes.

Cause: two of its crashes go uncounted. One of them (18.551 s, w-2) is of the class of 3340286: its owner is stopped at 19.104 s, and the successor takes the next life of w-2 for the one before. The row's mark of a life has ten values of 2 s; w-2's first life began at 0 s and the next one at 21.551 s, and both have the mark 0. The other one (21.920 s) is passed on through two takeovers and a cut until the worker's lease has lapsed, and isn't known for a crash then; that stays.

Change: a found run whose worker's life began after this owner's takeover was placed in an earlier life, whatever the mark says. The mark can't grow: the largest job fits into a row with one digit a task.

--- a/crates/cell/src/life.rs
+++ b/crates/cell/src/life.rs
@@ -36,7 +36,7 @@
     }
     if worker.born == 0 {
         worker.born = look.born;
-        lose_found(cell, id, look, wall_ms);
+        lose_found(cell, id, look, now, wall_ms);
     } else {
         begin(cell, id, look, sent_at, now, wall_ms);
     }
@@ -46,9 +46,10 @@
 /// Takes in the first look at a worker: what a predecessor has placed in an earlier life of it is lost.
 ///
 /// The row of a task with crashes says in which life it was placed: where it is this one, its start has never reached the worker, and
-/// crashed nothing. The other rows don't. What was accepted before this life began, and isn't there, was placed in an earlier one, but
-/// for a start that its predecessor didn't come to send.
-fn lose_found(cell: &mut Cell, id: &Name, look: &Look, wall_ms: u64) {
+/// crashed nothing. That mark comes round after some time, and a life that began after the takeover has nothing of a predecessor's. The
+/// other rows don't say it. What was accepted before this life began, and isn't there, was placed in an earlier one, but for a start that its
+/// predecessor didn't come to send.
+fn lose_found(cell: &mut Cell, id: &Name, look: &Look, now: Millis, wall_ms: u64) {
     let (jobs, Some(worker)) = (&cell.jobs, cell.workers.get(id)) else {
         return;
     };
@@ -57,9 +58,11 @@
         let job = jobs.get(&task.job);
         job.is_some_and(|job| job.accepted.at_ms < look.born)
     };
-    let now = Life::of(look.born);
+    let life = Life::of(look.born);
+    let taken_over_ms = wall_ms.saturating_sub(now - cell.taken_at);
+    let is_later = look.born > taken_over_ms;
     let lost = worker.runs_where(|task, run| {
-        let may_be_older = run.life != Some(now) && is_older(task);
+        let may_be_older = (is_later || run.life != Some(life)) && is_older(task);
         run.found && may_be_older && !of_this_life.contains(&(task, run.run))
     });
     if !lost.is_empty() {
--- a/crates/cell/tests/all/life.rs
+++ b/crates/cell/tests/all/life.rs
@@ -4,7 +4,7 @@
     bed::{Bed, WALL, job, starts, step, task},
     cases,
 };
-use primroseroute_cell::{Cause, Order, Outcome, Purpose, TakenIn, Tick};
+use primroseroute_cell::{Cause, Order, Outcome, Purpose, TakenIn, Tick, row::Life};
 use primroseroute_domain::work::{End, JobId, Name};
 use primroseroute_platform::worker::{Ended, Look, Running};
 
@@ -31,6 +31,8 @@
     crash_before_a_takeover_is_blamed => before_takeover();
     /// A start that never reached its worker, taken for one that crashed an earlier life of it.
     start_that_never_reached_its_life_is_not_blamed => never_reached();
+    /// A crash that goes uncounted since the next life, begun after the takeover, has the same mark as the one before.
+    crash_before_a_life_that_began_after_the_takeover_is_blamed => began_after();
     /// A life that is given up for the end of the one before, by a list that came late.
     end_of_the_life_before_ends_no_other => late_list();
     /// A start that is answered by the next life, and lost by a list from before that life.
@@ -277,6 +279,23 @@
     assert_eq!(starts(&tick.orders).len(), 1);
 }
 
+fn began_after() {
+    let mut bed = Bed::new(&[WORKER]);
+    let id = bed.accept(job(vec![step(1, 1_000)]));
+    bed.tick();
+    bed.now += 3_000;
+    let born = WALL + 2_000;
+    take(&mut bed, &look(born));
+    assert_eq!(starts(&bed.tick()).len(), 1);
+    bed.replace_owner();
+    bed.now += 20_000;
+    let next = born + 20_000;
+    assert_eq!(Life::of(born), Life::of(next));
+    take(&mut bed, &look(next));
+    let tick = bed.round();
+    assert_eq!(tick.losses[0].blamed, vec![task(&id, 0, 0)]);
+}
+
 fn late_list() {
     let mut bed = Bed::new(&[WORKER]);
     take(&mut bed, &look(NEXT));
--- a/tests/site/random/mixed.rs
+++ b/tests/site/random/mixed.rs
@@ -72,7 +72,7 @@
     // A start had a deadline on the old clock and a token for the new life.
     3_000_249, 3_000_426,
     // The next life of a worker passed for the one before, and its crash went uncounted.
-    3_340_286, 4_730_062,
+    3_340_286, 4_730_062, 3_020_148,
     // An answered start was lost by a list that was asked for before the life that had answered it began.
     4_720_263,
     // A start with a deadline on the clock of the life before gave a worker a lease without end.
