What a cell is told of its workers has a file of its own

What is told and asked of workers (registrations, ends of lives, leases, emptying, who is silent, whom to look at) moves to roster.rs as it was.

No behaviour changes.

--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -46,6 +46,7 @@
 mod order;
 mod pace;
 mod place;
+mod roster;
 pub mod row;
 mod tick;
 mod window;
