The read of a pool that is taken over goes before the reads of all entries

Change: the read of a pool at a takeover has a backoff of its own, with a longest pause of 0.1 s (Backoff::of_few). Few entries take pools over, and nothing runs in a pool until it is read.

Tries of feeds, commits and loads waited up to four times the old pause; now up to twice.

--- a/crates/backoff/src/backoff.rs
+++ b/crates/backoff/src/backoff.rs
@@ -11,9 +11,12 @@
 /// Pause after the first refusal.
 const FIRST: Duration = Duration::from_millis(100);
 
-/// Longest pause. It bounds how late an entry hears of a configuration and of owners that have gone.
+/// Longest pause, but for reads that few entries make. It bounds how late an entry hears of a configuration and of owners that have gone.
 pub const LONGEST: Duration = Duration::from_millis(1_500);
 
+/// Longest pause of reads that few entries make at the same time.
+const LONGEST_OF_FEW: Duration = Duration::from_millis(100);
+
 /// Part of the pause that a read takes back: one in this many.
 const FALL: u32 = 16;
 
@@ -30,6 +33,7 @@
 struct State {
     /// What is read.
     name: Name,
+    longest: Duration,
     pause: Duration,
     /// Whether the pause has reached its length since there was none.
     pressed: bool,
@@ -47,10 +51,10 @@
     fn refused(&mut self) -> Duration {
         let grown = self.raised_at.is_some_and(|at| at.elapsed() < self.pause);
         if !grown {
-            self.pause = (self.pause * 2).clamp(FIRST, LONGEST);
+            self.pause = (self.pause * 2).clamp(FIRST, self.longest);
             self.raised_at = Some(Instant::now());
         }
-        if self.pause == LONGEST && !std::mem::replace(&mut self.pressed, true) {
+        if self.pause == self.longest && !std::mem::replace(&mut self.pressed, true) {
             log::warn!(reads = &*self.name; "reads are refused for their rate");
         }
         self.rng.random_range(Duration::ZERO..=self.pause)
@@ -71,8 +75,18 @@
     /// A backoff without a pause, of what is called `name` in the log; `seed` is the source of its jitter, and differs from one entry to
     /// the next.
     pub fn new(name: &str, seed: u64) -> Self {
+        Self::up_to(LONGEST, name, seed)
+    }
+
+    /// The same for reads that few entries make at the same time, and that go before those of all.
+    pub fn of_few(name: &str, seed: u64) -> Self {
+        Self::up_to(LONGEST_OF_FEW, name, seed)
+    }
+
+    fn up_to(longest: Duration, name: &str, seed: u64) -> Self {
         let state = State {
             name: name.into(),
+            longest,
             pause: Duration::ZERO,
             pressed: false,
             raised_at: None,
--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -25,7 +25,7 @@
 const MOST_BYTES: usize = 500_000;
 
 /// First and longest pause before a commit is tried again.
-const PAUSES: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(400)];
+const PAUSES: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(200)];
 
 /// This owner has been replaced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -337,6 +337,7 @@
             order_pause: bounds.order_pause,
             order_rate: bounds.order_rate,
             rows: Arc::clone(&self.parts.rows),
+            loads: Arc::clone(&self.parts.loads),
             site: Arc::clone(&self.parts.site),
             workers: Arc::clone(&self.parts.workers),
             advisor: Arc::clone(&self.parts.advisor),
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -81,6 +81,9 @@
     pub bounds: watch::Receiver<Bounds>,
     /// The store.
     pub rows: Arc<dyn Rows>,
+    /// The store as a pool is read from it at a takeover. Its refused reads have a backoff of their own: few entries take a pool over, and
+    /// nothing runs in the pool until they have read it.
+    pub loads: Arc<dyn Rows>,
     /// The site.
     pub site: Arc<dyn Site>,
     /// The workers' calls.
--- a/crates/owner/src/follow.rs
+++ b/crates/owner/src/follow.rs
@@ -15,7 +15,7 @@
 pub const WAIT: Duration = Duration::from_secs(1);
 
 /// First and longest pause after a call that failed. The longest bounds how late an entry hears of what has changed.
-const PAUSES: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(600)];
+const PAUSES: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(300)];
 
 /// How calls for changes follow each other.
 #[derive(Clone, Copy, Debug)]
--- a/crates/owner/src/own.rs
+++ b/crates/owner/src/own.rs
@@ -25,7 +25,7 @@
 use tokio::sync::watch;
 
 /// First and longest pause after a takeover's reads have failed.
-const LOAD_PAUSES: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(600)];
+const LOAD_PAUSES: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(300)];
 
 /// Longest wait of a takeover for the registered workers. Without them the pool would seem to need next to none, and its
 /// instances would go to others; where they can't be read, cancels are to be carried out all the same.
@@ -43,6 +43,8 @@
     /// Orders to instances that the platform takes a second from all entries together.
     pub order_rate: f64,
     pub rows: Arc<dyn Rows>,
+    /// The store as a pool is read from it at a takeover.
+    pub loads: Arc<dyn Rows>,
     pub site: Arc<dyn Site>,
     pub workers: Arc<dyn Workers>,
     pub advisor: Arc<dyn Advisor>,
@@ -132,7 +134,7 @@
     loop {
         let now = context.clock.now();
         let mut cell = Cell::new(context.limits, now);
-        match load::load(&*context.rows, &context.pool, &mut cell, context.clock).await {
+        match load::load(&*context.loads, &context.pool, &mut cell, context.clock).await {
             Ok(loaded) => {
                 let took_ms = context.clock.now() - now;
                 info!(pool = &*context.pool, took_ms; "pool loaded");
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -186,7 +186,11 @@
             strength: settings.strength,
             clock,
             bounds: live.bounds.subscribe(),
-            rows: Arc::new(backoff::Rows::new(rows, store_backoff)),
+            rows: Arc::new(backoff::Rows::new(Arc::clone(&rows), store_backoff)),
+            loads: Arc::new(backoff::Rows::new(
+                rows,
+                Backoff::of_few("pools", incarnation),
+            )),
             site,
             workers,
             advisor,
--- a/tests/site/bed/mod.rs
+++ b/tests/site/bed/mod.rs
@@ -245,7 +245,11 @@
             strength: self.strengths.get(name).copied().unwrap_or(STRENGTH),
             clock: self.clock,
             bounds: self.bounds.subscribe(),
-            rows: Arc::new(backoff::Rows::new(rows, store)),
+            rows: Arc::new(backoff::Rows::new(Arc::clone(&rows), store)),
+            loads: Arc::new(backoff::Rows::new(
+                rows,
+                Backoff::of_few("pools", self.started),
+            )),
             site,
             workers: Arc::new(caller.clone()),
             advisor: Arc::new(caller.clone()),
--- a/tests/site/herd.rs
+++ b/tests/site/herd.rs
@@ -3,6 +3,7 @@
 use crate::{
     bed::{Bed, POOL, job, seconds},
     cases,
+    lines::{capture, captured},
 };
 use eyre::{Result, ensure};
 use primroseroute_domain::work::State;
@@ -11,6 +12,8 @@
 cases! {
     /// A store over its rate refuses the reads of entries that start together for good.
     entries_that_start_together_get_to_work => start();
+    /// A takeover that waits for the reads of all entries that have started with its own.
+    pool_is_read_before_all_entries_have_read => takeover();
     /// The same once the store has been away and has forgotten its history.
     entries_that_read_anew_together_get_to_work => return_of_the_store();
     /// A feed that isn't asked for while the read in its place is refused again and again.
@@ -43,6 +46,34 @@
     settles(&bed).await
 }
 
+async fn takeover() -> Result<()> {
+    /// Longest time of a read of the pool, in milliseconds.
+    const LOAD: u64 = 1_000;
+    capture();
+    let mut bed = open(64).await?;
+    seconds(16).await;
+    let names: Vec<String> = bed.nodes.keys().cloned().collect();
+    for name in &names {
+        bed.kill(name);
+    }
+    seconds(1).await;
+    let before = captured().len();
+    for name in &names {
+        bed.start(name);
+    }
+    seconds(8).await;
+    let lines = captured();
+    let loads = lines[before..].iter();
+    let loads = loads.filter(|line| line.text == "pool loaded");
+    let mut took = Vec::new();
+    for load in loads {
+        took.push(load.field("took_ms").unwrap_or_default().parse::<u64>()?);
+    }
+    ensure!(!took.is_empty());
+    ensure!(took.iter().all(|took| *took <= LOAD), "{took:?} ms");
+    serves(&mut bed).await
+}
+
 async fn return_of_the_store() -> Result<()> {
     let mut bed = open(62).await?;
     seconds(16).await;
