--- a/crates/backoff/src/lib.rs
+++ b/crates/backoff/src/lib.rs
@@ -13,6 +13,7 @@
 //! * A refused read is sent again by itself. Whoever reads many parts keeps those that it has.
 //! * A refused feed is told of at once, since its follower must not take its own silence for that of others; the next
 //!   call for the same feed waits.
+//! * Reads that few entries make at the same time have a [`Backoff::of_few`]: they go before those of all.
 //! * A commit is passed on as it is, and so is a read of less than a whole partition: what a refusal means, and how long the call may be
 //!   tried again, differs from one caller to the next. An owner that waited here for the proof that it still owns its pool
 //!   would start nothing meanwhile.
