Tasks with a crash are started apart from those without, and trials use all idle workers

Cause: a task that has lost a worker by a crash was started beside fresh ones on a full worker. A culprit's second crash took that worker down as well, and was held against all that was new there: a dozen tasks without any crash. And a quarter of the open workers at most tried suspects, one on each, also where the others had nothing to do.

Change: while there are suspects, tasks with a single crash are tried as well, four on a worker, with nothing else new there. Without suspects they are started at once as before, since a single crash most likely had another cause. After all other short tasks have got their places, trials begin on every worker that they have left without new runs. How an owner knows of a run is one field (started, tried, found) in place of a flag.

Both new cases of crates/cell/tests/all/crash.rs fail without the change.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -9,7 +9,7 @@
     need::Needs,
     order::{Loss, Order, Outcome, Question, Tick},
     row::{Accepted, Phase, Progress},
-    worker::{Known, Run, Stop, Worker},
+    worker::{Known, Origin, Run, Stop, Worker},
 };
 use primroseroute_domain::work::{JobId, Name, State, Step, StepId, TaskId};
 use primroseroute_platform::worker::{Ended, Look, Refusal};
@@ -141,7 +141,7 @@
                         stop: if leaves { Stop::Wanted } else { Stop::No },
                         // The predecessor may have sent it.
                         stop_left_at: leaves.then_some(self.taken_at),
-                        found: true,
+                        origin: Origin::Found,
                         life: task.life,
                         ..Run::new(task.run, reserved, lasting)
                     };
--- a/crates/cell/src/crash.rs
+++ b/crates/cell/src/crash.rs
@@ -2,9 +2,11 @@
 //!
 //! Nothing tells what has crashed a worker: its life is over, and all that ran there is lost with it. A crash is held against the
 //! runs that were new then. Most of them are innocent, so a task with several crashes is a *suspect*: it is started on a worker
-//! on which nothing else is new, and a crash during this *trial* is held against it alone. A run that goes on for a while after
-//! its start has shown that its worker survives it, and so has one of a predecessor that is seen to go on: its task is acquitted.
-//! Otherwise a successor, which can't tell how long ago a run began, would take it for the suspect of a trial.
+//! on which nothing else is new, and a crash during this *trial* is held against it alone. While there are suspects, the tasks
+//! with a single crash are tried in small groups, apart from those without: otherwise the second crash of each culprit would be held
+//! against all that is new on a full worker. A run that goes on for a while after its start has shown that its worker survives it,
+//! and so has one of a predecessor that is seen to go on: its task is acquitted. Otherwise a successor, which can't tell how long
+//! ago a run began, would take it for the suspect of a trial.
 //!
 //! A task that is given up fails its job. One of a lasting step is only started no more, since the others of its step serve on.
 //!
@@ -17,7 +19,7 @@
     limits::Millis,
     order::{Cause, Loss},
     row::{Phase, Task},
-    worker::{Known, Worker},
+    worker::{Known, Origin, Worker},
 };
 use primroseroute_domain::work::{Name, State, TaskId};
 
@@ -27,6 +29,9 @@
 /// Crashes after which a task is given up: those from the third one on came during trials.
 const PROVEN: usize = 4;
 
+/// Most tasks with a single crash that share a trial: a crash makes suspects of them all, and each of these is tried alone.
+const SHARED: usize = 4;
+
 /// A task that is given up since it crashes its workers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Culprit {
@@ -144,7 +149,7 @@
         let shown_at = worker.shown_at;
         for (task, run) in &mut worker.runs {
             let due = matches!(run.known, Known::Runs(at) if now >= at + settle && shown_at < Some(at + settle));
-            if due && !run.found && !run.glanced && crashed.contains_key(task) {
+            if due && run.origin != Origin::Found && !run.glanced && crashed.contains_key(task) {
                 run.glanced = true;
                 glances.push(Name::clone(id));
             }
@@ -168,13 +173,26 @@
     crashes.is_some_and(|crashes| *crashes >= SUSPECT) && !is_gang(cell, task)
 }
 
-/// Whether a suspect is on trial on a worker: nothing else may start there.
+/// Whether some task is a suspect.
+pub(crate) fn has_suspects(cell: &Cell) -> bool {
+    let mut crashed = cell.crashed.values();
+    crashed.any(|crashes| *crashes >= SUSPECT)
+}
+
+/// Whether a task has crashes and can be tried apart from others.
+pub(crate) fn can_be_tried(cell: &Cell, task: &TaskId) -> bool {
+    has_crashed(cell, task) && !is_gang(cell, task)
+}
+
+/// Most tasks like this one that share a trial.
+pub(crate) fn most_tried_together(cell: &Cell, task: &TaskId) -> usize {
+    if is_suspect(cell, task) { 1 } else { SHARED }
+}
+
+/// Whether a trial goes on on a worker: nothing else may start there.
 pub(crate) fn has_trial(cell: &Cell, worker: &Worker) -> bool {
-    !cell.crashed.is_empty()
-        && worker
-            .runs
-            .iter()
-            .any(|(task, run)| worker.is_new(run, cell.limits.settle) && is_suspect(cell, task))
+    let mut runs = worker.runs.values();
+    runs.any(|run| run.origin == Origin::Tried && worker.is_new(run, cell.limits.settle))
 }
 
 /// Whether a task has crashed so many workers that it is started no more.
--- a/crates/cell/src/life.rs
+++ b/crates/cell/src/life.rs
@@ -10,7 +10,7 @@
     limits::Millis,
     order::Cause,
     row::Life,
-    worker::{Gone, Known, Stop},
+    worker::{Gone, Known, Origin, Stop},
 };
 use primroseroute_domain::work::{Name, TaskId};
 use primroseroute_platform::worker::Look;
@@ -63,7 +63,7 @@
     let is_later = look.born > taken_over_ms;
     let lost = worker.runs_where(|task, run| {
         let may_be_older = (is_later || run.life != Some(life)) && is_older(task);
-        run.found && may_be_older && !of_this_life.contains(&(task, run.run))
+        run.origin == Origin::Found && may_be_older && !of_this_life.contains(&(task, run.run))
     });
     if !lost.is_empty() {
         let new = lost.clone();
--- a/crates/cell/src/look.rs
+++ b/crates/cell/src/look.rs
@@ -7,7 +7,7 @@
     life,
     limits::{Limits, Millis},
     row::Phase,
-    worker::{Known, Run, Stop},
+    worker::{Known, Origin, Run, Stop},
 };
 use primroseroute_domain::work::{End, Name, State, Step, TaskId};
 use primroseroute_platform::worker::{Ended, Look, Running};
@@ -241,7 +241,7 @@
         known: Known::Runs(now),
         sure_after: now,
         stop: Stop::Wanted,
-        found: true,
+        origin: Origin::Found,
         ..Run::new(running.run, reserved.unwrap_or_default(), lasting)
     };
     worker.runs.insert(running.task.clone(), run);
--- a/crates/cell/src/place/mod.rs
+++ b/crates/cell/src/place/mod.rs
@@ -20,6 +20,7 @@
 use room::make_room;
 use rooms::Rooms;
 use std::collections::{BTreeMap, BTreeSet};
+use trial::Trials;
 use turn::{Class, task_id, waiting_tasks};
 
 /// Places what fits of `waiting`, in its order; gives out the starts.
@@ -36,7 +37,8 @@
             make_room(cell, waiting, &mut rooms, now);
         }
     }
-    orders.extend(trial::run(cell, &mut rooms, now));
+    let mut trials = Trials::of(cell, &rooms, waiting);
+    orders.extend(trials.run(cell, &mut rooms, now));
     let mut full = Full::default();
     for waiting in short {
         if full.rules_out(cell, waiting) {
@@ -49,6 +51,7 @@
             full.record(cell, waiting);
         }
     }
+    orders.extend(trials.run_idle(cell, &mut rooms, now));
     orders
 }
 
@@ -112,7 +115,7 @@
     let mut all_placed = true;
     for index in indexes {
         let task = task_id(waiting, index);
-        if crash::is_suspect(cell, &task) {
+        if rooms.needs_trial(cell, &task) {
             continue;
         }
         let has_crashed = crash::has_crashed(cell, &task);
--- a/crates/cell/src/place/rooms.rs
+++ b/crates/cell/src/place/rooms.rs
@@ -1,7 +1,7 @@
 //! What is free on the workers that take something new.
 
 use crate::{cell::Cell, crash, limits::Millis, worker::Worker};
-use primroseroute_domain::work::{Demand, Name};
+use primroseroute_domain::work::{Demand, Name, TaskId};
 use std::collections::BTreeSet;
 
 /// A worker that takes something new.
@@ -37,15 +37,20 @@
     open: Vec<Open>,
     /// Free processor share, and place in `open`.
     by_cpu: BTreeSet<(u64, usize)>,
+    /// Number of workers that take nothing while a trial goes on there.
+    on_trial: usize,
+    /// Whether some task is a suspect.
+    has_suspects: bool,
 }
 
 impl Rooms {
     pub(super) fn of(cell: &Cell, now: Millis) -> Self {
         let open = cell.workers.iter();
-        let open = open.filter(|(_id, worker)| {
-            worker.is_open(now, &cell.limits) && !crash::has_trial(cell, worker)
-        });
+        let open = open.filter(|(_id, worker)| worker.is_open(now, &cell.limits));
+        let (on_trial, open): (Vec<_>, Vec<_>) =
+            open.partition(|(_id, worker)| crash::has_trial(cell, worker));
         let open: Vec<Open> = open
+            .into_iter()
             .map(|(id, worker)| Open {
                 id: Name::clone(id),
                 free: worker.room(),
@@ -58,6 +63,8 @@
         Self {
             by_cpu: by_cpu.collect(),
             open,
+            on_trial: on_trial.len(),
+            has_suspects: crash::has_suspects(cell),
         }
     }
 
@@ -112,12 +119,18 @@
         self.open[place].returned += 1;
     }
 
-    /// Lets nothing more start in a place.
-    pub(super) fn close(&mut self, place: usize) {
-        let open = &mut self.open[place];
-        self.by_cpu.remove(&(open.free.cpu, place));
-        open.free = Demand::default();
-        open.kept = true;
+    /// Number of workers that take nothing while a trial goes on there.
+    pub(super) fn on_trial(&self) -> usize {
+        self.on_trial
+    }
+
+    /// Whether a task is to be started apart from others.
+    ///
+    /// Where some task is a suspect, a task with a single crash is kept from those without: a second crash would hold them all for
+    /// possible causes, and take down a worker that is full of them. Without suspects a crash most likely had another cause, and
+    /// what it has interrupted goes on at once.
+    pub(super) fn needs_trial(&self, cell: &Cell, task: &TaskId) -> bool {
+        crash::is_suspect(cell, task) || (self.has_suspects && crash::can_be_tried(cell, task))
     }
 
     pub(super) fn take(&mut self, place: usize, demand: Demand) {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -20,6 +20,17 @@
     Unsure,
 }
 
+/// How an owner knows of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// It has started it.
+    Started,
+    /// It has started it apart from others, since its task may crash its worker.
+    Tried,
+    /// It has found it, started by a predecessor.
+    Found,
+}
+
 /// A run that may be under way.
 #[derive(Clone, Debug)]
 #[expect(
@@ -47,8 +58,8 @@
     pub pace: u32,
     /// Whether it serves until it is stopped.
     pub lasting: bool,
-    /// Whether this owner has found it, and not started it.
-    pub found: bool,
+    /// How this owner knows of it.
+    pub origin: Origin,
     /// Of one that was found: the life that it was placed in, as far as the row tells.
     pub life: Option<Life>,
     /// Where the life that it was sent to is over and it got no answer: until when it may still reach the next one.
@@ -72,7 +83,7 @@
             stopped_at: None,
             pace: 100,
             lasting,
-            found: false,
+            origin: Origin::Started,
             life: None,
             doubtful_until: None,
             glanced: false,
@@ -85,7 +96,7 @@
     /// which life has taken it.
     pub(crate) fn may_be_of_next_life(&self, over_by: Millis) -> bool {
         let answered = matches!(self.known, Known::Runs(at) if at < over_by);
-        !self.found && !answered
+        self.origin != Origin::Found && !answered
     }
 
     /// Whether a stop of it may be on its way, or may have reached its worker without an answer.
@@ -234,7 +245,9 @@
     /// Whether one of its runs hasn't been shown for `settle` since its start: it may be what crashes the worker.
     pub(crate) fn is_new(&self, run: &Run, settle: Millis) -> bool {
         match run.known {
-            Known::Runs(at) => !run.found && self.shown_at.is_none_or(|shown| shown < at + settle),
+            Known::Runs(at) => {
+                run.origin != Origin::Found && self.shown_at.is_none_or(|shown| shown < at + settle)
+            }
             Known::Sent | Known::Unsure => true,
         }
     }
--- a/crates/cell/tests/all/crash.rs
+++ b/crates/cell/tests/all/crash.rs
@@ -6,7 +6,7 @@
 };
 use primroseroute_cell::{Cause, Loss, Tick, row::Progress};
 use primroseroute_domain::work::{JobId, Name, State, TaskId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 cases! {
     /// Unbounded retries of a task that crashes its workers.
@@ -35,6 +35,10 @@
     lapse_that_was_a_crash_counts => lapse_was_crash();
     /// A lapse that is taken for a crash, of a worker that comes back and crashes then.
     worker_that_came_back_after_a_lapse_did_not_crash_by_it => came_back();
+    /// Crashes that make suspects of tasks which have never crashed a worker, and take them down as well.
+    tasks_with_a_crash_start_apart_from_those_without => apart_from_the_sound();
+    /// Trials that follow each other one by one while other workers have nothing to do.
+    suspects_are_tried_on_all_idle_workers => on_all_idle();
     /// Tasks that were lost together and are all lost together again.
     tasks_of_one_crash_are_spread => spread();
 }
@@ -298,3 +302,37 @@
     let on_second = starts.iter().filter(|(_task, on)| &**on == "w-2");
     assert_eq!(on_second.count(), 4);
 }
+
+/// Crashes a worker under the tasks of a job, as often as is said, before all of them wait.
+fn crash_under(bed: &mut Bed, id: &JobId, crashes: usize) {
+    for _crash in 0..crashes {
+        let on = started(bed, &task(id, 0, 0)).expect("it starts");
+        bed.after(10);
+        crash_unplaced(bed, &on);
+    }
+}
+
+fn apart_from_the_sound() {
+    let mut bed = Bed::new(&["w-1", "w-2", "w-3", "w-4", "w-5", "w-6", "w-7", "w-8"]);
+    suspect(&mut bed);
+    let once = bed.accept(job(vec![step(2, 1_000)]));
+    crash_under(&mut bed, &once, 1);
+    let sound = bed.accept(job(vec![step(20, 1_000)]));
+    let starts = starts(&bed.tick());
+    let on = |id: &JobId| -> BTreeSet<Name> {
+        let of_job = starts.iter().filter(|(task, _on)| task.job == *id);
+        of_job.map(|(_task, on)| Name::clone(on)).collect()
+    };
+    assert_eq!(on(&once).len(), 1, "they share a worker: {starts:?}");
+    assert_eq!(on(&sound).len(), 2, "{starts:?}");
+    assert!(on(&once).is_disjoint(&on(&sound)), "{starts:?}");
+}
+
+fn on_all_idle() {
+    let mut bed = Bed::new(&["w-1", "w-2", "w-3", "w-4", "w-5", "w-6", "w-7"]);
+    let id = bed.accept(job(vec![step(4, 1_000)]));
+    crash_under(&mut bed, &id, 2);
+    let starts = starts(&bed.tick());
+    let on: BTreeSet<&Name> = starts.iter().map(|(_task, on)| on).collect();
+    assert_eq!((starts.len(), on.len()), (4, 4), "{starts:?}");
+}
