The need of a pool counts a worker for each trial that its tasks wait for

Cause: the need counts the cores of what waits, and nothing that is past three times its objective. A pool in which only suspects wait asks for one worker, and a trial takes a worker by itself for a second: of 49 workers the pool kept three.

Change: a trial that waits counts as a worker among the late work, which gets what other pools don't want.

The new case of crates/cell/tests/all/need.rs fails without the change. Reserving a third of the workers: no better, not kept.

--- a/crates/cell/src/crash.rs
+++ b/crates/cell/src/crash.rs
@@ -184,6 +184,23 @@
     has_crashed(cell, task) && !is_gang(cell, task)
 }
 
+/// Number of workers on which all tasks that wait for a trial could be tried at once.
+pub(crate) fn trials(cell: &Cell) -> u64 {
+    if !has_suspects(cell) {
+        return 0;
+    }
+    let waits = |task: &&TaskId| {
+        let job = cell.jobs.get(&task.job);
+        let row = job.and_then(|job| job.task(task));
+        row.is_some_and(|row| row.phase == Phase::Waiting && !is_given_up(row))
+    };
+    let waiting = cell.crashed.keys().filter(waits);
+    let triable = waiting.filter(|task| can_be_tried(cell, task));
+    let (alone, shared): (Vec<&TaskId>, Vec<&TaskId>) =
+        triable.partition(|task| is_suspect(cell, task));
+    (alone.len() + shared.len().div_ceil(SHARED)) as u64
+}
+
 /// Most tasks like this one that share a trial.
 pub(crate) fn most_tried_together(cell: &Cell, task: &TaskId) -> usize {
     if is_suspect(cell, task) { 1 } else { SHARED }
--- a/crates/cell/src/need.rs
+++ b/crates/cell/src/need.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     cell::Cell,
+    crash,
     limits::Millis,
     place::{self, Waiting},
     row::Wanted,
@@ -47,7 +48,7 @@
     /// Number of workers that it will have use for when an instance that is asked for now works, without
     /// headroom; at least `now`.
     pub soon: u64,
-    /// Number of workers beyond `now` that it has use for, for work that is late already.
+    /// Number of workers beyond `now` that it has use for, for work that is late already and for trials.
     pub late: u64,
     /// Number below which none is switched off.
     pub kept: u64,
@@ -158,6 +159,7 @@
     let workers = workers_for(with_headroom(coming), capacity).max(least);
     let at_once = workers_for(current, capacity).max(least);
     let with_late = workers_for(current.plus(runs.late).plus(waits.late), capacity);
+    let with_trials = at_once + crash::trials(cell);
     let all_workers = cell.workers.values();
     let unfit = all_workers
         .filter(|worker| is_unfit(cell, worker, now))
@@ -167,7 +169,7 @@
         workers: workers + unfit,
         now: at_once + unfit,
         soon: workers_for(coming, capacity).max(at_once) + unfit,
-        late: with_late.saturating_sub(at_once),
+        late: with_late.max(with_trials).saturating_sub(at_once),
         kept: kept(cell, now) + unfit,
         runs: runs.all(),
         waits: waits.all(),
--- a/crates/cell/tests/all/need.rs
+++ b/crates/cell/tests/all/need.rs
@@ -1,7 +1,7 @@
 //! How many workers a pool asks for. Each has ten cores.
 
 use crate::{
-    bed::{Bed, job, step},
+    bed::{Bed, job, step, task},
     cases,
 };
 use primroseroute_cell::{Need, Purpose};
@@ -20,6 +20,8 @@
     one_job_is_no_rate => one_job();
     jobs_that_a_new_owner_finds_have_not_just_come => found();
     late_work_is_counted_by_itself => late();
+    /// Tasks that wait for their trials on no worker, since a few cores would hold them all.
+    tasks_that_wait_for_trials_ask_for_workers => trials();
     work_that_runs_past_its_objective_is_late => runs_late();
     fall_is_followed_after_a_while => fall();
     pool_without_work_yet_keeps_what_it_was_given => given();
@@ -291,3 +293,22 @@
     let after = need(&mut bed);
     assert_eq!((after.now, after.unfit), (3, 1));
 }
+
+/// Three tasks have crashed two workers, and are past all hope besides: each has to be tried alone, and no worker is there.
+fn trials() {
+    let mut bed = Bed::unseen(&["w-1", "w-2"]);
+    let id = bed.accept(job(vec![step(3, 1_000)]));
+    for on in ["w-1", "w-2"] {
+        bed.tick();
+        bed.after(10);
+        assert_eq!(bed.on(&task(&id, 0, 0)), [Name::from(on)]);
+        bed.running.remove(on);
+        let now = bed.now;
+        assert!(bed.cell.gone(&on.into(), 1, now));
+    }
+    let first = need(&mut bed);
+    assert_eq!(first.now + first.late, 4);
+    bed.now += 60_000;
+    let later = need(&mut bed);
+    assert_eq!((later.now, later.late), (1, 3));
+}
