A crash isn't held against a run that its worker has outlived behind a cut

What callers saw: a lasting task that crashes nothing is given up and runs no more. Its workers are cut off right after its start, its lease lapses there, and they crash some seconds later for causes of their own.

Cause: a run counts as new until a look has shown it for a second. No look comes from behind a cut, so a crash after the lapse was held against a run that the worker had outlived by seconds.

Evidence: the list of instances, which is asked for all the while that a worker is silent, still names such a worker. Names without a gap longer than a worker takes to come back tell of one life; a list may be two seconds old.

Change: a silent worker that is named so is taken for alive up to two seconds before the list was asked for. Runs that have gone on for a second by then aren't blamed, and their tasks are acquitted; after a lapse the crash is held against none.

tests/site/crash.rs lasting_task_serves_on_after_crashes_of_workers_that_outlived_it and crates/cell/tests/all/crash.rs run_that_a_cut_worker_outlives_is_not_blamed fail without the change. Heartbeats in the registration, tried first, tell nothing: a worker behind a cut writes none.

--- a/crates/cell/src/life.rs
+++ b/crates/cell/src/life.rs
@@ -110,6 +110,7 @@
     worker.gone = Gone::No;
     worker.seen = 0;
     worker.shown_at = None;
+    worker.named_at = None;
     worker.failures.clear();
     worker.shunned_until = 0;
     // A renewal that was meant for the life before may have reached this one.
--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     cell::Cell,
+    crash,
     limits::Millis,
+    row::Life,
     worker::{Gone, Purpose, Stop, Worker},
 };
 use primroseroute_domain::work::Name;
@@ -119,6 +121,43 @@
         silent.map(|(id, _worker)| Name::clone(id)).collect()
     }
 
+    /// Those of the silent workers that new runs may have crashed.
+    pub fn suspected(&self, now: Millis) -> BTreeSet<Name> {
+        let settle = self.limits.settle;
+        let suspected = self.workers.iter().filter(|(_id, worker)| {
+            self.is_silent(worker, now)
+                && (worker.lapsed.is_some() || !crash::new_runs(worker, settle).is_empty())
+        });
+        suspected.map(|(id, _worker)| Name::clone(id)).collect()
+    }
+
+    /// Takes in that the platform was asked at `asked_at` and still named a silent worker; whether it shows that the worker has
+    /// outlived runs that were new.
+    ///
+    /// A worker that has crashed is named no more for a while, and then perhaps again, in its next life. So only names without a
+    /// gap between them, from the last look on, tell of one life.
+    pub fn named(&mut self, id: &Name, born: u64, asked_at: Millis) -> bool {
+        let settle = self.limits.settle;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return false;
+        };
+        let last = worker.named_at.max(worker.looked_at);
+        let is_same_life = last.is_some_and(|last| asked_at <= last + Life::SPAN);
+        if worker.is_gone() || worker.born != born || !is_same_life {
+            return false;
+        }
+        let new = crash::new_runs(worker, settle).len();
+        worker.named_at = worker.named_at.max(Some(asked_at));
+        let outlived = crash::new_runs(worker, settle).len() < new;
+        // Its lease had lapsed by then, and nothing ran any more.
+        let alive_at = worker.alive_at();
+        let lapsed = worker.lapsed.take_if(|lapsed| alive_at >= Some(lapsed.at));
+        if outlived {
+            crash::acquit(self, id);
+        }
+        outlived || lapsed.is_some()
+    }
+
     fn is_silent(&self, worker: &Worker, now: Millis) -> bool {
         let heard = worker.looked_at.unwrap_or(self.taken_at);
         let matters = !worker.runs.is_empty() || worker.lapsed.is_some();
--- a/crates/cell/src/row/mod.rs
+++ b/crates/cell/src/row/mod.rs
@@ -262,7 +262,7 @@
 
 impl Life {
     /// Shortest time in milliseconds between the births of two lives: a worker takes longer than that to come back.
-    const SPAN: u64 = 2_000;
+    pub(crate) const SPAN: u64 = 2_000;
 
     /// Number of values.
     const DIGITS: u64 = 10;
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -135,6 +135,9 @@
     Move,
 }
 
+/// How old the platform's list of instances may be at most.
+const LIST_LAG: Millis = 2_000;
+
 /// Runs that were lost with a lapsed lease.
 #[derive(Clone, Debug)]
 pub(crate) struct Lapsed {
@@ -158,6 +161,8 @@
     pub shown_at: Option<Millis>,
     /// When it was last to be looked at at once for a trial.
     pub asked_at: Option<Millis>,
+    /// While it is silent: when the platform was asked last that named it, without a gap in which its life could have ended.
+    pub named_at: Option<Millis>,
     /// Whether fillers were paced after that look.
     pub paced: bool,
     /// From then on its lease has surely lapsed, if it isn't renewed.
@@ -190,6 +195,7 @@
             looked_at: None,
             shown_at: None,
             asked_at: None,
+            named_at: None,
             paced: true,
             lapses_at,
             gone: Gone::No,
@@ -242,16 +248,26 @@
         shown && !self.is_gone()
     }
 
-    /// Whether one of its runs hasn't been shown for `settle` since its start: it may be what crashes the worker.
+    /// Whether one of its runs hasn't been shown for `settle` since its start, nor its worker to be alive since then: it may be
+    /// what crashes the worker.
     pub(crate) fn is_new(&self, run: &Run, settle: Millis) -> bool {
+        let alive_at = self.alive_at();
         match run.known {
             Known::Runs(at) => {
-                run.origin != Origin::Found && self.shown_at.is_none_or(|shown| shown < at + settle)
+                let lived_until = self.shown_at.max(alive_at);
+                run.origin != Origin::Found && lived_until.is_none_or(|until| until < at + settle)
+            }
+            Known::Sent | Known::Unsure => {
+                alive_at.is_none_or(|until| until < run.sure_after.saturating_add(settle))
             }
-            Known::Sent | Known::Unsure => true,
         }
     }
 
+    /// Up to when the platform has surely shown that it is alive while it is silent.
+    pub(crate) fn alive_at(&self) -> Option<Millis> {
+        self.named_at.map(|at| at.saturating_sub(LIST_LAG))
+    }
+
     /// Whether it leaves by itself.
     pub(crate) fn is_leaving(&self) -> bool {
         self.info.as_ref().is_some_and(|info| info.draining)
--- a/crates/cell/tests/all/crash.rs
+++ b/crates/cell/tests/all/crash.rs
@@ -4,7 +4,7 @@
     bed::{Bed, job, starts, step, task, worker},
     cases,
 };
-use primroseroute_cell::{Cause, Loss, Tick, row::Progress};
+use primroseroute_cell::{Cause, Loss, Millis, Tick, row::Progress};
 use primroseroute_domain::work::{JobId, Name, State, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -39,6 +39,10 @@
     tasks_with_a_crash_start_apart_from_those_without => apart_from_the_sound();
     /// Trials that follow each other one by one while other workers have nothing to do.
     suspects_are_tried_on_all_idle_workers => on_all_idle();
+    /// A crash that is held against a run which its worker has outlived behind a cut.
+    run_that_a_cut_worker_outlives_is_not_blamed => outlived();
+    /// A crash that goes uncounted, since the worker's next life passes for the one that has crashed.
+    next_life_under_the_same_id_acquits_nobody => next_life_named();
     /// Tasks that were lost together and are all lost together again.
     tasks_of_one_crash_are_spread => spread();
 }
@@ -250,12 +254,20 @@
 
 /// A task whose worker falls silent until its lease has lapsed; the worker, and the loss.
 fn lapse(bed: &mut Bed) -> (JobId, Name, Loss) {
+    lapse_while_named(bed, |_now| false)
+}
+
+/// The same; the platform names the worker at the times for which `is_named` holds.
+fn lapse_while_named(bed: &mut Bed, is_named: impl Fn(Millis) -> bool) -> (JobId, Name, Loss) {
     let id = bed.accept(job(vec![step(1, 1_000)]));
     let on = started(bed, &task(&id, 0, 0)).expect("it starts");
     let other: Name = if &*on == "w-1" { "w-2" } else { "w-1" }.into();
     loop {
         bed.now += 200;
         bed.look_at(&other);
+        if bed.cell.suspected(bed.now).contains(&on) && is_named(bed.now) {
+            bed.cell.named(&on, 1, bed.now);
+        }
         let mut tick = bed.round();
         if let Some(loss) = tick.losses.pop() {
             return (id, on, loss);
@@ -336,3 +348,18 @@
     let on: BTreeSet<&Name> = starts.iter().map(|(_task, on)| on).collect();
     assert_eq!((starts.len(), on.len()), (4, 4), "{starts:?}");
 }
+
+fn outlived() {
+    let mut bed = Bed::new(&["w-1", "w-2"]);
+    let (_id, on, loss) = lapse_while_named(&mut bed, |_now| true);
+    assert_eq!(loss.blamed, Vec::new());
+    let tick = crash(&mut bed, &on);
+    assert_eq!(tick.losses, Vec::new());
+}
+
+fn next_life_named() {
+    let mut bed = Bed::new(&["w-1", "w-2"]);
+    let (id, on, _loss) = lapse_while_named(&mut bed, |now| !(2_000..4_500).contains(&now));
+    let tick = crash(&mut bed, &on);
+    assert_eq!(tick.losses[0].blamed, vec![task(&id, 0, 0)]);
+}
--- a/crates/owner/src/emptying.rs
+++ b/crates/owner/src/emptying.rs
@@ -33,6 +33,8 @@
     pub registered: BTreeSet<Name>,
     /// Workers that don't answer, and on which something may run.
     pub silent: BTreeSet<Name>,
+    /// Those of them that new runs may have crashed.
+    pub suspected: BTreeSet<Name>,
     /// When the lives of silent workers, and of those that are emptied, began.
     pub lives: BTreeMap<Name, u64>,
     /// Number of the pool's workers below which none is switched off.
--- a/crates/owner/src/event.rs
+++ b/crates/owner/src/event.rs
@@ -29,6 +29,12 @@
         born: u64,
         asked_at: Millis,
     },
+    /// The list of instances still names a silent worker, whose life began at `born`.
+    Named {
+        worker: Name,
+        born: u64,
+        asked_at: Millis,
+    },
     /// Another worker answers in the place of this one.
     Replaced(Name),
     /// The rows of a finished job are deleted.
--- a/crates/owner/src/run.rs
+++ b/crates/owner/src/run.rs
@@ -239,6 +239,15 @@
             } => {
                 self.over(worker, |cell, worker| cell.gone(worker, born, asked_at));
             }
+            Event::Named {
+                worker,
+                born,
+                asked_at,
+            } => {
+                if self.cell.named(&worker, born, asked_at) {
+                    info!(pool = &*self.context.pool, worker = &*worker; "a silent worker has outlived runs that were new");
+                }
+            }
             Event::Replaced(worker) => self.over(worker, Cell::replaced),
             Event::Answered {
                 worker,
@@ -479,6 +488,7 @@
             emptied: emptied.map(Name::clone).collect(),
             registered: self.registered.clone(),
             silent: self.cell.silent(now),
+            suspected: self.cell.suspected(now),
             lives: self.cell.lives(now),
             kept,
         };
--- a/crates/owner/src/upkeep.rs
+++ b/crates/owner/src/upkeep.rs
@@ -160,21 +160,32 @@
 
     /// Tells which silent workers are over. The platform names the worker that each instance has: one that it names no more
     /// runs nothing, while one behind a cut is still named. Without this, tasks of a dead worker wait until its lease has
-    /// surely lapsed.
+    /// surely lapsed, and a later crash of a worker behind a cut is held against runs that it has outlived.
     ///
     /// `status` is from before the list was asked for: one that has joined since isn't named by it either, nor is a life that has
     /// begun since.
     fn bury(&self, status: &Status, instances: &[Instance], asked_at: Millis) {
         let named = instances.iter().filter_map(|known| known.worker.as_ref());
         let named: BTreeSet<&Name> = named.collect();
-        let silent = status.silent.iter();
-        for worker in silent.filter(|worker| !named.contains(worker)) {
-            let gone = Event::Gone {
-                worker: Name::clone(worker),
-                born: status.lives.get(worker).copied().unwrap_or(0),
-                asked_at,
+        for worker in &status.silent {
+            let (worker, born) = (Name::clone(worker), status.lives.get(worker));
+            let born = born.copied().unwrap_or(0);
+            let event = if !named.contains(&worker) {
+                Event::Gone {
+                    worker,
+                    born,
+                    asked_at,
+                }
+            } else if status.suspected.contains(&worker) {
+                Event::Named {
+                    worker,
+                    born,
+                    asked_at,
+                }
+            } else {
+                continue;
             };
-            if self.events.send(gone).is_err() {
+            if self.events.send(event).is_err() {
                 log::debug!("the pool's loop has ended");
             }
         }
--- a/tests/site/crash.rs
+++ b/tests/site/crash.rs
@@ -33,6 +33,8 @@
     gang_that_crashes_its_workers_is_given_up => gang();
     /// Unbounded restarts of a lasting task that crashes its workers, or others of its step that go with it.
     lasting_task_that_crashes_its_workers_is_given_up => lasting_task();
+    /// A lasting task given up for crashes of cut-off workers that had outlived its runs.
+    lasting_task_serves_on_after_crashes_of_workers_that_outlived_it => outlived_behind_cuts();
     /// A start of a crashing task that arrives late, from a former owner.
     late_starts_of_a_crashing_task_count => late_starts();
 }
@@ -251,6 +253,26 @@
     bed.judge()
 }
 
+async fn outlived_behind_cuts() -> Result<()> {
+    let mut bed = Bed::open(313, 3, 12).await?;
+    let id = bed.submit("e-0", &lasting(1)).await?;
+    let mut on = until_running(&bed, &id).await?;
+    for _cut in 0..5 {
+        bed.world.cut(&on, true);
+        let elsewhere = |bed: &Bed| {
+            let mut running = bed.running(&task(&id, 0, 0)).into_iter();
+            running.find(|worker| *worker != on)
+        };
+        let next = bed.wait_for("a run elsewhere", 30, elsewhere).await?;
+        bed.world.crash(&on);
+        on = next;
+    }
+    seconds(20).await;
+    let running = bed.running(&task(&id, 0, 0));
+    ensure!(running.len() == 1, "it runs on {running:?}");
+    bed.judge()
+}
+
 async fn late_starts() -> Result<()> {
     let mut bed = Bed::open(312, 3, 6).await?;
     bed.conduct_all(|conduct| conduct.late_orders = 0.5);
