A pool asks for another worker where a spread step fits on none of its own

Cause: five workers, as many as the step is wide. Four have another task of the step; the fifth is full of lasting tasks that could run elsewhere. The need counts cores and the width of the step, and both are met.

Change: where tasks of a spread step wait and no open worker could take one, the need is the number of open workers and as many more as they take.

The new case of crates/cell/tests/all/need.rs fails without the change.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -38,6 +38,8 @@
     pub(crate) crashed: BTreeMap<TaskId, usize>,
     /// Workers that are reserved for trials of such tasks.
     pub(crate) reserved: BTreeSet<Name>,
+    /// Number of workers that tasks of a spread step need beside those that are there.
+    pub(crate) crowded: u64,
     /// Workers that are to be looked at at once, since trials wait for it.
     pub(crate) asked: Vec<Name>,
     /// Runs that were lost with the lives of workers since the last round.
@@ -77,6 +79,7 @@
             waiting: BTreeMap::new(),
             crashed: BTreeMap::new(),
             reserved: BTreeSet::new(),
+            crowded: 0,
             asked: Vec::new(),
             losses: Vec::new(),
             culprits: Vec::new(),
--- a/crates/cell/src/need.rs
+++ b/crates/cell/src/need.rs
@@ -154,8 +154,7 @@
         .in_time
         .larger(lasting.plus(expected))
         .plus(waits.in_time);
-    let spread = spread(cell);
-    let least = spread.max(LEAST);
+    let least = spread(cell).max(crowded(cell, now)).max(LEAST);
     let workers = workers_for(with_headroom(coming), capacity).max(least);
     let at_once = workers_for(current, capacity).max(least);
     let with_late = workers_for(current.plus(runs.late).plus(waits.late), capacity);
@@ -292,6 +291,16 @@
     widths.max().unwrap_or(0)
 }
 
+/// Workers that the pool needs where tasks of a spread step wait and none of the open workers can take them, whatever room they have.
+fn crowded(cell: &Cell, now: Millis) -> u64 {
+    if cell.crowded == 0 {
+        return 0;
+    }
+    let open = cell.workers.values();
+    let open = open.filter(|worker| worker.is_open(now, &cell.limits));
+    open.count() as u64 + cell.crowded
+}
+
 /// A worker that is counted as the pool's and takes nothing: it has gone silent, is shunned, or is
 /// emptied for its maintenance, when its lasting tasks need room elsewhere. One that was never looked at
 /// has just come, and one that is emptied for a move is on its way out.
--- a/crates/cell/src/place/mod.rs
+++ b/crates/cell/src/place/mod.rs
@@ -25,6 +25,7 @@
 
 /// Places what fits of `waiting`, in its order; gives out the starts.
 pub(crate) fn run(cell: &mut Cell, waiting: &[Waiting], now: Millis) -> Vec<Order> {
+    cell.crowded = 0;
     if !cell.may_start(now) {
         return Vec::new();
     }
--- a/crates/cell/src/place/room.rs
+++ b/crates/cell/src/place/room.rs
@@ -15,6 +15,9 @@
 
 /// A lasting task fits nowhere: keeps the emptiest worker that may run it free of shorter tasks,
 /// and after a while stops those that are in its way.
+///
+/// Where every worker has as many tasks of a step that is spread as it may, or is full of lasting tasks, only another worker helps:
+/// the need has to count it.
 pub(super) fn make_room(cell: &mut Cell, waiting: &Waiting, rooms: &mut Rooms, now: Millis) {
     let Some(job) = cell.jobs.get(&waiting.job) else {
         return;
@@ -22,22 +25,30 @@
     let Some(step) = job.step(waiting.step).cloned() else {
         return;
     };
-    let Some(index) = waiting_tasks(job, waiting.occurrence, waiting.step).next() else {
+    let mut indexes = waiting_tasks(job, waiting.occurrence, waiting.step);
+    let Some(index) = indexes.next() else {
         return;
     };
+    let others = indexes.count() as u64;
     let task = task_id(waiting, index);
-    let able = rooms.unkept().filter(|&place| {
-        let id = rooms.id(place);
+    let is_able = |place: &usize| {
+        let id = rooms.id(*place);
         let worker = &cell.workers[id];
         allows_apart_from_policy(worker, &task, &step, 0)
             && advice::allows(cell, &task, id)
             && could_hold(worker, &step)
-    });
-    let emptiest = able.max_by_key(|&place| {
+    };
+    let emptiest = rooms.unkept().filter(is_able).max_by_key(|&place| {
         let free = rooms.free(place);
         (free.cpu, free.memory)
     });
     let Some(place) = emptiest else {
+        let is_only_spread = step.most_per_worker > 0 && step.label.is_none();
+        let is_crowded = is_only_spread && !rooms.places().any(|place| is_able(&place));
+        if is_crowded && !advice::needs_ticket(cell, &task) {
+            let wanted = (1 + others).div_ceil(u64::from(step.most_per_worker));
+            cell.crowded = cell.crowded.max(wanted);
+        }
         return;
     };
     rooms.keep(place);
--- a/crates/cell/tests/all/need.rs
+++ b/crates/cell/tests/all/need.rs
@@ -20,6 +20,8 @@
     one_job_is_no_rate => one_job();
     jobs_that_a_new_owner_finds_have_not_just_come => found();
     late_work_is_counted_by_itself => late();
+    /// A task of a spread step that waits for good, since the only worker without another one of it is full of lasting tasks.
+    spread_task_that_fits_nowhere_asks_for_another_worker => crowded();
     /// Tasks that wait for their trials on no worker, since a few cores would hold them all.
     tasks_that_wait_for_trials_ask_for_workers => trials();
     work_that_runs_past_its_objective_is_late => runs_late();
@@ -312,3 +314,18 @@
     let later = need(&mut bed);
     assert_eq!((later.now, later.late), (1, 3));
 }
+
+/// Ten lasting tasks fill one worker; of two that must be spread, one has the other worker to itself.
+fn crowded() {
+    let mut bed = Bed::unseen(&["w-1", "w-2"]);
+    let lasting = |count, most_per_worker| Step {
+        lasting: true,
+        most_per_worker,
+        ..step(count, 1_000)
+    };
+    bed.accept(job(vec![lasting(10, 0)]));
+    need(&mut bed);
+    bed.accept(job(vec![lasting(2, 1)]));
+    need(&mut bed);
+    assert_eq!(need(&mut bed).now, 3);
+}
