A start without an answer acquits nobody

Cause: a suspect's start got no answer and never reached its worker, which lived on behind a cut. Once the platform had named the worker for long enough, its run no longer counted as new, and the task was acquitted with three crashes.

Evidence: the trace: the start leaves at 31.661 s and gets no answer, nor do the stops that follow, the task has outlived its trial at 37.350 s, and the next four starts crash their workers.

Change: only a run that was answered or shown acquits. One without an answer still isn't blamed once it can't begin any more.

--- a/crates/cell/src/crash.rs
+++ b/crates/cell/src/crash.rs
@@ -120,8 +120,12 @@
     let Some(worker) = cell.workers.get(id) else {
         return;
     };
-    let settled = worker
-        .runs_where(|task, run| has_crashed(cell, task) && !worker.is_new(run, cell.limits.settle));
+    // A start without an answer may never have reached the worker, however long that lives on.
+    let settled = worker.runs_where(|task, run| {
+        has_crashed(cell, task)
+            && matches!(run.known, Known::Runs(_))
+            && !worker.is_new(run, cell.limits.settle)
+    });
     for (id, run) in settled {
         let job = cell.jobs.get_mut(&id.job);
         let task = job.and_then(|job| job.task_mut(&id));
--- a/crates/cell/tests/all/crash.rs
+++ b/crates/cell/tests/all/crash.rs
@@ -4,7 +4,7 @@
     bed::{Bed, job, starts, step, task, worker},
     cases,
 };
-use primroseroute_cell::{Cause, Loss, Millis, Tick, row::Progress};
+use primroseroute_cell::{Cause, Loss, Millis, Order, Outcome, Tick, row::Progress};
 use primroseroute_domain::work::{JobId, Name, State, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -41,6 +41,8 @@
     suspects_are_tried_on_all_idle_workers => on_all_idle();
     /// A crash that is held against a run which its worker has outlived behind a cut.
     run_that_a_cut_worker_outlives_is_not_blamed => outlived();
+    /// A culprit that is acquitted by a start which never reached its worker.
+    start_without_an_answer_acquits_nobody => never_started();
     /// A crash that goes uncounted, since the worker's next life passes for the one that has crashed.
     next_life_under_the_same_id_acquits_nobody => next_life_named();
     /// Tasks that were lost together and are all lost together again.
@@ -363,3 +365,27 @@
     let tick = crash(&mut bed, &on);
     assert_eq!(tick.losses[0].blamed, vec![task(&id, 0, 0)]);
 }
+
+fn never_started() {
+    let mut bed = Bed::new(&["w-1", "w-2", "w-3"]);
+    let id = suspect(&mut bed);
+    let tick = bed.round();
+    let [
+        Order::Start {
+            worker, task, run, ..
+        },
+    ] = &*tick.orders
+    else {
+        panic!("one trial begins: {:?}", tick.orders);
+    };
+    assert_eq!(task.job, id);
+    bed.cell
+        .answered(worker, task, *run, Outcome::Unknown, bed.now);
+    for _list in 0..60 {
+        bed.now += 100;
+        if bed.cell.suspected(bed.now).contains(worker) {
+            bed.cell.named(worker, 1, bed.now);
+        }
+        assert_eq!(bed.round().acquitted, Vec::new());
+    }
+}
--- a/tests/site/random/mixed.rs
+++ b/tests/site/random/mixed.rs
@@ -53,6 +53,8 @@
 pub(super) const CRASH_REGRESSIONS: &[u64] = &[
     // A task of a spread step found no room beside others of its step and full workers, and the pool asked for none.
     3_410_088,
+    // A start that never reached its worker, which lived on behind a cut, acquitted its task.
+    2_420_123,
     // One crash by another cause during a trial was enough.
     2_001_047, // Its owner died before a look showed that the run had outlived its trial.
     4_740_270, // The worker had died just before the trial began, and the start reached nobody.
