A task that is given up, or a gang, makes no suspects of others

What callers would see: once a lasting task has been given up, every task that loses its worker, for whatever cause, waits for a trial, for as long as that task's job lasts.

Cause: whether a pool has suspects was asked of all tasks with two crashes or more, those that are given up and gangs, which are never tried, among them.

crates/cell/tests/all/crash.rs lasting_task_that_is_given_up_is_no_suspect fails without the change.

--- a/crates/cell/src/crash.rs
+++ b/crates/cell/src/crash.rs
@@ -177,10 +177,10 @@
     crashes.is_some_and(|crashes| *crashes >= SUSPECT) && !is_gang(cell, task)
 }
 
-/// Whether some task is a suspect.
+/// Whether some task is a suspect that isn't given up yet.
 pub(crate) fn has_suspects(cell: &Cell) -> bool {
-    let mut crashed = cell.crashed.values();
-    crashed.any(|crashes| *crashes >= SUSPECT)
+    let mut crashed = cell.crashed.iter();
+    crashed.any(|(task, crashes)| (SUSPECT..PROVEN).contains(crashes) && !is_gang(cell, task))
 }
 
 /// Whether a task has crashes and can be tried apart from others.
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -9,6 +9,9 @@
 use primroseroute_platform::site;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// How old the platform's list of instances may be at most.
+const LIST_LAG: Millis = 2_000;
+
 /// What is known of a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Known {
@@ -135,9 +138,6 @@
     Move,
 }
 
-/// How old the platform's list of instances may be at most.
-const LIST_LAG: Millis = 2_000;
-
 /// Runs that were lost with a lapsed lease.
 #[derive(Clone, Debug)]
 pub(crate) struct Lapsed {
--- a/crates/cell/tests/all/crash.rs
+++ b/crates/cell/tests/all/crash.rs
@@ -5,7 +5,7 @@
     cases,
 };
 use primroseroute_cell::{Cause, Loss, Millis, Order, Outcome, Tick, row::Progress};
-use primroseroute_domain::work::{JobId, Name, State, TaskId};
+use primroseroute_domain::work::{JobId, Name, State, Step, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 
 cases! {
@@ -37,6 +37,8 @@
     worker_that_came_back_after_a_lapse_did_not_crash_by_it => came_back();
     /// Crashes that make suspects of tasks which have never crashed a worker, and take them down as well.
     tasks_with_a_crash_start_apart_from_those_without => apart_from_the_sound();
+    /// Trials of all that loses a worker, for good, since a lasting task was given up once.
+    lasting_task_that_is_given_up_is_no_suspect => given_up_for_good();
     /// Trials that follow each other one by one while other workers have nothing to do.
     suspects_are_tried_on_all_idle_workers => on_all_idle();
     /// A crash that is held against a run which its worker has outlived behind a cut.
@@ -389,3 +391,22 @@
         assert_eq!(bed.round().acquitted, Vec::new());
     }
 }
+
+fn given_up_for_good() {
+    let ids: Vec<String> = (1..=9).map(|number| format!("w-{number}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut bed = Bed::new(&ids);
+    let lasting = Step {
+        lasting: true,
+        ..step(1, 1_000)
+    };
+    let id = bed.accept(job(vec![lasting]));
+    crash_under(&mut bed, &id, 4);
+    assert_eq!(bed.round().culprits.len(), 1);
+    let once = bed.accept(job(vec![step(2, 1_000)]));
+    crash_under(&mut bed, &once, 1);
+    bed.accept(job(vec![step(8, 1_000)]));
+    let starts = starts(&bed.tick());
+    let on: BTreeSet<&Name> = starts.iter().map(|(_task, on)| on).collect();
+    assert_eq!((starts.len(), on.len()), (10, 1), "{starts:?}");
+}
