Pools without an owner, and waiting work, are visible in logs and metrics

Cause: a report of lost tasks had nothing that tells a pool without a working owner from an owner that holds or doesn't place its tasks.

Change: candidates log what has no owner for a second, with the entry that it is assigned to, and when it has one again; gauges of pools without an owner and of running and waiting CPU by pool; histograms come last in the text. No decision changes.

--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -9,6 +9,7 @@
     instance_cache::InstanceCache,
     ownership::{self, Context, OwnershipEnd},
     rest::Rest,
+    unowned::Unowned,
 };
 use log::{info, warn};
 use parking_lot::Mutex;
@@ -62,6 +63,7 @@
     view: Arc<Mutex<ControlView>>,
     fleet: Arc<InstanceCache>,
     owned: BTreeMap<Name, Ownership>,
+    unowned: Unowned,
     /// Publishes whether this entry is a candidate: whether it owns something, or would take it
     /// over.
     candidate: watch::Sender<bool>,
@@ -84,6 +86,7 @@
             components,
             view,
             owned: BTreeMap::new(),
+            unowned: Unowned::default(),
             candidate,
             candidate_until: Instant::now() + MIN_CANDIDACY,
             stop,
@@ -109,7 +112,7 @@
             self.components.observer.pools_owned(self.pools().len());
             self.update_candidacy();
             self.release_to_stronger();
-            for name in self.to_take_over() {
+            for name in self.due_takeovers() {
                 self.take_over(name).await;
             }
         }
@@ -194,7 +197,7 @@
     }
 
     /// Pools and groups of instances without an owner that this entry is to take over.
-    fn to_take_over(&self) -> Vec<Name> {
+    fn due_takeovers(&mut self) -> Vec<Name> {
         let (pools, groups) = self.pools_and_groups();
         if pools.is_empty() {
             return Vec::new();
@@ -202,6 +205,8 @@
         let view = self.view.lock();
         let now = self.components.clock.now();
         if !view.can_judge(now) {
+            self.unowned.clear();
+            self.components.observer.pools_unowned(0);
             return Vec::new();
         }
         let eligible = elect::candidates(&view.members.eligible(now), pools.len() + groups.len());
@@ -216,9 +221,11 @@
             &view.owned_counts(true),
             &eligible,
         );
-        let assigned = pools.into_iter().chain(groups);
+        self.components.observer.pools_unowned(pools.len());
+        let assigned: BTreeMap<Name, Name> = pools.into_iter().chain(groups).collect();
+        self.unowned.record(&assigned, Instant::now());
         let startup_over = self.is_startup_over(&view, now);
-        let mine = assigned.filter(|(name, entry)| {
+        let mine = assigned.into_iter().filter(|(name, entry)| {
             let had = view.owners.get(name);
             let had = had.is_some_and(|(last, _version)| last.entry == *entry);
             *entry == self.components.entry && (had || startup_over)
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`members`]: heartbeats, and which entries are alive by this entry's own clock.
 //! * `elections`: what an entry takes over and releases; [`elect`]: which entry takes over a pool
 //!   without an owner. Pure.
+//! * `unowned`: what has no owner, as this entry sees it, and since when.
 //! * `commit`: an owner's commits, in sequence, and the outcome of those that got no answer.
 //! * [`AdaptiveTimeout`]: commits that time out once they take far longer than usual.
 //! * `poll`: status polls of one worker, and the renewal of its lease.
@@ -68,6 +69,7 @@
 pub mod rebalance;
 mod relocate;
 pub mod rest;
+mod unowned;
 mod watch;
 pub mod wave;
 
--- a/crates/owner/src/observe.rs
+++ b/crates/owner/src/observe.rs
@@ -21,6 +21,13 @@
     /// How many pools this entry owns now.
     fn pools_owned(&self, pools: usize);
 
+    /// How many pools have no live owner, as this entry sees it; 0 while its view proves nothing.
+    fn pools_unowned(&self, pools: usize);
+
+    /// The demand of a pool's tasks, in thousandths of a core: of those that have runs, and of those
+    /// that could start and wait.
+    fn demand(&self, pool: &Name, running: u64, waiting: u64);
+
     /// How many jobs of a queue wait to begin.
     fn jobs_queued(&self, queue: &Name, jobs: u64);
 
@@ -48,6 +55,8 @@
     fn runs_lost(&self, _cause: Cause, _runs: usize) {}
     fn pool_taken_over(&self, _pool: &Name) {}
     fn pools_owned(&self, _pools: usize) {}
+    fn pools_unowned(&self, _pools: usize) {}
+    fn demand(&self, _pool: &Name, _running: u64, _waiting: u64) {}
     fn jobs_queued(&self, _queue: &Name, _jobs: u64) {}
     fn commit_finished(&self, _took: Duration) {}
     fn jobs_feed_age(&self, _pool: &Name, _ago: Duration) {}
--- a/crates/owner/src/pool_loop.rs
+++ b/crates/owner/src/pool_loop.rs
@@ -357,6 +357,8 @@
             .is_due(self.cell.queued(), clock.now());
         let wanted = round.scaling.published();
         let publish = self.published_scaling.is_due(wanted, clock.now());
+        let Context { observer, pool, .. } = &self.context;
+        observer.demand(pool, round.scaling.running.cpu, round.scaling.waiting.cpu);
         let sent_at = if !round.puts.is_empty() || counts || publish {
             let queued = self.cell.queued().clone();
             for (queue, jobs) in &queued {
--- a/crates/serve/src/metered.rs
+++ b/crates/serve/src/metered.rs
@@ -60,6 +60,14 @@
         self.0.pools_owned(pools as u64);
     }
 
+    fn pools_unowned(&self, pools: usize) {
+        self.0.pools_unowned(pools as u64);
+    }
+
+    fn demand(&self, pool: &Name, running: u64, waiting: u64) {
+        self.0.demand(pool, running, waiting);
+    }
+
     fn jobs_queued(&self, queue: &Name, jobs: u64) {
         self.0.jobs_queued(queue, jobs);
     }
--- a/crates/telemetry/src/site.rs
+++ b/crates/telemetry/src/site.rs
@@ -8,7 +8,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use primroseroute_domain::work::{End, Name};
 use primroseroute_platform::Error as PlatformError;
-use prometheus::{Registry, TextEncoder};
+use prometheus::{Registry, TextEncoder, proto::MetricType};
 use std::{fmt, time::Duration};
 
 /// Label value of responses to requests that name no configured queue.
@@ -29,6 +29,9 @@
     lost: Counter<u64>,
     takeovers: Counter<u64>,
     pools_owned: Gauge<u64>,
+    pools_unowned: Gauge<u64>,
+    running_cpu: Gauge<u64>,
+    waiting_cpu: Gauge<u64>,
     queued_jobs: Gauge<u64>,
     commit_seconds: Histogram<f64>,
     jobs_read_seconds: Histogram<f64>,
@@ -93,6 +96,15 @@
             lost: counter("runs_lost", "Runs that were lost without an end, by cause"),
             takeovers: counter("takeovers", "Pools that this entry took over"),
             pools_owned: gauge("pools_owned", "Pools that this entry owns"),
+            pools_unowned: gauge(
+                "pools_unowned",
+                "Pools without a live owner, as this entry sees it",
+            ),
+            running_cpu: gauge("running_millicores", "CPU of tasks that have runs, by pool"),
+            waiting_cpu: gauge(
+                "waiting_millicores",
+                "CPU of tasks that could start and wait, by pool",
+            ),
             queued_jobs: gauge("queued_jobs", "Jobs of which no task has started, by queue"),
             commit_seconds: durations(
                 "commit_duration",
@@ -164,6 +176,20 @@
         self.pools_owned.record(pools, &[]);
     }
 
+    /// Sets the number of pools that have no live owner, as this entry sees it.
+    pub fn pools_unowned(&self, pools: u64) {
+        self.pools_unowned.record(pools, &[]);
+    }
+
+    /// Sets the demand of a pool's tasks in thousandths of a core: of those that have runs, and of
+    /// those that could start and wait.
+    pub fn demand(&self, pool: &Name, running: u64, waiting: u64) {
+        let pool = named("pool", Some(pool));
+        self.running_cpu
+            .record(running, std::slice::from_ref(&pool));
+        self.waiting_cpu.record(waiting, &[pool]);
+    }
+
     /// Sets the number of jobs of a queue that have not started.
     pub fn jobs_queued(&self, queue: &Name, jobs: u64) {
         self.queued_jobs
@@ -193,11 +219,14 @@
             .record(waited.as_secs_f64(), &[KeyValue::new("order", order)]);
     }
 
-    /// Renders all metrics in the Prometheus text format.
+    /// Renders all metrics in the Prometheus text format, histograms last: a collector may keep only
+    /// the beginning, and they take most of the text.
     ///
     /// # Errors
     /// [`Error::Render`] if the registry contains something that the format cannot represent.
     pub fn render(&self) -> Result<String, Error> {
-        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+        let mut families = self.registry.gather();
+        families.sort_by_key(|family| family.get_field_type() == MetricType::HISTOGRAM);
+        Ok(TextEncoder::new().encode_to_string(&families)?)
     }
 }
--- a/crates/telemetry/tests/all/site.rs
+++ b/crates/telemetry/tests/all/site.rs
@@ -18,6 +18,8 @@
     meter.runs_lost("crash", 3);
     meter.pool_taken_over(&"stay".into());
     meter.pools_owned(2);
+    meter.pools_unowned(1);
+    meter.demand(&"stay".into(), 5_000, 800);
     meter.jobs_queued(&queue, 7);
     meter.commit_finished(duration);
     meter.jobs_feed_age(&"stay".into(), duration);
@@ -40,6 +42,9 @@
         "primroseroute_runs_lost_total{cause=\"crash\"} 3",
         "primroseroute_takeovers_total{pool=\"stay\"} 1",
         "primroseroute_pools_owned 2",
+        "primroseroute_pools_unowned 1",
+        "primroseroute_running_millicores{pool=\"stay\"} 5000",
+        "primroseroute_waiting_millicores{pool=\"stay\"} 800",
         "primroseroute_queued_jobs{queue=\"holds\"} 7",
         "primroseroute_commit_duration_seconds_count 1",
         "primroseroute_jobs_read_age_seconds_count{pool=\"stay\"} 1",
@@ -50,6 +55,18 @@
     }
 }
 
+// A collector that keeps the beginning of the text has all gauges and counters.
+#[test]
+fn histograms_come_last() {
+    let text = recorded_meter()
+        .render()
+        .expect("the metrics can be rendered");
+    let types = text.lines().filter(|line| line.starts_with("# TYPE "));
+    let is_histogram: Vec<bool> = types.map(|line| line.ends_with(" histogram")).collect();
+    assert!(is_histogram.contains(&false) && is_histogram.contains(&true));
+    assert!(is_histogram.is_sorted(), "{text}");
+}
+
 // The operators' page lists exactly the exported metrics.
 #[test]
 fn page_lists_every_metric_and_no_other() {
--- a/tests/site/metrics.rs
+++ b/tests/site/metrics.rs
@@ -49,6 +49,8 @@
     fn runs_lost(&self, _cause: Cause, _runs: usize) {}
     fn pool_taken_over(&self, _pool: &Name) {}
     fn pools_owned(&self, _pools: usize) {}
+    fn pools_unowned(&self, _pools: usize) {}
+    fn demand(&self, _pool: &Name, _running: u64, _waiting: u64) {}
     fn jobs_queued(&self, _queue: &Name, _jobs: u64) {}
     fn commit_finished(&self, _took: Duration) {}
 
