Failing tests: pools without an owner that nobody takes over

Four ways to a pool without an owner, each on the site in memory and each failing every time: left to an entry that learns late of the death (5 s), assigned or released to an entry whose change feed fails while it writes heartbeats, or reserved for one that is back and whose heartbeats are late.

--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -9,6 +9,7 @@
 mod capacity;
 mod crash;
 mod diagnosis;
+mod elections;
 mod fixture;
 mod inspect;
 mod log_capture;
