Elections: an entry that lets an assignment pass is passed over

What callers saw: jobs of a pool wait without end. The pool has no owner, and what was accepted, or stopped just before, stays as it is for as long as that lasts.

Cause: every entry computes to which one a free pool goes, and only that one tries. Which entries can is told by their heartbeats, and an entry may heartbeat and not act: its change feed fails while its writes work, its own heartbeats take over 0.3 s so that it doesn't judge others, or its takeover is rejected. An assignment had no second choice, and no bound on how long the first may take. The class: presence taken for progress. A pool gets there by its owner's death, by a restart of its owner, or, without any loss, by a release to a stronger entry.

Change: an entry to which a pool or a group is assigned for 750 ms and that doesn't take it over is passed over: the next one is chosen, by the same rule, one at a time. It gets nothing for 15 s, nor is a pool released to it, unless it takes something over. The condition on the owner's row decides as before where views differ, so two never own a pool. Elections are only computed while something has no owner.

--- a/crates/owner/src/elect.rs
+++ b/crates/owner/src/elect.rs
@@ -5,7 +5,7 @@
 
 use primroseroute_cell::row::hash;
 use primroseroute_domain::work::Name;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// CPU that an entry has for each of its pools, in thousandths of a core.
 fn cpu_share(strength: u32, pools: usize) -> u64 {
@@ -34,6 +34,25 @@
         .collect()
 }
 
+/// The entries among which pools and groups without an owner are assigned.
+///
+/// `passed_over` are entries that recently didn't take over what was assigned to them; they are left
+/// out unless nobody would remain.
+pub fn assignable(
+    eligible: &BTreeMap<Name, u32>,
+    passed_over: &BTreeSet<Name>,
+    pools_and_groups: usize,
+) -> BTreeMap<Name, u32> {
+    let candidates = candidates(eligible, pools_and_groups);
+    let mut acting = candidates.clone();
+    acting.retain(|entry, _strength| !passed_over.contains(entry));
+    if acting.is_empty() {
+        candidates
+    } else {
+        acting
+    }
+}
+
 /// How many times a pool's CPU share another entry must offer for the pool to move there: a
 /// takeover holds up the pool's jobs for a few tenths of a second. Among equal entries, one that
 /// owns two pools keeps both.
--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -162,7 +162,9 @@
         if !view.can_judge(now) {
             return;
         }
-        let eligible = view.members.eligible(now);
+        let mut eligible = view.members.eligible(now);
+        let passed_over = self.unowned.passed_over(Instant::now());
+        eligible.retain(|entry, _strength| !passed_over.contains(entry));
         let own = &self.components.entry;
         let Some(pool) = elect::pool_to_release(own, &pools, &view.owned_counts(false), &eligible)
         else {
@@ -209,22 +211,29 @@
             self.components.observer.pools_unowned(0);
             return Vec::new();
         }
-        let eligible = elect::candidates(&view.members.eligible(now), pools.len() + groups.len());
-        // Groups cost their holders little, so they are distributed separately.
-        let pools = elect::assign(
-            &view.unowned(&pools, now),
-            &view.owned_counts(false),
-            &eligible,
-        );
-        let groups = elect::assign(
-            &view.unowned(&groups, now),
-            &view.owned_counts(true),
-            &eligible,
-        );
-        self.components.observer.pools_unowned(pools.len());
-        let assigned: BTreeMap<Name, Name> = pools.into_iter().chain(groups).collect();
-        self.unowned.record(&assigned, Instant::now());
+        let unowned_pools = view.unowned(&pools, now);
+        let unowned_groups = view.unowned(&groups, now);
+        self.components.observer.pools_unowned(unowned_pools.len());
+        let mut assigned = BTreeMap::new();
+        if !unowned_pools.is_empty() || !unowned_groups.is_empty() {
+            let eligible = elect::assignable(
+                &view.members.eligible(now),
+                &self.unowned.passed_over(Instant::now()),
+                pools.len() + groups.len(),
+            );
+            // Groups cost their holders little, so they are distributed separately.
+            let pools = elect::assign(&unowned_pools, &view.owned_counts(false), &eligible);
+            let groups = elect::assign(&unowned_groups, &view.owned_counts(true), &eligible);
+            assigned.extend(pools.into_iter().chain(groups));
+        }
         let startup_over = self.is_startup_over(&view, now);
+        if startup_over {
+            let owner = |name: &Name| {
+                let (owner, _version) = view.live_owner(name, now)?;
+                Some(Name::clone(&owner.entry))
+            };
+            self.unowned.record(&assigned, owner, Instant::now());
+        }
         let mine = assigned.into_iter().filter(|(name, entry)| {
             let had = view.owners.get(name);
             let had = had.is_some_and(|(last, _version)| last.entry == *entry);
--- a/crates/owner/tests/all/elect.rs
+++ b/crates/owner/tests/all/elect.rs
@@ -1,9 +1,9 @@
 //! Which entry takes over a pool, and which pool is released to a stronger entry.
 
 use primroseroute_domain::work::Name;
-use primroseroute_owner::elect::{assign, candidates, pool_to_release};
+use primroseroute_owner::elect::{assign, assignable, candidates, pool_to_release};
 use proptest::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 fn entries(strengths: &[u32]) -> BTreeMap<Name, u32> {
     let numbered = strengths.iter().enumerate();
@@ -111,3 +111,17 @@
     assert_eq!(candidates(&entries(&[250; 7]), 9).len(), 7);
     assert_eq!(candidates(&able, 280).len(), 145);
 }
+
+/// An entry that lets an assignment pass gets no other one, unless it is the only one.
+#[test]
+fn entries_that_were_passed_over_are_assigned_nothing() {
+    let able = entries(&[250, 500, 250]);
+    let passed_over = BTreeSet::from(["e-1".into()]);
+    let left = assignable(&able, &passed_over, 9);
+    assert_eq!(
+        left.keys().map(|name| &**name).collect::<Vec<_>>(),
+        ["e-0", "e-2"]
+    );
+    let all = able.keys().map(Name::clone).collect();
+    assert_eq!(assignable(&able, &all, 9), able);
+}
