Elections: pools go to entries that act at once

What callers saw: after the loss of several entries at once a pool has no owner for 4.5 to 6.5 s.

Cause: each entry counts the strongest as candidates, and after a loss weaker ones move up. By the view of an entry that reads continuously they are candidates at once; by their own they aren't: they read every 2 s, allow others 2.4 s more than the timeout, and go on allowing that for 2.4 s. The pool is left to one of them.

Change: pools are assigned among entries that are candidates also by the view of up to 4.8 s ago, by which all others have learned of the loss; if none of these is left, among all candidates as before. An entry that leaves counts as a candidate of then, too.

--- a/crates/owner/src/elect.rs
+++ b/crates/owner/src/elect.rs
@@ -36,21 +36,28 @@
 
 /// The entries among which pools and groups without an owner are assigned.
 ///
-/// `passed_over` are entries that recently didn't take over what was assigned to them; they are left
-/// out unless nobody would remain.
+/// `eligible` are the entries that can take something over now, `recent` those that could at some
+/// time since all others have certainly learned of it. A candidate by both acts at once; one that
+/// replaces a candidate which has just died may still read the heartbeats at long intervals.
+/// `passed_over` are entries that recently didn't take over what was assigned to them. Each
+/// restriction is dropped if nobody would remain.
 pub fn assignable(
     eligible: &BTreeMap<Name, u32>,
+    recent: &BTreeMap<Name, u32>,
     passed_over: &BTreeSet<Name>,
     pools_and_groups: usize,
 ) -> BTreeMap<Name, u32> {
-    let candidates = candidates(eligible, pools_and_groups);
-    let mut acting = candidates.clone();
-    acting.retain(|entry, _strength| !passed_over.contains(entry));
-    if acting.is_empty() {
-        candidates
-    } else {
-        acting
+    let current = candidates(eligible, pools_and_groups);
+    let mut settled = candidates(recent, pools_and_groups);
+    settled.retain(|entry, _strength| current.contains_key(entry));
+    for set in [&settled, &current] {
+        let mut acting = set.clone();
+        acting.retain(|entry, _strength| !passed_over.contains(entry));
+        if !acting.is_empty() {
+            return acting;
+        }
     }
+    current
 }
 
 /// How many times a pool's CPU share another entry must offer for the pool to move there: a
--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -2,7 +2,7 @@
 //! which it releases.
 
 use crate::{
-    control::{ControlView, parse},
+    control::{ControlView, NOTICE_SPREAD, parse},
     elect,
     entry::Components,
     holder,
@@ -218,6 +218,7 @@
         if !unowned_pools.is_empty() || !unowned_groups.is_empty() {
             let eligible = elect::assignable(
                 &view.members.eligible(now),
+                &view.members.recently_eligible(now, NOTICE_SPREAD),
                 &self.unowned.passed_over(Instant::now()),
                 pools.len() + groups.len(),
             );
--- a/crates/owner/src/members.rs
+++ b/crates/owner/src/members.rs
@@ -62,10 +62,18 @@
 
     /// The entries that can take pools over, with their strengths.
     pub fn eligible(&self, now: Millis) -> BTreeMap<Name, u32> {
-        let eligible = self.known.iter();
-        let eligible =
-            eligible.filter(|(_entry, seen)| self.is_fresh(seen, now) && !seen.member.leaving);
-        eligible
+        self.strengths(|seen| self.is_fresh(seen, now) && !seen.member.leaving)
+    }
+
+    /// The entries that could take pools over at some time within the last `window` milliseconds,
+    /// with their strengths.
+    pub fn recently_eligible(&self, now: Millis, window: Millis) -> BTreeMap<Name, u32> {
+        self.strengths(|seen| self.is_fresh(seen, now.saturating_sub(window)))
+    }
+
+    fn strengths(&self, matches: impl Fn(&LastHeartbeat) -> bool) -> BTreeMap<Name, u32> {
+        let matching = self.known.iter().filter(|(_entry, seen)| matches(seen));
+        matching
             .map(|(entry, seen)| (Name::clone(entry), seen.member.strength))
             .collect()
     }
--- a/crates/owner/tests/all/elect.rs
+++ b/crates/owner/tests/all/elect.rs
@@ -117,11 +117,27 @@
 fn entries_that_were_passed_over_are_assigned_nothing() {
     let able = entries(&[250, 500, 250]);
     let passed_over = BTreeSet::from(["e-1".into()]);
-    let left = assignable(&able, &passed_over, 9);
+    let left = assignable(&able, &able, &passed_over, 9);
     assert_eq!(
         left.keys().map(|name| &**name).collect::<Vec<_>>(),
         ["e-0", "e-2"]
     );
     let all = able.keys().map(Name::clone).collect();
-    assert_eq!(assignable(&able, &all, 9), able);
+    assert_eq!(assignable(&able, &able, &all, 9), able);
+}
+
+/// All strong entries but one have just died. Weak entries that replace them as candidates may not know yet, so the
+/// survivor gets their pools; if none survived, the weak ones get them.
+#[test]
+fn new_candidates_are_assigned_nothing_while_an_old_one_lives() {
+    let mut strengths = vec![500; 18];
+    strengths.extend([120; 8]);
+    let recent = entries(&strengths);
+    let mut eligible = recent.clone();
+    eligible.retain(|entry, strength| *strength < 500 || &**entry == "e-4");
+    let none = BTreeSet::new();
+    let survivor = [("e-4".into(), 500)].into();
+    assert_eq!(assignable(&eligible, &recent, &none, 9), survivor);
+    eligible.remove("e-4");
+    assert_eq!(assignable(&eligible, &recent, &none, 9), eligible);
 }
