Elections: a pool goes to a weak entry only if the strong ones are busy

What callers saw: a pool whose owner has an eighth of a core is served badly for as long as it owns it. That this is the cause of the reported loss is suspected.

Cause: an entry's CPU was divided by its pools, as if all of them peaked together. One strong entry with four pools counted for less than a weak one with none, so the fifth pool went to the weak one; and a weak owner released its pool only to a strong entry that owned nothing.

Change: an entry's CPU for a pool is divided by the root of the number of its pools; a pool is released if another has twice as much for it, by that measure. Equal entries share evenly as before.

--- a/crates/owner/src/elect.rs
+++ b/crates/owner/src/elect.rs
@@ -7,9 +7,14 @@
 use primroseroute_domain::work::Name;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// CPU that an entry has for each of its pools, in thousandths of a core.
+/// CPU that an entry can spend on a pool at its peak beside the other pools that it owns, in
+/// thousandths of a core.
+///
+/// Pools seldom peak together, so that an entry with four of them has more than a quarter for each:
+/// the square root stands for the peaks that coincide.
 fn cpu_share(strength: u32, pools: usize) -> u64 {
-    u64::from(strength) / (pools as u64).max(1)
+    let squared = u64::from(strength) * u64::from(strength);
+    (squared / (pools as u64).max(1)).isqrt()
 }
 
 /// Minimum number of candidates, if there are as many entries.
@@ -62,8 +67,8 @@
 
 /// How many times a pool's CPU share another entry must offer for the pool to move there: a
 /// takeover holds up the pool's jobs for a few tenths of a second. Among equal entries, one that
-/// owns two pools keeps both.
-const RELEASE_FACTOR: u64 = 3;
+/// owns three pools keeps them.
+const RELEASE_FACTOR: u64 = 2;
 
 /// The entry for each pool without an owner: the one that had it last, if it is back; otherwise the
 /// one with the most CPU for it, and among equals the one that a hash of both names picks, so that
