Failing tests: a long overdue job that fits on no worker never runs

A job past three times its objective doesn't count in its pool's need. The pool keeps the workers that its long-running tasks need and switches the others off; a task that fits on none of those it keeps waits for good.

--- a/crates/cell/tests/all/need.rs
+++ b/crates/cell/tests/all/need.rs
@@ -25,6 +25,10 @@
     spread_task_that_fits_nowhere_asks_for_another_worker => spread_task_fits_nowhere();
     /// Guards against tasks that wait for isolated runs without any worker, because a few cores would hold them all.
     tasks_that_wait_for_isolated_runs_ask_for_workers => isolated_runs();
+    /// Guards against a long overdue job that never runs, because it counts for nothing and fits on none of the workers that
+    /// are kept.
+    long_overdue_task_that_fits_nowhere_asks_for_another_worker => overdue_task_fits_nowhere();
+    long_overdue_task_that_can_wait_for_batch_tasks_asks_for_no_worker => overdue_task_waits();
     run_past_its_objective_counts_as_late => run_becomes_late();
     falling_demand_is_followed_after_a_delay => fall();
     pool_without_work_so_far_keeps_its_initial_workers => initial_workers();
@@ -334,3 +338,42 @@
     need(&mut fixture);
     assert_eq!(need(&mut fixture).now, 3);
 }
+
+/// Long-running tasks occupy six of the ten cores of each of two workers. A task of five cores that is long overdue asks
+/// for a worker that is open beside these, also while a third one is about to leave, and one of eleven cores for none.
+fn overdue_task_fits_nowhere() {
+    let mut fixture = Fixture::just_taken_over(&["w-1", "w-2", "w-3"]);
+    fixture
+        .cell
+        .set_evacuating(&"w-3".into(), Some(EvacuationReason::Move));
+    let long_running = Step {
+        lasting: true,
+        ..step(2, 6_000)
+    };
+    fixture.accept(job(vec![long_running]));
+    need(&mut fixture);
+    fixture.accept(job(vec![step(1, 11_000)]));
+    let wide = fixture.accept(job(vec![step(1, 5_000)]));
+    fixture.now += 60_000;
+    fixture.poll_all();
+    let asked = need(&mut fixture);
+    assert_eq!((asked.now, asked.late), (2, 1), "{asked:?}");
+    fixture.cell.set_evacuating(&"w-3".into(), None);
+    need(&mut fixture);
+    assert_eq!(
+        fixture.workers_running(&task(&wide, 0, 0)),
+        [Name::from("w-3")]
+    );
+}
+
+/// One worker is full of batch tasks, which end by themselves.
+fn overdue_task_waits() {
+    let mut fixture = Fixture::just_taken_over(&["w-1"]);
+    fixture.accept(job(vec![step(2, 5_000)]));
+    need(&mut fixture);
+    fixture.accept(job(vec![step(1, 5_000)]));
+    fixture.now += 60_000;
+    fixture.poll_all();
+    let waiting = need(&mut fixture);
+    assert_eq!((waiting.now, waiting.late), (1, 0), "{waiting:?}");
+}
--- a/tests/site/moves.rs
+++ b/tests/site/moves.rs
@@ -3,14 +3,14 @@
 use crate::{
     cases,
     fixture::{
-        Fixture, OTHER, POOL, STANDBY, configuration, job, long_running, sleep_secs, task,
+        Fixture, OTHER, POOL, STANDBY, configuration, job, long_running, sleep_secs, step, task,
         with_standby,
     },
 };
 use eyre::{Result, ensure, eyre};
-use primroseroute_domain::work::{Name, State};
+use primroseroute_domain::work::{Demand, Job, JobId, Name, State, Step};
 use primroseroute_platform::site::{InstanceState, Instruction};
-use primroseroute_standin::site::Event;
+use primroseroute_standin::site::{Event, Reach};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -29,6 +29,7 @@
     instance_moves_again_without_a_pause => moves_again();
     released_groups_resume_at_once => released();
     new_owner_moves_nothing_under_long_running_tasks => taken_over();
+    long_overdue_job_that_fits_on_no_worker_gets_an_instance => overdue_job_gets_an_instance();
 }
 
 /// Instances of a pool that are up.
@@ -368,3 +369,39 @@
     }
     Ok(())
 }
+
+// Guards against a job that never runs because it no longer counts in its pool's need: it is past three times its
+// objective when a new owner loads it, and its task of ten cores fits on neither of the two workers that the pool
+// keeps for long-running tasks.
+async fn overdue_job_gets_an_instance() -> Result<()> {
+    let mut fixture = Fixture::open_with_standby(83, 3, 6).await?;
+    let long_running = Step {
+        lasting: true,
+        ..step(12)
+    };
+    let long_running = Job {
+        steps: vec![long_running],
+        ..job("lasts", 12)
+    };
+    fixture.submit("e-0", &long_running).await?;
+    run_first_job(&mut fixture, "e-0").await?;
+    let owner = fixture.owner(POOL).await?;
+    let caller = fixture.non_owner(POOL).await?;
+    fixture.update_faults(&owner, |faults| faults.jobs = Reach::Refused);
+    sleep_secs(1).await;
+    let demand = Demand {
+        cpu: 10_000,
+        ..step(1).demand
+    };
+    let wide = Job {
+        steps: vec![Step { demand, ..step(1) }],
+        ..job("500", 1)
+    };
+    let id = fixture.submit(&caller, &wide).await?;
+    sleep_secs(5).await;
+    fixture.kill(&owner);
+    fixture
+        .wait_for_state(&caller, &id, State::Completed, 13)
+        .await?;
+    fixture.check_invariants()
+}
