Cell: a long overdue task that fits on no worker asks for one more

A job past three times its objective never ran where its task fitted on none of the workers that its pool kept: it counts for nothing in the need, the pool kept what its long-running tasks take, and moved or switched off the rest. Callers saw it pending for good beside idle instances.

Such work still adds no demand and runs on free capacity, but if a task waits that no open worker could take even without its batch tasks, the pool asks for one worker beyond the open ones, at the level of late work; the same is done for tasks of spread steps. Workers that are being evacuated don't count as open, so the evacuation of one is withdrawn before an instance comes from elsewhere. Under overload the batch tasks that fill the workers end by themselves, and nothing is added. A task that is larger than a worker, needs a label or a ticket asks for none.

--- a/crates/cell/src/placement/mod.rs
+++ b/crates/cell/src/placement/mod.rs
@@ -5,7 +5,8 @@
 mod preempt;
 mod urgency;
 
-pub(crate) use urgency::{WaitingStep, is_overdue, still_waiting, waiting_steps};
+pub(crate) use preempt::fits_without_batch;
+pub(crate) use urgency::{WaitingStep, is_overdue, long_overdue, still_waiting, waiting_steps};
 
 use crate::{
     advice,
--- a/crates/cell/src/placement/preempt.rs
+++ b/crates/cell/src/placement/preempt.rs
@@ -69,7 +69,7 @@
 }
 
 /// Whether a worker has capacity for a task of `step` once its batch tasks are gone.
-pub(super) fn fits_without_batch(worker: &Worker, step: &Step) -> bool {
+pub(crate) fn fits_without_batch(worker: &Worker, step: &Step) -> bool {
     let batch = worker.runs.values().filter(|run| !run.lasting);
     let freed = batch.fold(worker.free_capacity(), |available, run| {
         available.plus(run.reserved)
--- a/crates/cell/src/placement/urgency.rs
+++ b/crates/cell/src/placement/urgency.rs
@@ -83,6 +83,21 @@
     })
 }
 
+/// The steps of `waiting` that still wait and whose jobs earn nothing any more, each with its first
+/// waiting task.
+pub(crate) fn long_overdue<'a>(
+    cell: &'a Cell,
+    waiting: &'a [WaitingStep],
+) -> impl Iterator<Item = (&'a Step, TaskId)> {
+    let long_overdue = waiting.iter();
+    let long_overdue = long_overdue.filter(|waiting| waiting.class == Class::LongOverdue);
+    long_overdue.filter_map(|waiting| {
+        let job = cell.jobs.get(&waiting.job)?;
+        let index = waiting_tasks(job, waiting.occurrence, waiting.step).next()?;
+        Some((job.step(waiting.step)?, task_id(waiting, index)))
+    })
+}
+
 /// Whether a job is past its objective. Running tasks count as late only from then on: how much of
 /// the estimate is left of a run isn't known well enough to tell sooner.
 pub(crate) fn is_overdue(job: &Job, occurrence: u32, wall_ms: u64) -> bool {
--- a/crates/cell/src/scaling.rs
+++ b/crates/cell/src/scaling.rs
@@ -6,6 +6,7 @@
 //! while.
 
 use crate::{
+    advice,
     cell::Cell,
     crash,
     limits::Millis,
@@ -169,6 +170,7 @@
     let current_workers = workers_for(current, capacity).max(least);
     let with_late = workers_for(current.plus(running.late).plus(waiting_sum.late), capacity);
     let with_isolation = current_workers + crash::isolation_workers_needed(cell);
+    let with_overdue = overdue_need(cell, waiting, now);
     let all_workers = cell.workers.values();
     let unusable = all_workers
         .filter(|worker| is_unusable(cell, worker, now))
@@ -180,6 +182,7 @@
         soon: workers_for(coming, capacity).max(current_workers) + unusable,
         late: with_late
             .max(with_isolation)
+            .max(with_overdue)
             .saturating_sub(current_workers),
         scale_down_floor: scale_down_floor(cell, now) + unusable,
         running: running.all(),
@@ -315,6 +318,30 @@
     open.count() as u64 + cell.spread_shortage
 }
 
+/// Number of workers that the pool needs if a long overdue task waits that no open worker can take,
+/// even without its batch tasks.
+///
+/// Such tasks don't count as demand and run on free capacity only. Where long-running tasks leave
+/// too little of it on each worker that the pool keeps, they would never run.
+fn overdue_need(cell: &Cell, waiting: &[WaitingStep], now: Millis) -> u64 {
+    let open: Vec<&Worker> = cell
+        .workers
+        .values()
+        .filter(|worker| worker.accepts_runs(now, &cell.limits))
+        .collect();
+    let is_stuck = placement::long_overdue(cell, waiting).any(|(step, task)| {
+        // Another worker of the same kind must help.
+        step.label.is_none()
+            && !advice::needs_ticket(cell, &task)
+            && step.reserved().fits(cell.estimates.worker)
+            && !open.iter().any(|worker| {
+                placement::allows_ignoring_policy(worker, &task, step, 0)
+                    && placement::fits_without_batch(worker, step)
+            })
+    });
+    if is_stuck { open.len() as u64 + 1 } else { 0 }
+}
+
 /// Whether a worker belongs to the pool but accepts no new runs: it has become unresponsive, is
 /// cordoned, or is being evacuated for maintenance, in which case its long-running tasks need
 /// capacity elsewhere. A worker that was never polled has just registered, and one that is
