Failing test: a start without an answer on a worker that was replaced

The task waits 15 s for its next start, until no order can come late, although another worker has been on the crashed one's instance for most of that time.

--- a/tests/site/worker.rs
+++ b/tests/site/worker.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     cases,
-    fixture::{ATTEMPTS, Fixture, job, long_running, sleep_secs, task},
+    fixture::{ATTEMPTS, Fixture, POOL, job, long_running, sleep_secs, task},
 };
-use eyre::{Result, ensure};
+use eyre::{Result, ensure, eyre};
 use primroseroute_domain::work::{Name, State};
 use std::time::Duration;
 use tokio::time::sleep;
@@ -14,6 +14,7 @@
     partitioned_worker_causes_no_overlap => partitioned();
     late_orders_start_nothing_twice => late_orders();
     start_without_a_response_costs_half_a_second => unanswered();
+    start_without_a_response_on_a_replaced_worker_costs_no_late_order_window => unanswered_and_replaced();
     job_that_always_fails_ends_as_failed_after_its_attempts => fails();
     draining_worker_gets_no_new_tasks => draining();
 }
@@ -97,6 +98,27 @@
     fixture.check_invariants()
 }
 
+// Guards against a task that waits for 15 s until no start can come late, although the instance of the crashed worker
+// has another worker: the crashed one never comes back, so nothing can reach it.
+async fn unanswered_and_replaced() -> Result<()> {
+    let mut fixture = Fixture::open(47, 2, 1).await?;
+    let worker = Name::clone(&fixture.workers_of(POOL)[0]);
+    let instance = fixture.instance_of(&worker);
+    let instance = instance.ok_or_else(|| eyre!("{worker} has no instance"))?;
+    fixture.update_all_faults(|faults| faults.late_orders = 1.0);
+    let id = fixture.submit("e-0", &job("200", 1)).await?;
+    sleep(Duration::from_millis(100)).await;
+    fixture.world.crash(&worker);
+    fixture.update_all_faults(|faults| faults.late_orders = 0.0);
+    sleep_secs(2).await;
+    fixture.world.restart(&instance);
+    fixture
+        .wait_for_state("e-1", &id, State::Completed, 4)
+        .await?;
+    sleep_secs(13).await;
+    fixture.check_invariants()
+}
+
 async fn fails() -> Result<()> {
     let mut fixture = Fixture::open(44, 2, 4).await?;
     let id = fixture.submit("e-0", &job("200 fails", 1)).await?;
