Failing tests: an entry that knows that it has no store

The two failing tests, on:

unreachable_store_is_reported_at_once: Error: GET /stay/ got 504 Gateway Timeout after 1.502s refusing_store_is_reported_at_once: Error: GET /stay/ got 504 Gateway Timeout after 452ms

The five others pass and bound the fix: no rejection after a brief outage, with a slow store, after a suspension of the process, or of a submission that was already sent, and normal service soon after the store is back.

--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -20,6 +20,7 @@
 mod reused_ids;
 mod store;
 mod store_overload;
+mod store_unreachable;
 mod takeover;
 mod termination;
 mod worker;
