An entry that doesn't reach the store rejects requests at once

Cause: the gateway treated each request on its own. That all other calls of the entry had failed for half a minute, heartbeats among them, was known to nobody.

All calls of an entry to the store now pass through `Monitored`, which records their outcomes in one `StoreHealth`. The store counts as unreachable once calls have failed for three seconds from the first observed failure on, without any success; the first success ends that. While it does, requests of which nothing was sent to the store get 503 (code 601) with Retry-After at once, and the connection is closed. A submission or cancel that may have been sent is answered as before. Heartbeats and feeds go on, and find the store again. Readiness is unchanged: it ends after 2.6 s without an answer to the feed of operators' rows.

The test resumed_entry_rejects_nothing_at_once was wrong: the stand-in suspends the calls of an entry and not its timers, so the entry sees eight seconds of timeouts, which a suspended process doesn't. calls_that_fail_at_once_after_a_suspension_prove_nothing replaces it: twenty calls that wait through the suspension fail together at its end and prove nothing, and further ones that fail four seconds later do.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,10 +5,14 @@
     retry_limit::RetryLimit,
     routes::Routes,
     states::FinalStates,
+    store_health::StoreHealth,
 };
 use bytes::Bytes;
 use gotham::{handler::NewHandler, helpers::http::Body};
-use http::{HeaderMap, Method, Response, Uri, header::HOST};
+use http::{
+    HeaderMap, HeaderValue, Method, Response, Uri,
+    header::{CONNECTION, HOST},
+};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use log::{debug, info};
 use parking_lot::Mutex;
@@ -38,6 +42,8 @@
     pub configuration: Receiver<Option<Arc<Configuration>>>,
     /// The store.
     pub rows: Arc<dyn Rows>,
+    /// Whether the store is reachable.
+    pub store_health: Arc<StoreHealth>,
     /// How bodies are encoded.
     pub codec: Arc<dyn Codec>,
     /// The time of day, which orders work.
@@ -143,7 +149,12 @@
         let begin = Instant::now();
         let mut queue = None;
         let response = self.answer(method, uri, headers, body, &mut queue);
-        let response = response.await;
+        let mut response = response.await;
+        if self.components.store_health.is_unreachable() {
+            // The caller's next attempt on this connection would come to this entry again.
+            let headers = response.headers_mut();
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         if let Some(observer) = &self.components.observer {
             observer.response_sent(&ResponseInfo {
                 queue,
@@ -207,6 +218,14 @@
         }
     }
 
+    /// The rejection of a request of which nothing was sent to the store, while that is
+    /// unreachable.
+    fn reject_if_unreachable(&self, head: &Head<'_>) -> Option<Response<Body>> {
+        let unreachable = self.components.store_health.is_unreachable();
+        let detail = "the entry doesn't reach the store; another may";
+        unreachable.then(|| refused(Code::StoreUnavailable, detail, head.request))
+    }
+
     async fn submit(
         &self,
         head: &Head<'_>,
@@ -218,6 +237,9 @@
             Ok(job) => job,
             Err(detail) => return refused(Code::MalformedRequest, detail, head.request),
         };
+        if let Some(rejection) = self.reject_if_unreachable(head) {
+            return rejection;
+        }
         let txn = acceptance(queue, &id, job, self.components.clock.now());
         let mut retry_limit = RetryLimit::new(
             self.components.codec.request_timeout(head.headers),
@@ -269,6 +291,9 @@
             head.request,
         );
         loop {
+            if let Some(rejection) = self.reject_if_unreachable(head) {
+                return rejection;
+            }
             match self.read_state(queue, &id).await {
                 Ok(Some(state)) => {
                     self.states.insert(&id, state);
@@ -321,6 +346,9 @@
     }
 
     async fn cancel(&self, head: &Head<'_>, id: JobId) -> Response<Body> {
+        if let Some(rejection) = self.reject_if_unreachable(head) {
+            return rejection;
+        }
         let mut retry_limit = RetryLimit::new(
             self.components.codec.request_timeout(head.headers),
             head.request,
@@ -366,6 +394,9 @@
         if let Some(count) = self.cached_count(queue) {
             return json(self.components.codec.queued(count));
         }
+        if let Some(rejection) = self.reject_if_unreachable(head) {
+            return rejection;
+        }
         match self.read(row::commit_record(&queue.pool)).await {
             Ok(row) => {
                 let record: CommitRecord = match row.as_ref().map(parse).transpose() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,8 +12,12 @@
 //! * 504: the outcome is unknown. The same id may be sent again at any gateway: all attempts
 //!   conflict on the same row, so it remains one job.
 //!
+//! While the store is known to be unreachable, a request of which nothing was sent to the store gets
+//! 503 at once, and its connection is closed: another gateway may reach the store.
+//!
 //! * [`routes`]: which queue a request is for. Pure.
 //! * [`Gateway`]: the requests, as gotham handlers.
+//! * [`StoreHealth`]: whether the store is reachable, as [`Monitored`] calls show.
 //! * [`Readiness`]: the load balancer's readiness check.
 
 mod gateway;
@@ -23,6 +27,8 @@
 mod retry_limit;
 pub mod routes;
 mod states;
+mod store_health;
 
 pub use gateway::{Components, Gateway, Observer, ResponseInfo};
 pub use ready::Readiness;
+pub use store_health::{Monitored, StoreHealth};
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -13,7 +13,9 @@
 use primroseroute_backoff::{self as backoff, Backoff};
 use primroseroute_cell::Limits;
 use primroseroute_front::{Options, Server};
-use primroseroute_gateway::{Components as GatewayComponents, Gateway, Readiness};
+use primroseroute_gateway::{
+    Components as GatewayComponents, Gateway, Monitored, Readiness, StoreHealth,
+};
 use primroseroute_owner::{AdaptiveTimeout, Bounds, Clock, Components, Entry, Watch};
 use primroseroute_platform::{rows::Rows, site, worker};
 use primroseroute_telemetry::{log::Log, site::Meter};
@@ -148,11 +150,14 @@
         let rows: Arc<dyn Rows> = Arc::new(store.clone());
         let rows: Arc<dyn Rows> = Arc::new(Metered::new(rows, meter.clone()));
         let rows: Arc<dyn Rows> = Arc::new(AdaptiveTimeout::new(rows));
+        let store_health = Arc::<StoreHealth>::default();
+        let rows: Arc<dyn Rows> = Arc::new(Monitored::new(rows, Arc::clone(&store_health)));
         let incarnation = rand::random::<u64>() >> 1;
         let store_backoff = Backoff::new("store", incarnation);
-        let site = Site::open(client.clone(), store, live.instances.clone());
+        let site: Arc<dyn site::Site> =
+            Arc::new(Site::open(client.clone(), store, live.instances.clone()));
         let site = backoff::Site::new(
-            Arc::new(site),
+            Arc::new(Monitored::new(site, Arc::clone(&store_health))),
             store_backoff.clone(),
             Backoff::new("instances", incarnation),
         );
@@ -166,6 +171,7 @@
         let gateway = Gateway::open(GatewayComponents {
             configuration: watch.configuration.clone(),
             rows: Arc::clone(&rows),
+            store_health,
             codec: Arc::new(Json),
             clock: Arc::new(clock),
             observer: Some(Arc::clone(&observer) as _),
--- a/tests/site/store_unreachable.rs
+++ b/tests/site/store_unreachable.rs
@@ -2,17 +2,20 @@
 
 use crate::{
     cases,
-    fixture::{Fixture, job, sleep_secs},
+    fixture::{Fixture, POOL, job, sleep_secs},
 };
 use eyre::{Result, ensure};
 use http::{
     Method, StatusCode,
     header::{CONNECTION, RETRY_AFTER},
 };
+use primroseroute_cell::row;
 use primroseroute_domain::work::State;
-use primroseroute_standin::site::Reach;
-use std::time::Duration;
-use tokio::time::Instant;
+use primroseroute_gateway::{Monitored, StoreHealth};
+use primroseroute_platform::rows::{Rows, read_row};
+use primroseroute_standin::site::{Options, Reach, World};
+use std::{sync::Arc, time::Duration};
+use tokio::{task::JoinSet, time::Instant};
 
 cases! {
     /// Callers that wait out their timeout at an entry that can't serve them, until none of their attempts is left.
@@ -25,7 +28,7 @@
     /// A store that is slow and counts as unreachable.
     slow_store_is_not_unreachable => slow();
     /// A process that was suspended, whose calls all time out when it resumes.
-    resumed_entry_rejects_nothing_at_once => resumed();
+    calls_that_fail_at_once_after_a_suspension_prove_nothing => resumed();
     /// A rejection of a submission that is stored after all.
     submission_that_was_sent_is_not_rejected => already_sent();
 }
@@ -117,12 +120,33 @@
 }
 
 async fn resumed() -> Result<()> {
-    let mut fixture = Fixture::open(65, ENTRIES, 2).await?;
-    fixture.update_faults("e-0", |faults| faults.frozen = true);
-    sleep_secs(8).await;
-    fixture.update_faults("e-0", |faults| faults.frozen = false);
-    fixture.submit("e-0", &job("100", 1)).await?;
-    fixture.check_invariants()
+    let world = World::open(Options::default());
+    let health = Arc::<StoreHealth>::default();
+    let rows: Arc<dyn Rows> = Arc::new(world.caller("e-0"));
+    let rows = Arc::new(Monitored::new(rows, Arc::clone(&health)));
+    let failing_reads = || {
+        let mut reads = JoinSet::new();
+        for _call in 0..20 {
+            let rows = Arc::clone(&rows);
+            reads.spawn(async move { read_row(&*rows, row::owner(POOL)).await });
+        }
+        reads.join_all()
+    };
+    world.update_faults("e-0", |faults| faults.frozen = true);
+    let resume = async {
+        sleep_secs(8).await;
+        world.update_faults("e-0", |faults| {
+            faults.frozen = false;
+            faults.store = Reach::Refused;
+        });
+    };
+    let (reads, ()) = tokio::join!(failing_reads(), resume);
+    ensure!(reads.iter().all(Result::is_err));
+    ensure!(!health.is_unreachable());
+    sleep_secs(4).await;
+    failing_reads().await;
+    ensure!(health.is_unreachable(), "reads have failed for 4 s");
+    Ok(())
 }
 
 async fn already_sent() -> Result<()> {
