Failing tests: counts of queued jobs while no owner commits

A pool was without an owner for up to 6.5 s. All the while callers were told the count of its last commit record, "0 jobs are said to wait; 4 have waited since 15.594 s", however many jobs had been accepted since. Failures on the code before:

queue_counts_jobs_that_no_owner_has_seen: Error: 1 jobs are reported as queued (5 are) queue_counts_jobs_of_a_quiet_pool_that_no_owner_has_seen: Error: 0 jobs are reported as queued (4 are) queue_counts_are_the_owners_once_it_commits: Error: Condition failed: `fixture.queued("e-1").await == 4`

--- a/tests/site/accept.rs
+++ b/tests/site/accept.rs
@@ -24,6 +24,12 @@
     queue_counts_jobs_whose_starts_are_in_flight => starts_in_flight();
     /// A job that stays counted as queued while it runs, since its pool commits nothing else.
     queue_does_not_count_a_job_that_runs => running_not_counted();
+    /// A count that stays as the last owner left it, however many jobs are accepted since.
+    queue_counts_jobs_that_no_owner_has_seen => no_owner();
+    /// The same in a pool that was quiet for longer than the store keeps its history.
+    queue_counts_jobs_of_a_quiet_pool_that_no_owner_has_seen => no_owner_after_quiet_time();
+    /// Jobs that are counted twice, or for good, once an owner commits again.
+    queue_counts_are_the_owners_once_it_commits => commits_again();
 }
 
 async fn two_steps() -> Result<()> {
@@ -228,3 +234,65 @@
     ensure!(queued == 0, "{queued} jobs are reported as queued");
     Ok(())
 }
+
+/// Cuts all entries off from the rows of owners: no owner commits, and nobody takes a pool over.
+fn suspend_owners(fixture: &Fixture) {
+    fixture.update_all_faults(|faults| faults.control = Reach::Refused);
+}
+
+async fn no_owner() -> Result<()> {
+    let mut fixture = Fixture::open(12, 2, 1).await?;
+    // One worker has capacity for eight tasks, so the third job waits.
+    for _job in 0..3 {
+        fixture.submit("e-0", &job("30000", 4)).await?;
+    }
+    sleep_secs(2).await;
+    suspend_owners(&fixture);
+    let cancelled = fixture.submit("e-1", &job("100", 1)).await?;
+    for _job in 0..4 {
+        fixture.submit("e-0", &job("100", 1)).await?;
+    }
+    ensure!(fixture.cancel("e-0", &cancelled).await == StatusCode::OK);
+    for entry in ["e-0", "e-1", "e-0"] {
+        sleep_secs(2).await;
+        let queued = fixture.queued(entry).await;
+        ensure!(queued == 5, "{queued} jobs are reported as queued");
+    }
+    Ok(())
+}
+
+async fn no_owner_after_quiet_time() -> Result<()> {
+    let mut fixture = Fixture::open(13, 2, 1).await?;
+    sleep_secs(30).await;
+    fixture.world.compact();
+    // The store keeps its history for longer than this.
+    sleep_secs(12).await;
+    suspend_owners(&fixture);
+    for _job in 0..4 {
+        fixture.submit("e-0", &job("100", 1)).await?;
+    }
+    sleep_secs(2).await;
+    let queued = fixture.queued("e-1").await;
+    ensure!(queued == 4, "{queued} jobs are reported as queued");
+    Ok(())
+}
+
+async fn commits_again() -> Result<()> {
+    let mut fixture = Fixture::open(14, 2, 1).await?;
+    suspend_owners(&fixture);
+    for _job in 0..4 {
+        fixture.submit("e-0", &job("2000", 4)).await?;
+    }
+    sleep_secs(2).await;
+    ensure!(fixture.queued("e-1").await == 4);
+    fixture.update_all_faults(|faults| faults.control = Reach::Fine);
+    sleep_secs(10).await;
+    for entry in ["e-0", "e-1"] {
+        let queued = fixture.queued(entry).await;
+        ensure!(
+            queued == 0,
+            "{queued} jobs are reported as queued by {entry}"
+        );
+    }
+    fixture.check_invariants()
+}
