Failing tests: an owner that doesn't work, and a released pool beside a slow store

Two more ways to a pool that nobody works for, each failing every time on the site in memory: an owner whose reads of its pool's jobs fail keeps the pool for as long as it writes heartbeats, and starts nothing (a job pending after 20 s); a pool that its owner has released stays free while heartbeats take over 0.3 s (no owner after 5 s).

--- a/tests/site/elections.rs
+++ b/tests/site/elections.rs
@@ -17,6 +17,9 @@
     pool_assigned_to_an_entry_without_a_change_feed_goes_to_another => assigned();
     pool_released_to_an_entry_without_a_change_feed_goes_to_another => released();
     pool_reserved_for_a_slow_entry_that_restarted_goes_to_another => slow_after_its_restart();
+    pool_of_an_owner_that_cannot_read_its_jobs_goes_to_another => jobs_unreadable(250);
+    pool_of_a_strong_owner_that_cannot_read_its_jobs_goes_to_another => jobs_unreadable(1_000);
+    released_pool_is_taken_over_while_heartbeats_are_slow => stopped_while_slow();
 }
 
 /// Longest time until a dead owner's pool has its next owner: the timeout of its heartbeats, and three turns of the
@@ -137,6 +140,37 @@
     fixture.check_invariants()
 }
 
+// The owner writes heartbeats and commits, and can't read the accepted jobs of its pool: it starts nothing. With a
+// strength that makes the others release what they own to it, it doesn't get the pool back at once.
+async fn jobs_unreadable(strength: u32) -> Result<()> {
+    let mut fixture = Fixture::open_with_cpu_shares(66, &[250, strength, 250], 3).await?;
+    let owner = fixture.owner(POOL).await?;
+    let other = fixture.non_owner(POOL).await?;
+    fixture.update_faults(&owner, |faults| faults.jobs = Reach::Refused);
+    sleep_secs(1).await;
+    let id = fixture.submit(&other, &job("500", 4)).await?;
+    fixture
+        .wait_for_state(&other, &id, State::Completed, 20)
+        .await?;
+    let later = fixture.submit(&other, &job("500", 4)).await?;
+    fixture
+        .wait_for_state(&other, &later, State::Completed, 3)
+        .await?;
+    fixture.check_invariants()
+}
+
+// An owner shuts down and releases its pool while the store is so slow that no entry judges others by their
+// heartbeats. A release needs no judgement.
+async fn stopped_while_slow() -> Result<()> {
+    let mut fixture = Fixture::open(67, 3, 3).await?;
+    let owner = fixture.owner(POOL).await?;
+    fixture.update_all_faults(|faults| faults.delay = Duration::from_millis(350));
+    sleep_secs(3).await;
+    fixture.stop(&owner);
+    wait_for_other_owner(&fixture, POOL, &owner).await?;
+    fixture.check_invariants()
+}
+
 fn all_alike(entries: usize) -> BTreeMap<Name, u32> {
     let names = (0..entries).map(|number| format!("e-{number}").into());
     names.map(|name| (name, STRONG)).collect()
