Elections: a released pool is taken over without judging others

What callers saw: during a slow store, jobs of a pool whose owner shuts down wait until the store is fast again.

Cause: an entry whose own heartbeats take over 0.3 s judges nobody by theirs, and so took nothing over, also what its owner had released.

Change: what has been released counts as free as long as the change feed works; only the death of an owner needs timely heartbeats.

--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -236,6 +236,12 @@
             .collect()
     }
 
+    /// Whether the last owner of a pool or a group has released it.
+    pub(crate) fn is_released(&self, name: &Name) -> bool {
+        let owner = self.owners.get(name);
+        owner.is_some_and(|(owner, _version)| owner.released)
+    }
+
     /// Pools and groups whose row names this incarnation of an entry as the owner.
     pub(crate) fn owned_by(&self, entry: &Name, incarnation: u64) -> Vec<Name> {
         let owned = self.owners.iter().filter(|(_pool, (owner, _version))| {
--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -206,13 +206,14 @@
         }
         let view = self.view.lock();
         let now = self.components.clock.now();
+        let mut unowned_pools = view.unowned(&pools, now);
+        let mut unowned_groups = view.unowned(&groups, now);
         if !view.can_judge(now) {
-            self.unowned.clear();
-            self.components.observer.pools_unowned(0);
-            return Vec::new();
+            // A release proves what missing heartbeats can't.
+            let is_released = |name: &Name| view.is_current && view.is_released(name);
+            unowned_pools.retain(|name, _last| is_released(name));
+            unowned_groups.retain(|name, _last| is_released(name));
         }
-        let unowned_pools = view.unowned(&pools, now);
-        let unowned_groups = view.unowned(&groups, now);
         self.components.observer.pools_unowned(unowned_pools.len());
         let mut assigned = BTreeMap::new();
         if !unowned_pools.is_empty() || !unowned_groups.is_empty() {
--- a/crates/owner/src/unowned.rs
+++ b/crates/owner/src/unowned.rs
@@ -88,11 +88,6 @@
             }
         }
     }
-
-    /// Forgets what has no owner: this entry's view proves nothing at present.
-    pub(crate) fn clear(&mut self) {
-        self.seen.clear();
-    }
 }
 
 fn millis(duration: Duration) -> u64 {
