Owner: a worker whose instance has another worker never comes back

A start that had no answer when its worker terminated waits until no order can come late, 15 s, since the worker may come back under its id and carry the start out then. It waited that long also where another worker was on the instance seconds later, though only another worker's answer at the same address ended the wait. Callers saw a task, or all tasks of a job, stand still for 15 s beside free workers.

The owner's list of instances tells: once it names another worker for an instance, the one that it named before is reported as replaced, and its runs are over. A worker that is only missing from the list is waited for as before.

--- a/crates/owner/src/instance_manager.rs
+++ b/crates/owner/src/instance_manager.rs
@@ -49,6 +49,8 @@
     holders: BTreeMap<Name, (Version, Rest)>,
     /// The instances as last listed.
     listed: Option<Listing>,
+    /// The worker that was last listed for each instance.
+    last_workers: BTreeMap<Name, Name>,
 }
 
 /// Manages the pool's instances until the task is dropped.
@@ -68,6 +70,7 @@
         relocation: Relocation::default(),
         holders: BTreeMap::new(),
         listed: None,
+        last_workers: BTreeMap::new(),
     };
     manager.evacuations.wait_until_published().await;
     loop {
@@ -128,6 +131,7 @@
         self.requests.set_listed_at(listing.asked_at);
         self.listed = Some(listing);
         self.evacuations.apply_list(&instances, asked_at);
+        self.report_replaced(&instances);
         Ok((instances, asked_at))
     }
 
@@ -195,6 +199,27 @@
         }
     }
 
+    /// Reports the workers whose instances have another worker by now: they never come back.
+    ///
+    /// A worker that is only missing may come back under its id, and a start without an answer may
+    /// reach it then. Without this, its task waits until no order can come late, for seconds beside
+    /// free workers.
+    fn report_replaced(&mut self, instances: &[Instance]) {
+        for instance in instances {
+            let Some(worker) = &instance.worker else {
+                continue;
+            };
+            let name = Name::clone(&instance.name);
+            let last = self.last_workers.insert(name, Name::clone(worker));
+            let Some(replaced) = last.filter(|last| last != worker) else {
+                continue;
+            };
+            if self.events.send(Event::Replaced(replaced)).is_err() {
+                log::debug!("the pool's loop has ended");
+            }
+        }
+    }
+
     /// Evacuates the workers of instances that are to move, and moves those on which nothing runs.
     async fn relocate(
         &mut self,
