--- a/crates/owner/src/unowned.rs
+++ b/crates/owner/src/unowned.rs
@@ -66,15 +66,15 @@
     ) {
         let passed_over = &mut self.passed_over;
         self.seen.retain(|name, sighting| {
-            let unowned = assigned.contains_key(name);
-            if !unowned && let Some(owner) = owner(name) {
+            let is_unowned = assigned.contains_key(name);
+            if !is_unowned && let Some(owner) = owner(name) {
                 passed_over.remove(&owner);
+                if sighting.is_logged {
+                    let unowned_ms = millis(now - sighting.since);
+                    info!(name = &**name, unowned_ms; "pool or group has an owner again");
+                }
             }
-            if !unowned && sighting.is_logged {
-                let unowned_ms = millis(now - sighting.since);
-                info!(name = &**name, unowned_ms; "pool or group has an owner again");
-            }
-            unowned
+            is_unowned
         });
         for (name, entry) in assigned {
             let sighting = self.seen.entry(Name::clone(name)).or_insert(Sighting {
