--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -236,10 +236,10 @@
             .collect()
     }
 
-    /// The entry that has released a pool or a group; `None` if its last owner hasn't.
-    pub(crate) fn released_by(&self, name: &Name) -> Option<&Name> {
-        let (owner, _version) = self.owners.get(name)?;
-        owner.released.then_some(&owner.entry)
+    /// Whether the last owner of a pool or a group has released it.
+    pub(crate) fn is_released(&self, name: &Name) -> bool {
+        let owner = self.owners.get(name);
+        owner.is_some_and(|(owner, _version)| owner.released)
     }
 
     /// Pools and groups whose row names this incarnation of an entry as the owner.
--- a/crates/owner/src/elect.rs
+++ b/crates/owner/src/elect.rs
@@ -72,15 +72,13 @@
 
 /// The entry for each pool without an owner: the one that had it last, if it is back; otherwise the
 /// one with the most CPU for it, and among equals the one that a hash of both names picks, so that
-/// entries share pools evenly. The entry that has released it, as `released_by` tells, gets it only
-/// if there is no other. `eligible` holds the strength of each entry, in thousandths of a core.
+/// entries share pools evenly. `eligible` holds the strength of each entry, in thousandths of a core.
 ///
 /// An entry that gets back what it had needn't wait for others: neither for their heartbeats, nor
 /// for the minimum time between the orders of two holders. And a pool at its peak starts hundreds
 /// of tasks a second, which is too much for an eighth of a core but not for half a core.
-pub fn assign<'a>(
+pub fn assign(
     free: &BTreeMap<Name, Option<Name>>,
-    released_by: impl Fn(&Name) -> Option<&'a Name>,
     owned: &BTreeMap<Name, usize>,
     eligible: &BTreeMap<Name, u32>,
 ) -> BTreeMap<Name, Name> {
@@ -91,12 +89,7 @@
     let mut assigned = BTreeMap::new();
     for (pool, last) in free {
         let back = last.as_ref().filter(|last| counts.contains_key(last));
-        let best = || {
-            let other = |entry: &Name| released_by(pool) != Some(entry);
-            best_entry(pool, &counts, eligible, other)
-                .or_else(|| best_entry(pool, &counts, eligible, |_entry| true))
-                .map(|(entry, _share)| entry)
-        };
+        let best = || best_entry(pool, &counts, eligible).map(|(entry, _share)| entry);
         let Some(entry) = back.or_else(best) else {
             break;
         };
@@ -109,17 +102,14 @@
     assigned
 }
 
-/// The entry among those that `may_own` accepts that would have the most CPU for one more pool, and
-/// how much.
+/// The entry that would have the most CPU for one more pool, and how much.
 fn best_entry<'a>(
     pool: &Name,
     counts: &BTreeMap<&'a Name, usize>,
     eligible: &BTreeMap<Name, u32>,
-    may_own: impl Fn(&Name) -> bool,
 ) -> Option<(&'a Name, u64)> {
     let rank = |entry: &Name| hash(&format!("{entry} {pool}"));
-    let accepted = counts.iter().filter(|(entry, _count)| may_own(entry));
-    let shares = accepted.map(|(&entry, &count)| {
+    let shares = counts.iter().map(|(&entry, &count)| {
         let strength = eligible.get(entry).copied().unwrap_or(0);
         (entry, cpu_share(strength, count + 1))
     });
@@ -141,7 +131,7 @@
         .filter(|entry| *entry != own)
         .map(|entry| (entry, owned.get(entry).copied().unwrap_or(0)))
         .collect();
-    let (_entry, there) = best_entry(pool, &counts, eligible, |_entry| true)?;
+    let (_entry, there) = best_entry(pool, &counts, eligible)?;
     let here = cpu_share(eligible.get(own).copied()?, pools.len());
     (there >= here * RELEASE_FACTOR).then_some(pool)
 }
--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -210,7 +210,7 @@
         let mut unowned_groups = view.unowned(&groups, now);
         if !view.can_judge(now) {
             // A release proves what missing heartbeats can't.
-            let is_released = |name: &Name| view.is_current && view.released_by(name).is_some();
+            let is_released = |name: &Name| view.is_current && view.is_released(name);
             unowned_pools.retain(|name, _last| is_released(name));
             unowned_groups.retain(|name, _last| is_released(name));
         }
@@ -224,12 +224,8 @@
                 pools.len() + groups.len(),
             );
             // Groups cost their holders little, so they are distributed separately.
-            let assign = |free, groups| {
-                let owned = view.owned_counts(groups);
-                elect::assign(free, |name| view.released_by(name), &owned, &eligible)
-            };
-            let pools = assign(&unowned_pools, false);
-            let groups = assign(&unowned_groups, true);
+            let pools = elect::assign(&unowned_pools, &view.owned_counts(false), &eligible);
+            let groups = elect::assign(&unowned_groups, &view.owned_counts(true), &eligible);
             assigned.extend(pools.into_iter().chain(groups));
         }
         let startup_over = self.is_startup_over(&view, now);
@@ -321,13 +317,6 @@
     /// Starts the task that serves a pool or a group.
     fn start(&mut self, name: Name, owner: &Owner, token: Version, last: Option<&Owner>) {
         let from = last.map_or("", |last| &*last.entry);
-        if let Some(last) = last.filter(|last| last.released) {
-            let now = self.components.clock.now();
-            let is_staying = self.view.lock().members.is_staying(&last.entry, now);
-            if is_staying && last.entry != self.components.entry {
-                self.unowned.given_up_by(&last.entry, Instant::now());
-            }
-        }
         let stated = last.is_none_or(|last| last.released);
         let known = (owner.clone(), token);
         self.view.lock().owners.insert(Name::clone(&name), known);
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -17,7 +17,7 @@
 //!   delivery of one order.
 //! * `advice`: one request to the advice service.
 //! * `ownership`: one ownership of a pool; `pool_loop`: its loop; `log_lines`: the loop's log
-//!   lines; `progress`: whether it works at all.
+//!   lines.
 //! * `instance_manager`: a pool's instances; `maintain` and `relocate` carry out what [`wave`] and
 //!   [`rebalance`], both pure, decide; `evacuations` tracks which workers are being evacuated,
 //!   `instance_cache` caches the list of instances.
@@ -65,7 +65,6 @@
 mod poll;
 mod pool_loop;
 mod pool_workers;
-mod progress;
 mod published;
 pub mod rebalance;
 mod relocate;
--- a/crates/owner/src/members.rs
+++ b/crates/owner/src/members.rs
@@ -60,12 +60,6 @@
         seen.is_some_and(|seen| seen.member.incarnation == incarnation && self.is_fresh(seen, now))
     }
 
-    /// Whether the last heartbeat of an entry is fresh and doesn't announce that it leaves.
-    pub fn is_staying(&self, entry: &Name, now: Millis) -> bool {
-        let seen = self.known.get(entry);
-        seen.is_some_and(|seen| self.is_fresh(seen, now) && !seen.member.leaving)
-    }
-
     /// The entries that can take pools over, with their strengths.
     pub fn eligible(&self, now: Millis) -> BTreeMap<Name, u32> {
         self.strengths(|seen| self.is_fresh(seen, now) && !seen.member.leaving)
--- a/crates/owner/src/ownership.rs
+++ b/crates/owner/src/ownership.rs
@@ -8,7 +8,6 @@
     load::{self, Loaded},
     observe::Observer,
     pool_loop::PoolLoop,
-    progress::wait_for_stall,
     watch::Watch,
 };
 use log::{info, warn};
@@ -63,8 +62,6 @@
     Lost,
     /// It was released because this entry stops.
     Released,
-    /// It was released because this entry makes no progress with it.
-    Stalled,
 }
 
 /// Owns the pool under `token` until it is lost, or `stop` signals to release it.
@@ -97,24 +94,8 @@
         token,
         loaded.last_commit,
     );
-    let (view, clock) = (Arc::clone(&context.view), context.clock);
-    let pool = Name::clone(&context.pool);
     let mut pool_loop = PoolLoop::start(context, cell, token, loaded, registered);
-    let progress = pool_loop.progress();
-    let ended = tokio::select! {
-        biased;
-        end = pool_loop.run(&mut commits, &mut stop) => Ok(end),
-        stalled = wait_for_stall(progress, &view, clock) => Err(stalled),
-    };
-    let end_reason = match ended {
-        Ok(end) => end,
-        Err(stalled) => {
-            let stalled_ms = u64::try_from(stalled.as_millis()).unwrap_or(u64::MAX);
-            warn!(pool = &*pool, token, stalled_ms; "owner makes no progress; releasing the pool");
-            pool_loop.release().await;
-            OwnershipEnd::Stalled
-        }
-    };
+    let end_reason = pool_loop.run(&mut commits, &mut stop).await;
     pool_loop.stop();
     end_reason
 }
--- a/crates/owner/src/pool_loop.rs
+++ b/crates/owner/src/pool_loop.rs
@@ -15,7 +15,6 @@
     order_delivery::CommitTimes,
     ownership::{Context, OwnershipEnd, release},
     pool_workers::PoolWorkers,
-    progress::MAX_FEED_AGE,
     published,
     watch::{RegisteredWorkers, RosterSubscription},
 };
@@ -82,8 +81,6 @@
     published_scaling: published::PublishedScaling,
     digest: LogDigest,
     cancels: CancelTracker,
-    /// Notified of each round that makes progress.
-    progress: watch::Sender<()>,
 }
 
 impl PoolLoop {
@@ -134,7 +131,6 @@
             published_scaling: published::PublishedScaling::default(),
             digest: LogDigest::new(),
             cancels: loaded.cancels,
-            progress: watch::Sender::new(()),
         }
     }
 
@@ -164,30 +160,19 @@
                 return OwnershipEnd::Lost;
             }
             if *stop.borrow() {
-                self.release().await;
+                self.pool_workers.stop();
+                let Context {
+                    rows, entry, pool, ..
+                } = &self.context;
+                release(&**rows, entry, (pool, self.token), None).await;
                 return OwnershipEnd::Released;
             }
-            self.record_progress();
             while self.detached.try_join_next().is_some() {}
             sleep_until(begin + MIN_ROUND_INTERVAL).await;
             self.wait_for_event(&mut registered, stop).await;
         }
     }
 
-    /// Notifies of each round that makes progress.
-    pub(crate) fn progress(&self) -> watch::Receiver<()> {
-        self.progress.subscribe()
-    }
-
-    /// Records a finished round, which is progress if the jobs are known up to now.
-    fn record_progress(&self) {
-        let ago = self.context.clock.now();
-        let ago = ago.saturating_sub(self.cell.feed_watermark());
-        if ago < MAX_FEED_AGE {
-            self.progress.send_replace(());
-        }
-    }
-
     fn report_metrics(&self, round: Duration) {
         let Context {
             clock,
@@ -546,15 +531,6 @@
         });
     }
 
-    /// Sends nothing more, and releases the pool.
-    pub(crate) async fn release(&mut self) {
-        self.pool_workers.stop();
-        let Context {
-            rows, entry, pool, ..
-        } = &self.context;
-        release(&**rows, entry, (pool, self.token), None).await;
-    }
-
     /// Stops the background tasks.
     pub(crate) fn stop(mut self) {
         self.pool_workers.stop();
--- a/crates/owner/src/unowned.rs
+++ b/crates/owner/src/unowned.rs
@@ -22,16 +22,11 @@
 /// something over.
 const PASSED_OVER_TIME: Duration = Duration::from_secs(15);
 
-/// Time for which the successor of an entry that has given a pool up, and isn't leaving, assigns and
-/// releases nothing to it.
-const GIVEN_UP_TIME: Duration = Duration::from_secs(60);
-
 /// What this entry sees without an owner.
 #[derive(Debug, Default)]
 pub(crate) struct Unowned {
     seen: BTreeMap<Name, Sighting>,
-    /// Entries that have let an assignment pass or given something up, and until when nothing is
-    /// assigned to them.
+    /// Entries that have let an assignment pass, and when.
     passed_over: BTreeMap<Name, Instant>,
 }
 
@@ -46,14 +41,9 @@
 impl Unowned {
     /// The entries to which nothing is assigned at present.
     pub(crate) fn passed_over(&mut self, now: Instant) -> BTreeSet<Name> {
-        self.passed_over.retain(|_entry, until| now < *until);
-        self.passed_over.keys().map(Name::clone).collect()
-    }
-
-    /// Records that `entry` has given up what this entry takes over, though it isn't leaving.
-    pub(crate) fn given_up_by(&mut self, entry: &Name, now: Instant) {
         self.passed_over
-            .insert(Name::clone(entry), now + GIVEN_UP_TIME);
+            .retain(|_entry, at| now - *at < PASSED_OVER_TIME);
+        self.passed_over.keys().map(Name::clone).collect()
     }
 
     /// Records what has no owner now, with the entry that each is assigned to; `owner` tells the
@@ -87,9 +77,7 @@
             }
             let assigned_for = now - sighting.assigned.1;
             if assigned_for >= ASSIGNMENT_TIMEOUT
-                && passed_over
-                    .insert(Name::clone(entry), now + PASSED_OVER_TIME)
-                    .is_none()
+                && passed_over.insert(Name::clone(entry), now).is_none()
             {
                 info!(name = &**name, entry = &**entry, assigned_ms = millis(assigned_for); "entry passed over: it doesn't take over what is assigned to it");
             }
