Owner: a start isn't waited for on a worker that can't come back

A start that had no answer when its worker terminated waits until no order can come late, 15 s, since the worker may come back under its id and carry the start out then. It waited that long also where another worker was on the instance seconds later, or the instance had moved to another pool; only another worker's answer at the same address ended the wait. Callers saw a task, or all tasks of a job, stand still for 15 s beside free workers.

The list of instances tells whether the worker can come back: it can as long as it was the last one that the list named for an instance which serves the same pool, or while there is an instance without a worker whose last one this owner never saw. Otherwise the worker is reported as replaced, and its runs are over. A worker whose instance stays down is waited for as before.

Test worker::start_without_a_response_on_a_replaced_worker_costs_no_late_order_window failed before.

--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -126,6 +126,14 @@
         unresponsive.map(|(id, _worker)| Name::clone(id)).collect()
     }
 
+    /// Terminated workers whose runs may still begin if they come back.
+    pub fn terminated(&self) -> BTreeSet<Name> {
+        let terminated = self.workers.iter();
+        let terminated =
+            terminated.filter(|(_id, worker)| worker.is_terminated() && !worker.runs.is_empty());
+        terminated.map(|(id, _worker)| Name::clone(id)).collect()
+    }
+
     /// The unresponsive workers that new runs may have crashed.
     pub fn possibly_crashed(&self, now: Millis) -> BTreeSet<Name> {
         let settle_time = self.limits.settle_time;
--- a/crates/owner/src/evacuations.rs
+++ b/crates/owner/src/evacuations.rs
@@ -35,6 +35,8 @@
     pub unresponsive: BTreeSet<Name>,
     /// Those of them that new runs may have crashed.
     pub possibly_crashed: BTreeSet<Name>,
+    /// Terminated workers whose runs may still begin if they come back.
+    pub terminated: BTreeSet<Name>,
     /// Start times of the incarnations of unresponsive workers, and of those that are evacuated.
     pub incarnations: BTreeMap<Name, u64>,
     /// Number of the pool's workers below which none is switched off.
--- a/crates/owner/src/instance_manager.rs
+++ b/crates/owner/src/instance_manager.rs
@@ -49,6 +49,9 @@
     holders: BTreeMap<Name, (Version, Rest)>,
     /// The instances as last listed.
     listed: Option<Listing>,
+    /// The worker that was last listed for each instance, with the pool; none after a change of
+    /// pool.
+    last_workers: BTreeMap<Name, (Name, Option<Name>)>,
 }
 
 /// Manages the pool's instances until the task is dropped.
@@ -68,6 +71,7 @@
         relocation: Relocation::default(),
         holders: BTreeMap::new(),
         listed: None,
+        last_workers: BTreeMap::new(),
     };
     manager.evacuations.wait_until_published().await;
     loop {
@@ -102,6 +106,7 @@
         let (instances, asked_at) = self.list().await?;
         let instances = &*instances;
         self.report_terminated(&status, instances, asked_at);
+        self.report_replaced(&status, instances);
         self.evacuations.resend();
         let orderable = self.orderable(instances);
         let tools = (&mut self.evacuations, &mut self.requests);
@@ -195,6 +200,51 @@
         }
     }
 
+    /// Reports the terminated workers that can't come back on any instance.
+    ///
+    /// A worker may come back under its id on the instance that it had, and a start without an
+    /// answer may reach it then. It can't once the instance has another worker, or serves another
+    /// pool. Without this, its tasks wait until no order can come late, for seconds beside free
+    /// workers.
+    fn report_replaced(&mut self, status: &PoolStatus, instances: &[Instance]) {
+        let standby = |pool: &Name| {
+            let configuration = self.context.watch.configuration.borrow();
+            let mut pools = configuration.iter().flat_map(|known| &known.pools);
+            pools.any(|known| known.name == *pool && known.standby)
+        };
+        let mut may_come_back = BTreeSet::new();
+        // Whether there is an instance whose last worker was never listed.
+        let mut is_last_unknown = false;
+        for instance in instances {
+            let at = (Name::clone(&instance.pool), instance.worker.clone());
+            match (&instance.worker, self.last_workers.get(&instance.name)) {
+                (Some(worker), _) => {
+                    may_come_back.insert(Name::clone(worker));
+                    self.last_workers.insert(Name::clone(&instance.name), at);
+                }
+                (None, Some((pool, last))) if *pool == instance.pool => {
+                    may_come_back.extend(last.clone());
+                }
+                (None, Some(_)) => {
+                    self.last_workers.insert(Name::clone(&instance.name), at);
+                }
+                (None, None) => is_last_unknown |= !standby(&instance.pool),
+            }
+        }
+        if is_last_unknown {
+            return;
+        }
+        for worker in status.terminated.difference(&may_come_back) {
+            if self
+                .events
+                .send(Event::Replaced(Name::clone(worker)))
+                .is_err()
+            {
+                log::debug!("the pool's loop has ended");
+            }
+        }
+    }
+
     /// Evacuates the workers of instances that are to move, and moves those on which nothing runs.
     async fn relocate(
         &mut self,
--- a/crates/owner/src/pool_loop.rs
+++ b/crates/owner/src/pool_loop.rs
@@ -517,6 +517,7 @@
             registered: self.registered.clone(),
             unresponsive: self.cell.unresponsive(now),
             possibly_crashed: self.cell.possibly_crashed(now),
+            terminated: self.cell.terminated(),
             incarnations: self.cell.incarnations(now),
             scale_down_floor,
         };
