Random histories: nothing stands still beside free workers

Histories checked that jobs ended within 40 s of the last fault, and mixed ones that long-running tasks ran at that moment. They check now what is promised: from 14 s after the last fault on a job with a ready task has something running, and from 4 s after it a long-running task runs within 6 s of its last run; each may stand still for 3 s while the pool's usable workers have room for the task twice over and under half of their cores are in use. A task that crashes its worker counts as a fault.

--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -318,6 +318,22 @@
         })
     }
 
+    /// The workers of a pool that run, can be reached and aren't draining, with their capacities.
+    pub fn usable_workers(&self, pool: &str) -> BTreeMap<Name, Demand> {
+        let state = self.shared.state.lock();
+        let in_use = state
+            .instances
+            .values()
+            .filter(|known| &*known.pool == pool);
+        let ids = in_use.filter_map(|known| known.worker.as_ref());
+        let workers = ids.filter_map(|id| Some((id, state.workers.get(id)?)));
+        let usable = workers
+            .filter(|(_id, worker)| worker.alive && !worker.partitioned && !worker.info.draining);
+        usable
+            .map(|(id, worker)| (Name::clone(id), worker.info.capacity))
+            .collect()
+    }
+
     /// Id and address of a worker.
     pub fn target(&self, worker: &Name) -> Target {
         self.shared.change(|state, _now| {
--- a/tests/site/moves.rs
+++ b/tests/site/moves.rs
@@ -8,7 +8,7 @@
     },
 };
 use eyre::{Result, ensure, eyre};
-use primroseroute_domain::work::{Demand, Job, JobId, Name, State, Step};
+use primroseroute_domain::work::{Demand, Job, Name, State, Step};
 use primroseroute_platform::site::{InstanceState, Instruction};
 use primroseroute_standin::site::{Event, Reach};
 use std::time::Duration;
