--- a/crates/owner/src/instance_manager.rs
+++ b/crates/owner/src/instance_manager.rs
@@ -49,8 +49,9 @@
     holders: BTreeMap<Name, (Version, Rest)>,
     /// The instances as last listed.
     listed: Option<Listing>,
-    /// The worker that was last listed for each instance.
-    last_workers: BTreeMap<Name, Name>,
+    /// The worker that was last listed for each instance, with the pool; none after a change of
+    /// pool.
+    last_workers: BTreeMap<Name, (Name, Option<Name>)>,
 }
 
 /// Manages the pool's instances until the task is dropped.
@@ -105,6 +106,7 @@
         let (instances, asked_at) = self.list().await?;
         let instances = &*instances;
         self.report_terminated(&status, instances, asked_at);
+        self.report_replaced(&status, instances);
         self.evacuations.resend();
         let orderable = self.orderable(instances);
         let tools = (&mut self.evacuations, &mut self.requests);
@@ -131,7 +133,6 @@
         self.requests.set_listed_at(listing.asked_at);
         self.listed = Some(listing);
         self.evacuations.apply_list(&instances, asked_at);
-        self.report_replaced(&instances);
         Ok((instances, asked_at))
     }
 
@@ -199,22 +200,46 @@
         }
     }
 
-    /// Reports the workers whose instances have another worker by now: they never come back.
+    /// Reports the terminated workers that can't come back on any instance.
     ///
-    /// A worker that is only missing may come back under its id, and a start without an answer may
-    /// reach it then. Without this, its task waits until no order can come late, for seconds beside
-    /// free workers.
-    fn report_replaced(&mut self, instances: &[Instance]) {
+    /// A worker may come back under its id on the instance that it had, and a start without an
+    /// answer may reach it then. It can't once the instance has another worker, or serves another
+    /// pool. Without this, its tasks wait until no order can come late, for seconds beside free
+    /// workers.
+    fn report_replaced(&mut self, status: &PoolStatus, instances: &[Instance]) {
+        let standby = |pool: &Name| {
+            let configuration = self.context.watch.configuration.borrow();
+            let mut pools = configuration.iter().flat_map(|known| &known.pools);
+            pools.any(|known| known.name == *pool && known.standby)
+        };
+        let mut may_come_back = BTreeSet::new();
+        // Whether there is an instance whose last worker was never listed.
+        let mut is_last_unknown = false;
         for instance in instances {
-            let Some(worker) = &instance.worker else {
-                continue;
-            };
-            let name = Name::clone(&instance.name);
-            let last = self.last_workers.insert(name, Name::clone(worker));
-            let Some(replaced) = last.filter(|last| last != worker) else {
-                continue;
-            };
-            if self.events.send(Event::Replaced(replaced)).is_err() {
+            let at = (Name::clone(&instance.pool), instance.worker.clone());
+            match (&instance.worker, self.last_workers.get(&instance.name)) {
+                (Some(worker), _) => {
+                    may_come_back.insert(Name::clone(worker));
+                    self.last_workers.insert(Name::clone(&instance.name), at);
+                }
+                (None, Some((pool, last))) if *pool == instance.pool => {
+                    may_come_back.extend(last.clone());
+                }
+                (None, Some(_)) => {
+                    self.last_workers.insert(Name::clone(&instance.name), at);
+                }
+                (None, None) => is_last_unknown |= !standby(&instance.pool),
+            }
+        }
+        if is_last_unknown {
+            return;
+        }
+        for worker in status.terminated.difference(&may_come_back) {
+            if self
+                .events
+                .send(Event::Replaced(Name::clone(worker)))
+                .is_err()
+            {
                 log::debug!("the pool's loop has ended");
             }
         }
