Counts of queued jobs include jobs accepted since the owner's last commit

A pool had no owner for up to 6.5 s, and the count was that of the last commit record all along.

Cause: the count was a figure of its last writer, and nothing bounded its age.

An owner commits before it starts anything. So jobs that were accepted after the newest commit haven't begun: the gateway counts them from the change feed of accepted jobs, from the commit's version on, and adds them to the commit's count. It keeps its position between requests, so each row is read once, at one more call per count that isn't cached.

And they are due when they are the same with other jobs than before: the job that has begun is in the old count, and the new one would be added to it.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,8 @@
 //! The requests of callers.
 
 use crate::{
+    parse::parse,
+    queue_counts::QueueCounts,
     response::{empty, json, refused},
     retry_limit::RetryLimit,
     routes::Routes,
@@ -16,7 +18,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use log::{debug, info};
 use parking_lot::Mutex;
-use primroseroute_cell::row::{self, Accepted, Claim, CommitRecord};
+use primroseroute_cell::row::{self, Accepted, Claim};
 use primroseroute_domain::{
     outcome::Code,
     time::{self, Clock},
@@ -28,13 +30,10 @@
     rows::{Commit, Place, Row, Rows, Txn, read_row},
     site::{Codec, Configuration, Queue, RequestLimits},
 };
-use serde::{Deserialize, de::DeserializeOwned};
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use serde::Deserialize;
+use std::{sync::Arc, time::Duration};
 use tokio::{sync::watch::Receiver, time::Instant};
 
-/// Maximum age of counts of queued jobs that are returned without a new read.
-const COUNTS_MAX_AGE: Duration = Duration::from_millis(400);
-
 /// The components from which a gateway is built.
 #[derive(Clone, Debug)]
 pub struct Components {
@@ -77,16 +76,13 @@
     routes: Routes,
 }
 
-/// Counts of a pool's queues, and when they were read.
-type Counts = BTreeMap<Name, (Instant, BTreeMap<Name, u64>)>;
-
 /// The callers' side of an entry.
 #[derive(Debug)]
 pub struct Gateway {
     components: Components,
     prepared: Mutex<Option<Arc<Prepared>>>,
     states: FinalStates,
-    counts: Mutex<Counts>,
+    counts: QueueCounts,
 }
 
 /// One request, without its body.
@@ -103,7 +99,7 @@
             components,
             prepared: Mutex::default(),
             states: FinalStates::default(),
-            counts: Mutex::default(),
+            counts: QueueCounts::default(),
         })
     }
 
@@ -391,35 +387,18 @@
             let detail = "a queue can only be asked for";
             return refused(Code::MalformedRequest, detail, head.request);
         }
-        if let Some(count) = self.cached_count(queue) {
+        if let Some(count) = self.counts.recent(&queue.pool, &queue.name) {
             return json(self.components.codec.queued(count));
         }
         if let Some(rejection) = self.reject_if_unreachable(head) {
             return rejection;
         }
-        match self.read(row::commit_record(&queue.pool)).await {
-            Ok(row) => {
-                let record: CommitRecord = match row.as_ref().map(parse).transpose() {
-                    Ok(record) => record.unwrap_or_default(),
-                    Err(error) => {
-                        return refused(Code::StateUnavailable, error.to_string(), head.request);
-                    }
-                };
-                let count = record.queued.get(&queue.name).copied().unwrap_or(0);
-                let mut counts = self.counts.lock();
-                counts.insert(Name::clone(&queue.pool), (Instant::now(), record.queued));
-                json(self.components.codec.queued(count))
-            }
+        let rows = &*self.components.rows;
+        match self.counts.read(rows, &queue.pool, &queue.name).await {
+            Ok(count) => json(self.components.codec.queued(count)),
             Err(error) => refused(Code::StateUnavailable, error.to_string(), head.request),
         }
     }
-
-    fn cached_count(&self, queue: &Queue) -> Option<u64> {
-        let counts = self.counts.lock();
-        let (at, counts) = counts.get(&queue.pool)?;
-        let recent = at.elapsed() <= COUNTS_MAX_AGE;
-        recent.then(|| counts.get(&queue.name).copied().unwrap_or(0))
-    }
 }
 
 /// The transaction that accepts a job, unless its id is already claimed.
@@ -451,12 +430,6 @@
     }
 }
 
-fn parse<T: DeserializeOwned>(row: &Row) -> Result<T, Error> {
-    let value = row.value.as_deref().unwrap_or_default();
-    serde_json::from_slice(value)
-        .map_err(|error| Error::Unavailable(format!("{} can't be read: {error}", row.place.key)))
-}
-
 fn head_bytes(uri: &Uri, headers: &HeaderMap) -> usize {
     let fields = headers.iter();
     let fields = fields.map(|(name, value)| name.as_str().len() + value.len());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,8 @@
 //! * [`Readiness`]: the load balancer's readiness check.
 
 mod gateway;
-
+mod parse;
+mod queue_counts;
 mod ready;
 mod response;
 mod retry_limit;
--- a/crates/owner/src/pool_loop.rs
+++ b/crates/owner/src/pool_loop.rs
@@ -77,6 +77,8 @@
     /// Calls whose completion the loop doesn't wait for.
     detached: JoinSet<()>,
     background: Vec<JoinHandle<()>>,
+    /// Number of jobs that the change feed has shown.
+    jobs_received: u64,
     published_counts: published::PublishedCounts,
     published_scaling: published::PublishedScaling,
     digest: LogDigest,
@@ -127,6 +129,7 @@
             roster,
             detached: JoinSet::new(),
             background,
+            jobs_received: 0,
             published_counts: published::PublishedCounts::default(),
             published_scaling: published::PublishedScaling::default(),
             digest: LogDigest::new(),
@@ -215,6 +218,7 @@
                     at,
                 };
                 for (id, accepted) in jobs.accepted {
+                    self.jobs_received += 1;
                     self.cell.accept(id, accepted);
                 }
                 let times = (now, wall_ms);
@@ -352,9 +356,10 @@
         }
         log_lines::orders(&self.context.pool, &immediate_stops);
         self.send(immediate_stops, clock.now(), decided);
+        let received = self.jobs_received;
         let counts = self
             .published_counts
-            .is_due(self.cell.queued(), clock.now());
+            .is_due(self.cell.queued(), received, clock.now());
         let wanted = round.scaling.published();
         let publish = self.published_scaling.is_due(wanted, clock.now());
         let sent_at = if !round.puts.is_empty() || counts || publish {
@@ -375,7 +380,7 @@
                 log_lines::scaling(&self.context.pool, &round.scaling, self.registered.len());
                 self.published_scaling.record(wanted, clock.now());
             }
-            self.published_counts.record(queued, clock.now());
+            self.published_counts.record(queued, received, clock.now());
             self.pool_workers.confirmed.send_replace(sent_at);
             sent_at
         } else {
