Elections: takeovers skip what another entry has taken meanwhile; candidates follow those passed over

An entry with several takeovers due carries them out one after the other, and read the newest version of each row when its turn came: it could take a pool from an entry that had taken it in the meantime. And entries that let an assignment pass were left out after the strongest had been chosen, so that with all of these idle nobody came next. Comments of the election say what they mean without the design in mind.

--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -32,8 +32,8 @@
 /// Maximum age of what such an entry sees: one interval, and a call that is late.
 const OBSERVER_LAG: Millis = 2_400;
 
-/// Time within which all other entries have learned that an entry has died or leaves, after one
-/// that reads continuously has: they allow it [`OBSERVER_LAG`] longer, and read it that late.
+/// How much later than a candidate any other entry may learn that an entry has died: it allows it
+/// [`OBSERVER_LAG`] longer, and reads heartbeats that late.
 pub(crate) const NOTICE_SPREAD: Millis = 2 * OBSERVER_LAG;
 
 /// The table of owners and heartbeats.
--- a/crates/owner/src/elect.rs
+++ b/crates/owner/src/elect.rs
@@ -41,9 +41,9 @@
 
 /// The entries among which pools and groups without an owner are assigned.
 ///
-/// `eligible` are the entries that can take something over now, `recent` those that could at some
-/// time since all others have certainly learned of it. A candidate by both acts at once; one that
-/// replaces a candidate which has just died may still read the heartbeats at long intervals.
+/// `eligible` are the entries that can take something over now, and `recent` also those that could a
+/// few seconds ago. An entry that was a candidate then reads heartbeats all the time and acts at
+/// once; one that replaces a candidate which has just died may not know of the death yet.
 /// `passed_over` are entries that recently didn't take over what was assigned to them. Each
 /// restriction is dropped if nobody would remain.
 pub fn assignable(
@@ -52,17 +52,19 @@
     passed_over: &BTreeSet<Name>,
     pools_and_groups: usize,
 ) -> BTreeMap<Name, u32> {
-    let current = candidates(eligible, pools_and_groups);
-    let mut settled = candidates(recent, pools_and_groups);
-    settled.retain(|entry, _strength| current.contains_key(entry));
-    for set in [&settled, &current] {
-        let mut acting = set.clone();
-        acting.retain(|entry, _strength| !passed_over.contains(entry));
-        if !acting.is_empty() {
-            return acting;
-        }
+    let mut acting = eligible.clone();
+    acting.retain(|entry, _strength| !passed_over.contains(entry));
+    if acting.is_empty() {
+        acting.clone_from(eligible);
+    }
+    let current = candidates(&acting, pools_and_groups);
+    let mut already_before = candidates(recent, pools_and_groups);
+    already_before.retain(|entry, _strength| acting.contains_key(entry));
+    if already_before.is_empty() {
+        current
+    } else {
+        already_before
     }
-    current
 }
 
 /// How many times a pool's CPU share another entry must offer for the pool to move there: a
--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -251,7 +251,15 @@
 
     /// Takes a pool or a group over on the condition that its owner's row hasn't changed.
     async fn take_over(&mut self, name: Name) {
-        let known = self.view.lock().owners.get(&name).cloned();
+        let known = {
+            let view = self.view.lock();
+            // Takeovers follow one another, and another entry may have been faster meanwhile.
+            let owner = view.live_owner(&name, self.components.clock.now());
+            if owner.is_some_and(|(owner, _version)| owner.entry != self.components.entry) {
+                return;
+            }
+            view.owners.get(&name).cloned()
+        };
         let version = known.as_ref().map_or(0, |(_owner, version)| *version);
         self.attempt += 1;
         let last = known.map(|(owner, _version)| owner);
--- a/crates/owner/src/unowned.rs
+++ b/crates/owner/src/unowned.rs
@@ -9,8 +9,7 @@
 };
 use tokio::time::Instant;
 
-/// Time without an owner after which a line is logged: a takeover after a release takes a few
-/// tenths of a second.
+/// Time without an owner after which a line is logged.
 const LOGGED_AFTER: Duration = Duration::from_secs(1);
 
 /// Time for which a pool or a group stays assigned to an entry that doesn't take it over. An entry
