Elections: new candidates count for less, rather than for nothing

Cause: the fix before left new candidates out as long as one old one lived. Change: they count for two thirds of their strength, so that a strong survivor gets the pools of several, and a weak one two.

--- a/crates/owner/src/elect.rs
+++ b/crates/owner/src/elect.rs
@@ -20,6 +20,10 @@
 /// Minimum number of candidates, if there are as many entries.
 const MIN_CANDIDATES: usize = 16;
 
+/// What a new candidate counts for, in percent of its strength: it may take over seconds later than
+/// one that has been a candidate, which a pool is worth until that one is loaded with several.
+const NEW_CANDIDATE_PERCENT: u32 = 66;
+
 /// Of the entries that can take pools and groups over, those that do: the strongest, twice as many
 /// as there are pools and groups.
 ///
@@ -39,13 +43,14 @@
         .collect()
 }
 
-/// The entries among which pools and groups without an owner are assigned.
+/// The entries among which pools and groups without an owner are assigned, with what each counts
+/// for.
 ///
 /// `eligible` are the entries that can take something over now, and `recent` also those that could a
 /// few seconds ago. An entry that was a candidate then reads heartbeats all the time and acts at
-/// once; one that replaces a candidate which has just died may not know of the death yet.
-/// `passed_over` are entries that recently didn't take over what was assigned to them. Each
-/// restriction is dropped if nobody would remain.
+/// once; one that replaces a candidate which has just died may not know of the death yet, and counts
+/// for less. `passed_over` are entries that recently didn't take over what was assigned to them; they
+/// are left out unless nobody would remain.
 pub fn assignable(
     eligible: &BTreeMap<Name, u32>,
     recent: &BTreeMap<Name, u32>,
@@ -57,14 +62,14 @@
     if acting.is_empty() {
         acting.clone_from(eligible);
     }
-    let current = candidates(&acting, pools_and_groups);
-    let mut already_before = candidates(recent, pools_and_groups);
-    already_before.retain(|entry, _strength| acting.contains_key(entry));
-    if already_before.is_empty() {
-        current
-    } else {
-        already_before
+    let before = candidates(recent, pools_and_groups);
+    let mut assignable = candidates(&acting, pools_and_groups);
+    for (entry, strength) in &mut assignable {
+        if !before.contains_key(entry) {
+            *strength = *strength * NEW_CANDIDATE_PERCENT / 100;
+        }
     }
+    assignable
 }
 
 /// How many times a pool's CPU share another entry must offer for the pool to move there: a
