Members: a dead entry is alive again only by a new heartbeat

Cause: after late heartbeats of its own, or an interrupted feed, an entry gives all others the full timeout again, since missing heartbeats prove nothing for that time. It gave it also to entries that it had found dead long before. For 2.2 s they were eligible, and the weak owner of a pool released it to a dead, stronger one.

Change: while missing heartbeats prove something, entries found dead are recorded as dead, and stay so until a new heartbeat is seen.

--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -137,6 +137,9 @@
         let (pools, groups) = self.pools_and_groups();
         let mut view = self.view.lock();
         let now = self.components.clock.now();
+        if view.can_judge(now) {
+            view.members.record_dead(now);
+        }
         let eligible = view.members.eligible(now);
         let candidates = elect::candidates(&eligible, pools.len() + groups.len());
         if !self.owned.is_empty() || candidates.contains_key(&self.components.entry) {
--- a/crates/owner/src/members.rs
+++ b/crates/owner/src/members.rs
@@ -21,6 +21,8 @@
 struct LastHeartbeat {
     member: Member,
     at: Millis,
+    /// Whether the entry was found dead: only a new heartbeat shows it alive again.
+    is_dead: bool,
 }
 
 impl Members {
@@ -35,13 +37,26 @@
             .get(&entry)
             .is_some_and(|seen| seen.member == member);
         if !repeated {
-            self.known.insert(entry, LastHeartbeat { member, at: now });
+            let seen = LastHeartbeat {
+                member,
+                at: now,
+                is_dead: false,
+            };
+            self.known.insert(entry, seen);
+        }
+    }
+
+    /// Records which entries are dead; to be called while missing heartbeats prove something.
+    pub fn record_dead(&mut self, now: Millis) {
+        let lag = self.lag;
+        for seen in self.known.values_mut() {
+            seen.is_dead |= now >= seen.at + FAILURE_TIMEOUT + lag;
         }
     }
 
     /// Records that heartbeats could not be seen until `now`. Missing ones up to then prove
     /// nothing: otherwise an entry that comes back from a partition would take all the others for
-    /// dead.
+    /// dead. Those that were found dead before remain so.
     pub fn restart_timeouts(&mut self, now: Millis) {
         for seen in self.known.values_mut() {
             seen.at = now;
@@ -68,7 +83,7 @@
     /// The entries that could take pools over at some time within the last `window` milliseconds,
     /// with their strengths.
     pub fn recently_eligible(&self, now: Millis, window: Millis) -> BTreeMap<Name, u32> {
-        self.strengths(|seen| self.is_fresh(seen, now.saturating_sub(window)))
+        self.strengths(|seen| now < seen.at + FAILURE_TIMEOUT + self.lag + window)
     }
 
     fn strengths(&self, matches: impl Fn(&LastHeartbeat) -> bool) -> BTreeMap<Name, u32> {
@@ -79,6 +94,6 @@
     }
 
     fn is_fresh(&self, seen: &LastHeartbeat, now: Millis) -> bool {
-        now < seen.at + FAILURE_TIMEOUT + self.lag
+        !seen.is_dead && now < seen.at + FAILURE_TIMEOUT + self.lag
     }
 }
