Elections: nothing is released to an entry whose first heartbeat may be old

What callers saw: right after a restart, an owner releases its pool to a stronger entry that has long been dead, and the pool has no owner until the releaser takes it back.

Cause: an entry that starts reads the last heartbeats of all, however old, and takes each for fresh. The same after its timeouts were restarted.

Change: a pool is released only to an entry whose heartbeats have been seen to follow each other since.

Evidence: restarted_owner_releases_nothing_to_a_dead_entry failed before ("the pool was released") and passes.

--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -165,10 +165,11 @@
         if !view.can_judge(now) {
             return;
         }
-        let mut eligible = view.members.eligible(now);
+        let mut eligible = view.members.confirmed(now);
         let passed_over = self.unowned.passed_over(Instant::now());
         eligible.retain(|entry, _strength| !passed_over.contains(entry));
         let own = &self.components.entry;
+        eligible.insert(Name::clone(own), self.components.strength);
         let Some(pool) = elect::pool_to_release(own, &pools, &view.owned_counts(false), &eligible)
         else {
             return;
--- a/crates/owner/src/members.rs
+++ b/crates/owner/src/members.rs
@@ -23,6 +23,9 @@
     at: Millis,
     /// Whether the entry was found dead: only a new heartbeat shows it alive again.
     is_dead: bool,
+    /// Whether `at` is when a heartbeat was seen to follow another: the first one that is read may
+    /// be old.
+    is_confirmed: bool,
 }
 
 impl Members {
@@ -32,18 +35,17 @@
             self.known.remove(&entry);
             return;
         };
-        let repeated = self
-            .known
-            .get(&entry)
-            .is_some_and(|seen| seen.member == member);
-        if !repeated {
-            let seen = LastHeartbeat {
-                member,
-                at: now,
-                is_dead: false,
-            };
-            self.known.insert(entry, seen);
+        let known = self.known.get(&entry);
+        if known.is_some_and(|seen| seen.member == member) {
+            return;
         }
+        let seen = LastHeartbeat {
+            member,
+            at: now,
+            is_dead: false,
+            is_confirmed: known.is_some(),
+        };
+        self.known.insert(entry, seen);
     }
 
     /// Records which entries are dead; to be called while missing heartbeats prove something.
@@ -60,6 +62,7 @@
     pub fn restart_timeouts(&mut self, now: Millis) {
         for seen in self.known.values_mut() {
             seen.at = now;
+            seen.is_confirmed = false;
         }
     }
 
@@ -80,6 +83,12 @@
         self.strengths(|seen| self.is_fresh(seen, now) && !seen.member.leaving)
     }
 
+    /// The entries that can take pools over and have written a heartbeat since timeouts were last
+    /// restarted, with their strengths: nothing is released to one that only may be alive.
+    pub fn confirmed(&self, now: Millis) -> BTreeMap<Name, u32> {
+        self.strengths(|seen| seen.is_confirmed && self.is_fresh(seen, now) && !seen.member.leaving)
+    }
+
     /// The entries that could take pools over at some time within the last `window` milliseconds,
     /// with their strengths.
     pub fn recently_eligible(&self, now: Millis, window: Millis) -> BTreeMap<Name, u32> {
--- a/tests/site/elections.rs
+++ b/tests/site/elections.rs
@@ -18,6 +18,7 @@
     pool_released_to_an_entry_without_a_change_feed_goes_to_another => released();
     pool_reserved_for_a_slow_entry_that_restarted_goes_to_another => slow_after_its_restart();
     pool_is_not_released_to_a_dead_entry => dead_and_stronger();
+    restarted_owner_releases_nothing_to_a_dead_entry => restarted_beside_a_dead_entry();
     pool_of_an_owner_that_cannot_read_its_jobs_goes_to_another => jobs_unreadable(250);
     pool_of_a_strong_owner_that_cannot_read_its_jobs_goes_to_another => jobs_unreadable(1_000);
     released_pool_is_taken_over_while_heartbeats_are_slow => stopped_while_slow();
@@ -159,6 +160,25 @@
     fixture.check_invariants()
 }
 
+// The strongest entry is dead, and its last heartbeat is still in the store. Owners that restart read it and know
+// nothing of its age.
+async fn restarted_beside_a_dead_entry() -> Result<()> {
+    let mut fixture = Fixture::open_with_cpu_shares(69, &[250, 1_000, 250], 3).await?;
+    fixture.kill("e-1");
+    sleep_secs(10).await;
+    let owner = fixture.owner(POOL).await?;
+    for name in ["e-0", "e-2"] {
+        fixture.kill(name);
+        fixture.start(name);
+    }
+    sleep_secs(1).await;
+    ensure!(fixture.owner(POOL).await? == owner);
+    let token = fixture.token(POOL).await?;
+    sleep_secs(5).await;
+    ensure!(fixture.token(POOL).await? == token, "the pool was released");
+    fixture.check_invariants()
+}
+
 // The owner writes heartbeats and commits, and can't read the accepted jobs of its pool: it starts nothing. With a
 // strength that makes the others release what they own to it, it doesn't get the pool back at once.
 async fn jobs_unreadable(strength: u32) -> Result<()> {
