--- a/crates/owner/src/elect.rs
+++ b/crates/owner/src/elect.rs
@@ -20,8 +20,8 @@
 /// Minimum number of candidates, if there are as many entries.
 const MIN_CANDIDATES: usize = 16;
 
-/// What a new candidate counts for, in percent of its strength: it may take over seconds later than
-/// one that has been a candidate, which a pool is worth until that one is loaded with several.
+/// What a new candidate counts for, in percent of its strength: it may take a pool over seconds later
+/// than one that was a candidate before, but that one may own several by then.
 const NEW_CANDIDATE_PERCENT: u32 = 66;
 
 /// Of the entries that can take pools and groups over, those that do: the strongest, twice as many
--- a/crates/owner/src/members.rs
+++ b/crates/owner/src/members.rs
@@ -60,7 +60,7 @@
     /// nothing: otherwise an entry that comes back from a partition would take all the others for
     /// dead. Those that were found dead before remain so.
     pub fn restart_timeouts(&mut self, now: Millis) {
-        for seen in self.known.values_mut() {
+        for seen in self.known.values_mut().filter(|seen| !seen.is_dead) {
             seen.at = now;
             seen.is_confirmed = false;
         }
