--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,18 +1,24 @@
 //! The requests of callers.
 
 use crate::{
+    parse::parse,
+    queue_counts::QueueCounts,
     response::{empty, json, refused},
     retry_limit::RetryLimit,
     routes::Routes,
     states::FinalStates,
+    store_health::StoreHealth,
 };
 use bytes::Bytes;
 use gotham::{handler::NewHandler, helpers::http::Body};
-use http::{HeaderMap, Method, Response, Uri, header::HOST};
+use http::{
+    HeaderMap, HeaderValue, Method, Response, Uri,
+    header::{CONNECTION, HOST},
+};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use log::{debug, info};
 use parking_lot::Mutex;
-use primroseroute_cell::row::{self, Accepted, Claim, CommitRecord};
+use primroseroute_cell::row::{self, Accepted, Claim};
 use primroseroute_domain::{
     outcome::Code,
     time::{self, Clock},
@@ -24,13 +30,10 @@
     rows::{Commit, Place, Row, Rows, Txn, read_row},
     site::{Codec, Configuration, Queue, RequestLimits},
 };
-use serde::{Deserialize, de::DeserializeOwned};
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use serde::Deserialize;
+use std::{sync::Arc, time::Duration};
 use tokio::{sync::watch::Receiver, time::Instant};
 
-/// Maximum age of counts of queued jobs that are returned without a new read.
-const COUNTS_MAX_AGE: Duration = Duration::from_millis(400);
-
 /// The components from which a gateway is built.
 #[derive(Clone, Debug)]
 pub struct Components {
@@ -38,6 +41,8 @@
     pub configuration: Receiver<Option<Arc<Configuration>>>,
     /// The store.
     pub rows: Arc<dyn Rows>,
+    /// Whether the store is reachable.
+    pub store_health: Arc<StoreHealth>,
     /// How bodies are encoded.
     pub codec: Arc<dyn Codec>,
     /// The time of day, which orders work.
@@ -71,16 +76,13 @@
     routes: Routes,
 }
 
-/// Counts of a pool's queues, and when they were read.
-type Counts = BTreeMap<Name, (Instant, BTreeMap<Name, u64>)>;
-
 /// The callers' side of an entry.
 #[derive(Debug)]
 pub struct Gateway {
     components: Components,
     prepared: Mutex<Option<Arc<Prepared>>>,
     states: FinalStates,
-    counts: Mutex<Counts>,
+    counts: QueueCounts,
 }
 
 /// One request, without its body.
@@ -97,7 +99,7 @@
             components,
             prepared: Mutex::default(),
             states: FinalStates::default(),
-            counts: Mutex::default(),
+            counts: QueueCounts::default(),
         })
     }
 
@@ -143,7 +145,12 @@
         let begin = Instant::now();
         let mut queue = None;
         let response = self.answer(method, uri, headers, body, &mut queue);
-        let response = response.await;
+        let mut response = response.await;
+        if self.components.store_health.is_unreachable() {
+            // The caller's next attempt on this connection would come to this entry again.
+            let headers = response.headers_mut();
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
         if let Some(observer) = &self.components.observer {
             observer.response_sent(&ResponseInfo {
                 queue,
@@ -207,6 +214,14 @@
         }
     }
 
+    /// The rejection of a request of which nothing was sent to the store, while that is
+    /// unreachable.
+    fn reject_if_unreachable(&self, head: &Head<'_>) -> Option<Response<Body>> {
+        let unreachable = self.components.store_health.is_unreachable();
+        let detail = "the entry doesn't reach the store; another may";
+        unreachable.then(|| refused(Code::StoreUnavailable, detail, head.request))
+    }
+
     async fn submit(
         &self,
         head: &Head<'_>,
@@ -218,6 +233,9 @@
             Ok(job) => job,
             Err(detail) => return refused(Code::MalformedRequest, detail, head.request),
         };
+        if let Some(rejection) = self.reject_if_unreachable(head) {
+            return rejection;
+        }
         let txn = acceptance(queue, &id, job, self.components.clock.now());
         let mut retry_limit = RetryLimit::new(
             self.components.codec.request_timeout(head.headers),
@@ -269,6 +287,9 @@
             head.request,
         );
         loop {
+            if let Some(rejection) = self.reject_if_unreachable(head) {
+                return rejection;
+            }
             match self.read_state(queue, &id).await {
                 Ok(Some(state)) => {
                     self.states.insert(&id, state);
@@ -321,6 +342,9 @@
     }
 
     async fn cancel(&self, head: &Head<'_>, id: JobId) -> Response<Body> {
+        if let Some(rejection) = self.reject_if_unreachable(head) {
+            return rejection;
+        }
         let mut retry_limit = RetryLimit::new(
             self.components.codec.request_timeout(head.headers),
             head.request,
@@ -363,32 +387,18 @@
             let detail = "a queue can only be asked for";
             return refused(Code::MalformedRequest, detail, head.request);
         }
-        if let Some(count) = self.cached_count(queue) {
+        if let Some(count) = self.counts.recent(&queue.pool, &queue.name) {
             return json(self.components.codec.queued(count));
         }
-        match self.read(row::commit_record(&queue.pool)).await {
-            Ok(row) => {
-                let record: CommitRecord = match row.as_ref().map(parse).transpose() {
-                    Ok(record) => record.unwrap_or_default(),
-                    Err(error) => {
-                        return refused(Code::StateUnavailable, error.to_string(), head.request);
-                    }
-                };
-                let count = record.queued.get(&queue.name).copied().unwrap_or(0);
-                let mut counts = self.counts.lock();
-                counts.insert(Name::clone(&queue.pool), (Instant::now(), record.queued));
-                json(self.components.codec.queued(count))
-            }
+        if let Some(rejection) = self.reject_if_unreachable(head) {
+            return rejection;
+        }
+        let rows = &*self.components.rows;
+        match self.counts.read(rows, &queue.pool, &queue.name).await {
+            Ok(count) => json(self.components.codec.queued(count)),
             Err(error) => refused(Code::StateUnavailable, error.to_string(), head.request),
         }
     }
-
-    fn cached_count(&self, queue: &Queue) -> Option<u64> {
-        let counts = self.counts.lock();
-        let (at, counts) = counts.get(&queue.pool)?;
-        let recent = at.elapsed() <= COUNTS_MAX_AGE;
-        recent.then(|| counts.get(&queue.name).copied().unwrap_or(0))
-    }
 }
 
 /// The transaction that accepts a job, unless its id is already claimed.
@@ -420,12 +430,6 @@
     }
 }
 
-fn parse<T: DeserializeOwned>(row: &Row) -> Result<T, Error> {
-    let value = row.value.as_deref().unwrap_or_default();
-    serde_json::from_slice(value)
-        .map_err(|error| Error::Unavailable(format!("{} can't be read: {error}", row.place.key)))
-}
-
 fn head_bytes(uri: &Uri, headers: &HeaderMap) -> usize {
     let fields = headers.iter();
     let fields = fields.map(|(name, value)| name.as_str().len() + value.len());
--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -32,6 +32,10 @@
 /// Maximum age of what such an entry sees: one interval, and a call that is late.
 const OBSERVER_LAG: Millis = 2_400;
 
+/// How much later than a candidate any other entry may learn that an entry has died: it allows it
+/// [`OBSERVER_LAG`] longer, and reads heartbeats that late.
+pub(crate) const NOTICE_SPREAD: Millis = 2 * OBSERVER_LAG;
+
 /// The table of owners and heartbeats.
 #[derive(Debug)]
 pub(crate) struct Table {
@@ -232,6 +236,12 @@
             .collect()
     }
 
+    /// Whether the last owner of a pool or a group has released it.
+    pub(crate) fn is_released(&self, name: &Name) -> bool {
+        let owner = self.owners.get(name);
+        owner.is_some_and(|(owner, _version)| owner.released)
+    }
+
     /// Pools and groups whose row names this incarnation of an entry as the owner.
     pub(crate) fn owned_by(&self, entry: &Name, incarnation: u64) -> Vec<Name> {
         let owned = self.owners.iter().filter(|(_pool, (owner, _version))| {
--- a/crates/owner/src/elect.rs
+++ b/crates/owner/src/elect.rs
@@ -5,16 +5,25 @@
 
 use primroseroute_cell::row::hash;
 use primroseroute_domain::work::Name;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-/// CPU that an entry has for each of its pools, in thousandths of a core.
+/// CPU that an entry can spend on a pool at its peak beside the other pools that it owns, in
+/// thousandths of a core.
+///
+/// Pools seldom peak together, so that an entry with four of them has more than a quarter for each:
+/// the square root stands for the peaks that coincide.
 fn cpu_share(strength: u32, pools: usize) -> u64 {
-    u64::from(strength) / (pools as u64).max(1)
+    let squared = u64::from(strength) * u64::from(strength);
+    (squared / (pools as u64).max(1)).isqrt()
 }
 
 /// Minimum number of candidates, if there are as many entries.
 const MIN_CANDIDATES: usize = 16;
 
+/// What a new candidate counts for, in percent of its strength: it may take a pool over seconds later
+/// than one that was a candidate before, but that one may own several by then.
+const NEW_CANDIDATE_PERCENT: u32 = 66;
+
 /// Of the entries that can take pools and groups over, those that do: the strongest, twice as many
 /// as there are pools and groups.
 ///
@@ -34,10 +43,39 @@
         .collect()
 }
 
+/// The entries among which pools and groups without an owner are assigned, with what each counts
+/// for.
+///
+/// `eligible` are the entries that can take something over now, and `recent` also those that could a
+/// few seconds ago. An entry that was a candidate then reads heartbeats all the time and acts at
+/// once; one that replaces a candidate which has just died may not know of the death yet, and counts
+/// for less. `passed_over` are entries that recently didn't take over what was assigned to them; they
+/// are left out unless nobody would remain.
+pub fn assignable(
+    eligible: &BTreeMap<Name, u32>,
+    recent: &BTreeMap<Name, u32>,
+    passed_over: &BTreeSet<Name>,
+    pools_and_groups: usize,
+) -> BTreeMap<Name, u32> {
+    let mut acting = eligible.clone();
+    acting.retain(|entry, _strength| !passed_over.contains(entry));
+    if acting.is_empty() {
+        acting.clone_from(eligible);
+    }
+    let before = candidates(recent, pools_and_groups);
+    let mut assignable = candidates(&acting, pools_and_groups);
+    for (entry, strength) in &mut assignable {
+        if !before.contains_key(entry) {
+            *strength = *strength * NEW_CANDIDATE_PERCENT / 100;
+        }
+    }
+    assignable
+}
+
 /// How many times a pool's CPU share another entry must offer for the pool to move there: a
 /// takeover holds up the pool's jobs for a few tenths of a second. Among equal entries, one that
-/// owns two pools keeps both.
-const RELEASE_FACTOR: u64 = 3;
+/// owns three pools keeps them.
+const RELEASE_FACTOR: u64 = 2;
 
 /// The entry for each pool without an owner: the one that had it last, if it is back; otherwise the
 /// one with the most CPU for it, and among equals the one that a hash of both names picks, so that
--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -2,13 +2,14 @@
 //! which it releases.
 
 use crate::{
-    control::{ControlView, parse},
+    control::{ControlView, NOTICE_SPREAD, parse},
     elect,
     entry::Components,
     holder,
     instance_cache::InstanceCache,
     ownership::{self, Context, OwnershipEnd},
     rest::Rest,
+    unowned::Unowned,
 };
 use log::{info, warn};
 use parking_lot::Mutex;
@@ -62,6 +63,7 @@
     view: Arc<Mutex<ControlView>>,
     fleet: Arc<InstanceCache>,
     owned: BTreeMap<Name, Ownership>,
+    unowned: Unowned,
     /// Publishes whether this entry is a candidate: whether it owns something, or would take it
     /// over.
     candidate: watch::Sender<bool>,
@@ -84,6 +86,7 @@
             components,
             view,
             owned: BTreeMap::new(),
+            unowned: Unowned::default(),
             candidate,
             candidate_until: Instant::now() + MIN_CANDIDACY,
             stop,
@@ -109,7 +112,7 @@
             self.components.observer.pools_owned(self.pools().len());
             self.update_candidacy();
             self.release_to_stronger();
-            for name in self.to_take_over() {
+            for name in self.due_takeovers() {
                 self.take_over(name).await;
             }
         }
@@ -134,6 +137,9 @@
         let (pools, groups) = self.pools_and_groups();
         let mut view = self.view.lock();
         let now = self.components.clock.now();
+        if view.can_judge(now) {
+            view.members.record_dead(now);
+        }
         let eligible = view.members.eligible(now);
         let candidates = elect::candidates(&eligible, pools.len() + groups.len());
         if !self.owned.is_empty() || candidates.contains_key(&self.components.entry) {
@@ -159,8 +165,11 @@
         if !view.can_judge(now) {
             return;
         }
-        let eligible = view.members.eligible(now);
+        let mut eligible = view.members.confirmed(now);
+        let passed_over = self.unowned.passed_over(Instant::now());
+        eligible.retain(|entry, _strength| !passed_over.contains(entry));
         let own = &self.components.entry;
+        eligible.insert(Name::clone(own), self.components.strength);
         let Some(pool) = elect::pool_to_release(own, &pools, &view.owned_counts(false), &eligible)
         else {
             return;
@@ -194,31 +203,44 @@
     }
 
     /// Pools and groups of instances without an owner that this entry is to take over.
-    fn to_take_over(&self) -> Vec<Name> {
+    fn due_takeovers(&mut self) -> Vec<Name> {
         let (pools, groups) = self.pools_and_groups();
         if pools.is_empty() {
             return Vec::new();
         }
         let view = self.view.lock();
         let now = self.components.clock.now();
+        let mut unowned_pools = view.unowned(&pools, now);
+        let mut unowned_groups = view.unowned(&groups, now);
         if !view.can_judge(now) {
-            return Vec::new();
+            // A release proves what missing heartbeats can't.
+            let is_released = |name: &Name| view.is_current && view.is_released(name);
+            unowned_pools.retain(|name, _last| is_released(name));
+            unowned_groups.retain(|name, _last| is_released(name));
+        }
+        self.components.observer.pools_unowned(unowned_pools.len());
+        let mut assigned = BTreeMap::new();
+        if !unowned_pools.is_empty() || !unowned_groups.is_empty() {
+            let eligible = elect::assignable(
+                &view.members.eligible(now),
+                &view.members.recently_eligible(now, NOTICE_SPREAD),
+                &self.unowned.passed_over(Instant::now()),
+                pools.len() + groups.len(),
+            );
+            // Groups cost their holders little, so they are distributed separately.
+            let pools = elect::assign(&unowned_pools, &view.owned_counts(false), &eligible);
+            let groups = elect::assign(&unowned_groups, &view.owned_counts(true), &eligible);
+            assigned.extend(pools.into_iter().chain(groups));
         }
-        let eligible = elect::candidates(&view.members.eligible(now), pools.len() + groups.len());
-        // Groups cost their holders little, so they are distributed separately.
-        let pools = elect::assign(
-            &view.unowned(&pools, now),
-            &view.owned_counts(false),
-            &eligible,
-        );
-        let groups = elect::assign(
-            &view.unowned(&groups, now),
-            &view.owned_counts(true),
-            &eligible,
-        );
-        let assigned = pools.into_iter().chain(groups);
         let startup_over = self.is_startup_over(&view, now);
-        let mine = assigned.filter(|(name, entry)| {
+        if startup_over {
+            let owner = |name: &Name| {
+                let (owner, _version) = view.live_owner(name, now)?;
+                Some(Name::clone(&owner.entry))
+            };
+            self.unowned.record(&assigned, owner, Instant::now());
+        }
+        let mine = assigned.into_iter().filter(|(name, entry)| {
             let had = view.owners.get(name);
             let had = had.is_some_and(|(last, _version)| last.entry == *entry);
             *entry == self.components.entry && (had || startup_over)
@@ -233,7 +255,15 @@
 
     /// Takes a pool or a group over on the condition that its owner's row hasn't changed.
     async fn take_over(&mut self, name: Name) {
-        let known = self.view.lock().owners.get(&name).cloned();
+        let known = {
+            let view = self.view.lock();
+            // Takeovers follow one another, and another entry may have been faster meanwhile.
+            let owner = view.live_owner(&name, self.components.clock.now());
+            if owner.is_some_and(|(owner, _version)| owner.entry != self.components.entry) {
+                return;
+            }
+            view.owners.get(&name).cloned()
+        };
         let version = known.as_ref().map_or(0, |(_owner, version)| *version);
         self.attempt += 1;
         let last = known.map(|(owner, _version)| owner);
--- a/crates/owner/tests/all/elect.rs
+++ b/crates/owner/tests/all/elect.rs
@@ -1,9 +1,9 @@
 //! Which entry takes over a pool, and which pool is released to a stronger entry.
 
 use primroseroute_domain::work::Name;
-use primroseroute_owner::elect::{assign, candidates, pool_to_release};
+use primroseroute_owner::elect::{assign, assignable, candidates, pool_to_release};
 use proptest::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 fn entries(strengths: &[u32]) -> BTreeMap<Name, u32> {
     let numbered = strengths.iter().enumerate();
@@ -36,6 +36,26 @@
     assert_eq!(owned, [three("e-1"), three("e-3")].into());
 }
 
+/// One strong entry is left beside many weak ones: it gets all five pools, of which few are at their peak at a time.
+/// A weak one would have to serve a pool at its peak alone.
+#[test]
+fn strong_entry_owns_several_pools_before_a_weak_one_owns_any() {
+    let mut strengths = vec![120; 24];
+    strengths.push(500);
+    let owned = counts(&assign(&free(5), &BTreeMap::new(), &entries(&strengths)));
+    assert_eq!(owned, [("e-24".into(), 5)].into());
+}
+
+/// A weak entry owns a pool, and a strong one that has been away owns two others: it can serve the third as well.
+#[test]
+fn weak_owner_releases_its_pool_to_a_strong_owner() {
+    let own = Name::from("e-0");
+    let pools = [Name::from("p-0")];
+    let owned = [(Name::clone(&own), 1), ("e-1".into(), 2)].into();
+    let given = pool_to_release(&own, &pools, &owned, &entries(&[120, 500]));
+    assert_eq!(given, Some(&pools[0]));
+}
+
 /// The entry that had the pool is back and gets it, though another has nothing to do.
 #[test]
 fn pool_goes_back_to_the_entry_that_had_it() {
@@ -81,7 +101,10 @@
         prop_assert_eq!(assigned.len(), pools);
         let mut owned: BTreeMap<Name, usize> = BTreeMap::new();
         for entry in assigned.values() {
-            let share = |entry: &Name| u64::from(able[entry]) / (owned.get(entry).copied().unwrap_or(0) as u64 + 1);
+            let share = |entry: &Name| {
+                let pools = owned.get(entry).copied().unwrap_or(0) as u64 + 1;
+                (u64::from(able[entry]).pow(2) / pools).isqrt()
+            };
             let best = able.keys().map(share).max();
             prop_assert_eq!(Some(share(entry)), best);
             *owned.entry(Name::clone(entry)).or_default() += 1;
@@ -111,3 +134,41 @@
     assert_eq!(candidates(&entries(&[250; 7]), 9).len(), 7);
     assert_eq!(candidates(&able, 280).len(), 145);
 }
+
+/// An entry that lets an assignment pass gets no other one, unless it is the only one.
+#[test]
+fn entries_that_were_passed_over_are_assigned_nothing() {
+    let able = entries(&[250, 500, 250]);
+    let passed_over = BTreeSet::from(["e-1".into()]);
+    let left = assignable(&able, &able, &passed_over, 9);
+    assert_eq!(
+        left.keys().map(|name| &**name).collect::<Vec<_>>(),
+        ["e-0", "e-2"]
+    );
+    let all = able.keys().map(Name::clone).collect();
+    assert_eq!(assignable(&able, &able, &all, 9), able);
+}
+
+/// All strong entries but one have just died. Weak entries that replace them as candidates may not know yet, so the
+/// survivor gets their pools. If no strong one survived, a weak one that was a candidate before gets two of five, and
+/// the others go to new ones: more would be too much for it.
+#[test]
+fn new_candidates_own_pools_only_if_an_old_one_has_several() {
+    let mut strengths = vec![500; 18];
+    strengths.extend([120; 8]);
+    let before = entries(&strengths);
+    let owned = |survivor: &str, before: &BTreeMap<Name, u32>| {
+        let mut eligible = before.clone();
+        eligible.retain(|entry, strength| *strength < 500 || &**entry == survivor);
+        let assignable = assignable(&eligible, before, &BTreeSet::new(), 9);
+        counts(&assign(&free(5), &BTreeMap::new(), &assignable))
+    };
+    assert_eq!(owned("e-4", &before), [("e-4".into(), 5)].into());
+    strengths.truncate(17);
+    strengths.extend([120; 9]);
+    let mut before = entries(&strengths);
+    before.insert("old".into(), 130);
+    let owned = owned("old", &before);
+    assert_eq!(owned.get("old"), Some(&2));
+    assert_eq!(owned.len(), 4);
+}
--- a/tests/site/random/mod.rs
+++ b/tests/site/random/mod.rs
@@ -5,16 +5,19 @@
 //! delays and faults overlap.
 
 mod mixed;
+mod starvation;
 
 use crate::{
-    fixture::{Fixture, job, long_running, sleep_secs, step},
+    fixture::{Fixture, POOL, job, long_running, sleep_secs, step},
     log_capture::{capture, captured},
 };
 use eyre::{Result, ensure};
 use http::StatusCode;
 use primroseroute_domain::work::{Job, JobId, Name, State, Step};
 use primroseroute_standin::site::{CallerFaults, Reach};
-use std::collections::BTreeSet;
+use starvation::Starvation;
+use std::{collections::BTreeSet, time::Duration};
+use tokio::time::sleep;
 
 /// Number of histories per batch.
 const HISTORIES_PER_BATCH: u64 = 20;
@@ -31,12 +34,19 @@
     5_731_112,
 ];
 
+/// Histories in which a job stands still for too long: a worker dies with a start without an answer, and its instance
+/// stays down. Their batches check all but that.
+const WITH_WORKER_THAT_STAYS_DOWN: &[u64] = &[1_002, 1_031, 1_050];
+
 /// Seconds in which a history injects faults.
 const FAULT_PHASE_SECS: u64 = 14;
 
 /// Seconds after the last fault within which all jobs have to end.
 const RECOVERY_SECS: u64 = 40;
 
+/// Samples of the pool's workers per second.
+const SAMPLES_PER_SEC: u64 = 4;
+
 /// Milliseconds after the last fault until guarantees with a time bound hold again.
 const RECOVERY_GRACE_MS: u64 = 3_000;
 
@@ -45,7 +55,7 @@
     ($($name:ident => $seeds:expr;)*) => {$(
         #[test]
         fn $name() -> Result<()> {
-            run_all($seeds)
+            run_all($seeds, WITH_WORKER_THAT_STAYS_DOWN)
         }
     )*};
 }
@@ -66,7 +76,16 @@
     mixed_batch_with_changing_capacity => (mixed::FIRST_WITH_CHANGING_CAPACITY..).take(MIXED_PER_BATCH);
     mixed_regression_seeds_with_crashes => mixed::CRASH_REGRESSIONS.iter().copied();
     mixed_regression_seeds => mixed::REGRESSIONS.iter().copied();
-    seeds_by_hand => seeds_from_environment()?;
+}
+
+#[test]
+fn start_without_an_answer_on_a_worker_that_stays_down() -> Result<()> {
+    run_all(WITH_WORKER_THAT_STAYS_DOWN.iter().copied(), &[])
+}
+
+#[test]
+fn seeds_by_hand() -> Result<()> {
+    run_all(seeds_from_environment()?, &[])
 }
 
 /// Number of mixed histories per batch; one takes as long as three of the others.
@@ -92,8 +111,9 @@
     first..first + HISTORIES_PER_BATCH
 }
 
-/// Runs the histories of all `seeds`, and fails with the errors of those that failed.
-fn run_all(seeds: impl Iterator<Item = u64>) -> Result<()> {
+/// Runs the histories of all `seeds`, and fails with the errors of those that failed. In those of `may_stand_still`,
+/// jobs may stand still beside free workers.
+fn run_all(seeds: impl Iterator<Item = u64>, may_stand_still: &[u64]) -> Result<()> {
     let mut failed = Vec::new();
     for seed in seeds {
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -105,7 +125,7 @@
             if mixed::SEEDS.contains(&seed) {
                 mixed::history(seed).await
             } else {
-                history(seed).await
+                history(seed, may_stand_still.contains(&seed)).await
             }
         });
         if let Err(error) = result {
@@ -141,9 +161,10 @@
     possibly_cancelled: BTreeSet<JobId>,
     /// Whether some of the jobs drawn have tasks that crash their workers.
     has_crashes: bool,
+    starvation: Starvation,
 }
 
-async fn history(seed: u64) -> Result<()> {
+async fn history(seed: u64, may_stand_still: bool) -> Result<()> {
     let fixture = if seed < FIRST_WITH_MOVES {
         Fixture::open(seed, 3, 5).await?
     } else {
@@ -159,6 +180,9 @@
     let last_fault = history.fixture.world.now();
     history.recover().await;
     history.record_quiet_period(last_fault);
+    if !may_stand_still {
+        history.check_starvation(last_fault)?;
+    }
     history.finish().await
 }
 
@@ -173,6 +197,7 @@
             cancelled: BTreeSet::new(),
             possibly_cancelled: BTreeSet::new(),
             has_crashes: seed >= mixed::FIRST_WITH_CRASHES,
+            starvation: Starvation::default(),
         }
     }
 
@@ -321,7 +346,10 @@
                 self.fixture.start(&name);
             }
         }
-        sleep_secs(RECOVERY_SECS).await;
+        for _sample in 0..RECOVERY_SECS * SAMPLES_PER_SEC {
+            self.starvation.sample(&self.fixture, POOL);
+            sleep(Duration::from_millis(1_000 / SAMPLES_PER_SEC)).await;
+        }
     }
 
     /// Records the time from [`RECOVERY_GRACE_MS`] after the last fault until now as free of faults.
@@ -330,6 +358,17 @@
         self.fixture.sent.calm.push(calm);
     }
 
+    /// Checks that no job stands still from `last_fault` on while its pool has free capacity.
+    fn check_starvation(&self, last_fault: u64) -> Result<()> {
+        let jobs = self.jobs.iter().filter(|id| {
+            let payload = &self.fixture.sent.jobs[*id].payload;
+            let fails = payload.ends_with("fails") || payload.ends_with("crashes");
+            !fails && !self.fixture.sent.cancel_sent.contains(*id)
+        });
+        let calm = last_fault..self.fixture.world.now();
+        self.starvation.check(&self.fixture, &jobs.collect(), &calm)
+    }
+
     async fn finish(&self) -> Result<()> {
         self.fixture.check_invariants()?;
         let entry = &self.names[0];
