Tests: crashes of partitioned workers whose time isn't known

What callers see: a long-running task that crashes nothing is abandoned for good, and a batch job or a gang fails, after its workers have crashed four times for other causes seconds after its runs there had ended.

These tests fix the order of events: the worker is partitioned, the list of instances is late, fails or the owner changes, the lease expires, the task starts elsewhere, and the worker crashes.

--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -8,6 +8,7 @@
 mod cancel;
 mod capacity;
 mod crash;
+mod crash_evidence;
 mod diagnosis;
 mod elections;
 mod fixture;
