Logs: a lost worker's line says how long after a start it had ended

`runs lost with their worker` didn't tell a crash right after a start from one that came seconds after the run had ended. It has span_ms now, the most that may have passed from the last start that was new until the worker had ended, and relisted, whether the platform listed the worker after a gap in which it could have come back. The time of a start and the evidence of the end go together through `crash.rs`; what is attributed is unchanged.

--- a/crates/cell/src/crash.rs
+++ b/crates/cell/src/crash.rs
@@ -21,10 +21,10 @@
 
 use crate::{
     cell::Cell,
-    limits::Millis,
+    limits::{Limits, Millis},
     order::{Cause, Loss},
     row::{Phase, Task},
-    worker::{Origin, StartState, Worker},
+    worker::{Origin, Run, StartState, Worker},
 };
 use primroseroute_domain::work::{Name, State, TaskId};
 
@@ -48,11 +48,45 @@
     pub crashes: usize,
 }
 
+/// A run that may have crashed its worker.
+#[derive(Clone, Debug)]
+pub(crate) struct NewRun {
+    pub task: TaskId,
+    pub run: u32,
+    /// Time by which it had started, if it ever has.
+    pub started_by: Millis,
+}
+
+/// What is known of when a worker's incarnation ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Evidence {
+    /// It had ended by this time.
+    pub ended_by: Millis,
+    /// When the platform was last asked and listed it after a gap in which it could have ended.
+    pub relisted_at: Option<Millis>,
+}
+
 /// The runs of a worker that may have crashed it.
-pub(crate) fn new_runs(worker: &Worker, settle_time: u64) -> Vec<(TaskId, u32)> {
+pub(crate) fn new_runs(worker: &Worker, limits: &Limits) -> Vec<NewRun> {
     // A run whose start may still arrive late was counted when the worker's incarnation ended.
-    worker
-        .runs_where(|_task, run| run.late_start_until.is_none() && worker.is_new(run, settle_time))
+    new_runs_where(worker, limits, |_task, run| {
+        run.late_start_until.is_none() && worker.is_new(run, limits.settle_time)
+    })
+}
+
+/// The runs of a worker for which `holds` is true, as ones that may have crashed it.
+pub(crate) fn new_runs_where(
+    worker: &Worker,
+    limits: &Limits,
+    holds: impl Fn(&TaskId, &Run) -> bool,
+) -> Vec<NewRun> {
+    let runs = worker.runs.iter().filter(|(task, run)| holds(task, run));
+    let new = runs.map(|(task, run)| NewRun {
+        task: task.clone(),
+        run: run.run,
+        started_by: Worker::started_by(run, limits),
+    });
+    new.collect()
 }
 
 /// Records that runs of a worker are lost without an end: their tasks wait again, and a crash is
@@ -62,7 +96,7 @@
     id: &Name,
     cause: Cause,
     runs: Vec<(TaskId, u32)>,
-    new: &[(TaskId, u32)],
+    (new, evidence): (&[NewRun], Evidence),
     wall_ms: u64,
 ) {
     for (task, run) in &runs {
@@ -75,19 +109,23 @@
         Cause::Crash => attribute_crash(cell, new, wall_ms),
         Cause::Planned | Cause::Lapse => Vec::new(),
     };
+    let starts = new.iter().map(|run| run.started_by);
+    let span = |start| evidence.ended_by.saturating_sub(start);
     cell.losses.push(Loss {
         worker: Name::clone(id),
         cause,
         runs,
         attributed_to,
+        span_ms: starts.max().map(span),
+        relisted: evidence.relisted_at.is_some(),
     });
 }
 
 /// Attributes a worker's crash to the tasks of `runs`, which were new there. Returns the tasks that
 /// it was attributed to.
-fn attribute_crash(cell: &mut Cell, runs: &[(TaskId, u32)], wall_ms: u64) -> Vec<TaskId> {
-    let suspects = runs.iter().filter(|(task, _run)| is_suspect(cell, task));
-    let suspects: Vec<(TaskId, u32)> = suspects.cloned().collect();
+fn attribute_crash(cell: &mut Cell, runs: &[NewRun], wall_ms: u64) -> Vec<TaskId> {
+    let suspects = runs.iter().filter(|new| is_suspect(cell, &new.task));
+    let suspects: Vec<NewRun> = suspects.cloned().collect();
     let accountable = match suspects.len() {
         0 => runs,
         1 => &suspects,
@@ -95,7 +133,7 @@
         _ => &[],
     };
     let mut attributed_to = Vec::new();
-    for (task, run) in accountable {
+    for NewRun { task, run, .. } in accountable {
         let Some(job) = cell.jobs.get_mut(&task.job) else {
             continue;
         };
--- a/crates/cell/src/incarnation.rs
+++ b/crates/cell/src/incarnation.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     cell::Cell,
-    crash,
+    crash::{self, Evidence},
     limits::Millis,
     order::Cause,
     row::IncarnationTag,
@@ -38,7 +38,7 @@
     }
     if worker.incarnation == 0 {
         worker.incarnation = status.born;
-        lose_earlier_runs(cell, id, status, now, wall_ms);
+        lose_earlier_runs(cell, id, status, (sent_at, now), wall_ms);
     } else {
         begin_next(cell, id, status, sent_at, now, wall_ms);
     }
@@ -54,7 +54,13 @@
 /// rows have no tag. A run whose job was accepted before this incarnation began, and which the
 /// status doesn't list, was placed in an earlier one, unless the previous owner never came to send
 /// its start.
-fn lose_earlier_runs(cell: &mut Cell, id: &Name, status: &WorkerStatus, now: Millis, wall_ms: u64) {
+fn lose_earlier_runs(
+    cell: &mut Cell,
+    id: &Name,
+    status: &WorkerStatus,
+    (sent_at, now): (Millis, Millis),
+    wall_ms: u64,
+) {
     let (jobs, Some(worker)) = (&cell.jobs, cell.workers.get(id)) else {
         return;
     };
@@ -71,8 +77,14 @@
         run.origin == Origin::Discovered && may_be_older && !listed.contains(&(task, run.run))
     });
     if !lost.is_empty() {
-        let new = lost.clone();
-        crash::record_lost_runs(cell, id, Cause::Crash, lost, &new, wall_ms);
+        let new = crash::new_runs_where(worker, &cell.limits, |task, run| {
+            lost.contains(&(task.clone(), run.run))
+        });
+        let evidence = Evidence {
+            ended_by: sent_at,
+            relisted_at: None,
+        };
+        crash::record_lost_runs(cell, id, Cause::Crash, lost, (&new, evidence), wall_ms);
     }
 }
 
@@ -94,7 +106,7 @@
     } else {
         Cause::Crash
     };
-    let mut new = crash::new_runs(worker, limits.settle_time);
+    let mut new = crash::new_runs(worker, &limits);
     new.extend(
         worker
             .expired_lease
@@ -124,6 +136,7 @@
     worker.last_end = 0;
     worker.status_as_of = None;
     worker.listed_at = None;
+    worker.relisted_at = None;
     worker.failures.clear();
     worker.cordoned_until = 0;
     // A renewal that was meant for the previous incarnation may have reached this one.
@@ -131,11 +144,16 @@
         .lease_expires_at
         .max(now + limits.max_local_span(limits.lease));
     cell.stops_due = true;
-    new.retain(|(task, run)| !listed.contains(&(task, *run)));
+    new.retain(|new| !listed.contains(&(&new.task, new.run)));
     for policy in cell.policies.values_mut() {
         policy.begin_incarnation(id);
     }
-    crash::record_lost_runs(cell, id, cause, lost, &new, wall_ms);
+    // Listings after a gap may have been of the incarnation that has answered now.
+    let evidence = Evidence {
+        ended_by: sent_at,
+        relisted_at: None,
+    };
+    crash::record_lost_runs(cell, id, cause, lost, (&new, evidence), wall_ms);
 }
 
 /// The runs that a status lists.
--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -3,6 +3,9 @@
 /// An instant of the owner's monotonic clock, or a duration on it, in milliseconds.
 pub type Millis = u64;
 
+/// Maximum age of the platform's list of instances when it is requested.
+pub(crate) const MAX_LIST_AGE_MS: Millis = 2_000;
+
 /// Maximum rate error of a slow worker clock, in percent.
 const CLOCK_ERROR_PERCENT: Millis = 2;
 
@@ -81,6 +84,12 @@
         }
     }
 
+    /// Longest time from a start that crashes its worker until a list that doesn't name the worker is
+    /// requested, if polls and lists are answered in time.
+    pub fn crash_detection_time(&self) -> Millis {
+        self.settle_time + self.poll_timeout + self.unresponsive_after + MAX_LIST_AGE_MS
+    }
+
     /// Longest time on this clock that `span` on a worker's clock can take.
     pub fn max_local_span(&self, span: Millis) -> Millis {
         span + span * CLOCK_ERROR_PERCENT / (100 - CLOCK_ERROR_PERCENT) + 1 + self.margin
--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -1,6 +1,6 @@
 //! Outputs of a cell and the results of its orders.
 
-use crate::{crash::PoisonTask, scaling::ScalingEstimate};
+use crate::{crash::PoisonTask, limits::Millis, scaling::ScalingEstimate};
 use bytes::Bytes;
 use primroseroute_domain::work::{JobId, Name, State, StepId, TaskId};
 use primroseroute_platform::worker::Refusal;
@@ -102,6 +102,10 @@
     pub runs: Vec<(TaskId, u32)>,
     /// The tasks that the crash is attributed to.
     pub attributed_to: Vec<TaskId>,
+    /// Longest time from the start of its newest run until its end, if any of its runs were new.
+    pub span_ms: Option<Millis>,
+    /// Whether the platform listed it after a gap in which its incarnation could have ended.
+    pub relisted: bool,
 }
 
 /// Result of a round: what to commit, and what to do after that.
--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -136,11 +136,10 @@
 
     /// The unresponsive workers that new runs may have crashed.
     pub fn possibly_crashed(&self, now: Millis) -> BTreeSet<Name> {
-        let settle_time = self.limits.settle_time;
+        let limits = self.limits;
         let possibly_crashed = self.workers.iter().filter(|(_id, worker)| {
             self.is_unresponsive(worker, now)
-                && (worker.expired_lease.is_some()
-                    || !crash::new_runs(worker, settle_time).is_empty())
+                && (worker.expired_lease.is_some() || !crash::new_runs(worker, &limits).is_empty())
         });
         possibly_crashed
             .map(|(id, _worker)| Name::clone(id))
@@ -152,20 +151,25 @@
     ///
     /// A worker that has crashed disappears from the list for a while, and may then be listed again
     /// with its next incarnation. So only an uninterrupted series of listings, from the last status
-    /// on, refers to one incarnation.
+    /// on, refers to one incarnation. A later listing is kept as evidence that the worker may have
+    /// survived.
     pub fn worker_listed(&mut self, id: &Name, incarnation: u64, asked_at: Millis) -> bool {
-        let settle_time = self.limits.settle_time;
+        let limits = self.limits;
         let Some(worker) = self.workers.get_mut(id) else {
             return false;
         };
         let last = worker.listed_at.max(worker.status_at);
         let is_same_incarnation = last.is_some_and(|last| asked_at <= last + IncarnationTag::SPAN);
-        if worker.is_terminated() || worker.incarnation != incarnation || !is_same_incarnation {
+        if worker.is_terminated() || worker.incarnation != incarnation {
             return false;
         }
-        let new = crash::new_runs(worker, settle_time).len();
+        if !is_same_incarnation {
+            worker.relisted_at = worker.relisted_at.max(Some(asked_at));
+            return false;
+        }
+        let new = crash::new_runs(worker, &limits).len();
         worker.listed_at = worker.listed_at.max(Some(asked_at));
-        let outlived = crash::new_runs(worker, settle_time).len() < new;
+        let outlived = crash::new_runs(worker, &limits).len() < new;
         // Its lease had expired by then, and nothing ran any more.
         let alive_at = worker.alive_at();
         let expired = worker
--- a/crates/cell/src/round.rs
+++ b/crates/cell/src/round.rs
@@ -3,7 +3,7 @@
 use crate::{
     advice,
     cell::Cell,
-    crash,
+    crash::{self, Evidence},
     limits::{Limits, Millis},
     migration,
     order::{Cause, Order, RoundOutput},
@@ -86,7 +86,7 @@
     for (id, worker) in &mut cell.workers {
         if !worker.runs.is_empty() && over(worker) {
             let cause = loss_cause(worker);
-            let new = crash::new_runs(worker, limits.settle_time);
+            let new = crash::new_runs(worker, &limits);
             if cause == Cause::Lapse && !new.is_empty() {
                 worker.expired_lease = Some(ExpiredLease {
                     at: now,
@@ -95,17 +95,24 @@
             }
             let runs = take_lost(worker, now, &limits).into_iter();
             let runs: Vec<(TaskId, u32)> = runs.map(|(task, run)| (task, run.run)).collect();
-            lost.push((Name::clone(id), cause, runs, new));
+            lost.push((Name::clone(id), cause, runs, new, evidence(worker, now)));
         } else if worker.is_terminated()
             && let Some(expired) = worker.expired_lease.take()
         {
-            lost.push((Name::clone(id), Cause::Crash, Vec::new(), expired.runs));
+            let evidence = evidence(worker, now);
+            lost.push((
+                Name::clone(id),
+                Cause::Crash,
+                Vec::new(),
+                expired.runs,
+                evidence,
+            ));
         }
         let is_outdated = |expired: &mut ExpiredLease| now >= expired.at + limits.crash_check_time;
         worker.expired_lease.take_if(is_outdated);
     }
-    for (id, cause, runs, new) in lost {
-        crash::record_lost_runs(cell, &id, cause, runs, &new, wall_ms);
+    for (id, cause, runs, new, evidence) in lost {
+        crash::record_lost_runs(cell, &id, cause, runs, (&new, evidence), wall_ms);
     }
     cell.workers.retain(|_id, worker| {
         let matters =
@@ -135,6 +142,18 @@
     over
 }
 
+/// What is known of when a terminated worker had ended.
+fn evidence(worker: &Worker, now: Millis) -> Evidence {
+    let ended_by = match worker.termination {
+        Termination::Incarnation => worker.terminated_before,
+        Termination::NotKnown | Termination::Permanent => now,
+    };
+    Evidence {
+        ended_by,
+        relisted_at: worker.relisted_at,
+    }
+}
+
 /// Why the runs of a worker are lost.
 fn loss_cause(worker: &Worker) -> Cause {
     if !worker.is_terminated() {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -2,7 +2,8 @@
 //! information is.
 
 use crate::{
-    limits::{Limits, Millis},
+    crash::NewRun,
+    limits::{Limits, MAX_LIST_AGE_MS, Millis},
     order::EndsCursor,
     row::IncarnationTag,
 };
@@ -10,9 +11,6 @@
 use primroseroute_platform::site;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Maximum age of the platform's list of instances.
-const MAX_LIST_AGE_MS: Millis = 2_000;
-
 /// What is known of a start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StartState {
@@ -146,7 +144,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ExpiredLease {
     pub at: Millis,
-    pub runs: Vec<(TaskId, u32)>,
+    pub runs: Vec<NewRun>,
 }
 
 /// A worker.
@@ -169,6 +167,9 @@
     /// While it is unresponsive: when the platform was last asked and listed it, without a gap in
     /// which its incarnation could have ended.
     pub listed_at: Option<Millis>,
+    /// While it is unresponsive: when the platform was last asked and listed it after such a gap, so
+    /// that this incarnation or the next one may have been listed.
+    pub relisted_at: Option<Millis>,
     /// Whether the throttling of fillers was decided after the newest status.
     pub throttle_checked: bool,
     /// Its lease has certainly expired after this time, if it isn't renewed.
@@ -202,6 +203,7 @@
             status_as_of: None,
             poll_requested_at: None,
             listed_at: None,
+            relisted_at: None,
             throttle_checked: true,
             lease_expires_at,
             termination: Termination::NotKnown,
@@ -271,6 +273,22 @@
         }
     }
 
+    /// Time by which a run had started, if it ever has, as far as this owner knows.
+    ///
+    /// Of a run that it has discovered only the time of the takeover is known.
+    pub(crate) fn started_by(run: &Run, limits: &Limits) -> Millis {
+        match run.start_state {
+            StartState::Confirmed(at) => at,
+            StartState::Sent | StartState::Uncertain if run.origin == Origin::Discovered => {
+                run.start_expires_at
+            }
+            StartState::Sent | StartState::Uncertain => {
+                let window = limits.max_local_span(limits.start_window);
+                run.start_expires_at.saturating_sub(window)
+            }
+        }
+    }
+
     /// Up to this time the platform has certainly shown that it is alive while it is unresponsive.
     pub(crate) fn alive_at(&self) -> Option<Millis> {
         self.listed_at.map(|at| at.saturating_sub(MAX_LIST_AGE_MS))
--- a/crates/owner/src/log_lines.rs
+++ b/crates/owner/src/log_lines.rs
@@ -45,11 +45,13 @@
         cause,
         runs,
         attributed_to,
+        span_ms,
+        relisted,
     } in losses
     {
         let tasks = first_names(runs.iter().map(|(task, run)| format!("{task}/{run}")));
         let attributed_to = first_names(attributed_to.iter().map(ToString::to_string));
-        info!(pool, worker = &**worker, cause:? = cause, count = runs.len(), tasks = &*tasks, blamed = &*attributed_to; "runs lost with their worker");
+        info!(pool, worker = &**worker, cause:? = cause, count = runs.len(), tasks = &*tasks, blamed = &*attributed_to, span_ms = *span_ms, relisted; "runs lost with their worker");
     }
 }
 
