Instances are listed while the store or an earlier list gives no answer

What callers saw: a long-running task that crashes nothing is abandoned, or a batch job or a gang fails, after crashes of partitioned workers that had outlived its runs.

Cause: whether a silent worker still runs was asked for in the rounds that give orders to instances. Such a round first withdraws an order without an answer, by a write to the store, and ends if that fails; and it waits for each list before it asks for the next. So the listings of a worker had gaps of more than 2 s, in which it could have crashed and come back, and no listing after a gap counted.

Change: while workers are unresponsive, a task of its own lists the instances (`terminations.rs`). It waits for no call to the store, and a list that isn't answered within a second doesn't keep it from asking again. The cache of lists lets the next call go after half a second.

--- a/crates/owner/src/instance_cache.rs
+++ b/crates/owner/src/instance_cache.rs
@@ -1,11 +1,19 @@
 //! The list of instances, read once for all pools of an entry.
+//!
+//! Pools that ask at the same time share a call, unless it takes long.
 
 use primroseroute_platform::{
     Error,
     site::{Instance, Site},
 };
-use std::{fmt, sync::Arc};
-use tokio::{sync::Mutex, time::Instant};
+use std::{fmt, pin::pin, sync::Arc, time::Duration};
+use tokio::{
+    sync::Mutex,
+    time::{Instant, timeout},
+};
+
+/// Time after which a call that isn't answered keeps no other from being sent.
+const EXCLUSIVE_TIME: Duration = Duration::from_millis(500);
 
 /// The instances as they were at some moment.
 #[derive(Clone, Debug)]
@@ -18,7 +26,9 @@
 /// The newest list.
 pub(crate) struct InstanceCache {
     site: Arc<dyn Site>,
-    newest: Mutex<Option<Listing>>,
+    newest: parking_lot::Mutex<Option<Listing>>,
+    /// Held while a call is sent, for a limited time.
+    sending: Mutex<()>,
 }
 
 impl fmt::Debug for InstanceCache {
@@ -31,23 +41,45 @@
     pub(crate) fn new(site: Arc<dyn Site>) -> Self {
         Self {
             site,
-            newest: Mutex::new(None),
+            newest: parking_lot::Mutex::new(None),
+            sending: Mutex::new(()),
         }
     }
 
-    /// A list that was requested at `since` or later; pools that ask at the same time share a call.
+    /// A list that was requested at `since` or later.
+    ///
+    /// # Errors
+    /// Those of the call.
     pub(crate) async fn list(&self, since: Instant) -> Result<Listing, Error> {
-        let mut newest = self.newest.lock().await;
-        if let Some(known) = newest.as_ref().filter(|known| known.asked_at >= since) {
-            return Ok(known.clone());
+        let sending = self.sending.lock().await;
+        if let Some(known) = self.newest_since(since) {
+            return Ok(known);
         }
         let asked_at = Instant::now();
-        let instances = Arc::new(self.site.instances().await?);
+        let mut call = pin!(self.site.instances());
+        let instances = match timeout(EXCLUSIVE_TIME, &mut call).await {
+            Ok(instances) => instances?,
+            Err(_elapsed) => {
+                drop(sending);
+                call.await?
+            }
+        };
         let listing = Listing {
             asked_at,
-            instances,
+            instances: Arc::new(instances),
         };
-        *newest = Some(listing.clone());
+        let mut newest = self.newest.lock();
+        if newest
+            .as_ref()
+            .is_none_or(|known| known.asked_at < asked_at)
+        {
+            *newest = Some(listing.clone());
+        }
         Ok(listing)
     }
+
+    fn newest_since(&self, since: Instant) -> Option<Listing> {
+        let newest = self.newest.lock();
+        newest.clone().filter(|known| known.asked_at >= since)
+    }
 }
--- a/crates/owner/src/instance_manager.rs
+++ b/crates/owner/src/instance_manager.rs
@@ -1,5 +1,5 @@
 //! Manages a pool's instances: carries out the steps of waves, moves instances to other pools, and
-//! finds out which workers have terminated.
+//! finds out which terminated workers can't come back.
 
 use crate::{
     evacuations::{Evacuations, PoolStatus},
@@ -12,7 +12,7 @@
     rest::Rest,
 };
 use log::info;
-use primroseroute_cell::{EvacuationReason, Millis, row};
+use primroseroute_cell::{EvacuationReason, row};
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
@@ -94,7 +94,6 @@
         let pools = relocate::pools(&self.context);
         listed.asked_at.elapsed() >= LIST_INTERVAL
             || !waves.is_empty()
-            || !self.evacuations.status().unresponsive.is_empty()
             || self.evacuations.has_pending_orders()
             || relocate::is_due(&self.context, &pools, &listed.instances)
     }
@@ -103,9 +102,8 @@
         // First, so that the list shows the effect of all orders.
         self.requests.withdraw().await?;
         let status = self.evacuations.status();
-        let (instances, asked_at) = self.list().await?;
+        let instances = self.list().await?;
         let instances = &*instances;
-        self.report_terminated(&status, instances, asked_at);
         self.report_replaced(&status, instances);
         self.evacuations.resend();
         let orderable = self.orderable(instances);
@@ -124,16 +122,15 @@
         Ok(())
     }
 
-    /// Lists the instances, reports the workers that orders have terminated, and returns the list
-    /// with the time at which it was requested.
-    async fn list(&mut self) -> Result<(Arc<Vec<Instance>>, Millis), Error> {
+    /// Lists the instances, and reports the workers that orders have terminated.
+    async fn list(&mut self) -> Result<Arc<Vec<Instance>>, Error> {
         let listing = self.context.fleet.list(Instant::now()).await?;
         let instances = Arc::clone(&listing.instances);
         let asked_at = self.context.clock.at(listing.asked_at);
         self.requests.set_listed_at(listing.asked_at);
         self.listed = Some(listing);
         self.evacuations.apply_list(&instances, asked_at);
-        Ok((instances, asked_at))
+        Ok(instances)
     }
 
     /// Instances of the pool that may be ordered: those of groups whose holder is alive and may
@@ -166,40 +163,6 @@
         ready.map(|instance| Name::clone(&instance.name)).collect()
     }
 
-    /// Reports which unresponsive workers have terminated. The platform names the worker of each
-    /// instance: one that it no longer names runs nothing, while a partitioned one is still named.
-    /// Without this, tasks of a dead worker wait until its lease has certainly expired, and a later
-    /// crash of a partitioned worker is attributed to runs that it has outlived.
-    ///
-    /// `status` is from before the list was requested: a worker that has joined since isn't named
-    /// by it either, nor is an incarnation that has started since.
-    fn report_terminated(&self, status: &PoolStatus, instances: &[Instance], asked_at: Millis) {
-        let named = instances.iter().filter_map(|known| known.worker.as_ref());
-        let named: BTreeSet<&Name> = named.collect();
-        for worker in &status.unresponsive {
-            let (worker, incarnation) = (Name::clone(worker), status.incarnations.get(worker));
-            let incarnation = incarnation.copied().unwrap_or(0);
-            let event = if !named.contains(&worker) {
-                Event::Terminated {
-                    worker,
-                    incarnation,
-                    asked_at,
-                }
-            } else if status.possibly_crashed.contains(&worker) {
-                Event::Listed {
-                    worker,
-                    incarnation,
-                    asked_at,
-                }
-            } else {
-                continue;
-            };
-            if self.events.send(event).is_err() {
-                log::debug!("the pool's loop has ended");
-            }
-        }
-    }
-
     /// Reports the terminated workers that can't come back on any instance.
     ///
     /// A worker may come back under its id on the instance that it had, and a start without an
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod rebalance;
 mod relocate;
 pub mod rest;
+mod terminations;
 mod unowned;
 mod watch;
 pub mod wave;
--- a/crates/owner/src/pool_loop.rs
+++ b/crates/owner/src/pool_loop.rs
@@ -15,7 +15,7 @@
     order_delivery::CommitTimes,
     ownership::{Context, OwnershipEnd, release},
     pool_workers::PoolWorkers,
-    published,
+    published, terminations,
     watch::{RegisteredWorkers, RosterSubscription},
 };
 use log::{info, warn};
@@ -114,8 +114,13 @@
             Some(loaded.next),
             (Name::clone(&context.pool), token),
         );
+        let terminations = terminations::run(context.clone(), status_seen.clone(), sender.clone());
         let manager = instance_manager::run(context.clone(), token, status_seen, sender.clone());
-        let background = vec![tokio::spawn(follower), tokio::spawn(manager)];
+        let background = vec![
+            tokio::spawn(follower),
+            tokio::spawn(manager),
+            tokio::spawn(terminations),
+        ];
         Self {
             pool_workers: PoolWorkers::new(context.clone(), token, sender.clone()),
             context,
--- a/tests/site/crash_evidence.rs
+++ b/tests/site/crash_evidence.rs
@@ -8,6 +8,7 @@
 };
 use eyre::{Result, ensure};
 use primroseroute_domain::work::{Job, JobId, State, Step};
+use primroseroute_platform::site::{Instruction, Wave};
 use primroseroute_standin::site::{Event, Reach};
 use std::time::Duration;
 use tokio::time::sleep;
@@ -23,6 +24,8 @@
     long_running_task_survives_crashes_as_owners_lose_the_store => outlived(317, &long_running(1), Disruption::Store);
     /// A long-running task abandoned by successors that never reached the partitioned workers.
     long_running_task_survives_crashes_after_takeovers => outlived(318, &long_running(1), Disruption::Takeover);
+    /// A long-running task abandoned because instances weren't listed while orders to them got no answer.
+    long_running_task_survives_crashes_as_orders_to_instances_fail => outlived(327, &long_running(1), Disruption::Orders);
     /// A job failed because one list of instances took too long while its worker was partitioned.
     job_survives_crashes_after_a_late_list => outlived(319, &job(BATCH_PAYLOAD, 1), LATE_LIST);
     /// A job failed because no list of instances was answered while its worker was partitioned.
@@ -69,11 +72,13 @@
     Store,
     /// The owner dies.
     Takeover,
+    /// Maintenance of an instance is due, while the owner gets no answers from the store.
+    Orders,
 }
 
 const LATE_LIST: Disruption = Disruption::Lists {
     after: Duration::from_millis(2_500),
-    lasts: Duration::from_millis(1_000),
+    lasts: Duration::from_secs(1),
     delay: Duration::from_millis(2_500),
 };
 
@@ -86,7 +91,7 @@
 const NO_LISTS: Disruption = Disruption::Lists {
     after: Duration::ZERO,
     lasts: Duration::from_millis(1_700),
-    delay: Duration::from_millis(8_000),
+    delay: Duration::from_secs(8),
 };
 
 /// A job of two tasks that run at the same time.
@@ -113,9 +118,9 @@
     let first = task(&id, 0, 0);
     let running = |fixture: &Fixture| fixture.running(&first).pop();
     let mut on = fixture.wait_for("a run", 30, running).await?;
-    for _worker in 0..LOST_WORKERS {
+    for number in 0..LOST_WORKERS {
         fixture.world.set_partitioned(&on, true);
-        disrupt(&mut fixture, disruption).await?;
+        disrupt(&mut fixture, disruption, number).await?;
         let elsewhere = |fixture: &Fixture| {
             let mut running = fixture.running(&first).into_iter();
             running.find(|worker| *worker != on)
@@ -136,7 +141,7 @@
     fixture.check_invariants()
 }
 
-async fn disrupt(fixture: &mut Fixture, disruption: Disruption) -> Result<()> {
+async fn disrupt(fixture: &mut Fixture, disruption: Disruption, number: usize) -> Result<()> {
     match disruption {
         Disruption::Lists {
             after,
@@ -162,6 +167,25 @@
             sleep_secs(1).await;
             fixture.start(&owner);
         }
+        Disruption::Orders => {
+            let owner = fixture.owner(POOL).await?;
+            sleep(Duration::from_millis(1_500)).await;
+            fixture.update_faults(&owner, |faults| {
+                faults.lost_commits = 1.0;
+                faults.read_delay = Duration::from_secs(5);
+            });
+            fixture.world.instruct(Instruction::Wave(Wave {
+                number: number as u64 + 1,
+                instances: vec![format!("i-{number}").into()],
+                duration: Duration::from_secs(40),
+                maximum: 1,
+            }));
+            sleep(Duration::from_secs(3)).await;
+            fixture.update_faults(&owner, |faults| {
+                faults.lost_commits = 0.0;
+                faults.read_delay = Duration::ZERO;
+            });
+        }
     }
     Ok(())
 }
