A list that arrives after a newer one still shows that a worker has survived

What callers saw: as before, tasks are suspected, and abandoned in the end, for crashes of partitioned workers that had outlived their runs.

Cause: lists that take long may arrive after newer ones. A listing after a gap of 2 s was dropped, since the worker could have crashed and come back meanwhile; the list that closes the gap came later and was of no use. Runs whose lease had expired were only cleared by a listing from after the expiry, not by one from after the time in which a run may crash its worker.

Change: listings after a gap are kept until an earlier one closes the gap (`Worker::record_listing`), and runs with an expired lease that the worker had survived by then are cleared.

Evidence: late_list_shows_that_a_worker_survived_its_run (crates/cell/tests/all/crash.rs) fails without either half: the crash is attributed with span_ms 6,400.

--- a/crates/cell/src/crash.rs
+++ b/crates/cell/src/crash.rs
@@ -53,8 +53,10 @@
 pub(crate) struct NewRun {
     pub task: TaskId,
     pub run: u32,
-    /// Time by which it had started, if it ever has.
+    /// Time by which it had started, if it ever has, as far as this owner knows.
     pub started_by: Millis,
+    /// A worker that is alive at this time has survived it.
+    pub survived_at: Millis,
 }
 
 /// What is known of when a worker's incarnation ended.
@@ -74,6 +76,20 @@
     })
 }
 
+/// Time by which a run had started, if it ever has. Of a run that was discovered, only the time of
+/// the takeover is known.
+fn started_by(run: &Run, limits: &Limits) -> Millis {
+    let committed_at = || {
+        let window = limits.max_local_span(limits.start_window);
+        run.start_expires_at.saturating_sub(window)
+    };
+    match (run.start_state, run.origin) {
+        (StartState::Confirmed(at), _) => at,
+        (_, Origin::Discovered) => run.start_expires_at,
+        (_, Origin::Started | Origin::Isolated) => committed_at(),
+    }
+}
+
 /// The runs of a worker for which `holds` is true, as ones that may have crashed it.
 pub(crate) fn new_runs_where(
     worker: &Worker,
@@ -84,7 +100,8 @@
     let new = runs.map(|(task, run)| NewRun {
         task: task.clone(),
         run: run.run,
-        started_by: Worker::started_by(run, limits),
+        started_by: started_by(run, limits),
+        survived_at: run.survived_at(limits.settle_time),
     });
     new.collect()
 }
--- a/crates/cell/src/incarnation.rs
+++ b/crates/cell/src/incarnation.rs
@@ -136,7 +136,7 @@
     worker.last_end = 0;
     worker.status_as_of = None;
     worker.listed_at = None;
-    worker.relisted_at = None;
+    worker.relisted_at.clear();
     worker.failures.clear();
     worker.cordoned_until = 0;
     // A renewal that was meant for the previous incarnation may have reached this one.
--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -4,7 +4,6 @@
     cell::Cell,
     crash,
     limits::Millis,
-    row::IncarnationTag,
     worker::{EvacuationReason, StopState, Termination, Worker},
 };
 use primroseroute_domain::work::Name;
@@ -158,23 +157,18 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return false;
         };
-        let last = worker.listed_at.max(worker.status_at);
-        let is_same_incarnation = last.is_some_and(|last| asked_at <= last + IncarnationTag::SPAN);
         if worker.is_terminated() || worker.incarnation != incarnation {
             return false;
         }
-        if !is_same_incarnation {
-            worker.relisted_at = worker.relisted_at.max(Some(asked_at));
-            return false;
-        }
         let new = crash::new_runs(worker, &limits).len();
-        worker.listed_at = worker.listed_at.max(Some(asked_at));
+        worker.record_listing(asked_at);
         let outlived = crash::new_runs(worker, &limits).len() < new;
-        // Its lease had expired by then, and nothing ran any more.
         let alive_at = worker.alive_at();
-        let expired = worker
-            .expired_lease
-            .take_if(|expired| alive_at >= Some(expired.at));
+        let expired = worker.expired_lease.take_if(|expired| {
+            expired.runs.retain(|new| alive_at < Some(new.survived_at));
+            // If it is alive after the expiry, nothing ran any more.
+            expired.runs.is_empty() || alive_at >= Some(expired.at)
+        });
         if outlived {
             crash::clear_crashes(self, id);
         }
--- a/crates/cell/src/round.rs
+++ b/crates/cell/src/round.rs
@@ -150,7 +150,7 @@
     };
     Evidence {
         ended_by,
-        relisted_at: worker.relisted_at,
+        relisted_at: worker.relisted_at.last().copied(),
     }
 }
 
--- a/crates/cell/src/status.rs
+++ b/crates/cell/src/status.rs
@@ -34,7 +34,7 @@
     worker.status_as_of = worker.status_as_of.max(Some(status_as_of));
     worker.throttle_checked = false;
     worker.expired_lease = None;
-    worker.relisted_at = None;
+    worker.relisted_at.clear();
     let recorded = worker.last_end;
     for ended in status.ended.iter().filter(|ended| ended.number > recorded) {
         apply_end(cell, id, ended, now, wall_ms);
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -93,6 +93,15 @@
         }
     }
 
+    /// A worker that is alive at this time has survived it.
+    pub(crate) fn survived_at(&self, settle_time: Millis) -> Millis {
+        let started = match self.start_state {
+            StartState::Confirmed(at) => at,
+            StartState::Sent | StartState::Uncertain => self.start_expires_at,
+        };
+        started.saturating_add(settle_time)
+    }
+
     /// Whether its start may reach or have reached the next incarnation of its worker, where the
     /// previous one terminated before `terminated_before`.
     ///
@@ -167,9 +176,10 @@
     /// While it is unresponsive: when the platform was last asked and listed it, without a gap in
     /// which its incarnation could have ended.
     pub listed_at: Option<Millis>,
-    /// While it is unresponsive: when the platform was last asked and listed it after such a gap, so
-    /// that this incarnation or the next one may have been listed.
-    pub relisted_at: Option<Millis>,
+    /// While it is unresponsive: when the platform was asked and listed it after such a gap, so that
+    /// this incarnation or the next one may have been listed. An earlier list that arrives later may
+    /// close the gap.
+    pub relisted_at: BTreeSet<Millis>,
     /// Whether the throttling of fillers was decided after the newest status.
     pub throttle_checked: bool,
     /// Its lease has certainly expired after this time, if it isn't renewed.
@@ -203,7 +213,7 @@
             status_as_of: None,
             poll_requested_at: None,
             listed_at: None,
-            relisted_at: None,
+            relisted_at: BTreeSet::new(),
             throttle_checked: true,
             lease_expires_at,
             termination: Termination::NotKnown,
@@ -261,31 +271,30 @@
     /// Whether a run may be what crashes the worker: neither has the run been listed for
     /// `settle_time` since its start, nor has the worker been seen alive that long after it.
     pub(crate) fn is_new(&self, run: &Run, settle_time: Millis) -> bool {
-        let alive_at = self.alive_at();
+        let (alive_at, survived_at) = (self.alive_at(), run.survived_at(settle_time));
         match run.start_state {
-            StartState::Confirmed(at) => {
+            StartState::Confirmed(_) => {
                 let lived_until = self.status_as_of.max(alive_at);
                 run.origin != Origin::Discovered
-                    && lived_until.is_none_or(|until| until < at + settle_time)
+                    && lived_until.is_none_or(|until| until < survived_at)
+            }
+            StartState::Sent | StartState::Uncertain => {
+                alive_at.is_none_or(|until| until < survived_at)
             }
-            StartState::Sent | StartState::Uncertain => alive_at
-                .is_none_or(|until| until < run.start_expires_at.saturating_add(settle_time)),
         }
     }
 
-    /// Time by which a run had started, if it ever has, as far as this owner knows.
-    ///
-    /// Of a run that it has discovered only the time of the takeover is known.
-    pub(crate) fn started_by(run: &Run, limits: &Limits) -> Millis {
-        match run.start_state {
-            StartState::Confirmed(at) => at,
-            StartState::Sent | StartState::Uncertain if run.origin == Origin::Discovered => {
-                run.start_expires_at
-            }
-            StartState::Sent | StartState::Uncertain => {
-                let window = limits.max_local_span(limits.start_window);
-                run.start_expires_at.saturating_sub(window)
-            }
+    /// Records that the platform, asked at `asked_at`, listed it while it was unresponsive.
+    pub(crate) fn record_listing(&mut self, asked_at: Millis) {
+        self.relisted_at.insert(asked_at);
+        let mut last = self.listed_at.max(self.status_at);
+        while let Some(known) = last
+            && let Some(&next) = self.relisted_at.first()
+            && next <= known + IncarnationTag::SPAN
+        {
+            self.relisted_at.pop_first();
+            self.listed_at = self.listed_at.max(Some(next));
+            last = last.max(Some(next));
         }
     }
 
--- a/crates/cell/tests/all/crash.rs
+++ b/crates/cell/tests/all/crash.rs
@@ -43,6 +43,8 @@
     suspect_tasks_use_all_idle_workers => on_all_idle();
     /// Guards against attributing a crash to a run that its worker survived while partitioned.
     crash_is_not_attributed_to_a_run_survived_by_a_partitioned_worker => survived_partition();
+    /// Guards against attributing a crash to a run that its worker survived, because lists arrived in another order.
+    late_list_shows_that_a_worker_survived_its_run => late_list();
     /// Guards against clearing the crashes of a poison task by a start that never reached its worker.
     start_without_an_answer_clears_no_crashes => never_started();
     /// Guards against a crash that goes uncounted because the worker's next incarnation is taken for the one that crashed.
@@ -382,6 +384,15 @@
     assert_eq!(output.losses[0].attributed_to, vec![task(&id, 0, 0)]);
 }
 
+fn late_list() {
+    let mut fixture = Fixture::new(&["w-1", "w-2"]);
+    let (_id, on, _loss) =
+        expire_lease_while_listed(&mut fixture, |now| !(2_000..4_500).contains(&now));
+    fixture.cell.worker_listed(&on, 1, 3_000);
+    let output = crash(&mut fixture, &on);
+    assert_eq!(output.losses, Vec::new());
+}
+
 fn never_started() {
     let mut fixture = Fixture::new(&["w-1", "w-2", "w-3"]);
     let id = with_two_crashes(&mut fixture);
