A task is abandoned only for a crash that is known to have followed its start

What callers saw: a long-running task that crashes nothing is abandoned for good, and a batch job or a gang fails, after four crashes of workers that were out of touch from the start on. Nothing had been listed, or the owner was a successor that had never reached them.

Cause: a crash lies between the last sign of life and the first sign of the end. It was attributed to every run that had shown no sign of life for a second, however long ago the run had started, also where its lease had ended it seconds before: absence of evidence that the worker was alive was taken for evidence that the run had crashed it.

Change: a crash is conclusive if the worker had ended within the time that working polls and lists take to show a crash at the start (6.1 s: a second of settling, a poll, 1.6 s of silence, a list that is two seconds old), and wasn't listed, after a gap, when it would have survived the run. Others count, so the task becomes a suspect and runs isolated, but none of them is the one that abandons it. So a row has at most three crashes that may be inconclusive, and a successor needs no more than the row. A run that its owner has discovered counts from the takeover on.

Why it works: three inconclusive crashes cost a task that causes none its place among others, until a run of a second clears it. A task that does crash its workers is abandoned at the first crash after the third of which one list, requested within six seconds, shows the end.

--- a/crates/cell/src/crash.rs
+++ b/crates/cell/src/crash.rs
@@ -18,10 +18,15 @@
 //! Crashes of gang members count for the gang as a whole. A worker that was only partitioned from
 //! its owner hasn't crashed: its runs go back to waiting when its lease has expired, and the loss
 //! is attributed to them only if its incarnation turns out to be over.
+//!
+//! A crash lies between the last sign of life of the worker and the first sign of its end. If that
+//! is longer than it takes to notice that a start has crashed its worker, or if the worker may have
+//! been listed since, the run may have ended long before the crash. Such an *inconclusive* crash
+//! makes a suspect of a task, but a task is abandoned only for a conclusive one.
 
 use crate::{
     cell::Cell,
-    limits::{Limits, Millis},
+    limits::{Limits, MAX_LIST_AGE_MS, Millis},
     order::{Cause, Loss},
     row::{Phase, Task},
     worker::{Origin, Run, StartState, Worker},
@@ -68,6 +73,19 @@
     pub relisted_at: Option<Millis>,
 }
 
+impl Evidence {
+    /// Whether the incarnation ended so soon after the start of a run that the run may be taken for
+    /// the cause.
+    fn is_conclusive(&self, new: &NewRun, limits: &Limits) -> bool {
+        let listed_as_of = self
+            .relisted_at
+            .map(|at| at.saturating_sub(MAX_LIST_AGE_MS));
+        let may_have_survived = listed_as_of.is_some_and(|at| at >= new.survived_at);
+        let span = self.ended_by.abs_diff(new.started_by);
+        span <= limits.crash_detection_time() && !may_have_survived
+    }
+}
+
 /// The runs of a worker that may have crashed it.
 pub(crate) fn new_runs(worker: &Worker, limits: &Limits) -> Vec<NewRun> {
     // A run whose start may still arrive late was counted when the worker's incarnation ended.
@@ -123,7 +141,7 @@
         cell.back_to_waiting(id, task, *run, None);
     }
     let attributed_to = match cause {
-        Cause::Crash => attribute_crash(cell, new, wall_ms),
+        Cause::Crash => attribute_crash(cell, new, evidence, wall_ms),
         Cause::Planned | Cause::Lapse => Vec::new(),
     };
     let starts = new.iter().map(|run| run.started_by);
@@ -140,7 +158,12 @@
 
 /// Attributes a worker's crash to the tasks of `runs`, which were new there. Returns the tasks that
 /// it was attributed to.
-fn attribute_crash(cell: &mut Cell, runs: &[NewRun], wall_ms: u64) -> Vec<TaskId> {
+fn attribute_crash(
+    cell: &mut Cell,
+    runs: &[NewRun],
+    evidence: Evidence,
+    wall_ms: u64,
+) -> Vec<TaskId> {
     let suspects = runs.iter().filter(|new| is_suspect(cell, &new.task));
     let suspects: Vec<NewRun> = suspects.cloned().collect();
     let accountable = match suspects.len() {
@@ -150,7 +173,14 @@
         _ => &[],
     };
     let mut attributed_to = Vec::new();
-    for NewRun { task, run, .. } in accountable {
+    for new in accountable {
+        let NewRun { task, run, .. } = new;
+        // The row of a task can't tell conclusive crashes from others. So this one mustn't be the
+        // last that is missing.
+        if crashes(cell, task) + 1 >= ABANDON_CRASHES && !evidence.is_conclusive(new, &cell.limits)
+        {
+            continue;
+        }
         let Some(job) = cell.jobs.get_mut(&task.job) else {
             continue;
         };
--- a/tests/site/crash_evidence.rs
+++ b/tests/site/crash_evidence.rs
@@ -9,7 +9,7 @@
 use eyre::{Result, ensure};
 use primroseroute_domain::work::{Job, JobId, State, Step};
 use primroseroute_platform::site::{Instruction, Wave};
-use primroseroute_standin::site::{Event, Reach};
+use primroseroute_standin::site::{Event, Options, Reach};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -37,11 +37,15 @@
     /// A gang failed because no list of instances was answered while the worker of a member was partitioned.
     gang_survives_crashes_without_lists => outlived(323, &gang(BATCH_PAYLOAD), NO_LISTS);
     /// Unbounded restarts of a task that crashes its workers, as crashes are found late.
-    crashing_task_is_abandoned_beside_late_lists => crashing(324, &job(CRASHES, 1), Duration::from_millis(2_500));
+    crashing_task_is_abandoned_beside_late_lists => crashing(324, &job(CRASHES, 1), (Duration::from_millis(2_500), NEW_IDS));
     /// Unbounded restarts of a task that crashes its workers, as crashes are found after their leases have expired.
-    crashing_task_is_abandoned_beside_very_late_lists => crashing(325, &job(CRASHES, 1), Duration::from_secs(5));
+    crashing_task_is_abandoned_beside_very_late_lists => crashing(325, &job(CRASHES, 1), (Duration::from_secs(9), NEW_IDS));
     /// Unbounded restarts of a gang that crashes its workers, as crashes are found late.
-    crashing_gang_is_abandoned_beside_late_lists => crashing(326, &gang(CRASHES), Duration::from_millis(2_500));
+    crashing_gang_is_abandoned_beside_late_lists => crashing(326, &gang(CRASHES), (Duration::from_millis(2_500), NEW_IDS));
+    /// Unbounded restarts of a task that crashes its workers, as their next incarnations are listed under the same ids.
+    crashing_task_is_abandoned_beside_late_lists_and_reused_ids => crashing(328, &job(CRASHES, 1), (Duration::from_millis(2_500), SAME_IDS));
+    /// Unbounded restarts of a gang that crashes its workers, as their next incarnations are listed under the same ids.
+    crashing_gang_is_abandoned_beside_very_late_lists_and_reused_ids => crashing(329, &gang(CRASHES), (Duration::from_secs(9), SAME_IDS));
 }
 
 /// Payload of tasks that outlast the partitions of a test.
@@ -53,6 +57,10 @@
 /// Number of workers that a task loses in a test: more than the crashes for which it is abandoned.
 const LOST_WORKERS: usize = 6;
 
+/// Share of workers that restart under the same id after a crash: none, and all.
+const NEW_IDS: f64 = 0.0;
+const SAME_IDS: f64 = 1.0;
+
 /// Seconds within which a task that crashes its workers has to be abandoned.
 const ABANDONED_WITHIN_SECS: u64 = 120;
 
@@ -190,9 +198,15 @@
     Ok(())
 }
 
-/// Submits a job whose tasks crash their workers, while all lists of instances are late.
-async fn crashing(seed: u64, job: &Job, delay: Duration) -> Result<()> {
-    let mut fixture = Fixture::open(seed, 3, 8).await?;
+/// Submits a job whose tasks crash their workers, while all lists of instances are late. This share of the workers
+/// restarts under the same id.
+async fn crashing(seed: u64, job: &Job, (delay, same_id): (Duration, f64)) -> Result<()> {
+    let options = Options {
+        seed,
+        same_id,
+        ..Options::default()
+    };
+    let mut fixture = Fixture::open_as(options, 3, 8).await?;
     fixture.update_all_faults(|faults| faults.list_delay = delay);
     let id = fixture.submit("e-0", job).await?;
     fixture
