--- a/crates/cell/src/incarnation.rs
+++ b/crates/cell/src/incarnation.rs
@@ -11,7 +11,7 @@
     limits::Millis,
     order::Cause,
     row::IncarnationTag,
-    worker::{Origin, StartState, StopState, Termination},
+    worker::{Origin, Run, StartState, StopState, Termination},
 };
 use primroseroute_domain::work::{Name, TaskId};
 use primroseroute_platform::worker::WorkerStatus;
@@ -72,14 +72,13 @@
     let tag = IncarnationTag::of(status.born);
     let taken_over_ms = wall_ms.saturating_sub(now - cell.taken_at);
     let is_later = status.born > taken_over_ms;
-    let lost = worker.runs_where(|task, run| {
+    let is_lost = |task: &TaskId, run: &Run| {
         let may_be_older = (is_later || run.incarnation_tag != Some(tag)) && is_older(task);
         run.origin == Origin::Discovered && may_be_older && !listed.contains(&(task, run.run))
-    });
+    };
+    let lost = worker.runs_where(is_lost);
     if !lost.is_empty() {
-        let new = crash::new_runs_where(worker, &cell.limits, |task, run| {
-            lost.contains(&(task.clone(), run.run))
-        });
+        let new = crash::new_runs_where(worker, &cell.limits, is_lost);
         let evidence = Evidence {
             ended_by: sent_at,
             relisted_at: None,
--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -3,7 +3,7 @@
 /// An instant of the owner's monotonic clock, or a duration on it, in milliseconds.
 pub type Millis = u64;
 
-/// Maximum age of the platform's list of instances when it is requested.
+/// Maximum age of the platform's list of instances.
 pub(crate) const MAX_LIST_AGE_MS: Millis = 2_000;
 
 /// Maximum rate error of a slow worker clock, in percent.
--- a/tests/site/crash_evidence.rs
+++ b/tests/site/crash_evidence.rs
@@ -28,6 +28,8 @@
     long_running_task_survives_crashes_as_orders_to_instances_fail => outlived(327, &long_running(1), Disruption::Orders);
     /// A job failed because one list of instances took too long while its worker was partitioned.
     job_survives_crashes_after_a_late_list => outlived(319, &job(BATCH_PAYLOAD, 1), LATE_LIST);
+    /// A job failed because one list of instances took half a lease while its worker was partitioned.
+    job_survives_crashes_after_a_very_late_list => outlived(330, &job(BATCH_PAYLOAD, 1), VERY_LATE_LIST);
     /// A job failed because no list of instances was answered while its worker was partitioned.
     job_survives_crashes_without_lists => outlived(320, &job(BATCH_PAYLOAD, 1), NO_LISTS);
     /// A job failed by successors that never reached the partitioned workers.
@@ -90,6 +92,12 @@
     delay: Duration::from_millis(2_500),
 };
 
+const VERY_LATE_LIST: Disruption = Disruption::Lists {
+    after: Duration::from_millis(1_500),
+    lasts: Duration::from_secs(1),
+    delay: Duration::from_millis(3_200),
+};
+
 const LATE_LISTS: Disruption = Disruption::Lists {
     after: Duration::ZERO,
     lasts: Duration::from_secs(6),
