A crash that may have other causes doesn't count against a suspect task

A long-running task loses two workers beside others, then one that was out of touch from its start on and crashed after the lease had expired, and one that crashes for another cause during the isolated run after that. It is abandoned.

Cause: the commit before kept an inconclusive crash from being the fourth, but still counted it as the third. One crash of another cause was enough after it.

Change: an inconclusive crash may still make a suspect of a task, and doesn't count against one. So the third and fourth crash, those of isolated runs, are conclusive in every row, also for a successor.

--- a/crates/cell/src/crash.rs
+++ b/crates/cell/src/crash.rs
@@ -22,7 +22,8 @@
 //! A crash lies between the last sign of life of the worker and the first sign of its end. If that
 //! is longer than it takes to notice that a start has crashed its worker, or if the worker may have
 //! been listed since, the run may have ended long before the crash. Such an *inconclusive* crash
-//! makes a suspect of a task, but a task is abandoned only for a conclusive one.
+//! may make a suspect of a task, but doesn't count against one: the last two crashes before a task
+//! is abandoned are conclusive.
 
 use crate::{
     cell::Cell,
@@ -175,10 +176,8 @@
     let mut attributed_to = Vec::new();
     for new in accountable {
         let NewRun { task, run, .. } = new;
-        // The row of a task can't tell conclusive crashes from others. So this one mustn't be the
-        // last that is missing.
-        if crashes(cell, task) + 1 >= ABANDON_CRASHES && !evidence.is_conclusive(new, &cell.limits)
-        {
+        let is_suspect = crashes(cell, task) >= SUSPECT_CRASHES;
+        if is_suspect && !evidence.is_conclusive(new, &cell.limits) {
             continue;
         }
         let Some(job) = cell.jobs.get_mut(&task.job) else {
--- a/crates/cell/tests/all/crash.rs
+++ b/crates/cell/tests/all/crash.rs
@@ -45,12 +45,12 @@
     crash_is_not_attributed_to_a_run_survived_by_a_partitioned_worker => survived_partition();
     /// Guards against attributing a crash to a run that its worker survived, because lists arrived in another order.
     late_list_shows_that_a_worker_survived_its_run => late_list();
-    /// Guards against abandoning a task for a crash that may have come long after its run had ended.
-    task_is_not_abandoned_for_an_inconclusive_crash => inconclusive();
-    /// Guards against abandoning a task for a crash of a worker that was listed long after its start.
-    task_is_not_abandoned_for_a_crash_of_a_relisted_worker => relisted();
-    /// Guards against abandoning a task for a crash long after a takeover, by an owner that never reached the worker.
-    task_is_not_abandoned_for_a_crash_long_after_a_takeover => long_after_takeover();
+    /// Guards against abandoning a suspect task for a crash that may have come long after its run had ended.
+    inconclusive_crash_does_not_count_against_a_suspect_task => inconclusive();
+    /// Guards against abandoning a suspect task for a crash of a worker that was listed long after its start.
+    crash_of_a_relisted_worker_does_not_count_against_a_suspect_task => relisted();
+    /// Guards against abandoning a suspect task for a crash long after a takeover, by an owner that never reached the worker.
+    crash_long_after_a_takeover_does_not_count_against_a_suspect_task => long_after_takeover();
     /// Guards against clearing the crashes of a poison task by a start that never reached its worker.
     start_without_an_answer_clears_no_crashes => never_started();
     /// Guards against a crash that goes uncounted because the worker's next incarnation is taken for the one that crashed.
@@ -399,10 +399,9 @@
     assert_eq!(output.losses, Vec::new());
 }
 
-/// Starts a task with three crashes, whose worker stays unresponsive for `millis`; returns the job and the worker.
-fn silent_after_three_crashes(fixture: &mut Fixture, millis: Millis) -> (JobId, Name) {
-    let id = fixture.accept(job(vec![step(1, 1_000)]));
-    crash_under(fixture, &id, 3);
+/// Starts a suspect task, whose worker stays unresponsive for `millis`; returns the job and the worker.
+fn start_suspect(fixture: &mut Fixture, millis: Millis) -> (JobId, Name) {
+    let id = with_two_crashes(fixture);
     let on = start_in_round(fixture, &task(&id, 0, 0)).expect("the task starts");
     let others: Vec<Name> = fixture.running.keys().cloned().collect();
     let until = fixture.now + millis;
@@ -418,24 +417,29 @@
 
 fn inconclusive() {
     let mut fixture = Fixture::new(&["w-1", "w-2", "w-3", "w-4", "w-5", "w-6"]);
-    let (id, on) = silent_after_three_crashes(&mut fixture, 6_200);
+    let (id, on) = start_suspect(&mut fixture, 6_200);
     let output = crash(&mut fixture, &on);
     assert_eq!(output.losses[0].cause, Cause::Crash);
     assert_eq!(output.losses[0].attributed_to, Vec::new());
     assert_eq!(output.poison_tasks, Vec::new());
-    // The next crash right after a start abandons it.
-    for order in &output.orders {
-        fixture.execute(order);
+    // The second crash right after a start from then on abandons it.
+    let mut output = output;
+    for crashes in 3..=4 {
+        for order in &output.orders {
+            fixture.execute(order);
+        }
+        fixture.advance(10);
+        let on = fixture.workers_running(&task(&id, 0, 0)).pop();
+        output = crash(&mut fixture, &on.expect("the task runs"));
+        assert_eq!(output.losses[0].attributed_to.len(), 1);
+        assert_eq!(output.poison_tasks.len(), crashes / 4);
     }
-    fixture.advance(10);
-    let on = fixture.workers_running(&task(&id, 0, 0)).pop();
-    let output = crash(&mut fixture, &on.expect("the task runs"));
     assert_eq!(state(&output, &id), State::Failed);
 }
 
 fn relisted() {
     let mut fixture = Fixture::new(&["w-1", "w-2", "w-3", "w-4", "w-5"]);
-    let (_id, on) = silent_after_three_crashes(&mut fixture, 5_000);
+    let (_id, on) = start_suspect(&mut fixture, 5_000);
     let now = fixture.now;
     fixture.cell.worker_listed(&on, 1, now - 1_000);
     let output = crash(&mut fixture, &on);
@@ -445,8 +449,7 @@
 
 fn long_after_takeover() {
     let mut fixture = Fixture::new(&["w-1", "w-2", "w-3", "w-4", "w-5"]);
-    let id = fixture.accept(job(vec![step(1, 1_000)]));
-    crash_under(&mut fixture, &id, 3);
+    let id = with_two_crashes(&mut fixture);
     let on = start_in_round(&mut fixture, &task(&id, 0, 0)).expect("the task starts");
     fixture.replace_owner();
     for _listing in 0..50 {
--- a/tests/site/crash_evidence.rs
+++ b/tests/site/crash_evidence.rs
@@ -7,7 +7,7 @@
     fixture::{Fixture, POOL, job, long_running, sleep_secs, step, task},
 };
 use eyre::{Result, ensure};
-use primroseroute_domain::work::{Job, JobId, State, Step};
+use primroseroute_domain::work::{Job, JobId, Name, State, Step, TaskId};
 use primroseroute_platform::site::{Instruction, Wave};
 use primroseroute_standin::site::{Event, Options, Reach};
 use std::time::Duration;
@@ -38,6 +38,8 @@
     gang_survives_crashes_after_a_late_list => outlived(322, &gang(BATCH_PAYLOAD), LATE_LIST);
     /// A gang failed because no list of instances was answered while the worker of a member was partitioned.
     gang_survives_crashes_without_lists => outlived(323, &gang(BATCH_PAYLOAD), NO_LISTS);
+    /// A long-running task abandoned for a crash right after its start, after another that its worker had outlived.
+    long_running_task_survives_a_crash_that_its_worker_outlived_among_others => among_others();
     /// Unbounded restarts of a task that crashes its workers, as crashes are found late.
     crashing_task_is_abandoned_beside_late_lists => crashing(324, &job(CRASHES, 1), (Duration::from_millis(2_500), NEW_IDS));
     /// Unbounded restarts of a task that crashes its workers, as crashes are found after their leases have expired.
@@ -110,6 +112,12 @@
     delay: Duration::from_secs(8),
 };
 
+const NO_LISTS_IN_TIME: Disruption = Disruption::Lists {
+    after: Duration::ZERO,
+    lasts: Duration::from_secs(6),
+    delay: Duration::from_secs(8),
+};
+
 /// A job of two tasks that run at the same time.
 fn gang(payload: &str) -> Job {
     let gang = Step {
@@ -137,11 +145,7 @@
     for number in 0..LOST_WORKERS {
         fixture.world.set_partitioned(&on, true);
         disrupt(&mut fixture, disruption, number).await?;
-        let elsewhere = |fixture: &Fixture| {
-            let mut running = fixture.running(&first).into_iter();
-            running.find(|worker| *worker != on)
-        };
-        let next = fixture.wait_for("a run elsewhere", 40, elsewhere).await?;
+        let next = run_elsewhere(&fixture, &first, &on).await?;
         fixture.world.crash(&on);
         on = next;
     }
@@ -157,6 +161,40 @@
     fixture.check_invariants()
 }
 
+/// Waits until a task runs on another worker than `on`; returns that worker.
+async fn run_elsewhere(fixture: &Fixture, task: &TaskId, on: &Name) -> Result<Name> {
+    let elsewhere = |fixture: &Fixture| {
+        let mut running = fixture.running(task).into_iter();
+        running.find(|worker| worker != on)
+    };
+    fixture.wait_for("a run elsewhere", 40, elsewhere).await
+}
+
+/// Crashes the worker of a long-running task right after its starts, and once after a partition without lists.
+async fn among_others() -> Result<()> {
+    let mut fixture = Fixture::open(331, 3, 16).await?;
+    let id = fixture.submit("e-0", &long_running(1)).await?;
+    let first = task(&id, 0, 0);
+    let running = |fixture: &Fixture| fixture.running(&first).pop();
+    let mut on = fixture.wait_for("a run", 30, running).await?;
+    for is_partitioned in [false, false, true, false] {
+        if is_partitioned {
+            fixture.world.set_partitioned(&on, true);
+            disrupt(&mut fixture, NO_LISTS_IN_TIME, 0).await?;
+            let next = run_elsewhere(&fixture, &first, &on).await?;
+            fixture.world.crash(&on);
+            on = next;
+        } else {
+            fixture.world.crash(&on);
+            on = run_elsewhere(&fixture, &first, &on).await?;
+        }
+    }
+    sleep_secs(20).await;
+    let running = fixture.running(&first);
+    ensure!(running.len() == 1, "the task runs on {running:?}");
+    fixture.check_invariants()
+}
+
 async fn disrupt(fixture: &mut Fixture, disruption: Disruption, number: usize) -> Result<()> {
     match disruption {
         Disruption::Lists {
