--- a/tests/site/crash_evidence.rs
+++ b/tests/site/crash_evidence.rs
@@ -18,8 +18,8 @@
     long_running_task_survives_crashes_after_a_late_list => outlived(314, &long_running(1), LATE_LIST);
     /// A long-running task abandoned because all lists of instances were late while its worker was partitioned.
     long_running_task_survives_crashes_beside_late_lists => outlived(315, &long_running(1), LATE_LISTS);
-    /// A long-running task abandoned because no list of instances was answered while its worker was partitioned.
-    long_running_task_survives_crashes_without_lists => outlived(316, &long_running(1), NO_LISTS);
+    /// A long-running task abandoned because one list of instances took longer than a lease while its worker was partitioned.
+    long_running_task_survives_crashes_after_an_overdue_list => outlived(316, &long_running(1), OVERDUE_LIST);
     /// A long-running task abandoned by successors of owners that had lost the store.
     long_running_task_survives_crashes_as_owners_lose_the_store => outlived(317, &long_running(1), Disruption::Store);
     /// A long-running task abandoned by successors that never reached the partitioned workers.
@@ -30,14 +30,14 @@
     job_survives_crashes_after_a_late_list => outlived(319, &job(BATCH_PAYLOAD, 1), LATE_LIST);
     /// A job failed because one list of instances took half a lease while its worker was partitioned.
     job_survives_crashes_after_a_very_late_list => outlived(330, &job(BATCH_PAYLOAD, 1), VERY_LATE_LIST);
-    /// A job failed because no list of instances was answered while its worker was partitioned.
-    job_survives_crashes_without_lists => outlived(320, &job(BATCH_PAYLOAD, 1), NO_LISTS);
+    /// A job failed because one list of instances took longer than a lease while its worker was partitioned.
+    job_survives_crashes_after_an_overdue_list => outlived(320, &job(BATCH_PAYLOAD, 1), OVERDUE_LIST);
     /// A job failed by successors that never reached the partitioned workers.
     job_survives_crashes_after_takeovers => outlived(321, &job(BATCH_PAYLOAD, 1), Disruption::Takeover);
     /// A gang failed because one list of instances took too long while the worker of a member was partitioned.
     gang_survives_crashes_after_a_late_list => outlived(322, &gang(BATCH_PAYLOAD), LATE_LIST);
-    /// A gang failed because no list of instances was answered while the worker of a member was partitioned.
-    gang_survives_crashes_without_lists => outlived(323, &gang(BATCH_PAYLOAD), NO_LISTS);
+    /// A gang failed because one list of instances took longer than a lease while the worker of a member was partitioned.
+    gang_survives_crashes_after_an_overdue_list => outlived(323, &gang(BATCH_PAYLOAD), OVERDUE_LIST);
     /// A long-running task abandoned for a crash right after its start, after another that its worker had outlived.
     long_running_task_survives_a_crash_that_its_worker_outlived_among_others => among_others();
     /// Unbounded restarts of a task that crashes its workers, as crashes are found late.
@@ -106,13 +106,13 @@
     delay: Duration::from_millis(2_500),
 };
 
-const NO_LISTS: Disruption = Disruption::Lists {
+const OVERDUE_LIST: Disruption = Disruption::Lists {
     after: Duration::ZERO,
     lasts: Duration::from_millis(1_700),
     delay: Duration::from_secs(8),
 };
 
-const NO_LISTS_IN_TIME: Disruption = Disruption::Lists {
+const NO_LISTS: Disruption = Disruption::Lists {
     after: Duration::ZERO,
     lasts: Duration::from_secs(6),
     delay: Duration::from_secs(8),
@@ -180,7 +180,7 @@
     for is_partitioned in [false, false, true, false] {
         if is_partitioned {
             fixture.world.set_partitioned(&on, true);
-            disrupt(&mut fixture, NO_LISTS_IN_TIME, 0).await?;
+            disrupt(&mut fixture, NO_LISTS, 0).await?;
             let next = run_elsewhere(&fixture, &first, &on).await?;
             fixture.world.crash(&on);
             on = next;
