Lists of instances for unresponsive workers are shared with those for orders

Cause, suspected: since an owner lists the instances for its orders and for unresponsive workers, and pays for each list with processor time.

Change: a list that was requested for another purpose since the last look at the pool's status serves as well.

--- a/crates/owner/src/terminations.rs
+++ b/crates/owner/src/terminations.rs
@@ -25,11 +25,17 @@
 /// Maximum number of lists that wait for an answer.
 const MAX_PENDING: usize = 8;
 
-/// A list that was requested, or the failure of the call.
+/// The status of the pool at some time.
+#[derive(Clone)]
+struct Snapshot {
+    at: Instant,
+    status: Arc<PoolStatus>,
+}
+
+/// A list that was requested after a snapshot, or the failure of the call.
 struct Answer {
     asked_at: Instant,
-    /// The status of the pool at that time.
-    status: Arc<PoolStatus>,
+    snapshot: Snapshot,
     result: Result<Listing, Error>,
 }
 
@@ -39,6 +45,8 @@
     status: Receiver<Arc<PoolStatus>>,
     events: UnboundedSender<Event>,
     pending: JoinSet<Answer>,
+    /// The status when it was last looked at.
+    last: Option<Snapshot>,
     /// When the newest list was requested.
     asked_at: Option<Instant>,
     /// When the newest list that was answered had been requested.
@@ -56,12 +64,14 @@
         status,
         events,
         pending: JoinSet::new(),
+        last: None,
         asked_at: None,
         answered: None,
     };
     loop {
         terminations.list_if_due();
         tokio::select! {
+            biased;
             Some(answer) = terminations.pending.join_next() => {
                 if let Ok(answer) = answer {
                     terminations.apply(answer);
@@ -74,22 +84,28 @@
 }
 
 impl Terminations {
+    /// Requests a list, or takes one that was requested for another purpose since the last snapshot:
+    /// each costs the processor time of an entry that may have little.
     fn list_if_due(&mut self) {
+        let now = Instant::now();
         let status = Arc::clone(&self.status.borrow());
+        let snapshot = self.last.replace(Snapshot { at: now, status });
+        let Some(snapshot) = snapshot.filter(|known| !known.status.unresponsive.is_empty()) else {
+            return;
+        };
         let elapsed = self.asked_at.map(|at| at.elapsed());
         let is_overdue = elapsed.is_none_or(|elapsed| elapsed >= ANSWER_TIMEOUT);
         let is_due = self.answered >= self.asked_at || is_overdue;
-        if status.unresponsive.is_empty() || !is_due || self.pending.len() >= MAX_PENDING {
+        if !is_due || self.pending.len() >= MAX_PENDING {
             return;
         }
-        let now = Instant::now();
         self.asked_at = Some(now);
         let instances = Arc::clone(&self.context.fleet);
         self.pending.spawn(async move {
             Answer {
                 asked_at: now,
-                status,
-                result: instances.list(now).await,
+                result: instances.list(snapshot.at).await,
+                snapshot,
             }
         });
     }
@@ -104,7 +120,7 @@
     /// by it either, nor is an incarnation that has started since.
     fn apply(&mut self, answer: Answer) {
         self.answered = self.answered.max(Some(answer.asked_at));
-        let status = answer.status;
+        let status = answer.snapshot.status;
         let listing = match answer.result {
             Ok(listing) => listing,
             Err(error) => {
