--- a/crates/owner/src/terminations.rs
+++ b/crates/owner/src/terminations.rs
@@ -84,15 +84,19 @@
 }
 
 impl Terminations {
-    /// Requests a list, or takes one that was requested for another purpose since the last snapshot:
-    /// each costs the processor time of an entry that may have little.
+    /// Requests a list. Where the last snapshot has the same unresponsive workers, one that was
+    /// requested for another purpose since then will do: each costs the processor time of an entry
+    /// that may have little.
     fn list_if_due(&mut self) {
         let now = Instant::now();
         let status = Arc::clone(&self.status.borrow());
-        let snapshot = self.last.replace(Snapshot { at: now, status });
-        let Some(snapshot) = snapshot.filter(|known| !known.status.unresponsive.is_empty()) else {
+        let current = Snapshot { at: now, status };
+        let last = self.last.replace(current.clone());
+        let last = last.filter(|last| last.status.unresponsive == current.status.unresponsive);
+        let snapshot = last.unwrap_or(current);
+        if snapshot.status.unresponsive.is_empty() {
             return;
-        };
+        }
         let elapsed = self.asked_at.map(|at| at.elapsed());
         let is_overdue = elapsed.is_none_or(|elapsed| elapsed >= ANSWER_TIMEOUT);
         let is_due = self.answered >= self.asked_at || is_overdue;
