Accounts: keys and budgets as decisions without I/O

Cause: the job path knows no client accounts, while a deployment has them. Change: a crate for them. Digests of keys move there from the view, which uses them for bearer tokens as before. A budget divides an account's maximum among the pools that run its tasks; each change is conditional on the row's version, and a pool's owner starts nothing beyond the pool's part.

--- a/crates/domain/src/work.rs
+++ b/crates/domain/src/work.rs
@@ -166,6 +166,15 @@
         }
     }
 
+    /// Componentwise product.
+    pub fn times(self, count: u64) -> Self {
+        Self {
+            cpu: self.cpu * count,
+            memory: self.memory * count,
+            accelerators: self.accelerators * count,
+        }
+    }
+
     /// Componentwise maximum.
     pub fn larger(self, other: Self) -> Self {
         Self {
@@ -175,6 +184,15 @@
         }
     }
 
+    /// Componentwise minimum.
+    pub fn smaller(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.min(other.cpu),
+            memory: self.memory.min(other.memory),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Componentwise difference, saturating at zero.
     pub fn minus(self, other: Self) -> Self {
         Self {
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -25,8 +25,8 @@
 mod token;
 
 pub use commit_with_retry::{Author, commit_with_retry};
+pub use primroseroute_accounts::key::Digest;
 pub use route::{Routes, Target};
 pub use snapshot::{ApplyError, Snapshot};
 pub use snapshot_cell::SnapshotCell;
 pub use sync::{Error, load, poll};
-pub use token::Digest;
--- a/crates/view/src/route.rs
+++ b/crates/view/src/route.rs
@@ -1,6 +1,7 @@
 //! Routes requests to services: by host, or by the longest path prefix of whole segments.
 
-use crate::token::{Digest, Tokens};
+use crate::token::Tokens;
+use primroseroute_accounts::key::Digest;
 use primroseroute_domain::{
     account::{Class, Template},
     id,
