--- a/crates/cell/benches/tick.rs
+++ b/crates/cell/benches/tick.rs
@@ -52,6 +52,7 @@
             at_ms: number,
             priority: 0,
             max_attempts: 3,
+            account: None,
             objective_ms: 2_000,
             job,
         };
--- a/crates/cell/benches/turn.rs
+++ b/crates/cell/benches/turn.rs
@@ -132,6 +132,7 @@
                 at_ms: self.now,
                 priority: 0,
                 max_attempts: 3,
+                account: None,
                 objective_ms: 2_600,
                 job,
             };
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -11,6 +11,7 @@
     scaling::RecentEstimates,
     worker::{Origin, Run, StartState, StopState, Worker},
 };
+use primroseroute_accounts::meter::{Limit, Meter};
 use primroseroute_domain::work::{JobId, Name, State, Step, StepId, TaskId};
 use primroseroute_platform::worker::{Ended, Refusal, WorkerStatus};
 use std::collections::{BTreeMap, BTreeSet};
@@ -54,6 +55,8 @@
     pub(crate) estimates: RecentEstimates,
     /// Rate of incoming work.
     pub(crate) arrivals: Arrivals,
+    /// What the accounts use, and may use, in the pool.
+    pub(crate) meter: Meter,
     /// Queues whose starts need a ticket.
     pub(crate) advised_queues: BTreeSet<Name>,
     /// What the advice service has said about workers, by step.
@@ -87,6 +90,7 @@
             queued_counts: BTreeMap::new(),
             estimates: RecentEstimates::default(),
             arrivals: Arrivals::default(),
+            meter: Meter::default(),
             advised_queues: BTreeSet::new(),
             policies: BTreeMap::new(),
             stops_due: false,
@@ -99,7 +103,8 @@
         let over = self.finished.contains_key(&id) || self.deleted.contains_key(&id);
         if !over && !self.jobs.contains_key(&id) {
             self.arrivals.accept(&accepted.job);
-            self.jobs.insert(id, Job::new(accepted));
+            let job = Job::new(accepted, &mut self.meter);
+            self.jobs.insert(id, job);
         }
     }
 
@@ -118,7 +123,7 @@
             self.finished.insert(id, ended);
             return;
         }
-        let job = Job::restored(accepted, progress);
+        let job = Job::restored(accepted, progress, &mut self.meter);
         let lease_expires_at = self.taken_at + self.limits.max_local_span(self.limits.start_window);
         for (&occurrence, steps) in &job.progress.steps {
             for (step, tasks) in (0..).zip(steps) {
@@ -151,6 +156,7 @@
                         last_stop_sent_at: leaves.then_some(self.taken_at),
                         origin: Origin::Discovered,
                         incarnation_tag: task.incarnation_tag,
+                        charge: job.charge(step),
                         ..Run::new(task.run, reserved, long_running)
                     };
                     let worker = self.worker(worker);
@@ -316,6 +322,25 @@
         }
     }
 
+    /// Sets the limits of accounts in this pool; accounts that aren't named have none.
+    pub fn set_account_limits(&mut self, limits: &BTreeMap<Name, Limit>) {
+        self.meter.set_limits(limits);
+    }
+
+    /// What the accounts use, as of the last round.
+    pub fn account_usage(&self) -> &Meter {
+        &self.meter
+    }
+
+    /// Counts what the accounts may have running.
+    pub(crate) fn count_account_usage(&mut self) {
+        let runs = self
+            .workers
+            .values()
+            .flat_map(|worker| worker.runs.values());
+        self.meter.recount(runs.filter_map(|run| run.charge));
+    }
+
     /// Sets the queues whose starts need a ticket.
     pub fn set_advised_queues(&mut self, queues: BTreeSet<Name>) {
         self.advised_queues = queues;
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -1,6 +1,7 @@
 //! In-memory state of one job.
 
 use crate::row::{Accepted, Phase, Progress, Steps, Task};
+use primroseroute_accounts::meter::{Charge, Index, Meter};
 use primroseroute_domain::work::{Name, State, Step, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -25,25 +26,34 @@
     pub may_have_other_runs: bool,
     /// The job's state is that of its row, which says that it runs as soon as a task is placed.
     pub has_started: HasStarted,
+    /// The account that its tasks are charged to.
+    account: Option<Index>,
+}
+
+fn account(accepted: &Accepted, meter: &mut Meter) -> Option<Index> {
+    let name = accepted.account.as_ref();
+    name.map(|name| meter.index(name))
 }
 
 impl Job {
-    pub(crate) fn new(accepted: Accepted) -> Self {
+    pub(crate) fn new(accepted: Accepted, meter: &mut Meter) -> Self {
         Self {
-            accepted,
+            account: account(&accepted, meter),
             progress: Progress {
                 state: State::Pending,
                 steps: BTreeMap::new(),
                 next: 0,
                 ended_ms: None,
+                account: accepted.account.clone(),
             },
+            accepted,
             may_have_other_runs: false,
             has_started: HasStarted::No,
         }
     }
 
     /// A job with the `progress` that a previous owner has committed.
-    pub(crate) fn restored(accepted: Accepted, progress: Progress) -> Self {
+    pub(crate) fn restored(accepted: Accepted, progress: Progress, meter: &mut Meter) -> Self {
         let tasks = || progress.steps.values().flatten().flatten();
         let has_run = |task: &Task| {
             let told = !task.failed.is_empty() || !task.crashed.is_empty();
@@ -59,6 +69,7 @@
             HasStarted::No
         };
         Self {
+            account: account(&accepted, meter),
             accepted,
             progress,
             may_have_other_runs: true,
@@ -66,6 +77,13 @@
         }
     }
 
+    /// What one task of a step counts against the job's account.
+    pub(crate) fn charge(&self, step: u16) -> Option<Charge> {
+        let account = self.account?;
+        let demand = self.step(step)?.demand;
+        Some(Charge { account, demand })
+    }
+
     pub(crate) fn step(&self, number: u16) -> Option<&Step> {
         self.accepted.job.steps.get(usize::from(number))
     }
--- a/crates/cell/src/migration.rs
+++ b/crates/cell/src/migration.rs
@@ -38,6 +38,13 @@
     movable.map(|(task, _run)| task.clone()).collect()
 }
 
+/// Whether the account of a task is within its limit: beyond it, the task couldn't start elsewhere.
+fn may_start_again(cell: &Cell, task: &TaskId) -> bool {
+    let job = cell.jobs.get(&task.job);
+    let charge = job.and_then(|job| job.charge(task.step));
+    charge.is_none_or(|charge| cell.meter.admits(charge, 0))
+}
+
 /// A draining worker ends its runs when it shuts down, so its long-running tasks are stopped at
 /// once.
 fn stop_long_running(cell: &mut Cell, id: &Name) {
@@ -51,6 +58,7 @@
 fn evacuate(cell: &mut Cell, id: &Name, now: Millis) {
     for task in movable_runs(cell, id) {
         if tolerates_unavailable(cell, &task, now)
+            && may_start_again(cell, &task)
             && crate::placement::fits_somewhere(cell, &task, now)
         {
             request_stop(cell, id, &task);
--- a/crates/cell/src/placement/mod.rs
+++ b/crates/cell/src/placement/mod.rs
@@ -35,6 +35,9 @@
     let first_batch = waiting.partition_point(|waiting| waiting.class == Class::Lasting);
     let (long_running, batch) = waiting.split_at(first_batch);
     for waiting in long_running {
+        if !is_admitted(cell, waiting) {
+            continue;
+        }
         if !place_step(cell, waiting, &mut candidates, &mut orders) {
             reserve_or_preempt(cell, waiting, &mut candidates, now);
         }
@@ -49,6 +52,9 @@
         if candidates.is_full() {
             break;
         }
+        if !is_admitted(cell, waiting) {
+            continue;
+        }
         if !place_step(cell, waiting, &mut candidates, &mut orders) {
             no_fit.record(cell, waiting);
         }
@@ -99,7 +105,26 @@
     }
 }
 
-/// Places the waiting tasks of a step. Returns whether all could be placed.
+/// Whether the account of a step may have another of its tasks running; if not, all that wait count
+/// as refused.
+fn is_admitted(cell: &mut Cell, waiting: &WaitingStep) -> bool {
+    let Some(job) = cell.jobs.get(&waiting.job) else {
+        return true;
+    };
+    let Some(charge) = job.charge(waiting.step) else {
+        return true;
+    };
+    let is_gang = job.step(waiting.step).is_some_and(|step| step.gang);
+    let tasks = waiting_tasks(job, waiting.occurrence, waiting.step).count();
+    let is_admitted = cell.meter.admits(charge, if is_gang { tasks } else { 1 });
+    if !is_admitted {
+        cell.meter.refuse(charge, tasks);
+    }
+    is_admitted
+}
+
+/// Places the waiting tasks of a step. Returns whether all could be placed, as far as their account
+/// may have more running.
 fn place_step(
     cell: &mut Cell,
     waiting: &WaitingStep,
@@ -112,12 +137,19 @@
     let Some(step) = job.step(waiting.step).cloned() else {
         return true;
     };
+    let charge = job.charge(waiting.step);
     let indexes: Vec<u16> = waiting_tasks(job, waiting.occurrence, waiting.step).collect();
     if step.gang {
         return place_gang(cell, waiting, &step, &indexes, candidates, orders);
     }
     let mut all_placed = true;
-    for index in indexes {
+    for (placed, &index) in indexes.iter().enumerate() {
+        if let Some(charge) = charge
+            && !cell.meter.admits(charge, 1)
+        {
+            cell.meter.refuse(charge, indexes.len() - placed);
+            break;
+        }
         let task = task_id(waiting, index);
         if candidates.needs_isolation(cell, &task) {
             continue;
@@ -324,7 +356,8 @@
     choose(cell, task, step, &candidates, &BTreeMap::new()).is_some()
 }
 
-/// Records the start of a run; the order is sent once it is committed.
+/// Records the start of a run; the order is sent once it is committed. `None` if its account may not
+/// have more running.
 fn start(
     cell: &mut Cell,
     worker: &Name,
@@ -338,6 +371,14 @@
         .get(worker)
         .map_or(0, |worker| worker.incarnation);
     let job = cell.jobs.get_mut(&id.job)?;
+    let charge = job.charge(id.step);
+    if let Some(charge) = charge {
+        if !cell.meter.admits(charge, 1) {
+            cell.meter.refuse(charge, 1);
+            return None;
+        }
+        cell.meter.add(charge);
+    }
     let payload = Name::clone(&job.accepted.job.payload);
     job.progress.state = State::Running;
     let task = job.task_mut(&id)?;
@@ -348,7 +389,10 @@
     job.may_have_other_runs |= run > 1 || step.gang;
     cell.dirty.insert(id.job.clone());
     cell.unplaced_since.remove(&id);
-    let entry = Run::new(run, step.reserved(), step.lasting);
+    let entry = Run {
+        charge,
+        ..Run::new(run, step.reserved(), step.lasting)
+    };
     let found = cell.workers.get_mut(worker)?;
     found.runs.insert(id.clone(), entry);
     Some(Order::Start {
--- a/crates/cell/src/placement/urgency.rs
+++ b/crates/cell/src/placement/urgency.rs
@@ -68,7 +68,8 @@
 }
 
 /// The steps of `waiting` that still wait, each with the number of its tasks and whether it is
-/// late; without those of jobs that earn nothing any more.
+/// late; without those of jobs that earn nothing any more, and of accounts that may not have more
+/// running.
 pub(crate) fn still_waiting<'a>(
     cell: &'a Cell,
     waiting: &'a [WaitingStep],
@@ -77,6 +78,10 @@
     let worthwhile = worthwhile.filter(|waiting| waiting.class != Class::LongOverdue);
     worthwhile.filter_map(|waiting| {
         let job = cell.jobs.get(&waiting.job)?;
+        let charge = job.charge(waiting.step);
+        if charge.is_some_and(|charge| !cell.meter.admits(charge, 1)) {
+            return None;
+        }
         let count = waiting_tasks(job, waiting.occurrence, waiting.step).count();
         let late = waiting.class == Class::Late;
         Some((job.step(waiting.step)?, count as u64, late))
--- a/crates/cell/src/round.rs
+++ b/crates/cell/src/round.rs
@@ -36,6 +36,7 @@
     begin_occurrences(cell, wall_ms);
     migration::run(cell, now);
     advice::expire(cell, now);
+    cell.count_account_usage();
     let waiting = placement::waiting_steps(cell, wall_ms);
     let mut orders = placement::run(cell, &waiting, now);
     orders.extend(throttle_all(cell));
--- a/crates/cell/src/row/mod.rs
+++ b/crates/cell/src/row/mod.rs
@@ -13,6 +13,7 @@
 //! | `control` | pool | `answer` and a group | [`Answer`] | the holder of the group, before and after it gives the orders |
 //! | `control` | group | `owner` | [`Owner`] | the entry that takes over or releases the group of instances |
 //! | `control` | `.members-` and a hash of the entry | entry | [`Member`] | the entry, as its heartbeat |
+//! | `accounts` | `accounts` | account | [`Budget`](primroseroute_accounts::budget::Budget) | owners of pools that run its tasks |
 //! | `waves` | `waves` | number | [`WaveProgress`] | owners of pools with instances of the wave |
 //!
 //! `N` is a hash of the pool, so that an owner's feed shows few jobs of other pools. Ids are
@@ -66,6 +67,9 @@
 /// Table and partition of waves.
 pub const WAVES: &str = "waves";
 
+/// Table and partition of accounts' budgets.
+pub const ACCOUNTS: &str = "accounts";
+
 /// FNV-1a: stable across processes and versions, unlike the standard library's hashers.
 pub fn hash(text: &str) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
@@ -132,6 +136,11 @@
     Place::new(CONTROL, &format!("{MEMBERS}{part}"), entry)
 }
 
+/// Location of an account's budget.
+pub fn budget(account: &str) -> Place {
+    Place::new(ACCOUNTS, ACCOUNTS, account)
+}
+
 /// Location of a wave's progress.
 pub fn wave(number: u64) -> Place {
     Place::new(WAVES, WAVES, &number.to_string())
@@ -213,6 +222,9 @@
     pub pool: Name,
     /// Its queue.
     pub queue: Name,
+    /// The account that submitted it; none on a public queue.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<Name>,
 }
 
 /// A job as it was accepted, with the terms of its queue at that time.
@@ -233,6 +245,9 @@
     pub max_attempts: u32,
     /// Time from its acceptance within which it should be done, in milliseconds.
     pub objective_ms: u64,
+    /// The account that submitted it; none on a public queue.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<Name>,
 }
 
 /// Progress of one task.
@@ -354,6 +369,9 @@
     pub next: u32,
     /// Wall-clock time of its end, in milliseconds since 1970.
     pub ended_ms: Option<u64>,
+    /// The account that submitted the job, so that a gateway can tell whose state it shows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<Name>,
 }
 
 /// Record that each commit of an owner writes in addition to progress.
--- a/crates/cell/src/status.rs
+++ b/crates/cell/src/status.rs
@@ -240,6 +240,8 @@
     let step = cell.step(&running.task);
     let reserved = step.map(Step::reserved);
     let long_running = step.is_some_and(|step| step.lasting);
+    let job = cell.jobs.get(&running.task.job);
+    let charge = job.and_then(|job| job.charge(running.task.step));
     if let Some(job) = cell.jobs.get_mut(&running.task.job) {
         job.has_started = HasStarted::Yes;
     }
@@ -254,6 +256,7 @@
         start_expires_at: now,
         stop: StopState::Requested,
         origin: Origin::Discovered,
+        charge,
         ..Run::new(running.run, reserved.unwrap_or_default(), long_running)
     };
     worker.runs.insert(running.task.clone(), run);
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -7,6 +7,7 @@
     order::EndsCursor,
     row::IncarnationTag,
 };
+use primroseroute_accounts::meter::Charge;
 use primroseroute_domain::work::{Demand, JobId, Name, TaskId};
 use primroseroute_platform::site;
 use std::collections::{BTreeMap, BTreeSet};
@@ -43,6 +44,8 @@
     pub run: u32,
     /// Reserved resources.
     pub reserved: Demand,
+    /// What it counts against its account, if it has one and that is known.
+    pub charge: Option<Charge>,
     pub start_state: StartState,
     /// A start that hasn't taken effect by this time never will.
     pub start_expires_at: Millis,
@@ -77,6 +80,7 @@
         Self {
             run,
             reserved,
+            charge: None,
             start_state: StartState::Sent,
             start_expires_at: Millis::MAX,
             percent: 0,
--- a/crates/cell/tests/all/ends.rs
+++ b/crates/cell/tests/all/ends.rs
@@ -57,6 +57,7 @@
         at_ms: WALL_AT_ZERO_MS,
         priority: 0,
         max_attempts: 2,
+        account: None,
         objective_ms: 1_000,
     };
     new_owner.restore(id.clone(), accepted, progress);
--- a/crates/cell/tests/all/fixture.rs
+++ b/crates/cell/tests/all/fixture.rs
@@ -108,6 +108,7 @@
             at_ms: WALL_AT_ZERO_MS + self.now,
             priority: 0,
             max_attempts: 2,
+            account: None,
             objective_ms: job.chain_ms() * 2 + 500,
             job,
         };
--- a/crates/cell/tests/all/rows.rs
+++ b/crates/cell/tests/all/rows.rs
@@ -37,6 +37,7 @@
     let waiting = Task::default();
     let leaving = leaving("i-2");
     let progress = Progress {
+        account: Some("account-of-a-usual-length".into()),
         state: State::Running,
         steps: BTreeMap::from([(0, vec![vec![task("i-1"), waiting, leaving]])]),
         next: 1,
@@ -62,6 +63,7 @@
 fn largest() {
     let most = usize::try_from(primroseroute_domain::work::MAX_TASKS).expect("small");
     let progress = Progress {
+        account: Some("account-of-a-usual-length".into()),
         state: State::Running,
         steps: BTreeMap::from([(0, vec![vec![leaving("i-7f3a91c2ab"); most]])]),
         next: 1,
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -100,6 +100,8 @@
 pub(crate) enum SiteCommand {
     /// Pools: owners, wanted and present instances, and queued jobs.
     Pools,
+    /// Client accounts: weights, maximums, and what the pools hold of them.
+    Accounts,
     /// Maintenance waves with their progress.
     Waves,
     /// History of a job, also while its pool has no owner.
--- a/crates/ctl/src/command/site.rs
+++ b/crates/ctl/src/command/site.rs
@@ -8,7 +8,7 @@
 use eyre::{Result, WrapErr, eyre};
 use primroseroute_adapter::{Client, Settings, Site as Adapter, Store};
 use primroseroute_domain::work::JobId;
-use primroseroute_inspect::{JobDetails, Pool, Wave};
+use primroseroute_inspect::{Account, JobDetails, Pool, Wave};
 use std::time::Duration;
 
 /// Default timeout of a platform call. It is short because an operator waits for the result.
@@ -27,6 +27,10 @@
         SiteCommand::Pools => {
             show_pools(&primroseroute_inspect::pools(&store, &site).await?, printer)
         }
+        SiteCommand::Accounts => {
+            let accounts = primroseroute_inspect::accounts(&store, &site).await?;
+            show_accounts(&accounts, printer)
+        }
         SiteCommand::Waves => {
             show_waves(&primroseroute_inspect::waves(&store, &site).await?, printer)
         }
@@ -81,6 +85,45 @@
     Ok(exit::DONE)
 }
 
+/// A limit on a processor share; 0 is none.
+fn limit(cpu: u64) -> String {
+    or_none((cpu > 0).then_some(cpu))
+}
+
+fn show_accounts(accounts: &Vec<Account>, printer: &mut Printer<'_>) -> Result<u8> {
+    let row = |account: &Account| {
+        let pools = account.pools.iter();
+        let held = pools.clone().map(|(pool, holding)| {
+            let wanted = holding.wanted.map(|wanted| format!(" of {}", wanted.cpu));
+            format!("{pool} {}{}", holding.held.cpu, wanted.unwrap_or_default())
+        });
+        let waits = pools.filter(|(_pool, holding)| holding.wanted.is_some());
+        vec![
+            account.name.to_string(),
+            account.weight.to_string(),
+            account.keys.to_string(),
+            limit(account.maximum.cpu),
+            or_none(account.in_force.map(|maximum| limit(maximum.cpu))),
+            waits.count().to_string(),
+            held.collect::<Vec<_>>().join(", "),
+        ]
+    };
+    printer.print(&Printable {
+        value: accounts,
+        titles: &[
+            "account",
+            "weight",
+            "keys",
+            "maximum cpu",
+            "in force",
+            "pools that wait",
+            "held cpu",
+        ],
+        rows: accounts.iter().map(row).collect(),
+    })?;
+    Ok(exit::DONE)
+}
+
 fn show_waves(waves: &Vec<Wave>, printer: &mut Printer<'_>) -> Result<u8> {
     let row = |wave: &Wave| {
         vec![
@@ -103,10 +146,11 @@
     if printer.output == crate::cli::Output::Table {
         let ended = or_none(details.ended_ms);
         printer.line(&format!(
-            "{} of {} on {}: {:?}, accepted {}, objective {} ms, ended {ended}, cancelled {}",
+            "{} of {} on {} for {}: {:?}, accepted {}, objective {} ms, ended {ended}, cancelled {}",
             details.id,
             details.queue,
             details.pool,
+            or_none(details.account.as_ref()),
             details.state,
             details.accepted_ms,
             details.objective_ms,
--- a/crates/domain/src/outcome.rs
+++ b/crates/domain/src/outcome.rs
@@ -94,6 +94,7 @@
     HeadTooLarge = 107, 431, NotRun, "the request head is larger than the limit";
     MalformedTimeout = 108, 400, NotRun, "the timeout header is malformed";
     BodyIncomplete = 109, 400, NotRun, "the request body broke off before its end";
+    UnknownApiKey = 110, 401, NotRun, "the API key is missing or belongs to no account";
     QueueFull = 201, 429, NotRun, "the account's queue for this service is full";
     DeadlineUnreachable = 202, 503, NotRun, "the deadline cannot be met";
     NoInstance = 203, 503, NotRun, "no instance of the pool can take the request";
@@ -131,6 +132,7 @@
     SubmissionUnknown = 905, 504, Unknown, "the store did not say whether the job was accepted";
     CancelUnknown = 906, 504, Unknown, "the store did not say whether the job was cancelled";
     StateUnavailable = 907, 504, Unknown, "the store did not say how the job stands";
+    JobOfAnotherAccount = 908, 409, NotRun, "a job of another account has this id";
 }
 
 impl From<Code> for u16 {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The requests of callers.
 
 use crate::{
+    authentication::{Caller, Currency, Keys},
     parse::parse,
     queue_counts::QueueCounts,
     response::{empty, json, refused},
@@ -39,6 +40,8 @@
 pub struct Components {
     /// The newest configuration.
     pub configuration: Receiver<Option<Arc<Configuration>>>,
+    /// How current it is.
+    pub currency: Arc<dyn Currency>,
     /// The store.
     pub rows: Arc<dyn Rows>,
     /// Whether the store is reachable.
@@ -74,6 +77,7 @@
     number: u64,
     limits: RequestLimits,
     routes: Routes,
+    keys: Keys,
 }
 
 /// The callers' side of an entry.
@@ -90,6 +94,15 @@
     method: &'a Method,
     headers: &'a HeaderMap,
     request: &'a str,
+    caller: Caller,
+}
+
+/// A job's state, and whose it is.
+#[derive(Deserialize)]
+struct Shown {
+    state: State,
+    #[serde(default)]
+    account: Option<Name>,
 }
 
 impl Gateway {
@@ -129,6 +142,7 @@
                 number: configuration.number,
                 limits: configuration.limits,
                 routes: Routes::of(&configuration),
+                keys: Keys::of(&configuration),
             }));
         }
         prepared.clone()
@@ -146,7 +160,8 @@
         let mut queue = None;
         let response = self.answer(method, uri, headers, body, &mut queue);
         let mut response = response.await;
-        if self.components.store_health.is_unreachable() {
+        let is_stale = response.extensions().get::<Stale>().is_some();
+        if is_stale || self.components.store_health.is_unreachable() {
             // The caller's next attempt on this connection would come to this entry again.
             let headers = response.headers_mut();
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
@@ -171,11 +186,6 @@
     ) -> Response<Body> {
         let request = headers.get(REQUEST_ID).and_then(|id| id.to_str().ok());
         let request = request.unwrap_or_default().to_owned();
-        let head = Head {
-            method: &method,
-            headers: &headers,
-            request: &request,
-        };
         let Some(prepared) = self.prepared() else {
             return refused(Code::ViewStale, "no configuration is known yet", &request);
         };
@@ -190,6 +200,24 @@
             return refused(Code::UnknownService, "no queue has this path", &request);
         };
         *matched_queue = Some(Name::clone(&queue.name));
+        let key = self.components.codec.key(&headers);
+        let caller = prepared
+            .keys
+            .authenticate(queue, key, &*self.components.currency);
+        let caller = match caller {
+            Ok(caller) => caller,
+            Err((code, detail)) => {
+                let queue = &*queue.name;
+                info!(queue, code = code.number(), configuration = prepared.number; "caller not authenticated");
+                return unauthenticated(code, detail, &request);
+            }
+        };
+        let head = Head {
+            method: &method,
+            headers: &headers,
+            request: &request,
+            caller,
+        };
         if rest.is_empty() {
             return self.queued(&head, queue).await;
         }
@@ -209,7 +237,7 @@
                 self.submit(&head, queue, id, &body).await
             }
             Method::GET => self.state(&head, queue, id).await,
-            Method::DELETE => self.cancel(&head, id).await,
+            Method::DELETE => self.cancel(&head, queue, id).await,
             _ => refused(Code::MalformedRequest, "not a method of jobs", &request),
         }
     }
@@ -236,7 +264,8 @@
         if let Some(rejection) = self.reject_if_unreachable(head) {
             return rejection;
         }
-        let txn = acceptance(queue, &id, job, self.components.clock.now());
+        let now = self.components.clock.now();
+        let txn = acceptance(queue, head.caller.account(), &id, job, now);
         let mut retry_limit = RetryLimit::new(
             self.components.codec.request_timeout(head.headers),
             head.request,
@@ -245,11 +274,17 @@
         loop {
             match self.components.rows.commit(txn.clone()).await {
                 Ok(Commit::Committed(version)) => {
-                    info!(job:% = id, queue = &*queue.name, pool = &*queue.pool, version; "job accepted");
+                    let account = head.caller.account().map_or("-", |account| account);
+                    info!(job:% = id, queue = &*queue.name, pool = &*queue.pool, account, version; "job accepted");
                     return empty();
                 }
                 // An earlier attempt has claimed the id, maybe at another gateway.
-                Ok(Commit::Conflict(_rows)) => {
+                Ok(Commit::Conflict(rows)) => {
+                    let claim = rows.first().map(parse::<Claim>).transpose();
+                    let claim = claim.ok().flatten();
+                    if !claim.is_none_or(|claim| may_access(head, queue, &claim)) {
+                        return refused(Code::JobOfAnotherAccount, "", head.request);
+                    }
                     info!(job:% = id, queue = &*queue.name; "job already accepted");
                     return empty();
                 }
@@ -279,7 +314,9 @@
     }
 
     async fn state(&self, head: &Head<'_>, queue: &Queue, id: JobId) -> Response<Body> {
-        if let Some(state) = self.states.get(&id) {
+        if let Some((state, account)) = self.states.get(&id)
+            && head.caller.may_access(account.as_ref())
+        {
             return json(self.components.codec.state(state));
         }
         let mut retry_limit = RetryLimit::new(
@@ -290,9 +327,9 @@
             if let Some(rejection) = self.reject_if_unreachable(head) {
                 return rejection;
             }
-            match self.read_state(queue, &id).await {
-                Ok(Some(state)) => {
-                    self.states.insert(&id, state);
+            match self.read_state(head, queue, &id).await {
+                Ok(Some(Shown { state, account })) => {
+                    self.states.insert(&id, state, account);
                     return json(self.components.codec.state(state));
                 }
                 Ok(None) => return refused(Code::JobUnknown, "", head.request),
@@ -307,29 +344,35 @@
     }
 
     /// A job's state: its progress if an owner has written any, else whether it was accepted.
-    async fn read_state(&self, queue: &Queue, id: &JobId) -> Result<Option<State>, Error> {
-        if let Some(state) = self.progress(&queue.pool, id).await? {
-            return Ok(Some(state));
+    /// `None` if there is no such job that the caller may see.
+    async fn read_state(
+        &self,
+        head: &Head<'_>,
+        queue: &Queue,
+        id: &JobId,
+    ) -> Result<Option<Shown>, Error> {
+        if let Some(shown) = self.progress(&queue.pool, id).await?
+            && head.caller.may_access(shown.account.as_ref())
+        {
+            return Ok(Some(shown));
         }
         let Some((claim, _version)) = self.claim(id).await? else {
             return Ok(None);
         };
-        if claim.pool == queue.pool {
-            return Ok(Some(State::Pending));
+        if !may_access(head, queue, &claim) {
+            return Ok(None);
         }
-        // The queue was assigned to another pool since; the job stays where it was accepted.
-        let state = self.progress(&claim.pool, id).await?;
-        Ok(Some(state.unwrap_or(State::Pending)))
+        // If the queue was assigned to another pool since, the job stays where it was accepted.
+        let shown = self.progress(&claim.pool, id).await?;
+        Ok(Some(shown.unwrap_or(Shown {
+            state: State::Pending,
+            account: claim.account,
+        })))
     }
 
-    async fn progress(&self, pool: &Name, id: &JobId) -> Result<Option<State>, Error> {
-        #[derive(Deserialize)]
-        struct Shown {
-            state: State,
-        }
+    async fn progress(&self, pool: &Name, id: &JobId) -> Result<Option<Shown>, Error> {
         let row = self.read(row::progress(pool, id)).await?;
-        let shown: Option<Shown> = row.as_ref().map(parse).transpose()?;
-        Ok(shown.map(|shown| shown.state))
+        row.as_ref().map(parse).transpose()
     }
 
     async fn claim(&self, id: &JobId) -> Result<Option<(Claim, u64)>, Error> {
@@ -341,7 +384,7 @@
         read_row(&*self.components.rows, place).await
     }
 
-    async fn cancel(&self, head: &Head<'_>, id: JobId) -> Response<Body> {
+    async fn cancel(&self, head: &Head<'_>, queue: &Queue, id: JobId) -> Response<Body> {
         if let Some(rejection) = self.reject_if_unreachable(head) {
             return rejection;
         }
@@ -352,6 +395,9 @@
         loop {
             let result = match self.claim(&id).await {
                 Ok(None) => return refused(Code::JobUnknown, "", head.request),
+                Ok(Some((claim, _version))) if !may_access(head, queue, &claim) => {
+                    return refused(Code::JobUnknown, "", head.request);
+                }
                 Ok(Some((claim, version))) => self.write_cancel(&id, &claim, version).await,
                 Err(error) => Err(error),
             };
@@ -401,8 +447,34 @@
     }
 }
 
+/// Marks a response of an entry whose configuration may be outdated.
+#[derive(Clone, Copy, Debug)]
+struct Stale;
+
+/// The response to a request that no account is known for.
+fn unauthenticated(code: Code, detail: &str, request: &str) -> Response<Body> {
+    let mut response = refused(code, detail, request);
+    if code == Code::ViewStale {
+        response.extensions_mut().insert(Stale);
+    }
+    response
+}
+
+/// Whether the caller may see and change a job. A job that an account submitted stays accessible
+/// through its queue once that is public.
+fn may_access(head: &Head<'_>, queue: &Queue, claim: &Claim) -> bool {
+    let through_own_queue = queue.public && claim.queue == queue.name;
+    through_own_queue || head.caller.may_access(claim.account.as_ref())
+}
+
 /// The transaction that accepts a job, unless its id is already claimed.
-fn acceptance(queue: &Queue, id: &JobId, job: Job, now: time::Instant) -> Txn {
+fn acceptance(
+    queue: &Queue,
+    account: Option<&Name>,
+    id: &JobId,
+    job: Job,
+    now: time::Instant,
+) -> Txn {
     let chain = Duration::from_millis(job.chain_ms());
     let objective = chain.mul_f64(queue.stretch.max(0.0)) + Duration::from_millis(queue.target_ms);
     let accepted = Accepted {
@@ -413,10 +485,12 @@
         priority: queue.priority,
         max_attempts: queue.max_attempts,
         objective_ms: u64::try_from(objective.as_millis()).unwrap_or(u64::MAX),
+        account: account.cloned(),
     };
     let claim = Claim {
         pool: Name::clone(&queue.pool),
         queue: Name::clone(&queue.name),
+        account: account.cloned(),
     };
     let claimed = serde_json::to_vec(&claim).expect("a claim has plain fields");
     let stored = serde_json::to_vec(&accepted).expect("a job has plain fields");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,11 +15,13 @@
 //! While the store is known to be unreachable, a request of which nothing was sent to the store gets
 //! 503 at once, and its connection is closed: another gateway may reach the store.
 //!
+//! * [`authentication`]: which account a request is from. Pure.
 //! * [`routes`]: which queue a request is for. Pure.
 //! * [`Gateway`]: the requests, as gotham handlers.
 //! * [`StoreHealth`]: whether the store is reachable, as [`Monitored`] calls show.
 //! * [`Readiness`]: the load balancer's readiness check.
 
+pub mod authentication;
 mod gateway;
 mod parse;
 mod queue_counts;
--- a/crates/inspect/src/job.rs
+++ b/crates/inspect/src/job.rs
@@ -18,6 +18,8 @@
     pub queue: Name,
     /// Pool that runs it.
     pub pool: Name,
+    /// Account that submitted it; none on a public queue.
+    pub account: Option<Name>,
     /// Time of its acceptance, in milliseconds since the Unix epoch.
     pub accepted_ms: u64,
     /// Time from acceptance within which it should complete, in milliseconds.
@@ -57,7 +59,11 @@
     let Some(claim) = read_row(rows, row::claim(id)).await? else {
         return Ok(None);
     };
-    let Claim { pool, queue } = parsed(&claim)?;
+    let Claim {
+        pool,
+        queue,
+        account,
+    } = parsed(&claim)?;
     let Some(accepted) = read_row(rows, row::accepted(&pool, id)).await? else {
         return Ok(None);
     };
@@ -69,6 +75,7 @@
         id: id.clone(),
         queue,
         pool,
+        account,
         accepted_ms: accepted.at_ms,
         objective_ms: accepted.objective_ms,
         max_attempts: accepted.max_attempts,
--- a/crates/inspect/src/lib.rs
+++ b/crates/inspect/src/lib.rs
@@ -3,17 +3,35 @@
 //! No entry is contacted: the rows are the source of truth for the entries, so this also works while
 //! a pool's owner is unavailable.
 
+mod account;
 mod job;
 mod pool;
 mod wave;
 
+pub use account::{Account, accounts};
 pub use job::{JobDetails, Task, job};
 pub use pool::{Pool, pools};
 pub use wave::{Wave, waves};
 
-use primroseroute_platform::{Error, rows::Row};
+use primroseroute_platform::{
+    Error,
+    rows::Row,
+    site::{Configuration, Instruction, Site},
+};
 use serde::de::DeserializeOwned;
 
+/// The newest configuration, if there is any.
+async fn newest_configuration(site: &dyn Site) -> Result<Option<Configuration>, Error> {
+    let (instructions, _version) = site.instructions().await?;
+    let configurations = instructions
+        .into_iter()
+        .filter_map(|instruction| match instruction {
+            Instruction::Configuration(configuration) => Some(configuration),
+            Instruction::Wave(_) => None,
+        });
+    Ok(configurations.max_by_key(|configuration| configuration.number))
+}
+
 /// Parses the JSON value of a row.
 fn parsed<T: DeserializeOwned>(row: &Row) -> Result<T, Error> {
     let value = row.value.as_deref().unwrap_or_default();
--- a/crates/inspect/src/pool.rs
+++ b/crates/inspect/src/pool.rs
@@ -1,12 +1,12 @@
 //! Pools: ownership, demand for workers, instances and queued jobs.
 
-use crate::parsed;
+use crate::{newest_configuration, parsed};
 use primroseroute_cell::row::{self, CommitRecord, DesiredWorkers, Owner};
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
     Error,
     rows::{Rows, read_row},
-    site::{Instance, InstanceState, Instruction, Site},
+    site::{Instance, InstanceState, Site},
 };
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -41,14 +41,7 @@
 /// # Errors
 /// Errors of the calls, and [`Error::Unavailable`] for a row that cannot be parsed.
 pub async fn pools(rows: &dyn Rows, site: &dyn Site) -> Result<Vec<Pool>, Error> {
-    let (instructions, _version) = site.instructions().await?;
-    let configurations = instructions
-        .into_iter()
-        .filter_map(|instruction| match instruction {
-            Instruction::Configuration(configuration) => Some(configuration),
-            Instruction::Wave(_) => None,
-        });
-    let newest = configurations.max_by_key(|configuration| configuration.number);
+    let newest = newest_configuration(site).await?;
     let instances = site.instances().await?;
     let mut pools = Vec::new();
     for configured in newest.into_iter().flat_map(|newest| newest.pools) {
--- a/crates/owner/src/clock.rs
+++ b/crates/owner/src/clock.rs
@@ -2,6 +2,7 @@
 
 use primroseroute_cell::Millis;
 use primroseroute_domain::time::{self, Clock as _, SystemClock};
+use rustix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
 /// Both clocks; the monotonic one is tokio's, so that tests can pause it.
@@ -12,6 +13,13 @@
     simulated: Option<u64>,
 }
 
+/// Time since the machine started, including the time for which it was suspended.
+fn since_boot() -> Millis {
+    let time = clock_gettime(ClockId::Boottime);
+    let millis = time.tv_sec * 1_000 + time.tv_nsec / 1_000_000;
+    Millis::try_from(millis).unwrap_or(0)
+}
+
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
@@ -41,6 +49,15 @@
         u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Time since a fixed moment, including the time for which the machine was suspended, which the
+    /// monotonic clock doesn't count.
+    pub fn elapsed_with_suspension(&self) -> Millis {
+        match self.simulated {
+            Some(_) => self.now(),
+            None => since_boot(),
+        }
+    }
+
     /// Time of day in milliseconds since 1970. It may jump: it orders work, and nothing may be
     /// concluded from it.
     pub fn wall_ms(&self) -> u64 {
--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -383,6 +383,7 @@
             limits: bounds.limits,
             order_pause: bounds.order_pause,
             order_rate: bounds.order_rate,
+            configuration_bound: bounds.configuration_bound,
             rows: Arc::clone(&self.components.rows),
             takeover_rows: Arc::clone(&self.components.takeover_rows),
             site: Arc::clone(&self.components.site),
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -64,6 +64,8 @@
     pub order_pause: Duration,
     /// Orders to instances that the platform accepts per second from all entries together.
     pub order_rate: f64,
+    /// Time within which a configuration must be in force, if the platform sets one.
+    pub configuration_bound: Option<Duration>,
 }
 
 /// The components from which an entry is built.
--- a/crates/owner/src/event.rs
+++ b/crates/owner/src/event.rs
@@ -1,9 +1,9 @@
 //! Events of a pool's loop.
 
-use crate::load::JobRows;
+use crate::{budgets::Written, load::JobRows};
 use primroseroute_cell::{AdviceRequest, EvacuationReason, Millis, Outcome};
 use primroseroute_domain::work::{JobId, Name, TaskId};
-use primroseroute_platform::worker::WorkerStatus;
+use primroseroute_platform::{rows::Row, worker::WorkerStatus};
 use std::collections::BTreeMap;
 
 /// An event of a pool's loop.
@@ -13,6 +13,10 @@
     Jobs(JobRows, Millis),
     /// All jobs and cancels that were stored by then have been received.
     FeedWatermark(Millis),
+    /// Rows of budgets.
+    Budgets(Vec<Row>),
+    /// The outcome of a write of budgets.
+    BudgetsWritten(Written),
     LeaseRenewalSent {
         worker: Name,
         lease_expires_at: Millis,
--- a/crates/owner/src/follow.rs
+++ b/crates/owner/src/follow.rs
@@ -62,6 +62,9 @@
     /// An item of the table.
     type Item;
 
+    /// A call is about to be sent.
+    fn call_sent(&mut self) {}
+
     /// All items, replacing what was received before.
     fn reset(&mut self, items: Vec<Self::Item>);
 
@@ -97,6 +100,7 @@
     }
     loop {
         let begin = Instant::now();
+        sink.call_sent();
         let next = match read_newer(&source, newest).await {
             Ok((items, version)) => {
                 sink.reset(items);
@@ -133,6 +137,7 @@
     let mut received_at = Instant::now();
     loop {
         let begin = Instant::now();
+        sink.call_sent();
         match source.changes_after(next, wait).await {
             Ok(Feed::Changes {
                 items,
@@ -185,6 +190,7 @@
     K: Sink<Item = S::Item>,
 {
     let begin = Instant::now();
+    sink.call_sent();
     let read = timeout(FULL_READ_TIMEOUT, read_newer(source, newest)).await;
     match read.unwrap_or_else(|elapsed| Err(Error::Unavailable(elapsed.to_string()))) {
         Ok((items, version)) => {
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -16,6 +16,7 @@
 //! * `pool_workers`: the workers of a pool, with their polls and orders; `order_delivery`: the
 //!   delivery of one order.
 //! * `advice`: one request to the advice service.
+//! * `budgets`: the budgets of accounts, as a pool's owner uses and changes them.
 //! * `ownership`: one ownership of a pool; `pool_loop`: its loop; `log_lines`: the loop's log
 //!   lines.
 //! * `instance_manager`: a pool's instances; `maintain` and `relocate` carry out what [`wave`] and
@@ -37,6 +38,7 @@
 
 mod adaptive_timeout;
 mod advice;
+mod budgets;
 mod cancels;
 mod cleanup;
 mod clock;
--- a/crates/owner/src/ownership.rs
+++ b/crates/owner/src/ownership.rs
@@ -43,6 +43,8 @@
     pub order_pause: Duration,
     /// Orders to instances that the platform accepts per second from all entries together.
     pub order_rate: f64,
+    /// Time within which a configuration must be in force, if the platform sets one.
+    pub configuration_bound: Option<Duration>,
     pub rows: Arc<dyn Rows>,
     /// The store for the reads of a takeover.
     pub takeover_rows: Arc<dyn Rows>,
--- a/crates/owner/src/pool_loop.rs
+++ b/crates/owner/src/pool_loop.rs
@@ -2,12 +2,13 @@
 
 use crate::{
     advice::request_advice,
+    budgets::{self, Budgets},
     cancels::{CancelTracker, FeedRead},
     cleanup::delete_rows,
     commit::{CommitFigures, CommitSequence, OwnershipLost},
     evacuations::PoolStatus,
     event::Event,
-    follow::{FeedTiming, follow},
+    follow::{FEED_WAIT, FeedTiming, follow},
     instance_manager, jobs,
     load::Loaded,
     log_digest::LogDigest,
@@ -53,6 +54,16 @@
     full_read_after: Some(Duration::from_secs(1)),
 };
 
+/// Reads of the change feed of budgets.
+const BUDGETS_FEED_TIMING: FeedTiming = FeedTiming {
+    min_interval: Duration::from_millis(100),
+    wait: FEED_WAIT,
+    full_read_after: None,
+};
+
+/// Time within which a configuration must be in force if the platform sets none.
+const DEFAULT_CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
+
 /// Queues of a configuration whose starts need a ticket.
 fn advised_queues(configuration: Option<&Arc<Configuration>>) -> BTreeSet<Name> {
     let queues = configuration.into_iter().flat_map(|known| &known.queues);
@@ -83,6 +94,9 @@
     published_scaling: published::PublishedScaling,
     digest: LogDigest,
     cancels: CancelTracker,
+    configuration: Option<Arc<Configuration>>,
+    /// The budgets of accounts; `None` until there are accounts.
+    budgets: Option<Budgets>,
 }
 
 impl PoolLoop {
@@ -139,6 +153,8 @@
             published_scaling: published::PublishedScaling::default(),
             digest: LogDigest::new(),
             cancels: loaded.cancels,
+            configuration: None,
+            budgets: None,
         }
     }
 
@@ -154,8 +170,11 @@
         loop {
             let begin = Instant::now();
             if configuration.has_changed().unwrap_or(false) {
+                self.configuration
+                    .clone_from(&configuration.borrow_and_update());
                 self.cell
-                    .set_advised_queues(advised_queues(configuration.borrow_and_update().as_ref()));
+                    .set_advised_queues(advised_queues(self.configuration.as_ref()));
+                self.follow_budgets();
             }
             self.apply_registrations(registered.borrow_and_update().clone());
             while let Ok(event) = self.events.try_recv() {
@@ -230,6 +249,16 @@
                 self.cancels
                     .apply(&mut self.cell, &jobs.cancelled, read, times);
             }
+            Event::Budgets(rows) => {
+                if let Some(budgets) = &mut self.budgets {
+                    budgets.apply(&rows);
+                }
+            }
+            Event::BudgetsWritten(written) => {
+                if let Some(budgets) = &mut self.budgets {
+                    budgets.record_written(written);
+                }
+            }
             Event::FeedWatermark(at) => self.cell.advance_feed_watermark(at),
             Event::LeaseRenewalSent {
                 worker,
@@ -338,7 +367,9 @@
         let clock = self.context.clock;
         self.digest.write(&self.context.pool);
         let decided = Instant::now();
+        self.limit_accounts();
         let mut round = self.cell.run_round(clock.now(), clock.wall_ms());
+        self.write_budgets();
         self.cancels.log_ended(&self.cell, clock.now());
         self.withdraw_evacuated();
         for loss in &round.losses {
@@ -398,6 +429,57 @@
         Ok(())
     }
 
+    /// Follows the budgets of accounts from the first configuration on that has accounts.
+    fn follow_budgets(&mut self) {
+        let mut accounts = self.configuration.iter().flat_map(|known| &known.accounts);
+        if self.budgets.is_some() || accounts.next().is_none() {
+            return;
+        }
+        let Context { pool, rows, .. } = &self.context;
+        self.budgets = Some(Budgets::new(Name::clone(pool), self.token));
+        let follower = follow(
+            "budgets",
+            budgets::Table(Arc::clone(rows)),
+            budgets::Sink(self.sender.clone()),
+            BUDGETS_FEED_TIMING,
+            None,
+            (Name::clone(pool), self.token),
+        );
+        self.background.push(tokio::spawn(follower));
+    }
+
+    /// Sets what the accounts may have running in the pool.
+    fn limit_accounts(&mut self) {
+        let newest = self.context.watch.configuration.borrow().clone();
+        let (Some(budgets), Some(configuration)) = (&self.budgets, newest) else {
+            return;
+        };
+        let bound = self.context.configuration_bound;
+        let bound = bound.unwrap_or(DEFAULT_CONFIGURATION_BOUND);
+        let age = self.context.watch.configuration_age();
+        let is_current = age.is_some_and(|age| age < bound);
+        self.cell
+            .set_account_limits(&budgets.limits(&configuration, is_current));
+    }
+
+    /// Writes the budgets that what runs and waits requires to be changed.
+    fn write_budgets(&mut self) {
+        let (Some(budgets), Some(configuration)) = (&mut self.budgets, &self.configuration) else {
+            return;
+        };
+        let meter = self.cell.account_usage();
+        budgets.log_refusals(configuration, meter);
+        if let Some(txn) = budgets.write(configuration, meter, self.context.clock.now()) {
+            let Context { rows, pool, .. } = &self.context;
+            self.detached.spawn(budgets::send(
+                Arc::clone(rows),
+                txn,
+                Name::clone(pool),
+                self.sender.clone(),
+            ));
+        }
+    }
+
     /// Sends the orders of a round that are still valid, once it is committed by a transaction that
     /// was sent at `sent_at`.
     fn carry_out(&mut self, mut round: RoundOutput, sent_at: Millis, decided: Instant) {
@@ -406,6 +488,7 @@
         // The commit may have taken long.
         let workers = self.roster.workers.borrow().clone();
         self.apply_registrations(workers);
+        self.limit_accounts();
         let orders = std::mem::take(&mut round.orders);
         let (orders, withdrawn) = self.cell.revalidate(orders, clock.now());
         for order in &withdrawn {
--- a/crates/owner/src/watch.rs
+++ b/crates/owner/src/watch.rs
@@ -146,6 +146,9 @@
     pub waves: Receiver<Waves>,
     /// When the store last answered, on the monotonic clock.
     pub last_contact: Receiver<Millis>,
+    /// The configuration was the newest one at this time, on the clock that counts suspensions.
+    current_at: Receiver<Option<Millis>>,
+    clock: Clock,
 }
 
 impl Watch {
@@ -156,10 +159,13 @@
         let (waves_sink, waves) = watch::channel(Waves::default());
         let (roster, registrations) = Roster::spawn(site, seed);
         let (contact_sink, last_contact) = watch::channel(0);
+        let (current_sink, current_at) = watch::channel(None);
         let instructions = InstructionSink {
             configuration: configuration_sink,
             waves: waves_sink,
             last_contact: contact_sink,
+            current_at: current_sink,
+            call_sent_at: None,
             clock,
         };
         let tasks = vec![
@@ -178,9 +184,21 @@
             roster,
             waves,
             last_contact,
+            current_at,
+            clock,
         };
         (watch, tasks)
     }
+
+    /// How long ago the configuration was certainly the newest one; `None` before the first.
+    ///
+    /// The time counts from the sending of the last call that confirmed it, and includes the time for
+    /// which the machine was suspended.
+    pub fn configuration_age(&self) -> Option<Duration> {
+        let at = (*self.current_at.borrow())?;
+        let age = self.clock.elapsed_with_suspension().saturating_sub(at);
+        Some(Duration::from_millis(age))
+    }
 }
 
 #[async_trait]
@@ -204,12 +222,19 @@
     configuration: Sender<Option<Arc<Configuration>>>,
     waves: Sender<Waves>,
     last_contact: Sender<Millis>,
+    current_at: Sender<Option<Millis>>,
+    /// When the call that is under way was sent, on the clock that counts suspensions.
+    call_sent_at: Option<Millis>,
     clock: Clock,
 }
 
 impl Sink for InstructionSink {
     type Item = Instruction;
 
+    fn call_sent(&mut self) {
+        self.call_sent_at = Some(self.clock.elapsed_with_suspension());
+    }
+
     fn reset(&mut self, items: Vec<Instruction>) {
         self.apply(items);
     }
@@ -229,6 +254,7 @@
 
     fn confirmed(&mut self, _at: Instant) {
         self.last_contact.send_replace(self.clock.now());
+        self.current_at.send_replace(self.call_sent_at);
     }
 }
 
--- a/crates/platform/src/site.rs
+++ b/crates/platform/src/site.rs
@@ -6,6 +6,7 @@
 };
 use async_trait::async_trait;
 use bytes::Bytes;
+pub use primroseroute_accounts::Account;
 use primroseroute_domain::work::{Demand, Job, Name, State};
 use std::{collections::BTreeSet, fmt, net::SocketAddr, time::Duration};
 
@@ -60,6 +61,8 @@
     pub target_ms: u64,
     /// Whether starting a task requires a ticket of the advice service.
     pub needs_ticket: bool,
+    /// Whether its calls need no key.
+    pub public: bool,
 }
 
 /// A pool of the configuration.
@@ -95,6 +98,8 @@
     pub queues: Vec<Queue>,
     /// Pools.
     pub pools: Vec<Pool>,
+    /// Client accounts.
+    pub accounts: Vec<Account>,
     /// Limits on callers' requests.
     pub limits: RequestLimits,
 }
@@ -245,6 +250,9 @@
     /// A description of the fault, which is returned to the caller.
     fn submission(&self, body: &[u8]) -> Result<Job, String>;
 
+    /// Returns the key that a request carries, if any.
+    fn key<'a>(&self, headers: &'a http::HeaderMap) -> Option<&'a [u8]>;
+
     /// Returns how long the caller waits for a response, if its headers specify it.
     fn request_timeout(&self, headers: &http::HeaderMap) -> Option<Duration>;
 
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -14,7 +14,7 @@
 use primroseroute_cell::Limits;
 use primroseroute_front::{Options, Server};
 use primroseroute_gateway::{
-    Components as GatewayComponents, Gateway, Monitored, Readiness, StoreHealth,
+    Components as GatewayComponents, Gateway, Monitored, Readiness, StoreHealth, authentication,
 };
 use primroseroute_owner::{AdaptiveTimeout, Bounds, Clock, Components, Entry, Watch};
 use primroseroute_platform::{rows::Rows, site, worker};
@@ -100,6 +100,7 @@
     instances: LiveSetting<SocketAddr>,
     advice: LiveSetting<Option<SocketAddr>>,
     bounds: watch::Sender<Bounds>,
+    revocation_bound: LiveSetting<Option<Duration>>,
 }
 
 impl LiveSettings {
@@ -109,6 +110,7 @@
             instances: settings.instances.into(),
             advice: settings.advice.into(),
             bounds: watch::Sender::new(bounds(settings)),
+            revocation_bound: settings.revocation_bound.into(),
         }
     }
 
@@ -119,6 +121,7 @@
         self.instances.set(settings.instances);
         self.advice.set(settings.advice);
         self.bounds.send_replace(bounds(settings));
+        self.revocation_bound.set(settings.revocation_bound);
     }
 }
 
@@ -127,6 +130,24 @@
         limits: limits(settings),
         order_pause: settings.order_pause,
         order_rate: settings.order_rate,
+        configuration_bound: settings.configuration_bound,
+    }
+}
+
+/// Tells the gateway how current the configuration is.
+#[derive(Debug)]
+struct Currency {
+    watch: Watch,
+    revocation_bound: LiveSetting<Option<Duration>>,
+}
+
+impl authentication::Currency for Currency {
+    fn configuration_age(&self) -> Option<Duration> {
+        self.watch.configuration_age()
+    }
+
+    fn revocation_bound(&self) -> Option<Duration> {
+        self.revocation_bound.get()
     }
 }
 
@@ -170,6 +191,10 @@
         let readiness = readiness(&watch, clock, &stopping);
         let gateway = Gateway::open(GatewayComponents {
             configuration: watch.configuration.clone(),
+            currency: Arc::new(Currency {
+                watch: watch.clone(),
+                revocation_bound: live.revocation_bound.clone(),
+            }),
             rows: Arc::clone(&rows),
             store_health,
             codec: Arc::new(Json),
--- a/crates/standin/src/site/check/breach.rs
+++ b/crates/standin/src/site/check/breach.rs
@@ -20,6 +20,8 @@
     Crashes(TaskId, u64),
     /// A start that exceeds a worker's capacity.
     Full(TaskId, u64),
+    /// A start that brings its account above its maximum.
+    Quota(TaskId, u64),
     /// A start of a job whose every submission was refused.
     Refused(TaskId, u64),
     /// A start of a job long after its cancel was acknowledged.
@@ -49,6 +51,7 @@
             Self::Budget(task, at) => ("a start after too many failures", task, at),
             Self::Crashes(task, at) => ("a third start after three crashes", task, at),
             Self::Full(task, at) => ("a start beyond its worker's capacity", task, at),
+            Self::Quota(task, at) => ("a start beyond its account's maximum", task, at),
             Self::Refused(task, at) => ("a start of a refused job", task, at),
             Self::Cancelled(task, at) => ("a start of a cancelled job", task, at),
             Self::RunsOn(task, at) => ("a run of a cancelled job continues", task, at),
--- a/crates/standin/src/site/check/mod.rs
+++ b/crates/standin/src/site/check/mod.rs
@@ -3,6 +3,7 @@
 mod breach;
 mod cancelled;
 mod capacity;
+mod quota;
 mod readiness;
 
 pub use breach::Breach;
@@ -10,6 +11,8 @@
 use super::journal::{Event, Journal};
 use capacity::WorkerLoads;
 use primroseroute_domain::work::{End, Job, JobId, Name, TaskId};
+use primroseroute_platform::site::Configuration;
+use quota::AccountLoads;
 use readiness::StepReadiness;
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -33,6 +36,20 @@
     pub calm: Vec<Range<u64>>,
     /// Time from a stop order to the end of the run, in milliseconds.
     pub stop: u64,
+    /// The account that submitted each job, where one did.
+    pub accounts: BTreeMap<JobId, Name>,
+    /// What each account may have running, in thousandths of a core, by the time of the publication
+    /// in milliseconds since the site opened; accounts that aren't named have no limit.
+    pub maximums: Vec<(u64, BTreeMap<Name, u64>)>,
+}
+
+impl Sent {
+    /// Records what the accounts of a configuration may have running from `at` on.
+    pub fn record_maximums(&mut self, at: u64, configuration: &Configuration) {
+        let accounts = configuration.accounts.iter();
+        let maximums = accounts.map(|account| (Name::clone(&account.name), account.maximum.cpu));
+        self.maximums.push((at, maximums.collect()));
+    }
 }
 
 /// Longest time from the acknowledgement of a job's cancel to the last start of one of its tasks: the shortest that is
@@ -69,6 +86,7 @@
     running: BTreeMap<&'a TaskId, BTreeSet<(&'a Name, u32)>>,
     readiness: StepReadiness<'a>,
     workers: WorkerLoads<'a>,
+    accounts: AccountLoads<'a>,
     done: BTreeSet<&'a TaskId>,
     acknowledged: BTreeSet<&'a TaskId>,
     failures: BTreeMap<&'a TaskId, usize>,
@@ -159,7 +177,7 @@
 impl<'a> Checker<'a> {
     fn started(
         &mut self,
-        sent: &Sent,
+        sent: &'a Sent,
         at: u64,
         worker: &'a Name,
         task: &'a TaskId,
@@ -188,6 +206,9 @@
         if self.workers.started(sent, at, worker, (task, run)) {
             self.breaches.push(Breach::Full(task.clone(), at));
         }
+        if self.accounts.started(sent, at, worker, (task, run)) {
+            self.breaches.push(Breach::Quota(task.clone(), at));
+        }
         self.readiness.started(task, at);
         if self.acknowledged.contains(task) {
             self.breaches.push(Breach::AfterDone(task.clone(), at));
@@ -246,7 +267,7 @@
 
     fn ended(
         &mut self,
-        sent: &Sent,
+        sent: &'a Sent,
         at: u64,
         (worker, task): (&'a Name, &'a TaskId),
         run: u32,
@@ -256,6 +277,7 @@
             running.remove(&(worker, run));
         }
         self.workers.ended(worker, task, run);
+        self.accounts.ended(sent, worker, task, run);
         self.readiness.ended(sent, at, task, how);
         let Some(how) = how else {
             return;
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -4,6 +4,7 @@
 //! Tokio's clock is paused and every source of randomness is seeded, so runs are reproducible.
 
 mod accept;
+mod accounts;
 mod advice;
 mod cancel;
 mod capacity;
