A start is withdrawn if its account's room has shrunk before its commit

Cause: a decided start wasn't checked against its account's limit once its commit was through, though the commit may take seconds at a slow store and the maximum may be lowered meanwhile.

--- a/crates/cell/src/window.rs
+++ b/crates/cell/src/window.rs
@@ -86,7 +86,14 @@
                 let worker = self.workers.get(worker);
                 let worker = worker.filter(|worker| !worker.is_draining());
                 let entry = worker.and_then(|worker| worker.runs.get(task));
-                entry.is_some_and(|entry| entry.run == *run && entry.stop == StopState::No)
+                // The maximum of its account may have been lowered meanwhile.
+                let is_admitted = |entry: &Run| {
+                    let charge = entry.charge;
+                    charge.is_none_or(|charge| self.meter.admits(charge, 0))
+                };
+                entry.is_some_and(|entry| {
+                    entry.run == *run && entry.stop == StopState::No && is_admitted(entry)
+                })
             }
             Order::Stop { worker, task, .. } => {
                 let Some(on) = self.workers.get(worker) else {
