Accounts that use much more than their weighted share go last

Cause: within a class the job with the least work left goes first, whoever sent it, so an account that floods a queue with small jobs keeps all others waiting. Change: a job whose account's dominant share of the pool is beyond 1.25 times its weighted share and a sixteenth of the pool comes after the others of its class. It is computed once a round for each account. Within that allowance the order stays by least work left: strict shares would have reordered jobs that differ from their share by chance.

--- a/crates/accounts/src/meter.rs
+++ b/crates/accounts/src/meter.rs
@@ -1,9 +1,21 @@
-//! What the accounts use in one pool, and whether another task may start.
+//! What the accounts use in one pool, whether another task may start, and whose turn it is.
+//!
+//! The share of an account is that of its dominant resource: the one of which it uses the largest
+//! part of what the pool has (Ghodsi et al., "Dominant Resource Fairness", NSDI 2011), relative to
+//! the account's weight.
 
 use crate::budget::Usage;
 use primroseroute_domain::work::{Demand, Name};
 use std::collections::BTreeMap;
 
+/// Multiple of its weighted share from which on an account lets others go first, apart from
+/// [`SHARE_ALLOWANCE`]: what an account uses differs from its share by chance.
+const SHARE_SLACK: f64 = 1.25;
+
+/// Part of the pool that an account may use beyond that: one job of a small account may be more than
+/// its share.
+const SHARE_ALLOWANCE: f64 = 1.0 / 16.0;
+
 /// Number of an account in one meter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Index(u16);
@@ -30,7 +42,9 @@
 struct Counted {
     name: Name,
     limit: Option<Limit>,
+    weight: f64,
     usage: Usage,
+    is_beyond_share: bool,
 }
 
 impl Counted {
@@ -52,6 +66,15 @@
     }
 }
 
+/// The largest part that `used` is of any resource.
+#[expect(clippy::cast_precision_loss, reason = "a coarse figure")]
+fn dominant_share(used: Demand, capacity: Demand) -> f64 {
+    let part = |used: u64, capacity: u64| used as f64 / (capacity.max(1) as f64);
+    part(used.cpu, capacity.cpu)
+        .max(part(used.memory, capacity.memory))
+        .max(part(used.accelerators, capacity.accelerators))
+}
+
 /// The accounts whose tasks run in one pool.
 #[derive(Clone, Debug, Default)]
 pub struct Meter {
@@ -92,19 +115,38 @@
         }
     }
 
-    /// Whether any account has a limit.
-    pub fn is_limited(&self) -> bool {
-        self.accounts.iter().any(|account| account.limit.is_some())
+    /// Sets the weights of accounts; those that aren't named have none, and go last.
+    pub fn set_weights<'a>(&mut self, weights: impl Iterator<Item = (&'a Name, f64)>) {
+        for account in &mut self.accounts {
+            account.weight = 0.0;
+        }
+        for (name, weight) in weights {
+            let index = self.index(name);
+            self.of(index).weight = weight;
+        }
     }
 
-    /// Counts what may be running anew, and forgets what was refused.
-    pub fn recount(&mut self, charges: impl Iterator<Item = Charge>) {
+    /// Counts anew what may be running in a pool of this capacity, and forgets what was refused.
+    pub fn recount(&mut self, capacity: Demand, charges: impl Iterator<Item = Charge>) {
         for account in &mut self.accounts {
             account.usage = Usage::default();
         }
         for charge in charges {
             self.add(charge);
         }
+        let users = self.accounts.iter();
+        let users = users.filter(|account| account.usage.used != Demand::default());
+        let weights: f64 = users.map(|account| account.weight).sum();
+        for account in &mut self.accounts {
+            let share = dominant_share(account.usage.used, capacity);
+            let fair = account.weight / weights.max(f64::MIN_POSITIVE);
+            account.is_beyond_share = share > fair * SHARE_SLACK + SHARE_ALLOWANCE;
+        }
+    }
+
+    /// Whether an account uses so much more than its weighted share that others go first.
+    pub fn is_beyond_share(&self, account: Index) -> bool {
+        self.accounts[usize::from(account.0)].is_beyond_share
     }
 
     /// Adds a task that is about to start.
--- a/crates/accounts/tests/all/budget.rs
+++ b/crates/accounts/tests/all/budget.rs
@@ -153,7 +153,7 @@
             };
             meter.set_limits(&[("a".into(), limit)].into());
         }
-        meter.recount((0..owner.running).map(|_run| charge));
+        meter.recount(cores(1), (0..owner.running).map(|_run| charge));
         (meter, charge)
     }
 
--- a/crates/accounts/tests/all/meter.rs
+++ b/crates/accounts/tests/all/meter.rs
@@ -3,9 +3,9 @@
 use crate::cases;
 use primroseroute_accounts::{
     budget::Usage,
-    meter::{Charge, Limit, Meter},
+    meter::{Charge, Index, Limit, Meter},
 };
-use primroseroute_domain::work::Demand;
+use primroseroute_domain::work::{Demand, Name};
 
 cases! {
     tasks_are_admitted_up_to_the_room => up_to_the_room();
@@ -14,6 +14,11 @@
     task_beyond_the_maximum_runs_alone => beyond_the_maximum();
     refused_tasks_are_counted_until_the_next_count => refused();
     gang_is_admitted_as_a_whole => gang();
+    /// A flood of small jobs of one account would keep all others waiting.
+    account_far_beyond_its_share_lets_others_go_first => beyond_share();
+    account_beyond_its_share_by_memory_lets_others_go_first => by_memory();
+    /// The only user of a pool would count as beyond its share of it.
+    only_user_is_within_its_share => only_user();
 }
 
 fn cores(cpu: u64) -> Demand {
@@ -54,7 +59,7 @@
         meter.add(charge);
     }
     assert!(!meter.admits(charge, 1));
-    meter.recount([charge].into_iter());
+    meter.recount(cores(100), [charge].into_iter());
     assert!(meter.admits(charge, 2) && !meter.admits(charge, 3));
 }
 
@@ -83,7 +88,7 @@
         refused: cores(40),
     };
     assert_eq!(meter.usage(&"a".into()), expected);
-    meter.recount([].into_iter());
+    meter.recount(cores(100), [].into_iter());
     assert_eq!(meter.usage(&"a".into()), Usage::default());
 }
 
@@ -91,3 +96,55 @@
     let (meter, charge) = meter(30, 100, 10);
     assert!(meter.admits(charge, 3) && !meter.admits(charge, 4));
 }
+
+/// Whether accounts are beyond their shares of a pool of 100 cores and 100 MB: accounts by weight
+/// and by what each uses.
+fn beyond(accounts: &[(f64, Demand)]) -> Vec<bool> {
+    let mut meter = Meter::default();
+    let names: Vec<Name> = (0..accounts.len())
+        .map(|number| format!("a-{number}").into())
+        .collect();
+    let weights = accounts.iter().map(|(weight, _used)| *weight);
+    meter.set_weights(names.iter().zip(weights));
+    let indexes: Vec<Index> = names.iter().map(|name| meter.index(name)).collect();
+    let charges = indexes.iter().zip(accounts);
+    let charges = charges.map(|(account, (_weight, demand))| Charge {
+        account: *account,
+        demand: *demand,
+    });
+    let capacity = Demand {
+        cpu: 100,
+        memory: 100,
+        accelerators: 0,
+    };
+    meter.recount(capacity, charges);
+    let beyond = indexes.iter().map(|index| meter.is_beyond_share(*index));
+    beyond.collect()
+}
+
+fn beyond_share() {
+    let shares = beyond(&[(1.0, cores(70)), (1.0, cores(10)), (2.0, cores(20))]);
+    assert_eq!(shares, [true, false, false]);
+    let weighted = beyond(&[(7.0, cores(70)), (1.0, cores(10)), (2.0, cores(20))]);
+    assert_eq!(weighted, [false, false, false]);
+    let small = beyond(&[(0.01, cores(6)), (10.0, cores(94))]);
+    assert_eq!(small, [false, false]);
+    let without_weight = beyond(&[(0.0, cores(7)), (1.0, cores(10))]);
+    assert_eq!(without_weight, [true, false]);
+}
+
+fn by_memory() {
+    let hungry = Demand {
+        cpu: 5,
+        memory: 80,
+        accelerators: 0,
+    };
+    assert_eq!(beyond(&[(1.0, hungry), (2.0, cores(60))]), [true, false]);
+}
+
+fn only_user() {
+    assert_eq!(
+        beyond(&[(1.0, cores(100)), (5.0, cores(0))]),
+        [false, false]
+    );
+}
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -12,7 +12,7 @@
     worker::{Origin, Run, StartState, StopState, Worker},
 };
 use primroseroute_accounts::meter::{Limit, Meter};
-use primroseroute_domain::work::{JobId, Name, State, Step, StepId, TaskId};
+use primroseroute_domain::work::{Demand, JobId, Name, State, Step, StepId, TaskId};
 use primroseroute_platform::worker::{Ended, Refusal, WorkerStatus};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -327,6 +327,11 @@
         self.meter.set_limits(limits);
     }
 
+    /// Sets the weights of accounts; accounts that aren't named have none.
+    pub fn set_account_weights<'a>(&mut self, weights: impl Iterator<Item = (&'a Name, f64)>) {
+        self.meter.set_weights(weights);
+    }
+
     /// What the accounts use, as of the last round.
     pub fn account_usage(&self) -> &Meter {
         &self.meter
@@ -334,11 +339,13 @@
 
     /// Counts what the accounts may have running.
     pub(crate) fn count_account_usage(&mut self) {
-        let runs = self
-            .workers
-            .values()
-            .flat_map(|worker| worker.runs.values());
-        self.meter.recount(runs.filter_map(|run| run.charge));
+        let workers = self.workers.values();
+        let registered = workers.clone().filter(|worker| worker.registered);
+        let capacities = registered.filter_map(|worker| worker.registration.as_ref());
+        let capacity = capacities.fold(Demand::default(), |all, info| all.plus(info.capacity));
+        let runs = workers.flat_map(|worker| worker.runs.values());
+        self.meter
+            .recount(capacity, runs.filter_map(|run| run.charge));
     }
 
     /// Sets the queues whose starts need a ticket.
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Whether its account uses much more of the pool than its weighted share.
+    pub(crate) fn is_beyond_share(&self, meter: &Meter) -> bool {
+        let account = self.account;
+        account.is_some_and(|account| meter.is_beyond_share(account))
+    }
+
     /// What one task of a step counts against the job's account.
     pub(crate) fn charge(&self, step: u16) -> Option<Charge> {
         let account = self.account?;
--- a/crates/cell/src/placement/urgency.rs
+++ b/crates/cell/src/placement/urgency.rs
@@ -1,5 +1,7 @@
 //! Order in which waiting steps are placed.
 //!
+//! Within each class, jobs of accounts that use much more than their weighted share come last.
+//!
 //! Long-running tasks come first, since their users are affected all the time that they are
 //! unavailable. Then come jobs that can still meet their objective, those with the least remaining
 //! work first; then late ones, and last those that are past three times their objective, which earn
@@ -24,6 +26,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct WaitingStep {
     pub(super) class: Class,
+    /// Whether its account uses much more of the pool than its weighted share.
+    is_beyond_share: bool,
     /// Remaining work of the job in core-milliseconds: short jobs earn most for the time that they
     /// occupy, and a job that has begun comes before an equal one that hasn't.
     core_ms: u64,
@@ -58,7 +62,11 @@
         for &occurrence in job.progress.steps.keys() {
             for step in job.ready_steps(occurrence) {
                 if waiting_tasks(job, occurrence, step).next().is_some() {
-                    all.push(urgency(id, job, occurrence, step, wall_ms));
+                    let urgency = urgency(id, job, occurrence, step, wall_ms);
+                    all.push(WaitingStep {
+                        is_beyond_share: job.is_beyond_share(&cell.meter),
+                        ..urgency
+                    });
                 }
             }
         }
@@ -148,6 +156,7 @@
 fn urgency(id: &JobId, job: &Job, occurrence: u32, step: u16, wall_ms: u64) -> WaitingStep {
     WaitingStep {
         class: class(job, occurrence, step, wall_ms),
+        is_beyond_share: false,
         core_ms: work_left(job, occurrence),
         job: id.clone(),
         occurrence,
--- a/crates/cell/tests/all/fixture.rs
+++ b/crates/cell/tests/all/fixture.rs
@@ -100,6 +100,11 @@
     }
 
     pub(crate) fn accept(&mut self, job: Job) -> JobId {
+        self.accept_from(None, job)
+    }
+
+    /// Accepts a job that an account has submitted.
+    pub(crate) fn accept_from(&mut self, account: Option<&str>, job: Job) -> JobId {
         self.jobs += 1;
         let id = JobId::parse(&format!("{:016x}", self.jobs)).expect("16 digits");
         let accepted = Accepted {
@@ -108,7 +113,7 @@
             at_ms: WALL_AT_ZERO_MS + self.now,
             priority: 0,
             max_attempts: 2,
-            account: None,
+            account: account.map(Name::from),
             objective_ms: job.chain_ms() * 2 + 500,
             job,
         };
--- a/crates/cell/tests/all/main.rs
+++ b/crates/cell/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduling decisions for a pool's jobs, without a store or real workers.
 
+mod accounts;
 mod advice;
 mod crash;
 mod ends;
