--- a/crates/accounts/tests/all/budget.rs
+++ b/crates/accounts/tests/all/budget.rs
@@ -21,6 +21,9 @@
     /// What ran before the maximum was lowered counts, whichever pool it runs in.
     lowered_maximum_stops_all_starts_until_it_holds => lowered();
     account_that_gets_a_maximum_counts_what_runs_already => introduced();
+    account_that_gets_a_maximum_again_counts_what_runs_already => introduced_again();
+    /// A late write of the owner before could give away what the new one uses already.
+    new_owner_starts_nothing_before_it_has_written_its_token => not_written_yet();
     /// A paused owner would give away room that its successor uses.
     replaced_owner_changes_nothing => replaced();
     row_without_a_wish_is_read => older_row();
@@ -369,6 +372,39 @@
     assert_eq!(site.owners[1].running, 10);
 }
 
+fn introduced_again() {
+    let mut site = Site::new(24 * TASK);
+    site.settle();
+    site.maximums.push(0);
+    site.settle();
+    site.owners[0].waiting = 40;
+    site.settle();
+    assert_eq!(site.owners[0].running, 40);
+    site.maximums.push(24 * TASK);
+    site.owners[1].waiting = 10;
+    site.owners[1].configuration = 2;
+    for _round in 0..5 {
+        site.read(1);
+        site.round(1).expect("no start exceeds the maximum");
+        site.deliver(1);
+    }
+    assert_eq!(site.owners[1].running, 0);
+}
+
+fn not_written_yet() {
+    let mut site = Site::new(24 * TASK);
+    site.owners[0].waiting = 10;
+    site.settle();
+    site.replace(0);
+    site.read(0);
+    site.owners[0].waiting = 1;
+    site.round(0).expect("no start exceeds the maximum");
+    assert_eq!(site.owners[0].running, 10);
+    site.deliver(0);
+    site.round(0).expect("no start exceeds the maximum");
+    assert_eq!(site.owners[0].running, 11);
+}
+
 fn replaced() {
     let mut site = Site::new(24 * TASK);
     site.owners[0].waiting = 24;
