Budgets: saturating sums, first read as urgent as those of a takeover, one function less long

Cause: a maximum near the largest number would have wrapped around, and the first read of budgets shared the backoff of ordinary reads, though no task of an account with a maximum starts before it. Change: sums and products of demands saturate; the read uses the rows of takeovers; what a pool should hold is a function of its own.

--- a/crates/accounts/src/budget.rs
+++ b/crates/accounts/src/budget.rs
@@ -100,19 +100,37 @@
 /// What a pool should hold if `needed` is in use or could be: twice as much, but beyond half of the
 /// maximum only an eighth of it more.
 fn target(needed: Demand, maximum: Demand) -> Demand {
-    let headroom = sum([needed, divided(maximum, HEADROOM_DIVISOR)].into_iter());
+    let headroom = needed.plus(divided(maximum, HEADROOM_DIVISOR));
     let at_most = headroom.larger(divided(maximum, 2));
     limited(needed.times(2).smaller(at_most), maximum)
 }
 
+/// What a pool that holds `held` should hold, of which others leave `available`: at least `least`, so
+/// that its first tasks need no write, and more if it is nearly full.
+fn extended(
+    held: Demand,
+    needed: Demand,
+    least: Demand,
+    maximum: Demand,
+    available: Demand,
+) -> Demand {
+    let held = held.larger(least.smaller(available));
+    let target = target(needed, maximum);
+    let is_nearly_full = !needed.times(100).fits(held.times(NEARLY_FULL_PERCENT));
+    let would_grow = !target.fits(held.plus(divided(maximum, MIN_GROWTH_DIVISOR)));
+    if !needed.fits(held) || (is_nearly_full && would_grow) {
+        held.larger(target.smaller(available))
+    } else {
+        held
+    }
+}
+
 fn divided(amount: Demand, by: u64) -> Demand {
     each(amount, amount, |amount, _same| amount / by.max(1))
 }
 
 fn sum(parts: impl Iterator<Item = Demand>) -> Demand {
-    parts.fold(Demand::default(), |all, part| {
-        each(all, part, u64::saturating_add)
-    })
+    parts.fold(Demand::default(), Demand::plus)
 }
 
 /// Whether a maximum limits anything.
@@ -165,34 +183,28 @@
             return None;
         }
         let running = limited(usage.used, maximum);
-        let needed = limited(sum([usage.used, usage.refused].into_iter()), maximum);
+        let needed = limited(usage.used.plus(usage.refused), maximum);
         let others = next.pools.iter().filter(|(pool, _)| *pool != user.pool);
         let others = sum(others.map(|(_pool, holding)| holding.held));
         let available = limited(each(maximum, others, u64::saturating_sub), maximum);
-        let mut held = match own.token {
+        let known = match own.token {
+            // Its owner states only now what runs.
             0 => running,
             _ => limited(own.held.larger(running), maximum),
         };
-        if !held.fits(available) {
-            held = running;
-        }
-        // A pool with little to do needs no write for its first tasks.
-        let base = divided(maximum, 2 * next.pools.len() as u64);
-        held = held.larger(base.smaller(available));
-        let target = target(needed, maximum);
-        let is_nearly_full = !needed.times(100).fits(held.times(NEARLY_FULL_PERCENT));
-        let would_grow = !target.fits(held.plus(divided(maximum, MIN_GROWTH_DIVISOR)));
-        if !needed.fits(held) || (is_nearly_full && would_grow) {
-            held = held.larger(target.smaller(available));
-        }
-        if let Some(part) = next.fair_part(user) {
-            let kept = if usage.refused == Demand::default() {
-                Demand::default()
-            } else {
-                part
-            };
-            held = running.larger(held.smaller(kept));
-        }
+        // Beyond the maximum, all owners reduce their parts to what runs.
+        let known = if known.fits(available) {
+            known
+        } else {
+            running
+        };
+        let least = divided(maximum, 2 * next.pools.len() as u64);
+        let held = extended(known, needed, least, maximum, available);
+        let held = match next.fair_part(user) {
+            Some(part) if usage.refused != Demand::default() => running.larger(held.smaller(part)),
+            Some(_part) => running,
+            None => held,
+        };
         let wanted = (!needed.fits(held)).then_some(needed);
         let wanted = match (own.wanted, wanted) {
             // Others only have to know that more is wanted.
--- a/crates/accounts/tests/all/budget.rs
+++ b/crates/accounts/tests/all/budget.rs
@@ -27,6 +27,8 @@
     /// A paused owner would give away room that its successor uses.
     replaced_owner_changes_nothing => replaced();
     row_without_a_wish_is_read => older_row();
+    /// A sum that wraps around would let everything start, or nothing.
+    largest_maximum_is_divided_without_overflow => largest();
 }
 
 fn cores(cpu: u64) -> Demand {
@@ -432,3 +434,12 @@
     let written = serde_json::to_string(&read).expect("it serializes");
     assert!(!written.contains("wanted"), "{written}");
 }
+
+fn largest() {
+    let mut site = Site::new(u64::MAX);
+    site.owners[0].waiting = 40;
+    site.owners[1].waiting = 40;
+    site.settle();
+    let running = site.owners.iter().map(|owner| owner.running);
+    assert_eq!(running.collect::<Vec<_>>(), [40, 40, 0]);
+}
--- a/crates/domain/src/work.rs
+++ b/crates/domain/src/work.rs
@@ -157,21 +157,21 @@
             && self.accelerators <= capacity.accelerators
     }
 
-    /// Componentwise sum.
+    /// Componentwise sum, saturating at the maximum.
     pub fn plus(self, other: Self) -> Self {
         Self {
-            cpu: self.cpu + other.cpu,
-            memory: self.memory + other.memory,
-            accelerators: self.accelerators + other.accelerators,
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
-    /// Componentwise product.
+    /// Componentwise product, saturating at the maximum.
     pub fn times(self, count: u64) -> Self {
         Self {
-            cpu: self.cpu * count,
-            memory: self.memory * count,
-            accelerators: self.accelerators * count,
+            cpu: self.cpu.saturating_mul(count),
+            memory: self.memory.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
         }
     }
 
--- a/crates/owner/src/budgets.rs
+++ b/crates/owner/src/budgets.rs
@@ -36,18 +36,22 @@
 const RETRY_DELAYS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(400)];
 
 /// The table of budgets.
-pub(crate) struct Table(pub Arc<dyn Rows>);
+pub(crate) struct Table {
+    pub rows: Arc<dyn Rows>,
+    /// The store for the first read: until then, no task of an account with a maximum starts.
+    pub takeover_rows: Arc<dyn Rows>,
+}
 
 #[async_trait]
 impl Source for Table {
     type Item = Row;
 
     async fn read_full(&self) -> Result<(Vec<Row>, Version), Error> {
-        read_parts(&*self.0, row::ACCOUNTS, &[row::ACCOUNTS.into()]).await
+        read_parts(&*self.takeover_rows, row::ACCOUNTS, &[row::ACCOUNTS.into()]).await
     }
 
     async fn changes_after(&self, after: Version, wait: Duration) -> Result<Feed<Row>, Error> {
-        self.0.feed(row::ACCOUNTS, after, wait).await
+        self.rows.feed(row::ACCOUNTS, after, wait).await
     }
 }
 
--- a/crates/owner/src/pool_loop.rs
+++ b/crates/owner/src/pool_loop.rs
@@ -442,7 +442,10 @@
         self.budgets = Some(Budgets::new(Name::clone(pool), self.token));
         let follower = follow(
             "budgets",
-            budgets::Table(Arc::clone(rows)),
+            budgets::Table {
+                rows: Arc::clone(rows),
+                takeover_rows: Arc::clone(&self.context.takeover_rows),
+            },
             budgets::Sink(self.sender.clone()),
             BUDGETS_FEED_TIMING,
             None,
