--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,10 @@
+//! Admission of jobs while a pool has too few workers.
+//!
+//! Everything here is decided without I/O and without a clock. The owner of a pool knows what waits
+//! there ([`Backlog`]) and publishes what gateways need to know of it ([`PoolLoad`]).
+
+mod backlog;
+mod load;
+
+pub use backlog::{Backlog, Waiting};
+pub use load::PoolLoad;
