--- a/crates/admission/src/load.rs
+++ b/crates/admission/src/load.rs
@@ -12,6 +12,8 @@
     pub format: u32,
     /// Fencing token of the owner that wrote it.
     pub owner: u64,
+    /// Thousandths of a core at which the pool works off its backlog.
+    pub rate_cpu: u64,
     /// Expected wait of a job within its account's entitlement, in milliseconds.
     pub within_wait_ms: u64,
     /// Expected wait of a job beyond it, in milliseconds.
