Cell: run times learned from observed runs correct callers' estimates

Cause: estimates of callers are off by a factor (the standard deviation of their logarithm is up to 0.9), and the order of jobs and the need for instances followed them. Change: run_times learns by queue and step number, from runs that this owner has started from the beginning and observed, how much of an estimate to believe (a regression of logarithms with forgetting, which bounds absurd values); two known siblings of a step decide for the rest of it. A run counts at its end, or before that when a list shows a fifth of its progress: ended runs alone would make a queue's tasks look short at first. Placement and the demand of waiting tasks use the predictions, which jobs keep between updates. Runs that were resumed, of previous owners, without a confirmed start, with impossible progress, or seen in a late status don't count.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -8,6 +8,7 @@
     limits::{Limits, Millis},
     order::{AdviceRequest, Loss, Order, Outcome, RoundOutput},
     row::{Accepted, Phase, Progress},
+    run_times::RunTimes,
     scaling::RecentEstimates,
     worker::{Origin, Run, StartState, StopState, Worker},
 };
@@ -55,6 +56,8 @@
     pub(crate) estimates: RecentEstimates,
     /// Rate of incoming work.
     pub(crate) arrivals: Arrivals,
+    /// Learned run times of tasks.
+    pub(crate) run_times: RunTimes,
     /// What the accounts use, and may use, in the pool.
     pub(crate) meter: Meter,
     /// Queues whose starts need a ticket.
@@ -90,6 +93,7 @@
             queued_counts: BTreeMap::new(),
             estimates: RecentEstimates::default(),
             arrivals: Arrivals::default(),
+            run_times: RunTimes::default(),
             meter: Meter::default(),
             advised_queues: BTreeSet::new(),
             policies: BTreeMap::new(),
@@ -284,6 +288,7 @@
                 found.lease_expires_at = found.lease_expires_at.max(lease_expires_at);
                 if !matches!(entry.start_state, StartState::Confirmed(_)) {
                     entry.start_state = StartState::Confirmed(now);
+                    entry.started_at = (!entry.resumed).then_some(now);
                 }
                 if let Some(job) = self.jobs.get_mut(&task.job) {
                     job.has_started = HasStarted::Yes;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -37,6 +37,7 @@
 //! * [`row`]: the rows in the store, their locations and formats.
 //! * [`Cell`] and its parts: jobs, workers, worker statuses, placement, migration of long-running
 //!   tasks, and which workers the advice service allows.
+//! * `run_times`: how long tasks take, learned from those that this owner has run.
 //! * [`ScalingEstimate`]: how many workers the pool should have.
 
 mod advice;
@@ -52,6 +53,7 @@
 mod roster;
 mod round;
 pub mod row;
+mod run_times;
 mod scaling;
 mod status;
 mod throttle;
--- a/crates/cell/src/placement/mod.rs
+++ b/crates/cell/src/placement/mod.rs
@@ -391,6 +391,7 @@
     cell.unplaced_since.remove(&id);
     let entry = Run {
         charge,
+        resumed: checkpoint.is_some(),
         ..Run::new(run, step.reserved(), step.lasting)
     };
     let found = cell.workers.get_mut(worker)?;
--- a/crates/cell/src/placement/urgency.rs
+++ b/crates/cell/src/placement/urgency.rs
@@ -7,7 +7,7 @@
 //! work first; then late ones, and last those that are past three times their objective, which earn
 //! nothing more and only have to finish eventually.
 
-use crate::{cell::Cell, crash, job::Job, row::Phase};
+use crate::{cell::Cell, crash, job::Job, row::Phase, run_times::RunTime};
 use primroseroute_domain::work::{JobId, Step, TaskId};
 
 /// Multiple of its objective after which a job earns nothing more.
@@ -75,13 +75,13 @@
     all
 }
 
-/// The steps of `waiting` that still wait, each with the number of its tasks and whether it is
-/// late; without those of jobs that earn nothing any more, and of accounts that may not have more
-/// running.
+/// The steps of `waiting` that still wait, each with the number of its tasks, their predicted run
+/// time, and whether it is late; without those of jobs that earn nothing any more, and of accounts
+/// that may not have more running.
 pub(crate) fn still_waiting<'a>(
     cell: &'a Cell,
     waiting: &'a [WaitingStep],
-) -> impl Iterator<Item = (&'a Step, u64, bool)> {
+) -> impl Iterator<Item = (&'a Step, u64, RunTime, bool)> {
     let worthwhile = waiting.iter();
     let worthwhile = worthwhile.filter(|waiting| waiting.class != Class::LongOverdue);
     worthwhile.filter_map(|waiting| {
@@ -92,7 +92,9 @@
         }
         let count = waiting_tasks(job, waiting.occurrence, waiting.step).count();
         let late = waiting.class == Class::Late;
-        Some((job.step(waiting.step)?, count as u64, late))
+        let step = job.step(waiting.step)?;
+        let run_time = job.prediction.of(waiting.step, step);
+        Some((step, count as u64, run_time, late))
     })
 }
 
@@ -140,7 +142,7 @@
 fn class(job: &Job, occurrence: u32, step: u16, wall_ms: u64) -> Class {
     let age = age(job, occurrence, wall_ms);
     let objective = signed(job.accepted.objective_ms);
-    let slack = objective - age - signed(remaining_ms(job, occurrence, step));
+    let slack = (objective - age).saturating_sub(signed(remaining_ms(job, occurrence, step)));
     let long_running = job.step(step).is_some_and(|step| step.lasting);
     if long_running {
         Class::Lasting
@@ -168,31 +170,32 @@
     i64::try_from(value).unwrap_or(i64::MAX)
 }
 
-/// Estimated core-milliseconds of the unfinished tasks.
+/// Predicted core-milliseconds of the unfinished tasks.
 fn work_left(job: &Job, occurrence: u32) -> u64 {
     let Some(progress) = job.progress.steps.get(&occurrence) else {
         return 0;
     };
-    let steps = job.accepted.job.steps.iter().zip(progress);
-    let left = steps.map(|(shape, tasks)| {
+    let steps = (0..).zip(&job.accepted.job.steps).zip(progress);
+    let left = steps.map(|((number, shape), tasks)| {
         let open = tasks
             .iter()
             .filter(|task| task.phase != Phase::Done)
             .count() as u64;
-        open * shape.demand.cpu * shape.estimate_ms / 1_000
+        let mean_ms = job.prediction.of(number, shape).mean_ms;
+        (open * shape.demand.cpu).saturating_mul(mean_ms) / 1_000
     });
-    left.sum()
+    left.fold(0, u64::saturating_add)
 }
 
-/// Estimated time from now to the job's end, if `step` starts at once.
+/// Predicted time from now to the job's end, if `step` starts at once.
 fn remaining_ms(job: &Job, occurrence: u32, step: u16) -> u64 {
     let steps = &job.accepted.job.steps;
     let Some(progress) = job.progress.steps.get(&occurrence) else {
         return 0;
     };
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
-    for (number, shape) in steps.iter().enumerate() {
-        let over = progress[number]
+    for (number, shape) in (0..).zip(steps) {
+        let over = progress[usize::from(number)]
             .iter()
             .all(|task| task.phase == Phase::Done);
         let before = shape
@@ -200,7 +203,12 @@
             .iter()
             .map(|&earlier| ends[usize::from(earlier)]);
         let before = before.max().unwrap_or(0);
-        ends.push(if over { 0 } else { before + shape.estimate_ms });
+        let typical_ms = job.prediction.of(number, shape).typical_ms;
+        ends.push(if over {
+            0
+        } else {
+            before.saturating_add(typical_ms)
+        });
     }
     let own = ends.get(usize::from(step)).copied().unwrap_or(0);
     ends.into_iter().max().unwrap_or(own)
--- a/crates/cell/src/round.rs
+++ b/crates/cell/src/round.rs
@@ -9,7 +9,7 @@
     order::{Cause, Order, RoundOutput},
     placement,
     row::Progress,
-    scaling, throttle,
+    run_times, scaling, throttle,
     worker::{ExpiredLease, Run, StopState, Termination, Worker},
 };
 use bytes::Bytes;
@@ -37,6 +37,7 @@
     migration::run(cell, now);
     advice::expire(cell, now);
     cell.count_account_usage();
+    run_times::update(cell, now);
     let waiting = placement::waiting_steps(cell, wall_ms);
     let mut orders = placement::run(cell, &waiting, now);
     orders.extend(throttle_all(cell));
--- a/crates/cell/src/scaling.rs
+++ b/crates/cell/src/scaling.rs
@@ -256,19 +256,19 @@
 /// Demand of waiting tasks whose jobs are not long overdue.
 fn waiting_demand(cell: &Cell, waiting: &[WaitingStep]) -> Load {
     let mut load = Load::default();
-    for (step, count, late) in placement::still_waiting(cell, waiting) {
-        load.add(near_term_demand(step, count), late);
+    for (step, count, run_time, late) in placement::still_waiting(cell, waiting) {
+        load.add(near_term_demand(step, count, run_time.mean_ms), late);
     }
     load
 }
 
 /// Demand of waiting tasks of a step if they are to be started soon.
-fn near_term_demand(step: &Step, count: u64) -> Demand {
+fn near_term_demand(step: &Step, count: u64, mean_ms: u64) -> Demand {
     let all = demand_of(step, count);
-    if step.lasting || step.estimate_ms >= HORIZON_MS {
+    if step.lasting || mean_ms >= HORIZON_MS {
         return all;
     }
-    let part = |all: u64, one: u64| (all * step.estimate_ms).div_ceil(HORIZON_MS).max(one);
+    let part = |all: u64, one: u64| (all * mean_ms).div_ceil(HORIZON_MS).max(one);
     Demand {
         cpu: part(all.cpu, step.demand.cpu),
         memory: part(all.memory, step.demand.memory),
--- a/crates/cell/src/status.rs
+++ b/crates/cell/src/status.rs
@@ -6,6 +6,7 @@
     job::HasStarted,
     limits::{Limits, Millis},
     row::Phase,
+    run_times,
     worker::{Origin, Run, StartState, StopState},
 };
 use primroseroute_domain::work::{End, Name, State, Step, TaskId};
@@ -33,10 +34,14 @@
     let status_as_of = status_as_of(cell.limits, sent_at, now);
     worker.status_as_of = worker.status_as_of.max(Some(status_as_of));
     worker.throttle_checked = false;
+    let is_current = status_as_of == now;
     worker.expired_lease = None;
     worker.relisted_at.clear();
     let recorded = worker.last_end;
     for ended in status.ended.iter().filter(|ended| ended.number > recorded) {
+        if is_current {
+            observe_end(cell, id, ended, now);
+        }
         apply_end(cell, id, ended, now, wall_ms);
     }
     let listed = status
@@ -48,7 +53,7 @@
         remove_unlisted(cell, id, &listed, sent_at);
     }
     for running in listed.values() {
-        apply_listed(cell, id, running, now);
+        apply_listed(cell, id, running, is_current, now);
     }
     crash::clear_crashes(cell, id);
 }
@@ -69,6 +74,19 @@
     }
 }
 
+/// Learns the run time of a run that has ended.
+fn observe_end(cell: &mut Cell, id: &Name, ended: &Ended, now: Millis) {
+    if ended.how != End::Done {
+        return;
+    }
+    let worker = cell.workers.get(id);
+    let run = worker.and_then(|worker| worker.runs.get(&ended.task));
+    let run = run.filter(|run| run.run == ended.run);
+    if let Some(whole_ms) = run.and_then(|run| run_times::measured(run, now)) {
+        run_times::observe(cell, &ended.task, whole_ms, now);
+    }
+}
+
 /// Applies the end of a run that wasn't recorded before.
 fn apply_end(cell: &mut Cell, id: &Name, ended: &Ended, now: Millis, wall_ms: u64) {
     let limits = cell.limits;
@@ -204,8 +222,8 @@
     }
 }
 
-/// Handles a run that the status lists.
-fn apply_listed(cell: &mut Cell, id: &Name, running: &Running, now: Millis) {
+/// Handles a run that the status lists; `is_current` says whether the status still holds.
+fn apply_listed(cell: &mut Cell, id: &Name, running: &Running, is_current: bool, now: Millis) {
     let found = cell.workers.get(id);
     if found.is_some_and(|worker| !worker.runs.contains_key(&running.task)) {
         add_discovered(cell, id, running, now);
@@ -223,8 +241,14 @@
             job.has_started = HasStarted::Yes;
         }
     }
+    let whole_ms = is_current
+        .then(|| run_times::projected(run, running.percent, now))
+        .flatten();
     run.percent = running.percent;
     run.load = running.load;
+    if let Some(whole_ms) = whole_ms {
+        run_times::observe(cell, &running.task, whole_ms, now);
+    }
     if running.checkpoint.is_some()
         && let Some(job) = cell.jobs.get_mut(&running.task.job)
         && let Some(task) = job.task_mut(&running.task)
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -47,6 +47,11 @@
     /// What it counts against its account, if it has one and that is known.
     pub charge: Option<Charge>,
     pub start_state: StartState,
+    /// Whether it was started from a checkpoint.
+    pub resumed: bool,
+    /// When this owner's start of it was answered; `None` if its run time can't be told from that,
+    /// or has counted already.
+    pub started_at: Option<Millis>,
     /// A start that hasn't taken effect by this time never will.
     pub start_expires_at: Millis,
     /// Progress in percent.
@@ -82,6 +87,8 @@
             reserved,
             charge: None,
             start_state: StartState::Sent,
+            resumed: false,
+            started_at: None,
             start_expires_at: Millis::MAX,
             percent: 0,
             load: 0,
--- a/crates/cell/tests/all/fixture.rs
+++ b/crates/cell/tests/all/fixture.rs
@@ -29,6 +29,8 @@
     pub running: BTreeMap<Name, BTreeMap<TaskId, (u32, u32)>>,
     /// Tail latencies of long-running tasks; 0 where absent.
     pub tail_latencies: BTreeMap<TaskId, u64>,
+    /// Queue of the jobs that are accepted next.
+    pub queue: Name,
     ended: BTreeMap<Name, Vec<Ended>>,
     /// The jobs in their accepted form.
     accepted: BTreeMap<JobId, Accepted>,
@@ -86,6 +88,7 @@
             now: 0,
             running: BTreeMap::new(),
             tail_latencies: BTreeMap::new(),
+            queue: "queue".into(),
             ended: BTreeMap::new(),
             accepted: BTreeMap::new(),
             rows: BTreeMap::new(),
@@ -108,7 +111,7 @@
         self.jobs += 1;
         let id = JobId::parse(&format!("{:016x}", self.jobs)).expect("16 digits");
         let accepted = Accepted {
-            queue: "queue".into(),
+            queue: Name::clone(&self.queue),
             pool: "pool".into(),
             at_ms: WALL_AT_ZERO_MS + self.now,
             priority: 0,
@@ -201,6 +204,20 @@
         });
     }
 
+    /// Ends a task's run as failed, with a checkpoint.
+    pub(crate) fn fail_with_checkpoint(&mut self, task: &TaskId) {
+        for worker in self.workers_running(task) {
+            self.end_run(&worker, task, End::Failed);
+            let ended = self
+                .ended
+                .get_mut(&worker)
+                .and_then(|ended| ended.last_mut());
+            if let Some(ended) = ended {
+                ended.checkpoint = Some("checkpoint".into());
+            }
+        }
+    }
+
     /// Marks all long-running tasks as ready.
     pub(crate) fn mark_all_ready(&mut self) {
         for running in self.running.values_mut() {
