Objectives follow learned run times

Cause: objectives are derived from callers' estimates when a job is accepted. Compared with learned run times, a job whose estimates are too low is late from its start, and goes last. Change: the cell knows the terms of each queue (stretch and target) and derives the objective of a job from its predicted critical path; without learned run times it is the accepted one.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -8,7 +8,7 @@
     limits::{Limits, Millis},
     order::{AdviceRequest, Loss, Order, Outcome, RoundOutput},
     row::{Accepted, Phase, Progress},
-    run_times::RunTimes,
+    run_times::{RunTimes, Terms},
     scaling::RecentEstimates,
     worker::{Origin, Run, StartState, StopState, Worker},
 };
@@ -58,6 +58,8 @@
     pub(crate) arrivals: Arrivals,
     /// Learned run times of tasks.
     pub(crate) run_times: RunTimes,
+    /// How the objectives of jobs follow from their run times, by queue.
+    pub(crate) queue_terms: BTreeMap<Name, Terms>,
     /// What the accounts use, and may use, in the pool.
     pub(crate) meter: Meter,
     /// Queues whose starts need a ticket.
@@ -94,6 +96,7 @@
             estimates: RecentEstimates::default(),
             arrivals: Arrivals::default(),
             run_times: RunTimes::default(),
+            queue_terms: BTreeMap::new(),
             meter: Meter::default(),
             advised_queues: BTreeSet::new(),
             policies: BTreeMap::new(),
@@ -353,6 +356,11 @@
             .recount(capacity, runs.filter_map(|run| run.charge));
     }
 
+    /// Sets the terms of queues; the objectives of jobs of other queues stay as they were accepted.
+    pub fn set_queue_terms(&mut self, terms: BTreeMap<Name, Terms>) {
+        self.queue_terms = terms;
+    }
+
     /// Sets the queues whose starts need a ticket.
     pub fn set_advised_queues(&mut self, queues: BTreeSet<Name>) {
         self.advised_queues = queues;
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -84,6 +84,23 @@
         }
     }
 
+    /// Time from its acceptance within which it should be done, in milliseconds.
+    ///
+    /// The gateway derived it from the caller's estimates. Where these are corrected, the remaining
+    /// time of a job is compared with an objective that is corrected in the same way: a job with
+    /// estimates that are too low would otherwise be late from its start.
+    pub(crate) fn objective_ms(&self) -> u64 {
+        let accepted = &self.accepted;
+        let corrected = self.prediction.objective_ms();
+        corrected.map_or(accepted.objective_ms, |corrected| {
+            if accepted.job.lasting() {
+                accepted.objective_ms
+            } else {
+                corrected
+            }
+        })
+    }
+
     /// Whether its account uses much more of the pool than its weighted share.
     pub(crate) fn is_beyond_share(&self, meter: &Meter) -> bool {
         let account = self.account;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -64,5 +64,6 @@
 pub use crash::PoisonTask;
 pub use limits::{Limits, Millis};
 pub use order::{AdviceRequest, Cause, EndsCursor, Loss, Order, Outcome, RoundOutput};
+pub use run_times::Terms;
 pub use scaling::ScalingEstimate;
 pub use worker::EvacuationReason;
--- a/crates/cell/src/placement/urgency.rs
+++ b/crates/cell/src/placement/urgency.rs
@@ -117,7 +117,7 @@
 /// the estimate is left of a run isn't known well enough to tell sooner.
 pub(crate) fn is_overdue(job: &Job, occurrence: u32, wall_ms: u64) -> bool {
     let long_running = job.accepted.job.lasting();
-    !long_running && age(job, occurrence, wall_ms) > signed(job.accepted.objective_ms)
+    !long_running && age(job, occurrence, wall_ms) > signed(job.objective_ms())
 }
 
 pub(super) fn waiting_tasks(job: &Job, occurrence: u32, step: u16) -> impl Iterator<Item = u16> {
@@ -141,7 +141,7 @@
 
 fn class(job: &Job, occurrence: u32, step: u16, wall_ms: u64) -> Class {
     let age = age(job, occurrence, wall_ms);
-    let objective = signed(job.accepted.objective_ms);
+    let objective = signed(job.objective_ms());
     let slack = (objective - age).saturating_sub(signed(remaining_ms(job, occurrence, step)));
     let long_running = job.step(step).is_some_and(|step| step.lasting);
     if long_running {
--- a/crates/cell/src/run_times.rs
+++ b/crates/cell/src/run_times.rs
@@ -266,6 +266,44 @@
     steps: Vec<RunTime>,
     /// Known run times by step number.
     known: BTreeMap<u16, Vec<u64>>,
+    /// The objective that follows from them; `None` if the terms of the queue aren't known.
+    objective_ms: Option<u64>,
+}
+
+/// How the objective of a queue's jobs follows from their critical path.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Factor on the length of the critical path.
+    pub stretch: f64,
+    /// Constant term in milliseconds.
+    pub target_ms: u64,
+}
+
+impl Terms {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "clamped to a positive range"
+    )]
+    fn objective_ms(self, chain_ms: u64) -> u64 {
+        let stretched = chain_ms as f64 * self.stretch.max(0.0);
+        (stretched.round() as u64).saturating_add(self.target_ms)
+    }
+}
+
+/// Length of the critical path of a job.
+fn chain_ms(steps: &[Step], times: &[RunTime]) -> u64 {
+    let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
+    for (step, time) in steps.iter().zip(times) {
+        let before = step
+            .after
+            .iter()
+            .filter_map(|&earlier| ends.get(usize::from(earlier)));
+        let before = before.max().copied().unwrap_or(0);
+        ends.push(before.saturating_add(time.typical_ms));
+    }
+    ends.into_iter().max().unwrap_or(0)
 }
 
 impl Prediction {
@@ -275,6 +313,12 @@
         predicted.map_or(RunTime::exactly(step.estimate_ms), |predicted| *predicted)
     }
 
+    /// The objective that follows from the predictions; `None` before the first round and where the
+    /// terms of the queue aren't known.
+    pub(crate) fn objective_ms(&self) -> Option<u64> {
+        self.objective_ms
+    }
+
     fn record(&mut self, number: u16, whole_ms: u64) {
         let known = self.known.entry(number).or_default();
         if known.len() == MAX_SIBLINGS {
@@ -294,7 +338,7 @@
             .filter(|_median| known.len() > 1)
     }
 
-    fn update(&mut self, queue: &str, steps: &[Step], learned: &RunTimes) {
+    fn update(&mut self, queue: &str, steps: &[Step], learned: &RunTimes, terms: Option<Terms>) {
         if self.update == Some(learned.updates) {
             return;
         }
@@ -304,6 +348,7 @@
             median.unwrap_or_else(|| learned.predict(queue, number, step.estimate_ms))
         });
         self.steps = predictions.collect();
+        self.objective_ms = terms.map(|terms| terms.objective_ms(chain_ms(steps, &self.steps)));
     }
 }
 
@@ -313,7 +358,8 @@
     for job in cell.jobs.values_mut() {
         let accepted = &job.accepted;
         let prediction = &mut job.prediction;
-        prediction.update(&accepted.queue, &accepted.job.steps, &cell.run_times);
+        let terms = cell.queue_terms.get(&accepted.queue).copied();
+        prediction.update(&accepted.queue, &accepted.job.steps, &cell.run_times, terms);
     }
 }
 
--- a/crates/cell/tests/all/run_times.rs
+++ b/crates/cell/tests/all/run_times.rs
@@ -4,7 +4,7 @@
     cases,
     fixture::{Fixture, WALL_AT_ZERO_MS, job, starts, step, task},
 };
-use primroseroute_cell::{EvacuationReason, Order};
+use primroseroute_cell::{EvacuationReason, Order, Terms};
 use primroseroute_domain::work::{End, JobId, Name, Step, TaskId};
 
 cases! {
@@ -33,6 +33,8 @@
     learned_times_expire => expiry();
     least_recently_observed_of_too_many_queues_is_forgotten => too_many_queues();
     learned_times_order_jobs => order();
+    /// Guards against objectives from estimates that are too low, by which jobs are late from their start.
+    underestimated_job_is_not_late_from_its_start => underestimated();
 }
 
 fn estimated(count: u16, cpu: u64, estimate_ms: u64) -> Step {
@@ -292,3 +294,24 @@
     let started = starts(&fixture.execute_round());
     assert_eq!(started, [(task(&short, 0, 0), Name::from("w-1"))]);
 }
+
+/// Tasks are estimated at 300 ms and take 2 s, which is more than an objective from their estimate
+/// allows.
+fn underestimated() {
+    let mut fixture = Fixture::new(&["w-1"]);
+    let terms = Terms {
+        stretch: 2.0,
+        target_ms: 500,
+    };
+    fixture
+        .cell
+        .set_queue_terms([(Name::clone(&fixture.queue), terms)].into());
+    for _run in 0..10 {
+        run(&mut fixture, 300, 2_000);
+    }
+    fixture.accept(job(vec![estimated(1, 20_000, 300)]));
+    fixture.now += 300;
+    fixture.poll_all();
+    let scaling = fixture.round().scaling;
+    assert_eq!((scaling.now, scaling.late), (2, 0));
+}
--- a/crates/owner/src/pool_loop.rs
+++ b/crates/owner/src/pool_loop.rs
@@ -20,10 +20,15 @@
     watch::{RegisteredWorkers, RosterSubscription},
 };
 use log::{info, warn};
-use primroseroute_cell::{Cell, Millis, Order, Outcome, RoundOutput};
+use primroseroute_cell::{Cell, Millis, Order, Outcome, RoundOutput, Terms};
 use primroseroute_domain::work::{End, Name};
 use primroseroute_platform::{rows::Version, site::Configuration};
-use std::{collections::BTreeSet, pin::pin, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    pin::pin,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     sync::{
         mpsc::{self, UnboundedReceiver, UnboundedSender},
@@ -71,6 +76,19 @@
     advised.map(|queue| Name::clone(&queue.name)).collect()
 }
 
+/// How the objectives of the jobs of a configuration's queues follow from their run times.
+fn queue_terms(configuration: Option<&Arc<Configuration>>) -> BTreeMap<Name, Terms> {
+    let queues = configuration.into_iter().flat_map(|known| &known.queues);
+    let terms = queues.map(|queue| {
+        let terms = Terms {
+            stretch: queue.stretch,
+            target_ms: queue.target_ms,
+        };
+        (Name::clone(&queue.name), terms)
+    });
+    terms.collect()
+}
+
 /// The state of the loop.
 pub(crate) struct PoolLoop {
     context: Context,
@@ -174,6 +192,8 @@
                     .clone_from(&configuration.borrow_and_update());
                 self.cell
                     .set_advised_queues(advised_queues(self.configuration.as_ref()));
+                self.cell
+                    .set_queue_terms(queue_terms(self.configuration.as_ref()));
                 let accounts = self.configuration.iter().flat_map(|known| &known.accounts);
                 let weights = accounts.map(|account| (&account.name, account.weight));
                 self.cell.set_account_weights(weights);
