Arrivals: expected work is the rate of jobs times the mean work of their queue

Cause: the estimate was the sum of the work of the jobs of the last 0.6 s, so a few large ones made it jump by a factor of ten within 0.4 s, and the pool kept its instances for 2 s. Change: once 20 jobs of a queue are known, each counts for the mean work of the queue's last 200 or so, by predicted run times; so the rate and its rise follow the number of jobs. A rise is extrapolated as far as its size stands out from the chance of that number; lead time and maximum factor are as before, and queues with fewer jobs are estimated as before. The line `need of workers published` shows the queue that adds the most work, its jobs per second and their mean work.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     advice::{self, Policy},
-    arrivals::Arrivals,
+    arrivals::{Arrivals, Inflow},
     crash::PoisonTask,
     job::{HasStarted, Job},
     limits::{Limits, Millis},
@@ -106,7 +106,8 @@
     pub fn accept(&mut self, id: JobId, accepted: Accepted) {
         let over = self.finished.contains_key(&id) || self.deleted.contains_key(&id);
         if !over && !self.jobs.contains_key(&id) {
-            self.arrivals.accept(&accepted.job);
+            let Accepted { queue, job, .. } = &accepted;
+            self.arrivals.accept(queue, job, &self.run_times);
             let job = Job::new(accepted, &mut self.meter);
             self.jobs.insert(id, job);
         }
@@ -122,7 +123,8 @@
     /// fixed by a commit before that. Waiting for that window on all workers kept tasks from
     /// starting for as long as owners followed each other in less time.
     pub fn restore(&mut self, id: JobId, accepted: Accepted, progress: Progress) {
-        self.arrivals.add_restored(&accepted.job);
+        let Accepted { queue, job, .. } = &accepted;
+        self.arrivals.add_restored(queue, job, &self.run_times);
         if let Some(ended) = progress.ended_ms {
             self.finished.insert(id, ended);
             return;
@@ -423,6 +425,11 @@
         &self.queued_counts
     }
 
+    /// What arrives in the queue that adds the most work, as of the last round.
+    pub fn largest_inflow(&self) -> Option<Inflow> {
+        self.arrivals.largest_inflow()
+    }
+
     /// Computes the counts that [`Self::queued`] returns.
     pub(crate) fn count_queued(&self) -> BTreeMap<Name, u64> {
         let mut counts = BTreeMap::new();
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -60,6 +60,7 @@
 mod window;
 mod worker;
 
+pub use arrivals::Inflow;
 pub use cell::Cell;
 pub use crash::PoisonTask;
 pub use limits::{Limits, Millis};
--- a/crates/cell/tests/all/main.rs
+++ b/crates/cell/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod crash;
 mod ends;
 mod fixture;
+mod forecast;
 mod incarnation;
 mod long_running;
 mod need;
--- a/crates/cell/tests/all/need.rs
+++ b/crates/cell/tests/all/need.rs
@@ -16,6 +16,8 @@
     steady_arrivals_ask_for_the_capacity_that_they_will_occupy => steady();
     rising_arrivals_are_extrapolated => rise();
     arrivals_that_stop_are_no_longer_expected => arrivals_stop();
+    /// Guards against an absurd estimate that asks for workers for as long as the mean remembers it.
+    absurd_estimate_is_soon_forgotten => absurd_estimate();
     burst_of_many_jobs_is_estimated_accurately => burst();
     single_job_is_not_a_rate => single_job();
     jobs_that_a_new_owner_loads_are_no_arrivals => loaded_by_new_owner();
@@ -121,6 +123,22 @@
     assert!(need.running.cpu <= 10_000);
 }
 
+/// An estimate of years among jobs of a second.
+fn absurd_estimate() {
+    let mut fixture = Fixture::new(&["w-1"]);
+    arrive(&mut fixture, 50, 2_000);
+    let absurd = Step {
+        estimate_ms: 1 << 40,
+        ..step(1, 5_000)
+    };
+    fixture.accept(job(vec![absurd]));
+    let need = arrive(&mut fixture, 50, 3_000);
+    assert!(need.expected.cpu <= 110_000, "{need:?}");
+    let inflow = fixture.cell.largest_inflow().expect("a busy queue");
+    assert_eq!((&*inflow.queue, inflow.jobs_per_second), ("queue", 20));
+    assert!((5_000..5_500).contains(&inflow.job_core_ms), "{inflow:?}");
+}
+
 /// The start of a burst: jobs arrive six times as fast as before. The expected demand exceeds what they need
 /// at this rate, by at most a factor of three.
 fn rise() {
--- a/crates/owner/src/log_lines.rs
+++ b/crates/owner/src/log_lines.rs
@@ -2,7 +2,7 @@
 
 use crate::log_digest::first_names;
 use log::{info, warn};
-use primroseroute_cell::{Loss, Order, PoisonTask, ScalingEstimate};
+use primroseroute_cell::{Inflow, Loss, Order, PoisonTask, ScalingEstimate};
 use primroseroute_domain::work::{JobId, State, TaskId};
 
 /// One line for each order to a worker.
@@ -76,8 +76,14 @@
     }
 }
 
-/// The number of workers that the pool needs, with the figures behind it.
-pub(crate) fn scaling(pool: &str, scaling: &ScalingEstimate, registered: usize) {
+/// The number of workers that the pool needs, with the figures behind it and what arrives in its
+/// busiest queue.
+pub(crate) fn scaling(
+    pool: &str,
+    scaling: &ScalingEstimate,
+    inflow: Option<&Inflow>,
+    registered: usize,
+) {
     let ScalingEstimate {
         workers,
         now,
@@ -89,5 +95,8 @@
         expected,
         unusable: unfit,
     } = scaling;
-    info!(pool, workers, now, soon, late, kept, running_cpu = running.cpu, waiting_cpu = waiting.cpu, expected_cpu = expected.cpu, unfit, registered; "need of workers published");
+    let queue = inflow.map_or("", |inflow| &*inflow.queue);
+    let jobs_per_s = inflow.map_or(0, |inflow| inflow.jobs_per_second);
+    let job_core_ms = inflow.map_or(0, |inflow| inflow.job_core_ms);
+    info!(pool, workers, now, soon, late, kept, running_cpu = running.cpu, waiting_cpu = waiting.cpu, expected_cpu = expected.cpu, queue, jobs_per_s, job_core_ms, unfit, registered; "need of workers published");
 }
--- a/crates/owner/src/pool_loop.rs
+++ b/crates/owner/src/pool_loop.rs
@@ -418,7 +418,10 @@
                 .await?;
             self.context.observer.commit_finished(begin.elapsed());
             if publish {
-                log_lines::scaling(&self.context.pool, &round.scaling, self.registered.len());
+                let inflow = self.cell.largest_inflow();
+                let registered = self.registered.len();
+                let Context { pool, .. } = &self.context;
+                log_lines::scaling(pool, &round.scaling, inflow.as_ref(), registered);
                 self.published_scaling.record(wanted, clock.now());
             }
             self.published_counts.record(queued, received, clock.now());
