Cell: observed speed of workers, which slow ones are avoided, and moves of their batch runs

Cause: a worker that is seven times slower than others for some seconds holds up each job that has a task there, and gets new tasks meanwhile. Change: cell::speed compares the progress rate of a run with those of its siblings on other workers; cell::straggler decides from the medians of all workers which are slow; placement avoids them, gives them a probe when nothing was observed for 6 s, and placement::moves stops runs that would end earlier elsewhere. Their lost capacity counts in the need for workers.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -7,6 +7,7 @@
     job::{HasStarted, Job},
     limits::{Limits, Millis},
     order::{AdviceRequest, Loss, Order, Outcome, RoundOutput},
+    placement::Move,
     row::{Accepted, Phase, Progress},
     scaling::RecentEstimates,
     worker::{Origin, Run, StartState, StopState, Worker},
@@ -51,6 +52,10 @@
     pub(crate) crashes_cleared: Vec<TaskId>,
     /// Number of queued jobs by queue, as of the last round.
     pub(crate) queued_counts: BTreeMap<Name, u64>,
+    /// Workers that a list has shown to be no longer slow since the last round.
+    pub(crate) recovered: Vec<Name>,
+    /// Tasks that were moved off slow workers recently.
+    pub(crate) moves: BTreeMap<TaskId, Move>,
     /// Recent estimates of the number of workers that the pool can use.
     pub(crate) estimates: RecentEstimates,
     /// Rate of incoming work.
@@ -88,6 +93,8 @@
             poison_tasks: Vec::new(),
             crashes_cleared: Vec::new(),
             queued_counts: BTreeMap::new(),
+            recovered: Vec::new(),
+            moves: BTreeMap::new(),
             estimates: RecentEstimates::default(),
             arrivals: Arrivals::default(),
             meter: Meter::default(),
@@ -284,6 +291,7 @@
                 found.lease_expires_at = found.lease_expires_at.max(lease_expires_at);
                 if !matches!(entry.start_state, StartState::Confirmed(_)) {
                     entry.start_state = StartState::Confirmed(now);
+                    entry.trace.confirm(now);
                 }
                 if let Some(job) = self.jobs.get_mut(&task.job) {
                     job.has_started = HasStarted::Yes;
--- a/crates/cell/src/incarnation.rs
+++ b/crates/cell/src/incarnation.rs
@@ -11,6 +11,7 @@
     limits::Millis,
     order::Cause,
     row::IncarnationTag,
+    speed::State,
     worker::{Origin, Run, StartState, StopState, Termination},
 };
 use primroseroute_domain::work::{Name, TaskId};
@@ -137,6 +138,10 @@
     worker.listed_at = None;
     worker.relisted_at.clear();
     worker.failures.clear();
+    let speed = std::mem::take(&mut worker.speed);
+    if speed.state != State::Normal {
+        cell.recovered.push(Name::clone(id));
+    }
     worker.cordoned_until = 0;
     // A renewal that was meant for the previous incarnation may have reached this one.
     worker.lease_expires_at = worker
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -1,6 +1,9 @@
 //! In-memory state of one job.
 
-use crate::row::{Accepted, Phase, Progress, Steps, Task};
+use crate::{
+    row::{Accepted, Phase, Progress, Steps, Task},
+    speed::Rates,
+};
 use primroseroute_accounts::meter::{Charge, Index, Meter};
 use primroseroute_domain::work::{Name, State, Step, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,6 +29,8 @@
     pub may_have_other_runs: bool,
     /// The job's state is that of its row, which says that it runs as soon as a task is placed.
     pub has_started: HasStarted,
+    /// Recent progress rates of its runs, by step.
+    pub rates: BTreeMap<u16, Rates>,
     /// The account that its tasks are charged to.
     account: Option<Index>,
 }
@@ -49,6 +54,7 @@
             accepted,
             may_have_other_runs: false,
             has_started: HasStarted::No,
+            rates: BTreeMap::new(),
         }
     }
 
@@ -74,6 +80,7 @@
             progress,
             may_have_other_runs: true,
             has_started,
+            rates: BTreeMap::new(),
         }
     }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -32,6 +32,11 @@
 //! * A task that crashes its workers is abandoned after a few crashes; tasks that ran beside it are
 //!   not.
 //!
+//! # Slow workers
+//!
+//! * A worker whose runs progress much more slowly than their siblings elsewhere gets nothing new
+//!   while others are open, and its batch runs are moved where that is faster.
+//!
 //! # Modules
 //!
 //! * [`row`]: the rows in the store, their locations and formats.
@@ -53,7 +58,9 @@
 mod round;
 pub mod row;
 mod scaling;
+mod speed;
 mod status;
+mod straggler;
 mod throttle;
 mod window;
 mod worker;
@@ -63,4 +70,5 @@
 pub use limits::{Limits, Millis};
 pub use order::{AdviceRequest, Cause, EndsCursor, Loss, Order, Outcome, RoundOutput};
 pub use scaling::ScalingEstimate;
+pub use straggler::{MovedRun, SlowWorker, Stragglers};
 pub use worker::EvacuationReason;
--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -57,6 +57,8 @@
     pub preempt_after: Millis,
     /// How long the rows of finished jobs are kept.
     pub retention: Millis,
+    /// Whether slow workers are avoided, and their batch runs moved.
+    pub worker_speed: bool,
 }
 
 impl Limits {
@@ -81,6 +83,7 @@
             overload_backoff: 400,
             preempt_after: 1_200,
             retention,
+            worker_speed: true,
         }
     }
 
--- a/crates/cell/src/migration.rs
+++ b/crates/cell/src/migration.rs
@@ -39,7 +39,7 @@
 }
 
 /// Whether the account of a task is within its limit: beyond it, the task couldn't start elsewhere.
-fn may_start_again(cell: &Cell, task: &TaskId) -> bool {
+pub(crate) fn may_start_again(cell: &Cell, task: &TaskId) -> bool {
     let job = cell.jobs.get(&task.job);
     let charge = job.and_then(|job| job.charge(task.step));
     charge.is_none_or(|charge| cell.meter.admits(charge, 0))
--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -1,6 +1,6 @@
 //! Outputs of a cell and the results of its orders.
 
-use crate::{crash::PoisonTask, limits::Millis, scaling::ScalingEstimate};
+use crate::{crash::PoisonTask, limits::Millis, scaling::ScalingEstimate, straggler::Stragglers};
 use bytes::Bytes;
 use primroseroute_domain::work::{JobId, Name, State, StepId, TaskId};
 use primroseroute_platform::worker::Refusal;
@@ -136,4 +136,6 @@
     pub ends_committed: Vec<(Name, EndsCursor)>,
     /// How many workers the pool can use.
     pub scaling: ScalingEstimate,
+    /// Slow workers, and the runs that are moved off them.
+    pub stragglers: Stragglers,
 }
--- a/crates/cell/src/placement/candidates.rs
+++ b/crates/cell/src/placement/candidates.rs
@@ -1,6 +1,6 @@
 //! Free capacity of the workers that accept new runs.
 
-use crate::{cell::Cell, crash, limits::Millis, worker::Worker};
+use crate::{cell::Cell, crash, limits::Millis, speed::State, worker::Worker};
 use primroseroute_domain::work::{Demand, Name, TaskId};
 use std::collections::BTreeSet;
 
@@ -14,6 +14,28 @@
     blocked: bool,
     /// Number of its new runs whose tasks have crashes.
     crash_retries: usize,
+    /// Whether it is slow, and how many runs it may have.
+    pace: Pace,
+}
+
+/// How a worker is used because of its observed speed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Pace {
+    Normal,
+    /// It gets one run that tells whether it is still slow.
+    Probe,
+    /// It gets a run only where no other worker may run the task.
+    Slow,
+}
+
+impl Pace {
+    fn of(worker: &Worker) -> Self {
+        match worker.speed.state {
+            State::Normal => Self::Normal,
+            State::Probing(None) => Self::Probe,
+            State::Probing(Some(_)) | State::Slow(..) => Self::Slow,
+        }
+    }
 }
 
 /// Number of new runs on a worker whose tasks have crashes.
@@ -42,6 +64,8 @@
     isolating: usize,
     /// Whether some task is a suspect.
     has_suspects: bool,
+    /// Whether some workers are slow and others aren't.
+    has_slow: bool,
 }
 
 impl Candidates {
@@ -50,28 +74,39 @@
         let workers = workers.filter(|(_id, worker)| worker.accepts_runs(now, &cell.limits));
         let (isolating, workers): (Vec<_>, Vec<_>) =
             workers.partition(|(_id, worker)| crash::has_isolated_run(cell, worker));
-        let workers: Vec<Candidate> = workers
+        let mut workers: Vec<Candidate> = workers
             .into_iter()
             .map(|(id, worker)| Candidate {
                 id: Name::clone(id),
                 free: worker.free_capacity(),
                 blocked: cell.isolation_workers.contains(id),
                 crash_retries: crash_retries(cell, worker),
+                pace: Pace::of(worker),
             })
             .collect();
+        let is_slow = |worker: &Candidate| worker.pace == Pace::Slow;
+        let has_slow = workers.iter().any(is_slow);
+        let all_slow = workers.iter().all(is_slow);
+        if all_slow {
+            for worker in &mut workers {
+                worker.pace = Pace::Normal;
+            }
+        }
         let by_cpu = workers.iter().enumerate();
+        let by_cpu = by_cpu.filter(|(_index, worker)| worker.pace != Pace::Slow);
         let by_cpu = by_cpu.map(|(candidate, worker)| (worker.free.cpu, candidate));
         Self {
             by_cpu: by_cpu.collect(),
             workers,
             isolating: isolating.len(),
             has_suspects: crash::has_suspects(cell),
+            has_slow: has_slow && !all_slow,
         }
     }
 
     /// Whether no worker has any free processor share.
     pub(super) fn is_full(&self) -> bool {
-        self.by_cpu.last().is_none_or(|(cpu, _index)| *cpu == 0)
+        !self.has_slow && self.by_cpu.last().is_none_or(|(cpu, _index)| *cpu == 0)
     }
 
     /// Indexes of the workers with free capacity for `demand`, least free processor share first,
@@ -82,15 +117,33 @@
         fitting.filter(move |candidate| demand.fits(self.workers[*candidate].free))
     }
 
+    /// Indexes of the slow workers with free capacity for `demand`.
+    pub(super) fn slow_fitting(&self, demand: Demand) -> impl Iterator<Item = usize> {
+        self.all().filter(move |&candidate| {
+            self.is_slow(candidate) && demand.fits(self.workers[candidate].free)
+        })
+    }
+
     /// All indexes.
-    pub(super) fn all(&self) -> impl Iterator<Item = usize> {
+    pub(super) fn all(&self) -> impl Iterator<Item = usize> + use<> {
         0..self.workers.len()
     }
 
+    /// Whether some workers are slow and others aren't.
+    pub(super) fn has_slow(&self) -> bool {
+        self.has_slow
+    }
+
+    /// Whether a worker is slow while others aren't.
+    pub(super) fn is_slow(&self, candidate: usize) -> bool {
+        self.workers[candidate].pace == Pace::Slow
+    }
+
     /// Indexes of all workers that aren't reserved.
     pub(super) fn unblocked(&self) -> impl Iterator<Item = usize> {
         let numbered = self.workers.iter().enumerate();
-        let unblocked = numbered.filter(|(_index, worker)| !worker.blocked);
+        let unblocked =
+            numbered.filter(|(_index, worker)| !worker.blocked && worker.pace != Pace::Slow);
         unblocked.map(|(candidate, _worker)| candidate)
     }
 
@@ -139,6 +192,11 @@
     pub(super) fn allocate(&mut self, candidate: usize, demand: Demand) {
         let free = self.free(candidate).minus(demand);
         self.set(candidate, free);
+        let worker = &mut self.workers[candidate];
+        if worker.pace == Pace::Probe {
+            worker.pace = Pace::Slow;
+            self.by_cpu.remove(&(free.cpu, candidate));
+        }
     }
 
     pub(super) fn release(&mut self, candidate: usize, demand: Demand) {
@@ -150,6 +208,8 @@
         let worker = &mut self.workers[candidate];
         self.by_cpu.remove(&(worker.free.cpu, candidate));
         worker.free = free;
-        self.by_cpu.insert((free.cpu, candidate));
+        if worker.pace != Pace::Slow {
+            self.by_cpu.insert((free.cpu, candidate));
+        }
     }
 }
--- a/crates/cell/src/placement/mod.rs
+++ b/crates/cell/src/placement/mod.rs
@@ -2,9 +2,11 @@
 
 mod candidates;
 mod isolation;
+mod moves;
 mod preempt;
 mod urgency;
 
+pub(crate) use moves::{Move, run as move_runs};
 pub(crate) use preempt::fits_without_batch;
 pub(crate) use urgency::{WaitingStep, is_overdue, long_overdue, still_waiting, waiting_steps};
 
@@ -245,13 +247,51 @@
     let advised = advice::needs_ticket(cell, task);
     let has_crashes = crash::has_crashes(cell, task);
     let worker = |candidate: usize| &cell.workers[candidates.id(candidate)];
-    let mut fitting = candidates.fitting(step.reserved()).filter(|&candidate| {
+    let is_allowed = |&candidate: &usize| {
         let beside = extra.get(&candidate).copied().unwrap_or(0);
         (step.lasting || !candidates.is_blocked(candidate))
             && allows_ignoring_policy(worker(candidate), task, step, beside)
             && (!advised || advice::ticket(cell, task, candidates.id(candidate)).is_some())
             && !(has_crashes && candidates.crash_retries(candidate) >= MAX_CRASH_RETRIES)
-    });
+    };
+    let fitting = candidates.fitting(step.reserved()).filter(is_allowed);
+    let found = best(cell, task, step, candidates, fitting);
+    if found.is_some() || !candidates.has_slow() {
+        return found;
+    }
+    // A task that only slow workers may run, whatever their free capacity, runs there. Where
+    // siblings of a batch task are in the way, they end.
+    let may_run = |candidate: usize| {
+        let on = worker(candidate);
+        let beside = extra.get(&candidate).copied().unwrap_or(0);
+        let label = step.label.as_ref();
+        let is_allowed = if step.lasting || step.gang {
+            allows_ignoring_policy(on, task, step, beside)
+        } else {
+            label.is_none_or(|label| on.has_label(label))
+        };
+        let capacity = on.registration.as_ref().map(|info| info.capacity);
+        !candidates.is_slow(candidate)
+            && is_allowed
+            && capacity.is_some_and(|capacity| step.reserved().fits(capacity))
+            && (!advised || advice::ticket(cell, task, candidates.id(candidate)).is_some())
+    };
+    if candidates.all().any(may_run) {
+        return None;
+    }
+    let fitting = candidates.slow_fitting(step.reserved()).filter(is_allowed);
+    best(cell, task, step, candidates, fitting)
+}
+
+/// The candidate among `fitting`, which may run a task, on which it is best placed.
+fn best(
+    cell: &Cell,
+    task: &TaskId,
+    step: &Step,
+    candidates: &Candidates,
+    mut fitting: impl Iterator<Item = usize>,
+) -> Option<usize> {
+    let worker = |candidate: usize| &cell.workers[candidates.id(candidate)];
     let has_failed = |candidate: usize| worker(candidate).failures.contains(&task.job);
     let is_plain = !step.lasting && !step.same_rack && step.rack.is_none();
     if is_plain {
@@ -389,11 +429,15 @@
     job.may_have_other_runs |= run > 1 || step.gang;
     cell.dirty.insert(id.job.clone());
     cell.unplaced_since.remove(&id);
-    let entry = Run {
+    let mut entry = Run {
         charge,
         ..Run::new(run, step.reserved(), step.lasting)
     };
+    entry.trace.began_at_zero = checkpoint.is_none();
     let found = cell.workers.get_mut(worker)?;
+    if !step.lasting {
+        found.speed.record_start(&id);
+    }
     found.runs.insert(id.clone(), entry);
     Some(Order::Start {
         worker: Name::clone(worker),
--- a/crates/cell/src/round.rs
+++ b/crates/cell/src/round.rs
@@ -9,7 +9,7 @@
     order::{Cause, Order, RoundOutput},
     placement,
     row::Progress,
-    scaling, throttle,
+    scaling, straggler, throttle,
     worker::{ExpiredLease, Run, StopState, Termination, Worker},
 };
 use bytes::Bytes;
@@ -37,8 +37,10 @@
     migration::run(cell, now);
     advice::expire(cell, now);
     cell.count_account_usage();
+    let mut stragglers = straggler::judge(cell, now);
     let waiting = placement::waiting_steps(cell, wall_ms);
     let mut orders = placement::run(cell, &waiting, now);
+    stragglers.moved = placement::move_runs(cell, now);
     orders.extend(throttle_all(cell));
     let stops = collect_stops(cell, now);
     orders.extend(stops.go_on);
@@ -61,6 +63,7 @@
         crashes_cleared: std::mem::take(&mut cell.crashes_cleared),
         ends_committed,
         scaling: scaling::estimate(cell, &waiting, now, wall_ms),
+        stragglers,
     }
 }
 
--- a/crates/cell/src/scaling.rs
+++ b/crates/cell/src/scaling.rs
@@ -12,6 +12,7 @@
     limits::Millis,
     placement::{self, WaitingStep},
     row::DesiredWorkers,
+    speed::NORMAL,
     worker::{EvacuationReason, StopState, Worker},
 };
 use primroseroute_domain::work::{Demand, Step};
@@ -62,7 +63,7 @@
     pub waiting: Demand,
     /// Expected demand of incoming work when an instance that is requested now becomes available.
     pub expected: Demand,
-    /// Workers that belong to the pool but accept no new runs.
+    /// Workers that belong to the pool but accept no new runs; slow ones count in part.
     pub unusable: u64,
 }
 
@@ -175,6 +176,7 @@
     let unusable = all_workers
         .filter(|worker| is_unusable(cell, worker, now))
         .count() as u64;
+    let unusable = unusable + lost_to_slowness(cell);
     cell.estimates.record(now, workers);
     ScalingEstimate {
         workers: workers + unusable,
@@ -342,6 +344,13 @@
     if is_stuck { open.len() as u64 + 1 } else { 0 }
 }
 
+/// Number of workers whose capacity equals what the pool's slow workers lack.
+fn lost_to_slowness(cell: &Cell) -> u64 {
+    let registered = cell.workers.values().filter(|worker| worker.registered);
+    let lost = registered.map(|worker| NORMAL - worker.speed.capacity_permille());
+    (lost.sum::<u64>() + NORMAL / 2) / NORMAL
+}
+
 /// Whether a worker belongs to the pool but accepts no new runs: it has become unresponsive, is
 /// cordoned, or is being evacuated for maintenance, in which case its long-running tasks need
 /// capacity elsewhere. A worker that was never polled has just registered, and one that is
--- a/crates/cell/src/status.rs
+++ b/crates/cell/src/status.rs
@@ -6,6 +6,7 @@
     job::HasStarted,
     limits::{Limits, Millis},
     row::Phase,
+    straggler,
     worker::{Origin, Run, StartState, StopState},
 };
 use primroseroute_domain::work::{End, Name, State, Step, TaskId};
@@ -33,10 +34,13 @@
     let status_as_of = status_as_of(cell.limits, sent_at, now);
     worker.status_as_of = worker.status_as_of.max(Some(status_as_of));
     worker.throttle_checked = false;
+    let held_at = worker.speed.held_at(sent_at, now, status.clock_ms);
+    worker.speed.begin_list();
     worker.expired_lease = None;
     worker.relisted_at.clear();
     let recorded = worker.last_end;
     for ended in status.ended.iter().filter(|ended| ended.number > recorded) {
+        straggler::observe_ended(cell, id, ended, held_at);
         apply_end(cell, id, ended, now, wall_ms);
     }
     let listed = status
@@ -49,6 +53,7 @@
     }
     for running in listed.values() {
         apply_listed(cell, id, running, now);
+        straggler::observe_listed(cell, id, running, held_at);
     }
     crash::clear_crashes(cell, id);
 }
@@ -230,6 +235,9 @@
         && let Some(task) = job.task_mut(&running.task)
         && task.run == running.run
     {
+        if task.checkpoint != running.checkpoint {
+            run.trace.checkpoint_percent = u64::from(running.percent).min(100);
+        }
         task.checkpoint.clone_from(&running.checkpoint);
     }
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -6,6 +6,7 @@
     limits::{Limits, MAX_LIST_AGE_MS, Millis},
     order::EndsCursor,
     row::IncarnationTag,
+    speed::{Speed, Trace},
 };
 use primroseroute_accounts::meter::Charge;
 use primroseroute_domain::work::{Demand, JobId, Name, TaskId};
@@ -72,6 +73,8 @@
     pub late_start_until: Option<Millis>,
     /// Whether a status poll was requested that may clear the crash record of its task.
     pub clearing_poll_requested: bool,
+    /// What lists have shown of its progress.
+    pub trace: Trace,
 }
 
 impl Run {
@@ -94,6 +97,7 @@
             incarnation_tag: None,
             late_start_until: None,
             clearing_poll_requested: false,
+            trace: Trace::default(),
         }
     }
 
@@ -204,6 +208,8 @@
     pub cordoned_until: Millis,
     /// Jobs whose tasks have failed on it since the last success.
     pub failures: BTreeSet<JobId>,
+    /// Its observed speed.
+    pub speed: Speed,
 }
 
 impl Worker {
@@ -228,6 +234,7 @@
             evacuating: None,
             cordoned_until: 0,
             failures: BTreeSet::new(),
+            speed: Speed::default(),
         }
     }
 
--- a/crates/cell/tests/all/main.rs
+++ b/crates/cell/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod queued;
 mod reference;
 mod rows;
+mod speed;
 mod window;
 
 /// Generates one test function for each case.
