--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -268,7 +268,10 @@
 
 fn limits(settings: &Settings) -> Limits {
     let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-    Limits::new(millis(settings.max_lease), millis(settings.state_retention))
+    Limits {
+        worker_speed: settings.worker_speed,
+        ..Limits::new(millis(settings.max_lease), millis(settings.state_retention))
+    }
 }
 
 /// Interval of reading the settings file for changes that no signal announced.
