--- a/crates/owner/src/log_lines.rs
+++ b/crates/owner/src/log_lines.rs
@@ -2,7 +2,9 @@
 
 use crate::log_digest::first_names;
 use log::{info, warn};
-use primroseroute_cell::{Loss, Order, PoisonTask, ScalingEstimate};
+use primroseroute_cell::{
+    Loss, MovedRun, Order, PoisonTask, ScalingEstimate, SlowWorker, Stragglers,
+};
 use primroseroute_domain::work::{JobId, State, TaskId};
 
 /// One line for each order to a worker.
@@ -69,6 +71,34 @@
     }
 }
 
+/// One line for each worker that has become slow or is no longer slow, and for each run that is moved
+/// off a slow worker.
+pub(crate) fn stragglers(pool: &str, stragglers: &Stragglers) {
+    for SlowWorker {
+        worker,
+        percent,
+        runs,
+        age_ms,
+    } in &stragglers.slowed
+    {
+        info!(pool, worker = &**worker, percent, runs, age_ms; "worker is slow");
+    }
+    for worker in &stragglers.recovered {
+        info!(pool, worker = &**worker; "worker is no longer slow");
+    }
+    for MovedRun {
+        worker,
+        task,
+        run,
+        percent,
+        left_ms,
+        elsewhere_ms,
+    } in &stragglers.moved
+    {
+        info!(pool, worker = &**worker, task:% = task, run, percent, left_ms, elsewhere_ms; "moving run off slow worker");
+    }
+}
+
 /// One line for each job whose final state is stored, by a commit that took `commit_ms`.
 pub(crate) fn jobs_ended(pool: &str, ended: &[(JobId, State)], commit_ms: u64) {
     for (job, state) in ended {
--- a/crates/owner/src/observe.rs
+++ b/crates/owner/src/observe.rs
@@ -31,6 +31,12 @@
     /// How many jobs of a queue wait to begin.
     fn jobs_queued(&self, queue: &Name, jobs: u64);
 
+    /// How many workers of a pool are slow.
+    fn slow_workers(&self, pool: &Name, workers: usize);
+
+    /// So many runs are moved off slow workers of a pool.
+    fn runs_moved(&self, pool: &Name, runs: usize);
+
     /// A commit has taken this long, retries included.
     fn commit_finished(&self, took: Duration);
 
@@ -58,6 +64,8 @@
     fn pools_unowned(&self, _pools: usize) {}
     fn demand(&self, _pool: &Name, _running: u64, _waiting: u64) {}
     fn jobs_queued(&self, _queue: &Name, _jobs: u64) {}
+    fn slow_workers(&self, _pool: &Name, _workers: usize) {}
+    fn runs_moved(&self, _pool: &Name, _runs: usize) {}
     fn commit_finished(&self, _took: Duration) {}
     fn jobs_feed_age(&self, _pool: &Name, _ago: Duration) {}
     fn round_finished(&self, _pool: &Name, _took: Duration) {}
--- a/crates/owner/src/pool_loop.rs
+++ b/crates/owner/src/pool_loop.rs
@@ -20,7 +20,7 @@
     watch::{RegisteredWorkers, RosterSubscription},
 };
 use log::{info, warn};
-use primroseroute_cell::{Cell, Millis, Order, Outcome, RoundOutput};
+use primroseroute_cell::{Cell, Millis, Order, Outcome, RoundOutput, Stragglers};
 use primroseroute_domain::work::{End, Name};
 use primroseroute_platform::{rows::Version, site::Configuration};
 use std::{collections::BTreeSet, pin::pin, sync::Arc, time::Duration};
@@ -215,6 +215,15 @@
         observer.round_finished(pool, round);
     }
 
+    fn report_stragglers(&self, stragglers: &Stragglers) {
+        let Context { observer, pool, .. } = &self.context;
+        observer.slow_workers(pool, stragglers.slow_workers);
+        if !stragglers.moved.is_empty() {
+            observer.runs_moved(pool, stragglers.moved.len());
+        }
+        log_lines::stragglers(pool, stragglers);
+    }
+
     /// Waits for an event, for the time at which the next round is due without one, or for the
     /// stop.
     async fn wait_for_event(
@@ -381,6 +390,7 @@
         log_lines::losses(&self.context.pool, &round.losses);
         log_lines::poison_tasks(&self.context.pool, &round.poison_tasks);
         log_lines::crashes_cleared(&self.context.pool, &round.crashes_cleared);
+        self.report_stragglers(&round.stragglers);
         for worker in &round.immediate_polls {
             self.pool_workers.poll_now(worker);
         }
--- a/crates/serve/src/metered.rs
+++ b/crates/serve/src/metered.rs
@@ -72,6 +72,14 @@
         self.0.jobs_queued(queue, jobs);
     }
 
+    fn slow_workers(&self, pool: &Name, workers: usize) {
+        self.0.slow_workers(pool, workers as u64);
+    }
+
+    fn runs_moved(&self, pool: &Name, runs: usize) {
+        self.0.runs_moved(pool, runs as u64);
+    }
+
     fn commit_finished(&self, took: Duration) {
         self.0.commit_finished(took);
     }
--- a/crates/telemetry/src/site.rs
+++ b/crates/telemetry/src/site.rs
@@ -33,6 +33,8 @@
     running_cpu: Gauge<u64>,
     waiting_cpu: Gauge<u64>,
     queued_jobs: Gauge<u64>,
+    slow_workers: Gauge<u64>,
+    runs_moved: Counter<u64>,
     commit_seconds: Histogram<f64>,
     jobs_read_seconds: Histogram<f64>,
     round_seconds: Histogram<f64>,
@@ -106,6 +108,11 @@
                 "CPU of tasks that could start and wait, by pool",
             ),
             queued_jobs: gauge("queued_jobs", "Jobs of which no task has started, by queue"),
+            slow_workers: gauge("slow_workers", "Workers that are slow, by pool"),
+            runs_moved: counter(
+                "runs_moved",
+                "Runs that were stopped on slow workers to be started elsewhere, by pool",
+            ),
             commit_seconds: durations(
                 "commit_duration",
                 "Time of an owner's commits, retries included",
@@ -196,6 +203,17 @@
             .record(jobs, &[named("queue", Some(queue))]);
     }
 
+    /// Sets the number of slow workers of a pool.
+    pub fn slow_workers(&self, pool: &Name, workers: u64) {
+        self.slow_workers
+            .record(workers, &[named("pool", Some(pool))]);
+    }
+
+    /// Counts runs that are moved off slow workers of a pool.
+    pub fn runs_moved(&self, pool: &Name, runs: u64) {
+        self.runs_moved.add(runs, &[named("pool", Some(pool))]);
+    }
+
     /// Records the duration of an owner's commit.
     pub fn commit_finished(&self, duration: Duration) {
         self.commit_seconds.record(duration.as_secs_f64(), &[]);
--- a/tests/site/metrics.rs
+++ b/tests/site/metrics.rs
@@ -52,6 +52,8 @@
     fn pools_unowned(&self, _pools: usize) {}
     fn demand(&self, _pool: &Name, _running: u64, _waiting: u64) {}
     fn jobs_queued(&self, _queue: &Name, _jobs: u64) {}
+    fn slow_workers(&self, _pool: &Name, _workers: usize) {}
+    fn runs_moved(&self, _pool: &Name, _runs: usize) {}
     fn commit_finished(&self, _took: Duration) {}
 
     fn jobs_feed_age(&self, pool: &Name, ago: Duration) {
