Stand-in: workers become slow by a factor and fast again; tests of whole entries with slow workers

Cause: the avoidance of slow workers and the moves had only tests of the cell. Change: World::set_slowdown; percents follow the work done, not the time of the end. Tests with a twelfth of the workers seven times slower, all slow at once, an owner that takes over, a worker that is fast again, and the switch; mixed histories from 4_900_000 on have slow workers. Their draws differ from before from that seed on, and only there. Measured: tests only.

--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -263,6 +263,15 @@
             .change(|state, now| state.restart_worker_as(instance, worker, now));
     }
 
+    /// Makes the runs of a worker progress `slowdown` times slower than usual from now on; 1 makes it fast again.
+    pub fn set_slowdown(&self, worker: &Name, slowdown: u64) {
+        self.shared.change(|state, now| {
+            if let Some(known) = state.workers.get_mut(worker) {
+                known.set_slowdown(slowdown, now);
+            }
+        });
+    }
+
     /// Partitions a worker from all entries, or heals the partition. The worker continues to run; its registration is
     /// removed, and restored when the partition heals.
     pub fn set_partitioned(&self, worker: &Name, is_partitioned: bool) {
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -29,10 +29,38 @@
     long_running: bool,
     /// When it ends, and how; none for a long-running one that has not been stopped.
     ends: Option<(u64, End)>,
+    /// Its progress; none if it has no length.
+    work: Option<Work>,
     /// When it crashes its worker, if it does.
     crashes_at: Option<u64>,
 }
 
+/// Progress of a run through a task of some length, at the speed of its worker.
+#[derive(Clone, Copy, Debug)]
+struct Work {
+    /// Time that the task takes on a worker that isn't slow.
+    length: u64,
+    /// What was done of that when the speed last changed.
+    done: u64,
+    changed_at: u64,
+    /// How many times slower the worker is.
+    slowdown: u64,
+}
+
+impl Work {
+    fn done(&self, now: u64) -> u64 {
+        self.done + now.saturating_sub(self.changed_at) / self.slowdown
+    }
+
+    /// Changes the speed; returns when the run ends.
+    fn set_slowdown(&mut self, slowdown: u64, now: u64) -> u64 {
+        self.done = self.done(now);
+        self.changed_at = now;
+        self.slowdown = slowdown;
+        now + self.length.saturating_sub(self.done) * slowdown
+    }
+}
+
 /// An order to stop a run.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Stop {
@@ -49,6 +77,8 @@
     pub alive: bool,
     /// Whether no entry reaches it.
     pub partitioned: bool,
+    /// How many times slower than usual its runs progress.
+    slowdown: u64,
     /// Thousandths by which its clock runs slow.
     pub clock_lag_permille: u64,
     started_at: u64,
@@ -78,7 +108,7 @@
 
 /// Behaviour that a payload asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Work {
+enum Behaviour {
     /// Runs until it is stopped.
     LongRunning,
     /// Ends like this after this number of milliseconds.
@@ -87,7 +117,7 @@
     Crashes(u64),
 }
 
-impl Work {
+impl Behaviour {
     fn of(payload: &str, task: &TaskId) -> Self {
         let mut words = payload.split(' ');
         let first = words.next().unwrap_or_default();
@@ -123,6 +153,7 @@
             },
             alive: true,
             partitioned: false,
+            slowdown: 1,
             clock_lag_permille: 0,
             started_at: now,
             clock_at_start: now * 7,
@@ -217,6 +248,19 @@
         });
     }
 
+    /// Makes its runs progress `slowdown` times slower than usual from now on.
+    pub(crate) fn set_slowdown(&mut self, slowdown: u64, now: u64) {
+        self.slowdown = slowdown.max(1);
+        for run in self.runs.values_mut() {
+            // A run that is being stopped ends when the stop says.
+            if let (Some(work), Some((at, how))) = (&mut run.work, &mut run.ends)
+                && *how != End::Stopped
+            {
+                *at = work.set_slowdown(self.slowdown, now);
+            }
+        }
+    }
+
     pub(crate) fn terminate(&mut self, id: &Name, now: u64, journal: &mut Journal) {
         self.alive = false;
         for (task, run) in std::mem::take(&mut self.runs) {
@@ -270,16 +314,26 @@
         if last >= start.run || known.is_some_and(|known| known > start.run) {
             return Answer::Refused(Refusal::Old);
         }
-        let (ends, crashes_at) = match Work::of(&start.payload, &start.task) {
-            Work::LongRunning => (None, None),
-            Work::Ends(millis, how) => (Some((now + millis, how)), None),
-            Work::Crashes(millis) => (None, Some(now + millis)),
+        let work = |length| Work {
+            length,
+            done: 0,
+            changed_at: now,
+            slowdown: self.slowdown,
+        };
+        let (ends, work, crashes_at) = match Behaviour::of(&start.payload, &start.task) {
+            Behaviour::LongRunning => (None, None, None),
+            Behaviour::Ends(millis, how) => {
+                let ends_at = now + millis * self.slowdown;
+                (Some((ends_at, how)), Some(work(millis)), None)
+            }
+            Behaviour::Crashes(millis) => (None, None, Some(now + millis)),
         };
         let run = Run {
             run: start.run,
             started_at: now,
             long_running: ends.is_none() && crashes_at.is_none(),
             ends,
+            work,
             crashes_at,
         };
         self.runs.insert(start.task.clone(), run);
@@ -439,10 +493,9 @@
     match run.ends {
         _ if run.long_running && passed >= STARTUP_MS => 100,
         _ if run.long_running => 0,
-        None => 0,
-        Some((at, _how)) => {
-            let total = (at - run.started_at).max(1);
-            u32::try_from(passed * 100 / total).unwrap_or(100).min(99)
-        }
+        _ => run.work.map_or(0, |work| {
+            let percent = work.done(now) * 100 / work.length.max(1);
+            u32::try_from(percent).unwrap_or(100).min(99)
+        }),
     }
 }
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -21,6 +21,7 @@
 mod random;
 mod retention;
 mod reused_ids;
+mod speed;
 mod store;
 mod store_overload;
 mod store_unreachable;
--- a/tests/site/random/mixed.rs
+++ b/tests/site/random/mixed.rs
@@ -36,6 +36,9 @@
 /// From this seed on, the capacities of workers also shrink and grow again.
 pub(super) const FIRST_WITH_CHANGING_CAPACITY: u64 = 4_000_000;
 
+/// From this seed on, workers also become slow for some seconds.
+pub(super) const FIRST_WITH_SLOW_WORKERS: u64 = 4_900_000;
+
 /// Share of crashed workers that restart under the same id, from [`FIRST_WITH_SAME_IDS`] on.
 const SAME_ID_SHARE: f64 = 0.7;
 
@@ -133,6 +136,7 @@
     Resume(String),
     Crash(Name),
     RestoreCapacity(Name),
+    RestoreSpeed(Name),
     Restart(Name),
     Start(String),
 }
@@ -150,6 +154,11 @@
     has_changing_capacity: bool,
 }
 
+/// Whether workers become slow in a history.
+pub(super) fn has_slow_workers(seed: u64) -> bool {
+    (FIRST_WITH_SLOW_WORKERS..=*SEEDS.end()).contains(&seed)
+}
+
 /// A job of long-running tasks, of which `may_miss` may be unavailable.
 fn long_running_job(count: u16, may_miss: u16) -> Job {
     let step = Step {
@@ -272,6 +281,7 @@
             Delayed::Resume(_) | Delayed::Start(_) => {}
             Delayed::Crash(worker) => self.crash(&worker),
             Delayed::RestoreCapacity(worker) => fixture.world.resize(&worker, CAPACITY),
+            Delayed::RestoreSpeed(worker) => fixture.world.set_slowdown(&worker, 1),
             Delayed::Restart(instance) => fixture.world.restart(&instance),
         }
     }
@@ -320,7 +330,20 @@
         }
     }
 
+    /// Makes a worker slow, and fast again some seconds later.
+    fn slow_down(&mut self) {
+        if let Some(worker) = self.choose_worker() {
+            let slowdown = 2 + self.draw(8);
+            self.history.fixture.world.set_slowdown(&worker, slowdown);
+            let seconds = 2 + self.draw(8);
+            self.after(seconds, Delayed::RestoreSpeed(worker));
+        }
+    }
+
     fn fault(&mut self) {
+        if self.history.has_slow_workers && self.once_in(2) {
+            self.slow_down();
+        }
         if self.has_changing_capacity && self.once_in(3) {
             self.resize();
         }
--- a/tests/site/random/mod.rs
+++ b/tests/site/random/mod.rs
@@ -76,6 +76,7 @@
     mixed_batch_with_crashes => (mixed::FIRST_WITH_CRASHES..).take(MIXED_PER_BATCH);
     mixed_batch_with_same_ids => (mixed::FIRST_WITH_SAME_IDS..).take(MIXED_PER_BATCH);
     mixed_batch_with_changing_capacity => (mixed::FIRST_WITH_CHANGING_CAPACITY..).take(MIXED_PER_BATCH);
+    mixed_batch_with_slow_workers => (mixed::FIRST_WITH_SLOW_WORKERS..).take(MIXED_PER_BATCH);
     mixed_batch_with_accounts => mixed::SEEDS_WITH_ACCOUNTS.take(MIXED_PER_BATCH);
     mixed_regression_seeds_with_crashes => mixed::CRASH_REGRESSIONS.iter().copied();
     mixed_regression_seeds => mixed::REGRESSIONS.iter().copied();
@@ -164,6 +165,8 @@
     possibly_cancelled: BTreeSet<JobId>,
     /// Whether some of the jobs drawn have tasks that crash their workers.
     has_crashes: bool,
+    /// Whether workers become slow; some jobs then have tasks on most of them.
+    has_slow_workers: bool,
     starvation: Starvation,
     /// The client accounts, in histories that have some.
     accounts: Option<Accounts>,
@@ -202,6 +205,7 @@
             cancelled: BTreeSet::new(),
             possibly_cancelled: BTreeSet::new(),
             has_crashes: seed >= mixed::FIRST_WITH_CRASHES,
+            has_slow_workers: mixed::has_slow_workers(seed),
             starvation: Starvation::default(),
             accounts: None,
         }
@@ -246,6 +250,7 @@
                     ..job("400", 2)
                 }
             }
+            3 if self.has_slow_workers => job("2500", 18),
             3 => job("2500", 3),
             _ => job("500", 3),
         }
