--- a/crates/cell/src/straggler.rs
+++ b/crates/cell/src/straggler.rs
@@ -9,7 +9,7 @@
     cell::Cell,
     limits::Millis,
     speed::{EXPIRY_MS, State, Verdict},
-    worker::Worker,
+    worker::{StopState, Worker},
 };
 use primroseroute_domain::work::{End, Name, Step, TaskId};
 use primroseroute_platform::worker::{Ended, Running};
@@ -82,7 +82,9 @@
     let Some(run) = worker.runs.get_mut(task) else {
         return;
     };
-    if run.lasting || !job.step(task.step).is_some_and(is_measured) {
+    // A run that is being stopped may stand still.
+    let is_excluded = run.lasting || run.stop != StopState::No || run.run != running.run;
+    if is_excluded || !job.step(task.step).is_some_and(is_measured) {
         return;
     }
     let rates = job.rates.entry(task.step).or_default();
