--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -16,6 +16,7 @@
 mod rate;
 mod state;
 mod store;
+mod work;
 mod worker;
 
 pub use caller::Caller;
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -4,6 +4,7 @@
     CAPACITY, address,
     journal::{Event, Journal},
     labels,
+    work::Work,
 };
 use primroseroute_domain::work::{End, Name, TaskId};
 use primroseroute_platform::{
@@ -35,32 +36,6 @@
     crashes_at: Option<u64>,
 }
 
-/// Progress of a run through a task of some length, at the speed of its worker.
-#[derive(Clone, Copy, Debug)]
-struct Work {
-    /// Time that the task takes on a worker that isn't slow.
-    length: u64,
-    /// What was done of that when the speed last changed.
-    done: u64,
-    changed_at: u64,
-    /// How many times slower the worker is.
-    slowdown: u64,
-}
-
-impl Work {
-    fn done(&self, now: u64) -> u64 {
-        self.done + now.saturating_sub(self.changed_at) / self.slowdown
-    }
-
-    /// Changes the speed; returns when the run ends.
-    fn set_slowdown(&mut self, slowdown: u64, now: u64) -> u64 {
-        self.done = self.done(now);
-        self.changed_at = now;
-        self.slowdown = slowdown;
-        now + self.length.saturating_sub(self.done) * slowdown
-    }
-}
-
 /// An order to stop a run.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Stop {
