Merge the observed speed of workers

Cause: a slow worker holds up each job that has a task there. Change: merged with learned run times, which don't learn from runs on slow workers.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -7,6 +7,7 @@
     job::{HasStarted, Job},
     limits::{Limits, Millis},
     order::{AdviceRequest, Loss, Order, Outcome, RoundOutput},
+    placement::Move,
     row::{Accepted, Phase, Progress},
     run_times::{RunTimes, Terms},
     scaling::RecentEstimates,
@@ -52,6 +53,10 @@
     pub(crate) crashes_cleared: Vec<TaskId>,
     /// Number of queued jobs by queue, as of the last round.
     pub(crate) queued_counts: BTreeMap<Name, u64>,
+    /// Workers that a list has shown to be no longer slow since the last round.
+    pub(crate) recovered: Vec<Name>,
+    /// Tasks that were moved off slow workers recently.
+    pub(crate) moves: BTreeMap<TaskId, Move>,
     /// Recent estimates of the number of workers that the pool can use.
     pub(crate) estimates: RecentEstimates,
     /// Rate of incoming work.
@@ -93,6 +98,8 @@
             poison_tasks: Vec::new(),
             crashes_cleared: Vec::new(),
             queued_counts: BTreeMap::new(),
+            recovered: Vec::new(),
+            moves: BTreeMap::new(),
             estimates: RecentEstimates::default(),
             arrivals: Arrivals::default(),
             run_times: RunTimes::default(),
@@ -294,6 +301,7 @@
                 if !matches!(entry.start_state, StartState::Confirmed(_)) {
                     entry.start_state = StartState::Confirmed(now);
                     entry.started_at = (!entry.resumed).then_some(now);
+                    entry.trace.confirm(now);
                 }
                 if let Some(job) = self.jobs.get_mut(&task.job) {
                     job.has_started = HasStarted::Yes;
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -3,6 +3,7 @@
 use crate::{
     row::{Accepted, Phase, Progress, Steps, Task},
     run_times::Prediction,
+    speed::Rates,
 };
 use primroseroute_accounts::meter::{Charge, Index, Meter};
 use primroseroute_domain::work::{Name, State, Step, TaskId};
@@ -31,6 +32,8 @@
     pub has_started: HasStarted,
     /// Predicted run times of its tasks.
     pub prediction: Prediction,
+    /// Recent progress rates of its runs, by step.
+    pub rates: BTreeMap<u16, Rates>,
     /// The account that its tasks are charged to.
     account: Option<Index>,
 }
@@ -55,6 +58,7 @@
             may_have_other_runs: false,
             has_started: HasStarted::No,
             prediction: Prediction::default(),
+            rates: BTreeMap::new(),
         }
     }
 
@@ -81,6 +85,7 @@
             may_have_other_runs: true,
             has_started,
             prediction: Prediction::default(),
+            rates: BTreeMap::new(),
         }
     }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -32,6 +32,11 @@
 //! * A task that crashes its workers is abandoned after a few crashes; tasks that ran beside it are
 //!   not.
 //!
+//! # Slow workers
+//!
+//! * A worker whose runs progress much more slowly than their siblings elsewhere gets nothing new
+//!   while others are open, and its batch runs are moved where that is faster.
+//!
 //! # Modules
 //!
 //! * [`row`]: the rows in the store, their locations and formats.
@@ -55,7 +60,9 @@
 pub mod row;
 mod run_times;
 mod scaling;
+mod speed;
 mod status;
+mod straggler;
 mod throttle;
 mod window;
 mod worker;
@@ -67,4 +74,5 @@
 pub use order::{AdviceRequest, Cause, EndsCursor, Loss, Order, Outcome, RoundOutput};
 pub use run_times::Terms;
 pub use scaling::ScalingEstimate;
+pub use straggler::{MovedRun, SlowWorker, Stragglers};
 pub use worker::EvacuationReason;
--- a/crates/cell/src/round.rs
+++ b/crates/cell/src/round.rs
@@ -9,7 +9,7 @@
     order::{Cause, Order, RoundOutput},
     placement,
     row::Progress,
-    run_times, scaling, throttle,
+    run_times, scaling, straggler, throttle,
     worker::{ExpiredLease, Run, StopState, Termination, Worker},
 };
 use bytes::Bytes;
@@ -38,8 +38,10 @@
     advice::expire(cell, now);
     cell.count_account_usage();
     run_times::update(cell, now);
+    let mut stragglers = straggler::judge(cell, now);
     let waiting = placement::waiting_steps(cell, wall_ms);
     let mut orders = placement::run(cell, &waiting, now);
+    stragglers.moved = placement::move_runs(cell, now);
     orders.extend(throttle_all(cell));
     let stops = collect_stops(cell, now);
     orders.extend(stops.go_on);
@@ -62,6 +64,7 @@
         crashes_cleared: std::mem::take(&mut cell.crashes_cleared),
         ends_committed,
         scaling: scaling::estimate(cell, &waiting, now, wall_ms),
+        stragglers,
     }
 }
 
--- a/crates/cell/src/status.rs
+++ b/crates/cell/src/status.rs
@@ -6,7 +6,7 @@
     job::HasStarted,
     limits::{Limits, Millis},
     row::Phase,
-    run_times,
+    run_times, speed, straggler,
     worker::{Origin, Run, StartState, StopState},
 };
 use primroseroute_domain::work::{End, Name, State, Step, TaskId};
@@ -35,6 +35,8 @@
     worker.status_as_of = worker.status_as_of.max(Some(status_as_of));
     worker.throttle_checked = false;
     let is_current = status_as_of == now;
+    let held_at = worker.speed.held_at(sent_at, now, status.clock_ms);
+    worker.speed.begin_list();
     worker.expired_lease = None;
     worker.relisted_at.clear();
     let recorded = worker.last_end;
@@ -42,6 +44,7 @@
         if is_current {
             observe_end(cell, id, ended, now);
         }
+        straggler::observe_ended(cell, id, ended, held_at);
         apply_end(cell, id, ended, now, wall_ms);
     }
     let listed = status
@@ -54,6 +57,7 @@
     }
     for running in listed.values() {
         apply_listed(cell, id, running, is_current, now);
+        straggler::observe_listed(cell, id, running, held_at);
     }
     crash::clear_crashes(cell, id);
 }
@@ -80,6 +84,7 @@
         return;
     }
     let worker = cell.workers.get(id);
+    let worker = worker.filter(|worker| worker.speed.state == speed::State::Normal);
     let run = worker.and_then(|worker| worker.runs.get(&ended.task));
     let run = run.filter(|run| run.run == ended.run);
     if let Some(whole_ms) = run.and_then(|run| run_times::measured(run, now)) {
@@ -228,6 +233,11 @@
     if found.is_some_and(|worker| !worker.runs.contains_key(&running.task)) {
         add_discovered(cell, id, running, now);
     }
+    // The time of a run on a slow worker says nothing of its task.
+    let is_normal = cell
+        .workers
+        .get(id)
+        .is_some_and(|worker| worker.speed.state == speed::State::Normal);
     let worker = cell.workers.get_mut(id);
     let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&running.task)) else {
         return;
@@ -241,21 +251,24 @@
             job.has_started = HasStarted::Yes;
         }
     }
-    let whole_ms = is_current
+    let whole_ms = (is_current && is_normal)
         .then(|| run_times::projected(run, running.percent, now))
         .flatten();
     run.percent = running.percent;
     run.load = running.load;
-    if let Some(whole_ms) = whole_ms {
-        run_times::observe(cell, &running.task, whole_ms, now);
-    }
     if running.checkpoint.is_some()
         && let Some(job) = cell.jobs.get_mut(&running.task.job)
         && let Some(task) = job.task_mut(&running.task)
         && task.run == running.run
     {
+        if task.checkpoint != running.checkpoint {
+            run.trace.checkpoint_percent = u64::from(running.percent).min(100);
+        }
         task.checkpoint.clone_from(&running.checkpoint);
     }
+    if let Some(whole_ms) = whole_ms {
+        run_times::observe(cell, &running.task, whole_ms, now);
+    }
 }
 
 /// Adds a listed run for which there is no committed placement: it was given up, or its job has
--- a/crates/cell/tests/all/main.rs
+++ b/crates/cell/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod reference;
 mod rows;
 mod run_times;
+mod speed;
 mod window;
 
 /// Generates one test function for each case.
