Tests: long tasks under way are learned from too

Cause: nothing guarded against run times that are learned from ended runs only, which are the short ones at first. Measured: the test.

--- a/crates/cell/tests/all/run_times.rs
+++ b/crates/cell/tests/all/run_times.rs
@@ -20,6 +20,8 @@
     tasks_of_one_step_are_one_observation => one_step();
     ended_siblings_decide_for_the_rest_of_their_step => siblings(None);
     progress_of_siblings_decides_before_they_end => siblings(Some(25));
+    /// Guards against a queue whose tasks look short as long as only its short ones have ended.
+    long_tasks_under_way_are_learned_from_too => long_tasks();
     /// Guards against run times that are derived from progress that isn't that of the run.
     progress_that_falls_is_not_learned_from => progress(&[30, 25]);
     progress_above_the_whole_is_not_learned_from => progress(&[130, 130]);
@@ -166,6 +168,23 @@
     assert_eq!(waiting, 998 * 5 * whole_ms);
 }
 
+/// Ten tasks of 200 ms have ended, ten of 800 ms run.
+fn long_tasks() {
+    let mut fixture = Fixture::new(&["w-1"]);
+    let ids: Vec<JobId> = (0..20).map(|_job| start(&mut fixture, 1, 100)).collect();
+    fixture.now += 200;
+    let (short, long) = ids.split_at(10);
+    for id in short {
+        end(&mut fixture, &task(id, 0, 0));
+    }
+    for id in long {
+        list(&mut fixture, &task(id, 0, 0), 25);
+    }
+    fixture.poll_all();
+    let predicted = predicted(&mut fixture, 100);
+    assert!((450..650).contains(&predicted), "{predicted}");
+}
+
 fn list(fixture: &mut Fixture, task: &TaskId, percent: u32) {
     for running in fixture.running.values_mut() {
         if let Some((_run, listed)) = running.get_mut(task) {
