Cell: the backlog of unfinished work by account

Cause: the owner of a pool has to publish what waits in it, and other parts are built against this interface. Change: Cell::backlog; jobs aren't marked yet, so all work counts as beyond the entitlement and no job is counted as accepted. Sums of work and remaining time saturate, since estimates may be absurdly high.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -12,6 +12,7 @@
     worker::{Origin, Run, StartState, StopState, Worker},
 };
 use primroseroute_accounts::meter::{Limit, Meter};
+use primroseroute_admission::{Backlog, Waiting};
 use primroseroute_domain::work::{Demand, JobId, Name, State, Step, StepId, TaskId};
 use primroseroute_platform::worker::{Ended, Refusal, WorkerStatus};
 use std::collections::{BTreeMap, BTreeSet};
@@ -57,6 +58,8 @@
     pub(crate) arrivals: Arrivals,
     /// What the accounts use, and may use, in the pool.
     pub(crate) meter: Meter,
+    /// Jobs by account that were accepted since the takeover.
+    pub(crate) accepted_counts: BTreeMap<Option<Name>, Waiting>,
     /// Queues whose starts need a ticket.
     pub(crate) advised_queues: BTreeSet<Name>,
     /// What the advice service has said about workers, by step.
@@ -65,6 +68,8 @@
     pub(crate) stops_due: bool,
     /// When stops were last collected.
     pub(crate) stops_collected_at: Millis,
+    /// Time of the last round.
+    pub(crate) round_at: Millis,
 }
 
 impl Cell {
@@ -91,10 +96,12 @@
             estimates: RecentEstimates::default(),
             arrivals: Arrivals::default(),
             meter: Meter::default(),
+            accepted_counts: BTreeMap::new(),
             advised_queues: BTreeSet::new(),
             policies: BTreeMap::new(),
             stops_due: false,
             stops_collected_at: now,
+            round_at: now,
         }
     }
 
@@ -429,6 +436,12 @@
         counts
     }
 
+    /// The unfinished work of each account, as of the last round. `largest_worker` isn't known to one
+    /// pool and stays zero.
+    pub fn backlog(&self, wall_ms: u64) -> Backlog {
+        crate::backlog::backlog(self, wall_ms)
+    }
+
     /// Runs one round of decisions: rows to commit, and orders to send after that.
     pub fn run_round(&mut self, now: Millis, wall_ms: u64) -> RoundOutput {
         crate::round::run(self, now, wall_ms)
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// Whether it is within the entitlement of its account.
+    #[expect(clippy::unused_self, reason = "jobs aren't marked yet")]
+    pub(crate) fn is_within_entitlement(&self, _meter: &Meter) -> bool {
+        false
+    }
+
     /// Whether its account uses much more of the pool than its weighted share.
     pub(crate) fn is_beyond_share(&self, meter: &Meter) -> bool {
         let account = self.account;
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -41,6 +41,7 @@
 
 mod advice;
 mod arrivals;
+mod backlog;
 mod cell;
 mod crash;
 mod incarnation;
--- a/crates/cell/src/placement/mod.rs
+++ b/crates/cell/src/placement/mod.rs
@@ -6,7 +6,9 @@
 mod urgency;
 
 pub(crate) use preempt::fits_without_batch;
-pub(crate) use urgency::{WaitingStep, is_overdue, long_overdue, still_waiting, waiting_steps};
+pub(crate) use urgency::{
+    WaitingStep, is_long_overdue, is_overdue, long_overdue, still_waiting, waiting_steps, work_left,
+};
 
 use crate::{
     advice,
--- a/crates/cell/src/placement/urgency.rs
+++ b/crates/cell/src/placement/urgency.rs
@@ -7,7 +7,7 @@
 //! work first; then late ones, and last those that are past three times their objective, which earn
 //! nothing more and only have to finish eventually.
 
-use crate::{cell::Cell, crash, job::Job, row::Phase};
+use crate::{backlog, cell::Cell, crash, job::Job, row::Phase};
 use primroseroute_domain::work::{JobId, Step, TaskId};
 
 /// Multiple of its objective after which a job earns nothing more.
@@ -118,6 +118,12 @@
     !long_running && age(job, occurrence, wall_ms) > signed(job.accepted.objective_ms)
 }
 
+/// Whether a job earns nothing any more.
+pub(crate) fn is_long_overdue(job: &Job, occurrence: u32, wall_ms: u64) -> bool {
+    let objective = signed(job.accepted.objective_ms);
+    age(job, occurrence, wall_ms) > objective.saturating_mul(signed(LONG_OVERDUE_OBJECTIVES))
+}
+
 pub(super) fn waiting_tasks(job: &Job, occurrence: u32, step: u16) -> impl Iterator<Item = u16> {
     let steps = job.progress.steps.get(&occurrence);
     let tasks = steps.and_then(|steps| steps.get(usize::from(step)));
@@ -140,11 +146,12 @@
 fn class(job: &Job, occurrence: u32, step: u16, wall_ms: u64) -> Class {
     let age = age(job, occurrence, wall_ms);
     let objective = signed(job.accepted.objective_ms);
-    let slack = objective - age - signed(remaining_ms(job, occurrence, step));
+    let remaining = signed(remaining_ms(job, occurrence, step));
+    let slack = objective.saturating_sub(age).saturating_sub(remaining);
     let long_running = job.step(step).is_some_and(|step| step.lasting);
     if long_running {
         Class::Lasting
-    } else if age > objective * signed(LONG_OVERDUE_OBJECTIVES) {
+    } else if is_long_overdue(job, occurrence, wall_ms) {
         Class::LongOverdue
     } else if slack < 0 {
         Class::Late
@@ -169,7 +176,7 @@
 }
 
 /// Estimated core-milliseconds of the unfinished tasks.
-fn work_left(job: &Job, occurrence: u32) -> u64 {
+pub(crate) fn work_left(job: &Job, occurrence: u32) -> u64 {
     let Some(progress) = job.progress.steps.get(&occurrence) else {
         return 0;
     };
@@ -179,9 +186,9 @@
             .iter()
             .filter(|task| task.phase != Phase::Done)
             .count() as u64;
-        open * shape.demand.cpu * shape.estimate_ms / 1_000
+        backlog::core_ms(shape.demand.cpu, shape.estimate_ms, open)
     });
-    left.sum()
+    left.fold(0, u64::saturating_add)
 }
 
 /// Estimated time from now to the job's end, if `step` starts at once.
@@ -200,7 +207,8 @@
             .iter()
             .map(|&earlier| ends[usize::from(earlier)]);
         let before = before.max().unwrap_or(0);
-        ends.push(if over { 0 } else { before + shape.estimate_ms });
+        let end = before.saturating_add(shape.estimate_ms);
+        ends.push(if over { 0 } else { end });
     }
     let own = ends.get(usize::from(step)).copied().unwrap_or(0);
     ends.into_iter().max().unwrap_or(own)
--- a/crates/cell/src/round.rs
+++ b/crates/cell/src/round.rs
@@ -32,6 +32,7 @@
 const MAX_DELETIONS: usize = 10;
 
 pub(crate) fn run(cell: &mut Cell, now: Millis, wall_ms: u64) -> RoundOutput {
+    cell.round_at = now;
     remove_lost_runs(cell, now, wall_ms);
     begin_occurrences(cell, wall_ms);
     migration::run(cell, now);
