--- a/crates/accounts/src/lib.rs
+++ b/crates/accounts/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`Account`]: an account as operators configure it.
 //! * [`key`]: digests of keys, and the account that a key belongs to.
 //! * [`budget`]: the row that divides an account's maximum among the pools that run its tasks.
+//! * [`entitlement`]: which jobs of an account are within its jobs per second.
 //! * [`meter`]: what the accounts use in one pool, and whether another task may start.
 //!
 //! # Why a maximum holds
@@ -24,6 +25,7 @@
 
 mod account;
 pub mod budget;
+pub mod entitlement;
 pub mod key;
 pub mod meter;
 
--- a/crates/accounts/tests/all/main.rs
+++ b/crates/accounts/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Keys, and the division of an account's maximum among pools.
 
 mod budget;
+mod entitlement;
 mod key;
 mod meter;
 
