Cell: jobs within entitlements go first; bounded waiting in pools with accounts

Cause: in a pool that is full, a burst of one account delayed the jobs of the others, and nothing bounded how long a step waits. Change: jobs are marked once per round by the time of their acceptance and id; the order is by class, mark, share, work. Steps that have waited for 5 s go first within their class, up to a sixteenth of the pool, and workers are reserved for one gang or wide task among them at a time. Jobs are marked only once the weights are known. The backlog shows marks and counts of accepted jobs. Pools without accounts are ordered as before. Whether the reserved workers stay the same has no test that fails without it.

--- a/crates/accounts/src/meter.rs
+++ b/crates/accounts/src/meter.rs
@@ -122,10 +122,16 @@
         }
         for (name, weight) in weights {
             let index = self.index(name);
-            self.of(index).weight = weight;
+            let weight = if weight.is_finite() { weight } else { 0.0 };
+            self.of(index).weight = weight.max(0.0);
         }
     }
 
+    /// Whether an account has a weight.
+    pub fn has_weight(&self, account: Index) -> bool {
+        self.accounts[usize::from(account.0)].weight > 0.0
+    }
+
     /// Counts anew what may be running in a pool of this capacity, and forgets what was refused.
     pub fn recount(&mut self, capacity: Demand, charges: impl Iterator<Item = Charge>) {
         for account in &mut self.accounts {
--- a/crates/cell/src/backlog.rs
+++ b/crates/cell/src/backlog.rs
@@ -80,7 +80,7 @@
 
 /// The unfinished work of each account, and the number of jobs that it has submitted.
 pub(crate) fn backlog(cell: &Cell, wall_ms: u64) -> Backlog {
-    let mut accounts = cell.accepted_counts.clone();
+    let mut accounts = cell.marking.accepted().clone();
     for job in cell.jobs.values().filter(|job| counts(job, wall_ms)) {
         let account = job.accepted.account.clone();
         let sum = work_of(cell, job, accounts.entry(account).or_default());
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -6,13 +6,15 @@
     crash::PoisonTask,
     job::{HasStarted, Job},
     limits::{Limits, Millis},
+    marking::Marking,
     order::{AdviceRequest, Loss, Order, Outcome, RoundOutput},
+    placement,
     row::{Accepted, Phase, Progress},
     scaling::RecentEstimates,
     worker::{Origin, Run, StartState, StopState, Worker},
 };
 use primroseroute_accounts::meter::{Limit, Meter};
-use primroseroute_admission::{Backlog, Waiting};
+use primroseroute_admission::Backlog;
 use primroseroute_domain::work::{Demand, JobId, Name, State, Step, StepId, TaskId};
 use primroseroute_platform::worker::{Ended, Refusal, WorkerStatus};
 use std::collections::{BTreeMap, BTreeSet};
@@ -58,8 +60,10 @@
     pub(crate) arrivals: Arrivals,
     /// What the accounts use, and may use, in the pool.
     pub(crate) meter: Meter,
-    /// Jobs by account that were accepted since the takeover.
-    pub(crate) accepted_counts: BTreeMap<Option<Name>, Waiting>,
+    /// Which jobs are within the entitlements of their accounts.
+    pub(crate) marking: Marking,
+    /// Workers that are reserved for a step that has waited for long.
+    pub(crate) aged_reservation: Option<placement::Reservation>,
     /// Queues whose starts need a ticket.
     pub(crate) advised_queues: BTreeSet<Name>,
     /// What the advice service has said about workers, by step.
@@ -96,7 +100,8 @@
             estimates: RecentEstimates::default(),
             arrivals: Arrivals::default(),
             meter: Meter::default(),
-            accepted_counts: BTreeMap::new(),
+            marking: Marking::default(),
+            aged_reservation: None,
             advised_queues: BTreeSet::new(),
             policies: BTreeMap::new(),
             stops_due: false,
@@ -110,6 +115,7 @@
         let over = self.finished.contains_key(&id) || self.deleted.contains_key(&id);
         if !over && !self.jobs.contains_key(&id) {
             self.arrivals.accept(&accepted.job);
+            self.marking.add(&id, &accepted);
             let job = Job::new(accepted, &mut self.meter);
             self.jobs.insert(id, job);
         }
@@ -126,6 +132,9 @@
     /// starting for as long as owners followed each other in less time.
     pub fn restore(&mut self, id: JobId, accepted: Accepted, progress: Progress) {
         self.arrivals.add_restored(&accepted.job);
+        if !self.finished.contains_key(&id) && !self.jobs.contains_key(&id) {
+            self.marking.add(&id, &accepted);
+        }
         if let Some(ended) = progress.ended_ms {
             self.finished.insert(id, ended);
             return;
@@ -334,9 +343,12 @@
         self.meter.set_limits(limits);
     }
 
-    /// Sets the weights of accounts; accounts that aren't named have none.
+    /// Sets the weights of accounts; accounts that aren't named have none. Jobs are marked once
+    /// weights are known.
     pub fn set_account_weights<'a>(&mut self, weights: impl Iterator<Item = (&'a Name, f64)>) {
-        self.meter.set_weights(weights);
+        let weights: Vec<(&Name, f64)> = weights.collect();
+        self.meter.set_weights(weights.iter().copied());
+        self.marking.set_weights(weights.into_iter());
     }
 
     /// What the accounts use, as of the last round.
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -1,7 +1,10 @@
 //! In-memory state of one job.
 
 use crate::row::{Accepted, Phase, Progress, Steps, Task};
-use primroseroute_accounts::meter::{Charge, Index, Meter};
+use primroseroute_accounts::{
+    entitlement::Mark,
+    meter::{Charge, Index, Meter},
+};
 use primroseroute_domain::work::{Name, State, Step, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -28,6 +31,13 @@
     pub has_started: HasStarted,
     /// The account that its tasks are charged to.
     account: Option<Index>,
+    /// Whether it is within the entitlement of its account; `None` before it is marked, and without
+    /// an account.
+    pub mark: Option<Mark>,
+    /// Wall-clock time of its acceptance, or of when its owner learned of it if the former is wrong.
+    pub counted_at_ms: u64,
+    /// When later steps became ready, by occurrence and step, as far as this owner has seen it.
+    ready_at_ms: BTreeMap<(u32, u16), u64>,
 }
 
 fn account(accepted: &Accepted, meter: &mut Meter) -> Option<Index> {
@@ -46,6 +56,9 @@
                 ended_ms: None,
                 account: accepted.account.clone(),
             },
+            mark: None,
+            counted_at_ms: accepted.at_ms,
+            ready_at_ms: BTreeMap::new(),
             accepted,
             may_have_other_runs: false,
             has_started: HasStarted::No,
@@ -70,6 +83,9 @@
         };
         Self {
             account: account(&accepted, meter),
+            mark: None,
+            counted_at_ms: accepted.at_ms,
+            ready_at_ms: BTreeMap::new(),
             accepted,
             progress,
             may_have_other_runs: true,
@@ -77,10 +93,47 @@
         }
     }
 
-    /// Whether it is within the entitlement of its account.
-    #[expect(clippy::unused_self, reason = "jobs aren't marked yet")]
-    pub(crate) fn is_within_entitlement(&self, _meter: &Meter) -> bool {
-        false
+    /// Whether it is within the entitlement of its account. An account that was removed has none,
+    /// whatever it had when the job was marked.
+    pub(crate) fn is_within_entitlement(&self, meter: &Meter) -> bool {
+        let account = self.account;
+        self.mark == Some(Mark::Within) && account.is_some_and(|account| meter.has_weight(account))
+    }
+
+    pub(crate) fn has_account(&self) -> bool {
+        self.account.is_some()
+    }
+
+    /// Wall-clock time at which a step became ready. Of later steps that became so under a previous
+    /// owner, only the time of the acceptance is known: they may count as waiting for longer than
+    /// they have, but not anew with each owner.
+    pub(crate) fn ready_at_ms(&self, occurrence: u32, step: u16) -> u64 {
+        let schedule = self.accepted.job.schedule;
+        let known = self.ready_at_ms.get(&(occurrence, step)).copied();
+        known.unwrap_or_else(|| {
+            schedule.map_or(self.counted_at_ms, |schedule| schedule.due_ms(occurrence))
+        })
+    }
+
+    /// Records which steps have become ready by the end of `id`.
+    pub(crate) fn record_ready_steps(&mut self, id: &TaskId, wall_ms: u64) {
+        if self.account.is_none() {
+            return;
+        }
+        let steps = self.progress.steps.get(&id.occurrence);
+        let tasks = steps.and_then(|steps| steps.get(usize::from(id.step)));
+        let is_over = |tasks: &Vec<Task>| tasks.iter().all(|task| task.phase == Phase::Done);
+        if !tasks.is_some_and(is_over) {
+            return;
+        }
+        for step in self.ready_steps(id.occurrence) {
+            if self
+                .step(step)
+                .is_some_and(|step| step.after.contains(&id.step))
+            {
+                self.ready_at_ms.insert((id.occurrence, step), wall_ms);
+            }
+        }
     }
 
     /// Whether its account uses much more of the pool than its weighted share.
@@ -180,6 +233,9 @@
     pub(crate) fn drop_finished_occurrences(&mut self) -> bool {
         let open = |steps: &Steps| steps.iter().flatten().any(|task| task.phase != Phase::Done);
         self.progress.steps.retain(|_number, steps| open(steps));
+        let begun = &self.progress.steps;
+        self.ready_at_ms
+            .retain(|(occurrence, _step), _at| begun.contains_key(occurrence));
         let begun = self.progress.next >= self.accepted.job.occurrences();
         begun && self.progress.steps.is_empty()
     }
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -47,6 +47,7 @@
 mod incarnation;
 mod job;
 mod limits;
+mod marking;
 mod migration;
 mod order;
 mod placement;
--- a/crates/cell/src/placement/mod.rs
+++ b/crates/cell/src/placement/mod.rs
@@ -1,10 +1,12 @@
 //! Placement: which waiting task starts next, and on which worker.
 
+mod aging;
 mod candidates;
 mod isolation;
 mod preempt;
 mod urgency;
 
+pub(crate) use aging::Reservation;
 pub(crate) use preempt::fits_without_batch;
 pub(crate) use urgency::{
     WaitingStep, is_long_overdue, is_overdue, long_overdue, still_waiting, waiting_steps, work_left,
@@ -19,6 +21,7 @@
     row::{IncarnationTag, Phase},
     worker::{Run, Worker},
 };
+use aging::AgedSteps;
 use candidates::Candidates;
 use isolation::IsolatedRuns;
 use preempt::reserve_or_preempt;
@@ -40,25 +43,22 @@
         if !is_admitted(cell, waiting) {
             continue;
         }
-        if !place_step(cell, waiting, &mut candidates, &mut orders) {
+        if !place_step(cell, waiting, usize::MAX, &mut candidates, &mut orders) {
             reserve_or_preempt(cell, waiting, &mut candidates, now);
         }
     }
     let mut isolated_runs = IsolatedRuns::of(cell, &candidates, waiting);
     orders.extend(isolated_runs.run(cell, &mut candidates, now));
+    let mut aged = AgedSteps::of(cell, batch);
+    orders.extend(aged.run_reserved(cell, &mut candidates));
     let mut no_fit = NoFit::default();
-    for waiting in batch {
-        if no_fit.covers(cell, waiting) {
-            continue;
-        }
-        if candidates.is_full() {
-            break;
-        }
-        if !is_admitted(cell, waiting) {
-            continue;
-        }
-        if !place_step(cell, waiting, &mut candidates, &mut orders) {
-            no_fit.record(cell, waiting);
+    for class in batch.chunk_by(|one, next| one.class == next.class) {
+        orders.extend(aged.place(cell, class[0].class, &mut candidates, &mut no_fit));
+        for waiting in class {
+            if candidates.is_full() {
+                break;
+            }
+            no_fit.place(cell, waiting, usize::MAX, &mut candidates, &mut orders);
         }
     }
     orders.extend(isolated_runs.run_idle(cell, &mut candidates, now));
@@ -77,6 +77,23 @@
 struct NoFit(Vec<Demand>);
 
 impl NoFit {
+    /// Places up to `most` tasks of a step, unless that is hopeless.
+    fn place(
+        &mut self,
+        cell: &mut Cell,
+        waiting: &WaitingStep,
+        most: usize,
+        candidates: &mut Candidates,
+        orders: &mut Vec<Order>,
+    ) {
+        if self.covers(cell, waiting) || !is_admitted(cell, waiting) {
+            return;
+        }
+        if !place_step(cell, waiting, most, candidates, orders) {
+            self.record(cell, waiting);
+        }
+    }
+
     fn covers(&self, cell: &Cell, waiting: &WaitingStep) -> bool {
         let job = cell.jobs.get(&waiting.job);
         let step = job.and_then(|job| job.step(waiting.step));
@@ -125,11 +142,12 @@
     is_admitted
 }
 
-/// Places the waiting tasks of a step. Returns whether all could be placed, as far as their account
-/// may have more running.
+/// Places the waiting tasks of a step, but no more than `most` unless it is a gang. Returns whether
+/// all of these could be placed, as far as their account may have more running.
 fn place_step(
     cell: &mut Cell,
     waiting: &WaitingStep,
+    most: usize,
     candidates: &mut Candidates,
     orders: &mut Vec<Order>,
 ) -> bool {
@@ -145,7 +163,7 @@
         return place_gang(cell, waiting, &step, &indexes, candidates, orders);
     }
     let mut all_placed = true;
-    for (placed, &index) in indexes.iter().enumerate() {
+    for (placed, &index) in indexes.iter().take(most).enumerate() {
         if let Some(charge) = charge
             && !cell.meter.admits(charge, 1)
         {
--- a/crates/cell/src/placement/urgency.rs
+++ b/crates/cell/src/placement/urgency.rs
@@ -1,6 +1,7 @@
 //! Order in which waiting steps are placed.
 //!
-//! Within each class, jobs of accounts that use much more than their weighted share come last.
+//! Within each class, jobs that are within the entitlement of their account come first, and then those
+//! of accounts that don't use much more than their weighted share.
 //!
 //! Long-running tasks come first, since their users are affected all the time that they are
 //! unavailable. Then come jobs that can still meet their objective, those with the least remaining
@@ -26,6 +27,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct WaitingStep {
     pub(super) class: Class,
+    /// Whether its job is beyond the entitlement of its account, or has no account.
+    is_beyond_entitlement: bool,
     /// Whether its account uses much more of the pool than its weighted share.
     is_beyond_share: bool,
     /// Remaining work of the job in core-milliseconds: short jobs earn most for the time that they
@@ -34,6 +37,10 @@
     pub(super) job: JobId,
     pub(super) occurrence: u32,
     pub(super) step: u16,
+    /// Whether its job has an account.
+    pub(super) has_account: bool,
+    /// Time since it became ready.
+    pub(super) waited_ms: u64,
 }
 
 impl WaitingStep {
@@ -64,6 +71,7 @@
                 if waiting_tasks(job, occurrence, step).next().is_some() {
                     let urgency = urgency(id, job, occurrence, step, wall_ms);
                     all.push(WaitingStep {
+                        is_beyond_entitlement: !job.is_within_entitlement(&cell.meter),
                         is_beyond_share: job.is_beyond_share(&cell.meter),
                         ..urgency
                     });
@@ -163,11 +171,14 @@
 fn urgency(id: &JobId, job: &Job, occurrence: u32, step: u16, wall_ms: u64) -> WaitingStep {
     WaitingStep {
         class: class(job, occurrence, step, wall_ms),
+        is_beyond_entitlement: true,
         is_beyond_share: false,
         core_ms: work_left(job, occurrence),
         job: id.clone(),
         occurrence,
         step,
+        has_account: job.has_account(),
+        waited_ms: wall_ms.saturating_sub(job.ready_at_ms(occurrence, step)),
     }
 }
 
--- a/crates/cell/src/round.rs
+++ b/crates/cell/src/round.rs
@@ -5,7 +5,7 @@
     cell::Cell,
     crash::{self, Evidence},
     limits::{Limits, Millis},
-    migration,
+    marking, migration,
     order::{Cause, Order, RoundOutput},
     placement,
     row::Progress,
@@ -33,6 +33,7 @@
 
 pub(crate) fn run(cell: &mut Cell, now: Millis, wall_ms: u64) -> RoundOutput {
     cell.round_at = now;
+    marking::run(cell, now, wall_ms);
     remove_lost_runs(cell, now, wall_ms);
     begin_occurrences(cell, wall_ms);
     migration::run(cell, now);
--- a/crates/cell/src/status.rs
+++ b/crates/cell/src/status.rs
@@ -152,6 +152,7 @@
             }
         }
     }
+    job.record_ready_steps(id, wall_ms);
     cell.dirty.insert(id.job.clone());
     let settled = job.drop_finished_occurrences();
     if may_have_other_runs {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -65,6 +65,8 @@
     pub lasting: bool,
     /// How this owner knows of it.
     pub origin: Origin,
+    /// Whether it started before more urgent ones since its step had waited for long.
+    pub is_aged: bool,
     /// For a discovered run: the incarnation that it was placed in, if the row tells.
     pub incarnation_tag: Option<IncarnationTag>,
     /// If the incarnation that it was sent to has terminated and there was no answer: until when
@@ -91,6 +93,7 @@
             speed_percent: 100,
             lasting,
             origin: Origin::Started,
+            is_aged: false,
             incarnation_tag: None,
             late_start_until: None,
             clearing_poll_requested: false,
--- a/crates/cell/tests/all/fixture.rs
+++ b/crates/cell/tests/all/fixture.rs
@@ -105,12 +105,17 @@
 
     /// Accepts a job that an account has submitted.
     pub(crate) fn accept_from(&mut self, account: Option<&str>, job: Job) -> JobId {
+        self.accept_at(WALL_AT_ZERO_MS + self.now, account, job)
+    }
+
+    /// Accepts a job from an entry whose clock shows `at_ms`.
+    pub(crate) fn accept_at(&mut self, at_ms: u64, account: Option<&str>, job: Job) -> JobId {
         self.jobs += 1;
         let id = JobId::parse(&format!("{:016x}", self.jobs)).expect("16 digits");
         let accepted = Accepted {
             queue: "queue".into(),
             pool: "pool".into(),
-            at_ms: WALL_AT_ZERO_MS + self.now,
+            at_ms,
             priority: 0,
             max_attempts: 2,
             account: account.map(Name::from),
@@ -122,6 +127,13 @@
         id
     }
 
+    /// Hands in all accepted jobs once more, as a full read of their rows does.
+    pub(crate) fn read_again(&mut self) {
+        for (id, accepted) in self.accepted.iter().rev() {
+            self.cell.accept(id.clone(), accepted.clone());
+        }
+    }
+
     /// Replaces the owner by a new one that knows only committed rows.
     pub(crate) fn replace_owner(&mut self) {
         self.cell = Cell::new(Limits::new(6_000, 120_000), self.now);
--- a/crates/cell/tests/all/main.rs
+++ b/crates/cell/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod crash;
 mod ends;
+mod entitlement;
 mod fixture;
 mod incarnation;
 mod long_running;
--- a/crates/owner/src/pool_loop.rs
+++ b/crates/owner/src/pool_loop.rs
@@ -174,9 +174,12 @@
                     .clone_from(&configuration.borrow_and_update());
                 self.cell
                     .set_advised_queues(advised_queues(self.configuration.as_ref()));
-                let accounts = self.configuration.iter().flat_map(|known| &known.accounts);
-                let weights = accounts.map(|account| (&account.name, account.weight));
-                self.cell.set_account_weights(weights);
+                // Jobs are marked once weights are known.
+                if let Some(known) = &self.configuration {
+                    let accounts = known.accounts.iter();
+                    let weights = accounts.map(|account| (&account.name, account.weight));
+                    self.cell.set_account_weights(weights);
+                }
                 self.follow_budgets();
             }
             self.apply_registrations(registered.borrow_and_update().clone());
