--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -6,14 +6,16 @@
     crash::PoisonTask,
     job::{HasStarted, Job},
     limits::{Limits, Millis},
+    marking::Marking,
     order::{AdviceRequest, Loss, Order, Outcome, RoundOutput},
-    placement::Move,
+    placement::{self, Move},
     row::{Accepted, Phase, Progress},
     run_times::{RunTimes, Terms},
     scaling::RecentEstimates,
     worker::{Origin, Run, StartState, StopState, Worker},
 };
 use primroseroute_accounts::meter::{Limit, Meter};
+use primroseroute_admission::Backlog;
 use primroseroute_domain::work::{Demand, JobId, Name, State, Step, StepId, TaskId};
 use primroseroute_platform::worker::{Ended, Refusal, WorkerStatus};
 use std::collections::{BTreeMap, BTreeSet};
@@ -67,6 +69,10 @@
     pub(crate) queue_terms: BTreeMap<Name, Terms>,
     /// What the accounts use, and may use, in the pool.
     pub(crate) meter: Meter,
+    /// Which jobs are within the entitlements of their accounts.
+    pub(crate) marking: Marking,
+    /// Workers that are reserved for a step that has waited for long.
+    pub(crate) aged_reservation: Option<placement::Reservation>,
     /// Queues whose starts need a ticket.
     pub(crate) advised_queues: BTreeSet<Name>,
     /// What the advice service has said about workers, by step.
@@ -75,6 +81,8 @@
     pub(crate) stops_due: bool,
     /// When stops were last collected.
     pub(crate) stops_collected_at: Millis,
+    /// Time of the last round.
+    pub(crate) round_at: Millis,
 }
 
 impl Cell {
@@ -105,10 +113,13 @@
             run_times: RunTimes::default(),
             queue_terms: BTreeMap::new(),
             meter: Meter::default(),
+            marking: Marking::default(),
+            aged_reservation: None,
             advised_queues: BTreeSet::new(),
             policies: BTreeMap::new(),
             stops_due: false,
             stops_collected_at: now,
+            round_at: now,
         }
     }
 
@@ -118,6 +129,7 @@
         if !over && !self.jobs.contains_key(&id) {
             let Accepted { queue, job, .. } = &accepted;
             self.arrivals.accept(queue, job, &self.run_times);
+            self.marking.add(&id, &accepted);
             let job = Job::new(accepted, &mut self.meter);
             self.jobs.insert(id, job);
         }
@@ -135,6 +147,9 @@
     pub fn restore(&mut self, id: JobId, accepted: Accepted, progress: Progress) {
         let Accepted { queue, job, .. } = &accepted;
         self.arrivals.add_restored(queue, job, &self.run_times);
+        if !self.finished.contains_key(&id) && !self.jobs.contains_key(&id) {
+            self.marking.add(&id, &accepted);
+        }
         if let Some(ended) = progress.ended_ms {
             self.finished.insert(id, ended);
             return;
@@ -300,7 +315,7 @@
                 found.lease_expires_at = found.lease_expires_at.max(lease_expires_at);
                 if !matches!(entry.start_state, StartState::Confirmed(_)) {
                     entry.start_state = StartState::Confirmed(now);
-                    entry.started_at = (!entry.resumed).then_some(now);
+                    entry.started_at = entry.trace.began_at_zero.then_some(now);
                     entry.trace.confirm(now);
                 }
                 if let Some(job) = self.jobs.get_mut(&task.job) {
@@ -345,9 +360,12 @@
         self.meter.set_limits(limits);
     }
 
-    /// Sets the weights of accounts; accounts that aren't named have none.
+    /// Sets the weights of accounts; accounts that aren't named have none. Jobs are marked once
+    /// weights are known.
     pub fn set_account_weights<'a>(&mut self, weights: impl Iterator<Item = (&'a Name, f64)>) {
-        self.meter.set_weights(weights);
+        let weights: Vec<(&Name, f64)> = weights.collect();
+        self.meter.set_weights(weights.iter().copied());
+        self.marking.set_weights(weights.into_iter());
     }
 
     /// What the accounts use, as of the last round.
@@ -457,6 +475,12 @@
         counts
     }
 
+    /// The unfinished work of each account, as of the last round. `largest_worker` isn't known to one
+    /// pool and stays zero.
+    pub fn backlog(&self, wall_ms: u64) -> Backlog {
+        crate::backlog::backlog(self, wall_ms)
+    }
+
     /// Runs one round of decisions: rows to commit, and orders to send after that.
     pub fn run_round(&mut self, now: Millis, wall_ms: u64) -> RoundOutput {
         crate::round::run(self, now, wall_ms)
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -47,11 +47,13 @@
 
 mod advice;
 mod arrivals;
+mod backlog;
 mod cell;
 mod crash;
 mod incarnation;
 mod job;
 mod limits;
+mod marking;
 mod migration;
 mod order;
 mod placement;
--- a/crates/cell/src/placement/urgency.rs
+++ b/crates/cell/src/placement/urgency.rs
@@ -1,13 +1,14 @@
 //! Order in which waiting steps are placed.
 //!
-//! Within each class, jobs of accounts that use much more than their weighted share come last.
+//! Within each class, jobs that are within the entitlement of their account come first, and then those
+//! of accounts that don't use much more than their weighted share.
 //!
 //! Long-running tasks come first, since their users are affected all the time that they are
 //! unavailable. Then come jobs that can still meet their objective, those with the least remaining
 //! work first; then late ones, and last those that are past three times their objective, which earn
 //! nothing more and only have to finish eventually.
 
-use crate::{cell::Cell, crash, job::Job, row::Phase, run_times::RunTime};
+use crate::{backlog, cell::Cell, crash, job::Job, row::Phase, run_times::RunTime};
 use primroseroute_domain::work::{JobId, Step, TaskId};
 
 /// Multiple of its objective after which a job earns nothing more.
@@ -26,6 +27,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct WaitingStep {
     pub(super) class: Class,
+    /// Whether its job is beyond the entitlement of its account, or has no account.
+    is_beyond_entitlement: bool,
     /// Whether its account uses much more of the pool than its weighted share.
     is_beyond_share: bool,
     /// Remaining work of the job in core-milliseconds: short jobs earn most for the time that they
@@ -34,6 +37,10 @@
     pub(super) job: JobId,
     pub(super) occurrence: u32,
     pub(super) step: u16,
+    /// Whether its job has an account.
+    pub(super) has_account: bool,
+    /// Time since it became ready.
+    pub(super) waited_ms: u64,
 }
 
 impl WaitingStep {
@@ -64,6 +71,7 @@
                 if waiting_tasks(job, occurrence, step).next().is_some() {
                     let urgency = urgency(id, job, occurrence, step, wall_ms);
                     all.push(WaitingStep {
+                        is_beyond_entitlement: !job.is_within_entitlement(&cell.meter),
                         is_beyond_share: job.is_beyond_share(&cell.meter),
                         ..urgency
                     });
@@ -120,6 +128,12 @@
     !long_running && age(job, occurrence, wall_ms) > signed(job.objective_ms())
 }
 
+/// Whether a job earns nothing any more.
+pub(crate) fn is_long_overdue(job: &Job, occurrence: u32, wall_ms: u64) -> bool {
+    let objective = signed(job.objective_ms());
+    age(job, occurrence, wall_ms) > objective.saturating_mul(signed(LONG_OVERDUE_OBJECTIVES))
+}
+
 pub(super) fn waiting_tasks(job: &Job, occurrence: u32, step: u16) -> impl Iterator<Item = u16> {
     let steps = job.progress.steps.get(&occurrence);
     let tasks = steps.and_then(|steps| steps.get(usize::from(step)));
@@ -142,11 +156,12 @@
 fn class(job: &Job, occurrence: u32, step: u16, wall_ms: u64) -> Class {
     let age = age(job, occurrence, wall_ms);
     let objective = signed(job.objective_ms());
-    let slack = (objective - age).saturating_sub(signed(remaining_ms(job, occurrence, step)));
+    let remaining = signed(remaining_ms(job, occurrence, step));
+    let slack = objective.saturating_sub(age).saturating_sub(remaining);
     let long_running = job.step(step).is_some_and(|step| step.lasting);
     if long_running {
         Class::Lasting
-    } else if age > objective * signed(LONG_OVERDUE_OBJECTIVES) {
+    } else if is_long_overdue(job, occurrence, wall_ms) {
         Class::LongOverdue
     } else if slack < 0 {
         Class::Late
@@ -158,11 +173,14 @@
 fn urgency(id: &JobId, job: &Job, occurrence: u32, step: u16, wall_ms: u64) -> WaitingStep {
     WaitingStep {
         class: class(job, occurrence, step, wall_ms),
+        is_beyond_entitlement: true,
         is_beyond_share: false,
         core_ms: work_left(job, occurrence),
         job: id.clone(),
         occurrence,
         step,
+        has_account: job.has_account(),
+        waited_ms: wall_ms.saturating_sub(job.ready_at_ms(occurrence, step)),
     }
 }
 
@@ -171,7 +189,7 @@
 }
 
 /// Predicted core-milliseconds of the unfinished tasks.
-fn work_left(job: &Job, occurrence: u32) -> u64 {
+pub(crate) fn work_left(job: &Job, occurrence: u32) -> u64 {
     let Some(progress) = job.progress.steps.get(&occurrence) else {
         return 0;
     };
@@ -182,7 +200,7 @@
             .filter(|task| task.phase != Phase::Done)
             .count() as u64;
         let mean_ms = job.prediction.of(number, shape).mean_ms;
-        (open * shape.demand.cpu).saturating_mul(mean_ms) / 1_000
+        backlog::core_ms(shape.demand.cpu, mean_ms, open)
     });
     left.fold(0, u64::saturating_add)
 }
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -48,8 +48,6 @@
     /// What it counts against its account, if it has one and that is known.
     pub charge: Option<Charge>,
     pub start_state: StartState,
-    /// Whether it was started from a checkpoint.
-    pub resumed: bool,
     /// When this owner's start of it was answered; `None` if its run time can't be told from that,
     /// or has counted already.
     pub started_at: Option<Millis>,
@@ -71,6 +69,8 @@
     pub lasting: bool,
     /// How this owner knows of it.
     pub origin: Origin,
+    /// Whether it started before more urgent ones since its step had waited for long.
+    pub is_aged: bool,
     /// For a discovered run: the incarnation that it was placed in, if the row tells.
     pub incarnation_tag: Option<IncarnationTag>,
     /// If the incarnation that it was sent to has terminated and there was no answer: until when
@@ -90,7 +90,6 @@
             reserved,
             charge: None,
             start_state: StartState::Sent,
-            resumed: false,
             started_at: None,
             start_expires_at: Millis::MAX,
             percent: 0,
@@ -101,6 +100,7 @@
             speed_percent: 100,
             lasting,
             origin: Origin::Started,
+            is_aged: false,
             incarnation_tag: None,
             late_start_until: None,
             clearing_poll_requested: false,
--- a/crates/owner/src/pool_loop.rs
+++ b/crates/owner/src/pool_loop.rs
@@ -194,9 +194,12 @@
                     .set_advised_queues(advised_queues(self.configuration.as_ref()));
                 self.cell
                     .set_queue_terms(queue_terms(self.configuration.as_ref()));
-                let accounts = self.configuration.iter().flat_map(|known| &known.accounts);
-                let weights = accounts.map(|account| (&account.name, account.weight));
-                self.cell.set_account_weights(weights);
+                // Jobs are marked once weights are known.
+                if let Some(known) = &self.configuration {
+                    let accounts = known.accounts.iter();
+                    let weights = accounts.map(|account| (&account.name, account.weight));
+                    self.cell.set_account_weights(weights);
+                }
                 self.follow_budgets();
             }
             self.apply_registrations(registered.borrow_and_update().clone());
