Settings: Admission switches the limiting of submissions

Cause: operators need a way to switch the limits of pools with too few workers off (docs/design/short-pools.md, part 3). Bounds of the owner carry it, and a reload changes it while the entry runs. Result: nothing reads it yet.

--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -66,6 +66,8 @@
     pub order_rate: f64,
     /// Time within which a configuration must be in force, if the platform sets one.
     pub configuration_bound: Option<Duration>,
+    /// Whether pools with too few workers may limit the submissions of client accounts.
+    pub admission: bool,
 }
 
 /// The components from which an entry is built.
@@ -80,7 +82,7 @@
     /// Its clocks.
     pub clock: Clock,
     /// Times and limits that the platform sets; changes take effect for a pool at its next
-    /// takeover.
+    /// takeover, except for the admission switch, which is read continuously.
     pub bounds: watch::Receiver<Bounds>,
     /// The store.
     pub rows: Arc<dyn Rows>,
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -114,8 +114,8 @@
         }
     }
 
-    /// Applies reloaded settings: addresses from the next call on, bounds of each pool from its next
-    /// takeover on.
+    /// Applies reloaded settings: addresses from the next call on, the admission switch from the
+    /// next decision on, and other bounds of each pool from its next takeover on.
     fn apply(&self, settings: &Settings) {
         self.store.set(settings.store);
         self.instances.set(settings.instances);
@@ -131,6 +131,7 @@
         order_pause: settings.order_pause,
         order_rate: settings.order_rate,
         configuration_bound: settings.configuration_bound,
+        admission: settings.admission,
     }
 }
 
