Owner: the loop's parts on accounts and events have modules of their own

Change: follow_budgets, limit_accounts and write_budgets are in pool_loop/accounts.rs, the handling of events in pool_loop/events.rs. No change of behaviour.

--- a/crates/owner/src/pool_loop.rs
+++ b/crates/owner/src/pool_loop/mod.rs
@@ -1,14 +1,17 @@
 //! The loop of one owned pool: handles events, decides, commits, and sends orders.
 
+mod accounts;
+mod events;
+
 use crate::{
     advice::request_advice,
-    budgets::{self, Budgets},
-    cancels::{CancelTracker, FeedRead},
+    budgets::Budgets,
+    cancels::CancelTracker,
     cleanup::delete_rows,
     commit::{CommitFigures, CommitSequence, OwnershipLost},
     evacuations::PoolStatus,
     event::Event,
-    follow::{FEED_WAIT, FeedTiming, follow},
+    follow::{FeedTiming, follow},
     instance_manager, jobs,
     load::Loaded,
     log_digest::LogDigest,
@@ -19,11 +22,11 @@
     published, terminations,
     watch::{RegisteredWorkers, RosterSubscription},
 };
-use log::{info, warn};
+use log::warn;
 use primroseroute_cell::{Cell, Millis, Order, Outcome, RoundOutput};
-use primroseroute_domain::work::{End, Name};
+use primroseroute_domain::work::Name;
 use primroseroute_platform::{rows::Version, site::Configuration};
-use std::{collections::BTreeSet, pin::pin, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 use tokio::{
     sync::{
         mpsc::{self, UnboundedReceiver, UnboundedSender},
@@ -54,16 +57,6 @@
     full_read_after: Some(Duration::from_secs(1)),
 };
 
-/// Reads of the change feed of budgets.
-const BUDGETS_FEED_TIMING: FeedTiming = FeedTiming {
-    min_interval: Duration::from_millis(100),
-    wait: FEED_WAIT,
-    full_read_after: None,
-};
-
-/// Time within which a configuration must be in force if the platform sets none.
-const DEFAULT_CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
-
 /// Queues of a configuration whose starts need a ticket.
 fn advised_queues(configuration: Option<&Arc<Configuration>>) -> BTreeSet<Name> {
     let queues = configuration.into_iter().flat_map(|known| &known.queues);
@@ -235,113 +228,6 @@
         }
     }
 
-    fn handle(&mut self, event: Event) {
-        let now = self.context.clock.now();
-        let wall_ms = self.context.clock.wall_ms();
-        match event {
-            Event::Jobs(jobs, at) => {
-                let read = FeedRead {
-                    before: self.cell.feed_watermark(),
-                    at,
-                };
-                for (id, accepted) in jobs.accepted {
-                    self.jobs_received += 1;
-                    self.cell.accept(id, accepted);
-                }
-                let times = (now, wall_ms);
-                self.cancels
-                    .apply(&mut self.cell, &jobs.cancelled, read, times);
-            }
-            Event::Budgets(rows) => {
-                if let Some(budgets) = &mut self.budgets {
-                    budgets.apply(&rows);
-                }
-            }
-            Event::BudgetsWritten(written) => {
-                if let Some(budgets) = &mut self.budgets {
-                    budgets.record_written(written);
-                }
-            }
-            Event::FeedWatermark(at) => self.cell.advance_feed_watermark(at),
-            Event::LeaseRenewalSent {
-                worker,
-                lease_expires_at,
-            } => {
-                self.cell.lease_renewal_sent(&worker, lease_expires_at);
-            }
-            Event::PollResponse {
-                worker,
-                status,
-                sent_at,
-                at,
-            } => {
-                for ended in self.cell.new_ends(&worker, &status) {
-                    self.context.observer.run_ended(ended.how);
-                    if ended.how != End::Done {
-                        self.digest
-                            .run_ended(&worker, &ended.task, ended.run, ended.how);
-                    }
-                }
-                self.cell
-                    .apply_status(&worker, &status, sent_at, at, wall_ms);
-            }
-            Event::Terminated {
-                worker,
-                incarnation,
-                asked_at,
-            } => {
-                self.worker_ended(worker, |cell, worker| {
-                    cell.worker_terminated(worker, incarnation, asked_at)
-                });
-            }
-            Event::Listed {
-                worker,
-                incarnation,
-                asked_at,
-            } => {
-                if self.cell.worker_listed(&worker, incarnation, asked_at) {
-                    info!(pool = &*self.context.pool, worker = &*worker; "unresponsive worker has outlived its new runs");
-                }
-            }
-            Event::Replaced(worker) => self.worker_ended(worker, Cell::worker_replaced),
-            Event::StartOutcome {
-                worker,
-                task,
-                run,
-                outcome,
-            } => {
-                self.context.observer.start_finished(outcome);
-                if outcome != Outcome::Started {
-                    info!(worker = &*worker, task:% = task, run, outcome:? = outcome; "start not confirmed");
-                }
-                self.cell
-                    .record_start_outcome(&worker, &task, run, outcome, now);
-            }
-            Event::StopAccepted { worker, task, run } => {
-                if self.cell.record_stop_accepted(&worker, &task, run, now) {
-                    self.pool_workers.poll_now(&worker);
-                }
-            }
-            Event::RowsDeleted(id) => self.cell.record_rows_deleted(id, wall_ms),
-            Event::Advice {
-                request,
-                answer,
-                sent_at,
-            } => self.cell.record_advice(&request, answer, sent_at, now),
-            Event::SetEvacuating { worker, reason } => self.cell.set_evacuating(&worker, reason),
-            Event::StopBatchTasks(worker) => self.cell.stop_batch_tasks(&worker),
-        }
-    }
-
-    /// Records the end of a worker's incarnation with `apply`, which returns whether it was
-    /// unknown.
-    fn worker_ended(&mut self, worker: Name, apply: impl FnOnce(&mut Cell, &Name) -> bool) {
-        let runs = self.cell.runs_on(&worker);
-        if apply(&mut self.cell, &worker) {
-            self.digest.worker_ended(worker, runs);
-        }
-    }
-
     /// Applies the list of registered workers, if it is new.
     fn apply_registrations(&mut self, workers: Option<RegisteredWorkers>) {
         let Some(workers) = workers else {
@@ -432,60 +318,6 @@
         Ok(())
     }
 
-    /// Follows the budgets of accounts from the first configuration on that has accounts.
-    fn follow_budgets(&mut self) {
-        let mut accounts = self.configuration.iter().flat_map(|known| &known.accounts);
-        if self.budgets.is_some() || accounts.next().is_none() {
-            return;
-        }
-        let Context { pool, rows, .. } = &self.context;
-        self.budgets = Some(Budgets::new(Name::clone(pool), self.token));
-        let follower = follow(
-            "budgets",
-            budgets::Table {
-                rows: Arc::clone(rows),
-                takeover_rows: Arc::clone(&self.context.takeover_rows),
-            },
-            budgets::Sink(self.sender.clone()),
-            BUDGETS_FEED_TIMING,
-            None,
-            (Name::clone(pool), self.token),
-        );
-        self.background.push(tokio::spawn(follower));
-    }
-
-    /// Sets what the accounts may have running in the pool.
-    fn limit_accounts(&mut self) {
-        let newest = self.context.watch.configuration.borrow().clone();
-        let (Some(budgets), Some(configuration)) = (&self.budgets, newest) else {
-            return;
-        };
-        let bound = self.context.configuration_bound;
-        let bound = bound.unwrap_or(DEFAULT_CONFIGURATION_BOUND);
-        let age = self.context.watch.configuration_age();
-        let is_current = age.is_some_and(|age| age < bound);
-        self.cell
-            .set_account_limits(&budgets.limits(&configuration, is_current));
-    }
-
-    /// Writes the budgets that what runs and waits requires to be changed.
-    fn write_budgets(&mut self) {
-        let (Some(budgets), Some(configuration)) = (&mut self.budgets, &self.configuration) else {
-            return;
-        };
-        let meter = self.cell.account_usage();
-        budgets.log_refusals(configuration, meter);
-        if let Some(txn) = budgets.write(configuration, meter, self.context.clock.now()) {
-            let Context { rows, pool, .. } = &self.context;
-            self.detached.spawn(budgets::send(
-                Arc::clone(rows),
-                txn,
-                Name::clone(pool),
-                self.sender.clone(),
-            ));
-        }
-    }
-
     /// Sends the orders of a round that are still valid, once it is committed by a transaction that
     /// was sent at `sent_at`.
     fn carry_out(&mut self, mut round: RoundOutput, sent_at: Millis, decided: Instant) {
@@ -528,35 +360,6 @@
         self.publish_status(round.scaling.scale_down_floor);
     }
 
-    /// Waits for a call to the store, and handles events meanwhile.
-    ///
-    /// The store may take seconds. Without this, a cancel that is stored and known would stop
-    /// nothing until the store answers, and its tasks would run on for that long.
-    async fn handle_events_during<T>(&mut self, call: impl Future<Output = T>) -> T {
-        let mut call = pin!(call);
-        loop {
-            let event = tokio::select! {
-                biased;
-                done = &mut call => return done,
-                event = self.events.recv() => event,
-            };
-            if let Some(event) = event {
-                self.handle(event);
-            }
-            // Finding the runs to stop goes through all runs, so it is done once for a batch of
-            // events.
-            while let Ok(event) = self.events.try_recv() {
-                self.handle(event);
-            }
-            self.digest.write_if_due(&self.context.pool);
-            let now = self.context.clock.now();
-            let decided = Instant::now();
-            let immediate_stops = self.cell.immediate_stops(now);
-            log_lines::orders(&self.context.pool, &immediate_stops);
-            self.send(immediate_stops, now, decided);
-        }
-    }
-
     /// Sends orders; starts among them were committed by a transaction that was sent at `sent_at`.
     fn send(&mut self, orders: Vec<Order>, sent_at: Millis, decided: Instant) {
         let times = CommitTimes {
