--- /dev/null
+++ b/crates/admission/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! What owners publish, and what gateways decide from it.
+
+mod gate;
