--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -33,7 +33,7 @@
 const MAX_BUCKETS: usize = 256;
 
 /// Jobs within the entitlement are counted in parts of this many.
-const PARTS: u64 = 1_000;
+pub(crate) const PARTS: u64 = 1_000;
 
 /// What a gateway knows of a pool.
 #[derive(Clone, Copy, Debug, Default)]
