Owner: a pool's load is published with its commits

Cause: gateways need what a pool's owner knows of its backlog (docs/design/short-pools.md, part 2). Change: the row admission/POOL/load is written in the transaction of a commit when it is due, while the configuration has accounts and admission is on. The switch is read in each round. Cell::task_core_ms gives the work of a completed task, Cell::is_known whether a job was received before.

--- a/crates/cell/src/backlog.rs
+++ b/crates/cell/src/backlog.rs
@@ -1,8 +1,8 @@
 //! Summary of the unfinished work, for the admission of further jobs.
 
-use crate::{cell::Cell, job::Job, placement, worker::StopState};
+use crate::{cell::Cell, job::Job, placement, row::Phase, worker::StopState};
 use primroseroute_admission::{Backlog, Waiting};
-use primroseroute_domain::work::{Demand, Name};
+use primroseroute_domain::work::{Demand, Name, TaskId};
 use std::collections::BTreeMap;
 
 /// Whether a job counts at all: what a long-running or a scheduled job occupies is capacity that
@@ -31,6 +31,18 @@
     cpu.saturating_mul(estimate_ms) / 1_000
 }
 
+/// Estimated core-milliseconds of a batch task; 0 for one that is completed or isn't known.
+pub(crate) fn task_core_ms(cell: &Cell, task: &TaskId) -> u64 {
+    let job = cell.jobs.get(&task.job);
+    let job = job.filter(|job| {
+        job.task(task)
+            .is_some_and(|known| known.phase != Phase::Done)
+    });
+    let step = job.and_then(|job| job.step(task.step));
+    let step = step.filter(|step| !step.lasting);
+    step.map_or(0, |step| core_ms(step.demand.cpu, step.estimate_ms, 1))
+}
+
 /// Thousandths of a core that batch tasks can use on the workers that accept runs.
 fn capacity_cpu(cell: &Cell) -> u64 {
     let workers = cell.workers.values();
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -442,6 +442,19 @@
         crate::backlog::backlog(self, wall_ms)
     }
 
+    /// The work of a batch task in core-milliseconds, by the same estimates as the backlog's; 0 for
+    /// one that is completed or isn't known.
+    pub fn task_core_ms(&self, task: &TaskId) -> u64 {
+        crate::backlog::task_core_ms(self, task)
+    }
+
+    /// Whether a job was accepted, including one that has ended and whose rows may be deleted.
+    pub fn is_known(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id)
+            || self.finished.contains_key(id)
+            || self.deleted.contains_key(id)
+    }
+
     /// Runs one round of decisions: rows to commit, and orders to send after that.
     pub fn run_round(&mut self, now: Millis, wall_ms: u64) -> RoundOutput {
         crate::round::run(self, now, wall_ms)
--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -6,6 +6,7 @@
 use crate::{clock::Clock, control::parse};
 use bytes::Bytes;
 use log::{info, warn};
+use primroseroute_admission::PoolLoad;
 use primroseroute_backoff::Retry;
 use primroseroute_cell::{
     Millis,
@@ -38,6 +39,8 @@
     pub queued: &'a BTreeMap<Name, u64>,
     /// How many workers the pool needs, if it is to be published.
     pub wanted: Option<DesiredWorkers>,
+    /// The load of the pool, if it is to be published.
+    pub load: Option<&'a PoolLoad>,
 }
 
 /// The sequence of commits of one owner.
@@ -149,6 +152,10 @@
             let value = serde_json::to_vec(&wanted).expect("numbers serialize");
             writes.push((row::desired_workers(&self.pool), value.into()));
         }
+        if let Some(load) = figures.load {
+            let value = serde_json::to_vec(load).expect("a load has text keys");
+            writes.push((row::pool_load(&self.pool), value.into()));
+        }
         Txn {
             conditions: vec![
                 (row::owner(&self.pool), self.token),
--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/elections.rs
@@ -384,6 +384,7 @@
             order_pause: bounds.order_pause,
             order_rate: bounds.order_rate,
             configuration_bound: bounds.configuration_bound,
+            bounds: self.components.bounds.clone(),
             rows: Arc::clone(&self.components.rows),
             takeover_rows: Arc::clone(&self.components.takeover_rows),
             site: Arc::clone(&self.components.site),
--- a/crates/owner/src/observe.rs
+++ b/crates/owner/src/observe.rs
@@ -28,6 +28,10 @@
     /// that could start and wait.
     fn demand(&self, pool: &Name, running: u64, waiting: u64);
 
+    /// The waits that a pool publishes: of a job within its account's entitlement, and of one beyond
+    /// it.
+    fn expected_waits(&self, pool: &Name, within: Duration, beyond: Duration);
+
     /// How many jobs of a queue wait to begin.
     fn jobs_queued(&self, queue: &Name, jobs: u64);
 
@@ -57,6 +61,7 @@
     fn pools_owned(&self, _pools: usize) {}
     fn pools_unowned(&self, _pools: usize) {}
     fn demand(&self, _pool: &Name, _running: u64, _waiting: u64) {}
+    fn expected_waits(&self, _pool: &Name, _within: Duration, _beyond: Duration) {}
     fn jobs_queued(&self, _queue: &Name, _jobs: u64) {}
     fn commit_finished(&self, _took: Duration) {}
     fn jobs_feed_age(&self, _pool: &Name, _ago: Duration) {}
--- a/crates/owner/src/ownership.rs
+++ b/crates/owner/src/ownership.rs
@@ -4,6 +4,7 @@
     clock::Clock,
     commit::CommitSequence,
     control::ControlView,
+    entry::Bounds,
     instance_cache::InstanceCache,
     load::{self, Loaded},
     observe::Observer,
@@ -45,6 +46,8 @@
     pub order_rate: f64,
     /// Time within which a configuration must be in force, if the platform sets one.
     pub configuration_bound: Option<Duration>,
+    /// The current bounds, for those that take effect at once.
+    pub bounds: watch::Receiver<Bounds>,
     pub rows: Arc<dyn Rows>,
     /// The store for the reads of a takeover.
     pub takeover_rows: Arc<dyn Rows>,
--- a/crates/owner/src/pool_loop/events.rs
+++ b/crates/owner/src/pool_loop/events.rs
@@ -20,6 +20,7 @@
                 };
                 for (id, accepted) in jobs.accepted {
                     self.jobs_received += 1;
+                    self.count_accepted(&id, &accepted, (now, wall_ms));
                     self.cell.accept(id, accepted);
                 }
                 let times = (now, wall_ms);
@@ -51,7 +52,11 @@
             } => {
                 for ended in self.cell.new_ends(&worker, &status) {
                     self.context.observer.run_ended(ended.how);
-                    if ended.how != End::Done {
+                    if ended.how == End::Done {
+                        if let Some(admission) = &mut self.admission {
+                            admission.count_completed(self.cell.task_core_ms(&ended.task), now);
+                        }
+                    } else {
                         self.digest
                             .run_ended(&worker, &ended.task, ended.run, ended.how);
                     }
--- a/crates/owner/src/pool_loop/mod.rs
+++ b/crates/owner/src/pool_loop/mod.rs
@@ -1,6 +1,7 @@
 //! The loop of one owned pool: handles events, decides, commits, and sends orders.
 
 mod accounts;
+mod admission;
 mod events;
 
 use crate::{
@@ -22,6 +23,7 @@
     published, terminations,
     watch::{RegisteredWorkers, RosterSubscription},
 };
+use admission::Admission;
 use log::warn;
 use primroseroute_cell::{Cell, Millis, Order, Outcome, RoundOutput};
 use primroseroute_domain::work::Name;
@@ -90,6 +92,9 @@
     configuration: Option<Arc<Configuration>>,
     /// The budgets of accounts; `None` until there are accounts.
     budgets: Option<Budgets>,
+    /// What is published for the admission of jobs; `None` without accounts, or while admission is
+    /// switched off.
+    admission: Option<Admission>,
 }
 
 impl PoolLoop {
@@ -148,6 +153,7 @@
             cancels: loaded.cancels,
             configuration: None,
             budgets: None,
+            admission: None,
         }
     }
 
@@ -287,9 +293,10 @@
             .is_due(self.cell.queued(), received, clock.now());
         let wanted = round.scaling.published();
         let publish = self.published_scaling.is_due(wanted, clock.now());
+        let load = self.due_load();
         let Context { observer, pool, .. } = &self.context;
         observer.demand(pool, round.scaling.running.cpu, round.scaling.waiting.cpu);
-        let sent_at = if !round.puts.is_empty() || counts || publish {
+        let sent_at = if !round.puts.is_empty() || counts || publish || load.is_some() {
             let queued = self.cell.queued().clone();
             for (queue, jobs) in &queued {
                 self.context.observer.jobs_queued(queue, *jobs);
@@ -297,6 +304,7 @@
             let figures = CommitFigures {
                 queued: &queued,
                 wanted: publish.then_some(wanted),
+                load: load.as_ref(),
             };
             let begin = Instant::now();
             let sent_at = self
@@ -308,6 +316,9 @@
                 self.published_scaling.record(wanted, clock.now());
             }
             self.published_counts.record(queued, received, clock.now());
+            if let Some(load) = load {
+                self.record_load(load, sent_at);
+            }
             self.pool_workers.confirmed.send_replace(sent_at);
             sent_at
         } else {
@@ -436,6 +447,7 @@
 
     /// Stops the background tasks.
     pub(crate) fn stop(mut self) {
+        self.end_admission();
         self.pool_workers.stop();
         for task in &self.background {
             task.abort();
--- a/crates/serve/src/metered.rs
+++ b/crates/serve/src/metered.rs
@@ -68,6 +68,10 @@
         self.0.demand(pool, running, waiting);
     }
 
+    fn expected_waits(&self, pool: &Name, within: Duration, beyond: Duration) {
+        self.0.expected_waits(pool, within, beyond);
+    }
+
     fn jobs_queued(&self, queue: &Name, jobs: u64) {
         self.0.jobs_queued(queue, jobs);
     }
--- a/crates/telemetry/src/site.rs
+++ b/crates/telemetry/src/site.rs
@@ -32,6 +32,7 @@
     pools_unowned: Gauge<u64>,
     running_cpu: Gauge<u64>,
     waiting_cpu: Gauge<u64>,
+    expected_wait: Gauge<u64>,
     queued_jobs: Gauge<u64>,
     commit_seconds: Histogram<f64>,
     jobs_read_seconds: Histogram<f64>,
@@ -105,6 +106,10 @@
                 "waiting_millicores",
                 "CPU of tasks that could start and wait, by pool",
             ),
+            expected_wait: gauge(
+                "expected_wait_milliseconds",
+                "Published wait of a job, by pool and by whether it is within its account's entitlement",
+            ),
             queued_jobs: gauge("queued_jobs", "Jobs of which no task has started, by queue"),
             commit_seconds: durations(
                 "commit_duration",
@@ -190,6 +195,19 @@
         self.waiting_cpu.record(waiting, &[pool]);
     }
 
+    /// Sets the waits that a pool publishes: of a job within its account's entitlement, and of one
+    /// beyond it.
+    pub fn expected_waits(&self, pool: &Name, within: Duration, beyond: Duration) {
+        for (entitlement, wait) in [("within", within), ("beyond", beyond)] {
+            let wait = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
+            let labels = [
+                named("pool", Some(pool)),
+                KeyValue::new("entitlement", entitlement),
+            ];
+            self.expected_wait.record(wait, &labels);
+        }
+    }
+
     /// Sets the number of jobs of a queue that have not started.
     pub fn jobs_queued(&self, queue: &Name, jobs: u64) {
         self.queued_jobs
--- a/tests/site/metrics.rs
+++ b/tests/site/metrics.rs
@@ -51,6 +51,7 @@
     fn pools_owned(&self, _pools: usize) {}
     fn pools_unowned(&self, _pools: usize) {}
     fn demand(&self, _pool: &Name, _running: u64, _waiting: u64) {}
+    fn expected_waits(&self, _pool: &Name, _within: Duration, _beyond: Duration) {}
     fn jobs_queued(&self, _queue: &Name, _jobs: u64) {}
     fn commit_finished(&self, _took: Duration) {}
 
