Inspect, ctl: published waits and shares; tests of owners that limit

Change: site pools shows the published waits and the rate, site accounts the published share by pool. An account whose share would be all of its submissions isn't listed: before, a burst of a small account was listed with 1,000 in one publication and not in the next. A rise that is too large to be chance counts before the window has enough submissions.

--- a/crates/admission/src/share.rs
+++ b/crates/admission/src/share.rs
@@ -12,6 +12,10 @@
 /// Submissions that are enough: their number varies by 7 %.
 const SAMPLES: usize = 200;
 
+/// Standard deviations by which a short window must exceed the longer ones to count before it has
+/// enough submissions.
+const DEVIATIONS: f64 = 2.0;
+
 /// Time until all gateways apply published figures: their reads of the feed are at least 500 ms
 /// apart.
 const APPLY_MS: u64 = 1_500;
@@ -72,7 +76,10 @@
         }
         let known = self.permille.filter(|_known| had_entitlement);
         self.permille = match known {
-            None => self.is_exceeded(now_ms).then(|| self.target(now_ms)),
+            None => {
+                let target = self.is_exceeded(now_ms).then(|| self.target(now_ms));
+                target.filter(|share| *share < FULL)
+            }
             Some(known) => {
                 let elapsed = elapsed_ms as f64;
                 let step = elapsed / (elapsed + SMOOTHING_MS);
@@ -164,6 +171,10 @@
         let [.., longest] = counts;
         let enough = counts.into_iter().find(|(jobs, _rate)| *jobs >= SAMPLES);
         let (_jobs, rate) = enough.unwrap_or(longest);
+        // A rise that is too large to be chance counts before the window has enough submissions.
+        let certain =
+            counts.map(|(jobs, rate)| rate * (1.0 - DEVIATIONS / (jobs.max(1) as f64).sqrt()));
+        let rate = certain.into_iter().fold(rate, f64::max);
         let share = PARTS as f64 * self.entitlement / rate;
         if share.is_finite() {
             share.clamp(1.0, PARTS as f64)
--- a/crates/admission/tests/all/publisher.rs
+++ b/crates/admission/tests/all/publisher.rs
@@ -191,7 +191,7 @@
                 prop_assert!(wait == 0 || (500..=600_000).contains(&wait), "{:?}", load);
             }
             prop_assert!(load.within_wait_ms <= load.beyond_wait_ms, "{:?}", load);
-            prop_assert!(load.within_permille.values().all(|share| *share <= 1_000), "{:?}", load);
+            prop_assert!(load.within_permille.values().all(|share| *share < 1_000), "{:?}", load);
             prop_assert!(load.beyond_wait_ms > 0 || load.within_permille.is_empty(), "{:?}", load);
         }
     }
--- a/crates/ctl/src/command/site.rs
+++ b/crates/ctl/src/command/site.rs
@@ -65,6 +65,9 @@
             pool.up.to_string(),
             pool.away.to_string(),
             queued.collect::<Vec<_>>().join(", "),
+            or_none(pool.within_wait_ms),
+            or_none(pool.beyond_wait_ms),
+            or_none(pool.rate_cpu),
         ]
     };
     printer.print(&Printable {
@@ -79,6 +82,9 @@
             "up",
             "away",
             "queued",
+            "wait within ms",
+            "wait beyond ms",
+            "rate cpu",
         ],
         rows: pools.iter().map(row).collect(),
     })?;
@@ -98,6 +104,8 @@
             format!("{pool} {}{}", holding.held.cpu, wanted.unwrap_or_default())
         });
         let waits = pools.filter(|(_pool, holding)| holding.wanted.is_some());
+        let shares = account.within_permille.iter();
+        let shares = shares.map(|(pool, permille)| format!("{pool} {permille}"));
         vec![
             account.name.to_string(),
             account.weight.to_string(),
@@ -106,6 +114,7 @@
             or_none(account.in_force.map(|maximum| limit(maximum.cpu))),
             waits.count().to_string(),
             held.collect::<Vec<_>>().join(", "),
+            shares.collect::<Vec<_>>().join(", "),
         ]
     };
     printer.print(&Printable {
@@ -118,6 +127,7 @@
             "in force",
             "pools that wait",
             "held cpu",
+            "within permille",
         ],
         rows: accounts.iter().map(row).collect(),
     })?;
--- a/crates/inspect/src/lib.rs
+++ b/crates/inspect/src/lib.rs
@@ -13,13 +13,23 @@
 pub use pool::{Pool, pools};
 pub use wave::{Wave, waves};
 
+use primroseroute_admission::PoolLoad;
+use primroseroute_cell::row;
 use primroseroute_platform::{
     Error,
-    rows::Row,
+    rows::{Row, Rows, read_row},
     site::{Configuration, Instruction, Site},
 };
 use serde::de::DeserializeOwned;
 
+/// What the owner of a pool published last for the admission of jobs. A row that is malformed or has
+/// another format counts as none, as it does for gateways.
+async fn pool_load(rows: &dyn Rows, pool: &str) -> Result<Option<PoolLoad>, Error> {
+    let found = read_row(rows, row::pool_load(pool)).await?;
+    let load = found.and_then(|row| parsed::<PoolLoad>(&row).ok());
+    Ok(load.filter(|load| load.format == PoolLoad::FORMAT))
+}
+
 /// The newest configuration, if there is any.
 async fn newest_configuration(site: &dyn Site) -> Result<Option<Configuration>, Error> {
     let (instructions, _version) = site.instructions().await?;
--- a/crates/inspect/src/pool.rs
+++ b/crates/inspect/src/pool.rs
@@ -1,6 +1,6 @@
 //! Pools: ownership, demand for workers, instances and queued jobs.
 
-use crate::{newest_configuration, parsed};
+use crate::{newest_configuration, parsed, pool_load};
 use primroseroute_cell::row::{self, CommitRecord, DesiredWorkers, Owner};
 use primroseroute_domain::work::Name;
 use primroseroute_platform::{
@@ -34,6 +34,13 @@
     pub away: usize,
     /// Number of jobs per queue of which no task has started.
     pub queued: BTreeMap<Name, u64>,
+    /// Published wait of a job within its account's entitlement, in milliseconds; `None` if nothing
+    /// was published. An owner repeats it only while a wait is above 0.
+    pub within_wait_ms: Option<u64>,
+    /// Published wait of a job beyond its account's entitlement, in milliseconds.
+    pub beyond_wait_ms: Option<u64>,
+    /// Published rate at which the pool processes its backlog, in thousandths of a core.
+    pub rate_cpu: Option<u64>,
 }
 
 /// Returns all pools of the newest configuration.
@@ -64,6 +71,8 @@
     let wanted: Option<DesiredWorkers> = wanted.as_ref().map(parsed).transpose()?;
     let commit_record = read_row(rows, row::commit_record(name)).await?;
     let commit_record: Option<CommitRecord> = commit_record.as_ref().map(parsed).transpose()?;
+    let load = pool_load(rows, name).await?;
+    let load = load.as_ref();
     let own = instances.iter().filter(|instance| instance.pool == *name);
     let (up, away): (Vec<&Instance>, Vec<&Instance>) =
         own.partition(|instance| instance.state == InstanceState::Up);
@@ -80,5 +89,8 @@
         queued: commit_record
             .map(|commit_record| commit_record.queued)
             .unwrap_or_default(),
+        within_wait_ms: load.map(|load| load.within_wait_ms),
+        beyond_wait_ms: load.map(|load| load.beyond_wait_ms),
+        rate_cpu: load.map(|load| load.rate_cpu),
     })
 }
--- a/tests/site/inspect.rs
+++ b/tests/site/inspect.rs
@@ -20,6 +20,7 @@
     job_that_nobody_accepted_has_no_story => unknown();
     waves_show_their_progress => waves();
     accounts_show_their_limits_and_what_pools_hold => accounts();
+    published_waits_and_shares_are_shown => published();
 }
 
 async fn list_pools(fixture: &Fixture) -> Result<Vec<Pool>> {
@@ -63,6 +64,33 @@
     Ok(())
 }
 
+async fn published() -> Result<()> {
+    let configuration = with_accounts(configuration(1, POOL), &[("small", 0), ("large", 0)]);
+    let options = Options::default();
+    let mut fixture = Fixture::open_on(configuration, options, &[250; 2], 2).await?;
+    let quiet = pool(&list_pools(&fixture).await?, POOL)?;
+    ensure!(quiet.beyond_wait_ms == Some(0), "{quiet:?}");
+    fixture.key = Some("large".into());
+    for _job in 0..12 {
+        let id = fixture.next_job_id();
+        let _status = fixture.send("e-0", &id, &job("1500", 16)).await;
+    }
+    sleep_secs(1).await;
+    let busy = pool(&list_pools(&fixture).await?, POOL)?;
+    ensure!(busy.beyond_wait_ms >= Some(500), "{busy:?}");
+    ensure!(busy.rate_cpu > Some(0), "{busy:?}");
+    let caller = fixture.world.caller("operator");
+    let accounts = primroseroute_inspect::accounts(&caller, &caller).await?;
+    for account in &accounts {
+        let limited = account
+            .within_permille
+            .get(POOL)
+            .is_some_and(|share| *share < 1_000);
+        ensure!(limited == (&*account.name == "large"), "{account:?}");
+    }
+    Ok(())
+}
+
 async fn pools() -> Result<()> {
     let mut fixture = Fixture::open_with_standby(101, 2, 2).await?;
     for _job in 0..12 {
