--- /dev/null
+++ b/crates/admission/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! What owners publish, and what gateways decide from it.
+
+mod gate;
+mod publisher;
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -18,6 +18,7 @@
 mod maintain;
 mod metrics;
 mod moves;
+mod published_load;
 mod random;
 mod retention;
 mod reused_ids;
