Owner: an entry follows the published loads of pools

Cause: gateways have to know how long jobs wait in each pool (docs/design/short-pools.md, part 3).

Change: `PoolLoads` follows the table `admission` while the configuration has client accounts and admission is switched on. The critical path of a job saturates: absurd estimates overflowed.

--- a/crates/domain/src/work.rs
+++ b/crates/domain/src/work.rs
@@ -352,7 +352,7 @@
                 .iter()
                 .map(|dependency| ends[usize::from(*dependency)]);
             let start = dependency_ends.max().unwrap_or(0);
-            ends.push(start + step.estimate_ms);
+            ends.push(start.saturating_add(step.estimate_ms));
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -17,6 +17,7 @@
 //!   delivery of one order.
 //! * `advice`: one request to the advice service.
 //! * `budgets`: the budgets of accounts, as a pool's owner uses and changes them.
+//! * [`PoolLoads`]: the loads that owners of pools publish, as this entry's gateway knows them.
 //! * `ownership`: one ownership of a pool; `pool_loop`: its loop; `log_lines`: the loop's log
 //!   lines.
 //! * `instance_manager`: a pool's instances; `maintain` and `relocate` carry out what [`wave`] and
@@ -65,6 +66,7 @@
 mod order_requests;
 mod ownership;
 mod poll;
+mod pool_loads;
 mod pool_loop;
 mod pool_workers;
 mod published;
@@ -80,4 +82,5 @@
 pub use clock::Clock;
 pub use entry::{Bounds, Components, Entry};
 pub use observe::{NoopObserver, Observer};
+pub use pool_loads::{PoolLoads, Received};
 pub use watch::Watch;
