Gateway: jobs are rejected while their pool is short of workers

Cause: a pool that is behind takes jobs that can't end in time, at the cost of those that could.

Change: a submission is decided before anything is written, by the published load of its pool. A rejection has code 909 (429, not-run) with a Retry-After of its own; a task larger than any worker gets 903. The claim is read before each rejection, so that an id that was accepted gets a success; if it can't be read within 500 ms, the submission is tried. Bodies above 64 KiB aren't read where the wait alone rules the job out, and the connection is closed. Long-running and scheduled jobs, and deployments without client accounts, aren't affected. The counter admission_decisions and one log line for each rejection show what was decided. Submissions have a module of their own.

--- a/crates/domain/src/outcome.rs
+++ b/crates/domain/src/outcome.rs
@@ -133,6 +133,7 @@
     CancelUnknown = 906, 504, Unknown, "the store did not say whether the job was cancelled";
     StateUnavailable = 907, 504, Unknown, "the store did not say how the job stands";
     JobOfAnotherAccount = 908, 409, NotRun, "a job of another account has this id";
+    PoolOverloaded = 909, 429, NotRun, "the pool is short of workers";
 }
 
 impl From<Code> for u16 {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The requests of callers.
 
 use crate::{
+    admission::{Admission, Loads, Weights, weights},
     authentication::{Caller, Currency, Keys},
     parse::parse,
     queue_counts::QueueCounts,
@@ -16,14 +17,13 @@
     HeaderMap, HeaderValue, Method, Response, Uri,
     header::{CONNECTION, HOST},
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use log::{debug, info};
 use parking_lot::Mutex;
-use primroseroute_cell::row::{self, Accepted, Claim};
+use primroseroute_cell::row::{self, Claim};
 use primroseroute_domain::{
     outcome::Code,
-    time::{self, Clock},
-    work::{Job, JobId, Name, State},
+    time::Clock,
+    work::{JobId, Name, State},
 };
 use primroseroute_front::{IncomingRequest, handler_fn, problem::REQUEST_ID};
 use primroseroute_platform::{
@@ -42,6 +42,8 @@
     pub configuration: Receiver<Option<Arc<Configuration>>>,
     /// How current it is.
     pub currency: Arc<dyn Currency>,
+    /// What the owners of pools publish.
+    pub loads: Arc<dyn Loads>,
     /// The store.
     pub rows: Arc<dyn Rows>,
     /// Whether the store is reachable.
@@ -69,32 +71,37 @@
 pub trait Observer: Send + Sync + std::fmt::Debug {
     /// A response is sent.
     fn response_sent(&self, response: &ResponseInfo);
+
+    /// It was decided whether a pool takes a job; only with client accounts in the configuration.
+    fn admission_decided(&self, _pool: &Name, _outcome: &'static str) {}
 }
 
 /// A configuration, prepared for requests.
 #[derive(Debug)]
-struct Prepared {
+pub(crate) struct Prepared {
     number: u64,
-    limits: RequestLimits,
+    pub limits: RequestLimits,
     routes: Routes,
     keys: Keys,
+    pub weights: Weights,
 }
 
 /// The callers' side of an entry.
 #[derive(Debug)]
 pub struct Gateway {
-    components: Components,
+    pub(crate) components: Components,
+    pub(crate) admission: Admission,
     prepared: Mutex<Option<Arc<Prepared>>>,
     states: FinalStates,
     counts: QueueCounts,
 }
 
 /// One request, without its body.
-struct Head<'a> {
+pub(crate) struct Head<'a> {
     method: &'a Method,
-    headers: &'a HeaderMap,
-    request: &'a str,
-    caller: Caller,
+    pub headers: &'a HeaderMap,
+    pub request: &'a str,
+    pub caller: Caller,
 }
 
 /// A job's state, and whose it is.
@@ -109,6 +116,7 @@
     /// Opens a gateway.
     pub fn open(components: Components) -> Arc<Self> {
         Arc::new(Self {
+            admission: Admission::new(Arc::clone(&components.loads)),
             components,
             prepared: Mutex::default(),
             states: FinalStates::default(),
@@ -143,6 +151,7 @@
                 limits: configuration.limits,
                 routes: Routes::of(&configuration),
                 keys: Keys::of(&configuration),
+                weights: weights(&configuration),
             }));
         }
         prepared.clone()
@@ -226,16 +235,7 @@
             return refused(Code::MalformedRequest, detail, &request);
         };
         match method {
-            Method::POST => {
-                let limit = prepared.limits.body_bytes;
-                let body = match read_body(body, limit).await {
-                    Ok(body) => body,
-                    Err(code) => {
-                        return refused(code, format!("at most {limit} bytes"), &request);
-                    }
-                };
-                self.submit(&head, queue, id, &body).await
-            }
+            Method::POST => self.post(&head, &prepared, queue, id, body).await,
             Method::GET => self.state(&head, queue, id).await,
             Method::DELETE => self.cancel(&head, queue, id).await,
             _ => refused(Code::MalformedRequest, "not a method of jobs", &request),
@@ -244,75 +244,12 @@
 
     /// The rejection of a request of which nothing was sent to the store, while that is
     /// unreachable.
-    fn reject_if_unreachable(&self, head: &Head<'_>) -> Option<Response<Body>> {
+    pub(crate) fn reject_if_unreachable(&self, head: &Head<'_>) -> Option<Response<Body>> {
         let unreachable = self.components.store_health.is_unreachable();
         let detail = "the entry doesn't reach the store; another may";
         unreachable.then(|| refused(Code::StoreUnavailable, detail, head.request))
     }
 
-    async fn submit(
-        &self,
-        head: &Head<'_>,
-        queue: &Queue,
-        id: JobId,
-        body: &[u8],
-    ) -> Response<Body> {
-        let job = match self.components.codec.submission(body) {
-            Ok(job) => job,
-            Err(detail) => return refused(Code::MalformedRequest, detail, head.request),
-        };
-        if let Some(rejection) = self.reject_if_unreachable(head) {
-            return rejection;
-        }
-        let now = self.components.clock.now();
-        let txn = acceptance(queue, head.caller.account(), &id, job, now);
-        let mut retry_limit = RetryLimit::new(
-            self.components.codec.request_timeout(head.headers),
-            head.request,
-        );
-        let mut last;
-        loop {
-            match self.components.rows.commit(txn.clone()).await {
-                Ok(Commit::Committed(version)) => {
-                    let account = head.caller.account().map_or("-", |account| account);
-                    info!(job:% = id, queue = &*queue.name, pool = &*queue.pool, account, version; "job accepted");
-                    return empty();
-                }
-                // An earlier attempt has claimed the id, maybe at another gateway.
-                Ok(Commit::Conflict(rows)) => {
-                    let claim = rows.first().map(parse::<Claim>).transpose();
-                    let claim = claim.ok().flatten();
-                    if !claim.is_none_or(|claim| may_access(head, queue, &claim)) {
-                        return refused(Code::JobOfAnotherAccount, "", head.request);
-                    }
-                    info!(job:% = id, queue = &*queue.name; "job already accepted");
-                    return empty();
-                }
-                Err(Error::Invalid(detail)) => {
-                    return refused(Code::MalformedRequest, detail, head.request);
-                }
-                Err(error) => {
-                    if error.may_have_applied() {
-                        retry_limit.record_ambiguous();
-                    }
-                    last = error;
-                }
-            }
-            if !retry_limit.wait_for_retry().await {
-                break;
-            }
-        }
-        let code = if retry_limit.is_ambiguous() {
-            Code::SubmissionUnknown
-        } else if last == Error::Throttled {
-            Code::StoreThrottled
-        } else {
-            Code::StoreUnavailable
-        };
-        info!(job:% = id, queue = &*queue.name, code = code.number(), error:% = last; "job not accepted");
-        refused(code, last.to_string(), head.request)
-    }
-
     async fn state(&self, head: &Head<'_>, queue: &Queue, id: JobId) -> Response<Body> {
         if let Some((state, account)) = self.states.get(&id)
             && head.caller.may_access(account.as_ref())
@@ -375,7 +312,7 @@
         row.as_ref().map(parse).transpose()
     }
 
-    async fn claim(&self, id: &JobId) -> Result<Option<(Claim, u64)>, Error> {
+    pub(crate) async fn claim(&self, id: &JobId) -> Result<Option<(Claim, u64)>, Error> {
         let row = self.read(row::claim(id)).await?;
         row.map(|row| Ok((parse(&row)?, row.version))).transpose()
     }
@@ -462,61 +399,13 @@
 
 /// Whether the caller may see and change a job. A job that an account submitted stays accessible
 /// through its queue once that is public.
-fn may_access(head: &Head<'_>, queue: &Queue, claim: &Claim) -> bool {
+pub(crate) fn may_access(head: &Head<'_>, queue: &Queue, claim: &Claim) -> bool {
     let through_own_queue = queue.public && claim.queue == queue.name;
     through_own_queue || head.caller.may_access(claim.account.as_ref())
 }
 
-/// The transaction that accepts a job, unless its id is already claimed.
-fn acceptance(
-    queue: &Queue,
-    account: Option<&Name>,
-    id: &JobId,
-    job: Job,
-    now: time::Instant,
-) -> Txn {
-    let chain = Duration::from_millis(job.chain_ms());
-    let objective = chain.mul_f64(queue.stretch.max(0.0)) + Duration::from_millis(queue.target_ms);
-    let accepted = Accepted {
-        queue: Name::clone(&queue.name),
-        pool: Name::clone(&queue.pool),
-        job,
-        at_ms: now.0,
-        priority: queue.priority,
-        max_attempts: queue.max_attempts,
-        objective_ms: u64::try_from(objective.as_millis()).unwrap_or(u64::MAX),
-        account: account.cloned(),
-    };
-    let claim = Claim {
-        pool: Name::clone(&queue.pool),
-        queue: Name::clone(&queue.name),
-        account: account.cloned(),
-    };
-    let claimed = serde_json::to_vec(&claim).expect("a claim has plain fields");
-    let stored = serde_json::to_vec(&accepted).expect("a job has plain fields");
-    Txn {
-        conditions: vec![(row::claim(id), 0)],
-        puts: vec![
-            (row::claim(id), claimed.into()),
-            (row::accepted(&queue.pool, id), stored.into()),
-        ],
-        deletes: Vec::new(),
-    }
-}
-
 fn head_bytes(uri: &Uri, headers: &HeaderMap) -> usize {
     let fields = headers.iter();
     let fields = fields.map(|(name, value)| name.as_str().len() + value.len());
     uri.path().len() + fields.sum::<usize>()
 }
-
-async fn read_body(body: Body, limit: usize) -> Result<Bytes, Code> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Code::BodyTooLarge),
-        Err(error) => {
-            debug!("request body incomplete: {error}");
-            Err(Code::BodyIncomplete)
-        }
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,6 @@
 //! The callers' side of an entry: jobs are submitted, queried, cancelled and counted here.
 //!
-//! A gateway makes no decisions about jobs. It writes what callers request into the store, and
+//! A gateway decides about a job only whether its pool can still take it. It writes what callers request into the store, and
 //! reads there what owners have committed, so any gateway answers for any job, and none has to know
 //! the owner. Accepted means stored: the success response follows the commit.
 //!
@@ -16,11 +16,13 @@
 //! 503 at once, and its connection is closed: another gateway may reach the store.
 //!
 //! * [`authentication`]: which account a request is from. Pure.
+//! * [`admission`]: whether a pool is too short of workers for a job.
 //! * [`routes`]: which queue a request is for. Pure.
 //! * [`Gateway`]: the requests, as gotham handlers.
 //! * [`StoreHealth`]: whether the store is reachable, as [`Monitored`] calls show.
 //! * [`Readiness`]: the load balancer's readiness check.
 
+pub mod admission;
 pub mod authentication;
 mod gateway;
 mod parse;
@@ -31,6 +33,7 @@
 pub mod routes;
 mod states;
 mod store_health;
+mod submission;
 
 pub use gateway::{Components, Gateway, Observer, ResponseInfo};
 pub use ready::Readiness;
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -24,6 +24,16 @@
     json(Bytes::from_static(b"{}"))
 }
 
+/// A refusal with a time after which to retry.
+pub(crate) fn refused_for(
+    delay: Duration,
+    code: Code,
+    detail: impl Into<String>,
+    request: &str,
+) -> Response<Body> {
+    problem::error_response(&Refusal::new(code, detail.into()), request, Some(delay))
+}
+
 /// A refusal or failure; temporary ones say when to retry.
 pub(crate) fn refused(code: Code, detail: impl Into<String>, request: &str) -> Response<Body> {
     let temporary = StatusCode::from_u16(code.status())
--- /dev/null
+++ b/crates/gateway/src/submission.rs
@@ -0,0 +1,323 @@
+//! Submissions of jobs.
+
+use crate::{
+    admission::{Applicant, Rejected, label, millis},
+    gateway::{Gateway, Head, Prepared, may_access},
+    parse::parse,
+    response::{empty, refused, refused_for},
+    retry_limit::RetryLimit,
+};
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use http::{
+    HeaderValue, Response,
+    header::{CONNECTION, CONTENT_LENGTH},
+};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use log::{debug, info};
+use primroseroute_admission::gate::Reason;
+use primroseroute_cell::row::{self, Accepted, Claim};
+use primroseroute_domain::{
+    outcome::Code,
+    time,
+    work::{Job, JobId, Name},
+};
+use primroseroute_platform::{
+    Error,
+    rows::{Commit, Txn},
+    site::Queue,
+};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Length of a body that is read before a rejection: only the body tells that a job is long-running
+/// or scheduled, which is always accepted, and such jobs are shorter.
+const READ_BYTES: usize = 65_536;
+
+/// How long the read of a claim before a rejection may take; the submission is then tried.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl Gateway {
+    /// Answers a submission.
+    pub(crate) async fn post(
+        &self,
+        head: &Head<'_>,
+        prepared: &Prepared,
+        queue: &Queue,
+        id: JobId,
+        body: Body,
+    ) -> Response<Body> {
+        let rejected = self.decide_without_body(head, prepared, queue, &id);
+        if let Err(rejected) = rejected
+            && let Some(mut response) = self.reject(head, queue, &id, &rejected).await
+        {
+            // What is left of the body isn't taken for the next request.
+            let headers = response.headers_mut();
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            return response;
+        }
+        let limit = prepared.limits.body_bytes;
+        match read_body(body, limit).await {
+            Ok(body) => self.submit(head, prepared, queue, id, &body).await,
+            Err(code) => refused(code, format!("at most {limit} bytes"), head.request),
+        }
+    }
+
+    /// Whether a job with a large body is rejected whatever it is.
+    fn decide_without_body(
+        &self,
+        head: &Head<'_>,
+        prepared: &Prepared,
+        queue: &Queue,
+        id: &JobId,
+    ) -> Result<(), Rejected> {
+        let length = head.headers.get(CONTENT_LENGTH);
+        let length = length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
+        let is_large = length.is_some_and(|length| length > READ_BYTES);
+        let is_reachable = !self.components.store_health.is_unreachable();
+        if !is_large || !is_reachable || !self.admission.applies(&prepared.weights) {
+            return Ok(());
+        }
+        self.admission
+            .decide_without_size(&applicant(head, prepared, queue, id))
+    }
+
+    /// Whether the pool takes a job. Long-running and scheduled jobs are always taken.
+    fn decide(
+        &self,
+        head: &Head<'_>,
+        prepared: &Prepared,
+        queue: &Queue,
+        id: &JobId,
+        job: &Job,
+    ) -> Result<(), Rejected> {
+        let is_exempt = job.lasting() || job.schedule.is_some();
+        if is_exempt || !self.admission.applies(&prepared.weights) {
+            return Ok(());
+        }
+        let applicant = applicant(head, prepared, queue, id);
+        self.admission
+            .decide(&applicant, job, objective_ms(queue, job))?;
+        self.count(&queue.pool, "accepted");
+        Ok(())
+    }
+
+    fn count(&self, pool: &Name, outcome: &'static str) {
+        if let Some(observer) = &self.components.observer {
+            observer.admission_decided(pool, outcome);
+        }
+    }
+
+    /// The response to a submission that the pool doesn't take; none if the submission is to be
+    /// tried.
+    ///
+    /// A caller that repeats an id after an unknown outcome must not be told that the job never
+    /// runs, so the claim is read before.
+    async fn reject(
+        &self,
+        head: &Head<'_>,
+        queue: &Queue,
+        id: &JobId,
+        rejected: &Rejected,
+    ) -> Option<Response<Body>> {
+        match timeout(CLAIM_TIMEOUT, self.claim(id)).await {
+            Ok(Ok(None)) => Some(self.rejection(head, queue, id, rejected)),
+            Ok(Ok(Some((claim, _version)))) => {
+                self.count(&queue.pool, "accepted");
+                Some(already_claimed(head, queue, id, Some(&claim)))
+            }
+            Ok(Err(_)) | Err(_) => {
+                self.count(&queue.pool, "accepted");
+                debug!(job:% = id; "claim can't be read before a rejection; trying the submission");
+                None
+            }
+        }
+    }
+
+    fn rejection(
+        &self,
+        head: &Head<'_>,
+        queue: &Queue,
+        id: &JobId,
+        rejected: &Rejected,
+    ) -> Response<Body> {
+        let Rejected {
+            rejection,
+            published,
+        } = rejected;
+        let outcome = label(rejection.reason);
+        self.count(&queue.pool, outcome);
+        let account = head.caller.account();
+        let name = account.map_or("-", |account| account);
+        let pool = &*queue.pool;
+        if rejection.reason == Reason::Size {
+            info!(job:% = id, pool, account = name; "job rejected: a task is larger than any worker");
+            let detail = "a task needs more than the largest worker has";
+            return refused(Code::JobTooLarge, detail, head.request);
+        }
+        let load = published.as_ref().map(|published| &published.load);
+        let share = |account| {
+            load.and_then(|load| load.within_permille.get(account))
+                .copied()
+        };
+        let within_permille = account.map_or(0, |account| share(account).unwrap_or(1_000));
+        let within_wait_ms = load.map_or(0, |load| load.within_wait_ms);
+        let beyond_wait_ms = load.map_or(0, |load| load.beyond_wait_ms);
+        let age_ms = published.as_ref().map(|published| millis(published.age));
+        let (wait_ms, retry_after_ms) = (rejection.wait_ms, rejection.retry_after_ms);
+        info!(job:% = id, pool, account = name, outcome, wait_ms, within_wait_ms, beyond_wait_ms, within_permille, age_ms, retry_after_ms; "job rejected: pool is short of workers");
+        refused_for(
+            Duration::from_millis(retry_after_ms),
+            Code::PoolOverloaded,
+            "",
+            head.request,
+        )
+    }
+
+    async fn submit(
+        &self,
+        head: &Head<'_>,
+        prepared: &Prepared,
+        queue: &Queue,
+        id: JobId,
+        body: &[u8],
+    ) -> Response<Body> {
+        let job = match self.components.codec.submission(body) {
+            Ok(job) => job,
+            Err(detail) => return refused(Code::MalformedRequest, detail, head.request),
+        };
+        if let Some(rejection) = self.reject_if_unreachable(head) {
+            return rejection;
+        }
+        let mut retry_limit = RetryLimit::new(
+            self.components.codec.request_timeout(head.headers),
+            head.request,
+        );
+        let decided = self.decide(head, prepared, queue, &id, &job);
+        if let Err(rejected) = decided
+            && let Some(response) = self.reject(head, queue, &id, &rejected).await
+        {
+            return response;
+        }
+        let now = self.components.clock.now();
+        let txn = acceptance(queue, head.caller.account(), &id, job, now);
+        let mut last;
+        loop {
+            match self.components.rows.commit(txn.clone()).await {
+                Ok(Commit::Committed(version)) => {
+                    let account = head.caller.account().map_or("-", |account| account);
+                    info!(job:% = id, queue = &*queue.name, pool = &*queue.pool, account, version; "job accepted");
+                    return empty();
+                }
+                Ok(Commit::Conflict(rows)) => {
+                    let claim = rows.first().map(parse::<Claim>).transpose();
+                    let claim = claim.ok().flatten();
+                    return already_claimed(head, queue, &id, claim.as_ref());
+                }
+                Err(Error::Invalid(detail)) => {
+                    return refused(Code::MalformedRequest, detail, head.request);
+                }
+                Err(error) => {
+                    if error.may_have_applied() {
+                        retry_limit.record_ambiguous();
+                    }
+                    last = error;
+                }
+            }
+            if !retry_limit.wait_for_retry().await {
+                break;
+            }
+        }
+        let code = if retry_limit.is_ambiguous() {
+            Code::SubmissionUnknown
+        } else if last == Error::Throttled {
+            Code::StoreThrottled
+        } else {
+            Code::StoreUnavailable
+        };
+        info!(job:% = id, queue = &*queue.name, code = code.number(), error:% = last; "job not accepted");
+        refused(code, last.to_string(), head.request)
+    }
+}
+
+fn applicant<'a>(
+    head: &'a Head<'_>,
+    prepared: &'a Prepared,
+    queue: &'a Queue,
+    id: &'a JobId,
+) -> Applicant<'a> {
+    Applicant {
+        account: head.caller.account(),
+        weights: &prepared.weights,
+        queue,
+        id,
+    }
+}
+
+/// The response to a submission whose id an earlier attempt has claimed, maybe at another gateway.
+fn already_claimed(
+    head: &Head<'_>,
+    queue: &Queue,
+    id: &JobId,
+    claim: Option<&Claim>,
+) -> Response<Body> {
+    if !claim.is_none_or(|claim| may_access(head, queue, claim)) {
+        return refused(Code::JobOfAnotherAccount, "", head.request);
+    }
+    info!(job:% = id, queue = &*queue.name; "job already accepted");
+    empty()
+}
+
+/// Time from its acceptance within which a job should be done, in milliseconds.
+fn objective_ms(queue: &Queue, job: &Job) -> u64 {
+    let chain = Duration::from_millis(job.chain_ms());
+    let objective = chain.mul_f64(queue.stretch.max(0.0)) + Duration::from_millis(queue.target_ms);
+    millis(objective)
+}
+
+/// The transaction that accepts a job, unless its id is already claimed.
+fn acceptance(
+    queue: &Queue,
+    account: Option<&Name>,
+    id: &JobId,
+    job: Job,
+    now: time::Instant,
+) -> Txn {
+    let objective_ms = objective_ms(queue, &job);
+    let accepted = Accepted {
+        queue: Name::clone(&queue.name),
+        pool: Name::clone(&queue.pool),
+        job,
+        at_ms: now.0,
+        priority: queue.priority,
+        max_attempts: queue.max_attempts,
+        objective_ms,
+        account: account.cloned(),
+    };
+    let claim = Claim {
+        pool: Name::clone(&queue.pool),
+        queue: Name::clone(&queue.name),
+        account: account.cloned(),
+    };
+    let claimed = serde_json::to_vec(&claim).expect("a claim has plain fields");
+    let stored = serde_json::to_vec(&accepted).expect("a job has plain fields");
+    Txn {
+        conditions: vec![(row::claim(id), 0)],
+        puts: vec![
+            (row::claim(id), claimed.into()),
+            (row::accepted(&queue.pool, id), stored.into()),
+        ],
+        deletes: Vec::new(),
+    }
+}
+
+async fn read_body(body: Body, limit: usize) -> Result<Bytes, Code> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Code::BodyTooLarge),
+        Err(error) => {
+            debug!("request body incomplete: {error}");
+            Err(Code::BodyIncomplete)
+        }
+    }
+}
--- a/crates/serve/src/metered.rs
+++ b/crates/serve/src/metered.rs
@@ -26,6 +26,10 @@
         } = response;
         self.0.response_sent(queue.as_ref(), *status, *duration);
     }
+
+    fn admission_decided(&self, pool: &Name, outcome: &'static str) {
+        self.0.admission_decided(pool, outcome);
+    }
 }
 
 impl primroseroute_owner::Observer for Observer {
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -12,11 +12,13 @@
 };
 use primroseroute_backoff::{self as backoff, Backoff};
 use primroseroute_cell::Limits;
+use primroseroute_domain::work::Name;
 use primroseroute_front::{Options, Server};
 use primroseroute_gateway::{
-    Components as GatewayComponents, Gateway, Monitored, Readiness, StoreHealth, authentication,
+    Components as GatewayComponents, Gateway, Monitored, Readiness, StoreHealth, admission,
+    authentication,
 };
-use primroseroute_owner::{AdaptiveTimeout, Bounds, Clock, Components, Entry, Watch};
+use primroseroute_owner::{AdaptiveTimeout, Bounds, Clock, Components, Entry, PoolLoads, Watch};
 use primroseroute_platform::{rows::Rows, site, worker};
 use primroseroute_telemetry::{log::Log, site::Meter};
 use std::{
@@ -152,6 +154,29 @@
     }
 }
 
+/// Tells the gateway what the owners of pools publish.
+#[derive(Debug)]
+struct Loads(PoolLoads);
+
+impl admission::Loads for Loads {
+    fn is_enabled(&self) -> bool {
+        self.0.is_enabled()
+    }
+
+    fn published(&self, pool: &Name) -> Option<admission::Published> {
+        let received = self.0.received(pool)?;
+        Some(admission::Published {
+            load: received.load,
+            version: received.version,
+            age: received.at.elapsed(),
+        })
+    }
+
+    fn confirmed_age(&self) -> Option<Duration> {
+        self.0.confirmed_age()
+    }
+}
+
 struct RunningEntry {
     live: LiveSettings,
     entry: Entry,
@@ -190,12 +215,19 @@
         let (watch, _follow) = Watch::spawn(&site, clock, incarnation);
         let stopping = Arc::new(AtomicBool::new(false));
         let readiness = readiness(&watch, clock, &stopping);
+        let (loads, _follow) = PoolLoads::spawn(
+            Arc::new(backoff::Rows::new(Arc::clone(&rows), store_backoff.clone())),
+            watch.configuration.clone(),
+            live.bounds.subscribe(),
+            incarnation,
+        );
         let gateway = Gateway::open(GatewayComponents {
             configuration: watch.configuration.clone(),
             currency: Arc::new(Currency {
                 watch: watch.clone(),
                 revocation_bound: live.revocation_bound.clone(),
             }),
+            loads: Arc::new(Loads(loads)),
             rows: Arc::clone(&rows),
             store_health,
             codec: Arc::new(Json),
--- a/crates/telemetry/src/site.rs
+++ b/crates/telemetry/src/site.rs
@@ -21,6 +21,7 @@
     /// Keeps the instruments connected to the registry.
     _provider: SdkMeterProvider,
     answers: Counter<u64>,
+    admission_decisions: Counter<u64>,
     answer_seconds: Histogram<f64>,
     calls: Counter<u64>,
     call_seconds: Histogram<f64>,
@@ -79,6 +80,10 @@
         let durations = |name, description| duration_histogram(&meter, name, description);
         Ok(Self {
             answers: counter("answers", "Answers to callers, by queue and status"),
+            admission_decisions: counter(
+                "admission_decisions",
+                "Submissions that a pool was asked to take, by pool and outcome",
+            ),
             answer_seconds: durations(
                 "answer_duration",
                 "Time from a request's head to its answer",
@@ -136,6 +141,13 @@
         self.answers.add(1, &[queue, status]);
     }
 
+    /// Counts a decision whether a pool takes a job.
+    pub fn admission_decided(&self, pool: &Name, outcome: &'static str) {
+        let outcome = KeyValue::new("outcome", outcome);
+        self.admission_decisions
+            .add(1, &[named("pool", Some(pool)), outcome]);
+    }
+
     /// Records a call with its duration and its error, if any.
     pub fn call_finished(
         &self,
