--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -5,6 +5,7 @@
 
 mod accept;
 mod accounts;
+mod admission;
 mod advice;
 mod cancel;
 mod capacity;
