--- a/crates/cell/src/row/mod.rs
+++ b/crates/cell/src/row/mod.rs
@@ -14,7 +14,7 @@
 //! | `control` | group | `owner` | [`Owner`] | the entry that takes over or releases the group of instances |
 //! | `control` | `.members-` and a hash of the entry | entry | [`Member`] | the entry, as its heartbeat |
 //! | `accounts` | `accounts` | account | [`Budget`](primroseroute_accounts::budget::Budget) | owners of pools that run its tasks |
-//! | `admission` | pool | `load` | `PoolLoad` of `primroseroute_admission` | the pool's owner, with a commit |
+//! | `admission` | pool | `load` | [`PoolLoad`](primroseroute_admission::PoolLoad) | the pool's owner, with a commit |
 //! | `waves` | `waves` | number | [`WaveProgress`] | owners of pools with instances of the wave |
 //!
 //! `N` is a hash of the pool, so that an owner's feed shows few jobs of other pools. Ids are
@@ -62,6 +62,12 @@
 /// Key of the number of workers that a pool can use.
 const DESIRED_WORKERS: &str = "wanted";
 
+/// Table of what the owners of pools publish for the admission of jobs.
+pub const ADMISSION: &str = "admission";
+
+/// Key of a pool's load.
+const LOAD: &str = "load";
+
 /// Table of progress.
 pub const WORK: &str = "work";
 
@@ -71,12 +77,6 @@
 /// Table and partition of accounts' budgets.
 pub const ACCOUNTS: &str = "accounts";
 
-/// Table of the loads of pools.
-pub const ADMISSION: &str = "admission";
-
-/// Key of a pool's load.
-const LOAD: &str = "load";
-
 /// FNV-1a: stable across processes and versions, unlike the standard library's hashers.
 pub fn hash(text: &str) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
@@ -137,6 +137,11 @@
     Place::new(CONTROL, pool, DESIRED_WORKERS)
 }
 
+/// Location of a pool's load.
+pub fn pool_load(pool: &str) -> Place {
+    Place::new(ADMISSION, pool, LOAD)
+}
+
 /// Location of an entry's heartbeat.
 pub fn member(entry: &str) -> Place {
     let part = hash(entry) % MEMBER_PARTS;
@@ -148,11 +153,6 @@
     Place::new(ACCOUNTS, ACCOUNTS, account)
 }
 
-/// Location of a pool's published load.
-pub fn pool_load(pool: &str) -> Place {
-    Place::new(ADMISSION, pool, LOAD)
-}
-
 /// Location of a wave's progress.
 pub fn wave(number: u64) -> Place {
     Place::new(WAVES, WAVES, &number.to_string())
