--- a/crates/telemetry/tests/all/site.rs
+++ b/crates/telemetry/tests/all/site.rs
@@ -12,6 +12,7 @@
     let duration = Duration::from_millis(3);
     meter.response_sent(Some(&queue), 200, duration);
     meter.response_sent(None, 404, duration);
+    meter.admission_decided(&"stay".into(), "rejected_beyond");
     meter.call_finished("commit", Some(&Error::Throttled), duration);
     meter.start_finished("started");
     meter.run_ended(End::Lapsed);
@@ -36,6 +37,7 @@
     for line in [
         "primroseroute_answers_total{queue=\"holds\",status=\"200\"} 1",
         "primroseroute_answers_total{queue=\"-\",status=\"404\"} 1",
+        "primroseroute_admission_decisions_total{outcome=\"rejected_beyond\",pool=\"stay\"} 1",
         "primroseroute_calls_total{call=\"commit\",end=\"throttled\"} 1",
         "primroseroute_starts_total{outcome=\"started\"} 1",
         "primroseroute_ends_total{how=\"lapsed\"} 1",
