--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -5,7 +5,6 @@
 
 mod accept;
 mod accounts;
-mod admission;
 mod advice;
 mod cancel;
 mod capacity;
@@ -19,6 +18,7 @@
 mod maintain;
 mod metrics;
 mod moves;
+mod overload;
 mod random;
 mod retention;
 mod reused_ids;
