--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -18,6 +18,7 @@
 mod maintain;
 mod metrics;
 mod moves;
+mod overload;
 mod published_load;
 mod random;
 mod retention;
