--- a/tests/site/random/mod.rs
+++ b/tests/site/random/mod.rs
@@ -250,7 +250,7 @@
                     ..job("400", 2)
                 }
             }
-            3 if self.has_slow_workers => job("2500", 18),
+            3.. if self.has_slow_workers => job("2500", 18),
             3 => job("2500", 3),
             _ => job("500", 3),
         }
