Cell: no comparison of each slow candidate with all workers where a quarter are slow anyway

Cause: where all workers look slow, each round compared each with all others. Change: the candidates are skipped if even all workers that were seen to be normal leave them a quarter.

--- a/crates/cell/src/straggler.rs
+++ b/crates/cell/src/straggler.rs
@@ -164,7 +164,9 @@
         }
         return found;
     }
-    for (id, verdict, since) in candidates {
+    // Where all workers are slow, comparing each candidate with all others would cost too much.
+    let is_possible = is_minority(normal_since(cell, 0));
+    for (id, verdict, since) in candidates.into_iter().filter(|_known| is_possible) {
         let normal = normal_since(cell, since);
         if let Some(worker) = cell.workers.get_mut(&id)
             && is_minority(normal)
