Backlog: the work of running tasks keeps no job waiting

Cause: the backlog counted what running tasks had left, so a pool with free workers and long tasks seemed to make jobs wait, and work beyond an entitlement would have been rejected there. Change: running tasks don't count; completed work is counted by predicted run times as the rest.

--- a/crates/admission/src/backlog.rs
+++ b/crates/admission/src/backlog.rs
@@ -15,7 +15,7 @@
     pub accounts: BTreeMap<Option<Name>, Waiting>,
 }
 
-/// The unfinished jobs of one account in a pool. Long-running, scheduled and long overdue jobs don't
+/// The unfinished jobs of one account in a pool, without their running tasks. Long-running, scheduled and long overdue jobs don't
 /// count.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Waiting {
--- a/crates/cell/src/backlog.rs
+++ b/crates/cell/src/backlog.rs
@@ -34,16 +34,19 @@
     cpu.saturating_mul(run_time_ms) / 1_000
 }
 
-/// Estimated core-milliseconds of a batch task; 0 for one that is completed or isn't known.
+/// Predicted core-milliseconds of a batch task; 0 for one that is completed or isn't known.
 pub(crate) fn task_core_ms(cell: &Cell, task: &TaskId) -> u64 {
     let job = cell.jobs.get(&task.job);
     let job = job.filter(|job| {
         job.task(task)
             .is_some_and(|known| known.phase != Phase::Done)
     });
-    let step = job.and_then(|job| job.step(task.step));
-    let step = step.filter(|step| !step.lasting);
-    step.map_or(0, |step| core_ms(step.demand.cpu, step.estimate_ms, 1))
+    let step = job.and_then(|job| Some((job, job.step(task.step)?)));
+    let step = step.filter(|(_job, step)| !step.lasting);
+    step.map_or(0, |(job, step)| {
+        let mean_ms = job.prediction.of(task.step, step).mean_ms;
+        core_ms(step.demand.cpu, mean_ms, 1)
+    })
 }
 
 /// Thousandths of a core that batch tasks can use on the workers that accept runs.
@@ -59,11 +62,13 @@
     capacities.fold(0, u64::saturating_add)
 }
 
-/// Subtracts what running tasks have completed by the percentages of their newest lists.
-fn subtract_completed(cell: &Cell, accounts: &mut BTreeMap<Option<Name>, Waiting>, wall_ms: u64) {
+/// Subtracts the work of running tasks: it keeps no other waiting, since its workers are in use
+/// and the rate of the pool includes them. A pool with free workers would otherwise seem to make
+/// jobs wait.
+fn subtract_running(cell: &Cell, accounts: &mut BTreeMap<Option<Name>, Waiting>, wall_ms: u64) {
     let runs = cell.workers.values().flat_map(|worker| &worker.runs);
     for (task, run) in runs {
-        if run.percent == 0 || run.lasting || run.stop != StopState::No {
+        if run.lasting || run.stop != StopState::No {
             continue;
         }
         let Some(job) = cell.jobs.get(&task.job).filter(|job| counts(job, wall_ms)) else {
@@ -76,11 +81,9 @@
             continue;
         };
         let mean_ms = job.prediction.of(task.step, step).mean_ms;
-        let all = core_ms(step.demand.cpu, mean_ms, 1);
-        let completed = all / 100 * u64::from(run.percent.min(100));
         if let Some(waiting) = accounts.get_mut(&job.accepted.account) {
             let sum = work_of(cell, job, waiting);
-            *sum = sum.saturating_sub(completed);
+            *sum = sum.saturating_sub(core_ms(step.demand.cpu, mean_ms, 1));
         }
     }
 }
@@ -102,7 +105,7 @@
         let sum = work_of(cell, job, accounts.entry(account).or_default());
         *sum = sum.saturating_add(remaining_core_ms(job));
     }
-    subtract_completed(cell, &mut accounts, wall_ms);
+    subtract_running(cell, &mut accounts, wall_ms);
     Backlog {
         capacity_cpu: capacity_cpu(cell),
         largest_worker: Demand::default(),
