Admission: instances on their way count before a wait is published, and short jobs aren't rejected for the wait of long ones

Change: waits are published once work has waited for 3 s; a job within its account's entitlement is rejected only if the wait also exceeds 10 s.

--- a/crates/admission/src/gate.rs
+++ b/crates/admission/src/gate.rs
@@ -22,6 +22,10 @@
 /// back after 1 to 30 s.
 const DELAY_MS: [u64; 2] = [1_000, 20_000];
 
+/// Wait up to which jobs within their account's entitlement are accepted. Short jobs go first, so
+/// most wait for less than the expected time.
+const WITHIN_WAIT_MS: u64 = 10_000;
+
 /// Minimum jobs per second of a local bucket: without figures, an account of weight 0 and callers of
 /// public queues aren't shut out altogether.
 const MIN_RATE: f64 = 0.2;
@@ -201,7 +205,8 @@
         let wait_ms = wait(load, accepted, within);
         let (limit_ms, reason) = if within {
             let limit = size.objective_ms.saturating_mul(LATE_FACTOR);
-            (limit, Reason::Within)
+            let least = size.chain_ms.saturating_add(WITHIN_WAIT_MS);
+            (limit.max(least), Reason::Within)
         } else {
             (size.objective_ms, Reason::Beyond)
         };
--- a/crates/admission/src/publisher.rs
+++ b/crates/admission/src/publisher.rs
@@ -16,9 +16,9 @@
 /// Minimum time between two publications, but for the one that ends the waits.
 const PUBLISH_INTERVAL_MS: u64 = 500;
 
-/// Time for which a pool may be without workers before its work counts as waiting: the first
-/// instances take up to 3 s to get tasks.
-const STALL_MS: u64 = 3_000;
+/// Time for which work has to wait before waits are published: the instances that a pool asks for
+/// when its demand rises take up to 3 s to get tasks, and end most waits.
+const LEAD_MS: u64 = 3_000;
 
 /// Time after which a worker that left no longer counts for the largest one: an instance in
 /// maintenance returns, and a job that is rejected for its size isn't tried again.
@@ -32,8 +32,8 @@
     shares: BTreeMap<Name, Share>,
     largest: Largest,
     observed_ms: Option<u64>,
-    /// Since when there is work and nothing to process it.
-    stalled_ms: Option<u64>,
+    /// Since when work has to wait.
+    short_ms: Option<u64>,
     /// The figures of the last observation.
     load: PoolLoad,
     /// What was published last, and when.
@@ -49,7 +49,7 @@
             shares: BTreeMap::new(),
             largest: Largest::default(),
             observed_ms: None,
-            stalled_ms: None,
+            short_ms: None,
             load: PoolLoad::default(),
             published: None,
         }
@@ -79,22 +79,23 @@
                 all.saturating_add(waiting.beyond_core_ms),
             )
         });
-        let stalled_ms = self.stalled_for(all > 0 && rate_cpu == 0, now_ms);
-        let wait = |work: u64, last: u64| {
-            let wait = match (u128::from(work) * 1_000).checked_div(u128::from(rate_cpu)) {
-                Some(wait) => u64::try_from(wait).unwrap_or(u64::MAX),
-                None if work > 0 && stalled_ms >= STALL_MS => MAX_WAIT_MS,
-                None => 0,
-            };
-            let least = if last > 0 { MIN_WAIT_MS } else { ONSET_WAIT_MS };
-            if wait >= least {
-                wait.min(MAX_WAIT_MS)
-            } else {
-                0
-            }
+        let wait = |work: u64| {
+            let wait = (u128::from(work) * 1_000).checked_div(u128::from(rate_cpu));
+            let without_workers = if work > 0 { MAX_WAIT_MS } else { 0 };
+            let wait = wait.map_or(without_workers, |wait| {
+                u64::try_from(wait).unwrap_or(u64::MAX)
+            });
+            wait.min(MAX_WAIT_MS)
         };
-        let within_wait_ms = wait(within, self.load.within_wait_ms);
-        let beyond_wait_ms = wait(all, self.load.beyond_wait_ms);
+        let least = if self.load.beyond_wait_ms > 0 {
+            MIN_WAIT_MS
+        } else {
+            ONSET_WAIT_MS
+        };
+        let is_short = self.short_for(wait(all) >= least, now_ms) >= LEAD_MS;
+        let published = |wait: u64| if is_short && wait >= least { wait } else { 0 };
+        let within_wait_ms = published(wait(within));
+        let beyond_wait_ms = published(wait(all));
         for account in entitlements.keys() {
             self.shares.entry(Name::clone(account)).or_default();
         }
@@ -147,12 +148,13 @@
         self.published.as_ref().map(|(load, _at)| load)
     }
 
-    fn stalled_for(&mut self, is_stalled: bool, now_ms: u64) -> u64 {
-        if !is_stalled {
-            self.stalled_ms = None;
+    /// For how long work has had to wait.
+    fn short_for(&mut self, is_short: bool, now_ms: u64) -> u64 {
+        if !is_short {
+            self.short_ms = None;
             return 0;
         }
-        let since = *self.stalled_ms.get_or_insert(now_ms);
+        let since = *self.short_ms.get_or_insert(now_ms);
         now_ms.saturating_sub(since)
     }
 }
