--- a/crates/telemetry/tests/all/site.rs
+++ b/crates/telemetry/tests/all/site.rs
@@ -22,6 +22,8 @@
     meter.pools_unowned(1);
     meter.demand(&"stay".into(), 5_000, 800);
     meter.expected_waits(&"stay".into(), duration, 2 * duration);
+    meter.slow_workers(&"stay".into(), 2);
+    meter.runs_moved(&"stay".into(), 3);
     meter.jobs_queued(&queue, 7);
     meter.commit_finished(duration);
     meter.jobs_feed_age(&"stay".into(), duration);
@@ -49,6 +51,8 @@
         "primroseroute_running_millicores{pool=\"stay\"} 5000",
         "primroseroute_waiting_millicores{pool=\"stay\"} 800",
         "primroseroute_expected_wait_milliseconds{entitlement=\"within\",pool=\"stay\"} 3",
+        "primroseroute_slow_workers{pool=\"stay\"} 2",
+        "primroseroute_runs_moved_total{pool=\"stay\"} 3",
         "primroseroute_expected_wait_milliseconds{entitlement=\"beyond\",pool=\"stay\"} 6",
         "primroseroute_queued_jobs{queue=\"holds\"} 7",
         "primroseroute_commit_duration_seconds_count 1",
