Tests: waits are shown once work has waited for 3 s

Change: the test waits for 4 s; what it checks is the same. Measured: 55 tests of inspect, published_load, overload, speed and accounts pass.

--- a/tests/site/inspect.rs
+++ b/tests/site/inspect.rs
@@ -75,7 +75,8 @@
         let id = fixture.next_job_id();
         let _status = fixture.send("e-0", &id, &job("1500", 16)).await;
     }
-    sleep_secs(1).await;
+    // Waits are published once work has waited for 3 s.
+    sleep_secs(4).await;
     let busy = pool(&list_pools(&fixture).await?, POOL)?;
     ensure!(busy.beyond_wait_ms >= Some(500), "{busy:?}");
     ensure!(busy.rate_cpu > Some(0), "{busy:?}");
