Membership: heartbeats among a bounded number of active entries

Change: all entries write their presence every 20 s. Twice as many entries as there are candidates are active: they write heartbeats and follow each other. One of the first four publishes the active set; passive entries read that one row every 5 s, become active when they are named there, and rank themselves within their partition of presence while nobody publishes it.

--- a/crates/cell/src/row/mod.rs
+++ b/crates/cell/src/row/mod.rs
@@ -12,7 +12,9 @@
 //! | `control` | pool | `orders` | [`Orders`] | the pool's owner, to request orders to its instances |
 //! | `control` | pool | `answer` and a group | [`Answer`] | the holder of the group, before and after it gives the orders |
 //! | `control` | group | `owner` | [`Owner`] | the entry that takes over or releases the group of instances |
-//! | `control` | `.members-` and a hash of the entry | entry | [`Member`] | the entry, as its heartbeat |
+//! | `control` | `.members-` and a hash of the entry | entry | [`Member`] | the entry while it is active, as its heartbeat |
+//! | `presence` | hash of the entry | entry | [`Presence`] | the entry |
+//! | `active-set` | `active-set` | `active-set` | [`ActiveSet`] | one of the active entries |
 //! | `accounts` | `accounts` | account | [`Budget`](primroseroute_accounts::budget::Budget) | owners of pools that run its tasks |
 //! | `admission` | pool | `load` | [`PoolLoad`](primroseroute_admission::PoolLoad) | the pool's owner, with a commit |
 //! | `waves` | `waves` | number | [`WaveProgress`] | owners of pools with instances of the wave |
@@ -21,8 +23,12 @@
 //! partitioned independently of pools: a queue may be reassigned to another pool between two
 //! attempts of one submission, and both must meet the same row.
 
+mod membership;
 mod orders;
 
+pub use membership::{
+    ActiveSet, PRESENCE, Presence, active_set, presence, presence_part, presence_parts,
+};
 pub use orders::{Answer, Order, OrderResult, Orders, answer, group, groups, is_group, orders};
 
 use orders::{ANSWER, ORDERS};
--- a/crates/owner/src/control.rs
+++ b/crates/owner/src/control.rs
@@ -3,7 +3,7 @@
 use crate::{
     clock::Clock,
     follow::{Sink, Source},
-    members::Members,
+    membership::members::Members,
 };
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -167,6 +167,14 @@
 const OWN_HEARTBEAT_MAX_AGE: Millis = 1_300;
 
 impl ControlView {
+    /// Forgets what was seen of the entries: from now on their heartbeats aren't followed.
+    pub(crate) fn stop_following(&mut self) {
+        self.members = Members::default();
+        self.is_current = false;
+        self.own_heartbeat_at = None;
+        self.candidate_since = None;
+    }
+
     /// Whether missing heartbeats of others prove anything.
     pub(crate) fn can_judge(&self, now: Millis) -> bool {
         let is_timely = self
--- a/crates/owner/src/entry.rs
+++ b/crates/owner/src/entry.rs
@@ -3,8 +3,11 @@
 use crate::{
     clock::Clock,
     control::{ControlSink, ControlView, Table},
-    elections::Elections,
     follow::{FEED_WAIT, FeedTiming, follow},
+    membership::{
+        activity::{Activity, remove_presence},
+        elections::{self, Elections},
+    },
     observe::Observer,
     watch::Watch,
 };
@@ -107,6 +110,7 @@
     stop: watch::Sender<bool>,
     components: Components,
     leaving: Arc<AtomicBool>,
+    active: watch::Receiver<bool>,
     elections: JoinHandle<()>,
     background: Vec<JoinHandle<()>>,
 }
@@ -117,37 +121,35 @@
         let view = Arc::new(Mutex::new(ControlView::default()));
         let leaving = Arc::new(AtomicBool::new(false));
         let (candidate, is_candidate) = watch::channel(true);
-        let table = Table {
-            rows: Arc::clone(&components.rows),
-            configuration: components.watch.configuration.clone(),
-            candidate: is_candidate,
-        };
-        let sink = ControlSink {
+        let (wanted, is_wanted) = watch::channel(false);
+        let (active, is_active) = watch::channel(false);
+        let activity = Activity::new(
+            components.clone(),
+            Arc::clone(&view),
+            wanted,
+            is_active.clone(),
+        );
+        let participation = Participation {
+            components: components.clone(),
             view: Arc::clone(&view),
-            clock: components.clock,
-            was_interrupted: true,
+            leaving: Arc::clone(&leaving),
+            candidate: is_candidate,
         };
         let background = vec![
-            tokio::spawn(follow(
-                "control",
-                table,
-                sink,
-                CONTROL_FEED_TIMING,
-                None,
-                (Name::clone(&components.entry), components.incarnation),
-            )),
-            tokio::spawn(send_heartbeats(
-                components.clone(),
-                Arc::clone(&view),
-                Arc::clone(&leaving),
-            )),
+            tokio::spawn(activity.run()),
+            tokio::spawn(participation.run(is_active.clone())),
         ];
         let (stop, stopped) = watch::channel(false);
-        let elections = Elections::new(components.clone(), view, candidate, stopped);
+        let activity = elections::Activity {
+            wanted: is_wanted,
+            active,
+        };
+        let elections = Elections::new(components.clone(), view, activity, candidate, stopped);
         Self {
             stop,
             components,
             leaving,
+            active: is_active,
             elections: tokio::spawn(elections.run()),
             background,
         }
@@ -159,11 +161,13 @@
     /// that its own pools aren't reserved for it.
     pub async fn stop(self) {
         self.leaving.store(true, Ordering::Relaxed);
-        let heartbeat = write_heartbeat(&self.components, u64::MAX, true);
-        match timeout(FINAL_HEARTBEAT_TIMEOUT, heartbeat).await {
-            Ok(Ok(())) => {}
-            Ok(Err(error)) => warn!(error:% = error; "final heartbeat failed"),
-            Err(_elapsed) => warn!("final heartbeat timed out"),
+        if *self.active.borrow() {
+            let heartbeat = write_heartbeat(&self.components, u64::MAX, true);
+            match timeout(FINAL_HEARTBEAT_TIMEOUT, heartbeat).await {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => warn!(error:% = error; "final heartbeat failed"),
+                Err(_elapsed) => warn!("final heartbeat timed out"),
+            }
         }
         self.stop.send_replace(true);
         if timeout(RELEASE_TIMEOUT, self.elections).await.is_err() {
@@ -172,9 +176,69 @@
         for task in &self.background {
             task.abort();
         }
+        remove_presence(&self.components).await;
     }
 }
 
+/// What an active entry does: it writes heartbeats, and follows those of others.
+struct Participation {
+    components: Components,
+    view: Arc<Mutex<ControlView>>,
+    leaving: Arc<AtomicBool>,
+    candidate: watch::Receiver<bool>,
+}
+
+impl Participation {
+    /// Participates while this entry is active, until the task is dropped.
+    async fn run(self, mut active: watch::Receiver<bool>) {
+        while active.wait_for(|active| *active).await.is_ok() {
+            let Self {
+                components,
+                view,
+                leaving,
+                candidate,
+            } = &self;
+            let table = Table {
+                rows: Arc::clone(&components.rows),
+                configuration: components.watch.configuration.clone(),
+                candidate: candidate.clone(),
+            };
+            let sink = ControlSink {
+                view: Arc::clone(view),
+                clock: components.clock,
+                was_interrupted: true,
+            };
+            let follower = follow(
+                "control",
+                table,
+                sink,
+                CONTROL_FEED_TIMING,
+                None,
+                (Name::clone(&components.entry), components.incarnation),
+            );
+            let heartbeats =
+                send_heartbeats(components.clone(), Arc::clone(view), Arc::clone(leaving));
+            tokio::select! {
+                ((), ()) = async { tokio::join!(follower, heartbeats) } => {}
+                _ = active.wait_for(|active| !*active) => {}
+            }
+            view.lock().stop_following();
+            // Without it the others would wait for the timeout of its heartbeats.
+            if let Err(error) = remove_heartbeat(components).await {
+                info!(error:% = error; "removing the heartbeat of a passive entry failed");
+            }
+        }
+    }
+}
+
+async fn remove_heartbeat(components: &Components) -> Result<(), Error> {
+    let txn = Txn {
+        deletes: vec![row::member(&components.entry)],
+        ..Txn::default()
+    };
+    components.rows.commit(txn).await.map(drop)
+}
+
 async fn write_heartbeat(components: &Components, beat: u64, leaving: bool) -> Result<(), Error> {
     let member = Member {
         incarnation: components.incarnation,
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -6,10 +6,7 @@
 //! * [`follow`]: follows a table through its change feed, and reads it in full where the feed no
 //!   longer has the history.
 //! * [`Watch`]: configuration, workers and waves as the platform reports them.
-//! * [`members`]: heartbeats, and which entries are alive by this entry's own clock.
-//! * `elections`: what an entry takes over and releases; [`elect`]: which entry takes over a pool
-//!   without an owner. Pure.
-//! * `unowned`: what has no owner, as this entry sees it, and since when.
+//! * [`membership`]: which entries watch each other, and which of them owns what.
 //! * `commit`: an owner's commits, in sequence, and the outcome of those that got no answer.
 //! * [`AdaptiveTimeout`]: commits that time out once they take far longer than usual.
 //! * `poll`: status polls of one worker, and the renewal of its lease.
@@ -45,8 +42,6 @@
 mod clock;
 mod commit;
 mod control;
-pub mod elect;
-mod elections;
 mod entry;
 mod evacuations;
 mod event;
@@ -60,7 +55,7 @@
 mod log_digest;
 mod log_lines;
 mod maintain;
-pub mod members;
+pub mod membership;
 mod observe;
 mod order_delivery;
 mod order_requests;
@@ -74,13 +69,13 @@
 mod relocate;
 pub mod rest;
 mod terminations;
-mod unowned;
 mod watch;
 pub mod wave;
 
 pub use adaptive_timeout::AdaptiveTimeout;
 pub use clock::Clock;
 pub use entry::{Bounds, Components, Entry};
+
 pub use observe::{NoopObserver, Observer};
 pub use pool_loads::{PoolLoads, Received};
 pub use watch::Watch;
--- a/crates/owner/src/elect.rs
+++ b/crates/owner/src/membership/elect.rs
@@ -24,22 +24,31 @@
 /// than one that was a candidate before, but that one may own several by then.
 const NEW_CANDIDATE_PERCENT: u32 = 66;
 
-/// Of the entries that can take pools and groups over, those that do: the strongest, twice as many
-/// as there are pools and groups.
-///
-/// Candidates follow each other's heartbeats continuously, which costs each of them the updates of
-/// all the others. If every entry did so, the cost would grow with the square of their number.
-pub fn candidates(eligible: &BTreeMap<Name, u32>, pools_and_groups: usize) -> BTreeMap<Name, u32> {
-    let mut ranked: Vec<(&Name, u32)> = eligible
+/// Number of candidates: twice as many as there are pools and groups.
+pub fn candidate_count(pools_and_groups: usize) -> usize {
+    MIN_CANDIDATES.max(pools_and_groups * 2)
+}
+
+/// The entries in the order of their strength.
+pub(crate) fn ranked(entries: &BTreeMap<Name, u32>) -> Vec<&Name> {
+    let mut ranked: Vec<(&Name, u32)> = entries
         .iter()
         .map(|(entry, strength)| (entry, *strength))
         .collect();
     ranked.sort_by_key(|(entry, strength)| (std::cmp::Reverse(*strength), hash(entry)));
-    let chosen = ranked
+    ranked.into_iter().map(|(entry, _strength)| entry).collect()
+}
+
+/// Of the entries that can take pools and groups over, those that do: the strongest.
+///
+/// Candidates follow each other's heartbeats continuously, which costs each of them the updates of
+/// all the others. If every entry did so, the cost would grow with the square of their number.
+pub fn candidates(eligible: &BTreeMap<Name, u32>, pools_and_groups: usize) -> BTreeMap<Name, u32> {
+    let chosen = ranked(eligible)
         .into_iter()
-        .take(MIN_CANDIDATES.max(pools_and_groups * 2));
+        .take(candidate_count(pools_and_groups));
     chosen
-        .map(|(entry, strength)| (Name::clone(entry), strength))
+        .map(|entry| (Name::clone(entry), eligible[entry]))
         .collect()
 }
 
--- a/crates/owner/src/elections.rs
+++ b/crates/owner/src/membership/elections.rs
@@ -1,15 +1,14 @@
 //! The pools that an entry owns and the groups of instances that it holds: which it takes over, and
 //! which it releases.
 
+use super::{elect, unowned::Unowned};
 use crate::{
     control::{ControlView, NOTICE_SPREAD, parse},
-    elect,
     entry::Components,
     holder,
     instance_cache::InstanceCache,
     ownership::{self, Context, OwnershipEnd},
     rest::Rest,
-    unowned::Unowned,
 };
 use log::{info, warn};
 use parking_lot::Mutex;
@@ -51,6 +50,17 @@
 /// something or was among the strongest.
 const MIN_CANDIDACY: Duration = Duration::from_secs(8);
 
+/// Minimum time for which an entry is active after it last owned something or was to be active.
+const MIN_ACTIVITY: Duration = MIN_CANDIDACY;
+
+/// Whether this entry is active.
+pub(crate) struct Activity {
+    /// Whether it is to be.
+    pub wanted: watch::Receiver<bool>,
+    /// Publishes whether it is.
+    pub active: watch::Sender<bool>,
+}
+
 /// A pool that is owned, or a group that is held.
 struct Ownership {
     stop: watch::Sender<bool>,
@@ -64,6 +74,9 @@
     fleet: Arc<InstanceCache>,
     owned: BTreeMap<Name, Ownership>,
     unowned: Unowned,
+    activity: Activity,
+    /// Until when this entry is active.
+    active_until: Instant,
     /// Publishes whether this entry is a candidate: whether it owns something, or would take it
     /// over.
     candidate: watch::Sender<bool>,
@@ -78,6 +91,7 @@
     pub(crate) fn new(
         components: Components,
         view: Arc<Mutex<ControlView>>,
+        activity: Activity,
         candidate: watch::Sender<bool>,
         stop: watch::Receiver<bool>,
     ) -> Self {
@@ -87,6 +101,8 @@
             view,
             owned: BTreeMap::new(),
             unowned: Unowned::default(),
+            activity,
+            active_until: Instant::now(),
             candidate,
             candidate_until: Instant::now() + MIN_CANDIDACY,
             stop,
@@ -110,6 +126,9 @@
             self.owned
                 .retain(|_pool, ownership| !ownership.task.is_finished());
             self.components.observer.pools_owned(self.pools().len());
+            if !self.update_activity() {
+                continue;
+            }
             self.update_candidacy();
             self.release_to_stronger();
             for name in self.due_takeovers() {
@@ -132,6 +151,23 @@
         pools.map(Name::clone).collect()
     }
 
+    /// Updates whether this entry is active, and returns it.
+    fn update_activity(&mut self) -> bool {
+        if !self.owned.is_empty() || *self.activity.wanted.borrow() {
+            self.active_until = Instant::now() + MIN_ACTIVITY;
+        }
+        let active = Instant::now() < self.active_until;
+        let changed = self.activity.active.send_if_modified(|known| {
+            let changed = *known != active;
+            *known = active;
+            changed
+        });
+        if changed {
+            info!(active; "activity of this entry changed");
+        }
+        active
+    }
+
     /// Updates whether this entry is a candidate.
     fn update_candidacy(&mut self) {
         let (pools, groups) = self.pools_and_groups();
--- a/crates/owner/tests/all/elect.rs
+++ b/crates/owner/tests/all/elect.rs
@@ -1,7 +1,7 @@
 //! Which entry takes over a pool, and which pool is released to a stronger entry.
 
 use primroseroute_domain::work::Name;
-use primroseroute_owner::elect::{assign, assignable, candidates, pool_to_release};
+use primroseroute_owner::membership::elect::{assign, assignable, candidates, pool_to_release};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/owner/tests/all/main.rs
+++ b/crates/owner/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of owners, without a store.
 
+mod active_set;
 mod elect;
 mod rebalance;
 mod rest;
--- a/crates/standin/src/site/caller/mod.rs
+++ b/crates/standin/src/site/caller/mod.rs
@@ -139,6 +139,29 @@
         self.wait_until_running().await;
     }
 
+    /// Counts a call to a table that carries `rows`.
+    fn record_traffic<'a>(&self, table: &str, rows: impl Iterator<Item = (&'a Place, usize)>) {
+        let sizes = rows.map(|(place, value)| place.partition.len() + place.key.len() + value);
+        let key = (Name::clone(&self.name), table.into());
+        let mut state = self.shared.state.lock();
+        state.traffic.entry(key).or_default().add_call(sizes);
+    }
+
+    fn record_read(&self, table: &str, rows: &[Row]) {
+        let sizes = rows.iter();
+        let sizes = sizes.map(|row| (&row.place, row.value.as_ref().map_or(0, bytes::Bytes::len)));
+        self.record_traffic(table, sizes);
+    }
+
+    fn record_commit(&self, txn: &Txn) {
+        let places = txn.puts.iter().map(|(place, _value)| place);
+        let table = places.chain(&txn.deletes).next();
+        let table = table.map_or("", |place| &*place.table);
+        let puts = txn.puts.iter().map(|(place, value)| (place, value.len()));
+        let deletes = txn.deletes.iter().map(|place| (place, 0));
+        self.record_traffic(table, puts.chain(deletes));
+    }
+
     fn draw(&self, share: f64) -> bool {
         share > 0.0 && self.shared.state.lock().rng.random_bool(share)
     }
@@ -261,6 +284,7 @@
                 error
             }
         })?;
+        self.record_commit(&txn);
         match self.draw_commit_delivery() {
             Delivery::Responded => {
                 let result = self.shared.change(|state, _now| state.store.commit(&txn));
@@ -292,6 +316,7 @@
         }
         self.send_to_table(&range.table).await?;
         let page = self.shared.state.lock().store.read(&range);
+        self.record_read(&range.table, &page.rows);
         sleep(self.faults().read_delay).await;
         self.receive().await;
         Ok(page)
@@ -305,6 +330,9 @@
             next: after,
             complete: true,
         });
+        if let Feed::Changes { items, .. } = &changes {
+            self.record_read(table, items);
+        }
         self.receive().await;
         Ok(changes)
     }
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -21,7 +21,7 @@
 
 pub use caller::Caller;
 pub use journal::{Event, Journal};
-pub use rate::Calls;
+pub use rate::{Calls, Traffic};
 
 use parking_lot::Mutex;
 use primroseroute_domain::work::{Demand, Name};
@@ -174,6 +174,7 @@
             rng: ChaCha8Rng::seed_from_u64(options.seed),
             store: Store::default(),
             reads: RateLimiter::new(options.reads_per_second),
+            traffic: BTreeMap::new(),
             workers: BTreeMap::new(),
             instances: BTreeMap::new(),
             registrations: Vec::new(),
@@ -218,6 +219,11 @@
         self.shared.state.lock().reads.calls
     }
 
+    /// Calls of the store's table so far, by caller and table.
+    pub fn traffic(&self) -> BTreeMap<(Name, Name), Traffic> {
+        self.shared.state.lock().traffic.clone()
+    }
+
     /// Adds an instance to `pool`. Returns the id of its worker; none in a standby pool, whose instances have no workers.
     pub fn add_instance(&self, name: &str, pool: &str) -> Option<Name> {
         self.shared.change(|state, now| {
--- a/crates/standin/src/site/rate.rs
+++ b/crates/standin/src/site/rate.rs
@@ -52,3 +52,49 @@
         Ok(())
     }
 }
+
+/// Calls of the store's table that one caller made on one table, and what they carried.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Calls that reached the store.
+    pub calls: u64,
+    /// Rows that they read or wrote.
+    pub rows: u64,
+    /// Bytes of the names and values of these rows.
+    pub bytes: u64,
+}
+
+impl Traffic {
+    /// Adds one call that carried `rows`, given as their sizes.
+    pub(crate) fn add_call(&mut self, rows: impl Iterator<Item = usize>) {
+        self.calls += 1;
+        for bytes in rows {
+            self.rows += 1;
+            self.bytes += bytes as u64;
+        }
+    }
+}
+
+impl std::ops::Add for Traffic {
+    type Output = Self;
+
+    fn add(self, rhs: Self) -> Self {
+        Self {
+            calls: self.calls + rhs.calls,
+            rows: self.rows + rhs.rows,
+            bytes: self.bytes + rhs.bytes,
+        }
+    }
+}
+
+impl std::ops::Sub for Traffic {
+    type Output = Self;
+
+    fn sub(self, rhs: Self) -> Self {
+        Self {
+            calls: self.calls - rhs.calls,
+            rows: self.rows - rhs.rows,
+            bytes: self.bytes - rhs.bytes,
+        }
+    }
+}
--- a/crates/standin/src/site/state.rs
+++ b/crates/standin/src/site/state.rs
@@ -3,7 +3,7 @@
 use super::{
     CallerFaults, Options,
     journal::{Event, Journal},
-    rate::RateLimiter,
+    rate::{RateLimiter, Traffic},
     store::Store,
     worker::Worker,
 };
@@ -40,6 +40,8 @@
     pub rng: ChaCha8Rng,
     pub store: Store,
     pub reads: RateLimiter,
+    /// By caller and table.
+    pub traffic: BTreeMap<(Name, Name), Traffic>,
     pub workers: BTreeMap<Name, Worker>,
     pub instances: BTreeMap<Name, Instance>,
     pub registrations: Vec<(Version, Registration)>,
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -1,5 +1,6 @@
 //! The partitioned table.
 
+use primroseroute_domain::work::Name;
 use primroseroute_platform::rows::{Commit, Feed, Page, Place, Range, Row, Txn, Version};
 use std::collections::BTreeMap;
 
@@ -77,11 +78,16 @@
     }
 
     pub(crate) fn read(&self, range: &Range) -> Page {
-        let inside = self.rows.values().filter(|row| {
+        let from = Place {
+            table: Name::clone(&range.table),
+            partition: Name::clone(&range.partition),
+            key: range.from.clone().unwrap_or_else(|| "".into()),
+        };
+        let rows = self.rows.range(from..).map(|(_place, row)| row);
+        let inside = rows.take_while(|row| {
             let place = &row.place;
             place.table == range.table
                 && place.partition == range.partition
-                && range.from.as_ref().is_none_or(|from| place.key >= *from)
                 && range.to.as_ref().is_none_or(|to| place.key < *to)
         });
         Page {
@@ -96,8 +102,9 @@
         if after < self.compacted_version {
             return Some(Feed::Compacted);
         }
-        let changes = self.history.iter();
-        let changes = changes.filter(|row| &*row.place.table == table && row.version > after);
+        let begin = self.history.partition_point(|row| row.version <= after);
+        let changes = self.history[begin..].iter();
+        let changes = changes.filter(|row| &*row.place.table == table);
         let items: Vec<Row> = changes.cloned().collect();
         let next = self.version;
         (!items.is_empty()).then_some(Feed::Changes {
--- a/tests/site/elections.rs
+++ b/tests/site/elections.rs
@@ -7,7 +7,7 @@
 use eyre::{Result, ensure, eyre};
 use primroseroute_cell::row;
 use primroseroute_domain::work::{Name, State};
-use primroseroute_owner::elect;
+use primroseroute_owner::membership::elect;
 use primroseroute_standin::site::Reach;
 use std::{collections::BTreeMap, time::Duration};
 use tokio::time::sleep;
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -16,6 +16,7 @@
 mod inspect;
 mod log_capture;
 mod maintain;
+mod membership;
 mod metrics;
 mod moves;
 mod overload;
--- a/tests/site/takeover.rs
+++ b/tests/site/takeover.rs
@@ -10,7 +10,7 @@
     row::{self, Member, Owner},
 };
 use primroseroute_domain::work::{JobId, Name, State, TaskId};
-use primroseroute_owner::elect;
+use primroseroute_owner::membership::elect;
 use primroseroute_platform::{
     rows::{Range, Rows, Txn},
     site::{Instruction, Wave},
