Gateway: a submission is rejected while calls to the store fail and a read does too

Cause: an entry that has lost the store knew it after 3 s. Until then each submission was sent as a commit without an answer, whose outcome is unknown: the caller got 504 and could not try an unsafe request again.

Change: once calls have failed for 0.7 s, a read goes first. If it fails, nothing was sent, and the submission is rejected as not run.

Measured: submission_during_an_outage_is_not_left_unknown fails without it.

--- a/crates/gateway/src/store_health.rs
+++ b/crates/gateway/src/store_health.rs
@@ -12,11 +12,19 @@
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
-/// How long calls must fail without a success for the store to count as unreachable. An entry
-/// always waits for changes in calls of a second, which may be answered 1.5 s late: a store that
-/// answers within the timeouts of calls, however slowly, interrupts that time.
+/// How long calls must fail without a success for the store to count as unreachable. A store that
+/// answers within the timeouts of calls, however slowly, interrupts that time: failing calls are
+/// repeated without a wait for changes, and each may take 1.5 s.
 const FAILING_TIME: Duration = Duration::from_secs(3);
 
+/// How long calls must fail without a success for the store to be checked before anything is sent
+/// to it whose outcome may remain unknown.
+const SUSPECT_TIME: Duration = Duration::from_millis(700);
+
+/// How long calls must fail without a success for the entry to report itself not ready: a store that
+/// throttles a burst of calls recovers sooner.
+const NOT_READY_TIME: Duration = Duration::from_millis(1_500);
+
 /// Minimum number of failed calls: a few of them may have failed for other reasons.
 const MIN_FAILURES: u32 = 4;
 
@@ -44,6 +52,22 @@
         outage.is_some_and(|outage| outage.is_confirmed)
     }
 
+    /// Whether calls have failed for a while, so that others can serve new callers better.
+    pub fn is_failing(&self) -> bool {
+        self.has_failed_for(NOT_READY_TIME)
+    }
+
+    /// Whether the store is to be checked by a call that has no effect before one that has.
+    pub(crate) fn is_suspect(&self) -> bool {
+        self.has_failed_for(SUSPECT_TIME)
+    }
+
+    fn has_failed_for(&self, time: Duration) -> bool {
+        let outage = *self.outage.lock();
+        outage
+            .is_some_and(|outage| outage.failures >= MIN_FAILURES && outage.since.elapsed() >= time)
+    }
+
     fn record<T>(&self, result: &Result<T, Error>) {
         match result {
             // An invalid call was answered.
--- a/crates/gateway/src/submission.rs
+++ b/crates/gateway/src/submission.rs
@@ -174,6 +174,23 @@
         )
     }
 
+    /// The rejection of a submission while calls to the store fail, if a read fails as well.
+    ///
+    /// A commit without an answer may take effect later, and its caller can't be told that the job
+    /// never runs. A read has no effect, so that the caller may go to another entry at once.
+    async fn reject_if_check_fails(&self, head: &Head<'_>, id: &JobId) -> Option<Response<Body>> {
+        if !self.components.store_health.is_suspect() {
+            return None;
+        }
+        let error = self.claim(id).await.err()?;
+        info!(job:% = id, error:% = error; "job rejected: calls to the store fail");
+        Some(refused(
+            Code::StoreUnavailable,
+            error.to_string(),
+            head.request,
+        ))
+    }
+
     async fn submit(
         &self,
         head: &Head<'_>,
@@ -189,6 +206,9 @@
         if let Some(rejection) = self.reject_if_unreachable(head) {
             return rejection;
         }
+        if let Some(rejection) = self.reject_if_check_fails(head, &id).await {
+            return rejection;
+        }
         let mut retry_limit = RetryLimit::new(
             self.components.codec.request_timeout(head.headers),
             head.request,
--- a/tests/site/store_unreachable.rs
+++ b/tests/site/store_unreachable.rs
@@ -15,7 +15,10 @@
 use primroseroute_platform::rows::{Rows, read_row};
 use primroseroute_standin::site::{Options, Reach, World};
 use std::{sync::Arc, time::Duration};
-use tokio::{task::JoinSet, time::Instant};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
 
 cases! {
     /// Callers that wait out their timeout at an entry that can't serve them, until none of their attempts is left.
@@ -29,6 +32,8 @@
     slow_store_is_not_unreachable => slow();
     /// A process that was suspended, whose calls all time out when it resumes.
     calls_that_fail_at_once_after_a_suspension_prove_nothing => resumed();
+    /// A submission whose outcome stays unknown, though calls have failed for a second before it was sent.
+    submission_during_an_outage_is_not_left_unknown => not_left_unknown();
     /// A rejection of a submission that is stored after all.
     submission_that_was_sent_is_not_rejected => already_sent();
 }
@@ -149,6 +154,22 @@
     Ok(())
 }
 
+async fn not_left_unknown() -> Result<()> {
+    let mut fixture = Fixture::open(67, ENTRIES, 2).await?;
+    fixture.update_faults("e-0", |faults| faults.store = Reach::Silent);
+    sleep(Duration::from_millis(2_200)).await;
+    let id = fixture.next_job_id();
+    fixture.sent.refused.insert(id.clone());
+    let status = fixture.send("e-0", &id, &job("100", 1)).await;
+    ensure!(
+        status == StatusCode::SERVICE_UNAVAILABLE,
+        "{id} got {status}"
+    );
+    sleep_secs(5).await;
+    ensure!(fixture.state("e-1", &id).await == Err(StatusCode::GONE));
+    fixture.check_invariants()
+}
+
 async fn already_sent() -> Result<()> {
     let mut fixture = Fixture::open(66, ENTRIES, 2).await?;
     fixture.update_faults("e-0", |faults| faults.store = Reach::Silent);
