--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -78,4 +78,4 @@
 
 pub use observe::{NoopObserver, Observer};
 pub use pool_loads::{PoolLoads, Received};
-pub use watch::Watch;
+pub use watch::{Watch, instructions_wait};
--- a/crates/owner/src/watch.rs
+++ b/crates/owner/src/watch.rs
@@ -27,13 +27,23 @@
     full_read_after: None,
 };
 
-/// Reads of the change feed of the operators' rows, paced so that a storm of changes costs a few a
-/// second.
-const INSTRUCTIONS_FEED_TIMING: FeedTiming = FeedTiming {
-    min_interval: Duration::from_millis(100),
-    wait: FEED_WAIT,
-    full_read_after: None,
-};
+/// Minimum interval between two reads of the change feed of the operators' rows: a storm of changes
+/// costs a few a second.
+const INSTRUCTIONS_MIN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest wait for a change of the operators' rows. A connection that has become unresponsive is
+/// noticed by then, and 1.5 s later at most.
+const MAX_INSTRUCTIONS_WAIT: Duration = Duration::from_secs(3);
+
+/// How long one call waits for a change of the operators' rows, which every entry follows: half of
+/// the time within which a change must be in force everywhere.
+///
+/// The rest is for a connection that has become unresponsive: the call on it times out 1.5 s after
+/// its wait, and the next one gets the change.
+pub fn instructions_wait(bound: Option<Duration>) -> Duration {
+    let half = bound.map_or(FEED_WAIT, |bound| bound / 2);
+    half.clamp(FEED_WAIT, MAX_INSTRUCTIONS_WAIT)
+}
 
 /// Registered workers by id.
 pub type RegisteredWorkers = Arc<BTreeMap<Name, Worker>>;
@@ -152,9 +162,14 @@
 }
 
 impl Watch {
-    /// Follows `site`; the tasks end when their handles are aborted. `seed` differs between
-    /// entries.
-    pub fn spawn(site: &Arc<dyn Site>, clock: Clock, seed: u64) -> (Self, Vec<JoinHandle<()>>) {
+    /// Follows `site`; the tasks end when their handles are aborted. Each call waits for
+    /// `instructions_wait` for a change of the operators' rows, and `seed` differs between entries.
+    pub fn spawn(
+        site: &Arc<dyn Site>,
+        clock: Clock,
+        instructions_wait: Duration,
+        seed: u64,
+    ) -> (Self, Vec<JoinHandle<()>>) {
         let (configuration_sink, configuration) = watch::channel(None);
         let (waves_sink, waves) = watch::channel(Waves::default());
         let (roster, registrations) = Roster::spawn(site, seed);
@@ -173,7 +188,11 @@
                 "operators",
                 Arc::clone(site),
                 instructions,
-                INSTRUCTIONS_FEED_TIMING,
+                FeedTiming {
+                    min_interval: INSTRUCTIONS_MIN_INTERVAL,
+                    wait: instructions_wait,
+                    full_read_after: None,
+                },
                 None,
                 seed,
             )),
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -18,7 +18,9 @@
     Components as GatewayComponents, Gateway, Monitored, Readiness, StoreHealth, admission,
     authentication,
 };
-use primroseroute_owner::{AdaptiveTimeout, Bounds, Clock, Components, Entry, PoolLoads, Watch};
+use primroseroute_owner::{
+    AdaptiveTimeout, Bounds, Clock, Components, Entry, PoolLoads, Watch, instructions_wait,
+};
 use primroseroute_platform::{rows::Rows, site, worker};
 use primroseroute_telemetry::{log::Log, site::Meter};
 use std::{
@@ -36,9 +38,9 @@
 /// Upper bound of the client's timeout for short calls.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Time without a response from the store after which the entry reports itself not ready: two polls
-/// for changes without a response. New caller connections then go to entries that can reach the store.
-const STORE_CONTACT_TIMEOUT_MS: u64 = 2_600;
+/// Time beyond two polls for changes without a response after which the entry reports itself not
+/// ready. New caller connections then go to entries that can reach the store.
+const STORE_CONTACT_SLACK: Duration = Duration::from_millis(600);
 
 /// How long new connections are accepted after SIGTERM: the load balancer checks readiness once a
 /// second and stops routing to an entry after two failed checks.
@@ -212,9 +214,11 @@
         let workers: Arc<dyn worker::Workers> = Arc::new(Workers::open(client.clone()));
         let advisor = Arc::new(Advisor::open(client, live.advice.clone()));
         let workers: Arc<dyn worker::Workers> = Arc::new(Metered::new(workers, meter.clone()));
-        let (watch, _follow) = Watch::spawn(&site, clock, incarnation);
+        let bounds = [settings.configuration_bound, settings.revocation_bound];
+        let wait = instructions_wait(bounds.into_iter().flatten().min());
+        let (watch, _follow) = Watch::spawn(&site, clock, wait, incarnation);
         let stopping = Arc::new(AtomicBool::new(false));
-        let readiness = readiness(&watch, clock, &stopping);
+        let readiness = readiness(&watch, clock, 2 * wait, &store_health, &stopping);
         let (loads, _follow) = PoolLoads::spawn(
             Arc::new(backoff::Rows::new(Arc::clone(&rows), store_backoff.clone())),
             watch.configuration.clone(),
@@ -288,14 +292,26 @@
     }
 }
 
-fn readiness(watch: &Watch, clock: Clock, stopping: &Arc<AtomicBool>) -> Readiness {
+/// The check whether the entry is ready: it has a configuration, reaches the store, and isn't
+/// stopping. `two_polls` is the time that two polls for changes take while nothing changes.
+fn readiness(
+    watch: &Watch,
+    clock: Clock,
+    two_polls: Duration,
+    store_health: &Arc<StoreHealth>,
+    stopping: &Arc<AtomicBool>,
+) -> Readiness {
     let configuration = watch.configuration.clone();
     let last_contact = watch.last_contact.clone();
+    let store_health = Arc::clone(store_health);
     let stopping = Arc::clone(stopping);
+    let timeout = two_polls + STORE_CONTACT_SLACK;
+    let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
     Readiness::new(Arc::new(move || {
         let configured = configuration.borrow().is_some();
         let since_contact = clock.now().saturating_sub(*last_contact.borrow());
-        configured && since_contact < STORE_CONTACT_TIMEOUT_MS && !stopping.load(Ordering::Relaxed)
+        let in_contact = since_contact < timeout_ms && !store_health.is_failing();
+        configured && in_contact && !stopping.load(Ordering::Relaxed)
     }))
 }
 
