Membership: one active entry a pool, and a bounded number more

Cause: active entries were four times the pools and groups: 1,096 of 1,232 entries at 270 pools, so that heartbeats grew with the square again and filled their partitions at 206 pools (worked out).

Change: candidates are one for each pool and group and 32 more at most, active entries those and 32 more at most.

Measured: active_entries_grow_by_one_a_pool fails without it.

--- a/crates/owner/src/membership/active_set.rs
+++ b/crates/owner/src/membership/active_set.rs
@@ -37,9 +37,13 @@
 /// doubles with each attempt.
 const FIRST_VOLUNTEERS: usize = 4;
 
-/// Number of active entries: as many again as there are candidates, to replace these.
+/// Maximum number of active entries that are no candidates.
+const MAX_RESERVE: usize = 32;
+
+/// Number of active entries: the candidates, and as many again to replace these, up to a bound.
 pub fn size(pools_and_groups: usize) -> usize {
-    2 * elect::candidate_count(pools_and_groups)
+    let candidates = elect::candidate_count(pools_and_groups);
+    candidates + candidates.min(MAX_RESERVE)
 }
 
 /// Of the entries that are `present`, those that are to be active.
--- a/crates/owner/src/membership/elect.rs
+++ b/crates/owner/src/membership/elect.rs
@@ -24,9 +24,14 @@
 /// than one that was a candidate before, but that one may own several by then.
 const NEW_CANDIDATE_PERCENT: u32 = 66;
 
-/// Number of candidates: twice as many as there are pools and groups.
+/// Maximum number of candidates beyond one for each pool and group. The number lost at once depends
+/// on what fails, and not on the number of pools.
+const MAX_SPARE_CANDIDATES: usize = 32;
+
+/// Number of candidates: twice as many as there are pools and groups, as far as spares are needed.
 pub fn candidate_count(pools_and_groups: usize) -> usize {
-    MIN_CANDIDATES.max(pools_and_groups * 2)
+    let spare = pools_and_groups.min(MAX_SPARE_CANDIDATES);
+    MIN_CANDIDATES.max(pools_and_groups + spare)
 }
 
 /// The entries in the order of their strength.
--- a/crates/owner/tests/all/active_set.rs
+++ b/crates/owner/tests/all/active_set.rs
@@ -18,6 +18,8 @@
 cases! {
     /// A number of active entries that grows with the fleet: each of them reads the heartbeats of all.
     active_entries_of_twice_the_fleet_are_as_many => same_size();
+    /// A number of active entries that is a multiple of the pools: with hundreds of pools, all entries were active.
+    active_entries_grow_by_one_a_pool => one_a_pool();
     /// A loss of all strong entries that only passive entries are left to notice.
     active_entries_remain_when_all_strong_ones_are_lost => strong_ones_lost();
     /// An entry that is gone and stays named, so that fewer and fewer entries are active.
@@ -74,6 +76,12 @@
     assert_eq!(sizes, [36; 3]);
 }
 
+fn one_a_pool() {
+    assert_eq!(size(548) - size(274), 274);
+    let chosen = select(&fleet(1_232), size(274));
+    assert!(chosen.len() <= 274 + 64, "{}", chosen.len());
+}
+
 fn strong_ones_lost() {
     let fleet = fleet(584);
     let chosen = select(&fleet, size(POOLS_AND_GROUPS));
