--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -16,7 +16,7 @@
     process::{Child, Command, ExitCode, Stdio},
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -124,13 +124,7 @@
         site
     }
 
-    fn start_entry(
-        &self,
-        ip: Ipv4Addr,
-        number: u8,
-        store: SocketAddr,
-        cloud: SocketAddr,
-    ) -> Entry {
+    fn start_entry(&self, ip: Ipv4Addr, number: u8, store: SocketAddr, cloud: SocketAddr) -> Entry {
         let name = format!("edge-zone-1-{number}");
         let store = Proxy::start(ip, store);
         let cloud = Proxy::start(ip, cloud);
@@ -337,9 +331,15 @@
     // Nothing may begin in this window if the rule is to be broken.
     site.until(window_begins + 6_000);
     let all = site.fleet.runs.lock().unwrap().clone();
-    let in_use = all.iter().filter(|run| run.end_ms.is_none_or(|end| end > window_begins)).count();
+    let in_use = all
+        .iter()
+        .filter(|run| run.end_ms.is_none_or(|end| end > window_begins))
+        .count();
     let workers = site.fleet.workers();
-    let of_pool = workers.iter().filter(|worker| worker.service == "ares").count();
+    let of_pool = workers
+        .iter()
+        .filter(|worker| worker.service == "ares")
+        .count();
     site.journal.write(&format!(
         "pool ares: {of_pool} workers of 64 cores, {in_use} runs of any job in the last 6 s"
     ));
@@ -356,56 +356,59 @@
             broken = true;
         }
     }
-    if broken { Verdict::Broken } else { Verdict::Held }
+    let of_occurrence = |number: u64, how: &str| {
+        let prefix = format!("{scheduled}.{number}.");
+        let runs = all.iter().filter(|run| run.task.starts_with(&prefix));
+        runs.filter(|run| how.is_empty() || run.how == how).count()
+    };
+    for number in 0..TIMES {
+        site.journal.write(&format!(
+            "occurrence {number}, due at {}: {} runs begun, {} done",
+            begin_ms + number * INTERVAL_MS,
+            of_occurrence(number, ""),
+            of_occurrence(number, "done")
+        ));
+    }
+    for id in &plain {
+        site.write_runs(id);
+    }
+    if broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
 
-/// Orders for a machine that are held up by a partition of their sender.
+/// An order to move a machine that is held up by a partition of its sender.
 ///
 /// ONE: where fences aren't checked, a lower token after a higher one for one machine.
 fn order_held_up(site: &Site) -> Verdict {
     /// `node_cut` lasts up to 12 s in the site file.
     const CUT: Duration = Duration::from_secs(11);
-    let wave = r#"{"Wave":1,"Machines":["m-00","m-01","m-02","m-03","m-04","m-05"],"DurationS":40,"Maximum":1}"#;
-    let stop = Arc::new(AtomicBool::new(false));
+    // The pools are idle, and most machines go to the standby pool.
+    thread::sleep(Duration::from_secs(6));
+    let cut_at = Arc::new(AtomicU64::new(0));
     if site.trouble {
-        let links: Vec<_> = site
-            .entries
-            .iter()
-            .map(|entry| {
-                let links = (Arc::clone(&entry.store), Arc::clone(&entry.cloud));
-                (entry.name.clone(), links.0, links.1)
-            })
-            .collect();
-        for (_, _, cloud) in &links {
-            cloud.watch_for("POST /machine-upkeep");
+        cut_with_an_order_on_its_way(site, CUT, &cut_at);
+    }
+    // One pool needs more machines for a moment.
+    let first = "4d0e7a21d94b36f8";
+    site.plan(first, 1, 4_000, 2_000, false);
+    if !site.submit("ares", first, &job(60, 4_000, 2_000, "")) {
+        return Verdict::NotRun;
+    }
+    thread::sleep(Duration::from_secs(1));
+    // Then the other one needs all that there are.
+    let mut heavy = Vec::new();
+    for number in 0..8 {
+        let id = format!("{:016x}", 0xcd_0000 + number);
+        site.plan(&id, 1, 4_000, 12_000, false);
+        if site.submit("boreas", &id, &job(60, 4_000, 12_000, "")) {
+            heavy.push(id);
         }
-        let (journal, stop) = (Arc::clone(&site.journal), Arc::clone(&stop));
-        thread::spawn(move || {
-            while !stop.load(Ordering::SeqCst) {
-                let found = links.iter().find(|(.., cloud)| cloud.is_held());
-                if let Some((name, store, cloud)) = found {
-                    store.hold();
-                    for (_, _, other) in &links {
-                        other.watch_for("");
-                    }
-                    journal.write(&format!(
-                        "{name} is cut off from the platform, with an order on its way"
-                    ));
-                    thread::sleep(CUT);
-                    journal.write(&format!("the cut of {name} heals"));
-                    store.release();
-                    cloud.release();
-                    return;
-                }
-                thread::sleep(Duration::from_millis(1));
-            }
-        });
     }
-    site.store.put("op", "wave/1", wave);
-    site.journal.write(&format!("wave: {wave}"));
-    let end = site.journal.now_ms() + 40_000;
+    let end = site.journal.now_ms() + 25_000;
     site.until(end);
-    stop.store(true, Ordering::SeqCst);
     let mut highest: BTreeMap<String, (u64, String)> = BTreeMap::new();
     let mut broken = false;
     let orders = site.fleet.orders.lock().unwrap().clone();
@@ -414,14 +417,73 @@
         if *token < known.0 {
             broken = true;
             site.journal.write(&format!("{machine}: at {at} {holder} orders \"{what}\" with token {token}, after {} had ordered it with token {}", known.1, known.0));
+            let runs = site.fleet.runs.lock().unwrap();
+            let lost = runs.iter().filter(|run| {
+                let ended = run.end_ms.unwrap_or(0);
+                run.how == "lost" && (*at..at + 20).contains(&ended)
+            });
+            site.journal.write(&format!(
+                "{} runs end with a machine at that moment",
+                lost.count()
+            ));
         } else {
             *known = (*token, holder.clone());
         }
     }
-    if orders.is_empty() {
+    for id in heavy.iter().map(String::as_str).chain([first]) {
+        let (runs, under_way) = site.runs(id);
+        let of = |how: &str| runs.iter().filter(|run| run.how == how).count();
+        site.journal.write(&format!(
+            "job {id}: {} runs begun, {} done, {} lost, {under_way} under way",
+            runs.len(),
+            of("done"),
+            of("lost")
+        ));
+    }
+    if orders.is_empty() || (site.trouble && cut_at.load(Ordering::SeqCst) == 0) {
         return Verdict::NotRun;
     }
-    if broken { Verdict::Broken } else { Verdict::Held }
+    if broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
+/// Cuts the first entry that orders a machine to move off the platform while the order is on its
+/// way.
+fn cut_with_an_order_on_its_way(site: &Site, length: Duration, cut_at: &Arc<AtomicU64>) {
+    let links: Vec<_> = site
+        .entries
+        .iter()
+        .map(|entry| {
+            let links = (Arc::clone(&entry.store), Arc::clone(&entry.cloud));
+            (entry.name.clone(), links.0, links.1)
+        })
+        .collect();
+    let armed = Arc::new(AtomicBool::new(true));
+    for (_, _, cloud) in &links {
+        cloud.cut_at("POST /machine-move", &armed);
+    }
+    let (journal, cut_at) = (Arc::clone(&site.journal), Arc::clone(cut_at));
+    thread::spawn(move || {
+        loop {
+            let found = links.iter().find(|(.., cloud)| cloud.is_held());
+            if let Some((name, store, cloud)) = found {
+                store.hold();
+                cut_at.store(journal.now_ms(), Ordering::SeqCst);
+                journal.write(&format!(
+                    "{name} is cut off from the platform, with an order on its way"
+                ));
+                thread::sleep(length);
+                journal.write(&format!("the cut of {name} heals"));
+                store.release();
+                cloud.release();
+                return;
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+    });
 }
 
 /// Sound jobs whose workers crash.
@@ -472,9 +534,16 @@
     let (runs, under_way) = site.runs(lasting);
     site.write_runs(lasting);
     let now = site.journal.now_ms();
-    let last_end = runs.iter().filter_map(|run| run.end_ms).max().unwrap_or(now);
+    let last_end = runs
+        .iter()
+        .filter_map(|run| run.end_ms)
+        .max()
+        .unwrap_or(now);
     let workers = site.fleet.workers();
-    let of_pool = workers.iter().filter(|worker| worker.service == "ares").count();
+    let of_pool = workers
+        .iter()
+        .filter(|worker| worker.service == "ares")
+        .count();
     let all = site.fleet.runs.lock().unwrap().clone();
     let in_use = all.iter().filter(|run| run.end_ms.is_none()).count();
     site.journal.write(&format!("lasting job: shown as {lasting_state:?}, {under_way} runs under way, the last ended {} ms ago; ares has {of_pool} workers of 64 cores, and {in_use} tasks of 1 core run in all", now - last_end));
@@ -514,7 +583,10 @@
         }
         last = run.run;
         let workers = site.fleet.workers();
-        let of_pool = workers.iter().filter(|worker| worker.service == "ares").count();
+        let of_pool = workers
+            .iter()
+            .filter(|worker| worker.service == "ares")
+            .count();
         if let Some(worker) = workers.iter().find(|worker| worker.id == run.worker) {
             crashes += 1;
             site.journal.write(&format!(
@@ -526,6 +598,86 @@
     }
 }
 
+/// A task that lasts, whose first start goes to a worker that was lost a moment before.
+///
+/// LOST: for 3 s a task that lasts isn't running though its turn has come, there is room for it
+/// twice over, and under half of the capacity is in use; calm for 4 s before.
+fn start_on_a_lost_worker(site: &Site) -> Verdict {
+    let lasting = |id: &str, count: u64, cpu: u64, more: &str| {
+        site.plan(id, 1, cpu, 0, true);
+        let body = format!(
+            "{{\"Spec\":\"serve\",\"Steps\":[{{\"Count\":{count},\"Cpu\":{cpu},\"MemMb\":64,\"EstimateMs\":1000,\"LongRunning\":true{more}}}]}}"
+        );
+        site.submit("ares", id, &body)
+    };
+    let wait_for = |id: &str, count: usize, seconds: u64| {
+        let deadline = Instant::now() + Duration::from_secs(seconds);
+        while site.runs(id).1 < count && Instant::now() < deadline {
+            thread::sleep(Duration::from_millis(50));
+        }
+        site.runs(id).1 >= count
+    };
+    let (keeper, first, second) = ("1a0e7a21d94b36f8", "2b0e7a21d94b36f8", "3c0e7a21d94b36f8");
+    if !lasting(keeper, 9, 1_000, ",\"AntiAffinity\":1") || !wait_for(keeper, 9, 20) {
+        return Verdict::NotRun;
+    }
+    if !lasting(first, 1, 3_500, "") || !wait_for(first, 1, 5) {
+        return Verdict::NotRun;
+    }
+    thread::sleep(Duration::from_secs(2));
+    let on = site
+        .runs(first)
+        .0
+        .last()
+        .map(|run| run.worker.clone())
+        .unwrap_or_default();
+    let lost_at = site.journal.now_ms();
+    if site.trouble {
+        let workers = site.fleet.workers();
+        let of_pool = workers
+            .iter()
+            .filter(|worker| worker.service == "ares")
+            .count();
+        if let Some(worker) = workers.iter().find(|worker| worker.id == on) {
+            site.journal
+                .write(&format!("one worker of {of_pool} of ares is lost"));
+            site.fleet.lose(&worker.machine);
+        }
+    }
+    if !lasting(second, 1, 3_500, "") {
+        return Verdict::NotRun;
+    }
+    // Calm from 4 s after the loss on; the rule looks at 3 s after that.
+    site.until(lost_at + 10_000);
+    let (runs, under_way) = site.runs(second);
+    let began = runs.first().map(|run| run.begin_ms - lost_at);
+    site.journal.write(&format!("10 s after the loss: the second job has {under_way} runs under way, its first began {began:?} ms after the loss; the first job has {} under way", site.runs(first).1));
+    let all = site.fleet.runs.lock().unwrap().clone();
+    let in_use = all.iter().filter(|run| run.end_ms.is_none()).count();
+    let workers = site.fleet.workers();
+    let of_pool = workers
+        .iter()
+        .filter(|worker| worker.service == "ares")
+        .count();
+    site.journal.write(&format!(
+        "ares has {of_pool} workers of 64 cores, and {in_use} tasks of 1 to 3.5 cores run"
+    ));
+    let broken = began.is_none_or(|began| began > 10_000);
+    wait_for(second, 1, 30);
+    site.write_runs(first);
+    site.write_runs(second);
+    let runs = site.runs(second).0;
+    site.journal.write(&format!(
+        "the second job's first run began {:?} ms after the loss",
+        runs.first().map(|run| run.begin_ms - lost_at)
+    ));
+    if broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &arguments[..] else {
@@ -540,6 +692,7 @@
         match case.as_str() {
             "schedule" => scheduled_job_and_outage(&site),
             "held-up" => order_held_up(&site),
+            "silent" => start_on_a_lost_worker(&site),
             "crashes" => crashes_beside_jobs(&site),
             _ => Verdict::NotRun,
         }
--- a/review/standins/proxy.rs
+++ b/review/standins/proxy.rs
@@ -19,8 +19,9 @@
 pub struct Proxy {
     pub address: SocketAddr,
     held: AtomicBool,
-    /// The link is cut when these bytes are on their way; never if empty.
-    trigger: Mutex<String>,
+    /// The link is cut when these bytes are on their way, if no other link was cut before by the
+    /// same trigger.
+    trigger: Mutex<Option<(String, Arc<AtomicBool>)>>,
 }
 
 impl Proxy {
@@ -71,8 +72,8 @@
         self.held.load(Ordering::SeqCst)
     }
 
-    pub fn watch_for(&self, text: &str) {
-        text.clone_into(&mut self.trigger.lock().unwrap());
+    pub fn cut_at(&self, text: &str, armed: &Arc<AtomicBool>) {
+        *self.trigger.lock().unwrap() = Some((text.to_owned(), Arc::clone(armed)));
     }
 
     fn wait(&self) {
@@ -98,7 +99,10 @@
             thread::sleep(DELAY);
             if is_request {
                 let trigger = self.trigger.lock().unwrap();
-                if !trigger.is_empty() && buffer.starts_with(trigger.as_bytes()) {
+                if let Some((text, armed)) = &*trigger
+                    && buffer.starts_with(text.as_bytes())
+                    && armed.swap(false, Ordering::SeqCst)
+                {
                     self.hold();
                 }
             }
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -198,7 +198,10 @@
         let mut state = self.table.lock().unwrap();
         let expected = body.get("ExpectedRev").arr();
         let holds = expected.iter().all(|row| {
-            let known = state.rows.get(&place(row)).map_or(0, |(_, version)| *version);
+            let known = state
+                .rows
+                .get(&place(row))
+                .map_or(0, |(_, version)| *version);
             known == row.get("Ver").num()
         });
         if !holds {
@@ -274,7 +277,10 @@
         let tail = self.tail(state.version);
         Reply::Answer(
             200,
-            format!("{{\"parts\":[{}],\"Truncated\":false,{tail}}}", parts.join(",")),
+            format!(
+                "{{\"parts\":[{}],\"Truncated\":false,{tail}}}",
+                parts.join(",")
+            ),
         )
     }
 
@@ -286,7 +292,9 @@
         let deadline = Instant::now() + wait;
         let mut state = self.table.lock().unwrap();
         loop {
-            let first = state.changes.partition_point(|(version, ..)| *version <= after);
+            let first = state
+                .changes
+                .partition_point(|(version, ..)| *version <= after);
             let newest: BTreeMap<&Place, (u64, bool)> = state.changes[first..]
                 .iter()
                 .filter(|(_, place, _)| place.0 == table)
@@ -304,7 +312,9 @@
                 .collect();
             ordered.sort();
             // Whole transactions, about 400 rows of them.
-            let last = ordered.get(400).map_or(state.version, |(version, ..)| *version);
+            let last = ordered
+                .get(400)
+                .map_or(state.version, |(version, ..)| *version);
             let rows = ordered
                 .iter()
                 .take_while(|(version, ..)| *version <= last)
@@ -362,6 +372,8 @@
     born: Instant,
     born_ms: u64,
     open: Arc<AtomicBool>,
+    /// Silent: it accepts connections and answers nothing.
+    dark: AtomicBool,
     state: Mutex<WorkerState>,
     ended: Condvar,
     seq: AtomicU64,
@@ -451,13 +463,19 @@
             rack: rack.to_owned(),
             waves: Vec::new(),
         };
-        self.machines.lock().unwrap().insert(name.to_owned(), machine);
+        self.machines
+            .lock()
+            .unwrap()
+            .insert(name.to_owned(), machine);
         self.start_worker(name);
     }
 
     pub fn workers(&self) -> Vec<Arc<Worker>> {
         let machines = self.machines.lock().unwrap();
-        machines.values().filter_map(|known| known.worker.clone()).collect()
+        machines
+            .values()
+            .filter_map(|known| known.worker.clone())
+            .collect()
     }
 
     /// Tells the workers what the tasks of a job are.
@@ -472,7 +490,9 @@
         let seq = worker.seq.fetch_add(1, Ordering::SeqCst);
         let rack = {
             let machines = self.machines.lock().unwrap();
-            machines.get(&worker.machine).map_or(String::new(), |known| known.rack.clone())
+            machines
+                .get(&worker.machine)
+                .map_or(String::new(), |known| known.rack.clone())
         };
         let value = format!(
             "{{\"Service\":{},\"Address\":{},\"Zone\":\"zone-1\",\"Version\":\"v1\",\"Slots\":8,\"State\":\"ready\",\"ColdLeftMs\":0,\"Capacity\":{{\"Cpu\":{},\"MemMb\":{},\"Gpu\":0}},\"Labels\":[\"a\",{}],\"ClockMs\":{},\"born\":{},\"Seq\":{seq}}}",
@@ -505,6 +525,7 @@
                 born: Instant::now(),
                 born_ms: unix_ms(),
                 open: Arc::new(AtomicBool::new(true)),
+                dark: AtomicBool::new(false),
                 state: Mutex::default(),
                 ended: Condvar::new(),
                 seq: AtomicU64::new(1),
@@ -561,6 +582,34 @@
         self.start_later(machine, down);
     }
 
+    /// Loses a machine for good: its worker falls silent, and the machine stays down.
+    pub fn lose(self: &Arc<Self>, machine: &str) {
+        let worker = {
+            let mut machines = self.machines.lock().unwrap();
+            let known = machines.get_mut(machine).expect("a machine");
+            known.state = "down";
+            known.worker.take()
+        };
+        let Some(worker) = worker else {
+            return;
+        };
+        worker.dark.store(true, Ordering::SeqCst);
+        let lost = std::mem::take(&mut worker.state.lock().unwrap().running);
+        for (task, running) in &lost {
+            self.record_end(&worker.id, task, running.run, "lost");
+        }
+        self.journal.write(&format!(
+            "worker {} on {machine} is lost for good and silent, {} runs with it",
+            worker.id,
+            lost.len()
+        ));
+        let (store, id) = (Arc::clone(&self.store), worker.id.clone());
+        thread::spawn(move || {
+            thread::sleep(3 * BEAT);
+            store.remove("servers", &id);
+        });
+    }
+
     fn start_later(self: &Arc<Self>, machine: &str, after: Duration) {
         let (fleet, machine) = (Arc::clone(self), machine.to_owned());
         thread::spawn(move || {
@@ -622,6 +671,10 @@
     }
 
     fn serve_worker(&self, worker: &Worker, request: &Request) -> Reply {
+        if worker.dark.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_secs(60));
+            return Reply::Close;
+        }
         if request.path == "/health" {
             return Reply::Answer(200, "{}".into());
         }
@@ -638,7 +691,10 @@
         }
         let clock = worker.born.elapsed().as_millis() as u64;
         let refuse = |reason: &str| {
-            Reply::Answer(409, format!("{{\"ClockMs\":{clock},\"Reason\":\"{reason}\"}}"))
+            Reply::Answer(
+                409,
+                format!("{{\"ClockMs\":{clock},\"Reason\":\"{reason}\"}}"),
+            )
         };
         let token = body.get("FencingToken").num();
         if token < state.fence {
@@ -655,7 +711,11 @@
                     return refuse("late");
                 }
                 state.deadline_ms = state.deadline_ms.max(deadline.min(clock + HOLD_MAX_MS));
-                if state.running.get(&task).is_some_and(|known| known.run == run) {
+                if state
+                    .running
+                    .get(&task)
+                    .is_some_and(|known| known.run == run)
+                {
                     return fine();
                 }
                 let known = state.running.get(&task).map_or(0, |known| known.run);
@@ -691,7 +751,10 @@
             "/run-stop" => {
                 let refused = state.refused.entry(task.clone()).or_default();
                 *refused = run.max(*refused);
-                let stops = state.running.get(&task).is_some_and(|known| known.run == run);
+                let stops = state
+                    .running
+                    .get(&task)
+                    .is_some_and(|known| known.run == run);
                 if stops {
                     end_run(&mut state, &task, "stopped");
                 }
@@ -717,6 +780,11 @@
                     }
                     state = worker.ended.wait_timeout(state, left).unwrap().0;
                 }
+                if worker.dark.load(Ordering::SeqCst) {
+                    drop(state);
+                    thread::sleep(Duration::from_secs(60));
+                    return Reply::Close;
+                }
                 Reply::Answer(200, lists(worker, &state))
             }
             "/pace" => fine(),
@@ -766,7 +834,10 @@
         };
         let machine = body.get("Machine").str().to_owned();
         let holder = request.header("primroseroute-lease-holder").to_owned();
-        let token = request.header("primroseroute-fencing-token").parse().unwrap_or(0);
+        let token = request
+            .header("primroseroute-fencing-token")
+            .parse()
+            .unwrap_or(0);
         let what = match kind {
             "Pool" => format!("move to {}", body.get("Pool").str()),
             _ => format!("upkeep for wave {}", body.get("Wave").num()),
@@ -783,7 +854,10 @@
         self.journal.write(&format!(
             "order for {machine} by {holder} with token {token}: {what} (machine is {state})"
         ));
-        self.orders.lock().unwrap().push((machine.clone(), holder, token, what, now));
+        self.orders
+            .lock()
+            .unwrap()
+            .push((machine.clone(), holder, token, what, now));
         let (pool, down, next) = match kind {
             "Pool" => {
                 let to = body.get("Pool").str().to_owned();
@@ -809,7 +883,12 @@
             return busy();
         }
         self.end_worker(&machine, next);
-        self.machines.lock().unwrap().get_mut(&machine).expect("a machine").pool = pool;
+        self.machines
+            .lock()
+            .unwrap()
+            .get_mut(&machine)
+            .expect("a machine")
+            .pool = pool;
         self.start_later(&machine, down);
         Reply::Answer(200, "{}".into())
     }
@@ -821,7 +900,9 @@
         let number = state.ends;
         let refused = state.refused.entry(task.to_owned()).or_default();
         *refused = running.run.max(*refused);
-        state.ended.push((number, task.to_owned(), running.run, how));
+        state
+            .ended
+            .push((number, task.to_owned(), running.run, how));
     }
 }
 
