Jobs: progress that is longer than a row is divided, and a refused row holds its job alone

A restart doesn't help.

Cause: the progress of a job was one row whatever its length. Five occurrences of 700 tasks need more than the 65,536 bytes of a row, and the store rejects the transaction with 400. `CommitSequence` sent it again without end, like one that is rejected for the store's load, and the pool's other rows waited behind it.

Change: a job's own row holds its first unfinished occurrences, as many as fit, and the others are in segments of a fixed range of tasks, whose longest form fits into a row by a check at compile time. Segments are committed before the job's own row, which goes together with their index, and deletions follow, so that each part of a commit can be read. No due work waits for the sake of a row; for memory, a job has at most 10,000 unfinished tasks in 1,000 occurrences. What fits is stored as before, so entries of the version before read it. A transaction that is rejected as invalid is divided until the refused jobs are known. Such a job is held: nothing of it starts, its runs go on, the ends of its runs are not acknowledged, its rows are tried every 5 s, and it can be cancelled.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -4,12 +4,13 @@
     advice::{self, Policy},
     arrivals::{Arrivals, Inflow},
     crash::PoisonTask,
+    hold::Hold,
     job::{HasStarted, Job},
     limits::{Limits, Millis},
     marking::Marking,
     order::{AdviceRequest, Loss, Order, Outcome, RoundOutput},
     placement::{self, Move},
-    row::{Accepted, Phase, Progress},
+    row::{Accepted, Phase, Progress, overflow::Overflow},
     run_times::{RunTimes, Terms},
     scaling::RecentEstimates,
     worker::{Origin, Run, StartState, StopState, Worker},
@@ -37,6 +38,10 @@
     pub(crate) deleted: BTreeMap<JobId, u64>,
     /// Jobs with uncommitted progress.
     pub(crate) dirty: BTreeSet<JobId>,
+    /// Jobs whose rows the store refuses.
+    pub(crate) holds: BTreeMap<JobId, Hold>,
+    /// Stored rows besides their own of jobs that have ended; they are deleted.
+    pub(crate) stale_overflow: BTreeMap<JobId, Overflow>,
     /// Since when a long-running task has found no free capacity.
     pub(crate) unplaced_since: BTreeMap<TaskId, Millis>,
     /// Tasks that were running when workers crashed, with the number of crashes attributed to each.
@@ -97,6 +102,8 @@
             finished: BTreeMap::new(),
             deleted: BTreeMap::new(),
             dirty: BTreeSet::new(),
+            holds: BTreeMap::new(),
+            stale_overflow: BTreeMap::new(),
             unplaced_since: BTreeMap::new(),
             crashed: BTreeMap::new(),
             isolation_workers: BTreeSet::new(),
@@ -199,6 +206,16 @@
         self.jobs.insert(id, job);
     }
 
+    /// Records which rows are stored besides a job's own.
+    pub fn set_stored_overflow(&mut self, id: JobId, overflow: Overflow) {
+        match self.jobs.get_mut(&id) {
+            Some(job) => job.overflow = overflow,
+            None => {
+                self.stale_overflow.insert(id, overflow);
+            }
+        }
+    }
+
     /// Records that the rows of a finished job are deleted.
     pub fn record_rows_deleted(&mut self, id: JobId, wall_ms: u64) {
         self.finished.remove(&id);
@@ -506,6 +523,7 @@
 
     /// Records that `output` is committed, by a transaction that was sent at `sent_at`.
     pub fn record_commit(&mut self, output: &RoundOutput, sent_at: Millis) {
+        self.settle(output);
         let start_expires_at = sent_at + self.limits.max_local_span(self.limits.start_window);
         for order in &output.orders {
             let Order::Start {
--- a/crates/cell/src/incarnation.rs
+++ b/crates/cell/src/incarnation.rs
@@ -134,6 +134,7 @@
     worker.incarnation = status.born;
     worker.termination = Termination::NotKnown;
     worker.last_end = 0;
+    worker.uncommitted_ends.clear();
     worker.status_as_of = None;
     worker.listed_at = None;
     worker.relisted_at.clear();
--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -1,10 +1,14 @@
 //! In-memory state of one job.
 
 use crate::{
-    row::{Accepted, Phase, Progress, Steps, Task},
+    row::{
+        Accepted, Phase, Progress, Steps, Task,
+        overflow::{self, Change, Overflow},
+    },
     run_times::Prediction,
     speed::Rates,
 };
+use bytes::Bytes;
 use primroseroute_accounts::{
     entitlement::Mark,
     meter::{Charge, Index, Meter},
@@ -46,6 +50,8 @@
     pub counted_at_ms: u64,
     /// When later steps became ready, by occurrence and step, as far as this owner has seen it.
     ready_at_ms: BTreeMap<(u32, u16), u64>,
+    /// The stored rows besides its own.
+    pub overflow: Overflow,
 }
 
 fn account(accepted: &Accepted, meter: &mut Meter) -> Option<Index> {
@@ -67,6 +73,7 @@
             mark: None,
             counted_at_ms: accepted.at_ms,
             ready_at_ms: BTreeMap::new(),
+            overflow: Overflow::default(),
             accepted,
             may_have_other_runs: false,
             has_started: HasStarted::No,
@@ -96,6 +103,7 @@
             mark: None,
             counted_at_ms: accepted.at_ms,
             ready_at_ms: BTreeMap::new(),
+            overflow: Overflow::default(),
             accepted,
             progress,
             may_have_other_runs: true,
@@ -234,10 +242,14 @@
         true
     }
 
-    /// Begins the occurrences that are due. Returns whether there were any.
+    /// Begins the occurrences that are due, as far as not too many are unfinished. Returns whether
+    /// there were any.
     pub(crate) fn begin_due(&mut self, wall_ms: u64) -> bool {
         let before = self.progress.next;
-        while self.progress.next < self.accepted.job.occurrences() {
+        let most = self.accepted.job.max_open_occurrences();
+        while self.progress.next < self.accepted.job.occurrences()
+            && self.progress.steps.len() < most
+        {
             let due = self.accepted.job.schedule;
             let due = due.map_or(0, |schedule| schedule.due_ms(self.progress.next));
             if due > wall_ms {
@@ -251,6 +263,14 @@
         self.progress.next > before
     }
 
+    /// Encodes its own row, and the writes to those besides.
+    pub(crate) fn encode(&mut self) -> (Bytes, Change) {
+        let (own, wanted) = overflow::encode(&self.accepted, &self.progress);
+        let change = self.overflow.change_to(&wanted);
+        self.overflow = wanted;
+        (own, change)
+    }
+
     fn new_tasks(&self) -> Steps {
         let steps = self.accepted.job.steps.iter();
         steps
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -32,6 +32,11 @@
 //! * A task that crashes its workers is abandoned after a few crashes; tasks that ran beside it are
 //!   not.
 //!
+//! # No job keeps the others from being committed
+//!
+//! * A job's rows fit into the store whatever the state of its tasks, and a job whose rows the store
+//!   refuses is held alone.
+//!
 //! # Slow workers
 //!
 //! * A worker whose runs progress much more slowly than their siblings elsewhere gets nothing new
@@ -50,6 +55,7 @@
 mod backlog;
 mod cell;
 mod crash;
+mod hold;
 mod incarnation;
 mod job;
 mod limits;
--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -1,9 +1,13 @@
 //! Outputs of a cell and the results of its orders.
 
-use crate::{crash::PoisonTask, limits::Millis, scaling::ScalingEstimate, straggler::Stragglers};
+use crate::{
+    crash::PoisonTask, limits::Millis, row::overflow::Change, scaling::ScalingEstimate,
+    straggler::Stragglers,
+};
 use bytes::Bytes;
 use primroseroute_domain::work::{JobId, Name, State, StepId, TaskId};
 use primroseroute_platform::worker::Refusal;
+use std::collections::BTreeMap;
 
 /// An order to a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -113,6 +117,8 @@
 pub struct RoundOutput {
     /// Progress rows to write.
     pub puts: Vec<(JobId, Bytes)>,
+    /// Writes to the rows of jobs whose progress is longer than their own row may be.
+    pub overflow: BTreeMap<JobId, Change>,
     /// Jobs that have reached a final state.
     pub ended: Vec<(JobId, State)>,
     /// Jobs whose progress rows are no longer needed.
--- a/crates/cell/src/placement/urgency.rs
+++ b/crates/cell/src/placement/urgency.rs
@@ -63,7 +63,7 @@
 pub(crate) fn waiting_steps(cell: &Cell, wall_ms: u64) -> Vec<WaitingStep> {
     let mut all = Vec::new();
     for (id, job) in &cell.jobs {
-        if job.progress.state.is_final() {
+        if job.progress.state.is_final() || cell.is_held(id) {
             continue;
         }
         for &occurrence in job.progress.steps.keys() {
--- a/crates/cell/src/round.rs
+++ b/crates/cell/src/round.rs
@@ -8,13 +8,13 @@
     marking, migration,
     order::{Cause, Order, RoundOutput},
     placement,
-    row::Progress,
+    row::overflow::{Change, Overflow},
     run_times, scaling, straggler, throttle,
     worker::{ExpiredLease, Run, StopState, Termination, Worker},
 };
 use bytes::Bytes;
 use primroseroute_domain::work::{JobId, Name, State, TaskId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// How long the rows of finished jobs are kept, in percent of the promised time: clocks of entries
 /// differ.
@@ -48,14 +48,16 @@
     let stops = collect_stops(cell, now);
     orders.extend(stops.go_on);
     let immediate_stops = stops.ended;
-    let (puts, ended) = changed_rows(cell);
-    let ends_committed = cell.workers.iter();
-    let ends_committed = ends_committed.map(|(id, worker)| (Name::clone(id), worker.ends_cursor()));
-    let ends_committed = ends_committed.collect();
+    let ChangedRows {
+        puts,
+        overflow,
+        ended,
+    } = changed_rows(cell, now);
     cell.queued_counts = cell.count_queued();
     RoundOutput {
         advice_requests: advice::requests(cell, &waiting, now),
         puts,
+        overflow,
         ended,
         forget: expired_jobs(cell, wall_ms),
         immediate_stops,
@@ -64,7 +66,7 @@
         losses: std::mem::take(&mut cell.losses),
         poison_tasks: std::mem::take(&mut cell.poison_tasks),
         crashes_cleared: std::mem::take(&mut cell.crashes_cleared),
-        ends_committed,
+        ends_committed: cell.ends_cursors(),
         scaling: scaling::estimate(cell, &waiting, now, wall_ms),
         stragglers,
     }
@@ -304,30 +306,43 @@
     due
 }
 
-/// A job's progress row.
-type Put = (JobId, Bytes);
-
 /// Rows of changed jobs, and the final states of ended ones.
-fn changed_rows(cell: &mut Cell) -> (Vec<Put>, Vec<(JobId, State)>) {
-    let mut puts = Vec::new();
-    let mut over = Vec::new();
-    for id in std::mem::take(&mut cell.dirty) {
-        let Some(job) = cell.jobs.get(&id) else {
+#[derive(Default)]
+struct ChangedRows {
+    puts: Vec<(JobId, Bytes)>,
+    overflow: BTreeMap<JobId, Change>,
+    ended: Vec<(JobId, State)>,
+}
+
+fn changed_rows(cell: &mut Cell, now: Millis) -> ChangedRows {
+    let mut rows = ChangedRows {
+        puts: cell.due_last_rows(now),
+        ..ChangedRows::default()
+    };
+    for (id, stored) in std::mem::take(&mut cell.stale_overflow) {
+        let change = stored.change_to(&Overflow::default());
+        rows.overflow.insert(id, change);
+    }
+    let (put_off, due): (BTreeSet<JobId>, BTreeSet<JobId>) = std::mem::take(&mut cell.dirty)
+        .into_iter()
+        .partition(|id| cell.is_put_off(id, now));
+    cell.dirty = put_off;
+    for id in due {
+        let Some(job) = cell.jobs.get_mut(&id) else {
             continue;
         };
-        puts.push((id.clone(), to_json(&job.progress)));
+        let (own, change) = job.encode();
+        rows.puts.push((id.clone(), own));
+        if !change.is_empty() {
+            rows.overflow.insert(id.clone(), change);
+        }
         if let Some(ended) = job.progress.ended_ms {
-            over.push((id.clone(), job.progress.state));
+            rows.ended.push((id.clone(), job.progress.state));
             cell.jobs.remove(&id);
             cell.finished.insert(id, ended);
         }
     }
-    (puts, over)
-}
-
-fn to_json(progress: &Progress) -> Bytes {
-    let json = serde_json::to_vec(progress).expect("progress has no map with complex keys");
-    json.into()
+    rows
 }
 
 /// Finished jobs whose rows are to be deleted now; tried again after a while if that fails.
--- a/crates/cell/src/row/mod.rs
+++ b/crates/cell/src/row/mod.rs
@@ -6,6 +6,7 @@
 //! | `jobs-N` | hash of the id | id | [`Accepted`] | the same transaction |
 //! | `jobs-N` | hash of the id | id `.cancel` | empty | the gateway that accepts the cancel |
 //! | `work` | pool | id | [`Progress`] | the pool's owner |
+//! | `work` | pool | id `.overflow` and more | [`overflow`] | the pool's owner, if the row before is too long |
 //! | `work` | pool | `.batch` | [`CommitRecord`] | the pool's owner, with each commit |
 //! | `control` | pool | `owner` | [`Owner`] | the entry that takes over or releases the pool |
 //! | `control` | pool | `wanted` | [`DesiredWorkers`] | the pool's owner, with a commit |
@@ -25,6 +26,7 @@
 
 mod membership;
 mod orders;
+pub mod overflow;
 
 pub use membership::{
     ActiveSet, PRESENCE, Presence, active_set, presence, presence_part, presence_parts,
--- a/crates/cell/src/status.rs
+++ b/crates/cell/src/status.rs
@@ -5,7 +5,7 @@
     crash, incarnation,
     job::HasStarted,
     limits::{Limits, Millis},
-    row::Phase,
+    row::{Phase, overflow::is_storable},
     run_times, speed, straggler,
     worker::{Origin, Run, StartState, StopState},
 };
@@ -99,6 +99,8 @@
         return;
     };
     worker.last_end = worker.last_end.max(ended.number);
+    let job = ended.task.job.clone();
+    worker.uncommitted_ends.push((ended.number, job));
     if worker
         .runs
         .get(&ended.task)
@@ -145,7 +147,8 @@
         };
         cell.dirty.insert(ended.task.job.clone());
     }
-    cell.back_to_waiting(id, &ended.task, ended.run, ended.checkpoint.clone());
+    let checkpoint = ended.checkpoint.clone().filter(is_storable);
+    cell.back_to_waiting(id, &ended.task, ended.run, checkpoint);
     if failed {
         cell.finish(&ended.task.job, State::Failed, wall_ms);
     }
@@ -257,7 +260,7 @@
         .flatten();
     run.percent = running.percent;
     run.load = running.load;
-    if running.checkpoint.is_some()
+    if running.checkpoint.as_ref().is_some_and(is_storable)
         && let Some(job) = cell.jobs.get_mut(&running.task.job)
         && let Some(task) = job.task_mut(&running.task)
         && task.run == running.run
--- a/crates/cell/src/window.rs
+++ b/crates/cell/src/window.rs
@@ -83,6 +83,9 @@
             Order::Start {
                 worker, task, run, ..
             } => {
+                if self.is_held(&task.job) {
+                    return false;
+                }
                 let worker = self.workers.get(worker);
                 let worker = worker.filter(|worker| !worker.is_draining());
                 let entry = worker.and_then(|worker| worker.runs.get(task));
@@ -99,6 +102,10 @@
                 let Some(on) = self.workers.get(worker) else {
                     return true;
                 };
+                // That the run is to stop isn't committed.
+                if self.is_held(&task.job) && self.jobs.contains_key(&task.job) {
+                    return false;
+                }
                 let entry = on.runs.get(task).filter(|entry| entry.lasting);
                 let is_repeat = entry.is_some_and(|entry| entry.last_stop_sent_at.is_some());
                 if is_repeat {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -205,6 +205,8 @@
     pub terminated_before: Millis,
     /// Highest number of an ended run of this incarnation that is recorded.
     pub last_end: u64,
+    /// Numbers and jobs of its ended runs that aren't committed, in ascending order.
+    pub uncommitted_ends: Vec<(u64, JobId)>,
     /// Runs that may be under way.
     pub runs: BTreeMap<TaskId, Run>,
     /// Runs that were new when its lease expired, while it isn't known whether it has crashed.
@@ -236,6 +238,7 @@
             termination: Termination::NotKnown,
             terminated_before: 0,
             last_end: 0,
+            uncommitted_ends: Vec::new(),
             runs: BTreeMap::new(),
             expired_lease: None,
             evacuating: None,
--- a/crates/cell/tests/all/main.rs
+++ b/crates/cell/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod incarnation;
 mod long_running;
 mod need;
+mod overflow;
 mod pace;
 mod placement;
 mod queued;
--- a/crates/domain/src/work.rs
+++ b/crates/domain/src/work.rs
@@ -17,9 +17,16 @@
 /// size of its row.
 pub const MAX_STEPS: usize = 200;
 
-/// Maximum number of tasks of one occurrence: a progress row of 64 KiB holds about 1,000 entries of 60 bytes.
+/// Maximum number of tasks of one occurrence.
 pub const MAX_TASKS: u64 = 1_000;
 
+/// Maximum number of tasks of a job's unfinished occurrences, which bounds the memory that a job takes while its
+/// occurrences become due faster than they are completed.
+pub const MAX_OPEN_TASKS: u64 = 10_000;
+
+/// Maximum number of a job's unfinished occurrences.
+pub const MAX_OPEN_OCCURRENCES: u64 = 1_000;
+
 /// A job id: 16 hexadecimal digits chosen by the caller.
 ///
 /// The digits are stored inline, since owners sort thousands of tasks by id many times a second and a comparison must not
@@ -316,6 +323,13 @@
         self.schedule.map_or(1, |schedule| schedule.times)
     }
 
+    /// Maximum number of unfinished occurrences; later ones begin once earlier ones are done.
+    pub fn max_open_occurrences(&self) -> usize {
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        let most = (MAX_OPEN_TASKS / tasks.max(1)).clamp(1, MAX_OPEN_OCCURRENCES);
+        usize::try_from(most).unwrap_or(usize::MAX)
+    }
+
     /// Validates everything that does not depend on the configuration.
     ///
     /// # Errors
--- a/crates/gateway/src/submission.rs
+++ b/crates/gateway/src/submission.rs
@@ -16,7 +16,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use log::{debug, info};
 use primroseroute_admission::gate::Reason;
-use primroseroute_cell::row::{self, Accepted, Claim};
+use primroseroute_cell::row::{self, Accepted, Claim, overflow::MAX_ATTEMPTS};
 use primroseroute_domain::{
     outcome::Code,
     time,
@@ -310,7 +310,7 @@
         job,
         at_ms: now.0,
         priority: queue.priority,
-        max_attempts: queue.max_attempts,
+        max_attempts: queue.max_attempts.min(MAX_ATTEMPTS),
         objective_ms,
         account: account.cloned(),
     };
--- a/crates/inspect/src/job.rs
+++ b/crates/inspect/src/job.rs
@@ -1,11 +1,14 @@
 //! Details of a job: its objective and the state of each of its tasks.
 
 use crate::parsed;
-use primroseroute_cell::row::{self, Accepted, Claim, Phase, Progress};
+use primroseroute_cell::row::{
+    self, Accepted, Claim, Phase, Progress,
+    overflow::{self, Overflow, WorkKey},
+};
 use primroseroute_domain::work::{JobId, Name, State, TaskId};
 use primroseroute_platform::{
     Error,
-    rows::{Rows, read_row},
+    rows::{Rows, read_all, read_row},
 };
 use serde::Serialize;
 
@@ -69,8 +72,7 @@
     };
     let accepted: Accepted = parsed(&accepted)?;
     let cancel = read_row(rows, row::cancel(&pool, id)).await?;
-    let progress = read_row(rows, row::progress(&pool, id)).await?;
-    let progress: Option<Progress> = progress.as_ref().map(parsed).transpose()?;
+    let progress = progress(rows, &pool, id, &accepted).await?;
     Ok(Some(JobDetails {
         id: id.clone(),
         queue,
@@ -88,6 +90,33 @@
     }))
 }
 
+/// The progress of a job, from its own row and those besides.
+async fn progress(
+    rows: &dyn Rows,
+    pool: &Name,
+    id: &JobId,
+    accepted: &Accepted,
+) -> Result<Option<Progress>, Error> {
+    let mut own: Option<Progress> = None;
+    let mut stored = Overflow::default();
+    for row in read_all(rows, overflow::range(pool, id)).await?.rows {
+        match WorkKey::parse(&row.place.key) {
+            Some(WorkKey::Progress(_)) => own = Some(parsed(&row)?),
+            Some(WorkKey::Index(_)) => stored.index = row.value,
+            Some(WorkKey::Segment(_, segment)) => {
+                stored
+                    .segments
+                    .extend(row.value.map(|value| (segment, value)));
+            }
+            None => {}
+        }
+    }
+    let whole = own.map(|own| overflow::decode(accepted, own, &stored));
+    whole
+        .transpose()
+        .map_err(|error| Error::Unavailable(error.to_string()))
+}
+
 fn tasks(id: &JobId, progress: &Progress) -> Vec<Task> {
     let mut tasks = Vec::new();
     for (&occurrence, steps) in &progress.steps {
--- a/crates/owner/src/commit.rs
+++ b/crates/owner/src/commit.rs
@@ -2,24 +2,34 @@
 //!
 //! Each commit is conditional on the owner's row, so that an owner that was replaced commits
 //! nothing, and on the row of the previous commit, so that none can take effect twice or late.
+//!
+//! A transaction that the store rejects as invalid stays so however often it is sent. It is divided
+//! until the jobs are known whose rows the store refuses; those of the others are committed.
 
 use crate::{clock::Clock, control::parse};
 use bytes::Bytes;
-use log::{info, warn};
+use log::{error, info, warn};
 use primroseroute_admission::PoolLoad;
 use primroseroute_backoff::Retry;
 use primroseroute_cell::{
     Millis,
-    row::{self, CommitRecord, DesiredWorkers},
+    row::{
+        self, CommitRecord, DesiredWorkers,
+        overflow::{self, Change},
+    },
 };
 use primroseroute_domain::work::{JobId, Name};
 use primroseroute_platform::{
     Error,
     rows::{Commit, Place, Row, Rows, Txn, Version, read_row},
 };
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
-/// Maximum progress rows per transaction; the store accepts 100 entries, conditions included.
+/// Maximum writes of jobs per transaction; the store accepts 100 entries, conditions included.
 const MAX_ROWS: usize = 90;
 
 /// Maximum bytes of values per transaction; the store accepts 1 MB, in base64.
@@ -43,6 +53,29 @@
     pub load: Option<&'a PoolLoad>,
 }
 
+/// Rows of jobs that have changed in a round.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct JobRows<'a> {
+    /// Their own rows.
+    pub puts: &'a [(JobId, Bytes)],
+    /// Changes of those besides.
+    pub overflow: &'a BTreeMap<JobId, Change>,
+}
+
+/// What has become of the rows of a round.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Committed {
+    /// When the last transaction was sent.
+    pub sent_at: Millis,
+    /// Jobs whose rows the store refuses: of their progress nothing that depends on these rows is
+    /// committed.
+    pub refused: BTreeSet<JobId>,
+}
+
+/// The store rejects a transaction as invalid.
+#[derive(Clone, Debug)]
+struct Refused(Error);
+
 /// The sequence of commits of one owner.
 #[derive(Debug)]
 pub(crate) struct CommitSequence {
@@ -80,34 +113,73 @@
         }
     }
 
-    /// Commits progress rows and the figures that go with them; returns the time at which the last
-    /// transaction was sent.
+    /// Commits rows of jobs and the figures that go with them.
     ///
-    /// Retries until it is committed: without an answer nothing may be concluded, and nothing later
-    /// may be committed before the outcome is known.
+    /// Retries until they are committed or refused: without an answer nothing may be concluded, and
+    /// nothing later may be committed before the outcome is known.
     pub(crate) async fn commit(
         &mut self,
-        puts: &[(JobId, Bytes)],
+        rows: JobRows<'_>,
         figures: CommitFigures<'_>,
-    ) -> Result<Millis, OwnershipLost> {
-        let mut remaining = puts;
-        loop {
-            let (now, later) = remaining.split_at(batch_len(remaining));
-            let sent_at = self.commit_one(now, figures).await?;
-            if later.is_empty() {
-                return Ok(sent_at);
+    ) -> Result<Committed, OwnershipLost> {
+        let units = units(&self.pool, rows);
+        let mut batches: Vec<&[Unit<'_>]> = batches(&units);
+        batches.reverse();
+        let mut figures = figures;
+        let mut refused = BTreeSet::new();
+        let mut sent_at = self.clock.now();
+        while let Some(batch) = batches.pop() {
+            let accepted = batch.iter().filter(|unit| !refused.contains(unit.job));
+            let accepted: Vec<&Unit<'_>> = accepted.collect();
+            match self.commit_one(&accepted, figures).await? {
+                Ok(at) => sent_at = at,
+                Err(_) if batch.len() > 1 => {
+                    let (first, second) = batch.split_at(batch.len() / 2);
+                    batches.extend([second, first]);
+                }
+                Err(Refused(reason)) => {
+                    // Only what the store accepts without the job's rows is refused because of them.
+                    let alone = self.commit_one(&[], figures).await?;
+                    match (alone, accepted.first()) {
+                        (Ok(at), Some(unit)) => {
+                            sent_at = at;
+                            self.log_refused(unit, &reason);
+                            refused.insert(unit.job.clone());
+                        }
+                        (Ok(at), None) => sent_at = at,
+                        (Err(_), _) if figures.wanted.is_some() || figures.load.is_some() => {
+                            error!(pool = &*self.pool, error:% = reason; "store refuses the published figures of the pool");
+                            (figures.wanted, figures.load) = (None, None);
+                            batches.push(batch);
+                        }
+                        (Err(_), _) => {
+                            self.record_failure(&reason);
+                            self.retry.sleep().await;
+                            batches.push(batch);
+                        }
+                    }
+                }
             }
-            remaining = later;
         }
+        Ok(Committed { sent_at, refused })
+    }
+
+    fn log_refused(&self, unit: &Unit<'_>, reason: &Error) {
+        let values = unit
+            .writes
+            .iter()
+            .filter_map(|(_place, value)| value.as_ref());
+        let bytes = values.map(Bytes::len).max().unwrap_or(0);
+        error!(pool = &*self.pool, job:% = unit.job, bytes, error:% = reason; "store refuses the progress of a job");
     }
 
     async fn commit_one(
         &mut self,
-        puts: &[(JobId, Bytes)],
+        units: &[&Unit<'_>],
         figures: CommitFigures<'_>,
-    ) -> Result<Millis, OwnershipLost> {
+    ) -> Result<Result<Millis, Refused>, OwnershipLost> {
         self.number += 1;
-        let txn = self.txn(puts, figures);
+        let txn = self.txn(units, figures);
         loop {
             let sent_at = self.clock.now();
             let result = self.rows.commit(txn.clone()).await;
@@ -115,19 +187,20 @@
                 Ok(Commit::Committed(version)) => {
                     self.last_commit = version;
                     self.record_success();
-                    return Ok(sent_at);
+                    return Ok(Ok(sent_at));
                 }
                 Ok(Commit::Conflict(current)) => {
                     self.last_commit = self.committed_version(&current)?.ok_or(OwnershipLost)?;
-                    return Ok(sent_at);
+                    return Ok(Ok(sent_at));
                 }
                 Err(Error::Unknown(detail)) => {
                     self.record_failure(&detail);
                     if let Some(version) = self.read_outcome().await? {
                         self.last_commit = version;
-                        return Ok(sent_at);
+                        return Ok(Ok(sent_at));
                     }
                 }
+                Err(error @ Error::Invalid(_)) => return Ok(Err(Refused(error))),
                 Err(error) => {
                     self.record_failure(&error);
                     self.retry.sleep().await;
@@ -136,17 +209,21 @@
         }
     }
 
-    fn txn(&self, puts: &[(JobId, Bytes)], figures: CommitFigures<'_>) -> Txn {
+    fn txn(&self, units: &[&Unit<'_>], figures: CommitFigures<'_>) -> Txn {
         let record = CommitRecord {
             owner: self.token,
             number: self.number,
             queued: figures.queued.clone(),
         };
         let value = serde_json::to_vec(&record).expect("a commit record has text keys");
-        let progress = puts
-            .iter()
-            .map(|(id, value)| (row::progress(&self.pool, id), value.clone()));
-        let mut writes: Vec<(Place, Bytes)> = progress.collect();
+        let mut writes: Vec<(Place, Bytes)> = Vec::new();
+        let mut deletes = Vec::new();
+        for (place, value) in units.iter().flat_map(|unit| &unit.writes) {
+            match value {
+                Some(value) => writes.push((place.clone(), value.clone())),
+                None => deletes.push(place.clone()),
+            }
+        }
         writes.push((row::commit_record(&self.pool), value.into()));
         if let Some(wanted) = figures.wanted {
             let value = serde_json::to_vec(&wanted).expect("numbers serialize");
@@ -162,7 +239,7 @@
                 (row::commit_record(&self.pool), self.last_commit),
             ],
             puts: writes,
-            deletes: Vec::new(),
+            deletes,
         }
     }
 
@@ -243,13 +320,74 @@
     }
 }
 
-/// How many of `puts` fit into one transaction; at least one, if there are any.
-fn batch_len(puts: &[(JobId, Bytes)]) -> usize {
-    let mut bytes = 0;
-    let over = puts.iter().take(MAX_ROWS).position(|(_id, value)| {
-        bytes += value.len();
-        bytes > MAX_BYTES
+/// Writes of one job that belong into one transaction; a deletion has no value.
+struct Unit<'a> {
+    job: &'a JobId,
+    writes: Vec<(Place, Option<Bytes>)>,
+}
+
+impl Unit<'_> {
+    fn bytes(&self) -> usize {
+        let values = self
+            .writes
+            .iter()
+            .filter_map(|(_place, value)| value.as_ref());
+        values.map(Bytes::len).sum()
+    }
+}
+
+/// The writes for `rows`, in the order in which a part of them may be committed without the rest.
+fn units<'a>(pool: &Name, rows: JobRows<'a>) -> Vec<Unit<'a>> {
+    let JobRows { puts, overflow } = rows;
+    let mut units = Vec::with_capacity(puts.len());
+    for (job, change) in overflow {
+        units.extend(change.segments.iter().map(|(id, value)| Unit {
+            job,
+            writes: vec![(overflow::segment(pool, job, *id), Some(value.clone()))],
+        }));
+    }
+    for (job, value) in puts {
+        let mut writes = vec![(row::progress(pool, job), Some(value.clone()))];
+        let index = overflow.get(job).and_then(|change| change.index.clone());
+        writes.extend(index.map(|index| (overflow::index(pool, job), Some(index))));
+        units.push(Unit { job, writes });
+    }
+    for (job, change) in overflow {
+        let unneeded = change.unneeded.iter();
+        let mut unneeded: Vec<Place> = unneeded
+            .map(|id| overflow::segment(pool, job, *id))
+            .collect();
+        unneeded.extend(change.drop_index.then(|| overflow::index(pool, job)));
+        units.extend(unneeded.into_iter().map(|place| Unit {
+            job,
+            writes: vec![(place, None)],
+        }));
+    }
+    units
+}
+
+/// Divides units among transactions; at least one, which then has the figures alone.
+fn batches<'a, 'b>(units: &'a [Unit<'b>]) -> Vec<&'a [Unit<'b>]> {
+    let mut batches = Vec::new();
+    let mut remaining = units;
+    loop {
+        let (batch, later) = remaining.split_at(batch_len(remaining));
+        batches.push(batch);
+        if later.is_empty() {
+            return batches;
+        }
+        remaining = later;
+    }
+}
+
+/// How many of `units` fit into one transaction; at least one, if there are any.
+fn batch_len(units: &[Unit<'_>]) -> usize {
+    let (mut rows, mut bytes) = (0, 0);
+    let over = units.iter().position(|unit| {
+        rows += unit.writes.len();
+        bytes += unit.bytes();
+        rows > MAX_ROWS || bytes > MAX_BYTES
     });
-    over.unwrap_or(puts.len().min(MAX_ROWS))
-        .max(usize::from(!puts.is_empty()))
+    over.unwrap_or(units.len())
+        .max(usize::from(!units.is_empty()))
 }
--- a/crates/owner/src/load.rs
+++ b/crates/owner/src/load.rs
@@ -7,7 +7,10 @@
 };
 use primroseroute_cell::{
     Cell,
-    row::{self, Accepted, JobKey, Progress},
+    row::{
+        self, Accepted, JobKey, Progress,
+        overflow::{self, Overflow, WorkKey},
+    },
 };
 use primroseroute_domain::work::{JobId, Name};
 use primroseroute_platform::{
@@ -45,19 +48,25 @@
         .iter()
         .find(|row| &*row.place.key == row::COMMIT_RECORD);
     let last_commit = last_commit.map_or(0, |row| row.version);
-    let mut progress: BTreeMap<JobId, Progress> = BTreeMap::new();
-    for row in &work {
-        if let Some(id) = JobId::parse(&row.place.key)
-            && let Some(read) = parse(row)
-        {
-            progress.insert(id, read);
-        }
-    }
+    let WorkRows {
+        mut progress,
+        mut overflow,
+    } = sort_work(work);
     for (id, accepted) in jobs.accepted {
+        let stored = overflow.remove(&id);
         match progress.remove(&id) {
-            Some(progress) => cell.restore(id, accepted, progress),
-            None => cell.accept(id, accepted),
+            Some(own) => {
+                let progress = whole_progress(&id, &accepted, own, stored.as_ref());
+                cell.restore(id.clone(), accepted, progress);
+            }
+            None => cell.accept(id.clone(), accepted),
         }
+        if let Some(stored) = stored {
+            cell.set_stored_overflow(id, stored);
+        }
+    }
+    for (id, stored) in overflow {
+        cell.set_stored_overflow(id, stored);
     }
     let mut cancels = CancelTracker::new(pool);
     cancels.apply_found(cell, &jobs.cancelled, clock.wall_ms());
@@ -68,6 +77,57 @@
     })
 }
 
+/// A pool's progress, as its owners have written it.
+#[derive(Debug, Default)]
+struct WorkRows {
+    progress: BTreeMap<JobId, Progress>,
+    overflow: BTreeMap<JobId, Overflow>,
+}
+
+fn sort_work(rows: Vec<Row>) -> WorkRows {
+    let mut work = WorkRows::default();
+    for row in rows {
+        let Some(value) = &row.value else {
+            continue;
+        };
+        match WorkKey::parse(&row.place.key) {
+            Some(WorkKey::Progress(id)) => {
+                if let Some(read) = parse(&row) {
+                    work.progress.insert(id, read);
+                }
+            }
+            Some(WorkKey::Index(id)) => {
+                work.overflow.entry(id).or_default().index = Some(value.clone());
+            }
+            Some(WorkKey::Segment(id, segment)) => {
+                let stored = work.overflow.entry(id).or_default();
+                stored.segments.insert(segment, value.clone());
+            }
+            None => {}
+        }
+    }
+    work
+}
+
+/// The progress of a job; rows besides its own that can't be parsed are logged and left out.
+fn whole_progress(
+    id: &JobId,
+    accepted: &Accepted,
+    own: Progress,
+    stored: Option<&Overflow>,
+) -> Progress {
+    let Some(stored) = stored else {
+        return own;
+    };
+    match overflow::decode(accepted, own.clone(), stored) {
+        Ok(whole) => whole,
+        Err(error) => {
+            log::error!(job:% = id, error:% = error; "ignoring rows of a job that can't be parsed");
+            own
+        }
+    }
+}
+
 /// A pool's jobs, as gateways have written them.
 #[derive(Debug, Default)]
 pub(crate) struct JobRows {
--- a/crates/owner/src/observe.rs
+++ b/crates/owner/src/observe.rs
@@ -38,6 +38,9 @@
     /// How many workers of a pool are slow.
     fn slow_workers(&self, pool: &Name, workers: usize);
 
+    /// How many jobs of a pool are held since the store refuses their progress.
+    fn held_jobs(&self, pool: &Name, jobs: usize);
+
     /// So many runs are moved off slow workers of a pool.
     fn runs_moved(&self, pool: &Name, runs: usize);
 
@@ -70,6 +73,8 @@
     fn expected_waits(&self, _pool: &Name, _within: Duration, _beyond: Duration) {}
     fn jobs_queued(&self, _queue: &Name, _jobs: u64) {}
     fn slow_workers(&self, _pool: &Name, _workers: usize) {}
+
+    fn held_jobs(&self, _pool: &Name, _jobs: usize) {}
     fn runs_moved(&self, _pool: &Name, _runs: usize) {}
     fn commit_finished(&self, _took: Duration) {}
     fn jobs_feed_age(&self, _pool: &Name, _ago: Duration) {}
--- a/crates/owner/src/pool_loop/mod.rs
+++ b/crates/owner/src/pool_loop/mod.rs
@@ -9,7 +9,7 @@
     budgets::Budgets,
     cancels::CancelTracker,
     cleanup::delete_rows,
-    commit::{CommitFigures, CommitSequence, OwnershipLost},
+    commit::{CommitFigures, CommitSequence, Committed, JobRows, OwnershipLost},
     evacuations::PoolStatus,
     event::Event,
     follow::{FeedTiming, follow},
@@ -233,6 +233,7 @@
         } = &self.context;
         let ago = clock.now().saturating_sub(self.cell.feed_watermark());
         observer.jobs_feed_age(pool, Duration::from_millis(ago));
+        observer.held_jobs(pool, self.cell.held_jobs());
         observer.round_finished(pool, round);
     }
 
@@ -328,7 +329,8 @@
         let load = self.due_load();
         let Context { observer, pool, .. } = &self.context;
         observer.demand(pool, round.scaling.running.cpu, round.scaling.waiting.cpu);
-        let sent_at = if !round.puts.is_empty() || counts || publish || load.is_some() {
+        let has_rows = !round.puts.is_empty() || !round.overflow.is_empty();
+        let sent_at = if has_rows || counts || publish || load.is_some() {
             let queued = self.cell.queued().clone();
             for (queue, jobs) in &queued {
                 self.context.observer.jobs_queued(queue, *jobs);
@@ -338,11 +340,18 @@
                 wanted: publish.then_some(wanted),
                 load: load.as_ref(),
             };
+            let rows = JobRows {
+                puts: &round.puts,
+                overflow: &round.overflow,
+            };
             let begin = Instant::now();
-            let sent_at = self
-                .handle_events_during(commits.commit(&round.puts, figures))
+            let Committed { sent_at, refused } = self
+                .handle_events_during(commits.commit(rows, figures))
                 .await?;
             self.context.observer.commit_finished(begin.elapsed());
+            if !refused.is_empty() {
+                self.cell.record_refused(&mut round, &refused, clock.now());
+            }
             if publish {
                 let inflow = self.cell.largest_inflow();
                 let registered = self.registered.len();
--- a/crates/serve/src/metered.rs
+++ b/crates/serve/src/metered.rs
@@ -84,6 +84,10 @@
         self.0.slow_workers(pool, workers as u64);
     }
 
+    fn held_jobs(&self, pool: &Name, jobs: usize) {
+        self.0.held_jobs(pool, jobs as u64);
+    }
+
     fn runs_moved(&self, pool: &Name, runs: usize) {
         self.0.runs_moved(pool, runs as u64);
     }
--- a/crates/standin/src/site/caller/mod.rs
+++ b/crates/standin/src/site/caller/mod.rs
@@ -284,6 +284,7 @@
                 error
             }
         })?;
+        self.shared.state.lock().store.validate(&txn)?;
         self.record_commit(&txn);
         match self.draw_commit_delivery() {
             Delivery::Responded => {
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -214,6 +214,12 @@
         });
     }
 
+    /// Makes the store refuse rows whose keys begin with `prefix`; none from then on if it is none.
+    pub fn refuse_rows(&self, prefix: Option<&str>) {
+        self.shared
+            .change(|state, _now| state.store.refused_prefix = prefix.map(Name::from));
+    }
+
     /// Counts of the reads and feeds of the store so far.
     pub fn reads(&self) -> Calls {
         self.shared.state.lock().reads.calls
--- a/crates/standin/src/site/store.rs
+++ b/crates/standin/src/site/store.rs
@@ -1,9 +1,21 @@
 //! The partitioned table.
 
 use primroseroute_domain::work::Name;
-use primroseroute_platform::rows::{Commit, Feed, Page, Place, Range, Row, Txn, Version};
+use primroseroute_platform::{
+    Error,
+    rows::{Commit, Feed, Page, Place, Range, Row, Txn, Version},
+};
 use std::collections::BTreeMap;
 
+/// Maximum number of entries of a transaction.
+const MAX_ENTRIES: usize = 100;
+
+/// Maximum length of a value in bytes.
+const MAX_VALUE_BYTES: usize = 65_536;
+
+/// Maximum length of all values of a transaction in bytes.
+const MAX_TXN_BYTES: usize = 750_000;
+
 #[derive(Debug, Default)]
 pub(crate) struct Store {
     version: Version,
@@ -11,6 +23,8 @@
     compacted_version: Version,
     rows: BTreeMap<Place, Row>,
     history: Vec<Row>,
+    /// Rows whose keys begin so are refused.
+    pub refused_prefix: Option<Name>,
 }
 
 impl Store {
@@ -41,6 +55,28 @@
         })
     }
 
+    /// Rejects a transaction that is invalid whatever the rows are.
+    pub(crate) fn validate(&self, txn: &Txn) -> Result<(), Error> {
+        let entries = txn.conditions.len() + txn.puts.len() + txn.deletes.len();
+        if entries > MAX_ENTRIES {
+            return Err(Error::Invalid(format!("{entries} entries")));
+        }
+        let lengths = txn.puts.iter().map(|(_place, value)| value.len());
+        let total: usize = lengths.clone().sum();
+        if total > MAX_TXN_BYTES {
+            return Err(Error::Invalid(format!("{total} bytes")));
+        }
+        if let Some(longest) = lengths.max().filter(|length| *length > MAX_VALUE_BYTES) {
+            return Err(Error::Invalid(format!("value of {longest} bytes")));
+        }
+        let prefix = self.refused_prefix.as_deref();
+        let refused = |place: &Place| prefix.is_some_and(|prefix| place.key.starts_with(prefix));
+        if txn.puts.iter().any(|(place, _value)| refused(place)) {
+            return Err(Error::Invalid("key is refused".into()));
+        }
+        Ok(())
+    }
+
     pub(crate) fn commit(&mut self, txn: &Txn) -> Commit {
         let current: Vec<Row> = txn
             .conditions
--- a/crates/telemetry/src/site.rs
+++ b/crates/telemetry/src/site.rs
@@ -36,6 +36,7 @@
     expected_wait: Gauge<u64>,
     queued_jobs: Gauge<u64>,
     slow_workers: Gauge<u64>,
+    held_jobs: Gauge<u64>,
     runs_moved: Counter<u64>,
     commit_seconds: Histogram<f64>,
     jobs_read_seconds: Histogram<f64>,
@@ -119,6 +120,10 @@
             ),
             queued_jobs: gauge("queued_jobs", "Jobs of which no task has started, by queue"),
             slow_workers: gauge("slow_workers", "Workers that are slow, by pool"),
+            held_jobs: gauge(
+                "held_jobs",
+                "Jobs whose progress the store refuses, by pool",
+            ),
             runs_moved: counter(
                 "runs_moved",
                 "Runs that were stopped on slow workers to be started elsewhere, by pool",
@@ -239,6 +244,11 @@
             .record(workers, &[named("pool", Some(pool))]);
     }
 
+    /// How many jobs of a pool are held since the store refuses their progress.
+    pub fn held_jobs(&self, pool: &Name, jobs: u64) {
+        self.held_jobs.record(jobs, &[named("pool", Some(pool))]);
+    }
+
     /// Counts runs that are moved off slow workers of a pool.
     pub fn runs_moved(&self, pool: &Name, runs: u64) {
         self.runs_moved.add(runs, &[named("pool", Some(pool))]);
--- a/crates/telemetry/tests/all/site.rs
+++ b/crates/telemetry/tests/all/site.rs
@@ -23,6 +23,7 @@
     meter.demand(&"stay".into(), 5_000, 800);
     meter.expected_waits(&"stay".into(), duration, 2 * duration);
     meter.slow_workers(&"stay".into(), 2);
+    meter.held_jobs(&"stay".into(), 1);
     meter.runs_moved(&"stay".into(), 3);
     meter.jobs_queued(&queue, 7);
     meter.commit_finished(duration);
@@ -52,6 +53,7 @@
         "primroseroute_waiting_millicores{pool=\"stay\"} 800",
         "primroseroute_expected_wait_milliseconds{entitlement=\"within\",pool=\"stay\"} 3",
         "primroseroute_slow_workers{pool=\"stay\"} 2",
+        "primroseroute_held_jobs{pool=\"stay\"} 1",
         "primroseroute_runs_moved_total{pool=\"stay\"} 3",
         "primroseroute_expected_wait_milliseconds{entitlement=\"beyond\",pool=\"stay\"} 6",
         "primroseroute_queued_jobs{queue=\"holds\"} 7",
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -15,6 +15,7 @@
 mod fixture;
 mod inspect;
 mod log_capture;
+mod long_rows;
 mod maintain;
 mod membership;
 mod metrics;
