--- a/crates/owner/src/holder.rs
+++ b/crates/owner/src/holder.rs
@@ -8,9 +8,10 @@
 //! # Why a holder that was replaced does no harm
 //!
 //! Before each order it reads its own row and finds its own version there, and issues the order
-//! within [`PROOF_MAX_AGE`] of sending that read, or not at all. So its last order goes out less than
-//! [`PROOF_MAX_AGE`] after its replacement, and its successor issues none before the minimum time and
-//! [`SLACK`] have passed.
+//! within [`PROOF_MAX_AGE`] of sending that read, or not at all. An order that isn't answered within
+//! [`ORDER_TIMEOUT`] is given up, and what hasn't arrived of it by then never does. So its last order
+//! arrives less than the sum of both after its replacement, whether or not instances check fencing
+//! tokens, and its successor issues none before the minimum time and [`SLACK`] have passed.
 //!
 //! Nor does an owner that was replaced, or has changed its decision: at the same time a commit on
 //! the condition of the owner's row and of the row with its request proves that the request is
@@ -42,8 +43,11 @@
 /// issued; this covers a store that is twenty times slower than usual.
 const PROOF_MAX_AGE: Duration = Duration::from_millis(400);
 
+/// Time after which an order without an answer is given up.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+
 const _: () = assert!(
-    PROOF_MAX_AGE.as_millis() < SLACK.as_millis(),
+    PROOF_MAX_AGE.as_millis() + ORDER_TIMEOUT.as_millis() < SLACK.as_millis(),
     "a successor must wait for longer than its predecessor's last order can take"
 );
 
@@ -258,10 +262,12 @@
         let by = &holder;
         let orders = request.orders.orders.iter();
         let orders = orders.map(|(instance, order)| async move {
-            let result = match order {
-                Order::Move(to) => site.relocate(instance, to, by).await,
-                Order::Maintain(wave) => site.maintain(instance, *wave, by).await,
+            let given = match order {
+                Order::Move(to) => site.relocate(instance, to, by),
+                Order::Maintain(wave) => site.maintain(instance, *wave, by),
             };
+            let result = timeout(ORDER_TIMEOUT, given).await;
+            let result = result.unwrap_or_else(|elapsed| Err(Error::Unknown(elapsed.to_string())));
             (Name::clone(instance), result)
         });
         let mut results = BTreeMap::new();
--- a/crates/owner/src/order_requests.rs
+++ b/crates/owner/src/order_requests.rs
@@ -100,7 +100,7 @@
     /// Those of the write; the instances must not be used before it succeeds.
     pub(crate) async fn withdraw(&mut self) -> Result<(), Error> {
         if self.may_be_open && self.write(BTreeMap::new()).await?.is_some() {
-            // Orders that were proven valid before the withdrawal go out within this time.
+            // Orders that were proven valid before the withdrawal arrive within this time.
             sleep(SLACK).await;
             self.may_be_open = false;
         }
--- a/crates/owner/src/rest.rs
+++ b/crates/owner/src/rest.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 /// Margin on the minimum time between the orders of two holders, for the time in which an order of
-/// a replaced holder may still go out.
-pub const SLACK: Duration = Duration::from_millis(500);
+/// a replaced holder may still arrive.
+pub const SLACK: Duration = Duration::from_millis(1_300);
 
 /// When the instances of a group may be ordered by its new holder.
 ///
--- a/crates/platform/src/site.rs
+++ b/crates/platform/src/site.rs
@@ -221,6 +221,9 @@
 
     /// Starts maintenance of an instance immediately; everything that runs on it is terminated.
     ///
+    /// Dropping the call takes the order back if it hasn't arrived: instances may not check fencing tokens, and it must
+    /// not be carried out after a later holder's.
+    ///
     /// # Errors
     /// [`Error::Unknown`] if the order may have been carried out.
     async fn maintain(
@@ -232,6 +235,8 @@
 
     /// Moves an instance to another pool immediately; everything that runs on it is terminated.
     ///
+    /// Dropping the call takes the order back if it hasn't arrived, as for [`Self::maintain`].
+    ///
     /// # Errors
     /// [`Error::Unknown`] if the order may have been carried out.
     async fn relocate(
--- a/tests/site/moves.rs
+++ b/tests/site/moves.rs
@@ -8,10 +8,11 @@
     },
 };
 use eyre::{Result, ensure, eyre};
+use primroseroute_cell::row;
 use primroseroute_domain::work::{Demand, Job, Name, State, Step};
 use primroseroute_platform::site::{InstanceState, Instruction};
 use primroseroute_standin::site::{Event, Reach};
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 use tokio::time::sleep;
 
 /// Seconds, longer than the time for which a pool without any jobs keeps its initial instances.
@@ -26,6 +27,8 @@
     moves_respect_the_platforms_rate_limit => rate();
     order_that_was_written_slowly_is_not_given => slow_store();
     suspended_owner_moves_nothing_after_its_replacement => owner_suspended();
+    /// Guards against an order that is held up and carried out after the orders of its holder's successor.
+    held_up_order_is_given_up_before_a_successor_orders => held_up();
     instance_moves_again_without_a_pause => moves_again();
     released_groups_resume_at_once => released();
     new_owner_moves_nothing_under_long_running_tasks => taken_over();
@@ -405,3 +408,45 @@
         .await?;
     fixture.check_invariants()
 }
+
+/// An entry other than the owner of the pool that holds a group with a standby instance.
+async fn holder_of_standby_instance(fixture: &Fixture) -> Result<String> {
+    let owner = fixture.owner(POOL).await?;
+    for number in 0..4 {
+        let holder = fixture.owner(&row::group(&format!("s-{number}"))).await?;
+        if holder != owner {
+            return Ok(holder);
+        }
+    }
+    Err(eyre!("the pool's owner holds all groups"))
+}
+
+async fn held_up() -> Result<()> {
+    let mut fixture = Fixture::open_with_standby(128, 3, 2).await?;
+    sleep_secs(6).await;
+    let holder = holder_of_standby_instance(&fixture).await?;
+    let owner = fixture.owner(POOL).await?;
+    fixture.update_faults(&holder, |faults| {
+        faults.instance_order_delay = Duration::from_secs(11);
+    });
+    for _job in 0..12 {
+        fixture.submit(&owner, &job("20000", 4)).await?;
+    }
+    sleep(Duration::from_millis(600)).await;
+    fixture.update_faults(&holder, |faults| faults.store = Reach::Silent);
+    sleep_secs(18).await;
+    let mut newest: BTreeMap<Name, u64> = BTreeMap::new();
+    for event in fixture.world.journal().events {
+        if let Event::Moved {
+            instance, token, ..
+        } = event
+        {
+            let known = newest.entry(Name::clone(&instance)).or_default();
+            ensure!(*known < token, "{instance}: {token} after {known}");
+            *known = token;
+        }
+    }
+    let up = instances_up(&fixture, POOL);
+    ensure!(up == 6, "{up} are up");
+    fixture.check_invariants()
+}
