Cell: a refused deletion of left-over rows holds no job

A job that has ended and whose rows besides its own are deleted after a takeover was counted as held for good if the store refused the deletion: nothing of it is put again, which would release it. It is left to the next owner. Tests of the cell pass.

--- a/crates/cell/src/hold.rs
+++ b/crates/cell/src/hold.rs
@@ -18,10 +18,10 @@
 /// Time after which refused rows are tried again.
 const RETRY_AFTER: Millis = 5_000;
 
-/// A job whose rows are refused.
+/// A job that is held.
 #[derive(Clone, Debug)]
 pub(crate) struct Hold {
-    /// When they are tried again.
+    /// When its rows are tried again.
     retry_at: Millis,
     /// The last row of a job that has ended.
     last: Option<Bytes>,
@@ -39,13 +39,15 @@
         for id in refused {
             let put = output.puts.iter().find(|(of, _row)| of == id);
             let change = output.overflow.get(id);
-            let last = match self.jobs.get_mut(id) {
-                Some(job) => {
+            let last = match (self.jobs.get_mut(id), put) {
+                (Some(job), _) => {
                     job.overflow.record_uncertain(change);
                     self.dirty.insert(id.clone());
                     None
                 }
-                None => put.map(|(_id, row)| row.clone()),
+                (None, Some((_id, row))) => Some(row.clone()),
+                // Rows that were left over from an ended job; a successor deletes them.
+                (None, None) => continue,
             };
             let retry_at = now + RETRY_AFTER;
             self.holds.insert(id.clone(), Hold { retry_at, last });
@@ -59,7 +61,7 @@
         }
     }
 
-    /// Releases the jobs whose rows that are committed now, and ends that are.
+    /// Releases the jobs whose rows are committed now, and forgets the ends that are.
     pub(crate) fn settle(&mut self, output: &RoundOutput) {
         for (id, _row) in &output.puts {
             self.holds.remove(id);
