Budgets: a write that the store refuses is divided, and only the refused account waits

What callers would see: jobs of accounts with a maximum stay pending in a pool where they have no room yet, since the store rejects the budget of one account, or all of them together, as invalid.

Cause: the owner of a pool writes up to 45 budgets by one transaction and sends it until it is accepted, whatever the error is. Nothing else is written meanwhile. Budgets grow with the number of pools: from about 270 pools on, 45 of them are longer than a transaction may be (worked out).

Change: a rejected write is not repeated; the next one has half as many budgets, and an account whose budget alone is refused is left out for 5 s, with a log line. No budget is added to a write that has 500,000 bytes.

Test: `refused_budget_holds_only_its_account` in tests/site/accounts.rs fails on (the job of another account is pending after 4 s) and passes now, as do the other 21 of that module.

--- a/crates/owner/src/budgets.rs
+++ b/crates/owner/src/budgets.rs
@@ -6,7 +6,7 @@
     follow::Source,
 };
 use async_trait::async_trait;
-use log::{debug, info, warn};
+use log::{debug, error, info, warn};
 use primroseroute_accounts::{
     budget::{Budget, Usage, User, is_limited},
     meter::{Limit, Meter},
@@ -32,6 +32,13 @@
 /// Maximum budgets per write; each takes two of the 100 entries of a transaction.
 const MAX_BUDGETS: usize = 45;
 
+/// Length of the values of a write in bytes from which on no budget is added. Budgets grow with the
+/// number of pools; the store accepts 1 MB, in base64.
+const MAX_BYTES: usize = 500_000;
+
+/// Time after which a budget that the store refuses is written again.
+const REFUSED_RETRY_MS: Millis = 5_000;
+
 /// First and longest delay before a write is retried.
 const RETRY_DELAYS: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(400)];
 
@@ -79,6 +86,8 @@
     Committed(Version),
     /// None is written: some had changed, and these are the current rows.
     Conflict(Vec<Row>),
+    /// None is written: the store rejects the write as invalid.
+    Refused(Error),
 }
 
 /// The budgets of one owner's pool.
@@ -91,6 +100,10 @@
     /// What is being written. It restricts this owner already, and entitles it to nothing yet.
     pending: Option<BTreeMap<Name, Budget>>,
     written_at: Option<Millis>,
+    /// Maximum budgets of the next write; fewer after one that the store has refused.
+    batch_limit: usize,
+    /// Accounts whose budgets the store refuses, with the time at which they are written again.
+    refused_until: BTreeMap<Name, Millis>,
     /// Accounts with tasks that their limit keeps from starting.
     refused: BTreeSet<Name>,
 }
@@ -103,6 +116,8 @@
             known: None,
             pending: None,
             written_at: None,
+            batch_limit: MAX_BUDGETS,
+            refused_until: BTreeMap::new(),
             refused: BTreeSet::new(),
         }
     }
@@ -182,9 +197,15 @@
         };
         let mut pending = BTreeMap::new();
         let mut txn = Txn::default();
+        let mut bytes = 0;
         for account in &configuration.accounts {
             let found = known.get(&account.name);
-            if pending.len() >= MAX_BUDGETS || (found.is_none() && !is_limited(account.maximum)) {
+            let is_full = pending.len() >= self.batch_limit || bytes >= MAX_BYTES;
+            let refused_until = self.refused_until.get(&account.name);
+            if is_full
+                || refused_until.is_some_and(|until| now < *until)
+                || (found.is_none() && !is_limited(account.maximum))
+            {
                 continue;
             }
             let user = self.user(configuration, account);
@@ -204,6 +225,7 @@
             let place = row::budget(&account.name);
             let version = found.map_or(0, |(version, _budget)| *version);
             let value = serde_json::to_vec(&next).expect("a budget has text keys");
+            bytes += value.len();
             txn.conditions.push((place.clone(), version));
             txn.puts.push((place, value.into()));
             pending.insert(Name::clone(&account.name), next);
@@ -217,12 +239,14 @@
     }
 
     /// Records the outcome of a write.
-    pub(crate) fn record_written(&mut self, written: Written) {
+    pub(crate) fn record_written(&mut self, written: Written, now: Millis) {
         let pending = self.pending.take().unwrap_or_default();
         match written {
             Written::Committed(version) => {
+                self.batch_limit = MAX_BUDGETS.min(self.batch_limit * 2);
                 let known = self.known.get_or_insert_default();
                 for (account, budget) in pending {
+                    self.refused_until.remove(&account);
                     known.insert(account, (version, budget));
                 }
             }
@@ -231,6 +255,14 @@
                 self.written_at = None;
                 self.apply(&rows);
             }
+            Written::Refused(reason) => {
+                self.batch_limit = (pending.len() / 2).max(1);
+                if let Some(account) = pending.keys().next().filter(|_| pending.len() == 1) {
+                    error!(pool = &*self.pool, account = &**account, error:% = reason; "store refuses the budget of an account");
+                    let until = now + REFUSED_RETRY_MS;
+                    self.refused_until.insert(Name::clone(account), until);
+                }
+            }
         }
     }
 
@@ -294,6 +326,7 @@
         match rows.commit(txn.clone()).await {
             Ok(Commit::Committed(version)) => break Written::Committed(version),
             Ok(Commit::Conflict(rows)) => break Written::Conflict(rows),
+            Err(error @ Error::Invalid(_)) => break Written::Refused(error),
             Err(error) if !std::mem::replace(&mut is_failing, true) => {
                 warn!(pool = &*pool, error:% = error; "budgets not written yet");
             }
--- a/crates/owner/src/pool_loop/events.rs
+++ b/crates/owner/src/pool_loop/events.rs
@@ -34,7 +34,7 @@
             }
             Event::BudgetsWritten(written) => {
                 if let Some(budgets) = &mut self.budgets {
-                    budgets.record_written(written);
+                    budgets.record_written(written, now);
                 }
             }
             Event::FeedWatermark(at) => self.cell.advance_feed_watermark(at),
--- a/tests/site/accounts.rs
+++ b/tests/site/accounts.rs
@@ -43,6 +43,8 @@
     task_that_its_account_keeps_waiting_stops_no_others => preempts_nothing();
     task_beyond_the_maximum_runs => large_task();
     jobs_of_an_account_that_is_removed_complete => removed();
+    /// Guards against a budget that the store refuses keeping those of all other accounts from being written.
+    refused_budget_holds_only_its_account => refused_budget();
 }
 
 /// A site with two accounts, of which one may use 16 cores, and room for three times that.
@@ -413,3 +415,25 @@
     ensure!(progress.state == State::Completed, "{:?}", progress.state);
     Ok(())
 }
+
+async fn refused_budget() -> Result<()> {
+    let maximums = [("refused", 16_000), ("small", 16_000)];
+    let options = Options::default();
+    let mut fixture = Fixture::open_on(configuration(1, POOL), options, &[250; 3], 3).await?;
+    fixture.world.refuse_rows(Some("refused"));
+    fixture.publish(accounts(2, &maximums));
+    sleep_secs(2).await;
+    fixture.key = Some("refused".into());
+    let refused = fixture.submit("e-0", &job("500", 2)).await?;
+    fixture.key = Some("small".into());
+    let other = fixture.submit("e-0", &job("500", 2)).await?;
+    fixture
+        .wait_for_state("e-1", &other, State::Completed, 4)
+        .await?;
+    fixture.world.refuse_rows(None);
+    fixture.key = Some("refused".into());
+    fixture
+        .wait_for_state("e-1", &refused, State::Completed, 8)
+        .await?;
+    fixture.check_invariants()
+}
