Cell: the bound on unfinished occurrences is worked out for due occurrences only

`Job::begin_due` summed the tasks of each job's steps in each round, also of jobs without a schedule and of those whose next occurrence isn't due. It does so only where one is due now. The result is the same.

Checked: formatter, linter, the 194 tests of the cell, and 66 of tests/site (long rows, metrics, takeovers, moves, accepting) pass.

--- a/crates/cell/src/job.rs
+++ b/crates/cell/src/job.rs
@@ -246,13 +246,11 @@
     /// there were any.
     pub(crate) fn begin_due(&mut self, wall_ms: u64) -> bool {
         let before = self.progress.next;
-        let most = self.accepted.job.max_open_occurrences();
-        while self.progress.next < self.accepted.job.occurrences()
-            && self.progress.steps.len() < most
-        {
+        while self.progress.next < self.accepted.job.occurrences() {
             let due = self.accepted.job.schedule;
             let due = due.map_or(0, |schedule| schedule.due_ms(self.progress.next));
-            if due > wall_ms {
+            let most = || self.accepted.job.max_open_occurrences();
+            if due > wall_ms || self.progress.steps.len() >= most() {
                 break;
             }
             self.progress
--- a/tests/site/metrics.rs
+++ b/tests/site/metrics.rs
@@ -54,7 +54,6 @@
     fn expected_waits(&self, _pool: &Name, _within: Duration, _beyond: Duration) {}
     fn jobs_queued(&self, _queue: &Name, _jobs: u64) {}
     fn slow_workers(&self, _pool: &Name, _workers: usize) {}
-
     fn held_jobs(&self, _pool: &Name, _jobs: usize) {}
     fn runs_moved(&self, _pool: &Name, _runs: usize) {}
     fn commit_finished(&self, _took: Duration) {}
