--- a/review/standins-2/late.rs
+++ b/review/standins-2/late.rs
@@ -4,6 +4,7 @@
     record::Record,
     site::{CANCEL, CONTACT, SERVICES, Site, job},
     store::{Fate, Store},
+    workers::KIND,
 };
 use std::{
     sync::{
@@ -85,7 +86,7 @@
         }
         Fate::Lost(Duration::from_millis(late))
     }));
-    let site = Site::start(store, Arc::clone(record), 4, 3)?;
+    let site = Site::start(store, Arc::clone(record), (4, KIND), 3)?;
     thread::sleep(Duration::from_secs(6));
     if trouble {
         record.line("the store begins to lose answers");
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod json;
 mod late;
+mod moved;
 mod reborn;
 mod record;
 mod silent;
@@ -29,6 +30,7 @@
     let result = match case.as_str() {
         "silent" => silent::play(&record, trouble),
         "reborn" => reborn::play(&record, trouble),
+        "moved" => moved::play(&record, trouble),
         "late" => late::play(&record, trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standins-2/reborn.rs
+++ b/review/standins-2/reborn.rs
@@ -22,7 +22,7 @@
 
 pub fn play(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>, String> {
     let store = Store::new(Box::new(|_places| Fate::Answered));
-    let site = Site::start(store, Arc::clone(record), 3, 3)?;
+    let site = Site::start(store, Arc::clone(record), (3, KIND), 3)?;
     thread::sleep(Duration::from_secs(6));
     let jobs: Vec<String> = thread::scope(|scope| {
         for service in &SERVICES[..CUT_WORKERS] {
@@ -34,7 +34,7 @@
                     site.record
                         .line(&format!("worker {} is cut off from the store", worker.id));
                     worker.set_cut(true);
-                    worker.restart(DOWN, "kind-b");
+                    worker.restart(DOWN, "kind-b", false);
                     thread::sleep(CUT - DOWN);
                     worker.set_cut(false);
                     site.record
--- a/review/standins-2/silent.rs
+++ b/review/standins-2/silent.rs
@@ -4,6 +4,7 @@
     record::Record,
     site::{self, CONFIG_APPLY, CONTACT, SERVICES, Site, job},
     store::{Fate, Store},
+    workers::KIND,
 };
 use std::{sync::Arc, thread, time::Duration};
 
@@ -31,7 +32,7 @@
 
 pub fn play(record: &Arc<Record>, trouble: bool) -> Result<Vec<String>, String> {
     let store = Store::new(Box::new(|_places| Fate::Answered));
-    let site = Site::start(store, Arc::clone(record), 4, 6)?;
+    let site = Site::start(store, Arc::clone(record), (4, KIND), 6)?;
     for (number, service) in SERVICES.iter().enumerate() {
         let path = format!("/{service}/00000000000000a{number}");
         let status = site.call(number, "POST", &path, &job("lasts", 4, true), WAIT);
--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -153,7 +153,7 @@
     pub fn start(
         store: Arc<Store>,
         record: Arc<Record>,
-        workers: usize,
+        workers: (usize, &'static str),
         entries: u8,
     ) -> Result<Self, String> {
         let pid = std::process::id();
@@ -200,7 +200,8 @@
         }
         site.wait_ready()?;
         site.record.line(&format!(
-            "{entries} entries ready, {workers} workers in each pool"
+            "{entries} entries ready, {} workers in each pool",
+            workers.0
         ));
         Ok(site)
     }
--- a/review/standins-2/workers.rs
+++ b/review/standins-2/workers.rs
@@ -10,7 +10,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, Mutex, Weak,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -83,6 +83,44 @@
     down: AtomicBool,
     /// Whether it doesn't reach the store.
     cut: AtomicBool,
+    /// Where it listens.
+    door: Mutex<Arc<Door>>,
+}
+
+/// A listening address of a worker.
+struct Door {
+    address: Mutex<SocketAddr>,
+    closed: AtomicBool,
+    worker: Weak<Worker>,
+}
+
+impl Door {
+    /// Opens a port for a worker; `at` has port 0.
+    fn open(worker: Weak<Worker>, at: SocketAddr) -> Arc<Self> {
+        let door = Arc::new(Self {
+            address: Mutex::new(at),
+            closed: AtomicBool::new(false),
+            worker,
+        });
+        let bound = http::serve(at, Arc::clone(&door) as _).expect("a free loopback port");
+        *door.address.lock().expect("no holder panics") = bound;
+        door
+    }
+
+    fn address(&self) -> SocketAddr {
+        *self.address.lock().expect("no holder panics")
+    }
+}
+
+impl Handler for Door {
+    fn serve(&self, request: Request, connection: u64) -> Reply {
+        match self.worker.upgrade() {
+            Some(worker) if !self.closed.load(Ordering::SeqCst) => {
+                worker.serve(request, connection)
+            }
+            _ => Reply::Close,
+        }
+    }
 }
 
 /// What a worker does with a task, from its `Spec`: `lasts`, or `takes MS`.
@@ -96,6 +134,10 @@
         *self.life.lock().expect("no holder panics")
     }
 
+    fn address(&self) -> SocketAddr {
+        self.door.lock().expect("no holder panics").address()
+    }
+
     fn clock_ms(&self) -> u64 {
         1_000 + self.life().begin.elapsed().as_millis() as u64
     }
@@ -105,12 +147,18 @@
         self.cut.store(cut, Ordering::SeqCst);
     }
 
-    /// Crashes, and starts again under the same id and at the same address, as another kind.
-    pub fn restart(&self, pause: Duration, kind: &'static str) {
+    /// Crashes, and starts again under the same id; `moves` says whether at another port.
+    pub fn restart(self: &Arc<Self>, pause: Duration, kind: &'static str, moves: bool) {
         self.down.store(true, Ordering::SeqCst);
         *self.state.lock().expect("no holder panics") = State::default();
         self.record.line(&format!("worker {} crashes", self.id));
         thread::sleep(pause);
+        if moves {
+            let mut door = self.door.lock().expect("no holder panics");
+            door.closed.store(true, Ordering::SeqCst);
+            let at = SocketAddr::new(door.address().ip(), 0);
+            *door = Door::open(Arc::downgrade(self), at);
+        }
         *self.life.lock().expect("no holder panics") = Life::begin(kind);
         self.down.store(false, Ordering::SeqCst);
         self.record
@@ -314,14 +362,15 @@
 
 /// Starts a worker that registers itself in the store.
 fn start(
-    (service, id, rack): (&str, &str, usize),
+    (service, id, rack, kind): (&str, &str, usize, &'static str),
     address: SocketAddr,
     store: &Arc<Store>,
     record: &Arc<Record>,
 ) -> Arc<Worker> {
-    let worker = Arc::new(Worker {
+    let worker = Arc::new_cyclic(|weak| Worker {
+        door: Mutex::new(Door::open(Weak::clone(weak), address)),
         id: id.to_owned(),
-        life: Mutex::new(Life::begin(KIND)),
+        life: Mutex::new(Life::begin(kind)),
         state: Mutex::default(),
         record: Arc::clone(record),
         cpu: 16_000,
@@ -329,7 +378,6 @@
         down: AtomicBool::new(false),
         cut: AtomicBool::new(false),
     });
-    let bound = http::serve(address, Arc::clone(&worker) as _).expect("a free loopback port");
     let (store, ticking) = (Arc::clone(store), Arc::clone(&worker));
     let service = service.to_owned();
     thread::spawn(move || {
@@ -352,7 +400,7 @@
                 beat = Instant::now();
                 let row = map([
                     ("Service", s(&service)),
-                    ("Address", s(bound.to_string())),
+                    ("Address", s(ticking.address().to_string())),
                     ("Zone", s("zone-a")),
                     ("Version", s("1")),
                     ("Slots", n(8)),
@@ -385,6 +433,7 @@
     name: String,
     pool: String,
     rack: usize,
+    kind: &'static str,
     /// `None` while it moves.
     worker: Option<Arc<Worker>>,
     lives: u32,
@@ -401,10 +450,10 @@
 const MOVE: Duration = Duration::from_millis(1_500);
 
 impl Machines {
-    /// Starts this many machines with a worker in each of the pools.
+    /// Starts this many machines with a worker in each of the pools, the first one of another kind.
     pub fn start(
         pools: &[&str],
-        each: usize,
+        (each, first): (usize, &'static str),
         address: SocketAddr,
         store: &Arc<Store>,
         record: &Arc<Record>,
@@ -412,11 +461,13 @@
         let numbers = (0..each).flat_map(|number| pools.iter().map(move |pool| (pool, number)));
         let machines = numbers.map(|(pool, number)| {
             let id = format!("w-{pool}-{number}-0");
-            let worker = start((pool, &id, number), address, store, record);
+            let kind = if number == 0 { first } else { KIND };
+            let worker = start((pool, &id, number, kind), address, store, record);
             Machine {
                 name: format!("m-{pool}-{number}"),
                 pool: (*pool).to_owned(),
                 rack: number,
+                kind,
                 worker: Some(worker),
                 lives: 0,
             }
@@ -448,7 +499,7 @@
                 ("Pool", s(&machine.pool)),
                 ("State", s(state)),
                 ("Zone", s("zone-a")),
-                ("Labels", labels(KIND, machine.rack)),
+                ("Labels", labels(machine.kind, machine.rack)),
                 ("Capacity", capacity()),
                 ("Id", s(id)),
             ])
@@ -477,12 +528,12 @@
         machine.pool = pool.to_owned();
         machine.lives += 1;
         let (pool, id) = (pool.to_owned(), format!("w-{name}-{}", machine.lives));
-        let (name, rack) = (name.to_owned(), machine.rack);
+        let (name, rack, kind) = (name.to_owned(), machine.rack, machine.kind);
         let (address, known) = (self.address, Arc::clone(&self.machines));
         let (store, record) = (Arc::clone(&self.store), Arc::clone(&self.record));
         thread::spawn(move || {
             thread::sleep(MOVE);
-            let worker = start((&pool, &id, rack), address, &store, &record);
+            let worker = start((&pool, &id, rack, kind), address, &store, &record);
             let mut machines = known.lock().expect("no holder panics");
             if let Some(machine) = machines.iter_mut().find(|machine| machine.name == name) {
                 machine.worker = Some(worker);
