--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -8,6 +8,7 @@
 mod moved;
 mod reborn;
 mod record;
+mod rerouted;
 mod silent;
 mod site;
 mod store;
@@ -29,6 +30,7 @@
     let record = Arc::new(record);
     let result = match case.as_str() {
         "silent" => silent::play(&record, trouble),
+        "rerouted" => rerouted::play(&record, trouble),
         "reborn" => reborn::play(&record, trouble),
         "moved" => moved::play(&record, trouble),
         "late" => late::play(&record, trouble),
--- a/review/standins-2/site.rs
+++ b/review/standins-2/site.rs
@@ -123,6 +123,27 @@
     ])
 }
 
+/// A configuration with the first queue of each service, but one queue for another service or for none.
+pub fn rerouted(version: u64, queue: &str, service: Option<&str>) -> Json {
+    let Json::Map(mut all) = configuration(version, &[]) else {
+        return Json::Null;
+    };
+    let routes = all.get("Routes").map_or(&[][..], Json::list);
+    let routes = routes.iter().filter_map(|route| {
+        if route.get("Name").str() != queue {
+            return Some(route.clone());
+        }
+        let Json::Map(mut route) = route.clone() else {
+            return None;
+        };
+        route.insert("Service".to_owned(), s(service?));
+        Some(Json::Map(route))
+    });
+    let routes = Json::List(routes.collect());
+    all.insert("Routes".to_owned(), routes);
+    Json::Map(all)
+}
+
 /// A job with one step of `count` tasks.
 pub fn job(spec: &str, count: u64, lasts: bool) -> String {
     job_for(spec, count, lasts, "")
