Gateway: cancels of unknown jobs and submissions whose callers left are logged

On the job's id has no line of a gateway at all, and two hypotheses fit: the gateway sends the submission again after its caller has left, or the store carries out the one commit that was sent late. Both decisions now leave a line with the job's id.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -331,7 +331,10 @@
         );
         loop {
             let result = match self.claim(&id).await {
-                Ok(None) => return refused(Code::JobUnknown, "", head.request),
+                Ok(None) => {
+                    info!(job:% = id, queue = &*queue.name; "cancel of an unknown job");
+                    return refused(Code::JobUnknown, "", head.request);
+                }
                 Ok(Some((claim, _version))) if !may_access(head, queue, &claim) => {
                     return refused(Code::JobUnknown, "", head.request);
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod states;
 mod store_health;
 mod submission;
+mod unanswered;
 
 pub use gateway::{Components, Gateway, Observer, ResponseInfo};
 pub use ready::Readiness;
--- a/crates/gateway/src/submission.rs
+++ b/crates/gateway/src/submission.rs
@@ -6,6 +6,7 @@
     parse::parse,
     response::{empty, refused, refused_for},
     retry_limit::RetryLimit,
+    unanswered::Unanswered,
 };
 use bytes::Bytes;
 use gotham::helpers::http::Body;
@@ -209,7 +210,7 @@
         if let Some(rejection) = self.reject_if_check_fails(head, &id).await {
             return rejection;
         }
-        let mut retry_limit = RetryLimit::new(
+        let retry_limit = RetryLimit::new(
             self.components.codec.request_timeout(head.headers),
             head.request,
         );
@@ -221,8 +222,26 @@
         }
         let now = self.components.clock.now();
         let txn = acceptance(queue, head.caller.account(), &id, job, now);
+        let mut unanswered = Unanswered::new(&id);
+        let response = self.store(head, queue, &id, &txn, retry_limit, &mut unanswered);
+        let response = response.await;
+        unanswered.record_answer();
+        response
+    }
+
+    /// Commits the acceptance of a job, until its outcome is known or there is no time left.
+    async fn store(
+        &self,
+        head: &Head<'_>,
+        queue: &Queue,
+        id: &JobId,
+        txn: &Txn,
+        mut retry_limit: RetryLimit,
+        unanswered: &mut Unanswered<'_>,
+    ) -> Response<Body> {
         let mut last;
         loop {
+            unanswered.record_commit();
             match self.components.rows.commit(txn.clone()).await {
                 Ok(Commit::Committed(version)) => {
                     let account = head.caller.account().map_or("-", |account| account);
@@ -232,7 +251,7 @@
                 Ok(Commit::Conflict(rows)) => {
                     let claim = rows.first().map(parse::<Claim>).transpose();
                     let claim = claim.ok().flatten();
-                    return already_claimed(head, queue, &id, claim.as_ref());
+                    return already_claimed(head, queue, id, claim.as_ref());
                 }
                 Err(Error::Invalid(detail)) => {
                     return refused(Code::MalformedRequest, detail, head.request);
