Gateway: a cancel of an unknown job holds its id against late submissions

The cancel is answered 410. 3 to 6 s later a task of the job starts, and the job is shown as completed.

Cause: a submission is stored on the condition that its id isn't claimed. The store may carry that transaction out seconds after its sender has given up. A cancel that found no claim left nothing behind, so the condition still held. Three more ways to the same start need no late store: the gateway sends the submission again for a caller that waits, the caller's request arrives again, and a cancel whose own read came first says nothing about what follows.

Change: such a cancel writes a tombstone in place of the claim, on the condition that there is none, and is answered once that is stored. Whichever of submission and cancel comes second conflicts with the other. A submission that meets the tombstone gets 409 (code 910). The tombstone binds the callers that have cancelled; another account's submission replaces it. Its marker in the pool's table of jobs lets the pool's owner delete both rows after the retention time of finished jobs, also after a restart of everyone. Entries of the version before read a tombstone as the claim of another account.

Why this works: both writers name the version of one row, and the store performs a late transaction only if its condition still holds.

--- a/crates/cell/src/limits.rs
+++ b/crates/cell/src/limits.rs
@@ -9,6 +9,9 @@
 /// Maximum rate error of a slow worker clock, in percent.
 const CLOCK_ERROR_PERCENT: Millis = 2;
 
+/// How long the rows of finished jobs are kept, in percent of the promised time.
+const RETENTION_PERCENT: Millis = 125;
+
 /// Times and counts that decisions depend on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -55,7 +58,7 @@
     pub overload_backoff: Millis,
     /// How long a long-running task waits for free capacity before batch tasks are stopped for it.
     pub preempt_after: Millis,
-    /// How long the rows of finished jobs are kept.
+    /// How long finished jobs stay readable.
     pub retention: Millis,
     /// Whether slow workers are avoided, and their batch runs moved.
     pub worker_speed: bool,
@@ -87,6 +90,11 @@
         }
     }
 
+    /// How long the rows of finished jobs are kept: longer than promised, as clocks of entries differ.
+    pub fn row_retention(&self) -> Millis {
+        self.retention * RETENTION_PERCENT / 100
+    }
+
     /// Longest time from a start that crashes its worker until a list that doesn't name the worker is
     /// requested, if polls and lists are answered in time.
     pub fn crash_detection_time(&self) -> Millis {
--- a/crates/cell/src/round.rs
+++ b/crates/cell/src/round.rs
@@ -16,10 +16,6 @@
 use primroseroute_domain::work::{JobId, Name, State, TaskId};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// How long the rows of finished jobs are kept, in percent of the promised time: clocks of entries
-/// differ.
-const RETENTION_PERCENT: u64 = 125;
-
 /// Time after which the deletion of rows is tried again.
 const DELETE_RETRY_MS: u64 = 5_000;
 
@@ -349,7 +345,7 @@
 fn expired_jobs(cell: &mut Cell, wall_ms: u64) -> Vec<JobId> {
     cell.deleted
         .retain(|_id, at| wall_ms < *at + DELETED_JOB_MEMORY_MS);
-    let retention = cell.limits.retention * RETENTION_PERCENT / 100;
+    let retention = cell.limits.row_retention();
     let due = cell.finished.iter_mut();
     let due = due.filter(|(_id, ended)| wall_ms >= **ended + retention);
     let mut ids = Vec::new();
--- a/crates/cell/src/row/mod.rs
+++ b/crates/cell/src/row/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! | table | partition | key | value | written by |
 //! |---|---|---|---|---|
-//! | `ids` | hash of the id | id | [`Claim`] | the gateway that accepts the job, once |
+//! | `ids` | hash of the id | id | [`Claim`] | the gateway that accepts the job, once; or, as a [`tombstone`], the gateway that accepts the cancel of an unknown job |
 //! | `jobs-N` | hash of the id | id | [`Accepted`] | the same transaction |
 //! | `jobs-N` | hash of the id | id `.cancel` | empty | the gateway that accepts the cancel |
+//! | `jobs-N` | hash of the id | id `.tombstone` | [`tombstone::Marker`] | the same transaction as the tombstone |
 //! | `work` | pool | id | [`Progress`] | the pool's owner |
 //! | `work` | pool | id `.overflow` and more | [`overflow`] | the pool's owner, if the row before is too long |
 //! | `work` | pool | `.batch` | [`CommitRecord`] | the pool's owner, with each commit |
@@ -27,6 +28,7 @@
 mod membership;
 mod orders;
 pub mod overflow;
+pub mod tombstone;
 
 pub use membership::{
     ActiveSet, PRESENCE, Presence, active_set, presence, presence_part, presence_parts,
@@ -222,19 +224,24 @@
     Accepted(JobId),
     /// The cancel of a job.
     Cancel(JobId),
+    /// The marker of a tombstone.
+    Tombstone(JobId),
 }
 
 impl JobKey {
     /// Parses a key; `None` if this system didn't write it.
     pub fn parse(key: &str) -> Option<Self> {
-        match key.strip_suffix(CANCEL) {
-            Some(id) => JobId::parse(id).map(Self::Cancel),
+        if let Some(id) = key.strip_suffix(CANCEL) {
+            return JobId::parse(id).map(Self::Cancel);
+        }
+        match key.strip_suffix(tombstone::TOMBSTONE) {
+            Some(id) => JobId::parse(id).map(Self::Tombstone),
             None => JobId::parse(key).map(Self::Accepted),
         }
     }
 }
 
-/// The claim of an id.
+/// The claim of an id, by a job or as a [`tombstone`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Claim {
--- a/crates/cell/tests/all/rows.rs
+++ b/crates/cell/tests/all/rows.rs
@@ -1,8 +1,11 @@
 //! Encoding, size, keys and partitions of stored rows.
 
 use crate::cases;
-use primroseroute_cell::row::{self, ControlKey, IncarnationTag, JobKey, Phase, Progress, Task};
-use primroseroute_domain::work::{JobId, State};
+use primroseroute_cell::row::{
+    self, Claim, ControlKey, IncarnationTag, JobKey, Phase, Progress, Task,
+    tombstone::{self, Scope},
+};
+use primroseroute_domain::work::{JobId, Name, State};
 use std::collections::{BTreeMap, BTreeSet};
 
 cases! {
@@ -12,6 +15,9 @@
     /// Guards against a crash that goes uncounted because the next incarnation of its worker has the tag of the previous one.
     marks_of_successive_incarnations_differ => incarnations();
     keys_survive_a_round_trip => keys();
+    tombstones_cover_the_callers_that_cancelled => scopes();
+    /// Guards against an entry of the version before that accepts or shows a job under a cancelled id.
+    tombstone_is_the_claim_of_no_caller_to_the_version_before => version_before();
     heartbeats_and_ids_spread_over_partitions => spread();
 }
 
@@ -93,7 +99,13 @@
         Some(JobKey::Accepted(id.clone()))
     );
     let cancel = row::cancel("pool", &id);
-    assert_eq!(JobKey::parse(&cancel.key), Some(JobKey::Cancel(id)));
+    assert_eq!(JobKey::parse(&cancel.key), Some(JobKey::Cancel(id.clone())));
+    let marker = tombstone::marker("pool", &id);
+    assert_eq!(
+        JobKey::parse(&marker.key),
+        Some(JobKey::Tombstone(id.clone()))
+    );
+    assert_eq!(marker.partition, row::claim(&id).partition);
     assert_eq!(JobKey::parse("something"), None);
     let owner = ControlKey::of(&row::owner("pool"));
     assert_eq!(owner, Some(ControlKey::Owner("pool".into())));
@@ -101,6 +113,45 @@
     assert_eq!(member, Some(ControlKey::Member("entry".into())));
 }
 
+fn scopes() {
+    let name = |text: &str| Name::from(text);
+    let accounts = [None, Some(name("a")), Some(name("anonymous"))];
+    for account in &accounts {
+        let scope = Scope::of(account.as_ref());
+        let claim = Claim::tombstone(&name("pool"), &scope);
+        assert_eq!(claim.tombstone_scope().as_ref(), Some(&scope));
+        for other in &accounts {
+            assert_eq!(scope.covers(other.as_ref()), other == account);
+        }
+    }
+    let job = Claim {
+        pool: name("pool"),
+        queue: name("queue"),
+        account: None,
+    };
+    assert_eq!(job.tombstone_scope(), None);
+}
+
+// Entries of the version before read a tombstone as the claim of a job, with the fields that it has there. They refuse
+// callers whose account and queue aren't the claim's.
+fn version_before() {
+    for scope in [
+        Scope::Anonymous,
+        Scope::Account("a".into()),
+        Scope::Everyone,
+    ] {
+        let claim = Claim::tombstone(&"pool".into(), &scope);
+        let stored = serde_json::to_value(&claim).expect("it serializes");
+        let fields = stored.as_object().expect("an object");
+        let fields: Vec<&str> = fields.keys().map(String::as_str).collect();
+        assert_eq!(fields, ["account", "pool", "queue"]);
+        for field in ["account", "queue"] {
+            let value = stored[field].as_str().expect("a text");
+            assert!(value.starts_with('.'), "{value}");
+        }
+    }
+}
+
 // A partition serialises its transactions: rows of many writers must not share one.
 fn spread() {
     let mut members: BTreeMap<String, usize> = BTreeMap::new();
--- a/crates/domain/src/outcome.rs
+++ b/crates/domain/src/outcome.rs
@@ -134,6 +134,7 @@
     StateUnavailable = 907, 504, Unknown, "the store did not say how the job stands";
     JobOfAnotherAccount = 908, 409, NotRun, "a job of another account has this id";
     PoolOverloaded = 909, 429, NotRun, "the pool is short of workers";
+    JobCancelled = 910, 409, NotRun, "the job was cancelled before it was accepted";
 }
 
 impl From<Code> for u16 {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,15 +3,15 @@
 use crate::{
     admission::{Admission, Loads, Weights, weights},
     authentication::{Caller, Currency, Keys},
+    cancel::CancelOutcome,
     parse::parse,
     queue_counts::QueueCounts,
-    response::{empty, json, refused},
+    response::{json, refused},
     retry_limit::RetryLimit,
     routes::Routes,
     states::FinalStates,
     store_health::StoreHealth,
 };
-use bytes::Bytes;
 use gotham::{handler::NewHandler, helpers::http::Body};
 use http::{
     HeaderMap, HeaderValue, Method, Response, Uri,
@@ -28,7 +28,7 @@
 use primroseroute_front::{IncomingRequest, handler_fn, problem::REQUEST_ID};
 use primroseroute_platform::{
     Error,
-    rows::{Commit, Place, Row, Rows, Txn, read_row},
+    rows::{Place, Row, Rows, read_row},
     site::{Codec, Configuration, Queue, RequestLimits},
 };
 use serde::Deserialize;
@@ -74,6 +74,12 @@
 
     /// It was decided whether a pool takes a job; only with client accounts in the configuration.
     fn admission_decided(&self, _pool: &Name, _outcome: &'static str) {}
+
+    /// A cancel is answered.
+    fn cancel_answered(&self, _outcome: CancelOutcome) {}
+
+    /// A submission is refused, since its job was cancelled before it was stored.
+    fn cancelled_submission_refused(&self) {}
 }
 
 /// A configuration, prepared for requests.
@@ -321,53 +327,6 @@
         read_row(&*self.components.rows, place).await
     }
 
-    async fn cancel(&self, head: &Head<'_>, queue: &Queue, id: JobId) -> Response<Body> {
-        if let Some(rejection) = self.reject_if_unreachable(head) {
-            return rejection;
-        }
-        let mut retry_limit = RetryLimit::new(
-            self.components.codec.request_timeout(head.headers),
-            head.request,
-        );
-        loop {
-            let result = match self.claim(&id).await {
-                Ok(None) => {
-                    info!(job:% = id, queue = &*queue.name; "cancel of an unknown job");
-                    return refused(Code::JobUnknown, "", head.request);
-                }
-                Ok(Some((claim, _version))) if !may_access(head, queue, &claim) => {
-                    return refused(Code::JobUnknown, "", head.request);
-                }
-                Ok(Some((claim, version))) => self.write_cancel(&id, &claim, version).await,
-                Err(error) => Err(error),
-            };
-            match result {
-                Ok(true) => {
-                    info!(job:% = id; "cancel accepted");
-                    return empty();
-                }
-                Ok(false) => {}
-                Err(error) => debug!(job:% = id, error:% = error; "cancel not stored yet"),
-            }
-            if !retry_limit.wait_for_retry().await {
-                info!(job:% = id; "cancel not confirmed as stored");
-                let detail = "the cancel may not be stored";
-                return refused(Code::CancelUnknown, detail, head.request);
-            }
-        }
-    }
-
-    /// Stores a cancel; returns `false` if the claim has changed in between.
-    async fn write_cancel(&self, id: &JobId, claim: &Claim, version: u64) -> Result<bool, Error> {
-        let txn = Txn {
-            conditions: vec![(row::claim(id), version)],
-            puts: vec![(row::cancel(&claim.pool, id), Bytes::from_static(b"{}"))],
-            deletes: Vec::new(),
-        };
-        let commit = self.components.rows.commit(txn).await?;
-        Ok(matches!(commit, Commit::Committed(_)))
-    }
-
     async fn queued(&self, head: &Head<'_>, queue: &Queue) -> Response<Body> {
         if head.method != Method::GET {
             let detail = "a queue can only be asked for";
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,8 @@
 //! What a response proves:
 //!
 //! * A success: the job, or the cancel, is stored.
+//! * 410 to a cancel: nothing that the caller has submitted under the id runs, not even if the store
+//!   carries the submission out later: a tombstone holds the id.
 //! * 429 or 503: the submission isn't stored and never will be. Returned only if every attempt
 //!   ended with a proof of that.
 //! * 504: the outcome is unknown. The same id may be sent again at any gateway: all attempts
@@ -22,8 +24,10 @@
 //! * [`StoreHealth`]: whether the store is reachable, as [`Monitored`] calls show.
 //! * [`Readiness`]: the load balancer's readiness check.
 
+mod acceptance;
 pub mod admission;
 pub mod authentication;
+mod cancel;
 mod gateway;
 mod parse;
 mod queue_counts;
@@ -36,6 +40,7 @@
 mod submission;
 mod unanswered;
 
+pub use cancel::CancelOutcome;
 pub use gateway::{Components, Gateway, Observer, ResponseInfo};
 pub use ready::Readiness;
 pub use store_health::{Monitored, StoreHealth};
--- a/crates/gateway/src/submission.rs
+++ b/crates/gateway/src/submission.rs
@@ -1,6 +1,7 @@
 //! Submissions of jobs.
 
 use crate::{
+    acceptance::Acceptance,
     admission::{Applicant, Rejected, label, millis},
     gateway::{Gateway, Head, Prepared, may_access},
     parse::parse,
@@ -17,15 +18,14 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use log::{debug, info};
 use primroseroute_admission::gate::Reason;
-use primroseroute_cell::row::{self, Accepted, Claim, overflow::MAX_ATTEMPTS};
+use primroseroute_cell::row::{self, Claim};
 use primroseroute_domain::{
     outcome::Code,
-    time,
     work::{Job, JobId, Name},
 };
 use primroseroute_platform::{
     Error,
-    rows::{Commit, Txn},
+    rows::{Commit, Row, Version},
     site::Queue,
 };
 use std::time::Duration;
@@ -123,9 +123,14 @@
     ) -> Option<Response<Body>> {
         match timeout(CLAIM_TIMEOUT, self.claim(id)).await {
             Ok(Ok(None)) => Some(self.rejection(head, queue, id, rejected)),
-            Ok(Ok(Some((claim, _version)))) => {
-                self.count(&queue.pool, "accepted");
-                Some(already_claimed(head, queue, id, Some(&claim)))
+            Ok(Ok(Some((claim, version)))) => {
+                match self.claimed(head, queue, id, &claim, version) {
+                    Some(response) => {
+                        self.count(&queue.pool, "accepted");
+                        Some(response)
+                    }
+                    None => Some(self.rejection(head, queue, id, rejected)),
+                }
             }
             Ok(Err(_)) | Err(_) => {
                 self.count(&queue.pool, "accepted");
@@ -221,9 +226,9 @@
             return response;
         }
         let now = self.components.clock.now();
-        let txn = acceptance(queue, head.caller.account(), &id, job, now);
+        let acceptance = Acceptance::new(queue, head.caller.account(), &id, job, now);
         let mut unanswered = Unanswered::new(&id);
-        let response = self.store(head, queue, &id, &txn, retry_limit, &mut unanswered);
+        let response = self.store(head, queue, &acceptance, retry_limit, &mut unanswered);
         let response = response.await;
         unanswered.record_answer();
         response
@@ -234,11 +239,12 @@
         &self,
         head: &Head<'_>,
         queue: &Queue,
-        id: &JobId,
-        txn: &Txn,
+        acceptance: &Acceptance<'_>,
         mut retry_limit: RetryLimit,
         unanswered: &mut Unanswered<'_>,
     ) -> Response<Body> {
+        let id = acceptance.id;
+        let mut txn = acceptance.replacing(None);
         let mut last;
         loop {
             unanswered.record_commit();
@@ -248,11 +254,13 @@
                     info!(job:% = id, queue = &*queue.name, pool = &*queue.pool, account, version; "job accepted");
                     return empty();
                 }
-                Ok(Commit::Conflict(rows)) => {
-                    let claim = rows.first().map(parse::<Claim>).transpose();
-                    let claim = claim.ok().flatten();
-                    return already_claimed(head, queue, id, claim.as_ref());
-                }
+                Ok(Commit::Conflict(rows)) => match self.conflict(head, queue, id, &rows) {
+                    Conflict::Answered(response) => return response,
+                    Conflict::Claim(replaced) => {
+                        last = Error::Unavailable("the claim of the id has changed".into());
+                        txn = acceptance.replacing(replaced);
+                    }
+                },
                 Err(Error::Invalid(detail)) => {
                     return refused(Code::MalformedRequest, detail, head.request);
                 }
@@ -279,6 +287,68 @@
     }
 }
 
+/// What a submission does about a claim that is in its way.
+enum Conflict {
+    /// The submission is answered.
+    Answered(Response<Body>),
+    /// It replaces this tombstone, or nothing, since the id isn't claimed any more.
+    Claim(Option<(Claim, Version)>),
+}
+
+impl Gateway {
+    /// Resolves the conflict of a submission with these rows.
+    fn conflict(&self, head: &Head<'_>, queue: &Queue, id: &JobId, rows: &[Row]) -> Conflict {
+        let place = row::claim(id);
+        let mut found = rows.iter();
+        let Some(row) = found.find(|row| row.place == place && row.value.is_some()) else {
+            return Conflict::Claim(None);
+        };
+        match parse::<Claim>(row) {
+            Ok(claim) => match self.claimed(head, queue, id, &claim, row.version) {
+                Some(response) => Conflict::Answered(response),
+                None => Conflict::Claim(Some((claim, row.version))),
+            },
+            Err(error) => {
+                info!(job:% = id, error:% = error; "claim of a submission can't be read");
+                let detail = error.to_string();
+                Conflict::Answered(refused(Code::SubmissionUnknown, detail, head.request))
+            }
+        }
+    }
+
+    /// The response to a submission whose id is claimed; `None` if it may replace the claim, a
+    /// tombstone of other callers.
+    fn claimed(
+        &self,
+        head: &Head<'_>,
+        queue: &Queue,
+        id: &JobId,
+        claim: &Claim,
+        version: Version,
+    ) -> Option<Response<Body>> {
+        let Some(scope) = claim.tombstone_scope() else {
+            return Some(already_accepted(head, queue, id, claim));
+        };
+        if !scope.covers(head.caller.account()) {
+            return None;
+        }
+        info!(job:% = id, queue = &*queue.name, scope:? = scope, version; "submission of a cancelled job refused");
+        if let Some(observer) = &self.components.observer {
+            observer.cancelled_submission_refused();
+        }
+        Some(refused(Code::JobCancelled, "", head.request))
+    }
+}
+
+/// The response to a submission that an earlier attempt has stored, maybe at another gateway.
+fn already_accepted(head: &Head<'_>, queue: &Queue, id: &JobId, claim: &Claim) -> Response<Body> {
+    if !may_access(head, queue, claim) {
+        return refused(Code::JobOfAnotherAccount, "", head.request);
+    }
+    info!(job:% = id, queue = &*queue.name; "job already accepted");
+    empty()
+}
+
 fn applicant<'a>(
     head: &'a Head<'_>,
     prepared: &'a Prepared,
@@ -293,63 +363,13 @@
     }
 }
 
-/// The response to a submission whose id an earlier attempt has claimed, maybe at another gateway.
-fn already_claimed(
-    head: &Head<'_>,
-    queue: &Queue,
-    id: &JobId,
-    claim: Option<&Claim>,
-) -> Response<Body> {
-    if !claim.is_none_or(|claim| may_access(head, queue, claim)) {
-        return refused(Code::JobOfAnotherAccount, "", head.request);
-    }
-    info!(job:% = id, queue = &*queue.name; "job already accepted");
-    empty()
-}
-
 /// Time from its acceptance within which a job should be done, in milliseconds.
-fn objective_ms(queue: &Queue, job: &Job) -> u64 {
+pub(crate) fn objective_ms(queue: &Queue, job: &Job) -> u64 {
     let chain = Duration::from_millis(job.chain_ms());
     let objective = chain.mul_f64(queue.stretch.max(0.0)) + Duration::from_millis(queue.target_ms);
     millis(objective)
 }
 
-/// The transaction that accepts a job, unless its id is already claimed.
-fn acceptance(
-    queue: &Queue,
-    account: Option<&Name>,
-    id: &JobId,
-    job: Job,
-    now: time::Instant,
-) -> Txn {
-    let objective_ms = objective_ms(queue, &job);
-    let accepted = Accepted {
-        queue: Name::clone(&queue.name),
-        pool: Name::clone(&queue.pool),
-        job,
-        at_ms: now.0,
-        priority: queue.priority,
-        max_attempts: queue.max_attempts.min(MAX_ATTEMPTS),
-        objective_ms,
-        account: account.cloned(),
-    };
-    let claim = Claim {
-        pool: Name::clone(&queue.pool),
-        queue: Name::clone(&queue.name),
-        account: account.cloned(),
-    };
-    let claimed = serde_json::to_vec(&claim).expect("a claim has plain fields");
-    let stored = serde_json::to_vec(&accepted).expect("a job has plain fields");
-    Txn {
-        conditions: vec![(row::claim(id), 0)],
-        puts: vec![
-            (row::claim(id), claimed.into()),
-            (row::accepted(&queue.pool, id), stored.into()),
-        ],
-        deletes: Vec::new(),
-    }
-}
-
 async fn read_body(body: Body, limit: usize) -> Result<Bytes, Code> {
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
--- a/crates/owner/src/event.rs
+++ b/crates/owner/src/event.rs
@@ -3,7 +3,10 @@
 use crate::{budgets::Written, load::JobRows};
 use primroseroute_cell::{AdviceRequest, EvacuationReason, Millis, Outcome};
 use primroseroute_domain::work::{JobId, Name, TaskId};
-use primroseroute_platform::{rows::Row, worker::WorkerStatus};
+use primroseroute_platform::{
+    rows::{Row, Version},
+    worker::WorkerStatus,
+};
 use std::collections::BTreeMap;
 
 /// An event of a pool's loop.
@@ -45,6 +48,8 @@
     Replaced(Name),
     /// The rows of a finished job are deleted.
     RowsDeleted(JobId),
+    /// These tombstones are deleted, or replaced since the given version.
+    TombstonesDeleted(Vec<(JobId, Version)>),
     StartOutcome {
         worker: Name,
         task: TaskId,
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -69,6 +69,7 @@
 mod relocate;
 pub mod rest;
 mod terminations;
+mod tombstones;
 mod watch;
 pub mod wave;
 
--- a/crates/owner/src/load.rs
+++ b/crates/owner/src/load.rs
@@ -4,6 +4,7 @@
     cancels::CancelTracker,
     clock::Clock,
     control::{parse, read_parts},
+    tombstones::{Tombstone, Tombstones},
 };
 use primroseroute_cell::{
     Cell,
@@ -28,6 +29,8 @@
     pub next: Version,
     /// Cancelled jobs of which something may run.
     pub cancels: CancelTracker,
+    /// Tombstones that are to be deleted.
+    pub tombstones: Tombstones,
 }
 
 /// Reads the pool's jobs into `cell`.
@@ -70,10 +73,13 @@
     }
     let mut cancels = CancelTracker::new(pool);
     cancels.apply_found(cell, &jobs.cancelled, clock.wall_ms());
+    let mut tombstones = Tombstones::default();
+    tombstones.apply(jobs.tombstones);
     Ok(Loaded {
         last_commit,
         next,
         cancels,
+        tombstones,
     })
 }
 
@@ -133,6 +139,8 @@
 pub(crate) struct JobRows {
     pub accepted: BTreeMap<JobId, Accepted>,
     pub cancelled: BTreeSet<JobId>,
+    /// Tombstones; `None` for one that is deleted.
+    pub tombstones: BTreeMap<JobId, Option<Tombstone>>,
 }
 
 /// Reads all jobs of a pool; a change feed from the returned version misses nothing.
@@ -143,7 +151,8 @@
     Ok((sort_rows(pool, &found), version))
 }
 
-/// Sorts rows into accepted jobs and cancels; those of other pools in the same table are left out.
+/// Sorts rows into accepted jobs, cancels and tombstones; those of other pools in the same table are
+/// left out.
 pub(crate) fn sort_rows(pool: &Name, rows: &[Row]) -> JobRows {
     let mut jobs = JobRows::default();
     for row in rows {
@@ -160,6 +169,15 @@
                     jobs.cancelled.insert(id);
                 }
             }
+            Some(JobKey::Tombstone(id)) => match Tombstone::of(row) {
+                Some((owner, tombstone)) if owner == *pool => {
+                    jobs.tombstones.insert(id, Some(tombstone));
+                }
+                Some(_other_pool) => {}
+                None => {
+                    jobs.tombstones.insert(id, None);
+                }
+            },
             None => log::warn!(key = &*row.place.key; "ignoring unknown row in the jobs table"),
         }
     }
--- a/crates/owner/src/observe.rs
+++ b/crates/owner/src/observe.rs
@@ -41,6 +41,9 @@
     /// How many jobs of a pool are held since the store refuses their progress.
     fn held_jobs(&self, pool: &Name, jobs: usize);
 
+    /// How many cancelled ids of a pool are held by tombstones.
+    fn tombstones(&self, pool: &Name, tombstones: usize);
+
     /// So many runs are moved off slow workers of a pool.
     fn runs_moved(&self, pool: &Name, runs: usize);
 
@@ -75,6 +78,7 @@
     fn slow_workers(&self, _pool: &Name, _workers: usize) {}
 
     fn held_jobs(&self, _pool: &Name, _jobs: usize) {}
+    fn tombstones(&self, _pool: &Name, _tombstones: usize) {}
     fn runs_moved(&self, _pool: &Name, _runs: usize) {}
     fn commit_finished(&self, _took: Duration) {}
     fn jobs_feed_age(&self, _pool: &Name, _ago: Duration) {}
--- a/crates/owner/src/pool_loop/events.rs
+++ b/crates/owner/src/pool_loop/events.rs
@@ -1,9 +1,9 @@
 //! The part of the loop that handles events.
 
 use super::PoolLoop;
-use crate::{cancels::FeedRead, event::Event, log_lines};
+use crate::{cancels::FeedRead, event::Event, load::JobRows, log_lines};
 use log::info;
-use primroseroute_cell::{Cell, Outcome};
+use primroseroute_cell::{Cell, Millis, Outcome};
 use primroseroute_domain::work::{End, Name};
 use std::pin::pin;
 use tokio::time::Instant;
@@ -13,20 +13,7 @@
         let now = self.context.clock.now();
         let wall_ms = self.context.clock.wall_ms();
         match event {
-            Event::Jobs(jobs, at) => {
-                let read = FeedRead {
-                    before: self.cell.feed_watermark(),
-                    at,
-                };
-                for (id, accepted) in jobs.accepted {
-                    self.jobs_received += 1;
-                    self.count_accepted(&id, &accepted, (now, wall_ms));
-                    self.cell.accept(id, accepted);
-                }
-                let times = (now, wall_ms);
-                self.cancels
-                    .apply(&mut self.cell, &jobs.cancelled, read, times);
-            }
+            Event::Jobs(jobs, at) => self.apply_jobs(jobs, at, (now, wall_ms)),
             Event::Budgets(rows) => {
                 if let Some(budgets) = &mut self.budgets {
                     budgets.apply(&rows);
@@ -101,6 +88,7 @@
                     self.pool_workers.poll_now(&worker);
                 }
             }
+            Event::TombstonesDeleted(gone) => self.tombstones.remove(gone),
             Event::RowsDeleted(id) => self.cell.record_rows_deleted(id, wall_ms),
             Event::Advice {
                 request,
@@ -112,6 +100,22 @@
         }
     }
 
+    /// Applies rows of jobs that arrived at `at`.
+    fn apply_jobs(&mut self, jobs: JobRows, at: Millis, times: (Millis, u64)) {
+        let read = FeedRead {
+            before: self.cell.feed_watermark(),
+            at,
+        };
+        for (id, accepted) in jobs.accepted {
+            self.jobs_received += 1;
+            self.count_accepted(&id, &accepted, times);
+            self.cell.accept(id, accepted);
+        }
+        self.cancels
+            .apply(&mut self.cell, &jobs.cancelled, read, times);
+        self.tombstones.apply(jobs.tombstones);
+    }
+
     /// Records the end of a worker's incarnation with `apply`, which returns whether it was
     /// unknown.
     fn worker_ended(&mut self, worker: Name, apply: impl FnOnce(&mut Cell, &Name) -> bool) {
--- a/crates/owner/src/pool_loop/mod.rs
+++ b/crates/owner/src/pool_loop/mod.rs
@@ -21,6 +21,7 @@
     ownership::{Context, OwnershipEnd, release},
     pool_workers::PoolWorkers,
     published, terminations,
+    tombstones::{self, Tombstones},
     watch::{RegisteredWorkers, RosterSubscription},
 };
 use admission::Admission;
@@ -106,6 +107,7 @@
     published_scaling: published::PublishedScaling,
     digest: LogDigest,
     cancels: CancelTracker,
+    tombstones: Tombstones,
     configuration: Option<Arc<Configuration>>,
     /// The budgets of accounts; `None` until there are accounts.
     budgets: Option<Budgets>,
@@ -168,6 +170,7 @@
             published_scaling: published::PublishedScaling::default(),
             digest: LogDigest::new(),
             cancels: loaded.cancels,
+            tombstones: loaded.tombstones,
             configuration: None,
             budgets: None,
             admission: None,
@@ -234,6 +237,7 @@
         let ago = clock.now().saturating_sub(self.cell.feed_watermark());
         observer.jobs_feed_age(pool, Duration::from_millis(ago));
         observer.held_jobs(pool, self.cell.held_jobs());
+        observer.tombstones(pool, self.tombstones.len());
         observer.round_finished(pool, round);
     }
 
@@ -410,11 +414,29 @@
                 self.sender.clone(),
             ));
         }
+        self.delete_tombstones();
         self.send(orders, sent_at, decided);
         self.pool_workers.poll(self.cell.targets());
         self.publish_status(round.scaling.scale_down_floor);
     }
 
+    fn delete_tombstones(&mut self) {
+        let Context {
+            rows,
+            pool,
+            clock,
+            limits,
+            ..
+        } = &self.context;
+        let times = (clock.now(), clock.wall_ms());
+        let due = self.tombstones.due(limits.row_retention(), times);
+        if !due.is_empty() {
+            let (rows, pool) = (Arc::clone(rows), Name::clone(pool));
+            self.detached
+                .spawn(tombstones::delete(rows, pool, due, self.sender.clone()));
+        }
+    }
+
     /// Sends orders; starts among them were committed by a transaction that was sent at `sent_at`.
     fn send(&mut self, orders: Vec<Order>, sent_at: Millis, decided: Instant) {
         let times = CommitTimes {
--- a/crates/serve/src/metered.rs
+++ b/crates/serve/src/metered.rs
@@ -3,7 +3,7 @@
 use async_trait::async_trait;
 use primroseroute_cell::{Cause, Outcome};
 use primroseroute_domain::work::{End, Name, TaskId};
-use primroseroute_gateway::ResponseInfo;
+use primroseroute_gateway::{CancelOutcome, ResponseInfo};
 use primroseroute_platform::{
     Error,
     rows::{Commit, Feed, Page, Range, Row, Rows, Txn, Version},
@@ -30,6 +30,19 @@
     fn admission_decided(&self, pool: &Name, outcome: &'static str) {
         self.0.admission_decided(pool, outcome);
     }
+
+    fn cancel_answered(&self, outcome: CancelOutcome) {
+        self.0.cancel_answered(match outcome {
+            CancelOutcome::Stored => "stored",
+            CancelOutcome::Unknown => "unknown",
+            CancelOutcome::OtherAccount => "other-account",
+            CancelOutcome::Unconfirmed => "unconfirmed",
+        });
+    }
+
+    fn cancelled_submission_refused(&self) {
+        self.0.cancelled_submission_refused();
+    }
 }
 
 impl primroseroute_owner::Observer for Observer {
@@ -88,6 +101,10 @@
         self.0.held_jobs(pool, jobs as u64);
     }
 
+    fn tombstones(&self, pool: &Name, tombstones: usize) {
+        self.0.tombstones(pool, tombstones as u64);
+    }
+
     fn runs_moved(&self, pool: &Name, runs: usize) {
         self.0.runs_moved(pool, runs as u64);
     }
--- a/crates/telemetry/src/site.rs
+++ b/crates/telemetry/src/site.rs
@@ -22,6 +22,8 @@
     _provider: SdkMeterProvider,
     answers: Counter<u64>,
     admission_decisions: Counter<u64>,
+    cancels: Counter<u64>,
+    cancelled_submissions: Counter<u64>,
     answer_seconds: Histogram<f64>,
     calls: Counter<u64>,
     call_seconds: Histogram<f64>,
@@ -37,6 +39,7 @@
     queued_jobs: Gauge<u64>,
     slow_workers: Gauge<u64>,
     held_jobs: Gauge<u64>,
+    tombstones: Gauge<u64>,
     runs_moved: Counter<u64>,
     commit_seconds: Histogram<f64>,
     jobs_read_seconds: Histogram<f64>,
@@ -88,6 +91,11 @@
                 "admission_decisions",
                 "Submissions that a pool was asked to take, by pool and outcome",
             ),
+            cancels: counter("cancels", "Answers to cancels, by outcome"),
+            cancelled_submissions: counter(
+                "cancelled_submissions",
+                "Submissions refused since their jobs were cancelled before",
+            ),
             answer_seconds: durations(
                 "answer_duration",
                 "Time from a request's head to its answer",
@@ -124,6 +132,10 @@
                 "held_jobs",
                 "Jobs whose progress the store refuses, by pool",
             ),
+            tombstones: gauge(
+                "tombstones",
+                "Ids that were cancelled before a job was stored, by pool",
+            ),
             runs_moved: counter(
                 "runs_moved",
                 "Runs that were stopped on slow workers to be started elsewhere, by pool",
@@ -165,6 +177,16 @@
             .add(1, &[named("pool", Some(pool)), outcome]);
     }
 
+    /// Counts an answer to a cancel.
+    pub fn cancel_answered(&self, outcome: &'static str) {
+        self.cancels.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a submission that is refused since its job was cancelled before.
+    pub fn cancelled_submission_refused(&self) {
+        self.cancelled_submissions.add(1, &[]);
+    }
+
     /// Records a call with its duration and its error, if any.
     pub fn call_finished(
         &self,
@@ -249,6 +271,12 @@
         self.held_jobs.record(jobs, &[named("pool", Some(pool))]);
     }
 
+    /// Sets the number of cancelled ids of a pool that tombstones hold.
+    pub fn tombstones(&self, pool: &Name, tombstones: u64) {
+        self.tombstones
+            .record(tombstones, &[named("pool", Some(pool))]);
+    }
+
     /// Counts runs that are moved off slow workers of a pool.
     pub fn runs_moved(&self, pool: &Name, runs: u64) {
         self.runs_moved.add(runs, &[named("pool", Some(pool))]);
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -7,6 +7,7 @@
 mod accounts;
 mod advice;
 mod cancel;
+mod cancel_unknown;
 mod capacity;
 mod crash;
 mod crash_evidence;
