Gateway: a rejection holds its id against earlier submissions

A caller gets no answer to a submission and sends it again; the second attempt is rejected with 429, which says that the job never runs, and the job runs.

Cause: before a rejection the claim of the id is read, and its absence was taken for a proof that no earlier submission would be accepted. The store may still carry one out, and the gateway of a caller that waits may still send it again.

Change: a rejection stores a tombstone in place of the claim before it is sent, on the condition that there is no claim. A later submission, which the caller is asked for, replaces it. Which request is the later one is told by the store's versions: the gateway must have seen the tombstone's version before the request arrived, and answers 429 otherwise. If the id can't be held within 0.5 s, the submission is tried, as it was if the claim couldn't be read. A rejection costs a write besides its read.

--- a/crates/cell/src/row/mod.rs
+++ b/crates/cell/src/row/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! | table | partition | key | value | written by |
 //! |---|---|---|---|---|
-//! | `ids` | hash of the id | id | [`Claim`] | the gateway that accepts the job, once; or, as a [`tombstone`], the gateway that accepts the cancel of an unknown job |
+//! | `ids` | hash of the id | id | [`Claim`] | the gateway that accepts the job, once; or, as a [`tombstone`], the gateway that cancels or rejects an unknown job |
 //! | `jobs-N` | hash of the id | id | [`Accepted`] | the same transaction |
 //! | `jobs-N` | hash of the id | id `.cancel` | empty | the gateway that accepts the cancel |
 //! | `jobs-N` | hash of the id | id `.tombstone` | [`tombstone::Marker`] | the same transaction as the tombstone |
@@ -234,7 +234,7 @@
         if let Some(id) = key.strip_suffix(CANCEL) {
             return JobId::parse(id).map(Self::Cancel);
         }
-        match key.strip_suffix(tombstone::TOMBSTONE) {
+        match key.strip_suffix(tombstone::MARKER) {
             Some(id) => JobId::parse(id).map(Self::Tombstone),
             None => JobId::parse(key).map(Self::Accepted),
         }
--- a/crates/cell/src/row/tombstone.rs
+++ b/crates/cell/src/row/tombstone.rs
@@ -1,8 +1,9 @@
-//! Tombstones: they hold ids whose jobs were cancelled before they were stored.
+//! Tombstones: they hold ids whose jobs were cancelled or rejected before they were stored.
 //!
 //! A submission is stored on the condition that nobody has claimed its id. The store may carry that
-//! transaction out seconds after its sender has given up, so a cancel that finds no claim proves
-//! nothing. It puts a tombstone in the claim's place, which makes the transaction fail for good.
+//! transaction out seconds after its sender has given up, so a cancel or a rejection that finds no
+//! claim proves nothing. It puts a tombstone in the claim's place, which makes the transaction fail
+//! for good.
 //!
 //! A tombstone is stored as a [`Claim`] for a queue that doesn't exist, of an account that no caller
 //! has. An entry of a version without tombstones therefore accepts no job under the id and shows
@@ -15,17 +16,27 @@
 use serde::{Deserialize, Serialize};
 
 /// Suffix of the key of a marker.
-pub(super) const TOMBSTONE: &str = ".tombstone";
+pub(super) const MARKER: &str = ".tombstone";
 
-/// Queue of the claim; no queue's name begins with a dot.
-const QUEUE: &str = ".tombstone";
+/// Queues of the claim; no queue's name begins with a dot.
+const CANCELLED: &str = ".cancelled";
+const REJECTED: &str = ".rejected";
 
 /// Accounts of the claim; no account's name begins with a dot.
 const ANONYMOUS: &str = ".anonymous";
 const EVERYONE: &str = ".everyone";
 const ACCOUNT_PREFIX: &str = ".account-";
 
-/// Whose submissions a tombstone refuses: those of the callers who have cancelled.
+/// Why an id is held.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Tombstone {
+    /// These callers have cancelled: none of their submissions is accepted.
+    Cancelled(Scope),
+    /// A submission was rejected: only later ones are accepted.
+    Rejected,
+}
+
+/// The callers who have cancelled an id.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Scope {
     /// Callers without an account.
@@ -73,21 +84,29 @@
 
 impl Claim {
     /// A tombstone whose marker is in the table of `pool`.
-    pub fn tombstone(pool: &Name, scope: &Scope) -> Self {
+    pub fn held(pool: &Name, tombstone: &Tombstone) -> Self {
+        let (queue, account) = match tombstone {
+            Tombstone::Cancelled(scope) => (CANCELLED, scope.encode()),
+            Tombstone::Rejected => (REJECTED, EVERYONE.into()),
+        };
         Self {
             pool: Name::clone(pool),
-            queue: QUEUE.into(),
-            account: Some(scope.encode()),
+            queue: queue.into(),
+            account: Some(account),
         }
     }
 
-    /// The scope of a tombstone; `None` for the claim of a job.
-    pub fn tombstone_scope(&self) -> Option<Scope> {
-        let scope = self
-            .account
-            .as_deref()
-            .map_or(Scope::Everyone, Scope::decode);
-        (&*self.queue == QUEUE).then_some(scope)
+    /// The tombstone; `None` for the claim of a job.
+    pub fn tombstone(&self) -> Option<Tombstone> {
+        match &*self.queue {
+            CANCELLED => {
+                let scope = self.account.as_deref();
+                let scope = scope.map_or(Scope::Everyone, Scope::decode);
+                Some(Tombstone::Cancelled(scope))
+            }
+            REJECTED => Some(Tombstone::Rejected),
+            _ => None,
+        }
     }
 }
 
@@ -97,12 +116,12 @@
 pub struct Marker {
     /// The pool whose owner deletes it; pools share a table.
     pub pool: Name,
-    /// Wall-clock time of the cancel in milliseconds since 1970.
+    /// Wall-clock time of the cancel or the rejection in milliseconds since 1970.
     pub at_ms: u64,
 }
 
 /// Location of the marker of a tombstone.
 pub fn marker(pool: &str, id: &JobId) -> Place {
-    let key = format!("{id}{TOMBSTONE}");
+    let key = format!("{id}{MARKER}");
     Place::new(&jobs_table(pool), &id_part(id), &key)
 }
--- a/crates/cell/tests/all/rows.rs
+++ b/crates/cell/tests/all/rows.rs
@@ -3,7 +3,7 @@
 use crate::cases;
 use primroseroute_cell::row::{
     self, Claim, ControlKey, IncarnationTag, JobKey, Phase, Progress, Task,
-    tombstone::{self, Scope},
+    tombstone::{self, Scope, Tombstone},
 };
 use primroseroute_domain::work::{JobId, Name, State};
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,7 +15,7 @@
     /// Guards against a crash that goes uncounted because the next incarnation of its worker has the tag of the previous one.
     marks_of_successive_incarnations_differ => incarnations();
     keys_survive_a_round_trip => keys();
-    tombstones_cover_the_callers_that_cancelled => scopes();
+    tombstones_survive_a_round_trip => tombstones();
     /// Guards against an entry of the version before that accepts or shows a job under a cancelled id.
     tombstone_is_the_claim_of_no_caller_to_the_version_before => version_before();
     heartbeats_and_ids_spread_over_partitions => spread();
@@ -113,34 +113,39 @@
     assert_eq!(member, Some(ControlKey::Member("entry".into())));
 }
 
-fn scopes() {
+fn tombstones() {
     let name = |text: &str| Name::from(text);
     let accounts = [None, Some(name("a")), Some(name("anonymous"))];
     for account in &accounts {
         let scope = Scope::of(account.as_ref());
-        let claim = Claim::tombstone(&name("pool"), &scope);
-        assert_eq!(claim.tombstone_scope().as_ref(), Some(&scope));
         for other in &accounts {
             assert_eq!(scope.covers(other.as_ref()), other == account);
         }
+        let tombstone = Tombstone::Cancelled(scope);
+        let claim = Claim::held(&name("pool"), &tombstone);
+        assert_eq!(claim.tombstone(), Some(tombstone));
     }
+    let claim = Claim::held(&name("pool"), &Tombstone::Rejected);
+    assert_eq!(claim.tombstone(), Some(Tombstone::Rejected));
     let job = Claim {
         pool: name("pool"),
         queue: name("queue"),
         account: None,
     };
-    assert_eq!(job.tombstone_scope(), None);
+    assert_eq!(job.tombstone(), None);
 }
 
 // Entries of the version before read a tombstone as the claim of a job, with the fields that it has there. They refuse
 // callers whose account and queue aren't the claim's.
 fn version_before() {
-    for scope in [
+    let cancelled = [
         Scope::Anonymous,
         Scope::Account("a".into()),
         Scope::Everyone,
-    ] {
-        let claim = Claim::tombstone(&"pool".into(), &scope);
+    ];
+    let cancelled = cancelled.map(Tombstone::Cancelled).into_iter();
+    for tombstone in cancelled.chain([Tombstone::Rejected]) {
+        let claim = Claim::held(&"pool".into(), &tombstone);
         let stored = serde_json::to_value(&claim).expect("it serializes");
         let fields = stored.as_object().expect("an object");
         let fields: Vec<&str> = fields.keys().map(String::as_str).collect();
--- a/crates/gateway/src/cancel.rs
+++ b/crates/gateway/src/cancel.rs
@@ -11,7 +11,7 @@
 use log::{debug, info};
 use primroseroute_cell::row::{
     self, Claim,
-    tombstone::{Marker, Scope},
+    tombstone::{Scope, Tombstone},
 };
 use primroseroute_domain::{
     outcome::Code,
@@ -85,24 +85,20 @@
         id: &JobId,
     ) -> Result<Option<CancelOutcome>, Error> {
         let account = head.caller.account();
-        let (tombstone, scope, replaced) = match self.claim(id).await? {
-            None => {
-                let scope = Scope::of(account);
-                (Claim::tombstone(&queue.pool, &scope), scope, 0)
-            }
-            Some((claim, version)) => match claim.tombstone_scope() {
+        let (pool, scope, replaced) = match self.claim(id).await? {
+            None => (Name::clone(&queue.pool), Scope::of(account), 0),
+            Some((claim, version)) => match claim.tombstone() {
                 None => return self.cancel_job(head, queue, id, (&claim, version)).await,
-                Some(scope) if scope.covers(account) => {
+                Some(Tombstone::Cancelled(scope)) if scope.covers(account) => {
                     log_unknown(id, queue, &scope, version);
                     return Ok(Some(CancelOutcome::Unknown));
                 }
-                Some(_) => {
-                    let scope = Scope::Everyone;
-                    (Claim::tombstone(&claim.pool, &scope), scope, version)
-                }
+                Some(Tombstone::Cancelled(_)) => (claim.pool, Scope::Everyone, version),
+                Some(Tombstone::Rejected) => (claim.pool, Scope::of(account), version),
             },
         };
-        let stored = self.write_tombstone(id, &tombstone, replaced).await?;
+        let tombstone = Tombstone::Cancelled(scope.clone());
+        let stored = self.hold(id, &pool, &tombstone, replaced).await?;
         Ok(stored.map(|version| {
             log_unknown(id, queue, &scope, version);
             CancelOutcome::Unknown
@@ -134,34 +130,6 @@
             Commit::Conflict(_) => Ok(None),
         }
     }
-
-    /// Stores a tombstone in place of the claim of version `replaced`, which is 0 for none. Returns
-    /// its version, or `None` if the claim has changed in between.
-    async fn write_tombstone(
-        &self,
-        id: &JobId,
-        tombstone: &Claim,
-        replaced: Version,
-    ) -> Result<Option<Version>, Error> {
-        let marker = Marker {
-            pool: Name::clone(&tombstone.pool),
-            at_ms: self.components.clock.now().0,
-        };
-        let claim = serde_json::to_vec(tombstone).expect("a claim has plain fields");
-        let stored = serde_json::to_vec(&marker).expect("a marker has plain fields");
-        let txn = Txn {
-            conditions: vec![(row::claim(id), replaced)],
-            puts: vec![
-                (row::claim(id), claim.into()),
-                (row::tombstone::marker(&marker.pool, id), stored.into()),
-            ],
-            deletes: Vec::new(),
-        };
-        match self.components.rows.commit(txn).await? {
-            Commit::Committed(version) => Ok(Some(version)),
-            Commit::Conflict(_) => Ok(None),
-        }
-    }
 }
 
 fn log_unknown(id: &JobId, queue: &Queue, scope: &Scope, version: Version) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,7 +28,7 @@
 use primroseroute_front::{IncomingRequest, handler_fn, problem::REQUEST_ID};
 use primroseroute_platform::{
     Error,
-    rows::{Place, Row, Rows, read_row},
+    rows::{Place, Row, Rows, Version, read_row},
     site::{Codec, Configuration, Queue, RequestLimits},
 };
 use serde::Deserialize;
@@ -108,6 +108,9 @@
     pub headers: &'a HeaderMap,
     pub request: &'a str,
     pub caller: Caller,
+    /// The newest version of the store that was known when the request arrived: what has a later one
+    /// may have been written since.
+    pub known_version: Version,
 }
 
 /// A job's state, and whose it is.
@@ -199,6 +202,7 @@
         body: Body,
         matched_queue: &mut Option<Name>,
     ) -> Response<Body> {
+        let known_version = self.components.store_health.newest_version();
         let request = headers.get(REQUEST_ID).and_then(|id| id.to_str().ok());
         let request = request.unwrap_or_default().to_owned();
         let Some(prepared) = self.prepared() else {
@@ -232,6 +236,7 @@
             headers: &headers,
             request: &request,
             caller,
+            known_version,
         };
         if rest.is_empty() {
             return self.queued(&head, queue).await;
@@ -318,7 +323,7 @@
         row.as_ref().map(parse).transpose()
     }
 
-    pub(crate) async fn claim(&self, id: &JobId) -> Result<Option<(Claim, u64)>, Error> {
+    pub(crate) async fn claim(&self, id: &JobId) -> Result<Option<(Claim, Version)>, Error> {
         let row = self.read(row::claim(id)).await?;
         row.map(|row| Ok((parse(&row)?, row.version))).transpose()
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,8 +9,9 @@
 //! * A success: the job, or the cancel, is stored.
 //! * 410 to a cancel: nothing that the caller has submitted under the id runs, not even if the store
 //!   carries the submission out later: a tombstone holds the id.
-//! * 429 or 503: the submission isn't stored and never will be. Returned only if every attempt
-//!   ended with a proof of that.
+//! * 429: no submission of the id up to this one is stored, and none will be: a tombstone holds the id.
+//! * 503: this submission isn't stored and never will be. Returned only if every attempt ended with a
+//!   proof of that. It says nothing of earlier ones at other gateways, since the store can't be asked.
 //! * 504: the outcome is unknown. The same id may be sent again at any gateway: all attempts
 //!   conflict on the same row, so it remains one job.
 //!
@@ -29,6 +30,7 @@
 pub mod authentication;
 mod cancel;
 mod gateway;
+mod holding;
 mod parse;
 mod queue_counts;
 mod ready;
--- a/crates/gateway/src/store_health.rs
+++ b/crates/gateway/src/store_health.rs
@@ -9,7 +9,13 @@
     rows::{Commit, Feed, Page, Range, Row, Rows, Txn, Version},
     site::{Instance, Instruction, LeaseHolder, OrderOutcome, Registration, Site},
 };
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 use tokio::time::Instant;
 
 /// How long calls must fail without a success for the store to count as unreachable. A store that
@@ -33,6 +39,7 @@
 #[derive(Debug, Default)]
 pub struct StoreHealth {
     outage: Mutex<Option<Outage>>,
+    newest: AtomicU64,
 }
 
 /// Failed calls since the last success.
@@ -46,6 +53,16 @@
 }
 
 impl StoreHealth {
+    /// The newest version that the store has shown. What has a later one was written after the call
+    /// that showed it was sent.
+    pub(crate) fn newest_version(&self) -> Version {
+        self.newest.load(Ordering::Relaxed)
+    }
+
+    fn record_version(&self, version: Version) {
+        self.newest.fetch_max(version, Ordering::Relaxed);
+    }
+
     /// Whether calls to the store are known to be in vain.
     pub fn is_unreachable(&self) -> bool {
         let outage = *self.outage.lock();
@@ -126,15 +143,27 @@
 #[async_trait]
 impl Rows for Monitored<dyn Rows> {
     async fn commit(&self, txn: Txn) -> Result<Commit, Error> {
-        self.monitor(self.inner.commit(txn)).await
+        let result = self.monitor(self.inner.commit(txn)).await;
+        if let Ok(Commit::Committed(version)) = &result {
+            self.health.record_version(*version);
+        }
+        result
     }
 
     async fn read(&self, range: Range) -> Result<Page, Error> {
-        self.monitor(self.inner.read(range)).await
+        let result = self.monitor(self.inner.read(range)).await;
+        if let Ok(page) = &result {
+            self.health.record_version(page.version);
+        }
+        result
     }
 
     async fn feed(&self, table: &str, after: Version, wait: Duration) -> Result<Feed<Row>, Error> {
-        self.monitor(self.inner.feed(table, after, wait)).await
+        let result = self.monitor(self.inner.feed(table, after, wait)).await;
+        if let Ok(Feed::Changes { next, .. }) = &result {
+            self.health.record_version(*next);
+        }
+        result
     }
 }
 
--- a/crates/gateway/src/submission.rs
+++ b/crates/gateway/src/submission.rs
@@ -18,7 +18,10 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use log::{debug, info};
 use primroseroute_admission::gate::Reason;
-use primroseroute_cell::row::{self, Claim};
+use primroseroute_cell::row::{
+    self, Claim,
+    tombstone::{Scope, Tombstone},
+};
 use primroseroute_domain::{
     outcome::Code,
     work::{Job, JobId, Name},
@@ -35,7 +38,8 @@
 /// or scheduled, which is always accepted, and such jobs are shorter.
 const READ_BYTES: usize = 65_536;
 
-/// How long the read of a claim before a rejection may take; the submission is then tried.
+/// How long it may take to hold the id of a submission that is to be rejected; the submission is then
+/// tried.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl Gateway {
@@ -113,7 +117,8 @@
     /// tried.
     ///
     /// A caller that repeats an id after an unknown outcome must not be told that the job never
-    /// runs, so the claim is read before.
+    /// runs while it may: an earlier submission may have been accepted, or may be on its way. So
+    /// the claim is read before, and the id is held.
     async fn reject(
         &self,
         head: &Head<'_>,
@@ -121,25 +126,43 @@
         id: &JobId,
         rejected: &Rejected,
     ) -> Option<Response<Body>> {
-        match timeout(CLAIM_TIMEOUT, self.claim(id)).await {
-            Ok(Ok(None)) => Some(self.rejection(head, queue, id, rejected)),
-            Ok(Ok(Some((claim, version)))) => {
-                match self.claimed(head, queue, id, &claim, version) {
-                    Some(response) => {
-                        self.count(&queue.pool, "accepted");
-                        Some(response)
-                    }
-                    None => Some(self.rejection(head, queue, id, rejected)),
-                }
+        match timeout(CLAIM_TIMEOUT, self.try_reject(head, queue, id)).await {
+            Ok(Ok(Holding::Held)) => Some(self.rejection(head, queue, id, rejected)),
+            Ok(Ok(Holding::Answered(response))) => {
+                self.count(&queue.pool, "accepted");
+                Some(response)
             }
-            Ok(Err(_)) | Err(_) => {
+            Ok(Ok(Holding::Changed) | Err(_)) | Err(_) => {
                 self.count(&queue.pool, "accepted");
-                debug!(job:% = id; "claim can't be read before a rejection; trying the submission");
+                debug!(job:% = id; "id can't be held before a rejection; trying the submission");
                 None
             }
         }
     }
 
+    /// Holds the id of a submission that is to be rejected.
+    async fn try_reject(
+        &self,
+        head: &Head<'_>,
+        queue: &Queue,
+        id: &JobId,
+    ) -> Result<Holding, Error> {
+        let (pool, tombstone, replaced) = match self.claim(id).await? {
+            None => (Name::clone(&queue.pool), Tombstone::Rejected, 0),
+            Some((claim, version)) => match claim.tombstone() {
+                None => return Ok(Holding::Answered(already_accepted(head, queue, id, &claim))),
+                Some(Tombstone::Cancelled(scope)) if scope.covers(head.caller.account()) => {
+                    let response = self.cancelled(head, queue, id, &scope, version);
+                    return Ok(Holding::Answered(response));
+                }
+                // The new version makes submissions fail that would have replaced this one.
+                Some(tombstone) => (claim.pool, tombstone, version),
+            },
+        };
+        let version = self.hold(id, &pool, &tombstone, replaced).await?;
+        Ok(version.map_or(Holding::Changed, |_version| Holding::Held))
+    }
+
     fn rejection(
         &self,
         head: &Head<'_>,
@@ -245,6 +268,7 @@
     ) -> Response<Body> {
         let id = acceptance.id;
         let mut txn = acceptance.replacing(None);
+        let mut has_replaced = false;
         let mut last;
         loop {
             unanswered.record_commit();
@@ -259,6 +283,9 @@
                     Conflict::Claim(replaced) => {
                         last = Error::Unavailable("the claim of the id has changed".into());
                         txn = acceptance.replacing(replaced);
+                        if !std::mem::replace(&mut has_replaced, true) {
+                            continue;
+                        }
                     }
                 },
                 Err(Error::Invalid(detail)) => {
@@ -287,11 +314,21 @@
     }
 }
 
+/// What has become of the id of a submission that is to be rejected.
+enum Holding {
+    /// No submission before this one is accepted any more.
+    Held,
+    /// The submission is answered otherwise.
+    Answered(Response<Body>),
+    /// The claim has changed in between.
+    Changed,
+}
+
 /// What a submission does about a claim that is in its way.
 enum Conflict {
     /// The submission is answered.
     Answered(Response<Body>),
-    /// It replaces this tombstone, or nothing, since the id isn't claimed any more.
+    /// It replaces this tombstone, which concerns others, or nothing: the id isn't claimed any more.
     Claim(Option<(Claim, Version)>),
 }
 
@@ -316,8 +353,7 @@
         }
     }
 
-    /// The response to a submission whose id is claimed; `None` if it may replace the claim, a
-    /// tombstone of other callers.
+    /// The response to a submission whose id is claimed; `None` if it replaces the claim.
     fn claimed(
         &self,
         head: &Head<'_>,
@@ -326,17 +362,34 @@
         claim: &Claim,
         version: Version,
     ) -> Option<Response<Body>> {
-        let Some(scope) = claim.tombstone_scope() else {
-            return Some(already_accepted(head, queue, id, claim));
-        };
-        if !scope.covers(head.caller.account()) {
-            return None;
+        match claim.tombstone() {
+            None => Some(already_accepted(head, queue, id, claim)),
+            Some(Tombstone::Cancelled(scope)) if scope.covers(head.caller.account()) => {
+                Some(self.cancelled(head, queue, id, &scope, version))
+            }
+            // Whether this request or the rejected one is the caller's later one isn't known.
+            Some(Tombstone::Rejected) if version > head.known_version => {
+                info!(job:% = id, queue = &*queue.name, version; "submission refused beside a rejected one");
+                Some(refused(Code::PoolOverloaded, "", head.request))
+            }
+            Some(_) => None,
         }
+    }
+
+    /// The response to a submission of a job that its caller has cancelled.
+    fn cancelled(
+        &self,
+        head: &Head<'_>,
+        queue: &Queue,
+        id: &JobId,
+        scope: &Scope,
+        version: Version,
+    ) -> Response<Body> {
         info!(job:% = id, queue = &*queue.name, scope:? = scope, version; "submission of a cancelled job refused");
         if let Some(observer) = &self.components.observer {
             observer.cancelled_submission_refused();
         }
-        Some(refused(Code::JobCancelled, "", head.request))
+        refused(Code::JobCancelled, "", head.request)
     }
 }
 
--- a/tests/site/overload.rs
+++ b/tests/site/overload.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     cases,
-    fixture::{Fixture, POOL, configuration, job, long_running, sleep_secs, with_accounts},
+    fixture::{Fixture, POOL, configuration, job, long_running, sleep_secs, task, with_accounts},
     log_capture::{capture, captured},
 };
 use eyre::{Result, ensure};
@@ -16,12 +16,17 @@
 use primroseroute_platform::rows::{Rows, Txn};
 use primroseroute_standin::site::{Options, Reach};
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 cases! {
     /// A caller that is told that a job never runs, though an earlier attempt was accepted.
     accepted_id_is_answered_with_success_while_its_pool_is_overloaded => repeated();
     rejected_job_never_runs => never_runs();
+    /// A job that runs after its rejection, since the store carries an earlier submission of it out late.
+    rejected_job_is_not_run_by_an_earlier_submission => earlier_submission();
+    /// The same with a gateway that still retries the earlier submission.
+    rejected_job_is_not_run_by_a_gateway_that_retries => earlier_gateway();
+    rejected_job_is_accepted_once_its_pool_has_room => accepted_later();
     /// A claim that can't be read before a rejection: the job may have been accepted.
     submission_is_tried_while_claims_can_not_be_read => unreadable_claims();
     /// An entry without figures that accepts everything, or rejects everything.
@@ -145,6 +150,88 @@
     fixture.check_invariants()
 }
 
+/// How long a caller waits that leaves early.
+const LEAVE_AFTER: Duration = Duration::from_millis(300);
+
+/// Longer than the store may take to carry out a late commit.
+const LATE_COMMIT_SECS: u64 = 8;
+
+/// Fails if a task of the job was started, or if the job is shown.
+async fn check_absent(fixture: &Fixture, id: &JobId) -> Result<()> {
+    let starts = fixture.world.journal().starts(&task(id, 0, 0));
+    ensure!(starts.is_empty(), "{starts:?}");
+    ensure!(fixture.state("e-2", id).await == Err(StatusCode::GONE));
+    fixture.check_invariants()
+}
+
+/// Overloads the pool without the entry `e-0` learning of it, whose commits are late.
+async fn overload_unknown_to_one(seed: u64) -> Result<Fixture> {
+    let fixture = open(seed).await?;
+    fixture.update_faults("e-0", |faults| {
+        faults.feeds = Reach::Refused;
+        faults.late_commits = 1.0;
+    });
+    // By then the feed call in flight has returned.
+    sleep_secs(11).await;
+    publish(&fixture, &overload()).await?;
+    Ok(fixture)
+}
+
+async fn earlier_submission() -> Result<()> {
+    let mut fixture = overload_unknown_to_one(917).await?;
+    let id = fixture.next_job_id();
+    let job = job("100", 1);
+    let answer = timeout(LEAVE_AFTER, fixture.send("e-0", &id, &job)).await;
+    ensure!(answer.is_err(), "{answer:?}");
+    let status = fixture.send("e-1", &id, &job).await;
+    ensure!(status == StatusCode::TOO_MANY_REQUESTS, "{status}");
+    sleep_secs(LATE_COMMIT_SECS).await;
+    check_absent(&fixture, &id).await
+}
+
+async fn earlier_gateway() -> Result<()> {
+    let mut fixture = overload_unknown_to_one(918).await?;
+    let id = fixture.next_job_id();
+    fixture.sent.jobs.insert(id.clone(), job("100", 1));
+    let path = format!("/stay/{id}");
+    let body = serde_json::to_vec(&job("100", 1))?;
+    let earlier = fixture.exchange("e-0", Method::POST, &path, body.clone());
+    let later = async {
+        sleep(LEAVE_AFTER).await;
+        let (head, _text) = fixture.exchange("e-1", Method::POST, &path, body).await;
+        fixture.update_faults("e-0", |faults| faults.late_commits = 0.0);
+        head.status
+    };
+    let (earlier, later) = tokio::join!(earlier, later);
+    let statuses = (earlier.0.status, later);
+    let rejected = StatusCode::TOO_MANY_REQUESTS;
+    ensure!(statuses == (rejected, rejected), "{statuses:?}");
+    sleep_secs(LATE_COMMIT_SECS).await;
+    check_absent(&fixture, &id).await
+}
+
+async fn accepted_later() -> Result<()> {
+    let mut fixture = open(919).await?;
+    publish(&fixture, &overload()).await?;
+    let id = fixture.next_job_id();
+    for entry in ["e-0", "e-1"] {
+        let status = fixture.send(entry, &id, &job("100", 1)).await;
+        ensure!(status == StatusCode::TOO_MANY_REQUESTS, "{status}");
+    }
+    let load = PoolLoad {
+        within_wait_ms: 0,
+        beyond_wait_ms: 0,
+        ..overload()
+    };
+    publish(&fixture, &load).await?;
+    let status = fixture.send("e-2", &id, &job("100", 1)).await;
+    ensure!(status == StatusCode::OK, "{status}");
+    fixture
+        .wait_for_state("e-0", &id, State::Completed, 5)
+        .await?;
+    fixture.check_invariants()
+}
+
 async fn unreadable_claims() -> Result<()> {
     let mut fixture = open(903).await?;
     publish(&fixture, &overload()).await?;
