--- a/tests/site/accept.rs
+++ b/tests/site/accept.rs
@@ -17,6 +17,8 @@
     commit_with_a_lost_response_is_resolved => lost_answer();
     late_commit_is_not_rejected => late_commit();
     job_rejected_during_an_outage_never_runs => refused();
+    /// A job that runs after a 503, since an earlier submission of it is carried out late.
+    job_rejected_after_an_unanswered_submission_never_runs => refused_after_unanswered();
     malformed_job_is_rejected_permanently => malformed();
     unknown_job_is_gone => unknown();
     queue_counts_jobs_that_have_not_begun => counted();
@@ -156,6 +158,26 @@
     fixture.check_invariants()
 }
 
+// The first submission is carried out seconds after its caller has left; the second is sent to an entry whose calls
+// the store refuses.
+async fn refused_after_unanswered() -> Result<()> {
+    let mut fixture = Fixture::open(15, 2, 3).await?;
+    fixture.update_faults("e-0", |faults| faults.late_commits = 1.0);
+    let id = fixture.next_job_id();
+    let job = job("100", 1);
+    let leaves = std::time::Duration::from_millis(300);
+    let first = tokio::time::timeout(leaves, fixture.send("e-0", &id, &job)).await;
+    ensure!(first.is_err(), "{first:?}");
+    fixture.update_faults("e-1", |faults| faults.store = Reach::Refused);
+    let status = fixture.send("e-1", &id, &job).await;
+    fixture.update_all_faults(|faults| faults.store = Reach::Fine);
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        fixture.sent.refused.insert(id);
+    }
+    sleep_secs(10).await;
+    fixture.check_invariants()
+}
+
 async fn malformed() -> Result<()> {
     let mut fixture = Fixture::open(7, 2, 1).await?;
     let ahead = Step {
