--- a/tests/site/retention.rs
+++ b/tests/site/retention.rs
@@ -7,6 +7,7 @@
 use eyre::{Result, ensure};
 use primroseroute_cell::row;
 use primroseroute_domain::work::{JobId, State};
+use primroseroute_platform::rows::read_row;
 use primroseroute_standin::site::Reach;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -14,6 +15,8 @@
 cases! {
     job_whose_rows_could_not_be_deleted_stays_finished => delete_fails();
     job_that_is_removed_during_a_read_stays_finished => removed_while_read();
+    /// A job that never runs, since its owner remembers the deleted rows of another one of the same id.
+    id_submitted_again_after_its_deletion_is_a_new_job => submitted_again();
 }
 
 /// Runs a job, and waits until `millis` milliseconds before its rows are due to be deleted.
@@ -79,3 +82,17 @@
     ensure!(fixture.world.journal().starts(&task(&id, 0, 0)).len() == 1);
     fixture.check_invariants()
 }
+
+async fn submitted_again() -> Result<()> {
+    let mut fixture = Fixture::open(73, 2, 2).await?;
+    let id = fixture.next_job_id();
+    let id = finished(&mut fixture, id, 0).await?;
+    sleep_secs(6).await;
+    let reader = fixture.world.caller("reader");
+    ensure!(read_row(&reader, row::claim(&id)).await?.is_none());
+    ensure!(fixture.send("e-0", &id, &job("300", 1)).await.is_success());
+    sleep_secs(5).await;
+    let starts = fixture.world.journal().starts(&task(&id, 0, 0)).len();
+    ensure!(starts == 2, "{starts} starts");
+    Ok(())
+}
