Tests: histories whose callers leave early and cancel

A batch of ten random histories, with late commits beside the usual faults: callers leave after 300 ms, cancel at any entry until they are answered, and some requests arrive again. It takes the place of three fixed runs in tests/site/cancel_unknown.rs, which knew late and lost commits only. A cancel of a rejected id has its test too.

--- a/crates/gateway/src/submission.rs
+++ b/crates/gateway/src/submission.rs
@@ -40,7 +40,7 @@
 
 /// How long it may take to hold the id of a submission that is to be rejected; the submission is then
 /// tried.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(500);
+const HOLD_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl Gateway {
     /// Answers a submission.
@@ -126,7 +126,7 @@
         id: &JobId,
         rejected: &Rejected,
     ) -> Option<Response<Body>> {
-        match timeout(CLAIM_TIMEOUT, self.try_reject(head, queue, id)).await {
+        match timeout(HOLD_TIMEOUT, self.try_reject(head, queue, id)).await {
             Ok(Ok(Holding::Held)) => Some(self.rejection(head, queue, id, rejected)),
             Ok(Ok(Holding::Answered(response))) => {
                 self.count(&queue.pool, "accepted");
--- a/crates/owner/src/tombstones.rs
+++ b/crates/owner/src/tombstones.rs
@@ -33,8 +33,8 @@
 /// condition and two rows.
 const MAX_PER_TXN: usize = 33;
 
-/// Maximum number of transactions per deletion. With full ones, a pool deletes as many tombstones as
-/// cancels of unknown ids that a store with 600 writes a second takes.
+/// Maximum number of transactions per deletion. Full ones keep up with a store that takes 600 cancels
+/// of unknown ids a second.
 const MAX_TXNS: usize = 200;
 
 /// A tombstone, as its marker describes it.
--- a/tests/site/cancel_unknown.rs
+++ b/tests/site/cancel_unknown.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     cases,
-    fixture::{Fixture, POOL, configuration, job, sleep_secs, task, with_accounts},
+    fixture::{
+        Fixture, LATE_COMMIT_SECS, LEAVE_AFTER, POOL, configuration, job, sleep_secs, task,
+        with_accounts,
+    },
 };
 use eyre::{Result, ensure};
 use http::StatusCode;
@@ -10,7 +13,6 @@
 use primroseroute_domain::work::{JobId, State};
 use primroseroute_platform::rows::{Range, Rows, read_row};
 use primroseroute_standin::site::Options;
-use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
 cases! {
@@ -34,15 +36,8 @@
     /// A job that is lost together with the tombstone that it has replaced.
     job_outlives_the_tombstone_that_it_replaced => replaced();
     tombstones_of_many_random_ids_are_deleted_in_batches => many_ids();
-    prompt_cancels_beside_late_and_lost_commits => prompt_cancels();
 }
 
-/// How long a caller waits that leaves early.
-const LEAVE_AFTER: Duration = Duration::from_millis(300);
-
-/// Longer than the store may take to carry out a late commit.
-const LATE_COMMIT_SECS: u64 = 8;
-
 /// Submits a job through an entry whose commits are late, as a caller that leaves before the answer.
 async fn submit_late(fixture: &mut Fixture, entry: &str) -> Result<JobId> {
     fixture.update_faults(entry, |faults| faults.late_commits = 1.0);
@@ -319,44 +314,3 @@
     ensure!(calls <= 100, "{calls} transactions");
     fixture.check_invariants()
 }
-
-// Callers leave after 300 ms and cancel until they are answered, while commits are late or lost.
-async fn prompt_cancels() -> Result<()> {
-    for seed in 195..198 {
-        let mut fixture = Fixture::open(seed, 3, 4).await?;
-        fixture.update_all_faults(|faults| {
-            faults.late_commits = 0.35;
-            faults.lost_commits = 0.1;
-        });
-        let mut cancelled = Vec::new();
-        for number in 0..40 {
-            let id = fixture.next_job_id();
-            let entry = format!("e-{}", number % 3);
-            let job = job("500", 1);
-            let sent = fixture.send(&entry, &id, &job);
-            if timeout(LEAVE_AFTER, sent).await.is_ok() {
-                continue;
-            }
-            for attempt in 1..8 {
-                let entry = format!("e-{}", (number + attempt) % 3);
-                let status = fixture.cancel(&entry, &id).await;
-                if status.is_success() || status == StatusCode::GONE {
-                    cancelled.push(id);
-                    break;
-                }
-            }
-        }
-        fixture.update_all_faults(|faults| {
-            faults.late_commits = 0.0;
-            faults.lost_commits = 0.0;
-        });
-        ensure!(
-            cancelled.len() > 5,
-            "{} jobs are cancelled",
-            cancelled.len()
-        );
-        sleep_secs(LATE_COMMIT_SECS + 4).await;
-        fixture.check_invariants()?;
-    }
-    Ok(())
-}
--- a/tests/site/overload.rs
+++ b/tests/site/overload.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     cases,
-    fixture::{Fixture, POOL, configuration, job, long_running, sleep_secs, task, with_accounts},
+    fixture::{
+        Fixture, LATE_COMMIT_SECS, LEAVE_AFTER, POOL, configuration, job, long_running, sleep_secs,
+        task, with_accounts,
+    },
     log_capture::{capture, captured},
 };
 use eyre::{Result, ensure};
@@ -27,6 +30,8 @@
     /// The same with a gateway that still retries the earlier submission.
     rejected_job_is_not_run_by_a_gateway_that_retries => earlier_gateway();
     rejected_job_is_accepted_once_its_pool_has_room => accepted_later();
+    /// A caller that gives a rejected job up, and whose request arrives again.
+    rejected_job_that_is_cancelled_is_not_accepted_later => cancelled_after_rejection();
     /// A claim that can't be read before a rejection: the job may have been accepted.
     submission_is_tried_while_claims_can_not_be_read => unreadable_claims();
     /// An entry without figures that accepts everything, or rejects everything.
@@ -62,6 +67,15 @@
     }
 }
 
+/// A pool without a backlog.
+fn room() -> PoolLoad {
+    PoolLoad {
+        within_wait_ms: 0,
+        beyond_wait_ms: 0,
+        ..overload()
+    }
+}
+
 async fn open(seed: u64) -> Result<Fixture> {
     let options = Options {
         seed,
@@ -150,12 +164,6 @@
     fixture.check_invariants()
 }
 
-/// How long a caller waits that leaves early.
-const LEAVE_AFTER: Duration = Duration::from_millis(300);
-
-/// Longer than the store may take to carry out a late commit.
-const LATE_COMMIT_SECS: u64 = 8;
-
 /// Fails if a task of the job was started, or if the job is shown.
 async fn check_absent(fixture: &Fixture, id: &JobId) -> Result<()> {
     let starts = fixture.world.journal().starts(&task(id, 0, 0));
@@ -218,12 +226,7 @@
         let status = fixture.send(entry, &id, &job("100", 1)).await;
         ensure!(status == StatusCode::TOO_MANY_REQUESTS, "{status}");
     }
-    let load = PoolLoad {
-        within_wait_ms: 0,
-        beyond_wait_ms: 0,
-        ..overload()
-    };
-    publish(&fixture, &load).await?;
+    publish(&fixture, &room()).await?;
     let status = fixture.send("e-2", &id, &job("100", 1)).await;
     ensure!(status == StatusCode::OK, "{status}");
     fixture
@@ -232,6 +235,19 @@
     fixture.check_invariants()
 }
 
+async fn cancelled_after_rejection() -> Result<()> {
+    let mut fixture = open(920).await?;
+    publish(&fixture, &overload()).await?;
+    let (id, status) = submit(&mut fixture, "e-0").await;
+    ensure!(status == StatusCode::TOO_MANY_REQUESTS, "{status}");
+    ensure!(fixture.cancel("e-1", &id).await == StatusCode::GONE);
+    publish(&fixture, &room()).await?;
+    let status = fixture.send("e-2", &id, &job("100", 1)).await;
+    ensure!(status == StatusCode::CONFLICT, "{status}");
+    sleep_secs(3).await;
+    check_absent(&fixture, &id).await
+}
+
 async fn unreadable_claims() -> Result<()> {
     let mut fixture = open(903).await?;
     publish(&fixture, &overload()).await?;
--- a/tests/site/random/mod.rs
+++ b/tests/site/random/mod.rs
@@ -9,7 +9,7 @@
 mod starvation;
 
 use crate::{
-    fixture::{Fixture, POOL, job, long_running, scheduled, sleep_secs, step},
+    fixture::{Fixture, LEAVE_AFTER, POOL, job, long_running, scheduled, sleep_secs, step},
     log_capture::{capture, captured},
 };
 use accounts::Accounts;
@@ -19,7 +19,7 @@
 use primroseroute_standin::site::{CallerFaults, Reach};
 use starvation::Starvation;
 use std::{collections::BTreeSet, time::Duration};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Number of histories per batch.
 const HISTORIES_PER_BATCH: u64 = 20;
@@ -71,6 +71,7 @@
     batch_with_moves => batch(4);
     second_batch_with_moves => batch(5);
     batch_with_long_progress => WITH_LONG_PROGRESS.skip(2).take(LONG_PROGRESS_PER_BATCH);
+    batch_with_prompt_cancels => WITH_PROMPT_CANCELS.take(PROMPT_CANCELS_PER_BATCH);
     mixed_batch => mixed::SEEDS.take(MIXED_PER_BATCH);
     second_mixed_batch => mixed::SEEDS.skip(MIXED_PER_BATCH).take(MIXED_PER_BATCH);
     mixed_batch_with_slow_stops => (mixed::FIRST_WITH_SLOW_STOPS..).take(MIXED_PER_BATCH);
@@ -124,6 +125,15 @@
 /// Number of histories with such jobs per batch.
 const LONG_PROGRESS_PER_BATCH: usize = 2;
 
+/// Seeds of histories whose callers also leave early and cancel, while commits are late.
+const WITH_PROMPT_CANCELS: std::ops::Range<u64> = 400_000..500_000;
+
+/// Number of histories with such callers per batch.
+const PROMPT_CANCELS_PER_BATCH: usize = 10;
+
+/// Share of late commits in these histories.
+const LATE_COMMITS: f64 = 0.3;
+
 fn batch(number: u64) -> std::ops::Range<u64> {
     let first = FIRST_SEED + number * HISTORIES_PER_BATCH;
     first..first + HISTORIES_PER_BATCH
@@ -177,6 +187,8 @@
     cancelled: BTreeSet<JobId>,
     /// Jobs whose cancel was not confirmed: it may have taken effect or not.
     possibly_cancelled: BTreeSet<JobId>,
+    /// Jobs whose callers have left, and whose cancels were acknowledged.
+    left: Vec<JobId>,
     /// Whether some of the jobs drawn have tasks that crash their workers.
     has_crashes: bool,
     /// Whether workers become slow; some jobs then have tasks on most of them.
@@ -197,6 +209,9 @@
         history.submit().await?;
         history.fault().await;
         history.cancel().await;
+        if WITH_PROMPT_CANCELS.contains(&seed) {
+            history.submit_and_leave().await;
+        }
         sleep_secs(1).await;
     }
     let last_fault = history.fixture.world.now();
@@ -218,6 +233,7 @@
             long_running_jobs: BTreeSet::new(),
             cancelled: BTreeSet::new(),
             possibly_cancelled: BTreeSet::new(),
+            left: Vec::new(),
             has_crashes: seed >= mixed::FIRST_WITH_CRASHES,
             has_slow_workers: mixed::has_slow_workers(seed),
             starvation: Starvation::default(),
@@ -324,6 +340,37 @@
         }
     }
 
+    /// Submits a job, and leaves and cancels it if there is no answer at once. The request may arrive
+    /// again after the cancel.
+    async fn submit_and_leave(&mut self) {
+        self.fixture
+            .update_all_faults(|faults| faults.late_commits = LATE_COMMITS);
+        let id = self.fixture.next_job_id();
+        let job = job("500", 2);
+        let Some(entry) = self.choose_entry() else {
+            return;
+        };
+        let answer = timeout(LEAVE_AFTER, self.fixture.send(&entry, &id, &job));
+        if answer.await.is_ok() {
+            return;
+        }
+        for _attempt in 0..5 {
+            let Some(entry) = self.choose_entry() else {
+                return;
+            };
+            let status = self.fixture.cancel(&entry, &id).await;
+            if status.is_success() || status == StatusCode::GONE {
+                self.left.push(id.clone());
+                break;
+            }
+        }
+        if self.draw(3) == 0
+            && let Some(entry) = self.choose_entry()
+        {
+            self.fixture.send(&entry, &id, &job).await;
+        }
+    }
+
     async fn fault(&mut self) {
         let index = usize::try_from(self.draw(self.names.len() as u64)).unwrap_or(0);
         let name = self.names[index].clone();
@@ -408,6 +455,11 @@
     async fn finish(&mut self) -> Result<()> {
         self.fixture.check_invariants()?;
         let entry = &self.names[0];
+        for id in &self.left {
+            let state = self.fixture.state(entry, id).await;
+            let is_over = state.map_or_else(|status| status == StatusCode::GONE, State::is_final);
+            ensure!(is_over, "{id} was cancelled and is {state:?}");
+        }
         for id in &self.jobs {
             self.fixture.use_key_of(id);
             let state = self.fixture.state(entry, id).await;
