Gateway, tests: one decision for settled ids, one set-up for two accounts

- A submission that meets a claim and a rejection that reads one decided alike whether the job is stored or was cancelled by its caller, in two matches.
Both call Gateway::settled now.
- The objective of a job is worked out beside its acceptance, so that the two modules don't import each other.
- tests/site: the site with two accounts, a caller that leaves, and the check that a job neither ran nor is shown stood in two or three files.
They are methods of the fixture.
The check asks every entry now, where that of the overload tests asked one.

--- a/crates/gateway/src/acceptance.rs
+++ b/crates/gateway/src/acceptance.rs
@@ -1,6 +1,6 @@
 //! Transactions that accept a job.
 
-use crate::submission::objective_ms;
+use crate::admission::millis;
 use bytes::Bytes;
 use primroseroute_cell::row::{self, Accepted, Claim, overflow::MAX_ATTEMPTS};
 use primroseroute_domain::{
@@ -11,6 +11,7 @@
     rows::{Txn, Version},
     site::Queue,
 };
+use std::time::Duration;
 
 /// The rows of a job that is to be accepted.
 #[derive(Debug)]
@@ -70,3 +71,10 @@
         }
     }
 }
+
+/// Time from its acceptance within which a job should be done, in milliseconds.
+pub(crate) fn objective_ms(queue: &Queue, job: &Job) -> u64 {
+    let chain = Duration::from_millis(job.chain_ms());
+    let objective = chain.mul_f64(queue.stretch.max(0.0)) + Duration::from_millis(queue.target_ms);
+    millis(objective)
+}
--- a/crates/gateway/src/submission.rs
+++ b/crates/gateway/src/submission.rs
@@ -1,7 +1,7 @@
 //! Submissions of jobs.
 
 use crate::{
-    acceptance::Acceptance,
+    acceptance::{Acceptance, objective_ms},
     admission::{Applicant, Rejected, label, millis},
     gateway::{Gateway, Head, Prepared, may_access},
     parse::parse,
@@ -18,10 +18,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use log::{debug, info};
 use primroseroute_admission::gate::Reason;
-use primroseroute_cell::row::{
-    self, Claim,
-    tombstone::{Scope, Tombstone},
-};
+use primroseroute_cell::row::{self, Claim, tombstone::Tombstone};
 use primroseroute_domain::{
     outcome::Code,
     work::{Job, JobId, Name},
@@ -149,14 +146,10 @@
     ) -> Result<Holding, Error> {
         let (pool, tombstone, replaced) = match self.claim(id).await? {
             None => (Name::clone(&queue.pool), Tombstone::Rejected, 0),
-            Some((claim, version)) => match claim.tombstone() {
-                None => return Ok(Holding::Answered(already_accepted(head, queue, id, &claim))),
-                Some(Tombstone::Cancelled(scope)) if scope.covers(head.caller.account()) => {
-                    let response = self.cancelled(head, queue, id, &scope, version);
-                    return Ok(Holding::Answered(response));
-                }
+            Some((claim, version)) => match self.settled(head, queue, id, &claim, version) {
+                Ok(response) => return Ok(Holding::Answered(response)),
                 // The new version makes submissions fail that would have replaced this one.
-                Some(tombstone) => (claim.pool, tombstone, version),
+                Err(tombstone) => (claim.pool, tombstone, version),
             },
         };
         let version = self.hold(id, &pool, &tombstone, replaced).await?;
@@ -362,34 +355,37 @@
         claim: &Claim,
         version: Version,
     ) -> Option<Response<Body>> {
-        match claim.tombstone() {
-            None => Some(already_accepted(head, queue, id, claim)),
-            Some(Tombstone::Cancelled(scope)) if scope.covers(head.caller.account()) => {
-                Some(self.cancelled(head, queue, id, &scope, version))
-            }
+        match self.settled(head, queue, id, claim, version) {
+            Ok(response) => Some(response),
             // Whether this request or the rejected one is the caller's later one isn't known.
-            Some(Tombstone::Rejected) if version > head.known_version => {
+            Err(Tombstone::Rejected) if version > head.known_version => {
                 info!(job:% = id, queue = &*queue.name, version; "submission refused beside a rejected one");
                 Some(refused(Code::PoolOverloaded, "", head.request))
             }
-            Some(_) => None,
+            Err(_) => None,
         }
     }
 
-    /// The response to a submission of a job that its caller has cancelled.
-    fn cancelled(
+    /// The response to a submission whose job is stored or was cancelled by its caller; otherwise the
+    /// tombstone that holds its id.
+    fn settled(
         &self,
         head: &Head<'_>,
         queue: &Queue,
         id: &JobId,
-        scope: &Scope,
+        claim: &Claim,
         version: Version,
-    ) -> Response<Body> {
+    ) -> Result<Response<Body>, Tombstone> {
+        let scope = match claim.tombstone() {
+            None => return Ok(already_accepted(head, queue, id, claim)),
+            Some(Tombstone::Cancelled(scope)) if scope.covers(head.caller.account()) => scope,
+            Some(tombstone) => return Err(tombstone),
+        };
         info!(job:% = id, queue = &*queue.name, scope:? = scope, version; "submission of a cancelled job refused");
         if let Some(observer) = &self.components.observer {
             observer.cancelled_submission_refused();
         }
-        refused(Code::JobCancelled, "", head.request)
+        Ok(refused(Code::JobCancelled, "", head.request))
     }
 }
 
@@ -416,13 +412,6 @@
     }
 }
 
-/// Time from its acceptance within which a job should be done, in milliseconds.
-pub(crate) fn objective_ms(queue: &Queue, job: &Job) -> u64 {
-    let chain = Duration::from_millis(job.chain_ms());
-    let objective = chain.mul_f64(queue.stretch.max(0.0)) + Duration::from_millis(queue.target_ms);
-    millis(objective)
-}
-
 async fn read_body(body: Body, limit: usize) -> Result<Bytes, Code> {
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
--- a/tests/site/accept.rs
+++ b/tests/site/accept.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     cases,
-    fixture::{Fixture, LEAVE_AFTER, OTHER, POOL, configuration, job, sleep_secs, step, task},
+    fixture::{Fixture, OTHER, POOL, configuration, job, sleep_secs, step, task},
 };
 use eyre::{Result, ensure};
 use http::StatusCode;
@@ -165,8 +165,7 @@
     fixture.update_faults("e-0", |faults| faults.late_commits = 1.0);
     let id = fixture.next_job_id();
     let job = job("100", 1);
-    let first = tokio::time::timeout(LEAVE_AFTER, fixture.send("e-0", &id, &job)).await;
-    ensure!(first.is_err(), "{first:?}");
+    fixture.send_and_leave("e-0", &id, &job).await?;
     fixture.update_faults("e-1", |faults| faults.store = Reach::Refused);
     let status = fixture.send("e-1", &id, &job).await;
     fixture.update_all_faults(|faults| faults.store = Reach::Fine);
--- a/tests/site/cancel_unknown.rs
+++ b/tests/site/cancel_unknown.rs
@@ -2,18 +2,14 @@
 
 use crate::{
     cases,
-    fixture::{
-        Fixture, LATE_COMMIT_SECS, LEAVE_AFTER, POOL, configuration, job, sleep_secs, task,
-        with_accounts,
-    },
+    fixture::{Fixture, LATE_COMMIT_SECS, LEAVE_AFTER, POOL, job, sleep_secs},
 };
 use eyre::{Result, ensure};
 use http::StatusCode;
 use primroseroute_cell::row::{self, tombstone};
 use primroseroute_domain::work::{JobId, State};
 use primroseroute_platform::rows::{Range, Rows, read_row};
-use primroseroute_standin::site::Options;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 cases! {
     /// A job that runs seconds after its cancel was answered 410, since the store carries its submission out late.
@@ -42,23 +38,18 @@
 async fn submit_late(fixture: &mut Fixture, entry: &str) -> Result<JobId> {
     fixture.update_faults(entry, |faults| faults.late_commits = 1.0);
     let id = fixture.next_job_id();
-    let answer = timeout(LEAVE_AFTER, fixture.send(entry, &id, &job("500", 2))).await;
-    ensure!(answer.is_err(), "{id} got {answer:?}");
+    fixture.send_and_leave(entry, &id, &job("500", 2)).await?;
     fixture.update_faults(entry, |faults| faults.late_commits = 0.0);
     Ok(id)
 }
 
-/// Fails if a task of the job was started, or if the job is shown.
+/// Fails if a task of the job was started, or if the job is shown or counted.
 async fn check_absent(fixture: &Fixture, id: &JobId) -> Result<()> {
-    let starts = fixture.world.journal().starts(&task(id, 0, 0));
-    ensure!(starts.is_empty(), "{starts:?}");
     for entry in fixture.nodes.keys() {
-        let state = fixture.state(entry, id).await;
-        ensure!(state == Err(StatusCode::GONE), "{entry}: {state:?}");
         let queued = fixture.queued(entry).await;
         ensure!(queued == 0, "{queued} jobs are reported as queued");
     }
-    fixture.check_invariants()
+    fixture.check_absent(id).await
 }
 
 async fn late_commit() -> Result<()> {
@@ -127,7 +118,7 @@
 }
 
 async fn another_queue() -> Result<()> {
-    let mut fixture = with_two_accounts(95).await?;
+    let mut fixture = Fixture::open_with_two_accounts(95).await?;
     let id = submit_late(&mut fixture, "e-0").await?;
     fixture.queue = "/rest/";
     ensure!(fixture.cancel("e-1", &id).await == StatusCode::GONE);
@@ -164,18 +155,6 @@
     fixture.check_invariants()
 }
 
-/// A site with the accounts `small`, whose key is used at first, and `large`.
-async fn with_two_accounts(seed: u64) -> Result<Fixture> {
-    let options = Options {
-        seed,
-        ..Options::default()
-    };
-    let configuration = with_accounts(configuration(1, POOL), &[("small", 0), ("large", 0)]);
-    let mut fixture = Fixture::open_on(configuration, options, &[250; 3], 2).await?;
-    fixture.key = Some("small".into());
-    Ok(fixture)
-}
-
 /// Cancels an unknown id as `small`, and submits a job under it as `large`.
 async fn cancel_and_submit_as_another(fixture: &mut Fixture) -> Result<JobId> {
     let id = fixture.next_job_id();
@@ -188,7 +167,7 @@
 }
 
 async fn other_account() -> Result<()> {
-    let mut fixture = with_two_accounts(98).await?;
+    let mut fixture = Fixture::open_with_two_accounts(98).await?;
     let id = cancel_and_submit_as_another(&mut fixture).await?;
     fixture
         .wait_for_state("e-2", &id, State::Completed, 4)
@@ -208,7 +187,7 @@
 }
 
 async fn two_accounts() -> Result<()> {
-    let mut fixture = with_two_accounts(99).await?;
+    let mut fixture = Fixture::open_with_two_accounts(99).await?;
     let id = fixture.next_job_id();
     for key in ["small", "large"] {
         fixture.key = Some(key.into());
@@ -273,7 +252,7 @@
 }
 
 async fn replaced() -> Result<()> {
-    let mut fixture = with_two_accounts(193).await?;
+    let mut fixture = Fixture::open_with_two_accounts(193).await?;
     let id = fixture.next_job_id();
     ensure!(fixture.cancel("e-0", &id).await == StatusCode::GONE);
     fixture.sent.cancelled.clear();
--- a/tests/site/overload.rs
+++ b/tests/site/overload.rs
@@ -4,7 +4,7 @@
     cases,
     fixture::{
         Fixture, LATE_COMMIT_SECS, LEAVE_AFTER, POOL, configuration, job, long_running, sleep_secs,
-        task, with_accounts,
+        with_accounts,
     },
     log_capture::{capture, captured},
 };
@@ -19,7 +19,7 @@
 use primroseroute_platform::rows::{Rows, Txn};
 use primroseroute_standin::site::{Options, Reach};
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 cases! {
     /// A caller that is told that a job never runs, though an earlier attempt was accepted.
@@ -76,17 +76,6 @@
     }
 }
 
-async fn open(seed: u64) -> Result<Fixture> {
-    let options = Options {
-        seed,
-        ..Options::default()
-    };
-    let configuration = with_accounts(configuration(1, POOL), &[("small", 0), ("large", 0)]);
-    let mut fixture = Fixture::open_on(configuration, options, &[250; 3], 2).await?;
-    fixture.key = Some("small".into());
-    Ok(fixture)
-}
-
 async fn write(fixture: &Fixture, value: Vec<u8>) -> Result<()> {
     let txn = Txn {
         conditions: Vec::new(),
@@ -126,7 +115,7 @@
 }
 
 async fn repeated() -> Result<()> {
-    let mut fixture = open(901).await?;
+    let mut fixture = Fixture::open_with_two_accounts(901).await?;
     let (known, status) = submit(&mut fixture, "e-0").await;
     ensure!(status.is_success(), "{status}");
     publish(&fixture, &overload()).await?;
@@ -145,7 +134,7 @@
 }
 
 async fn never_runs() -> Result<()> {
-    let mut fixture = open(902).await?;
+    let mut fixture = Fixture::open_with_two_accounts(902).await?;
     publish(&fixture, &overload()).await?;
     let id = fixture.next_job_id();
     fixture.sent.jobs.insert(id.clone(), job("100", 1));
@@ -164,17 +153,9 @@
     fixture.check_invariants()
 }
 
-/// Fails if a task of the job was started, or if the job is shown.
-async fn check_absent(fixture: &Fixture, id: &JobId) -> Result<()> {
-    let starts = fixture.world.journal().starts(&task(id, 0, 0));
-    ensure!(starts.is_empty(), "{starts:?}");
-    ensure!(fixture.state("e-2", id).await == Err(StatusCode::GONE));
-    fixture.check_invariants()
-}
-
 /// Overloads the pool without the entry `e-0` learning of it, whose commits are late.
 async fn overload_unknown_to_one(seed: u64) -> Result<Fixture> {
-    let fixture = open(seed).await?;
+    let fixture = Fixture::open_with_two_accounts(seed).await?;
     fixture.update_faults("e-0", |faults| {
         faults.feeds = Reach::Refused;
         faults.late_commits = 1.0;
@@ -189,12 +170,11 @@
     let mut fixture = overload_unknown_to_one(917).await?;
     let id = fixture.next_job_id();
     let job = job("100", 1);
-    let answer = timeout(LEAVE_AFTER, fixture.send("e-0", &id, &job)).await;
-    ensure!(answer.is_err(), "{answer:?}");
+    fixture.send_and_leave("e-0", &id, &job).await?;
     let status = fixture.send("e-1", &id, &job).await;
     ensure!(status == StatusCode::TOO_MANY_REQUESTS, "{status}");
     sleep_secs(LATE_COMMIT_SECS).await;
-    check_absent(&fixture, &id).await
+    fixture.check_absent(&id).await
 }
 
 async fn earlier_gateway() -> Result<()> {
@@ -215,11 +195,11 @@
     let rejected = StatusCode::TOO_MANY_REQUESTS;
     ensure!(statuses == (rejected, rejected), "{statuses:?}");
     sleep_secs(LATE_COMMIT_SECS).await;
-    check_absent(&fixture, &id).await
+    fixture.check_absent(&id).await
 }
 
 async fn accepted_later() -> Result<()> {
-    let mut fixture = open(919).await?;
+    let mut fixture = Fixture::open_with_two_accounts(919).await?;
     publish(&fixture, &overload()).await?;
     let id = fixture.next_job_id();
     for entry in ["e-0", "e-1"] {
@@ -236,7 +216,7 @@
 }
 
 async fn cancelled_after_rejection() -> Result<()> {
-    let mut fixture = open(920).await?;
+    let mut fixture = Fixture::open_with_two_accounts(920).await?;
     publish(&fixture, &overload()).await?;
     let (id, status) = submit(&mut fixture, "e-0").await;
     ensure!(status == StatusCode::TOO_MANY_REQUESTS, "{status}");
@@ -245,11 +225,11 @@
     let status = fixture.send("e-2", &id, &job("100", 1)).await;
     ensure!(status == StatusCode::CONFLICT, "{status}");
     sleep_secs(3).await;
-    check_absent(&fixture, &id).await
+    fixture.check_absent(&id).await
 }
 
 async fn unreadable_claims() -> Result<()> {
-    let mut fixture = open(903).await?;
+    let mut fixture = Fixture::open_with_two_accounts(903).await?;
     publish(&fixture, &overload()).await?;
     fixture.update_faults("e-0", |faults| faults.read_delay = Duration::from_secs(1));
     let (id, status) = submit(&mut fixture, "e-0").await;
@@ -262,7 +242,7 @@
 }
 
 async fn failing_feed(reach: Reach) -> Result<()> {
-    let mut fixture = open(904).await?;
+    let mut fixture = Fixture::open_with_two_accounts(904).await?;
     fixture.update_faults("e-0", |faults| faults.feeds = reach);
     sleep_secs(27).await;
     // The accounts have a weight of one job per second.
@@ -279,7 +259,7 @@
 }
 
 async fn old_row() -> Result<()> {
-    let mut fixture = open(905).await?;
+    let mut fixture = Fixture::open_with_two_accounts(905).await?;
     publish(&fixture, &overload()).await?;
     let accepted = accepted_of(&mut fixture, 20, 100).await?;
     ensure!(accepted == 0, "{accepted} of 20 with a fresh row");
@@ -290,7 +270,7 @@
 }
 
 async fn flood() -> Result<()> {
-    let mut fixture = open(906).await?;
+    let mut fixture = Fixture::open_with_two_accounts(906).await?;
     let load = PoolLoad {
         within_wait_ms: 0,
         within_permille: [("large".into(), 100)].into(),
@@ -342,7 +322,7 @@
 }
 
 async fn too_large() -> Result<()> {
-    let mut fixture = open(907).await?;
+    let mut fixture = Fixture::open_with_two_accounts(907).await?;
     let load = PoolLoad {
         within_wait_ms: 0,
         beyond_wait_ms: 0,
@@ -363,7 +343,7 @@
 
 async fn unusable() -> Result<()> {
     capture();
-    let mut fixture = open(908).await?;
+    let mut fixture = Fixture::open_with_two_accounts(908).await?;
     let newer = PoolLoad {
         format: PoolLoad::FORMAT + 1,
         ..overload()
@@ -385,7 +365,7 @@
 }
 
 async fn exempt() -> Result<()> {
-    let mut fixture = open(909).await?;
+    let mut fixture = Fixture::open_with_two_accounts(909).await?;
     publish(&fixture, &overload()).await?;
     let id = fixture.submit("e-0", &long_running(1)).await?;
     fixture
@@ -395,7 +375,7 @@
 }
 
 async fn without_body() -> Result<()> {
-    let mut fixture = open(910).await?;
+    let mut fixture = Fixture::open_with_two_accounts(910).await?;
     let (known, _status) = submit(&mut fixture, "e-0").await;
     let load = PoolLoad {
         within_permille: [(Name::from("small"), 0)].into(),
@@ -419,7 +399,7 @@
 }
 
 async fn switched_off() -> Result<()> {
-    let mut fixture = open(911).await?;
+    let mut fixture = Fixture::open_with_two_accounts(911).await?;
     fixture
         .bounds
         .send_modify(|bounds| bounds.admission = false);
@@ -430,7 +410,7 @@
 }
 
 async fn compacted() -> Result<()> {
-    let mut fixture = open(912).await?;
+    let mut fixture = Fixture::open_with_two_accounts(912).await?;
     fixture.world.compact();
     // An owner repeats its row; the first one may be among what was compacted.
     for _time in 0..2 {
