Tests: crowds of clients that hold what they send, known to fail

The tests start the real programs on loopback with a machine of 64 MB and 700 descriptors in their settings, open a crowd that stops short of the end of what it sends and stays connected, and check that the process lives, that memory and sockets stay within the machine, and that an ordinary request is answered. They check no times and run one at a time.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -5,6 +5,7 @@
 //! is the in-memory one, so that tests can partition the network between entries.
 
 mod components;
+pub mod process;
 mod site;
 mod spec;
 
