Front: what connections hold is bounded over all of them

Cause: what a client can make a process hold was bounded for each request, and never for the process. Bodies were collected frame by frame, each frame with the read buffer that it pins, so that a body in chunks of one byte cost over forty times its length; heads and responses were held as well. The same stood on the request path, for claimed requests, and at the operators' API.

Change: one registry for all connections of a process, at a quarter of the machine's MemoryMb on the job path and limits.connection-memory (32 MiB) on the request path. Memory for heads, bodies and their decoded forms is reserved before it is filled; responses are charged. When it is short, connections are closed whose clients keep the process waiting, by bytes times the time for which they have been held, so that a newcomer doesn't lose against clients that stand still; in calm nobody is closed. A complete request is never cut off so, and a claimed one stays counted after its caller has left. Nothing is answered to a client that is closed: a 429 or 503 would need a write to hold its id. Gauges, a counter by reason and one log line a second tell who was closed.

--- a/crates/admin/src/http/write.rs
+++ b/crates/admin/src/http/write.rs
@@ -5,9 +5,8 @@
     router::{name_in_path, shared},
 };
 use crate::edit;
-use gotham::{handler::HandlerResult, helpers::http::Body, prelude::FromState, state::State};
+use gotham::{handler::HandlerResult, prelude::FromState, state::State};
 use http::HeaderMap;
-use http_body_util::{BodyExt, Limited};
 use primroseroute_api::{Accepted, Apply, Move, Order};
 use primroseroute_domain::{
     account::Template,
@@ -15,6 +14,7 @@
     outcome::{Code, Refusal},
     time::Instant,
 };
+use primroseroute_front::Upload;
 use primroseroute_ledger::Draft;
 use primroseroute_view::{Author, Snapshot, commit_with_retry};
 use serde::de::DeserializeOwned;
@@ -23,11 +23,14 @@
 /// Maximum size of a request body. A template of 270 pools is about 100 KiB.
 const MAX_BODY_BYTES: usize = 1 << 20;
 
+/// How often a request holds its body: as it was received, as an order, as a change, and as its row.
+const BODY_COPIES: usize = 4;
+
 /// A request taken out of gotham's state, which must not be held across an await point.
 pub(super) struct IncomingRequest {
     shared: Shared,
     headers: HeaderMap,
-    body: Body,
+    body: Upload,
 }
 
 impl IncomingRequest {
@@ -35,19 +38,15 @@
         Self {
             shared: shared(state),
             headers: HeaderMap::take_from(state),
-            body: Body::take_from(state),
+            body: Upload::take_from(state),
         }
     }
 
     pub(super) async fn read<T: DeserializeOwned>(self) -> Result<OperatorRequest<T>, Refusal> {
         let operator = super::auth::operator(&self.shared, &self.headers)?;
         let malformed = |detail: String| Refusal::new(Code::MalformedRequest, detail);
-        let body = Limited::new(self.body, MAX_BODY_BYTES);
-        let bytes = body
-            .collect()
-            .await
-            .map_err(|error| malformed(error.to_string()))?
-            .to_bytes();
+        let body = self.body.collect(MAX_BODY_BYTES, BODY_COPIES);
+        let bytes = body.await.map_err(|error| malformed(error.to_string()))?;
         let order = serde_json::from_slice(&bytes).map_err(|error| malformed(error.to_string()))?;
         Ok(OperatorRequest {
             shared: self.shared,
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -107,7 +107,7 @@
         }));
         let server = CallerServer::bind(
             components.listen.callers,
-            components.server_options,
+            components.server_options.clone(),
             handler,
         )
         .await?;
--- a/crates/front/src/handler.rs
+++ b/crates/front/src/handler.rs
@@ -1,5 +1,6 @@
 //! A gotham handler that calls an async function for each request.
 
+use crate::Upload;
 use gotham::{
     anyhow,
     handler::{Handler, HandlerFuture, NewHandler},
@@ -20,7 +21,7 @@
     /// Its headers.
     pub headers: HeaderMap,
     /// Its body, which may not have been received completely.
-    pub body: Body,
+    pub body: Upload,
 }
 
 /// Creates a handler that responds to each request by calling `serve` with the shared state.
@@ -64,7 +65,7 @@
             method: Method::take_from(&mut state),
             uri: Uri::take_from(&mut state),
             headers: HeaderMap::take_from(&mut state),
-            body: Body::take_from(&mut state),
+            body: Upload::take_from(&mut state),
         };
         Box::pin(async move {
             let (shared, serve) = &*self.0;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,16 +12,20 @@
 //!   ([`problem`]);
 //! * every request has a valid `x-request-id`, which is generated if its caller sent none;
 //! * at most [`Options::max_connections`] are open; further ones wait in the listener's backlog;
+//! * what connections hold is bounded over all listeners of the process ([`connections`]);
 //! * [`Server::stop`] stops accepting, waits for every request in flight, closes keep-alive
 //!   connections, and returns when all connections are closed.
 
+pub mod connections;
 mod handler;
 pub mod problem;
 mod request_id;
 mod server;
+pub mod upload;
 
 #[cfg(doc)]
 use primroseroute_domain::outcome::Code;
 
 pub use handler::{IncomingRequest, handler_fn};
 pub use server::{Options, Server};
+pub use upload::Upload;
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -1,21 +1,29 @@
 //! The accept loop and graceful shutdown.
 
-use crate::{problem, request_id::RequestIds};
+use crate::{
+    connections::{Connection, Registry, Socket},
+    problem,
+    request_id::RequestIds,
+    upload::{Download, Streamed},
+};
 use eyre::{Context, Result};
 use futures::FutureExt;
-use gotham::{anyhow, handler::NewHandler, service::call_handler, state::State};
-use http::{HeaderValue, Request, header::CONNECTION};
+use gotham::{
+    anyhow, handler::NewHandler, helpers::http::Body, service::call_handler, state::State,
+};
+use http::{HeaderValue, Request, Response, header::CONNECTION};
+use http_body::Body as HttpBody;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     server::graceful::{GracefulShutdown, Watcher},
 };
 use primroseroute_domain::outcome::{Code, Refusal};
-use std::{net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration};
 use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::{Semaphore, watch},
-    task::JoinHandle,
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
+    task::{JoinHandle, JoinSet},
     time::{sleep, timeout},
 };
 
@@ -25,8 +33,14 @@
 /// Smallest read buffer that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
+/// Connections that the operating system keeps until they are accepted.
+const BACKLOG: u32 = 1024;
+
+/// Memory of the connections of a server that shares it with no other.
+const OWN_MEMORY_BYTES: usize = 32 << 20;
+
 /// Limits on connections and request heads.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Options {
     /// Largest request head in bytes.
     pub max_head_bytes: usize,
@@ -36,18 +50,25 @@
     pub max_connections: usize,
     /// How long open connections are still served after the listener has closed.
     pub shutdown_grace: Duration,
+    /// Bytes that the operating system receives for a connection before they are read; its own default if
+    /// `None`.
+    pub receive_buffer: Option<u32>,
+    /// The connections of this process, which share its memory.
+    pub registry: Registry,
 }
 
 impl Default for Options {
     /// 32 KiB of head, enough for the usual cookies and tokens; 10 s, as in common servers; 4,096
-    /// connections, which at about 20 KiB each stay under the 128 MB of a small entry; half a second
-    /// of shutdown grace, far more than the round trip of a request sent while the listener closes.
+    /// connections, of which as many stay open as 32 MiB hold; half a second of shutdown grace, far more
+    /// than the round trip of a request sent while the listener closes.
     fn default() -> Self {
         Self {
             max_head_bytes: 32 << 10,
             head_timeout: Duration::from_secs(10),
             max_connections: 4096,
             shutdown_grace: Duration::from_millis(500),
+            receive_buffer: None,
+            registry: Registry::open(OWN_MEMORY_BYTES, None),
         }
     }
 }
@@ -73,23 +94,31 @@
     ///
     /// # Errors
     /// If the address cannot be bound.
+    #[expect(
+        clippy::unused_async,
+        reason = "an async function is called within the runtime that it needs"
+    )]
     pub async fn bind<H>(address: SocketAddr, options: Options, handler: H) -> Result<Self>
     where
         H: NewHandler + 'static,
     {
-        let listener = TcpListener::bind(address)
-            .await
+        let listener = listen(address, options.receive_buffer)
             .wrap_err_with(|| format!("binding {address} for HTTP"))?;
         let address = listener
             .local_addr()
             .wrap_err("reading the bound address")?;
         let phase = watch::Sender::new(Phase::Serving);
-        let accept_loop = tokio::spawn(run_accept_loop(
-            listener,
+        let acceptor = Acceptor {
+            limit: Arc::new(Semaphore::new(options.max_connections)),
+            address,
             options,
-            Arc::new(handler),
-            phase.subscribe(),
-        ));
+            handler: Arc::new(handler),
+            request_ids: Arc::new(RequestIds::new()),
+            phase: phase.subscribe(),
+            graceful: GracefulShutdown::new(),
+            connections: JoinSet::new(),
+        };
+        let accept_loop = tokio::spawn(acceptor.run(listener));
         Ok(Self {
             address,
             phase,
@@ -125,71 +154,103 @@
     }
 }
 
-async fn run_accept_loop<H>(
-    listener: TcpListener,
+/// Listens on `address`.
+///
+/// The buffer's size is set on the listener, since a connection takes it over before it is accepted.
+fn listen(address: SocketAddr, receive_buffer: Option<u32>) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    if let Some(bytes) = receive_buffer
+        && let Err(error) = socket.set_recv_buffer_size(bytes)
+    {
+        log::warn!("setting the receive buffer of {address} failed: {error}");
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts the connections of a listener.
+struct Acceptor<H> {
+    address: SocketAddr,
     options: Options,
     handler: Arc<H>,
-    mut phase: watch::Receiver<Phase>,
-) where
-    H: NewHandler + 'static,
-{
-    let graceful = GracefulShutdown::new();
-    let request_ids = Arc::new(RequestIds::new());
-    let connection_limit = Arc::new(Semaphore::new(options.max_connections));
-    // Connections end with this task, so that `abort` has the same effect as the loss of the process.
-    let mut connections = tokio::task::JoinSet::new();
-    loop {
-        let permit = tokio::select! {
-            () = stopping(&mut phase) => break,
-            Some(_) = connections.join_next() => continue,
-            permit = Arc::clone(&connection_limit).acquire_owned() => permit,
-        };
-        let (socket, caller) = tokio::select! {
-            () = stopping(&mut phase) => break,
-            accepted = listener.accept() => match accepted {
-                Ok(accepted) => accepted,
-                Err(error) => {
-                    log::warn!("accepting a connection failed: {error}");
-                    sleep(ACCEPT_RETRY_DELAY).await;
-                    continue;
-                }
-            },
-        };
-        let connection = serve(
+    request_ids: Arc<RequestIds>,
+    phase: watch::Receiver<Phase>,
+    limit: Arc<Semaphore>,
+    graceful: GracefulShutdown,
+    /// Connections end with this task, so that `abort` has the same effect as the loss of the process.
+    connections: JoinSet<()>,
+}
+
+impl<H: NewHandler + 'static> Acceptor<H> {
+    async fn run(mut self, listener: TcpListener) {
+        let mut phase = self.phase.clone();
+        loop {
+            let permit = tokio::select! {
+                () = stopping(&mut phase) => break,
+                Some(_) = self.connections.join_next() => continue,
+                permit = Arc::clone(&self.limit).acquire_owned() => permit.ok(),
+            };
+            let (socket, client) = tokio::select! {
+                () = stopping(&mut phase) => break,
+                accepted = listener.accept() => match accepted {
+                    Ok(accepted) => accepted,
+                    Err(error) => {
+                        log::warn!("accepting a connection failed: {error}");
+                        sleep(ACCEPT_RETRY_DELAY).await;
+                        continue;
+                    }
+                },
+            };
+            self.spawn(socket, client, permit);
+        }
+        // Established connections that have not been accepted are reset when the listener closes, although
+        // their callers may have sent a request: they are served first.
+        while let Some(Ok((socket, client))) = listener.accept().now_or_never() {
+            self.spawn(socket, client, None);
+        }
+        drop(listener);
+        self.stop().await;
+    }
+
+    fn spawn(
+        &mut self,
+        socket: TcpStream,
+        client: SocketAddr,
+        permit: Option<OwnedSemaphorePermit>,
+    ) {
+        let connection = self.options.registry.add(self.address, client);
+        let serving = serve(
             socket,
-            caller,
-            options,
-            Arc::clone(&handler),
-            Arc::clone(&request_ids),
-            phase.clone(),
-            graceful.watcher(),
+            client,
+            connection,
+            self.options.clone(),
+            Arc::clone(&self.handler),
+            Arc::clone(&self.request_ids),
+            self.phase.clone(),
+            self.graceful.watcher(),
         );
-        connections.spawn(async move {
-            connection.await;
+        self.connections.spawn(async move {
+            serving.await;
             drop(permit);
         });
     }
-    // Established connections that have not been accepted are reset when the listener closes, although
-    // their callers may have sent a request: they are served first.
-    while let Some(Ok((socket, caller))) = listener.accept().now_or_never() {
-        connections.spawn(serve(
-            socket,
-            caller,
-            options,
-            Arc::clone(&handler),
-            Arc::clone(&request_ids),
-            phase.clone(),
-            graceful.watcher(),
-        ));
-    }
-    drop(listener);
-    // A request may be in transit on a connection that appears idle. Closing immediately would
-    // interrupt it, and its caller could not know whether it ran; every response from here on closes
-    // its connection, so a connection that is still open after the wait has been idle for that long.
-    let all_closed = async { while connections.join_next().await.is_some() {} };
-    if timeout(options.shutdown_grace, all_closed).await.is_err() {
-        graceful.shutdown().await;
-        while connections.join_next().await.is_some() {}
+
+    async fn stop(mut self) {
+        // A request may be in transit on a connection that appears idle. Closing immediately would
+        // interrupt it, and its caller could not know whether it ran; every response from here on closes
+        // its connection, so a connection that is still open after the wait has been idle for that long.
+        let all_closed = async { while self.connections.join_next().await.is_some() {} };
+        if timeout(self.options.shutdown_grace, all_closed)
+            .await
+            .is_err()
+        {
+            self.graceful.shutdown().await;
+            while self.connections.join_next().await.is_some() {}
+        }
     }
 }
 
@@ -201,6 +262,15 @@
         .is_err();
 }
 
+/// Bytes of a response's body that are in memory.
+fn held_bytes(response: &Response<Body>) -> usize {
+    if let Some(streamed) = response.extensions().get::<Streamed>() {
+        return streamed.buffered;
+    }
+    let length = response.body().size_hint().exact().unwrap_or_default();
+    usize::try_from(length).unwrap_or(usize::MAX)
+}
+
 /// Size of a request's target and headers in bytes, without separators.
 fn head_bytes<B>(request: &Request<B>) -> usize {
     let headers = request.headers().iter();
@@ -211,9 +281,11 @@
     uri.map_or(0, |uri| uri.as_str().len()) + headers
 }
 
+#[expect(clippy::too_many_arguments, reason = "the parts of one connection")]
 async fn serve<H>(
     socket: TcpStream,
     caller: SocketAddr,
+    connection: Connection,
     options: Options,
     handler: Arc<H>,
     request_ids: Arc<RequestIds>,
@@ -227,7 +299,11 @@
     if let Err(error) = socket.set_nodelay(true) {
         log::debug!("setting TCP_NODELAY for {caller} failed: {error}");
     }
+    let closed = connection.clone();
+    let io = TokioIo::new(Socket::new(socket, connection.clone()));
     let respond = service_fn(move |mut request: Request<Incoming>| {
+        let connection = connection.clone();
+        connection.head_received(request.body().is_end_stream());
         let request_id = request_ids.ensure(request.headers_mut());
         let handler = Arc::clone(&handler);
         let phase = phase.clone();
@@ -240,7 +316,8 @@
                     None,
                 )
             } else {
-                let state = State::from_request(request, caller);
+                let mut state = State::from_request(request, caller);
+                state.put(connection.clone());
                 let response = call_handler(handler, AssertUnwindSafe(state)).await?;
                 problem::add_problem_details(response, &request_id)
             };
@@ -249,16 +326,23 @@
                     .headers_mut()
                     .insert(CONNECTION, HeaderValue::from_static("close"));
             }
-            anyhow::Ok(response)
+            connection.response_begins(held_bytes(&response));
+            anyhow::Ok(response.map(|body| Download::boxed(body, connection)))
         }
     });
-    let connection = http1::Builder::new()
+    let serving = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(options.head_timeout)
         .max_buf_size(options.max_head_bytes.max(MIN_BUFFER_BYTES) * 2)
         .keep_alive(true)
-        .serve_connection(TokioIo::new(socket), respond);
-    if let Err(error) = watcher.watch(connection).await {
-        log::debug!("connection of {caller} ended early: {error}");
+        .serve_connection(io, respond);
+    tokio::select! {
+        biased;
+        () = closed.closed() => {}
+        served = watcher.watch(serving) => {
+            if let Err(error) = served {
+                log::debug!("connection of {caller} ended early: {error}");
+            }
+        }
     }
 }
--- /dev/null
+++ b/crates/front/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Servers over sockets, with connections that share little memory.
+
+mod connections;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,7 +25,7 @@
     time::Clock,
     work::{JobId, Name, State},
 };
-use primroseroute_front::{IncomingRequest, handler_fn, problem::REQUEST_ID};
+use primroseroute_front::{IncomingRequest, Upload, handler_fn, problem::REQUEST_ID};
 use primroseroute_platform::{
     Error,
     rows::{Place, Row, Rows, Version, read_row},
@@ -172,11 +172,11 @@
         method: Method,
         uri: Uri,
         headers: HeaderMap,
-        body: Body,
+        body: impl Into<Upload>,
     ) -> Response<Body> {
         let begin = Instant::now();
         let mut queue = None;
-        let response = self.answer(method, uri, headers, body, &mut queue);
+        let response = self.answer(method, uri, headers, body.into(), &mut queue);
         let mut response = response.await;
         let is_stale = response.extensions().get::<Stale>().is_some();
         if is_stale || self.components.store_health.is_unreachable() {
@@ -199,7 +199,7 @@
         method: Method,
         uri: Uri,
         headers: HeaderMap,
-        body: Body,
+        body: Upload,
         matched_queue: &mut Option<Name>,
     ) -> Response<Body> {
         let known_version = self.components.store_health.newest_version();
--- a/crates/gateway/src/submission.rs
+++ b/crates/gateway/src/submission.rs
@@ -9,13 +9,11 @@
     retry_limit::RetryLimit,
     unanswered::Unanswered,
 };
-use bytes::Bytes;
 use gotham::helpers::http::Body;
 use http::{
     HeaderValue, Response,
     header::{CONNECTION, CONTENT_LENGTH},
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use log::{debug, info};
 use primroseroute_admission::gate::Reason;
 use primroseroute_cell::row::{self, Claim, tombstone::Tombstone};
@@ -23,6 +21,7 @@
     outcome::Code,
     work::{Job, JobId, Name},
 };
+use primroseroute_front::{Upload, upload};
 use primroseroute_platform::{
     Error,
     rows::{Commit, Row, Version},
@@ -35,6 +34,10 @@
 /// or scheduled, which is always accepted, and such jobs are shorter.
 const READ_BYTES: usize = 65_536;
 
+/// How often a submission holds its body: as it was received, as a job, as rows, and as the text of a
+/// transaction.
+const BODY_COPIES: usize = 4;
+
 /// How long it may take to hold the id of a submission that is to be rejected; the submission is then
 /// tried.
 const HOLD_TIMEOUT: Duration = Duration::from_millis(500);
@@ -47,7 +50,7 @@
         prepared: &Prepared,
         queue: &Queue,
         id: JobId,
-        body: Body,
+        body: Upload,
     ) -> Response<Body> {
         let rejected = self.decide_without_body(head, prepared, queue, &id);
         if let Err(rejected) = rejected
@@ -59,9 +62,16 @@
             return response;
         }
         let limit = prepared.limits.body_bytes;
-        match read_body(body, limit).await {
+        match body.collect(limit, BODY_COPIES).await {
             Ok(body) => self.submit(head, prepared, queue, id, &body).await,
-            Err(code) => refused(code, format!("at most {limit} bytes"), head.request),
+            Err(upload::Error::TooLarge) => {
+                let detail = format!("at most {limit} bytes");
+                refused(Code::BodyTooLarge, detail, head.request)
+            }
+            Err(error) => {
+                debug!("request body incomplete: {error}");
+                refused(Code::BodyIncomplete, error.to_string(), head.request)
+            }
         }
     }
 
@@ -411,14 +421,3 @@
         id,
     }
 }
-
-async fn read_body(body: Body, limit: usize) -> Result<Bytes, Code> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Code::BodyTooLarge),
-        Err(error) => {
-            debug!("request body incomplete: {error}");
-            Err(Code::BodyIncomplete)
-        }
-    }
-}
--- a/crates/route/src/handler/attempt.rs
+++ b/crates/route/src/handler/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempts at one request, one at a time, until it gets a response or is refused.
 
-use super::{Components, Upload, reply, reply::Reply, stream::TrackedBody};
+use super::{BackendBody, Components, reply, reply::Reply, stream::TrackedBody};
 use crate::{
     backend::{Body, Failure, PrefixedBody, ReceivedResponse, buffer_response},
     dispatch::{Decision, RequestHandle},
@@ -15,6 +15,7 @@
     outcome::{Code, Refusal},
 };
 use primroseroute_flow::request::AttemptOutcome;
+use primroseroute_front::upload::Streamed;
 use std::net::SocketAddr;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -23,7 +24,7 @@
 pub(super) struct Attempts<'a> {
     components: &'a Components,
     head: &'a Head,
-    upload: Upload,
+    upload: BackendBody,
     deadline: Instant,
     handle: RequestHandle,
     attempt_count: &'a mut u32,
@@ -38,8 +39,9 @@
 }
 
 /// The claim that a request needs, if it has a key and its complete body has been buffered.
-fn claim_request(head: &Head, upload: &Upload) -> Option<ClaimRequest> {
-    let (Some(key), Upload::Buffered(body), true) = (&head.key, upload, head.is_claimed()) else {
+fn claim_request(head: &Head, upload: &BackendBody) -> Option<ClaimRequest> {
+    let (Some(key), BackendBody::Buffered(body), true) = (&head.key, upload, head.is_claimed())
+    else {
         return None;
     };
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
@@ -61,7 +63,7 @@
     pub(super) fn new(
         components: &'a Components,
         head: &'a Head,
-        upload: Upload,
+        upload: BackendBody,
         deadline: Instant,
         handle: RequestHandle,
         disconnected: CancellationToken,
@@ -196,8 +198,8 @@
 
     fn body(&mut self) -> Option<Body> {
         match &mut self.upload {
-            Upload::Buffered(bytes) => Some(problem::full_body(bytes.clone())),
-            Upload::Streaming(body) => body.take(),
+            BackendBody::Buffered(bytes) => Some(problem::full_body(bytes.clone())),
+            BackendBody::Streaming(body) => body.take(),
         }
     }
 
@@ -259,7 +261,10 @@
                 }
                 Reply::response(parts, problem::full_body(body))
             }
-            ReceivedResponse::Streaming(parts, start, rest) => {
+            ReceivedResponse::Streaming(mut parts, start, rest) => {
+                parts.extensions.insert(Streamed {
+                    buffered: start.len(),
+                });
                 if let Some(permit) = self.permit.take() {
                     // Too large to be stored: the row only states that the request completed.
                     permit.completed(reply::stored_response(&parts, &start));
--- a/crates/route/src/handler/mod.rs
+++ b/crates/route/src/handler/mod.rs
@@ -7,7 +7,6 @@
 use crate::{
     Dispatchers, Finished, Observer,
     backend::{Backend, Body},
-    body::{self, ReceivedBody},
     dispatch::PendingRequest,
     problem,
     request::{self, Head, Timeouts},
@@ -17,6 +16,7 @@
 use http::{HeaderMap, Method, Response, Uri, header};
 use primroseroute_claims::Claims;
 use primroseroute_domain::outcome::{Code, Refusal, Verdict};
+use primroseroute_front::{Upload, upload::Received};
 use primroseroute_view::SnapshotCell;
 use reply::Reply;
 use std::{sync::Arc, time::Duration};
@@ -79,7 +79,7 @@
 }
 
 /// A request body to be sent to a backend server.
-enum Upload {
+enum BackendBody {
     /// The complete body, which can be sent in several attempts.
     Buffered(Bytes),
     /// A streaming body; `None` after the first attempt.
@@ -101,8 +101,9 @@
         method: Method,
         uri: Uri,
         headers: HeaderMap,
-        body: Body,
+        body: impl Into<Upload>,
     ) -> Response<Body> {
+        let body = body.into();
         let started = Instant::now();
         let id = request::request_id(&headers);
         let snapshot = self.components.cell.current();
@@ -144,12 +145,14 @@
     async fn run(
         &self,
         head: Head,
-        body: Body,
+        body: Upload,
         started: Instant,
         disconnected: CancellationToken,
     ) -> Response<Body> {
         let deadline = started + head.timeout;
         let mut attempts = 0;
+        // The body stays in memory until the last attempt, also after its caller has left.
+        let _connection = body.connection();
         let reply = match self.receive(&head, body, deadline).await {
             Ok(upload) => {
                 self.attempt(&head, upload, deadline, disconnected, &mut attempts)
@@ -178,7 +181,12 @@
         });
     }
 
-    async fn receive(&self, head: &Head, body: Body, deadline: Instant) -> Result<Upload, Refusal> {
+    async fn receive(
+        &self,
+        head: &Head,
+        body: Upload,
+        deadline: Instant,
+    ) -> Result<BackendBody, Refusal> {
         let options = &self.components.options;
         let declared = head.headers.get(header::CONTENT_LENGTH);
         let declared = declared
@@ -198,21 +206,23 @@
         } else {
             options.buffer_bytes.min(options.max_body_bytes)
         };
-        let received = timeout_at(deadline, body::receive(body, buffer_limit)).await;
+        let received = timeout_at(deadline, body.receive(buffer_limit)).await;
         let received = received.map_err(|_elapsed| {
             Refusal::new(
                 Code::BodyIncomplete,
                 "the body did not arrive before the deadline",
             )
-        })??;
+        })?;
+        let received =
+            received.map_err(|error| Refusal::new(Code::BodyIncomplete, error.to_string()))?;
         match received {
-            ReceivedBody::Complete(bytes) => Ok(Upload::Buffered(bytes)),
-            ReceivedBody::Partial(..) if head.is_claimed() => Err(too_large()),
-            ReceivedBody::Partial(start, rest) => {
+            Received::Complete(bytes) => Ok(BackendBody::Buffered(bytes)),
+            Received::Partial(..) if head.is_claimed() => Err(too_large()),
+            Received::Partial(start, rest) => {
                 // A single large frame may exceed the limit.
                 let remaining = options.max_body_bytes.checked_sub(start.len());
                 let rest = stream::limited(rest, remaining.ok_or_else(too_large)?);
-                Ok(Upload::Streaming(Some(
+                Ok(BackendBody::Streaming(Some(
                     crate::backend::PrefixedBody::boxed(start, rest),
                 )))
             }
@@ -222,7 +232,7 @@
     async fn attempt(
         &self,
         head: &Head,
-        upload: Upload,
+        upload: BackendBody,
         deadline: Instant,
         disconnected: CancellationToken,
         attempts: &mut u32,
@@ -232,7 +242,7 @@
             service: head.target.service.clone(),
             class: head.target.class,
             deadline,
-            idempotent: head.is_idempotent() && matches!(upload, Upload::Buffered(_)),
+            idempotent: head.is_idempotent() && matches!(upload, BackendBody::Buffered(_)),
         };
         let Some(handle) = self
             .components
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,7 +25,6 @@
 //! with their connection.
 
 pub mod backend;
-mod body;
 mod dispatch;
 mod handler;
 mod headers;
--- a/crates/serve/src/entry_options.rs
+++ b/crates/serve/src/entry_options.rs
@@ -6,7 +6,7 @@
 use primroseroute_entry::{Listen, Timers};
 use primroseroute_fleet::{lifecycle, placement::Weights};
 use primroseroute_flow::limits::Limits as FlowLimits;
-use primroseroute_front::Options as FrontOptions;
+use primroseroute_front::{Options as FrontOptions, connections::Registry};
 use primroseroute_peer::{Address, membership};
 use primroseroute_platform::{http::Options as ClientOptions, task::Resources};
 use primroseroute_route::{Options as PathOptions, request::Timeouts};
@@ -126,6 +126,10 @@
         max_head_bytes: limits.head_bytes as usize,
         head_timeout: limits.head_timeout,
         max_connections: limits.caller_connections as usize,
+        registry: Registry::open(
+            usize::try_from(limits.connection_memory.0).unwrap_or(usize::MAX),
+            None,
+        ),
         ..FrontOptions::default()
     }
 }
--- a/crates/serve/src/metered.rs
+++ b/crates/serve/src/metered.rs
@@ -3,6 +3,7 @@
 use async_trait::async_trait;
 use primroseroute_cell::{Cause, Outcome};
 use primroseroute_domain::work::{End, Name, TaskId};
+use primroseroute_front::connections;
 use primroseroute_gateway::{CancelOutcome, ResponseInfo};
 use primroseroute_platform::{
     Error,
@@ -45,6 +46,12 @@
     }
 }
 
+impl connections::Observer for Observer {
+    fn connections_closed(&self, reason: connections::Reason, count: u64) {
+        self.0.connections_closed(reason.as_str(), count);
+    }
+}
+
 impl primroseroute_owner::Observer for Observer {
     fn start_finished(&self, outcome: Outcome) {
         self.0.start_finished(match outcome {
--- a/crates/serve/src/metrics_handler.rs
+++ b/crates/serve/src/metrics_handler.rs
@@ -7,7 +7,7 @@
     state::State,
 };
 use http::{HeaderValue, Response, StatusCode, header::CONTENT_TYPE};
-use primroseroute_front::problem;
+use primroseroute_front::{connections::Registry, problem};
 use primroseroute_telemetry::site::Meter;
 use std::{panic::AssertUnwindSafe, pin::Pin};
 
@@ -15,11 +15,11 @@
 const MEDIA_TYPE: &str = "text/plain; version=0.0.4";
 
 /// Responds to every request with the metrics.
-pub(crate) struct MetricsHandler(AssertUnwindSafe<Meter>);
+pub(crate) struct MetricsHandler(AssertUnwindSafe<(Meter, Registry)>);
 
 impl MetricsHandler {
-    pub(crate) fn new(meter: Meter) -> Self {
-        Self(AssertUnwindSafe(meter))
+    pub(crate) fn new(meter: Meter, connections: Registry) -> Self {
+        Self(AssertUnwindSafe((meter, connections)))
     }
 }
 
@@ -27,13 +27,18 @@
     type Instance = Self;
 
     fn new_handler(&self) -> anyhow::Result<Self> {
-        Ok(Self::new(self.0.clone()))
+        let (meter, connections) = &*self.0;
+        Ok(Self::new(meter.clone(), connections.clone()))
     }
 }
 
 impl Handler for MetricsHandler {
     fn handle(self, state: State) -> Pin<Box<HandlerFuture>> {
-        let (status, text) = match self.0.render() {
+        let (meter, connections) = &*self.0;
+        let usage = connections.usage();
+        meter.connections_open(usage.connections as u64);
+        meter.connections_held(usage.bytes as u64, usage.limit as u64);
+        let (status, text) = match meter.render() {
             Ok(text) => (StatusCode::OK, text),
             Err(error) => {
                 log::error!(error:% = error; "failed to render metrics");
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -13,7 +13,7 @@
 use primroseroute_backoff::{self as backoff, Backoff};
 use primroseroute_cell::Limits;
 use primroseroute_domain::work::Name;
-use primroseroute_front::{Options, Server};
+use primroseroute_front::{Options, Server, connections::Registry};
 use primroseroute_gateway::{
     Components as GatewayComponents, Gateway, Monitored, Readiness, StoreHealth, admission,
     authentication,
@@ -46,6 +46,14 @@
 /// second and stops routing to an entry after two failed checks.
 const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_300);
 
+/// Share of a process's memory, in percent, that the connections of its clients may hold together. The allocator
+/// may keep about as much of what they have released; half is left for the process's own state.
+const CONNECTION_MEMORY_PERCENT: usize = 25;
+
+/// Bytes that the operating system receives for a connection before the process reads them; they count
+/// toward its memory.
+const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
+
 /// Exit code for invalid settings.
 const INVALID_SETTINGS: u8 = 2;
 
@@ -238,13 +246,20 @@
             clock: Arc::new(clock),
             observer: Some(Arc::clone(&observer) as _),
         });
-        let options = Options::default();
-        let callers = Server::bind(settings.callers, options, gateway.handler()).await?;
-        let readiness = Server::bind(settings.readiness, options, readiness).await?;
+        let connection_memory = settings.memory / 100 * CONNECTION_MEMORY_PERCENT;
+        let registry = Registry::open(connection_memory, Some(Arc::clone(&observer) as _));
+        let options = Options {
+            receive_buffer: Some(RECEIVE_BUFFER_BYTES),
+            registry: registry.clone(),
+            ..Options::default()
+        };
+        let callers = Server::bind(settings.callers, options.clone(), gateway.handler()).await?;
+        let readiness = Server::bind(settings.readiness, options.clone(), readiness).await?;
         let metrics = match metrics_port {
             Some(port) => {
                 let address = SocketAddr::new(settings.callers.ip(), port);
-                Some(Server::bind(address, options, MetricsHandler::new(meter)).await?)
+                let handler = MetricsHandler::new(meter, registry);
+                Some(Server::bind(address, options, handler).await?)
             }
             None => None,
         };
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -78,6 +78,13 @@
             reader.fault_at(path, "a whole number of at least 1");
         }
     }
+    // The body of a request is held twice while it is joined from its parts.
+    if limits.connection_memory.0 < limits.body_bytes.saturating_mul(2) {
+        reader.fault_at(
+            "limits.connection-memory",
+            "at least twice limits.body-bytes",
+        );
+    }
     if !(0.0..=1.0).contains(&limits.retry_budget) {
         reader.fault_at("limits.retry-budget", "a number from 0 to 1");
     }
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -168,6 +168,7 @@
 - Durations are at least 1 ms, but for `timers.drain-grace`.
 - `limits.default-timeout` is at most `limits.max-timeout`.
 - Queue, sizes and connections are at least 1.
+- `limits.connection-memory` is at least twice `limits.body-bytes`.
 - `limits.retry-budget` is from 0 to 1.
 - `timers.poll` is at most 2 s: a view counts as current for 3 s.
 - `timers.lease` is longer than `timers.renew` and `platform.timeout` together.
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -69,6 +69,8 @@
         retry_budget: f64, default "0.1";
         /// Connections open at the same time, of callers and of operators each.
         caller_connections: u32, default "4096";
+        /// Memory that the connections of callers and operators hold together, with their requests; beyond it, those are closed that keep the entry waiting.
+        connection_memory: Bytes, default "32MiB";
     }
 
     /// How often things happen.
--- a/crates/settings/tests/all/faults.rs
+++ b/crates/settings/tests/all/faults.rs
@@ -108,19 +108,19 @@
             51:20: limits.default-timeout: expected at most limits.max-timeout
             57:17: limits.retry-budget: expected a number from 0 to 1
             59:23: limits.caller-connections: expected a whole number of at least 1
-            64:9: timers.poll: expected a duration of at least 1ms
-            68:14: timers.heartbeat: expected at least timers.batch
-            76:10: timers.lease: expected longer than timers.renew and platform.timeout together
-            89:13: fleet.weights.buffer: expected 0, or a number from 0.01 to 1000
-            91:12: fleet.weights.moves: expected 0, or a number from 0.01 to 1000
-            93:15: fleet.weights.roll-out: expected 0, or a number from 0.01 to 1000
-            97:12: fleet.capacity.cores: expected a number above 0
-            99:13: fleet.capacity.memory: expected an amount above 0
-            101:19: fleet.capacity.accelerators: expected a number of at least 0
-            105:18: fleet.lifecycle.health-path: expected a path that starts with `/`
-            107:18: fleet.lifecycle.good-checks: expected a whole number of at least 1
-            109:17: fleet.lifecycle.bad-checks: expected a whole number of at least 1
-            113:18: fleet.lifecycle.maintenance: expected whole seconds, at least 1s
+            66:9: timers.poll: expected a duration of at least 1ms
+            70:14: timers.heartbeat: expected at least timers.batch
+            78:10: timers.lease: expected longer than timers.renew and platform.timeout together
+            91:13: fleet.weights.buffer: expected 0, or a number from 0.01 to 1000
+            93:12: fleet.weights.moves: expected 0, or a number from 0.01 to 1000
+            95:15: fleet.weights.roll-out: expected 0, or a number from 0.01 to 1000
+            99:12: fleet.capacity.cores: expected a number above 0
+            101:13: fleet.capacity.memory: expected an amount above 0
+            103:19: fleet.capacity.accelerators: expected a number of at least 0
+            107:18: fleet.lifecycle.health-path: expected a path that starts with `/`
+            109:18: fleet.lifecycle.good-checks: expected a whole number of at least 1
+            111:17: fleet.lifecycle.bad-checks: expected a whole number of at least 1
+            115:18: fleet.lifecycle.maintenance: expected whole seconds, at least 1s
         "]],
     );
 }
@@ -136,23 +136,23 @@
         19:10: listen.peers: expected an address that other entries can reach
     "]];
     slow_poll("poll: 1s" => "poll: 2100ms") expect![[r"
-        64:9: timers.poll: expected a duration of at most 2s
+        66:9: timers.poll: expected a duration of at most 2s
     "]];
     short_probation("probation: 5m" => "probation: 3s") expect![[r"
-        111:16: fleet.lifecycle.probation: expected longer than good-checks times timers.check-waiting
+        113:16: fleet.lifecycle.probation: expected longer than good-checks times timers.check-waiting
     "]];
     no_size("256GiB" => "256 GB") expect![[r"
-        99:13: fleet.capacity.memory: expected an amount of memory in KiB, MiB, GiB or TiB, such as 256GiB
+        101:13: fleet.capacity.memory: expected an amount of memory in KiB, MiB, GiB or TiB, such as 256GiB
     "]];
     huge_size("256GiB" => "99999999TiB") expect![[r"
-        99:13: fleet.capacity.memory: expected an amount of memory in KiB, MiB, GiB or TiB, such as 256GiB
+        101:13: fleet.capacity.memory: expected an amount of memory in KiB, MiB, GiB or TiB, such as 256GiB
     "]];
     operator_without_token("operators: []" => "operators: [{name: ada}]") expect![[r"
         35:15: secrets.operators[0]: expected `name: NAME` and one of `hash: SHA-256`, `file: PATH`, `env: NAME`; a secret is never written here
     "]];
     no_weight("1\n" => "0\n") expect![[r"
         17:10: listen.admin: expected an address of its own
-        89:5: fleet.weights: expected at least one weight above 0
+        91:5: fleet.weights: expected at least one weight above 0
     "]];
     inline_secret("peer-key:\n    env: PRIMROSEROUTE_PEER_KEY" => "peer-key: hunter2") expect![[r"
         37:13: secrets.peer-key: expected `file: PATH` or `env: NAME`; a secret is never written here
--- a/crates/telemetry/src/site.rs
+++ b/crates/telemetry/src/site.rs
@@ -24,6 +24,10 @@
     admission_decisions: Counter<u64>,
     cancels: Counter<u64>,
     cancelled_submissions: Counter<u64>,
+    connections: Gauge<u64>,
+    connection_bytes: Gauge<u64>,
+    connection_bytes_limit: Gauge<u64>,
+    connections_closed: Counter<u64>,
     answer_seconds: Histogram<f64>,
     calls: Counter<u64>,
     call_seconds: Histogram<f64>,
@@ -96,6 +100,19 @@
                 "cancelled_submissions",
                 "Submissions refused since their jobs were cancelled before",
             ),
+            connections: gauge("connections", "Open connections of all listeners"),
+            connection_bytes: gauge(
+                "connection_bytes",
+                "Memory that connections and their requests hold",
+            ),
+            connection_bytes_limit: gauge(
+                "connection_bytes_limit",
+                "Memory that connections and their requests may hold",
+            ),
+            connections_closed: counter(
+                "connections_closed",
+                "Connections closed whose clients kept the entry waiting, by reason",
+            ),
             answer_seconds: durations(
                 "answer_duration",
                 "Time from a request's head to its answer",
@@ -187,6 +204,23 @@
         self.cancelled_submissions.add(1, &[]);
     }
 
+    /// Sets the number of open connections.
+    pub fn connections_open(&self, connections: u64) {
+        self.connections.record(connections, &[]);
+    }
+
+    /// Sets the memory that connections hold, and that they may hold, in bytes.
+    pub fn connections_held(&self, bytes: u64, limit: u64) {
+        self.connection_bytes.record(bytes, &[]);
+        self.connection_bytes_limit.record(limit, &[]);
+    }
+
+    /// Counts connections that are closed since their clients keep the entry waiting.
+    pub fn connections_closed(&self, reason: &'static str, count: u64) {
+        self.connections_closed
+            .add(count, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Records a call with its duration and its error, if any.
     pub fn call_finished(
         &self,
--- a/tests/all/lines.rs
+++ b/tests/all/lines.rs
@@ -8,8 +8,9 @@
 };
 
 /// Sources of the log lines that an operator of the job path sees.
-const SOURCES: [&str; 7] = [
+const SOURCES: [&str; 8] = [
     "crates/backoff/src",
+    "crates/front/src/connections",
     "crates/owner/src",
     "crates/gateway/src",
     "crates/serve/src/site.rs",
