Front: listeners have shares of the machine's sockets

Cause: each listener took 4,096 connections whatever the machine: callers, readiness checks and metrics together three times MaxFds, with nothing left for the store and the workers. A full listener accepted nobody until somebody left, and the loop over the backlog on a stop knew no bound.

Change: callers have 37.5 % of MaxFds less 200, readiness checks and metrics 3 % each; a caller's request may need a socket to the store, and the rest is for workers and instances. A newcomer to a full listener is accepted for a connection whose client keeps the process waiting.

--- a/crates/front/src/connections/registry.rs
+++ b/crates/front/src/connections/registry.rs
@@ -24,6 +24,8 @@
 pub enum Reason {
     /// Memory is short.
     Memory,
+    /// Its listener has as many connections as it may have.
+    Connections,
 }
 
 impl Reason {
@@ -31,6 +33,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Memory => "memory",
+            Self::Connections => "connections",
         }
     }
 }
@@ -191,6 +194,18 @@
         self.0.charge(id, CONNECTION_BYTES);
         Connection::new(Arc::clone(&self.0), id, closed)
     }
+
+    /// Closes a connection of a listener whose client keeps it waiting, if there is one.
+    pub(crate) fn make_room(&self, listener: SocketAddr) {
+        let now = Instant::now();
+        let mut state = self.0.state.lock();
+        let of_listener = state.connections.iter();
+        let of_listener = of_listener
+            .filter(|(_id, record)| record.listener == listener && record.is_evictable());
+        let costliest = of_listener.max_by_key(|(_id, record)| record.cost(now));
+        let victim = costliest.map(|(id, _record)| *id);
+        self.0.close(&mut state, victim, Reason::Connections, now);
+    }
 }
 
 /// Rounds up to whole units.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -11,7 +11,8 @@
 //! * every error response, including gotham's own, has problem details with a result code
 //!   ([`problem`]);
 //! * every request has a valid `x-request-id`, which is generated if its caller sent none;
-//! * at most [`Options::max_connections`] are open; further ones wait in the listener's backlog;
+//! * at most [`Options::max_connections`] are open; for a further one, a connection is closed whose client
+//!   keeps the server waiting;
 //! * what connections hold is bounded over all listeners of the process ([`connections`]);
 //! * [`Server::stop`] stops accepting, waits for every request in flight, closes keep-alive
 //!   connections, and returns when all connections are closed.
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -36,6 +36,9 @@
 /// Connections that the operating system keeps until they are accepted.
 const BACKLOG: u32 = 1024;
 
+/// Interval at which a full listener looks for a connection to close.
+const MAKE_ROOM_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Memory of the connections of a server that shares it with no other.
 const OWN_MEMORY_BYTES: usize = 32 << 20;
 
@@ -189,13 +192,9 @@
     async fn run(mut self, listener: TcpListener) {
         let mut phase = self.phase.clone();
         loop {
-            let permit = tokio::select! {
-                () = stopping(&mut phase) => break,
-                Some(_) = self.connections.join_next() => continue,
-                permit = Arc::clone(&self.limit).acquire_owned() => permit.ok(),
-            };
             let (socket, client) = tokio::select! {
                 () = stopping(&mut phase) => break,
+                Some(_) = self.connections.join_next() => continue,
                 accepted = listener.accept() => match accepted {
                     Ok(accepted) => accepted,
                     Err(error) => {
@@ -205,17 +204,38 @@
                     }
                 },
             };
+            let permit = tokio::select! {
+                biased;
+                permit = self.permit() => Some(permit),
+                () = stopping(&mut phase) => None,
+            };
             self.spawn(socket, client, permit);
         }
         // Established connections that have not been accepted are reset when the listener closes, although
         // their callers may have sent a request: they are served first.
-        while let Some(Ok((socket, client))) = listener.accept().now_or_never() {
-            self.spawn(socket, client, None);
+        while let Ok(permit) = Arc::clone(&self.limit).try_acquire_owned()
+            && let Some(Ok((socket, client))) = listener.accept().now_or_never()
+        {
+            self.spawn(socket, client, Some(permit));
         }
         drop(listener);
         self.stop().await;
     }
 
+    /// Waits until there may be another connection; one whose client keeps the server waiting is closed for it.
+    async fn permit(&self) -> OwnedSemaphorePermit {
+        loop {
+            if let Ok(permit) = Arc::clone(&self.limit).try_acquire_owned() {
+                return permit;
+            }
+            self.options.registry.make_room(self.address);
+            let released = Arc::clone(&self.limit).acquire_owned();
+            if let Ok(Ok(permit)) = timeout(MAKE_ROOM_INTERVAL, released).await {
+                return permit;
+            }
+        }
+    }
+
     fn spawn(
         &mut self,
         socket: TcpStream,
--- a/crates/front/tests/all/connections.rs
+++ b/crates/front/tests/all/connections.rs
@@ -48,6 +48,8 @@
     stalled_upload_gives_way_to_a_newcomer => stalled_upload();
     /// A complete request that is cut off while memory is short.
     complete_request_is_kept => complete_request();
+    /// A client that can't connect, since others hold all connections.
+    idle_connection_gives_way_to_a_newcomer => idle_connection();
     /// An upload that is closed though memory is free.
     slow_upload_is_completed_in_calm => slow_upload();
     /// Memory that stays counted after its request.
@@ -59,12 +61,14 @@
 #[derive(Debug, Default)]
 struct Closed {
     memory: AtomicU64,
+    connections: AtomicU64,
 }
 
 impl Observer for Closed {
     fn connections_closed(&self, reason: Reason, count: u64) {
         let counter = match reason {
             Reason::Memory => &self.memory,
+            Reason::Connections => &self.connections,
         };
         counter.fetch_add(count, Ordering::Relaxed);
     }
@@ -225,6 +229,19 @@
     Ok(())
 }
 
+async fn idle_connection() -> Result<()> {
+    let fixture = Fixture::open(2).await?;
+    let mut idle = [fixture.connect().await?, fixture.connect().await?];
+    let mut newcomer = fixture.send("/", 1, 1).await?;
+    assert_eq!(answer(&mut newcomer).await?, "1 bytes");
+    ensure!(
+        answer(&mut idle[0]).await.is_err(),
+        "the oldest connection is kept"
+    );
+    assert_eq!(fixture.closed.connections.load(Ordering::Relaxed), 1);
+    Ok(())
+}
+
 async fn slow_upload() -> Result<()> {
     let fixture = Fixture::open(100).await?;
     let mut connection = fixture.send("/", MAX_BODY_BYTES, 0).await?;
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -50,6 +50,11 @@
 /// may keep about as much of what they have released; half is left for the process's own state.
 const CONNECTION_MEMORY_PERCENT: usize = 25;
 
+/// Shares of a process's sockets, in thousandths, that its listeners may have. A caller's request may need
+/// another one, to the store, and what is left is for calls to workers and instances.
+const CALLER_SOCKETS_PERMILLE: usize = 375;
+const PROBE_SOCKETS_PERMILLE: usize = 30;
+
 /// Bytes that the operating system receives for a connection before the process reads them; they count
 /// toward its memory.
 const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
@@ -248,18 +253,21 @@
         });
         let connection_memory = settings.memory / 100 * CONNECTION_MEMORY_PERCENT;
         let registry = Registry::open(connection_memory, Some(Arc::clone(&observer) as _));
-        let options = Options {
+        let options = |permille: usize| Options {
+            max_connections: (settings.sockets * permille / 1_000).max(1),
             receive_buffer: Some(RECEIVE_BUFFER_BYTES),
             registry: registry.clone(),
             ..Options::default()
         };
-        let callers = Server::bind(settings.callers, options.clone(), gateway.handler()).await?;
-        let readiness = Server::bind(settings.readiness, options.clone(), readiness).await?;
+        let caller_options = options(CALLER_SOCKETS_PERMILLE);
+        let callers = Server::bind(settings.callers, caller_options, gateway.handler()).await?;
+        let probe_options = options(PROBE_SOCKETS_PERMILLE);
+        let readiness = Server::bind(settings.readiness, probe_options.clone(), readiness).await?;
         let metrics = match metrics_port {
             Some(port) => {
                 let address = SocketAddr::new(settings.callers.ip(), port);
                 let handler = MetricsHandler::new(meter, registry);
-                Some(Server::bind(address, options, handler).await?)
+                Some(Server::bind(address, probe_options, handler).await?)
             }
             None => None,
         };
