Front: a stop doesn't wait for clients that stand still

Cause: a stop waits for every request in flight. A request that never ends, and a response that nobody reads, are in flight for ever.

Change: 2 s after the grace period, a stopping server closes connections with an incomplete request, and those whose clients have read nothing for that long. Complete requests and responses that are being read are waited for as before.

--- a/crates/front/src/connections/registry.rs
+++ b/crates/front/src/connections/registry.rs
@@ -26,6 +26,8 @@
     Memory,
     /// Its listener has as many connections as it may have.
     Connections,
+    /// The server stops, and the client keeps it waiting.
+    Stop,
 }
 
 impl Reason {
@@ -34,6 +36,7 @@
         match self {
             Self::Memory => "memory",
             Self::Connections => "connections",
+            Self::Stop => "stop",
         }
     }
 }
@@ -206,6 +209,26 @@
         let victim = costliest.map(|(id, _record)| *id);
         self.0.close(&mut state, victim, Reason::Connections, now);
     }
+
+    /// Closes the connections of a listener with an incomplete request, and those whose clients haven't read
+    /// anything of their response for `stall`.
+    pub(crate) fn close_waiting(&self, listener: SocketAddr, stall: Duration) {
+        let now = Instant::now();
+        let is_waiting = |record: &Record| match record.phase {
+            Phase::Receiving => true,
+            Phase::Blocked => now - record.since >= stall,
+            Phase::Idle | Phase::Handling | Phase::Sending => false,
+        };
+        let mut state = self.0.state.lock();
+        let of_listener = state.connections.iter();
+        let victims: Vec<u64> = of_listener
+            .filter(|(_id, record)| {
+                record.listener == listener && !record.is_closing && is_waiting(record)
+            })
+            .map(|(id, _record)| *id)
+            .collect();
+        self.0.close(&mut state, victims, Reason::Stop, now);
+    }
 }
 
 /// Rounds up to whole units.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -15,7 +15,8 @@
 //!   keeps the server waiting;
 //! * what connections hold is bounded over all listeners of the process ([`connections`]);
 //! * [`Server::stop`] stops accepting, waits for every request in flight, closes keep-alive
-//!   connections, and returns when all connections are closed.
+//!   connections, and returns when all connections are closed. It doesn't wait longer than
+//!   [`Options::stall_timeout`] for the end of a request, or for a client that reads nothing.
 
 pub mod connections;
 mod handler;
--- a/crates/front/src/server.rs
+++ b/crates/front/src/server.rs
@@ -53,6 +53,9 @@
     pub max_connections: usize,
     /// How long open connections are still served after the listener has closed.
     pub shutdown_grace: Duration,
+    /// How long a stopping server waits for the end of a request that is being received, and for a client
+    /// that reads nothing of its response.
+    pub stall_timeout: Duration,
     /// Bytes that the operating system receives for a connection before they are read; its own default if
     /// `None`.
     pub receive_buffer: Option<u32>,
@@ -63,13 +66,15 @@
 impl Default for Options {
     /// 32 KiB of head, enough for the usual cookies and tokens; 10 s, as in common servers; 4,096
     /// connections, of which as many stay open as 32 MiB hold; half a second of shutdown grace, far more
-    /// than the round trip of a request sent while the listener closes.
+    /// than the round trip of a request sent while the listener closes; 2 s for a client that makes a
+    /// stopping server wait, after which a load balancer has long sent its requests elsewhere.
     fn default() -> Self {
         Self {
             max_head_bytes: 32 << 10,
             head_timeout: Duration::from_secs(10),
             max_connections: 4096,
             shutdown_grace: Duration::from_millis(500),
+            stall_timeout: Duration::from_secs(2),
             receive_buffer: None,
             registry: Registry::open(OWN_MEMORY_BYTES, None),
         }
@@ -263,13 +268,30 @@
         // A request may be in transit on a connection that appears idle. Closing immediately would
         // interrupt it, and its caller could not know whether it ran; every response from here on closes
         // its connection, so a connection that is still open after the wait has been idle for that long.
-        let all_closed = async { while self.connections.join_next().await.is_some() {} };
-        if timeout(self.options.shutdown_grace, all_closed)
-            .await
-            .is_err()
-        {
+        let Options {
+            shutdown_grace,
+            stall_timeout,
+            registry,
+            ..
+        } = self.options;
+        let connections = &mut self.connections;
+        let all_closed = async { while connections.join_next().await.is_some() {} };
+        if timeout(shutdown_grace, all_closed).await.is_ok() {
+            return;
+        }
+        let all_closed = async {
             self.graceful.shutdown().await;
             while self.connections.join_next().await.is_some() {}
+        };
+        let close_waiting = async {
+            loop {
+                sleep(stall_timeout).await;
+                registry.close_waiting(self.address, stall_timeout);
+            }
+        };
+        tokio::select! {
+            () = all_closed => {}
+            () = close_waiting => {}
         }
     }
 }
--- a/crates/front/tests/all/connections.rs
+++ b/crates/front/tests/all/connections.rs
@@ -56,12 +56,15 @@
     memory_is_released_after_each_request => released();
     /// Memory of a request that goes on after its client has left, and isn't counted any more.
     memory_is_counted_until_the_handler_drops_it => held();
+    /// A stop that cuts off a complete request.
+    stop_waits_for_a_complete_request => stop();
 }
 
 #[derive(Debug, Default)]
 struct Closed {
     memory: AtomicU64,
     connections: AtomicU64,
+    stop: AtomicU64,
 }
 
 impl Observer for Closed {
@@ -69,6 +72,7 @@
         let counter = match reason {
             Reason::Memory => &self.memory,
             Reason::Connections => &self.connections,
+            Reason::Stop => &self.stop,
         };
         counter.fetch_add(count, Ordering::Relaxed);
     }
@@ -95,6 +99,7 @@
         let options = Options {
             max_connections,
             shutdown_grace: Duration::from_millis(50),
+            stall_timeout: Duration::from_millis(100),
             registry: registry.clone(),
             ..Options::default()
         };
@@ -299,3 +304,20 @@
     fixture.gate.released.notify_one();
     fixture.wait_until_released().await
 }
+
+async fn stop() -> Result<()> {
+    let fixture = Fixture::open(100).await?;
+    let mut complete = fixture.send("/wait", 10, 10).await?;
+    fixture.gate.entered.notified().await;
+    let mut unfinished = fixture.send("/", 10, 9).await?;
+    fixture.wait_until_held(64 << 10).await?;
+    let Fixture { server, gate, .. } = fixture;
+    let stopping = tokio::spawn(server.stop());
+    ensure!(
+        answer(&mut unfinished).await.is_err(),
+        "the unfinished request is answered"
+    );
+    gate.released.notify_one();
+    assert_eq!(answer(&mut complete).await?, "10 bytes");
+    Ok(timeout(TIMEOUT, stopping).await??)
+}
