Front: a complete request is kept while answers before it are unread

Cause, by reading: a connection whose client doesn't read was in a phase of its own, which a pipelined request before the commit of its job took over, so that it could be closed in the middle. What is freed beyond a shortage could also take a newcomer that holds next to nothing.

Change: whether the client reads is kept beside the phase, and counts only while a response is sent. Beyond the shortage, only connections are closed that cost at least half of the costliest.

--- a/crates/front/src/connections/connection.rs
+++ b/crates/front/src/connections/connection.rs
@@ -132,13 +132,9 @@
         }
     }
 
-    /// The client stops or resumes reading its response.
+    /// The client stops or resumes reading what is sent.
     pub(super) fn set_blocked(&self, is_blocked: bool) {
-        self.set_phase(if is_blocked {
-            Phase::Blocked
-        } else {
-            Phase::Sending
-        });
+        self.0.shared.set_blocked(self.0.id, is_blocked);
     }
 
     fn set_phase(&self, phase: Phase) {
--- a/crates/front/src/connections/registry.rs
+++ b/crates/front/src/connections/registry.rs
@@ -2,7 +2,7 @@
 
 use super::Connection;
 use parking_lot::Mutex;
-use std::{collections::BTreeMap, fmt, net::SocketAddr, sync::Arc, time::Duration};
+use std::{cmp::Reverse, collections::BTreeMap, fmt, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{sync::Semaphore, time::Instant};
 use tokio_util::sync::CancellationToken;
 
@@ -69,14 +69,6 @@
     Handling,
     /// A response is being sent.
     Sending,
-    /// A response is being sent, and the client doesn't read it.
-    Blocked,
-}
-
-impl Phase {
-    fn keeps_waiting(self) -> bool {
-        matches!(self, Self::Idle | Self::Receiving | Self::Blocked)
-    }
 }
 
 /// An open connection.
@@ -87,18 +79,26 @@
     phase: Phase,
     /// Begin of the phase.
     since: Instant,
+    /// Since when the client has read nothing of what is sent, if that is so.
+    blocked_since: Option<Instant>,
     closed: CancellationToken,
     is_closing: bool,
 }
 
 impl Record {
-    fn is_evictable(&self) -> bool {
-        self.phase.keeps_waiting() && !self.is_closing
+    /// Since when the client has kept the process waiting, if it does.
+    fn waiting_since(&self) -> Option<Instant> {
+        match self.phase {
+            Phase::Idle | Phase::Receiving => Some(self.since),
+            Phase::Handling => None,
+            Phase::Sending => self.blocked_since.map(|since| since.max(self.since)),
+        }
     }
 
-    /// Memory times the time for which it has been held.
-    fn cost(&self, now: Instant) -> u128 {
-        self.units as u128 * (now - self.since).as_micros()
+    /// Memory times the time for which it has been held; `None` if the connection isn't to be closed.
+    fn cost(&self, now: Instant) -> Option<u128> {
+        let since = self.waiting_since().filter(|_since| !self.is_closing)?;
+        Some(self.units as u128 * (now - since).as_micros())
     }
 }
 
@@ -186,6 +186,7 @@
             units: 0,
             phase: Phase::Idle,
             since: Instant::now(),
+            blocked_since: None,
             closed: closed.clone(),
             is_closing: false,
         };
@@ -203,10 +204,9 @@
         let now = Instant::now();
         let mut state = self.0.state.lock();
         let of_listener = state.connections.iter();
-        let of_listener = of_listener
-            .filter(|(_id, record)| record.listener == listener && record.is_evictable());
-        let costliest = of_listener.max_by_key(|(_id, record)| record.cost(now));
-        let victim = costliest.map(|(id, _record)| *id);
+        let of_listener = of_listener.filter(|(_id, record)| record.listener == listener);
+        let costs = of_listener.filter_map(|(id, record)| Some((record.cost(now)?, *id)));
+        let victim = costs.max().map(|(_cost, id)| id);
         self.0.close(&mut state, victim, Reason::Connections, now);
     }
 
@@ -216,15 +216,16 @@
         let now = Instant::now();
         let is_waiting = |record: &Record| match record.phase {
             Phase::Receiving => true,
-            Phase::Blocked => now - record.since >= stall,
-            Phase::Idle | Phase::Handling | Phase::Sending => false,
+            Phase::Sending => record
+                .waiting_since()
+                .is_some_and(|since| now - since >= stall),
+            Phase::Idle | Phase::Handling => false,
         };
         let mut state = self.0.state.lock();
         let of_listener = state.connections.iter();
+        let of_listener = of_listener.filter(|(_id, record)| record.listener == listener);
         let victims: Vec<u64> = of_listener
-            .filter(|(_id, record)| {
-                record.listener == listener && !record.is_closing && is_waiting(record)
-            })
+            .filter(|(_id, record)| !record.is_closing && is_waiting(record))
             .map(|(id, _record)| *id)
             .collect();
         self.0.close(&mut state, victims, Reason::Stop, now);
@@ -311,12 +312,24 @@
         if record.phase != phase {
             record.phase = phase;
             record.since = Instant::now();
-            if phase.keeps_waiting() {
+            if record.waiting_since().is_some() {
                 self.relieve(&mut state);
             }
         }
     }
 
+    /// The client stops or resumes reading what is sent.
+    pub(super) fn set_blocked(&self, id: u64, is_blocked: bool) {
+        let mut state = self.state.lock();
+        let Some(record) = state.connections.get_mut(&id) else {
+            return;
+        };
+        record.blocked_since = is_blocked.then(Instant::now);
+        if record.waiting_since().is_some() {
+            self.relieve(&mut state);
+        }
+    }
+
     pub(super) fn remove(&self, id: u64) {
         let mut state = self.state.lock();
         if let Some(record) = state.connections.remove(&id) {
@@ -336,22 +349,24 @@
     /// Closes connections while more memory is wanted than is free or about to be.
     fn relieve(&self, state: &mut State) {
         let wanted = state.awaited + state.excess;
-        let mut shortage = wanted.saturating_sub(self.memory.available_permits() + state.closing);
+        let shortage = wanted.saturating_sub(self.memory.available_permits() + state.closing);
         if shortage == 0 {
             return;
         }
-        shortage += self.limit / SPARE_DIVISOR;
         let now = Instant::now();
-        let evictable = state.connections.iter();
-        let evictable = evictable.filter(|(_id, record)| record.is_evictable());
-        let mut by_cost: Vec<(u128, u64, usize)> = evictable
-            .map(|(id, record)| (record.cost(now), *id, record.units))
+        let connections = state.connections.iter();
+        let mut by_cost: Vec<(Reverse<u128>, u64, usize)> = connections
+            .filter_map(|(id, record)| Some((Reverse(record.cost(now)?), *id, record.units)))
             .collect();
-        by_cost.sort_unstable_by(|left, right| right.cmp(left));
-        let victims = by_cost.into_iter().map_while(|(_cost, id, units)| {
-            let is_needed = shortage > 0;
-            shortage = shortage.saturating_sub(units);
-            is_needed.then_some(id)
+        by_cost.sort_unstable();
+        let highest = by_cost.first().map_or(0, |(Reverse(cost), ..)| *cost);
+        let mut freed = 0;
+        let victims = by_cost.into_iter().map_while(|(Reverse(cost), id, units)| {
+            // Beyond the shortage, only connections go that hold about as much for as long.
+            let is_spare = cost >= highest / 2 && freed < shortage + self.limit / SPARE_DIVISOR;
+            let is_victim = freed < shortage || is_spare;
+            freed += units;
+            is_victim.then_some(id)
         });
         let victims: Vec<u64> = victims.collect();
         self.close(state, victims, Reason::Memory, now);
@@ -387,6 +402,7 @@
         let log = &mut state.log;
         let is_due = log.written_at.is_none_or(|at| now - at >= LOG_INTERVAL);
         if is_due {
+            let waiting_since = record.waiting_since().unwrap_or(record.since);
             log::warn!(
                 reason = reason.as_str(),
                 closed = log.closed,
@@ -395,7 +411,7 @@
                 listener:% = record.listener,
                 phase:? = record.phase,
                 held_bytes = record.units * UNIT_BYTES,
-                held_ms = u64::try_from((now - record.since).as_millis()).unwrap_or(u64::MAX),
+                held_ms = u64::try_from((now - waiting_since).as_millis()).unwrap_or(u64::MAX),
                 limit_bytes = self.limit * UNIT_BYTES;
                 "connections closed whose clients keep the entry waiting"
             );
