--- a/crates/serve/tests/all/entry_options.rs
+++ b/crates/serve/tests/all/entry_options.rs
@@ -11,7 +11,7 @@
 
 /// A non-default value for each key; no two values of one type are equal, so that swapped keys are
 /// detected.
-const NON_DEFAULTS: [(&str, &str); 41] = [
+const NON_DEFAULTS: [(&str, &str); 42] = [
     ("entry.name", "entry-7"),
     ("entry.zone", "zone-q"),
     ("entry.region", "region-9"),
@@ -29,6 +29,7 @@
     ("limits.retries", "17"),
     ("limits.retry-budget", "0.18"),
     ("limits.caller-connections", "19"),
+    ("limits.connection-memory", "48MiB"),
     ("timers.poll", "1020ms"),
     ("timers.roster", "21s"),
     ("timers.heartbeat", "22s"),
@@ -145,6 +146,7 @@
         max_head_bytes: 13,
         head_timeout: 14s,
         max_connections: 19,
+        limit: 50331648,
         batch: 2.3s,
         heartbeat: 22s,
         poll: 1.02s,
