Telemetry, docs: the instruments of connections are tested and listed

The test that compares the page of metrics with what a meter renders failed on the new instruments: it hadn't used them, and two shared a row. They are recorded and checked with their values, and each has a row.

--- a/crates/telemetry/tests/all/site.rs
+++ b/crates/telemetry/tests/all/site.rs
@@ -27,6 +27,9 @@
     meter.tombstones(&"stay".into(), 5);
     meter.cancel_answered("unknown");
     meter.cancelled_submission_refused();
+    meter.connections_open(4);
+    meter.connections_held(131_072, 1_048_576);
+    meter.connections_closed("memory", 3);
     meter.runs_moved(&"stay".into(), 3);
     meter.jobs_queued(&queue, 7);
     meter.commit_finished(duration);
@@ -60,6 +63,10 @@
         "primroseroute_tombstones{pool=\"stay\"} 5",
         "primroseroute_cancels_total{outcome=\"unknown\"} 1",
         "primroseroute_cancelled_submissions_total 1",
+        "primroseroute_connections 4",
+        "primroseroute_connection_bytes 131072",
+        "primroseroute_connection_bytes_limit 1048576",
+        "primroseroute_connections_closed_total{reason=\"memory\"} 3",
         "primroseroute_runs_moved_total{pool=\"stay\"} 3",
         "primroseroute_expected_wait_milliseconds{entitlement=\"beyond\",pool=\"stay\"} 6",
         "primroseroute_queued_jobs{queue=\"holds\"} 7",
