--- a/crates/front/src/connections/registry.rs
+++ b/crates/front/src/connections/registry.rs
@@ -146,7 +146,7 @@
 
 /// The connections of all listeners of a process; clones share them.
 #[derive(Clone)]
-pub struct Registry(pub(super) Arc<Shared>);
+pub struct Registry(Arc<Shared>);
 
 impl fmt::Debug for Registry {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -233,7 +233,7 @@
 }
 
 /// Rounds up to whole units.
-pub(super) fn units(bytes: usize) -> usize {
+fn units(bytes: usize) -> usize {
     bytes.div_ceil(UNIT_BYTES)
 }
 
--- a/crates/front/src/upload.rs
+++ b/crates/front/src/upload.rs
@@ -170,7 +170,8 @@
                 self.length += fitting;
                 data = &data[fitting..];
             } else {
-                let size = last_size(&self.parts).map_or(*PART_BYTES.start(), |size| size * 2);
+                let last = self.parts.last();
+                let size = last.map_or(*PART_BYTES.start(), |last| last.capacity() * 2);
                 let size = size.min(*PART_BYTES.end());
                 self.reserve(size).await?;
                 self.parts.push(Vec::with_capacity(size));
@@ -181,20 +182,16 @@
 
     /// Joins the parts, after it has reserved memory for further `copies` beside them.
     async fn join(mut self, copies: usize) -> Result<Bytes, Closed> {
-        let has_parts = self.parts.len() > 1;
-        let more = copies.saturating_sub(1).max(usize::from(has_parts));
+        let is_split = self.parts.len() > 1;
+        let more = copies.saturating_sub(1).max(usize::from(is_split));
         self.reserve(self.length * more).await?;
-        if has_parts {
+        if is_split {
             return Ok(self.parts.concat().into());
         }
         Ok(self.parts.pop().unwrap_or_default().into())
     }
 }
 
-fn last_size(parts: &[Vec<u8>]) -> Option<usize> {
-    parts.last().map(Vec::capacity)
-}
-
 /// The remainder of a body, which reports its end.
 struct Rest {
     body: Body,
--- a/tests/crowd/entry.rs
+++ b/tests/crowd/entry.rs
@@ -55,7 +55,7 @@
 }
 
 impl Entry {
-    /// Starts an entry on a small machine and waits until it is ready.
+    /// Starts an entry on `machine` and waits until it is ready.
     pub(crate) async fn start(machine: Machine) -> Result<Self> {
         let platform = Server::bind().await?;
         let [callers, readiness, metrics] = [free_address()?, free_address()?, free_address()?];
