--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -1,7 +1,7 @@
 //! The cases, and the check of the rule on jobs that nothing runs of.
 
 use crate::{
-    fleet::{Cut, Demand},
+    fleet::{Cut, Demand, KIND},
     json::Json,
     site::{Deployment, Step},
 };
@@ -28,6 +28,10 @@
 /// Length of a cut: that of the site file's cuts of workers.
 const CUT: Duration = Duration::from_millis(5_500);
 
+/// How long a worker is cut off from the store, and how long it is down behind the cut.
+const STORE_CUT: Duration = Duration::from_millis(5_000);
+const DOWN: Duration = Duration::from_millis(1_000);
+
 /// A job that is accepted; all have one step of tasks that take half a second.
 struct Job {
     service: &'static str,
@@ -387,3 +391,65 @@
     site.end();
     Ok(holds)
 }
+
+/// A worker is cut off from the store, crashes, and starts again under its id as another kind: does it get tasks
+/// that require the former one?
+pub fn other_kind(folder: &Path, has_trouble: bool) -> Result<bool> {
+    let site = Deployment::start_with(folder, &["desk"], &[5], WORKER, 3, true)?;
+    let workers = site.fleet.workers();
+    let begin = Instant::now();
+    let mut jobs: Vec<Job> = Vec::new();
+    std::thread::scope(|scope| {
+        if has_trouble {
+            scope.spawn(|| {
+                sleep(Duration::from_secs(6));
+                // One that is at work.
+                let Some(cut) = workers.iter().max_by_key(|worker| worker.used_cpu()) else {
+                    return;
+                };
+                site.note(&format!("worker {} is cut off from the store", cut.id));
+                cut.set_reaches_store(false);
+                site.note(&format!("worker {} crashes", cut.id));
+                cut.restart(DOWN, "b");
+                site.note(&format!("worker {} is up again, as kind b", cut.id));
+                sleep(STORE_CUT - DOWN);
+                cut.set_reaches_store(true);
+                site.note(&format!("worker {} reaches the store again", cut.id));
+            });
+        }
+        while begin.elapsed() < Duration::from_secs(16) {
+            let step = Step {
+                count: 8,
+                label: KIND.to_owned(),
+                ..usual_step()
+            };
+            jobs.extend(hand_in(&site, "desk", step));
+            sleep(Duration::from_millis(200));
+        }
+    });
+    sleep(Duration::from_secs(6));
+    let events = site.fleet.events();
+    let starts = events.iter().filter(|event| event.what == "started");
+    let breaches: Vec<_> = starts.filter(|event| event.kind != KIND).collect();
+    for event in &breaches {
+        site.note(&format!(
+            "{} run {}, which requires kind {KIND}, was started on {}, of kind {}",
+            event.task, event.run, event.worker, event.kind
+        ));
+    }
+    let outcome = if breaches.is_empty() {
+        "held"
+    } else {
+        "broken"
+    };
+    let summary = format!(
+        "{} jobs accepted; {} starts on a worker without the required label; ROUTE {outcome}",
+        jobs.len(),
+        breaches.len()
+    );
+    let holds = breaches.is_empty();
+    site.note(&summary);
+    println!("{summary}");
+    site.end();
+    Ok(holds)
+}
--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -12,7 +12,7 @@
         atomic::{AtomicBool, Ordering},
     },
     thread::{self, sleep},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 pub const HOLD_MAX_MS: u64 = 6_000;
@@ -20,7 +20,7 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const MOVE: Duration = Duration::from_millis(1_500);
 /// The label that tells a worker's kind.
-const KIND: &str = "a";
+pub const KIND: &str = "a";
 /// What a worker's clock shows when it starts.
 const FIRST_CLOCK_MS: u64 = 100_000;
 /// A lasting task is at work this long after its start.
@@ -73,6 +73,8 @@
     pub worker: String,
     pub task: String,
     pub run: u32,
+    /// The worker's kind at that time.
+    pub kind: &'static str,
 }
 
 #[derive(Default)]
@@ -89,14 +91,36 @@
     cut: Option<Cut>,
 }
 
-/// One life of a machine.
+/// One start of a worker. A worker that keeps its id has several.
+#[derive(Clone, Copy)]
+struct Life {
+    began: Instant,
+    /// Unix milliseconds of its start.
+    born: u64,
+    kind: &'static str,
+}
+
+impl Life {
+    fn begin(kind: &'static str) -> Self {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        Self {
+            began: Instant::now(),
+            born: now.map_or(0, |now| now.as_millis() as u64),
+            kind,
+        }
+    }
+}
+
+/// What runs on a machine until it's moved or maintained.
 pub struct Worker {
     pub id: String,
     pub service: String,
     zone: String,
     pub rack: String,
     pub capacity: Demand,
-    began: Instant,
+    life: Mutex<Life>,
+    is_down: AtomicBool,
+    reaches_store: AtomicBool,
     server: Mutex<Option<Server>>,
     state: Mutex<WorkerState>,
     changed: Condvar,
@@ -105,8 +129,23 @@
 }
 
 impl Worker {
+    fn life(&self) -> Life {
+        *self.life.lock().unwrap()
+    }
+
     fn clock_ms(&self) -> u64 {
-        FIRST_CLOCK_MS + self.began.elapsed().as_millis() as u64
+        FIRST_CLOCK_MS + self.life().began.elapsed().as_millis() as u64
+    }
+
+    /// The field `born` of what the worker says, where workers give it.
+    fn with_born(&self, said: Json) -> Json {
+        match said {
+            Json::Object(mut fields) if self.fleet.gives_born => {
+                fields.insert("born".to_owned(), self.life().born.into());
+                Json::Object(fields)
+            }
+            said => said,
+        }
     }
 
     fn record(&self, what: &'static str, task: &str, run: u32) {
@@ -116,6 +155,7 @@
             worker: self.id.clone(),
             task: task.to_owned(),
             run,
+            kind: self.life().kind,
         };
         self.fleet.events.lock().unwrap().push(event);
     }
@@ -170,17 +210,18 @@
             ("ClockMs", self.clock_ms().into()),
             ("Reason", reason.into()),
         ]);
-        Reply::Answer(409, body.to_string())
+        Reply::Answer(409, self.with_born(body).to_string())
     }
 
     fn done(&self) -> Reply {
-        Reply::Answer(
-            200,
-            object([("ClockMs", self.clock_ms().into())]).to_string(),
-        )
+        let body = object([("ClockMs", self.clock_ms().into())]);
+        Reply::Answer(200, self.with_born(body).to_string())
     }
 
     fn answer(&self, request: &Request) -> Reply {
+        if self.is_down.load(Ordering::Relaxed) {
+            return Reply::Nothing;
+        }
         match self.cut() {
             None => {}
             // No connection can be opened during the cut.
@@ -246,7 +287,7 @@
                     }
                     state = self.changed.wait_timeout(state, left).unwrap().0;
                 }
-                Reply::Answer(200, self.status(&state).to_string())
+                Reply::Answer(200, self.with_born(self.status(&state)).to_string())
             }
             "/pace" => self.done(),
             _ => Reply::Answer(404, "{}".to_owned()),
@@ -336,6 +377,23 @@
         self.state.lock().unwrap().cut = cut;
     }
 
+    /// Whether the worker reaches the store.
+    pub fn set_reaches_store(&self, reaches: bool) {
+        self.reaches_store.store(reaches, Ordering::Relaxed);
+    }
+
+    /// The worker crashes, and starts again under its id and at its address, as another kind.
+    pub fn restart(&self, pause: Duration, kind: &'static str) {
+        self.is_down.store(true, Ordering::Relaxed);
+        self.lose_runs();
+        sleep(pause);
+        let mut state = self.state.lock().unwrap();
+        *state = WorkerState::default();
+        *self.life.lock().unwrap() = Life::begin(kind);
+        drop(state);
+        self.is_down.store(false, Ordering::Relaxed);
+    }
+
     /// The number of calls that it has refused for their token.
     pub fn refused_tokens(&self) -> u64 {
         self.state.lock().unwrap().refused_tokens
@@ -349,7 +407,7 @@
 
     /// Whether it has a label; each worker has the empty one.
     pub fn has_label(&self, label: &str) -> bool {
-        label.is_empty() || label == self.rack || label == KIND
+        label.is_empty() || label == self.rack || label == self.life().kind
     }
 
     /// The tasks that run on it.
@@ -392,6 +450,7 @@
     store: Store,
     ip: String,
     capacity: Demand,
+    gives_born: bool,
     machines: Mutex<BTreeMap<String, Machine>>,
     next_worker: Mutex<u64>,
     events: Mutex<Vec<Event>>,
@@ -421,11 +480,17 @@
 }
 
 impl Fleet {
-    pub fn start(ip: &str, store: Store, capacity: Demand) -> std::io::Result<Self> {
+    pub fn start(
+        ip: &str,
+        store: Store,
+        capacity: Demand,
+        gives_born: bool,
+    ) -> std::io::Result<Self> {
         let shared = Arc::new(Shared {
             store,
             ip: ip.to_owned(),
             capacity,
+            gives_born,
             machines: Mutex::default(),
             next_worker: Mutex::new(0),
             events: Mutex::default(),
@@ -518,7 +583,9 @@
         zone: machine.zone.clone(),
         rack: machine.rack.clone(),
         capacity: shared.capacity,
-        began: Instant::now(),
+        life: Mutex::new(Life::begin(KIND)),
+        is_down: AtomicBool::new(false),
+        reaches_store: AtomicBool::new(true),
         server: Mutex::default(),
         state: Mutex::default(),
         changed: Condvar::new(),
@@ -541,7 +608,9 @@
         let mut silent = 0;
         while !worker.is_over() {
             seq += 1;
-            if worker.cut().is_some() {
+            let is_silent = worker.is_down.load(Ordering::Relaxed)
+                || !worker.reaches_store.load(Ordering::Relaxed);
+            if worker.cut().is_some() || is_silent {
                 silent += 1;
                 // The entry expires after three heartbeats of silence.
                 if silent == 3 {
@@ -567,12 +636,12 @@
                     ),
                     (
                         "Labels",
-                        vec![KIND.into(), worker.rack.as_str().into()].into(),
+                        vec![worker.life().kind.into(), worker.rack.as_str().into()].into(),
                     ),
                     ("ClockMs", worker.clock_ms().into()),
                     ("Seq", seq.into()),
                 ]);
-                store.put("servers", &worker.id, &entry);
+                store.put("servers", &worker.id, &worker.with_born(entry));
             }
             sleep(HEARTBEAT);
         }
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -25,6 +25,7 @@
         "hopeless-job" => cases::hopeless_job(&folder, has_trouble),
         "cut-and-restart" => cases::cut_and_restart(&folder, has_trouble),
         "lost-worker" => cases::lost_worker(&folder, has_trouble),
+        "other-kind" => cases::other_kind(&folder, has_trouble),
         "moved-queue" => cases::moved_queue(&folder, has_trouble),
         "cut-worker" => cases::cut_worker(&folder, has_trouble),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -56,6 +56,18 @@
         machines: &[usize],
         capacity: Demand,
         entries: usize,
+    ) -> Result<Self> {
+        Self::start_with(folder, services, machines, capacity, entries, false)
+    }
+
+    /// The same; `gives_born` says whether workers may start again under their ids, and tell when they did.
+    pub fn start_with(
+        folder: &Path,
+        services: &[&str],
+        machines: &[usize],
+        capacity: Demand,
+        entries: usize,
+        gives_born: bool,
     ) -> Result<Self> {
         let process = std::process::id();
         let temporary = env::temp_dir().join(format!("review-3-{process}"));
@@ -65,7 +77,7 @@
         let ip = |number: u8| IpAddr::V4(Ipv4Addr::new(127, 64 | (high & 63), low, number));
         let platform = ip(1).to_string();
         let store = Store::start(&platform)?;
-        let fleet = Fleet::start(&platform, store.clone(), capacity)?;
+        let fleet = Fleet::start(&platform, store.clone(), capacity, gives_born)?;
         let record = fs::File::create(folder.join("record.txt"))?;
         let mut deployment = Self {
             store,
