Cell, owner: tasks that no instance can run are no demand

Cause: the demand of waiting tasks counted whether or not an instance could run them, and the plan of moves made a list with one element for each missing instance.

Change: an owner derives from the platform's list of instances, and from its own workers, how many tasks of a step could run at the same time. Steps of which none could are set aside: they add no need and no backlog, and take no part in placement, reservations and advice. They are named once in the log, counted by a gauge, and start once an instance that can run them joins. The plan of moves is bounded by the surplus. Sums and products saturate.

--- a/crates/cell/src/arrivals.rs
+++ b/crates/cell/src/arrivals.rs
@@ -6,7 +6,9 @@
 //! is requested now becomes available a lead time later, so the rise is extrapolated over that
 //! time.
 
-use crate::{limits::Millis, run_times::RunTimes};
+use crate::{
+    inventory::Capability, limits::Millis, run_times::RunTimes, unplaceable::placeable_steps,
+};
 use primroseroute_domain::work::{Demand, Job, Name, Step};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -197,9 +199,9 @@
     any_work: bool,
 }
 
-/// A job's demand times its predicted duration in milliseconds; zero for long-running and scheduled
-/// jobs.
-fn work(queue: &str, job: &Job, run_times: &RunTimes) -> Demand {
+/// A job's demand times its predicted duration in milliseconds, without steps that no instance can
+/// run; zero for long-running and scheduled jobs.
+fn work(queue: &str, job: &Job, run_times: &RunTimes, capability: &Capability) -> Demand {
     if job.schedule.is_some() || job.lasting() {
         return Demand::default();
     }
@@ -213,8 +215,7 @@
             accelerators: reserved.accelerators.saturating_mul(times),
         }
     };
-    (0..)
-        .zip(&job.steps)
+    placeable_steps(capability, &job.steps)
         .map(of)
         .fold(Demand::default(), Demand::plus)
 }
@@ -224,8 +225,14 @@
     ///
     /// Jobs that are known before the first round have waited, and those that wait are the larger
     /// ones: the mean work of a queue isn't learned from them.
-    pub(crate) fn accept(&mut self, queue: &Name, job: &Job, run_times: &RunTimes) {
-        let work = work(queue, job, run_times);
+    pub(crate) fn accept(
+        &mut self,
+        queue: &Name,
+        job: &Job,
+        run_times: &RunTimes,
+        capability: &Capability,
+    ) {
+        let work = work(queue, job, run_times, capability);
         if work == Demand::default() {
             return;
         }
@@ -263,8 +270,14 @@
     }
 
     /// Records a job that a previous owner has worked on.
-    pub(crate) fn add_restored(&mut self, queue: &Name, job: &Job, run_times: &RunTimes) {
-        self.any_work |= work(queue, job, run_times) != Demand::default();
+    pub(crate) fn add_restored(
+        &mut self,
+        queue: &Name,
+        job: &Job,
+        run_times: &RunTimes,
+        capability: &Capability,
+    ) {
+        self.any_work |= work(queue, job, run_times, capability) != Demand::default();
     }
 
     /// Whether any work was ever recorded, including that of a previous owner.
@@ -335,7 +348,8 @@
     pub(crate) fn expected(&self, now: Millis) -> Demand {
         let near = self.rate(now, 0, NEAR_MS);
         if let Some(newest) = self.newest(now) {
-            let rises = newest.cpu * 100 >= near.all.cpu * RISE_PERCENT;
+            let rises =
+                u128::from(newest.cpu) * 100 >= u128::from(near.all.cpu) * u128::from(RISE_PERCENT);
             return if rises { newest } else { near.all };
         }
         let before = self.rate(now, NEAR_MS, NEAR_MS + BEFORE_MS);
--- a/crates/cell/src/backlog.rs
+++ b/crates/cell/src/backlog.rs
@@ -1,6 +1,8 @@
 //! Summary of the unfinished work, for the admission of further jobs.
 
-use crate::{cell::Cell, job::Job, placement, row::Phase, worker::StopState};
+use crate::{
+    cell::Cell, job::Job, placement, row::Phase, unplaceable::blocked_steps, worker::StopState,
+};
 use primroseroute_admission::{Backlog, Waiting};
 use primroseroute_domain::work::{Demand, Name, TaskId};
 use std::collections::BTreeMap;
@@ -15,12 +17,16 @@
         && !placement::is_long_overdue(job, 0, wall_ms)
 }
 
-/// Predicted core-milliseconds of a job's unfinished tasks.
-fn remaining_core_ms(job: &Job) -> u64 {
+/// Predicted core-milliseconds of a job's unfinished tasks; without those that can't run, which
+/// keep no other waiting.
+fn remaining_core_ms(cell: &Cell, job: &Job) -> u64 {
+    let blocked = blocked_steps(&cell.capability, job);
+    let counts = |number: u16| !blocked.get(usize::from(number)).copied().unwrap_or(false);
     if job.progress.next > 0 {
-        return placement::work_left(job, 0);
+        return placement::work_left_of(job, 0, counts);
     }
     let steps = (0..).zip(&job.accepted.job.steps);
+    let steps = steps.filter(|(number, _step)| counts(*number));
     let work = steps.map(|(number, step)| {
         let mean_ms = job.prediction.of(number, step).mean_ms;
         core_ms(step.demand.cpu, mean_ms, u64::from(step.count))
@@ -103,7 +109,7 @@
     for job in cell.jobs.values().filter(|job| counts(job, wall_ms)) {
         let account = job.accepted.account.clone();
         let sum = work_of(cell, job, accounts.entry(account).or_default());
-        *sum = sum.saturating_add(remaining_core_ms(job));
+        *sum = sum.saturating_add(remaining_core_ms(cell, job));
     }
     subtract_running(cell, &mut accounts, wall_ms);
     Backlog {
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -5,6 +5,7 @@
     arrivals::{Arrivals, Inflow},
     crash::PoisonTask,
     hold::Hold,
+    inventory::Capability,
     job::{HasStarted, Job},
     limits::{Limits, Millis},
     marking::Marking,
@@ -58,6 +59,12 @@
     pub(crate) poison_tasks: Vec<PoisonTask>,
     /// Tasks whose crash records were cleared since the last round.
     pub(crate) crashes_cleared: Vec<TaskId>,
+    /// What the pool's workers and the instances of the fleet can run.
+    pub(crate) capability: Capability,
+    /// Whether the registrations of workers have changed since the last round.
+    pub(crate) registrations_changed: bool,
+    /// Waiting steps that no instance can run, as of the last round.
+    pub(crate) unplaceable: BTreeSet<(JobId, u16)>,
     /// Number of queued jobs by queue, as of the last round.
     pub(crate) queued_counts: BTreeMap<Name, u64>,
     /// Workers that a list has shown to be no longer slow since the last round.
@@ -112,6 +119,9 @@
             losses: Vec::new(),
             poison_tasks: Vec::new(),
             crashes_cleared: Vec::new(),
+            capability: Capability::default(),
+            registrations_changed: false,
+            unplaceable: BTreeSet::new(),
             queued_counts: BTreeMap::new(),
             recovered: Vec::new(),
             moves: BTreeMap::new(),
@@ -135,7 +145,9 @@
         let over = self.finished.contains_key(&id) || self.deleted.contains_key(&id);
         if !over && !self.jobs.contains_key(&id) {
             let Accepted { queue, job, .. } = &accepted;
-            self.arrivals.accept(queue, job, &self.run_times);
+            let capability = &self.capability;
+            self.arrivals
+                .accept(queue, job, &self.run_times, capability);
             self.marking.add(&id, &accepted);
             let job = Job::new(accepted, &mut self.meter);
             self.jobs.insert(id, job);
@@ -153,7 +165,9 @@
     /// starting for as long as owners followed each other in less time.
     pub fn restore(&mut self, id: JobId, accepted: Accepted, progress: Progress) {
         let Accepted { queue, job, .. } = &accepted;
-        self.arrivals.add_restored(queue, job, &self.run_times);
+        let capability = &self.capability;
+        self.arrivals
+            .add_restored(queue, job, &self.run_times, capability);
         if !self.finished.contains_key(&id) && !self.jobs.contains_key(&id) {
             self.marking.add(&id, &accepted);
         }
--- /dev/null
+++ b/crates/cell/src/inventory.rs
@@ -0,0 +1,95 @@
+//! What machines could run at the same time if nothing else ran on them.
+
+use primroseroute_domain::work::{Demand, Name, Step};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+/// Number of machines by capacity: processor share, memory and accelerators.
+type Capacities = BTreeMap<[u64; 3], u64>;
+
+/// The capacities and labels of machines.
+///
+/// Machines of one kind share an entry, so that a look-up takes as long as there are kinds, not
+/// machines.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Inventory {
+    all: Capacities,
+    by_label: BTreeMap<Name, Capacities>,
+}
+
+impl Inventory {
+    /// Adds a machine.
+    pub fn add(&mut self, capacity: Demand, labels: &BTreeSet<Name>) {
+        let Demand {
+            cpu,
+            memory,
+            accelerators,
+        } = capacity;
+        let key = [cpu, memory, accelerators];
+        *self.all.entry(key).or_default() += 1;
+        for label in labels {
+            let labelled = self.by_label.entry(Name::clone(label)).or_default();
+            *labelled.entry(key).or_default() += 1;
+        }
+    }
+
+    /// Number of tasks of a step that could run at the same time, up to its number of tasks; 0 for
+    /// a gang that couldn't run as a whole.
+    pub fn tasks(&self, step: &Step) -> u64 {
+        let count = u64::from(step.count);
+        let machines = match &step.label {
+            None => Some(&self.all),
+            Some(label) => self.by_label.get(label),
+        };
+        let mut tasks: u64 = 0;
+        for (&capacity, &machines) in machines.into_iter().flatten() {
+            let on_each = tasks_within(capacity, step).min(count);
+            tasks = tasks.saturating_add(on_each.saturating_mul(machines));
+            if tasks >= count {
+                return count;
+            }
+        }
+        if step.gang { 0 } else { tasks }
+    }
+}
+
+/// Number of tasks of a step that a machine could run at the same time.
+fn tasks_within([cpu, memory, accelerators]: [u64; 3], step: &Step) -> u64 {
+    let within = |capacity: u64, demand: u64| capacity.checked_div(demand).unwrap_or(u64::MAX);
+    let reserved = step.reserved();
+    let spread = match step.most_per_worker {
+        0 => u64::MAX,
+        most => u64::from(most),
+    };
+    within(cpu, reserved.cpu)
+        .min(within(memory, reserved.memory))
+        .min(within(accelerators, reserved.accelerators))
+        .min(spread)
+}
+
+/// What a pool's workers can run, or could after instances have moved.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Capability {
+    /// All instances of the fleet; `None` while their capacities aren't known.
+    pub fleet: Option<Arc<Inventory>>,
+    /// The pool's workers. One that has just joined may not be in the list of instances yet.
+    pub own: Inventory,
+}
+
+impl Capability {
+    /// Number of tasks of a step that could run at the same time, up to its number of tasks; all
+    /// while that isn't known.
+    pub(crate) fn tasks(&self, step: &Step) -> u64 {
+        match &self.fleet {
+            None => u64::from(step.count),
+            Some(fleet) => fleet.tasks(step).max(self.own.tasks(step)),
+        }
+    }
+
+    /// Whether any task of a step could run.
+    pub(crate) fn allows(&self, step: &Step) -> bool {
+        self.tasks(step) > 0
+    }
+}
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -47,6 +47,8 @@
 //! * [`row`]: the rows in the store, their locations and formats.
 //! * [`Cell`] and its parts: jobs, workers, worker statuses, placement, migration of long-running
 //!   tasks, and which workers the advice service allows.
+//! * [`Inventory`]: which tasks the instances of the fleet could run. Steps that none of them can
+//!   run wait without counting as demand.
 //! * `run_times`: how long tasks take, learned from those that this owner has run.
 //! * [`ScalingEstimate`]: how many workers the pool should have.
 
@@ -57,6 +59,7 @@
 mod crash;
 mod hold;
 mod incarnation;
+mod inventory;
 mod job;
 mod limits;
 mod marking;
@@ -72,14 +75,18 @@
 mod status;
 mod straggler;
 mod throttle;
+mod unplaceable;
 mod window;
 mod worker;
 
 pub use arrivals::Inflow;
 pub use cell::Cell;
 pub use crash::PoisonTask;
+pub use inventory::Inventory;
 pub use limits::{Limits, Millis};
-pub use order::{AdviceRequest, Cause, EndsCursor, Loss, Order, Outcome, RoundOutput};
+pub use order::{
+    AdviceRequest, Cause, EndsCursor, Loss, Order, Outcome, RoundOutput, UnplaceableStep,
+};
 pub use run_times::Terms;
 pub use scaling::ScalingEstimate;
 pub use straggler::{MovedRun, SlowWorker, Stragglers};
--- a/crates/cell/src/order.rs
+++ b/crates/cell/src/order.rs
@@ -5,7 +5,7 @@
     straggler::Stragglers,
 };
 use bytes::Bytes;
-use primroseroute_domain::work::{JobId, Name, State, StepId, TaskId};
+use primroseroute_domain::work::{Demand, JobId, Name, State, StepId, TaskId};
 use primroseroute_platform::worker::Refusal;
 use std::collections::BTreeMap;
 
@@ -112,6 +112,21 @@
     pub relisted: bool,
 }
 
+/// A waiting step that no instance of the fleet can run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnplaceableStep {
+    /// The job.
+    pub job: JobId,
+    /// Number of the step.
+    pub step: u16,
+    /// Its number of tasks.
+    pub count: u16,
+    /// What each of them reserves.
+    pub demand: Demand,
+    /// Label that its workers must have.
+    pub label: Option<Name>,
+}
+
 /// Result of a round: what to commit, and what to do after that.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RoundOutput {
@@ -136,6 +151,10 @@
     pub poison_tasks: Vec<PoisonTask>,
     /// Tasks whose crash records were cleared because their workers survived them.
     pub crashes_cleared: Vec<TaskId>,
+    /// Waiting steps that no instance of the fleet can run, and that weren't known as such.
+    pub unplaceable: Vec<UnplaceableStep>,
+    /// Steps that an instance can run now, or that don't wait any more.
+    pub placeable_again: Vec<(JobId, u16)>,
     /// Requests to the advice service; they need no commit.
     pub advice_requests: Vec<AdviceRequest>,
     /// For each worker, the position up to which its ended runs are in the rows.
--- a/crates/cell/src/placement/urgency.rs
+++ b/crates/cell/src/placement/urgency.rs
@@ -44,6 +44,11 @@
 }
 
 impl WaitingStep {
+    /// Its job, and its number within that.
+    pub(crate) fn job_step(&self) -> (&JobId, u16) {
+        (&self.job, self.step)
+    }
+
     /// The step's first task, which represents all of them.
     pub(crate) fn first_task(&self) -> TaskId {
         task_id(self, 0)
@@ -85,7 +90,8 @@
 
 /// The steps of `waiting` that still wait, each with the number of its tasks, their predicted run
 /// time, and whether it is late; without those of jobs that earn nothing any more, and of accounts
-/// that may not have more running.
+/// that may not have more running. Tasks beyond those that the fleet could run at the same time
+/// don't count: more workers would be no use to them.
 pub(crate) fn still_waiting<'a>(
     cell: &'a Cell,
     waiting: &'a [WaitingStep],
@@ -102,7 +108,8 @@
         let late = waiting.class == Class::Late;
         let step = job.step(waiting.step)?;
         let run_time = job.prediction.of(waiting.step, step);
-        Some((step, count as u64, run_time, late))
+        let count = (count as u64).min(cell.capability.tasks(step));
+        Some((step, count, run_time, late))
     })
 }
 
@@ -190,10 +197,16 @@
 
 /// Predicted core-milliseconds of the unfinished tasks.
 pub(crate) fn work_left(job: &Job, occurrence: u32) -> u64 {
+    work_left_of(job, occurrence, |_step| true)
+}
+
+/// Predicted core-milliseconds of the unfinished tasks of the steps for which `counts` is true.
+pub(crate) fn work_left_of(job: &Job, occurrence: u32, counts: impl Fn(u16) -> bool) -> u64 {
     let Some(progress) = job.progress.steps.get(&occurrence) else {
         return 0;
     };
     let steps = (0..).zip(&job.accepted.job.steps).zip(progress);
+    let steps = steps.filter(|((number, _shape), _tasks)| counts(*number));
     let left = steps.map(|((number, shape), tasks)| {
         let open = tasks
             .iter()
--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -17,6 +17,7 @@
         let worker = self.worker(&id);
         worker.registration = Some(info);
         worker.registered = true;
+        self.registrations_changed = true;
     }
 
     /// Records that a worker isn't registered any more. Its runs go on until its lease expires or
@@ -24,6 +25,7 @@
     pub fn unregister(&mut self, worker: &Name) {
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.registered = false;
+            self.registrations_changed = true;
         }
     }
 
--- a/crates/cell/src/round.rs
+++ b/crates/cell/src/round.rs
@@ -9,7 +9,7 @@
     order::{Cause, Order, RoundOutput},
     placement,
     row::overflow::{Change, Overflow},
-    run_times, scaling, straggler, throttle,
+    run_times, scaling, straggler, throttle, unplaceable,
     worker::{ExpiredLease, Run, StopState, Termination, Worker},
 };
 use bytes::Bytes;
@@ -37,7 +37,9 @@
     cell.count_account_usage();
     run_times::update(cell, now);
     let mut stragglers = straggler::judge(cell, now);
-    let waiting = placement::waiting_steps(cell, wall_ms);
+    cell.count_own_capacities();
+    let mut waiting = placement::waiting_steps(cell, wall_ms);
+    let unplaceable = unplaceable::set_aside(cell, &mut waiting);
     let mut orders = placement::run(cell, &waiting, now);
     stragglers.moved = placement::move_runs(cell, now);
     orders.extend(throttle_all(cell));
@@ -51,6 +53,8 @@
     } = changed_rows(cell, now);
     cell.queued_counts = cell.count_queued();
     RoundOutput {
+        unplaceable: unplaceable.found,
+        placeable_again: unplaceable.resolved,
         advice_requests: advice::requests(cell, &waiting, now),
         puts,
         overflow,
--- a/crates/cell/src/row/mod.rs
+++ b/crates/cell/src/row/mod.rs
@@ -452,6 +452,13 @@
     pub late: u64,
 }
 
+impl DesiredWorkers {
+    /// What it can use now, with overdue work.
+    pub fn with_late(&self) -> u64 {
+        self.now.saturating_add(self.late)
+    }
+}
+
 /// An entry's heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/cell/src/scaling.rs
+++ b/crates/cell/src/scaling.rs
@@ -135,10 +135,16 @@
     }
 }
 
+/// `value * factor / divisor`, or the maximum if that is larger.
+fn scaled(value: u64, factor: u64, divisor: u64) -> u64 {
+    let product = u128::from(value) * u128::from(factor);
+    u64::try_from(product / u128::from(divisor)).unwrap_or(u64::MAX)
+}
+
 fn with_headroom(demand: Demand) -> Demand {
     Demand {
-        cpu: demand.cpu * HEADROOM_PERCENT / 100,
-        memory: demand.memory * HEADROOM_PERCENT / 100,
+        cpu: scaled(demand.cpu, HEADROOM_PERCENT, 100),
+        memory: scaled(demand.memory, HEADROOM_PERCENT, 100),
         accelerators: demand.accelerators,
     }
 }
@@ -170,7 +176,7 @@
     let workers = workers_for(with_headroom(coming), capacity).max(least);
     let current_workers = workers_for(current, capacity).max(least);
     let with_late = workers_for(current.plus(running.late).plus(waiting_sum.late), capacity);
-    let with_isolation = current_workers + crash::isolation_workers_needed(cell);
+    let with_isolation = current_workers.saturating_add(crash::isolation_workers_needed(cell));
     let with_overdue = overdue_need(cell, waiting, now);
     let all_workers = cell.workers.values();
     let unusable = all_workers
@@ -179,14 +185,16 @@
     let unusable = unusable + lost_to_slowness(cell);
     cell.estimates.record(now, workers);
     ScalingEstimate {
-        workers: workers + unusable,
-        now: current_workers + unusable,
-        soon: workers_for(coming, capacity).max(current_workers) + unusable,
+        workers: workers.saturating_add(unusable),
+        now: current_workers.saturating_add(unusable),
+        soon: workers_for(coming, capacity)
+            .max(current_workers)
+            .saturating_add(unusable),
         late: with_late
             .max(with_isolation)
             .max(with_overdue)
             .saturating_sub(current_workers),
-        scale_down_floor: scale_down_floor(cell, now) + unusable,
+        scale_down_floor: scale_down_floor(cell, now).saturating_add(unusable),
         running: running.all(),
         waiting: waiting_sum.all(),
         expected,
@@ -221,16 +229,6 @@
     })
 }
 
-/// Demand of the tasks of a step. The processor share of a filler isn't reserved, but where all
-/// workers are full nothing is left for it.
-fn demand_of(step: &Step, count: u64) -> Demand {
-    Demand {
-        cpu: step.demand.cpu * count,
-        memory: step.demand.memory * count,
-        accelerators: step.demand.accelerators * count,
-    }
-}
-
 /// Demand of running tasks. Runs that are to stop are left out: their tasks wait, or are over.
 fn running_demand(cell: &Cell, wall_ms: u64) -> Load {
     let mut load = Load::default();
@@ -238,7 +236,7 @@
     for (task, run) in runs.filter(|(_task, run)| run.stop == StopState::No) {
         let job = cell.jobs.get(&task.job);
         let step = job.and_then(|job| job.step(task.step));
-        let demand = step.map_or(run.reserved, |step| demand_of(step, 1));
+        let demand = step.map_or(run.reserved, |step| step.demand);
         let late = job.is_some_and(|job| placement::is_overdue(job, task.occurrence, wall_ms));
         load.add(demand, late);
     }
@@ -264,13 +262,17 @@
     load
 }
 
-/// Demand of waiting tasks of a step if they are to be started soon.
+/// Demand of waiting tasks of a step if they are to be started soon. The processor share of a filler
+/// isn't reserved, but where all workers are full nothing is left for it.
 fn near_term_demand(step: &Step, count: u64, mean_ms: u64) -> Demand {
-    let all = demand_of(step, count);
+    let all = step.demand.times(count);
     if step.lasting || mean_ms >= HORIZON_MS {
         return all;
     }
-    let part = |all: u64, one: u64| (all * mean_ms).div_ceil(HORIZON_MS).max(one);
+    let part = |all: u64, one: u64| {
+        let rounded_up = all.saturating_mul(mean_ms).div_ceil(HORIZON_MS);
+        rounded_up.max(one)
+    };
     Demand {
         cpu: part(all.cpu, step.demand.cpu),
         memory: part(all.memory, step.demand.memory),
@@ -305,7 +307,10 @@
     let begun = jobs.filter(|job| !job.progress.steps.is_empty());
     let steps = begun.flat_map(|job| &job.accepted.job.steps);
     let spread = steps.filter(|step| step.most_per_worker > 0);
-    let widths = spread.map(|step| u64::from(step.count).div_ceil(u64::from(step.most_per_worker)));
+    let widths = spread.map(|step| {
+        let tasks = cell.capability.tasks(step);
+        tasks.div_ceil(u64::from(step.most_per_worker))
+    });
     widths.max().unwrap_or(0)
 }
 
--- /dev/null
+++ b/crates/cell/src/unplaceable.rs
@@ -0,0 +1,101 @@
+//! Steps whose tasks no instance of the fleet can run, because of their demand or label.
+//!
+//! Such a step waits until an instance that can run it joins the fleet. Until then it is no demand:
+//! it counts neither as a reason for more workers nor as work that keeps other jobs waiting.
+
+use crate::{
+    cell::Cell,
+    inventory::{Capability, Inventory},
+    job::Job,
+    order::UnplaceableStep,
+    placement::WaitingStep,
+};
+use primroseroute_domain::work::{JobId, Step};
+use std::{collections::BTreeSet, sync::Arc};
+
+impl Cell {
+    /// Sets the capacities of all instances of the fleet; `None` if they aren't known.
+    pub fn set_fleet(&mut self, fleet: Option<Arc<Inventory>>) {
+        self.capability.fleet = fleet;
+    }
+
+    /// Number of waiting steps that no instance can run, as of the last round.
+    pub fn unplaceable_steps(&self) -> usize {
+        self.unplaceable.len()
+    }
+
+    /// Counts the pool's workers anew, if their registrations have changed.
+    pub(crate) fn count_own_capacities(&mut self) {
+        if !std::mem::take(&mut self.registrations_changed) {
+            return;
+        }
+        let mut own = Inventory::default();
+        for info in self
+            .workers
+            .values()
+            .filter_map(|worker| worker.registration.as_ref())
+        {
+            own.add(info.capacity, &info.labels);
+        }
+        self.capability.own = own;
+    }
+}
+
+/// Changes of the set of steps that no instance can run.
+#[derive(Debug, Default)]
+pub(crate) struct Changes {
+    pub found: Vec<UnplaceableStep>,
+    pub resolved: Vec<(JobId, u16)>,
+}
+
+/// Removes the steps that no instance can run from `waiting`.
+pub(crate) fn set_aside(cell: &mut Cell, waiting: &mut Vec<WaitingStep>) -> Changes {
+    let mut known = BTreeSet::new();
+    let mut changes = Changes::default();
+    waiting.retain(|waiting| {
+        let (id, number) = waiting.job_step();
+        let step = cell.jobs.get(id).and_then(|job| job.step(number));
+        let Some(step) = step.filter(|step| !cell.capability.allows(step)) else {
+            return true;
+        };
+        let key = (id.clone(), number);
+        if !cell.unplaceable.contains(&key) && !known.contains(&key) {
+            changes.found.push(UnplaceableStep {
+                job: id.clone(),
+                step: number,
+                count: step.count,
+                demand: step.reserved(),
+                label: step.label.clone(),
+            });
+        }
+        known.insert(key);
+        false
+    });
+    let resolved = cell.unplaceable.difference(&known);
+    let resolved = resolved.filter(|(id, _step)| cell.jobs.contains_key(id));
+    changes.resolved = resolved.cloned().collect();
+    cell.unplaceable = known;
+    changes
+}
+
+/// For each step of a job, whether its tasks will not run as long as the fleet stays as it is:
+/// no instance can run them, or they wait for a step whose tasks no instance can run.
+pub(crate) fn blocked_steps(capability: &Capability, job: &Job) -> Vec<bool> {
+    let steps = &job.accepted.job.steps;
+    let mut blocked: Vec<bool> = Vec::with_capacity(steps.len());
+    for step in steps {
+        let waits = |&earlier: &u16| blocked.get(usize::from(earlier)).copied().unwrap_or(false);
+        let is_blocked = !capability.allows(step) || step.after.iter().any(waits);
+        blocked.push(is_blocked);
+    }
+    blocked
+}
+
+/// The steps of a job that instances can run.
+pub(crate) fn placeable_steps<'a>(
+    capability: &Capability,
+    steps: &'a [Step],
+) -> impl Iterator<Item = (u16, &'a Step)> {
+    let numbered = (0..).zip(steps);
+    numbered.filter(move |(_number, step)| capability.allows(step))
+}
--- a/crates/cell/tests/all/main.rs
+++ b/crates/cell/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod rows;
 mod run_times;
 mod speed;
+mod unplaceable;
 mod window;
 
 /// Generates one test function for each case.
--- a/crates/owner/src/instance_cache.rs
+++ b/crates/owner/src/instance_cache.rs
@@ -2,6 +2,7 @@
 //!
 //! Pools that ask at the same time share a call, unless it takes long.
 
+use primroseroute_cell::Inventory;
 use primroseroute_platform::{
     Error,
     site::{Instance, Site},
@@ -21,6 +22,16 @@
     /// When the list was requested: it shows whatever was done before.
     pub asked_at: Instant,
     pub instances: Arc<Vec<Instance>>,
+    /// Their capacities; `None` if the platform doesn't tell all of them.
+    pub inventory: Option<Arc<Inventory>>,
+}
+
+fn inventory(instances: &[Instance]) -> Option<Inventory> {
+    let mut inventory = Inventory::default();
+    for instance in instances {
+        inventory.add(instance.capacity?, &instance.labels);
+    }
+    (!instances.is_empty()).then_some(inventory)
 }
 
 /// The newest list.
@@ -66,6 +77,7 @@
         };
         let listing = Listing {
             asked_at,
+            inventory: inventory(&instances).map(Arc::new),
             instances: Arc::new(instances),
         };
         let mut newest = self.newest.lock();
@@ -78,6 +90,12 @@
         Ok(listing)
     }
 
+    /// The capacities of all instances, as listed last; `None` if they aren't known.
+    pub(crate) fn inventory(&self) -> Option<Arc<Inventory>> {
+        let newest = self.newest.lock();
+        newest.as_ref().and_then(|known| known.inventory.clone())
+    }
+
     fn newest_since(&self, since: Instant) -> Option<Listing> {
         let newest = self.newest.lock();
         newest.clone().filter(|known| known.asked_at >= since)
--- a/crates/owner/src/log_lines.rs
+++ b/crates/owner/src/log_lines.rs
@@ -3,7 +3,8 @@
 use crate::log_digest::first_names;
 use log::{info, warn};
 use primroseroute_cell::{
-    Inflow, Loss, MovedRun, Order, PoisonTask, ScalingEstimate, SlowWorker, Stragglers,
+    Inflow, Loss, MovedRun, Order, PoisonTask, RoundOutput, ScalingEstimate, SlowWorker,
+    Stragglers, UnplaceableStep,
 };
 use primroseroute_domain::work::{JobId, State, TaskId};
 
@@ -71,6 +72,24 @@
     }
 }
 
+/// One line for each step that no instance can run, and one when that is over.
+pub(crate) fn unplaceable(pool: &str, round: &RoundOutput) {
+    for UnplaceableStep {
+        job,
+        step,
+        count,
+        demand,
+        label,
+    } in &round.unplaceable
+    {
+        let label = label.as_deref().unwrap_or_default();
+        warn!(pool, job:% = job, step, tasks = count, cpu = demand.cpu, memory_mb = demand.memory, accelerators = demand.accelerators, label; "no instance can run the tasks of a step; it waits");
+    }
+    for (job, step) in &round.placeable_again {
+        info!(pool, job:% = job, step; "step waits no longer for an instance that can run it");
+    }
+}
+
 /// One line for each worker that has become slow or is no longer slow, and for each run that is moved
 /// off a slow worker.
 pub(crate) fn stragglers(pool: &str, stragglers: &Stragglers) {
--- a/crates/owner/src/observe.rs
+++ b/crates/owner/src/observe.rs
@@ -41,6 +41,9 @@
     /// How many jobs of a pool are held since the store refuses their progress.
     fn held_jobs(&self, pool: &Name, jobs: usize);
 
+    /// How many waiting steps of a pool no instance of the fleet can run.
+    fn unplaceable_steps(&self, pool: &Name, steps: usize);
+
     /// How many cancelled ids of a pool are held by tombstones.
     fn tombstones(&self, pool: &Name, tombstones: usize);
 
@@ -78,6 +81,7 @@
     fn slow_workers(&self, _pool: &Name, _workers: usize) {}
 
     fn held_jobs(&self, _pool: &Name, _jobs: usize) {}
+    fn unplaceable_steps(&self, _pool: &Name, _steps: usize) {}
     fn tombstones(&self, _pool: &Name, _tombstones: usize) {}
     fn runs_moved(&self, _pool: &Name, _runs: usize) {}
     fn commit_finished(&self, _took: Duration) {}
--- a/crates/owner/src/pool_loop/mod.rs
+++ b/crates/owner/src/pool_loop/mod.rs
@@ -237,6 +237,7 @@
         let ago = clock.now().saturating_sub(self.cell.feed_watermark());
         observer.jobs_feed_age(pool, Duration::from_millis(ago));
         observer.held_jobs(pool, self.cell.held_jobs());
+        observer.unplaceable_steps(pool, self.cell.unplaceable_steps());
         observer.tombstones(pool, self.tombstones.len());
         observer.round_finished(pool, round);
     }
@@ -299,6 +300,7 @@
         self.digest.write(&self.context.pool);
         let decided = Instant::now();
         self.limit_accounts();
+        self.cell.set_fleet(self.context.fleet.inventory());
         let mut round = self.cell.run_round(clock.now(), clock.wall_ms());
         self.write_budgets();
         self.cancels.log_ended(&self.cell, clock.now());
@@ -309,6 +311,7 @@
         log_lines::losses(&self.context.pool, &round.losses);
         log_lines::poison_tasks(&self.context.pool, &round.poison_tasks);
         log_lines::crashes_cleared(&self.context.pool, &round.crashes_cleared);
+        log_lines::unplaceable(&self.context.pool, &round);
         self.report_stragglers(&round.stragglers);
         for worker in &round.immediate_polls {
             self.pool_workers.poll_now(worker);
--- a/crates/owner/src/rebalance.rs
+++ b/crates/owner/src/rebalance.rs
@@ -139,7 +139,7 @@
         (Some(need), Level::Now) => need.now,
         (Some(need), Level::Soon) => need.soon.max(need.now),
         (Some(need), Level::Wanted) => need.workers.max(need.soon),
-        (Some(need), Level::Late) => need.workers.max(need.now + need.late),
+        (Some(need), Level::Late) => need.workers.max(need.with_late()),
         // Nothing is known: it keeps what it has, and gets nothing.
         (None, _) => has,
     }
@@ -188,6 +188,8 @@
     balances: &BTreeMap<&'a Name, Balance>,
 ) -> Vec<(&'a Name, &'a Name)> {
     let serves = |name: &Name| inputs.pools.get(name).is_none_or(|pool| !pool.standby);
+    let surplus = balances.values().map(Balance::surplus);
+    let surplus = surplus.fold(0, u64::saturating_add);
     let givers = balances.iter();
     let givers = givers.map(|(&name, balance)| (serves(name), Reverse(balance.surplus()), name));
     let mut givers: Vec<(bool, Reverse<u64>, &Name)> = givers.collect();
@@ -195,21 +197,25 @@
     let units = givers
         .into_iter()
         .flat_map(|(_serves, Reverse(surplus), name)| (0..surplus).map(move |_unit| name));
-    units.zip(missing_by_need(balances)).collect()
+    units.zip(missing_by_need(balances, surplus)).collect()
 }
 
-/// One element for each missing instance, at each step for the pool that misses the largest part of
-/// its need.
-fn missing_by_need<'a>(balances: &BTreeMap<&'a Name, Balance>) -> Vec<&'a Name> {
+/// One element for each of the first `most` missing instances, at each step for the pool that misses
+/// the largest part of its need.
+///
+/// Needs are published by other entries, and may be far larger than the fleet.
+fn missing_by_need<'a>(balances: &BTreeMap<&'a Name, Balance>, most: u64) -> Vec<&'a Name> {
     let missing = balances.iter();
     let missing = missing.filter(|(_name, balance)| balance.deficit() > 0);
     let mut missing: BTreeMap<&Name, Balance> =
         missing.map(|(&name, balance)| (name, *balance)).collect();
+    let permille =
+        |balance: &Balance| u128::from(balance.deficit()) * 1_000 / u128::from(balance.need.max(1));
     let mut order = Vec::new();
-    loop {
+    for _instance in 0..most {
         let most_needy = missing
             .iter()
-            .max_by_key(|(_name, balance)| balance.deficit() * 1_000 / balance.need.max(1));
+            .max_by_key(|(_name, balance)| permille(balance));
         let Some((&name, _balance)) = most_needy else {
             return order;
         };
@@ -221,6 +227,7 @@
             }
         }
     }
+    order
 }
 
 /// Instances of the own pool that may move: those that are being evacuated first, so that a
--- a/crates/owner/src/relocate.rs
+++ b/crates/owner/src/relocate.rs
@@ -67,14 +67,14 @@
         // The sooner an instance that joins is seen, the sooner it may move on. And a surplus at
         // this moment is enough to list the instances: others may be short.
         return own.need.is_some_and(|need| {
-            let lacks = has_own < need.workers.max(need.now + need.late);
+            let lacks = has_own < need.workers.max(need.with_late());
             lacks || has_own > need.now
         });
     }
     let mut others = pools.iter().filter(|(_name, pool)| !pool.standby);
     let missed = others.any(|(name, pool)| {
         pool.need
-            .is_some_and(|need| has(name) < need.workers.max(need.now + need.late))
+            .is_some_and(|need| has(name) < need.workers.max(need.with_late()))
     });
     missed && has_own > 0
 }
--- a/crates/owner/tests/all/rebalance.rs
+++ b/crates/owner/tests/all/rebalance.rs
@@ -61,6 +61,8 @@
                 pool: pool.into(),
                 state: InstanceState::Up,
                 worker,
+                capacity: None,
+                labels: BTreeSet::new(),
             });
         }
     }
@@ -106,6 +108,30 @@
     assert_eq!(targets(&moves), BTreeMap::from([("p-1", 2)]));
 }
 
+/// Guards against an owner that is killed for its memory, or a plan that is wrong, because another
+/// pool's published need is far larger than the fleet.
+#[test]
+fn published_need_beyond_the_fleet_is_served_like_a_small_one() {
+    let with_need = |need: u64| {
+        let mut fleet = Fleet::new(&[(2, 2), (6, 2), (2, 6)], 1);
+        fleet.pools.get_mut("p-0").expect("a pool").need = Some(DesiredWorkers {
+            workers: need,
+            now: need,
+            soon: need,
+            late: need,
+        });
+        fleet
+    };
+    let huge = with_need(u64::MAX);
+    assert_eq!(targets(&huge.moves_of(STANDBY)), [("p-0", 1)].into());
+    assert_eq!(targets(&huge.moves_of("p-1")), [("p-0", 4)].into());
+    assert!(huge.moves_of("p-2").is_empty());
+    for pool in ["p-1", "p-2", STANDBY] {
+        let large = with_need(1_000).moves_of(pool);
+        assert_eq!(huge.moves_of(pool), large, "{pool}");
+    }
+}
+
 #[test]
 fn standby_gives_before_pools_that_serve() {
     let fleet = Fleet::new(&[(4, 6), (5, 2)], 2);
--- a/crates/owner/tests/all/wave.rs
+++ b/crates/owner/tests/all/wave.rs
@@ -28,6 +28,8 @@
         pool: "pool".into(),
         state: InstanceState::Up,
         worker: Some(format!("w-{number}").into()),
+        capacity: None,
+        labels: BTreeSet::new(),
     }
 }
 
--- a/crates/platform/src/site.rs
+++ b/crates/platform/src/site.rs
@@ -150,6 +150,10 @@
     pub state: InstanceState,
     /// Worker that runs on the instance, if any.
     pub worker: Option<Name>,
+    /// Total resources of a worker on the instance, if the platform tells.
+    pub capacity: Option<Demand>,
+    /// Labels of a worker on the instance.
+    pub labels: BTreeSet<Name>,
 }
 
 /// Outcome of an order to an instance.
--- a/crates/serve/src/metered.rs
+++ b/crates/serve/src/metered.rs
@@ -108,6 +108,10 @@
         self.0.held_jobs(pool, jobs as u64);
     }
 
+    fn unplaceable_steps(&self, pool: &Name, steps: usize) {
+        self.0.unplaceable_steps(pool, steps as u64);
+    }
+
     fn tombstones(&self, pool: &Name, tombstones: usize) {
         self.0.tombstones(pool, tombstones as u64);
     }
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -239,6 +239,8 @@
                 pool: pool.into(),
                 state: InstanceState::Up,
                 worker: None,
+                capacity: Some(CAPACITY),
+                labels: BTreeSet::new(),
             };
             state.instances.insert(Name::clone(&name), instance);
             state.start_worker(&name, now);
--- a/crates/telemetry/src/site.rs
+++ b/crates/telemetry/src/site.rs
@@ -43,6 +43,7 @@
     queued_jobs: Gauge<u64>,
     slow_workers: Gauge<u64>,
     held_jobs: Gauge<u64>,
+    unplaceable_steps: Gauge<u64>,
     tombstones: Gauge<u64>,
     runs_moved: Counter<u64>,
     commit_seconds: Histogram<f64>,
@@ -149,6 +150,10 @@
                 "held_jobs",
                 "Jobs whose progress the store refuses, by pool",
             ),
+            unplaceable_steps: gauge(
+                "unplaceable_steps",
+                "Waiting steps whose tasks no instance of the fleet can run, by pool",
+            ),
             tombstones: gauge(
                 "tombstones",
                 "Ids that were cancelled before a job was stored, by pool",
@@ -305,6 +310,12 @@
         self.held_jobs.record(jobs, &[named("pool", Some(pool))]);
     }
 
+    /// How many waiting steps of a pool no instance of the fleet can run.
+    pub fn unplaceable_steps(&self, pool: &Name, steps: u64) {
+        self.unplaceable_steps
+            .record(steps, &[named("pool", Some(pool))]);
+    }
+
     /// Sets the number of cancelled ids of a pool that tombstones hold.
     pub fn tombstones(&self, pool: &Name, tombstones: u64) {
         self.tombstones
--- a/crates/telemetry/tests/all/site.rs
+++ b/crates/telemetry/tests/all/site.rs
@@ -24,6 +24,7 @@
     meter.expected_waits(&"stay".into(), duration, 2 * duration);
     meter.slow_workers(&"stay".into(), 2);
     meter.held_jobs(&"stay".into(), 1);
+    meter.unplaceable_steps(&"stay".into(), 6);
     meter.tombstones(&"stay".into(), 5);
     meter.cancel_answered("unknown");
     meter.cancelled_submission_refused();
@@ -60,6 +61,7 @@
         "primroseroute_expected_wait_milliseconds{entitlement=\"within\",pool=\"stay\"} 3",
         "primroseroute_slow_workers{pool=\"stay\"} 2",
         "primroseroute_held_jobs{pool=\"stay\"} 1",
+        "primroseroute_unplaceable_steps{pool=\"stay\"} 6",
         "primroseroute_tombstones{pool=\"stay\"} 5",
         "primroseroute_cancels_total{outcome=\"unknown\"} 1",
         "primroseroute_cancelled_submissions_total 1",
