Owner: tokens for a worker never fall within an ownership

Cause: after a poll without an answer the owner raises its token, and the worker may see the raised one without being able to answer. When its entry expired, the owner forgot the token unless the worker had told its start time, and began anew with the first token of the ownership. Evidence: the stand-in's count of refusals; the entries logged nothing above the level debug.

Change: fences of workers that aren't polled any more are raised and kept while orders may still be carried out late; the highest token of those dropped after that is where later fences begin. Refused polls are logged once a series and counted. A refusal raises nothing: with tokens that never fall, a higher one is a later owner's.

The stand-in cuts workers off in one direction, and can leave out start times.

--- a/crates/owner/src/fence.rs
+++ b/crates/owner/src/fence.rs
@@ -1,7 +1,15 @@
-//! The fencing token of an owner's calls to one worker.
+//! The fencing tokens of an owner's calls to workers.
 
+use primroseroute_cell::Millis;
+use primroseroute_domain::work::Name;
 use primroseroute_platform::rows::Version;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 /// Tokens of one ownership for one worker: the next owner's tokens are higher than all of them.
 const TOKENS_PER_OWNERSHIP: u64 = 1 << 20;
@@ -20,11 +28,9 @@
 }
 
 impl Fence {
-    /// The token for the first incarnation that a pool's owner reaches; `token` is that of its
-    /// ownership.
-    pub(crate) fn new(token: Version) -> Self {
+    fn new(token: u64) -> Self {
         Self {
-            token: AtomicU64::new(token * TOKENS_PER_OWNERSHIP),
+            token: AtomicU64::new(token),
             incarnation: AtomicU64::new(0),
         }
     }
@@ -33,12 +39,6 @@
         self.token.load(Ordering::Acquire)
     }
 
-    /// Whether an incarnation of the worker has responded: then the token must not fall, and
-    /// another incarnation must be detected.
-    pub(crate) fn has_responded(&self) -> bool {
-        self.incarnation.load(Ordering::Acquire) != 0
-    }
-
     /// Whether this incarnation responded last.
     pub(crate) fn is_incarnation(&self, incarnation: u64) -> bool {
         self.incarnation.load(Ordering::Acquire) == incarnation
@@ -64,3 +64,71 @@
         }
     }
 }
+
+/// A worker's fence.
+#[derive(Debug)]
+struct Entry {
+    fence: Arc<Fence>,
+    /// Since when the worker isn't polled; `None` while it is.
+    idle_since: Option<Millis>,
+}
+
+/// The fences of one ownership.
+///
+/// A worker refuses calls with a token lower than the highest that it has seen, whether it could
+/// answer that call or not. So the token for a worker never falls, also if the worker is forgotten
+/// and registers again. Fences are kept while orders that were sent before may still be carried out;
+/// after that it is enough that the next fence begins no lower.
+#[derive(Debug)]
+pub(crate) struct Fences {
+    by_worker: BTreeMap<Name, Entry>,
+    /// No token of a dropped fence is higher.
+    floor: u64,
+    /// Time after which no earlier order is carried out any more.
+    late_order_window: Millis,
+}
+
+impl Fences {
+    /// The fences of an ownership with this token.
+    pub(crate) fn new(ownership: Version, late_order_window: Millis) -> Self {
+        Self {
+            by_worker: BTreeMap::new(),
+            floor: ownership * TOKENS_PER_OWNERSHIP,
+            late_order_window,
+        }
+    }
+
+    /// The fence of a worker that is to be polled.
+    pub(crate) fn acquire(&mut self, worker: &Name) -> Arc<Fence> {
+        let floor = self.floor;
+        let entry = self.by_worker.entry(Name::clone(worker));
+        let entry = entry.or_insert_with(|| Entry {
+            fence: Arc::new(Fence::new(floor)),
+            idle_since: None,
+        });
+        entry.idle_since = None;
+        Arc::clone(&entry.fence)
+    }
+
+    /// Records that a worker isn't polled any more. Orders that are still on their way to it are
+    /// refused once it is polled again.
+    pub(crate) fn release(&mut self, worker: &Name, now: Millis) {
+        if let Some(entry) = self.by_worker.get_mut(worker) {
+            entry.fence.raise();
+            entry.idle_since = Some(now);
+        }
+    }
+
+    /// Drops the fences of workers that haven't been polled for long.
+    pub(crate) fn drop_idle(&mut self, now: Millis) {
+        let window = self.late_order_window;
+        let floor = &mut self.floor;
+        self.by_worker.retain(|_worker, entry| {
+            let is_idle = entry.idle_since.is_some_and(|since| now >= since + window);
+            if is_idle {
+                *floor = entry.fence.token().max(*floor);
+            }
+            !is_idle
+        });
+    }
+}
--- a/crates/owner/src/observe.rs
+++ b/crates/owner/src/observe.rs
@@ -50,6 +50,9 @@
     /// So many runs are moved off slow workers of a pool.
     fn runs_moved(&self, pool: &Name, runs: usize);
 
+    /// A worker of a pool has refused a poll for its fencing token.
+    fn poll_fenced(&self, pool: &Name);
+
     /// A commit has taken this long, retries included.
     fn commit_finished(&self, took: Duration);
 
@@ -84,6 +87,7 @@
     fn unplaceable_steps(&self, _pool: &Name, _steps: usize) {}
     fn tombstones(&self, _pool: &Name, _tombstones: usize) {}
     fn runs_moved(&self, _pool: &Name, _runs: usize) {}
+    fn poll_fenced(&self, _pool: &Name) {}
     fn commit_finished(&self, _took: Duration) {}
     fn jobs_feed_age(&self, _pool: &Name, _ago: Duration) {}
     fn round_finished(&self, _pool: &Name, _took: Duration) {}
--- a/crates/owner/src/poll.rs
+++ b/crates/owner/src/poll.rs
@@ -1,11 +1,13 @@
 //! Status polls of one worker, and the renewal of the lease on what runs there.
 
-use crate::{clock::Clock, event::Event, fence::Fence};
+use crate::{clock::Clock, event::Event, fence::Fence, observe::Observer};
 use parking_lot::Mutex;
 use primroseroute_backoff::Retry;
 use primroseroute_cell::{EndsCursor, Limits, Millis};
 use primroseroute_domain::work::Name;
-use primroseroute_platform::worker::{LeaseRenewal, PollOutcome, Target, WorkerStatus, Workers};
+use primroseroute_platform::worker::{
+    LeaseRenewal, PollOutcome, Refusal, Target, WorkerStatus, Workers,
+};
 use std::{
     collections::{BTreeMap, VecDeque},
     sync::Arc,
@@ -95,6 +97,8 @@
     pub events: UnboundedSender<Event>,
     /// When the last response arrived.
     pub responded_at: Option<Millis>,
+    pub pool: Name,
+    pub observer: Arc<dyn Observer>,
 }
 
 impl Poller {
@@ -107,6 +111,7 @@
         let [first, longest] = RETRY_DELAYS;
         let mut retry = Retry::new(first, longest, (&self.target.id, self.fence.token()));
         let mut responding = false;
+        let mut is_fenced = false;
         loop {
             let (response, renewed) = self.poll(responding).await;
             let responded = matches!(response, Some(PollOutcome::Status(_)));
@@ -114,6 +119,11 @@
                 self.fence.raise();
             }
             responding = responded;
+            let was_fenced = is_fenced;
+            is_fenced = matches!(response, Some(PollOutcome::Refused(Refusal::Fenced)));
+            if is_fenced {
+                self.record_fenced(was_fenced);
+            }
             match response {
                 Some(PollOutcome::Status(status)) => {
                     retry.reset();
@@ -139,6 +149,17 @@
         }
     }
 
+    /// Records that the worker has seen a higher token than this owner's, most likely that of a later
+    /// owner: raising the token past it would let a replaced owner work on.
+    fn record_fenced(&self, is_repeated: bool) {
+        self.observer.poll_fenced(&self.pool);
+        if !is_repeated {
+            let (pool, worker) = (&*self.pool, &*self.target.id);
+            let token = self.fence.token();
+            log::warn!(pool, worker, token; "worker refuses the token of its pool's owner");
+        }
+    }
+
     fn send(&self, event: Event) {
         if self.events.send(event).is_err() {
             log::debug!(worker = &*self.target.id; "the pool's loop has ended");
--- a/crates/owner/src/pool_workers.rs
+++ b/crates/owner/src/pool_workers.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     event::Event,
-    fence::Fence,
+    fence::{Fence, Fences},
     order_delivery::{CommitTimes, OrderDelivery, QueuedStarts},
     ownership::Context,
     poll::{ClockReadings, ImmediatePoll, Poller},
@@ -55,15 +55,13 @@
 #[derive(Debug)]
 pub(crate) struct PoolWorkers {
     context: Context,
-    token: Version,
     events: UnboundedSender<Event>,
     /// When the store last confirmed the ownership.
     pub confirmed: watch::Sender<Millis>,
     /// Up to which run end of each worker the results are committed.
     pub ends_committed: watch::Sender<Arc<BTreeMap<Name, EndsCursor>>>,
     polled: BTreeMap<Name, PolledWorker>,
-    /// Fences of the polled workers, and of those that have responded before.
-    fences: BTreeMap<Name, Arc<Fence>>,
+    fences: Fences,
     orders: JoinSet<()>,
 }
 
@@ -72,27 +70,28 @@
         Self {
             confirmed: watch::Sender::new(context.clock.now()),
             ends_committed: watch::Sender::new(Arc::default()),
+            fences: Fences::new(token, context.limits.late_order_window),
             context,
-            token,
             events,
             polled: BTreeMap::new(),
-            fences: BTreeMap::new(),
             orders: JoinSet::new(),
         }
     }
 
     /// Polls these workers, and no others.
     pub(crate) fn poll(&mut self, targets: Vec<Target>) {
+        let now = self.context.clock.now();
         let known: BTreeSet<&Name> = targets.iter().map(|target| &target.id).collect();
+        let fences = &mut self.fences;
         self.polled.retain(|id, worker_state| {
             let keep = known.contains(id);
             if !keep {
                 worker_state.task.abort();
+                fences.release(id, now);
             }
             keep
         });
-        self.fences
-            .retain(|id, fence| fence.has_responded() || known.contains(id));
+        fences.drop_idle(now);
         for target in targets {
             if !self.polled.contains_key(&target.id) {
                 let worker_state = self.start_polling(target);
@@ -104,8 +103,7 @@
 
     fn start_polling(&mut self, target: Target) -> PolledWorker {
         let readings = Arc::new(ClockReadings::default());
-        let fence = self.fences.entry(Name::clone(&target.id));
-        let fence = Arc::clone(fence.or_insert_with(|| Arc::new(Fence::new(self.token))));
+        let fence = self.fences.acquire(&target.id);
         let poller = Poller {
             target: target.clone(),
             workers: Arc::clone(&self.context.workers),
@@ -117,6 +115,8 @@
             ends_committed: self.ends_committed.subscribe(),
             events: self.events.clone(),
             responded_at: None,
+            pool: Name::clone(&self.context.pool),
+            observer: Arc::clone(&self.context.observer),
         };
         PolledWorker {
             target,
--- a/crates/serve/src/metered.rs
+++ b/crates/serve/src/metered.rs
@@ -108,6 +108,10 @@
         self.0.held_jobs(pool, jobs as u64);
     }
 
+    fn poll_fenced(&self, pool: &Name) {
+        self.0.poll_fenced(pool);
+    }
+
     fn unplaceable_steps(&self, pool: &Name, steps: usize) {
         self.0.unplaceable_steps(pool, steps as u64);
     }
--- a/crates/standin/src/site/caller/mod.rs
+++ b/crates/standin/src/site/caller/mod.rs
@@ -231,6 +231,10 @@
             }
             Delivery::Responded | Delivery::ResponseLost => {
                 let answer = self.shared.change(order);
+                if !self.shared.state.lock().can_respond(&target.id) {
+                    sleep(ORDER_TIMEOUT).await;
+                    return Err(Error::Unknown("no answer".into()));
+                }
                 self.receive().await;
                 Ok(answer)
             }
--- a/crates/standin/src/site/caller/workers.rs
+++ b/crates/standin/src/site/caller/workers.rs
@@ -111,12 +111,17 @@
             } = state;
             let worker = workers.get_mut(&id)?;
             let born = worker.info.born;
-            Some((worker.renew(&renewal, longest, now, journal), born))
+            let responds = worker.can_respond();
+            Some((
+                worker.renew(&renewal, longest, now, journal),
+                responds,
+                born,
+            ))
         });
         let born = match renewed {
             None => return Ok(PollOutcome::Gone),
-            Some((false, _born)) => return Ok(PollOutcome::Refused(Refusal::Fenced)),
-            Some((true, born)) => born,
+            Some((false, true, _born)) => return Ok(PollOutcome::Refused(Refusal::Fenced)),
+            Some((_accepted, _responds, born)) => born,
         };
         let until = Instant::now() + renewal.wait;
         loop {
@@ -144,7 +149,7 @@
         let (status, reachable) = self.shared.change(|state, now| {
             let worker = &state.workers[&id];
             let running = worker.alive && worker.info.born == born;
-            (worker.status(now), running && !worker.partitioned)
+            (worker.status(now), running && worker.can_respond())
         });
         if !reachable {
             sleep(ORDER_TIMEOUT).await;
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -64,6 +64,8 @@
     pub same_id: f64,
     /// Rate limit of the store for reads and feeds of all callers together; unlimited if none.
     pub reads_per_second: Option<u32>,
+    /// Whether workers report the start times of their incarnations.
+    pub reports_born: bool,
 }
 
 impl Default for Options {
@@ -78,6 +80,7 @@
             restart: Duration::from_secs(3),
             same_id: 0.0,
             reads_per_second: None,
+            reports_born: true,
         }
     }
 }
@@ -302,6 +305,21 @@
         });
     }
 
+    /// Cuts a worker off in one direction, or heals that: calls arrive, its responses and heartbeats get lost. Its
+    /// registration is removed, and restored when the cut heals.
+    pub fn set_responses_lost(&self, worker: &Name, are_lost: bool) {
+        self.shared.change(|state, _now| {
+            if let Some(known) = state.workers.get_mut(worker) {
+                known.responses_lost = are_lost;
+            }
+            if are_lost {
+                state.unregister(worker);
+            } else {
+                state.register(worker);
+            }
+        });
+    }
+
     /// Makes a worker announce that it is draining.
     pub fn drain(&self, worker: &Name) {
         self.shared.change(|state, now| {
--- a/crates/standin/src/site/state.rs
+++ b/crates/standin/src/site/state.rs
@@ -148,6 +148,11 @@
             .push((version, Registration { id, worker }));
     }
 
+    /// Whether the responses of a worker arrive.
+    pub(crate) fn can_respond(&self, id: &Name) -> bool {
+        self.workers.get(id).is_none_or(Worker::can_respond)
+    }
+
     pub(crate) fn unregister(&mut self, id: &Name) {
         let version = self.store.bump();
         let registration = Registration {
@@ -195,7 +200,10 @@
         self.begin_incarnation(instance, worker, now);
     }
 
-    fn begin_incarnation(&mut self, instance: &Name, worker: Worker, now: u64) {
+    fn begin_incarnation(&mut self, instance: &Name, mut worker: Worker, now: u64) {
+        if !self.options.reports_born {
+            worker.info.born = 0;
+        }
         let id = Name::clone(&worker.info.id);
         self.journal.add(Event::Born {
             at: now,
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -52,6 +52,8 @@
     pub alive: bool,
     /// Whether no entry reaches it.
     pub partitioned: bool,
+    /// Whether its responses get lost while calls arrive.
+    pub responses_lost: bool,
     /// How many times slower than usual its runs progress.
     slowdown: u64,
     /// Thousandths by which its clock runs slow.
@@ -128,6 +130,7 @@
             },
             alive: true,
             partitioned: false,
+            responses_lost: false,
             slowdown: 1,
             clock_lag_permille: 0,
             started_at: now,
@@ -142,6 +145,11 @@
         }
     }
 
+    /// Whether its responses arrive while it is alive.
+    pub(crate) fn can_respond(&self) -> bool {
+        !self.partitioned && !self.responses_lost
+    }
+
     /// The next incarnation under the same id, which has no state of this one.
     pub(crate) fn next_incarnation(&self, now: u64) -> Self {
         let mut next = Self::new(&self.info.id, Name::clone(&self.info.pool), now, 0);
--- a/crates/telemetry/src/site.rs
+++ b/crates/telemetry/src/site.rs
@@ -44,6 +44,7 @@
     slow_workers: Gauge<u64>,
     held_jobs: Gauge<u64>,
     unplaceable_steps: Gauge<u64>,
+    polls_fenced: Counter<u64>,
     tombstones: Gauge<u64>,
     runs_moved: Counter<u64>,
     commit_seconds: Histogram<f64>,
@@ -154,6 +155,10 @@
                 "unplaceable_steps",
                 "Waiting steps whose tasks no instance of the fleet can run, by pool",
             ),
+            polls_fenced: counter(
+                "polls_fenced",
+                "Status polls that workers refused for their fencing token, by pool",
+            ),
             tombstones: gauge(
                 "tombstones",
                 "Ids that were cancelled before a job was stored, by pool",
@@ -310,6 +315,11 @@
         self.held_jobs.record(jobs, &[named("pool", Some(pool))]);
     }
 
+    /// A worker of a pool has refused a poll for its fencing token.
+    pub fn poll_fenced(&self, pool: &Name) {
+        self.polls_fenced.add(1, &[named("pool", Some(pool))]);
+    }
+
     /// How many waiting steps of a pool no instance of the fleet can run.
     pub fn unplaceable_steps(&self, pool: &Name, steps: u64) {
         self.unplaceable_steps
--- a/crates/telemetry/tests/all/site.rs
+++ b/crates/telemetry/tests/all/site.rs
@@ -25,6 +25,7 @@
     meter.slow_workers(&"stay".into(), 2);
     meter.held_jobs(&"stay".into(), 1);
     meter.unplaceable_steps(&"stay".into(), 6);
+    meter.poll_fenced(&"stay".into());
     meter.tombstones(&"stay".into(), 5);
     meter.cancel_answered("unknown");
     meter.cancelled_submission_refused();
@@ -62,6 +63,7 @@
         "primroseroute_slow_workers{pool=\"stay\"} 2",
         "primroseroute_held_jobs{pool=\"stay\"} 1",
         "primroseroute_unplaceable_steps{pool=\"stay\"} 6",
+        "primroseroute_polls_fenced_total{pool=\"stay\"} 1",
         "primroseroute_tombstones{pool=\"stay\"} 5",
         "primroseroute_cancels_total{outcome=\"unknown\"} 1",
         "primroseroute_cancelled_submissions_total 1",
--- a/tests/site/metrics.rs
+++ b/tests/site/metrics.rs
@@ -55,6 +55,7 @@
     fn jobs_queued(&self, _queue: &Name, _jobs: u64) {}
     fn slow_workers(&self, _pool: &Name, _workers: usize) {}
     fn held_jobs(&self, _pool: &Name, _jobs: usize) {}
+    fn poll_fenced(&self, _pool: &Name) {}
     fn unplaceable_steps(&self, _pool: &Name, _steps: usize) {}
     fn tombstones(&self, _pool: &Name, _tombstones: usize) {}
     fn runs_moved(&self, _pool: &Name, _runs: usize) {}
--- a/tests/site/worker.rs
+++ b/tests/site/worker.rs
@@ -6,12 +6,18 @@
 };
 use eyre::{Result, ensure, eyre};
 use primroseroute_domain::work::{Name, State};
+use primroseroute_standin::site::Options;
 use std::time::Duration;
 use tokio::time::sleep;
 
 cases! {
     crashed_worker_is_detected_in_seconds => crashed();
     partitioned_worker_causes_no_overlap => partitioned();
+    /// Guards against a worker that refuses its pool's owner for good after a cut in one direction, since the owner
+    /// has forgotten which token it has sent.
+    worker_is_used_again_after_its_responses_were_lost => responses_lost(Duration::from_millis(5_500));
+    /// The same after the owner has dropped what it knew of the worker's token.
+    worker_is_used_again_long_after_its_responses_were_lost => responses_lost(Duration::from_secs(30));
     late_orders_start_nothing_twice => late_orders();
     start_without_a_response_costs_half_a_second => unanswered();
     start_without_a_response_on_a_replaced_worker_costs_no_late_order_window => unanswered_and_replaced();
@@ -51,6 +57,28 @@
     fixture.check_invariants()
 }
 
+/// The only worker of a pool, which reports no start time, can't respond for `cut`. Calls reach it all the while.
+async fn responses_lost(cut: Duration) -> Result<()> {
+    let options = Options {
+        seed: 48,
+        reports_born: false,
+        ..Options::default()
+    };
+    let mut fixture = Fixture::open_as(options, 2, 1).await?;
+    let worker = fixture.workers_of(POOL).pop();
+    let worker = worker.ok_or_else(|| eyre!("no worker"))?;
+    for _cut in 0..3 {
+        fixture.world.set_responses_lost(&worker, true);
+        sleep(cut).await;
+        fixture.world.set_responses_lost(&worker, false);
+        let id = fixture.submit("e-0", &job("200", 2)).await?;
+        fixture
+            .wait_for_state("e-0", &id, State::Completed, 10)
+            .await?;
+    }
+    fixture.check_invariants()
+}
+
 // Guards against runs that start twice. Almost a third of the orders get no response and are executed seconds
 // later, when the task runs elsewhere or is done. The worker rejects them, since their deadline has passed or a
 // stop of that run arrived first.
