Gateway, owner: jobs in the former pool of a queue are counted

Cause: a job stays in the pool for which it was accepted, and the gateway read the commit record of the queue's present pool only. Evidence: the jobs are shown as pending, and the former pool's record goes on to count ten.

Change: the owner of a former pool names the queues of which it has waiting jobs in a row beside the commit record of their present pool, where one range read shows both; the gateway then counts in the named pools as well. Until that row is written the gateway goes by its own memory of assignments, which is bounded. Pools without such jobs cost no further read.

Four of the five tests in tests/site/reassigned.rs fail without the change.

--- a/crates/cell/src/row/mod.rs
+++ b/crates/cell/src/row/mod.rs
@@ -9,6 +9,7 @@
 //! | `work` | pool | id | [`Progress`] | the pool's owner |
 //! | `work` | pool | id `.overflow` and more | [`overflow`] | the pool's owner, if the row before is too long |
 //! | `work` | pool | `.batch` | [`CommitRecord`] | the pool's owner, with each commit |
+//! | `work` | pool | `.batch.` and a former pool | [`FormerPool`] | the owner of the former pool of queues of this pool |
 //! | `control` | pool | `owner` | [`Owner`] | the entry that takes over or releases the pool |
 //! | `control` | pool | `wanted` | [`DesiredWorkers`] | the pool's owner, with a commit |
 //! | `control` | pool | `orders` | [`Orders`] | the pool's owner, to request orders to its instances |
@@ -137,6 +138,22 @@
     Place::new(WORK, pool, COMMIT_RECORD)
 }
 
+/// Location of what `former`, which was the pool of queues of `pool`, tells of them.
+///
+/// It lies beside the commit record of `pool`, so that one read of a range shows both.
+pub fn former_pool(pool: &str, former: &str) -> Place {
+    Place::new(WORK, pool, &format!("{COMMIT_RECORD}.{former}"))
+}
+
+/// The former pool that a key of [`former_pool`] names.
+pub fn former_pool_name(key: &str) -> Option<Name> {
+    let former = key.strip_prefix(COMMIT_RECORD)?.strip_prefix('.')?;
+    Some(former.into())
+}
+
+/// First key after the commit record of a pool and the rows of former pools beside it.
+pub const COMMIT_RECORD_END: &str = ".batch/";
+
 /// Location of a pool's owner.
 pub fn owner(pool: &str) -> Place {
     Place::new(CONTROL, pool, OWNER)
@@ -437,6 +454,14 @@
     pub resting: Option<BTreeMap<Name, u64>>,
 }
 
+/// Queues that were assigned to another pool while jobs of theirs waited in this one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FormerPool {
+    /// Those of which no task of some job has started. The counts are in the pool's commit record.
+    pub queues: BTreeSet<Name>,
+}
+
 /// The number of workers that a pool can use, as published.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -122,15 +122,26 @@
 }
 
 impl Gateway {
-    /// Opens a gateway.
+    /// Opens a gateway, which follows the configuration until it is dropped.
     pub fn open(components: Components) -> Arc<Self> {
-        Arc::new(Self {
+        let mut configuration = components.configuration.clone();
+        configuration.mark_changed();
+        let gateway = Arc::new(Self {
             admission: Admission::new(Arc::clone(&components.loads)),
             components,
             prepared: Mutex::default(),
             states: FinalStates::default(),
             counts: QueueCounts::default(),
-        })
+        });
+        let follower = Arc::downgrade(&gateway);
+        tokio::spawn(async move {
+            while configuration.changed().await.is_ok()
+                && let Some(gateway) = follower.upgrade()
+            {
+                gateway.prepared();
+            }
+        });
+        gateway
     }
 
     /// The handler to serve it with.
@@ -155,6 +166,7 @@
         let mut prepared = self.prepared.lock();
         let known = prepared.as_ref();
         if known.is_none_or(|known| known.number != configuration.number) {
+            self.counts.apply(&configuration);
             *prepared = Some(Arc::new(Prepared {
                 number: configuration.number,
                 limits: configuration.limits,
@@ -337,14 +349,14 @@
             let detail = "a queue can only be asked for";
             return refused(Code::MalformedRequest, detail, head.request);
         }
-        if let Some(count) = self.counts.recent(&queue.pool, &queue.name) {
+        if let Some(count) = self.counts.recent(queue) {
             return json(self.components.codec.queued(count));
         }
         if let Some(rejection) = self.reject_if_unreachable(head) {
             return rejection;
         }
         let rows = &*self.components.rows;
-        match self.counts.read(rows, &queue.pool, &queue.name).await {
+        match self.counts.read(rows, queue).await {
             Ok(count) => json(self.components.codec.queued(count)),
             Err(error) => refused(Code::StateUnavailable, error.to_string(), head.request),
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 
 mod acceptance;
 pub mod admission;
+mod assignments;
 pub mod authentication;
 mod cancel;
 mod gateway;
--- a/crates/gateway/src/queue_counts.rs
+++ b/crates/gateway/src/queue_counts.rs
@@ -3,17 +3,25 @@
 //! A pool's owner publishes its counts with each commit. They say nothing about jobs that were
 //! accepted since, and nobody may own the pool. Such jobs haven't begun, because an owner commits
 //! before it starts anything: they are counted from the change feed of accepted jobs.
+//!
+//! A queue that was assigned to another pool may have jobs in its former pools too. Their owners name
+//! them beside the commit record of the present pool, so that they cost further reads only while
+//! there are such jobs.
 
-use crate::parse::parse;
+use crate::{assignments::Assignments, parse::parse};
 use log::{debug, info, warn};
 use parking_lot::Mutex;
-use primroseroute_cell::row::{self, Accepted, CommitRecord, JobKey};
+use primroseroute_cell::row::{self, Accepted, CommitRecord, FormerPool, JobKey};
 use primroseroute_domain::work::{JobId, Name};
 use primroseroute_platform::{
     Error,
-    rows::{Feed, Range, Row, Rows, Version},
+    rows::{Feed, Page, Range, Row, Rows, Version},
+    site::{Configuration, Queue},
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
 };
-use std::{collections::BTreeMap, time::Duration};
 use tokio::time::Instant;
 
 /// Maximum age of counts that are returned without a new read.
@@ -31,6 +39,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct QueueCounts {
     pools: Mutex<BTreeMap<Name, PoolCounts>>,
+    assignments: Mutex<Assignments>,
 }
 
 /// The counts of one pool.
@@ -42,6 +51,8 @@
     commit_read_at: Instant,
     /// By queue, the jobs that this commit counts.
     committed: BTreeMap<Name, u64>,
+    /// For each former pool of queues of this one, those of which it has jobs.
+    former: BTreeMap<Name, BTreeSet<Name>>,
     /// Jobs that were accepted later, with their queues.
     accepted: BTreeMap<JobId, Name>,
     /// Version up to which `accepted` is complete.
@@ -85,20 +96,59 @@
 }
 
 impl QueueCounts {
-    /// The count of `queue`, a queue of `pool`, if it was read a moment ago.
-    pub(crate) fn recent(&self, pool: &Name, queue: &Name) -> Option<u64> {
+    /// Records a configuration.
+    pub(crate) fn apply(&self, configuration: &Configuration) {
+        self.assignments.lock().apply(configuration);
+    }
+
+    /// The count of a queue, if it was read a moment ago.
+    pub(crate) fn recent(&self, queue: &Queue) -> Option<u64> {
+        let mut count = self.recent_in(&queue.pool, &queue.name)?;
+        for pool in self.former_pools(queue) {
+            count += self.recent_in(&pool, &queue.name)?;
+        }
+        Some(count)
+    }
+
+    /// Reads the count of a queue, as far as it wasn't read a moment ago.
+    pub(crate) async fn read(&self, rows: &dyn Rows, queue: &Queue) -> Result<u64, Error> {
+        let mut count = self.count_in(rows, &queue.pool, &queue.name).await?;
+        for pool in self.former_pools(queue) {
+            count += self.count_in(rows, &pool, &queue.name).await?;
+        }
+        Ok(count)
+    }
+
+    /// The former pools of a queue that may have jobs of it.
+    fn former_pools(&self, queue: &Queue) -> BTreeSet<Name> {
+        let assignments = self.assignments.lock();
+        let mut former: BTreeSet<Name> = assignments.former(&queue.name).cloned().collect();
+        drop(assignments);
+        let pools = self.pools.lock();
+        let named = pools.get(&queue.pool).into_iter();
+        let named = named.flat_map(|counts| &counts.former);
+        let named = named.filter(|(_pool, queues)| queues.contains(&queue.name));
+        former.extend(named.map(|(pool, _queues)| Name::clone(pool)));
+        former.remove(&queue.pool);
+        former
+    }
+
+    /// The number of jobs of `queue` in `pool`, if it was read a moment ago.
+    fn recent_in(&self, pool: &Name, queue: &Name) -> Option<u64> {
         let pools = self.pools.lock();
         let counts = pools.get(pool)?;
         (counts.read_at.elapsed() <= MAX_AGE).then(|| counts.of(queue))
     }
 
-    /// Reads the count of `queue`, a queue of `pool`.
-    pub(crate) async fn read(
-        &self,
-        rows: &dyn Rows,
-        pool: &Name,
-        queue: &Name,
-    ) -> Result<u64, Error> {
+    async fn count_in(&self, rows: &dyn Rows, pool: &Name, queue: &Name) -> Result<u64, Error> {
+        match self.recent_in(pool, queue) {
+            Some(count) => Ok(count),
+            None => self.read_in(rows, pool, queue).await,
+        }
+    }
+
+    /// Reads the number of jobs of `queue` in `pool`.
+    async fn read_in(&self, rows: &dyn Rows, pool: &Name, queue: &Name) -> Result<u64, Error> {
         let (mut counts, newest) = self.read_commit(rows, pool).await?;
         let table = row::jobs_table(pool);
         for _call in 0..MAX_FEED_CALLS {
@@ -126,28 +176,30 @@
         Ok(count)
     }
 
-    /// Reads the newest commit of a pool. Returns its counts, with the jobs that are already known
-    /// to be accepted since, and the newest version of the store.
+    /// Reads the newest commit of a pool, and what former pools of its queues tell. Returns its
+    /// counts, with the jobs that are already known to be accepted since, and the newest version of
+    /// the store.
     async fn read_commit(
         &self,
         rows: &dyn Rows,
         pool: &Name,
     ) -> Result<(PoolCounts, Version), Error> {
         let place = row::commit_record(pool);
-        let end = format!("{}\u{0}", place.key);
         let range = Range {
-            table: place.table,
-            partition: place.partition,
-            from: Some(place.key),
-            to: Some(end.into()),
+            table: Name::clone(&place.table),
+            partition: Name::clone(&place.partition),
+            from: Some(Name::clone(&place.key)),
+            to: Some(row::COMMIT_RECORD_END.into()),
         };
         let read_at = Instant::now();
         let page = rows.read(range).await?;
-        let found = page.rows.first();
+        let found = page.rows.iter().find(|row| row.place == place);
+        let former = former(&page);
         let commit = found.map_or(0, |row| row.version);
         let known = self.pools.lock().get(pool).cloned();
         if let Some(mut known) = known.clone().filter(|known| known.commit == commit) {
             known.read_at = read_at;
+            known.former = former;
             return Ok((known, page.version));
         }
         if known.is_some_and(|known| known.is_overdue) {
@@ -159,6 +211,7 @@
             commit,
             commit_read_at: read_at,
             committed: record.queued,
+            former,
             accepted: BTreeMap::new(),
             next: commit,
             is_overdue: false,
@@ -166,3 +219,20 @@
         Ok((counts, page.version))
     }
 }
+
+/// What former pools of queues tell beside the commit record of their present pool.
+fn former(page: &Page) -> BTreeMap<Name, BTreeSet<Name>> {
+    let mut former = BTreeMap::new();
+    for row in &page.rows {
+        let Some(pool) = row::former_pool_name(&row.place.key) else {
+            continue;
+        };
+        match parse::<FormerPool>(row) {
+            Ok(told) => {
+                former.insert(pool, told.queues);
+            }
+            Err(error) => debug!("former pool not counted: {error}"),
+        }
+    }
+    former
+}
--- a/crates/owner/src/event.rs
+++ b/crates/owner/src/event.rs
@@ -1,6 +1,6 @@
 //! Events of a pool's loop.
 
-use crate::{budgets::Written, load::JobRows};
+use crate::{budgets::Written, load::JobRows, reassigned};
 use primroseroute_cell::{AdviceRequest, EvacuationReason, Millis, Outcome};
 use primroseroute_domain::work::{JobId, Name, TaskId};
 use primroseroute_platform::{
@@ -50,6 +50,8 @@
     RowsDeleted(JobId),
     /// These tombstones are deleted, or replaced since the given version.
     TombstonesDeleted(Vec<(JobId, Version)>),
+    /// A row of reassigned queues was written, or not.
+    ReassignedWritten(reassigned::Write, bool),
     StartOutcome {
         worker: Name,
         task: TaskId,
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -65,6 +65,7 @@
 mod pool_loop;
 mod pool_workers;
 mod published;
+mod reassigned;
 pub mod rebalance;
 mod relocate;
 pub mod rest;
--- a/crates/owner/src/pool_loop/events.rs
+++ b/crates/owner/src/pool_loop/events.rs
@@ -89,6 +89,9 @@
                 }
             }
             Event::TombstonesDeleted(gone) => self.tombstones.remove(gone),
+            Event::ReassignedWritten(write, is_stored) => {
+                self.reassigned.record(write, is_stored, now);
+            }
             Event::RowsDeleted(id) => self.cell.record_rows_deleted(id, wall_ms),
             Event::Advice {
                 request,
--- a/crates/owner/src/pool_loop/mod.rs
+++ b/crates/owner/src/pool_loop/mod.rs
@@ -20,7 +20,9 @@
     order_delivery::CommitTimes,
     ownership::{Context, OwnershipEnd, release},
     pool_workers::PoolWorkers,
-    published, terminations,
+    published,
+    reassigned::{self, Reassigned},
+    terminations,
     tombstones::{self, Tombstones},
     watch::{RegisteredWorkers, RosterSubscription},
 };
@@ -108,6 +110,7 @@
     digest: LogDigest,
     cancels: CancelTracker,
     tombstones: Tombstones,
+    reassigned: Reassigned,
     configuration: Option<Arc<Configuration>>,
     /// The budgets of accounts; `None` until there are accounts.
     budgets: Option<Budgets>,
@@ -171,6 +174,7 @@
             digest: LogDigest::new(),
             cancels: loaded.cancels,
             tombstones: loaded.tombstones,
+            reassigned: Reassigned::default(),
             configuration: None,
             budgets: None,
             admission: None,
@@ -197,6 +201,7 @@
                     .set_queue_terms(queue_terms(self.configuration.as_ref()));
                 // Jobs are marked once weights are known.
                 if let Some(known) = &self.configuration {
+                    self.reassigned.set_configuration(known);
                     let accounts = known.accounts.iter();
                     let weights = accounts.map(|account| (&account.name, account.weight));
                     self.cell.set_account_weights(weights);
@@ -418,6 +423,7 @@
             ));
         }
         self.delete_tombstones();
+        self.write_reassigned();
         self.send(orders, sent_at, decided);
         self.pool_workers.poll(self.cell.targets());
         self.publish_status(round.scaling.scale_down_floor);
@@ -440,6 +446,18 @@
         }
     }
 
+    /// Tells the present pools of reassigned queues which jobs of theirs wait here.
+    fn write_reassigned(&mut self) {
+        let Context {
+            rows, pool, clock, ..
+        } = &self.context;
+        if let Some(write) = self.reassigned.due(pool, self.cell.queued(), clock.now()) {
+            let (rows, pool) = (Arc::clone(rows), Name::clone(pool));
+            self.detached
+                .spawn(reassigned::write(rows, pool, write, self.sender.clone()));
+        }
+    }
+
     /// Sends orders; starts among them were committed by a transaction that was sent at `sent_at`.
     fn send(&mut self, orders: Vec<Order>, sent_at: Millis, decided: Instant) {
         let times = CommitTimes {
--- a/tests/site/main.rs
+++ b/tests/site/main.rs
@@ -24,6 +24,7 @@
 mod overload;
 mod published_load;
 mod random;
+mod reassigned;
 mod retention;
 mod reused_ids;
 mod speed;
