Cell, owner: a new owner asks for no instances before it has listed them

A new owner counted the demand of all waiting tasks until it had the list of instances, so a job that no instance can run was a need of many instances for a moment after each takeover. It goes by the workers of its pool until then.

A test on the simulated site holds a job that no instance can hold through a takeover: no instance moves.

--- a/crates/cell/src/inventory.rs
+++ b/crates/cell/src/inventory.rs
@@ -69,22 +69,37 @@
         .min(spread)
 }
 
+/// What is known of the fleet's instances.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Fleet {
+    /// They haven't been listed yet.
+    Unlisted,
+    /// The platform doesn't tell all their capacities.
+    #[default]
+    Untold,
+    /// Their capacities and labels.
+    Known(Arc<Inventory>),
+}
+
 /// What a pool's workers can run, or could after instances have moved.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Capability {
-    /// All instances of the fleet; `None` while their capacities aren't known.
-    pub fleet: Option<Arc<Inventory>>,
+    /// All instances.
+    pub fleet: Fleet,
     /// The pool's workers. One that has just joined may not be in the list of instances yet.
     pub own: Inventory,
 }
 
 impl Capability {
-    /// Number of tasks of a step that could run at the same time, up to its number of tasks; all
-    /// while that isn't known.
+    /// Number of tasks of a step that could run at the same time, up to its number of tasks; all if
+    /// that isn't known.
+    ///
+    /// A new owner goes by the pool's workers until it has listed the instances, a moment later.
     pub(crate) fn tasks(&self, step: &Step) -> u64 {
         match &self.fleet {
-            None => u64::from(step.count),
-            Some(fleet) => fleet.tasks(step).max(self.own.tasks(step)),
+            Fleet::Known(fleet) => fleet.tasks(step).max(self.own.tasks(step)),
+            Fleet::Unlisted if !self.own.all.is_empty() => self.own.tasks(step),
+            Fleet::Unlisted | Fleet::Untold => u64::from(step.count),
         }
     }
 
--- a/crates/cell/src/lib.rs
+++ b/crates/cell/src/lib.rs
@@ -82,7 +82,7 @@
 pub use arrivals::Inflow;
 pub use cell::Cell;
 pub use crash::PoisonTask;
-pub use inventory::Inventory;
+pub use inventory::{Fleet, Inventory};
 pub use limits::{Limits, Millis};
 pub use order::{
     AdviceRequest, Cause, EndsCursor, Loss, Order, Outcome, RoundOutput, UnplaceableStep,
--- a/crates/cell/src/unplaceable.rs
+++ b/crates/cell/src/unplaceable.rs
@@ -5,17 +5,17 @@
 
 use crate::{
     cell::Cell,
-    inventory::{Capability, Inventory},
+    inventory::{Capability, Fleet, Inventory},
     job::Job,
     order::UnplaceableStep,
     placement::WaitingStep,
 };
 use primroseroute_domain::work::{JobId, Step};
-use std::{collections::BTreeSet, sync::Arc};
+use std::collections::BTreeSet;
 
 impl Cell {
-    /// Sets the capacities of all instances of the fleet; `None` if they aren't known.
-    pub fn set_fleet(&mut self, fleet: Option<Arc<Inventory>>) {
+    /// Sets what is known of all instances.
+    pub fn set_fleet(&mut self, fleet: Fleet) {
         self.capability.fleet = fleet;
     }
 
--- a/crates/cell/tests/all/unplaceable.rs
+++ b/crates/cell/tests/all/unplaceable.rs
@@ -4,7 +4,7 @@
     cases,
     fixture::{CAPACITY, Fixture, job, step, worker},
 };
-use primroseroute_cell::{Inventory, RoundOutput};
+use primroseroute_cell::{Fleet, Inventory, RoundOutput};
 use primroseroute_domain::work::{Demand, Step};
 use std::sync::Arc;
 
@@ -31,6 +31,8 @@
     blocked_work_keeps_no_job_waiting => no_backlog();
     step_is_reported_once => reported_once();
     pool_of_a_fleet_that_is_not_known_counts_everything => unknown_fleet();
+    /// Guards against a new owner that asks for instances before it has listed them.
+    new_owner_goes_by_the_workers_of_its_pool => unlisted_fleet();
 }
 
 fn with_demand(memory: u64) -> Step {
@@ -65,7 +67,7 @@
     fleet.add(CAPACITY, &labels);
     fleet.add(CAPACITY, &labels);
     fleet.add(largest, &labels);
-    fixture.cell.set_fleet(Some(Arc::new(fleet)));
+    fixture.cell.set_fleet(Fleet::Known(Arc::new(fleet)));
     fixture
 }
 
@@ -150,9 +152,16 @@
 
 fn unknown_fleet() {
     let mut fixture = fixture(CAPACITY);
-    fixture.cell.set_fleet(None);
+    fixture.cell.set_fleet(Fleet::Untold);
     fixture.accept(job(vec![with_demand(CAPACITY.memory * 2)]));
     let output = next_round(&mut fixture);
     assert_eq!(output.unplaceable, []);
     assert_eq!(output.scaling.now, 200);
 }
+
+fn unlisted_fleet() {
+    let mut fixture = fixture(CAPACITY);
+    fixture.cell.set_fleet(Fleet::Unlisted);
+    fixture.accept(job(vec![larger_than_any_instance()]));
+    assert_eq!(next_round(&mut fixture).scaling.now, 1);
+}
--- a/crates/owner/src/instance_cache.rs
+++ b/crates/owner/src/instance_cache.rs
@@ -2,7 +2,7 @@
 //!
 //! Pools that ask at the same time share a call, unless it takes long.
 
-use primroseroute_cell::Inventory;
+use primroseroute_cell::{Fleet, Inventory};
 use primroseroute_platform::{
     Error,
     site::{Instance, Site},
@@ -22,16 +22,19 @@
     /// When the list was requested: it shows whatever was done before.
     pub asked_at: Instant,
     pub instances: Arc<Vec<Instance>>,
-    /// Their capacities; `None` if the platform doesn't tell all of them.
-    pub inventory: Option<Arc<Inventory>>,
+    /// Their capacities.
+    pub fleet: Fleet,
 }
 
-fn inventory(instances: &[Instance]) -> Option<Inventory> {
+fn fleet(instances: &[Instance]) -> Fleet {
     let mut inventory = Inventory::default();
     for instance in instances {
-        inventory.add(instance.capacity?, &instance.labels);
+        let Some(capacity) = instance.capacity else {
+            return Fleet::Untold;
+        };
+        inventory.add(capacity, &instance.labels);
     }
-    (!instances.is_empty()).then_some(inventory)
+    Fleet::Known(Arc::new(inventory))
 }
 
 /// The newest list.
@@ -77,7 +80,7 @@
         };
         let listing = Listing {
             asked_at,
-            inventory: inventory(&instances).map(Arc::new),
+            fleet: fleet(&instances),
             instances: Arc::new(instances),
         };
         let mut newest = self.newest.lock();
@@ -90,10 +93,11 @@
         Ok(listing)
     }
 
-    /// The capacities of all instances, as listed last; `None` if they aren't known.
-    pub(crate) fn inventory(&self) -> Option<Arc<Inventory>> {
+    /// The capacities of all instances, as listed last.
+    pub(crate) fn fleet(&self) -> Fleet {
         let newest = self.newest.lock();
-        newest.as_ref().and_then(|known| known.inventory.clone())
+        let known = newest.as_ref().map(|known| known.fleet.clone());
+        known.unwrap_or(Fleet::Unlisted)
     }
 
     fn newest_since(&self, since: Instant) -> Option<Listing> {
--- a/crates/owner/src/pool_loop/mod.rs
+++ b/crates/owner/src/pool_loop/mod.rs
@@ -305,7 +305,7 @@
         self.digest.write(&self.context.pool);
         let decided = Instant::now();
         self.limit_accounts();
-        self.cell.set_fleet(self.context.fleet.inventory());
+        self.cell.set_fleet(self.context.fleet.fleet());
         let mut round = self.cell.run_round(clock.now(), clock.wall_ms());
         self.write_budgets();
         self.cancels.log_ended(&self.cell, clock.now());
--- a/tests/site/moves.rs
+++ b/tests/site/moves.rs
@@ -33,6 +33,8 @@
     released_groups_resume_at_once => released();
     new_owner_moves_nothing_under_long_running_tasks => taken_over();
     long_overdue_job_that_fits_on_no_worker_gets_an_instance => overdue_job_gets_an_instance();
+    /// Guards against instances that are switched on, or taken from other pools, for tasks that none can hold.
+    job_that_no_instance_can_hold_moves_none => no_instance_can_hold();
 }
 
 /// Instances of a pool that are up.
@@ -42,6 +44,40 @@
     own.count()
 }
 
+/// A caller gives the memory of its tasks in bytes in place of MB; the owner is killed while the job waits.
+async fn no_instance_can_hold() -> Result<()> {
+    let mut fixture = Fixture::open_with_standby(85, 3, 2).await?;
+    run_first_job(&mut fixture, "e-0").await?;
+    let before = moved(&fixture).len();
+    let demand = Demand {
+        memory: 64 << 30,
+        ..step(1).demand
+    };
+    let step = Step {
+        demand,
+        lasting: true,
+        ..step(100)
+    };
+    let hopeless = Job {
+        steps: vec![step],
+        ..job("lasts", 1)
+    };
+    let id = fixture.submit("e-0", &hopeless).await?;
+    sleep_secs(10).await;
+    let owner = fixture.owner(POOL).await?;
+    fixture.kill(&owner);
+    sleep_secs(15).await;
+    let moves = moved(&fixture);
+    ensure!(moves.len() == before, "{:?}", &moves[before..]);
+    let caller = fixture.non_owner(POOL).await?;
+    ensure!(fixture.state(&caller, &id).await == Ok(State::Pending));
+    let sound = fixture.submit(&caller, &job("500", 4)).await?;
+    fixture
+        .wait_for_state(&caller, &sound, State::Completed, 3)
+        .await?;
+    fixture.check_invariants()
+}
+
 /// All moves, each with its time, instance, target pool and the entry that ordered it.
 fn moved(fixture: &Fixture) -> Vec<(u64, Name, Name, Name)> {
     let events = fixture.world.journal().events.into_iter();
