Cell: a worker gets runs only if its registration is of its incarnation

Cause: the start time in a worker's lists of runs tells which incarnation answers; the one in its registration was compared with nothing, and tasks were placed by the labels and capacity of the former incarnation. Evidence: the runs of that incarnation are reported as lost at once, and the starts follow.

Change: a worker accepts runs only if its registration is of the incarnation that answers. Starts that were decided before are kept back when their commit is through, and when their turn comes to be sent. A worker whose registration doesn't follow counts as unusable. Without start times nothing changes.

--- a/crates/cell/src/incarnation.rs
+++ b/crates/cell/src/incarnation.rs
@@ -3,7 +3,8 @@
 //! A worker may restart under the same id. The new incarnation runs nothing, numbers its ended runs
 //! anew, and has seen no fencing token and accepted no stop. Calls carry the worker's id only, so a
 //! call that was meant for one incarnation may reach the next. A status tells by its start time
-//! which incarnation has answered.
+//! which incarnation has answered, and a registration which one it describes: a worker whose
+//! registration is of another incarnation gets no new runs.
 
 use crate::{
     cell::Cell,
@@ -132,6 +133,7 @@
     }
     worker.previous_incarnation = worker.incarnation;
     worker.incarnation = status.born;
+    worker.unready_since = now;
     worker.termination = Termination::NotKnown;
     worker.last_end = 0;
     worker.uncommitted_ends.clear();
--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -85,8 +85,9 @@
     /// A worker, which is added if it isn't known.
     pub(crate) fn worker(&mut self, id: &Name) -> &mut Worker {
         let lease_expires_at = self.taken_at + self.limits.max_local_span(self.limits.lease);
+        let now = self.round_at;
         let worker = self.workers.entry(Name::clone(id));
-        worker.or_insert_with(|| Worker::new(lease_expires_at))
+        worker.or_insert_with(|| Worker::new(lease_expires_at, now))
     }
 
     /// Requests a stop of all batch tasks on a worker.
--- a/crates/cell/src/scaling.rs
+++ b/crates/cell/src/scaling.rs
@@ -217,7 +217,8 @@
 
 /// Mean capacity of the registered workers; `None` without any.
 fn mean_capacity(cell: &Cell) -> Option<Demand> {
-    let registered = cell.workers.values().filter(|worker| worker.registered);
+    let workers = cell.workers.values();
+    let registered = workers.filter(|worker| worker.registered && worker.is_described());
     let capacities = registered.filter_map(|worker| worker.registration.as_ref());
     let (count, sum) = capacities.fold((0, Demand::default()), |(count, sum), info| {
         (count + 1, sum.plus(info.capacity))
@@ -356,10 +357,10 @@
     (lost.sum::<u64>() + NORMAL / 2) / NORMAL
 }
 
-/// Whether a worker belongs to the pool but accepts no new runs: it has become unresponsive, is
-/// cordoned, or is being evacuated for maintenance, in which case its long-running tasks need
-/// capacity elsewhere. A worker that was never polled has just registered, and one that is
-/// evacuated for a move is about to leave the pool.
+/// Whether a worker belongs to the pool but accepts no new runs: it has become unresponsive, has
+/// restarted and doesn't register, is cordoned, or is being evacuated for maintenance, in which case
+/// its long-running tasks need capacity elsewhere. A worker that was never polled has just
+/// registered, and one that is evacuated for a move is about to leave the pool.
 fn is_unusable(cell: &Cell, worker: &Worker, now: Millis) -> bool {
     if !worker.registered || worker.is_terminated() {
         return false;
@@ -370,7 +371,9 @@
         None => {
             let unresponsive =
                 worker.status_at.is_some() && !worker.is_responsive(now, &cell.limits);
-            unresponsive || now < worker.cordoned_until
+            let is_undescribed = !worker.is_described()
+                && now >= worker.unready_since + cell.limits.unresponsive_after;
+            unresponsive || is_undescribed || now < worker.cordoned_until
         }
     }
 }
--- a/crates/cell/src/window.rs
+++ b/crates/cell/src/window.rs
@@ -45,7 +45,7 @@
     ///
     /// A decision may be outdated after its commit, which can take seconds. The stops of a
     /// cancelled job are sent at once, and a start that followed could overtake them on another
-    /// connection; a worker may have announced that it drains; a step that tolerated one more
+    /// connection; a worker may have announced that it drains, or restarted as another kind; a step that tolerated one more
     /// unavailable task doesn't tolerate it once another one has ended.
     pub fn revalidate(&mut self, orders: Vec<Order>, now: Millis) -> (Vec<Order>, Vec<Order>) {
         let mut valid = orders;
@@ -87,7 +87,7 @@
                     return false;
                 }
                 let worker = self.workers.get(worker);
-                let worker = worker.filter(|worker| !worker.is_draining());
+                let worker = worker.filter(|worker| !worker.is_draining() && worker.is_described());
                 let entry = worker.and_then(|worker| worker.runs.get(task));
                 // The maximum of its account may have been lowered meanwhile.
                 let is_admitted = |entry: &Run| {
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -182,6 +182,9 @@
     pub incarnation: u64,
     /// The previous incarnation, of which statuses may still arrive.
     pub previous_incarnation: u64,
+    /// Since when it has had no status, or no registration of the incarnation that answers, as far
+    /// as it has none now.
+    pub unready_since: Millis,
     /// When its newest status arrived.
     pub status_at: Option<Millis>,
     /// Up to this time its statuses certainly held.
@@ -222,12 +225,13 @@
 }
 
 impl Worker {
-    pub(crate) fn new(lease_expires_at: Millis) -> Self {
+    pub(crate) fn new(lease_expires_at: Millis, now: Millis) -> Self {
         Self {
             registration: None,
             registered: false,
             incarnation: 0,
             previous_incarnation: 0,
+            unready_since: now,
             status_at: None,
             status_as_of: None,
             poll_requested_at: None,
@@ -329,9 +333,18 @@
         self.registration.as_ref().is_some_and(|info| info.draining)
     }
 
+    /// Whether its registration is of the incarnation that answers polls, or may be. Otherwise its
+    /// labels and capacity are those of another one, which may be of a different kind.
+    pub(crate) fn is_described(&self) -> bool {
+        self.registration.as_ref().is_some_and(|info| {
+            info.born == self.incarnation || info.born == 0 || self.incarnation == 0
+        })
+    }
+
     /// Whether it accepts new runs.
     pub(crate) fn accepts_runs(&self, now: Millis, limits: &Limits) -> bool {
         self.registered
+            && self.is_described()
             && self.is_responsive(now, limits)
             && !self.is_draining()
             && self.evacuating.is_none()
--- a/crates/cell/tests/all/incarnation.rs
+++ b/crates/cell/tests/all/incarnation.rs
@@ -2,13 +2,16 @@
 
 use crate::{
     cases,
-    fixture::{Fixture, WALL_AT_ZERO_MS, job, starts, step, task},
+    fixture::{self, CAPACITY, Fixture, WALL_AT_ZERO_MS, job, starts, step, task},
 };
 use primroseroute_cell::{
     Cause, EndsCursor, EvacuationReason, Order, Outcome, RoundOutput, row::IncarnationTag,
 };
-use primroseroute_domain::work::{End, JobId, Name};
-use primroseroute_platform::worker::{Ended, Running, WorkerStatus};
+use primroseroute_domain::work::{End, JobId, Name, Step};
+use primroseroute_platform::{
+    site::Worker as Registration,
+    worker::{Ended, Running, WorkerStatus},
+};
 
 cases! {
     /// Guards against taking ends of a new incarnation for old ones.
@@ -44,10 +47,25 @@
     start_that_reached_the_next_incarnation_continues => reached_the_next();
     /// Guards against missing crashes of workers that keep their ids.
     crash_of_a_worker_that_keeps_its_id_is_attributed => crash_with_kept_id();
+    /// Guards against tasks that are placed by the labels of an incarnation that is over.
+    restarted_worker_gets_nothing_by_its_old_labels => other_kind();
+    /// Guards against a start that is sent after the worker has restarted as another kind.
+    start_is_kept_back_if_its_worker_has_restarted => kept_back();
+    /// Guards against tasks beyond the capacity of the incarnation that answers.
+    restarted_worker_gets_nothing_by_its_new_registration_alone => registered_first();
+    /// Guards against a pool that counts on a worker that can't register after its restart.
+    restarted_worker_that_does_not_register_is_replaced => not_registered();
+    worker_without_a_start_time_is_used_as_registered => without_start_time();
 }
 
 const WORKER: &str = "w-1";
 
+/// Label of the fixture's workers.
+const KIND: &str = "a";
+
+/// Label of a worker that has restarted as another kind.
+const OTHER_KIND: &str = "b";
+
 /// Start time of the next incarnation; those of the fixture's workers start at 1.
 const NEXT_BOOT: u64 = 2;
 
@@ -77,13 +95,29 @@
     }
 }
 
-fn deliver(fixture: &mut Fixture, response: &WorkerStatus) {
+/// Delivers a poll response.
+fn deliver_alone(fixture: &mut Fixture, response: &WorkerStatus) {
     let now = fixture.now;
     fixture
         .cell
         .apply_status(&worker(), response, now, now, WALL_AT_ZERO_MS + now);
 }
 
+/// Delivers a poll response, and the registration of the incarnation that it is from.
+fn deliver(fixture: &mut Fixture, response: &WorkerStatus) {
+    deliver_alone(fixture, response);
+    fixture.cell.register(registration(response.born, KIND));
+}
+
+/// The registration of an incarnation of a kind.
+fn registration(born: u64, kind: &str) -> Registration {
+    Registration {
+        born,
+        labels: [kind.into()].into(),
+        ..fixture::worker(WORKER)
+    }
+}
+
 fn acknowledged_up_to(output: &RoundOutput) -> EndsCursor {
     let found = output
         .ends_committed
@@ -376,3 +410,70 @@
     let output = fixture.round();
     assert_eq!(output.losses[0].attributed_to, vec![task(&id, 0, 0)]);
 }
+
+fn requiring(kind: &str) -> Step {
+    Step {
+        label: Some(kind.into()),
+        ..step(2, 1_000)
+    }
+}
+
+fn next_starts(fixture: &mut Fixture) -> usize {
+    fixture.now += 25;
+    starts(&fixture.execute_round()).len()
+}
+
+fn other_kind() {
+    let mut fixture = Fixture::new(&[WORKER]);
+    deliver_alone(&mut fixture, &response(NEXT_BOOT));
+    fixture.accept(job(vec![requiring(KIND)]));
+    fixture.accept(job(vec![requiring(OTHER_KIND)]));
+    fixture.accept(job(vec![step(1, 1_000)]));
+    assert_eq!(next_starts(&mut fixture), 0);
+    fixture.cell.register(registration(NEXT_BOOT, OTHER_KIND));
+    assert_eq!(next_starts(&mut fixture), 3);
+}
+
+fn kept_back() {
+    let mut fixture = Fixture::new(&[WORKER]);
+    fixture.accept(job(vec![requiring(KIND)]));
+    fixture.now += 25;
+    let output = fixture.round();
+    assert_eq!(starts(&output.orders).len(), 2);
+    deliver_alone(&mut fixture, &response(NEXT_BOOT));
+    assert_eq!(fixture.revalidate(output), []);
+}
+
+fn registered_first() {
+    let mut fixture = Fixture::new(&[WORKER]);
+    fixture.cell.register(Registration {
+        capacity: CAPACITY.times(2),
+        ..registration(NEXT_BOOT, KIND)
+    });
+    fixture.accept(job(vec![requiring(KIND)]));
+    assert_eq!(next_starts(&mut fixture), 0);
+    deliver_alone(&mut fixture, &response(NEXT_BOOT));
+    assert_eq!(next_starts(&mut fixture), 2);
+}
+
+fn not_registered() {
+    let mut fixture = Fixture::new(&[WORKER]);
+    let mut needs = Vec::new();
+    for _second in 0..3 {
+        deliver_alone(&mut fixture, &response(NEXT_BOOT));
+        needs.push(fixture.round().scaling.now);
+        fixture.now += 1_000;
+    }
+    assert_eq!(needs, [1, 1, 2]);
+}
+
+fn without_start_time() {
+    for (registered, answered) in [(0, 0), (0, NEXT_BOOT), (NEXT_BOOT, 0)] {
+        let mut fixture = Fixture::just_taken_over(&[]);
+        fixture.cell.register(registration(registered, KIND));
+        fixture.running.insert(worker(), [].into());
+        deliver_alone(&mut fixture, &response(answered));
+        fixture.accept(job(vec![requiring(KIND)]));
+        assert_eq!(next_starts(&mut fixture), 2, "{registered} {answered}");
+    }
+}
--- a/crates/cell/tests/all/speed/mod.rs
+++ b/crates/cell/tests/all/speed/mod.rs
@@ -9,6 +9,7 @@
 use pool::{Pool, TASK_MS, WORKERS};
 use primroseroute_cell::{Cell, Limits};
 use primroseroute_domain::work::{End, Name, Step, TaskId};
+use primroseroute_platform::site::Worker;
 use std::collections::BTreeSet;
 
 cases! {
@@ -297,6 +298,10 @@
     pool.runs.retain(|(on, _task), _run| *on != name);
     pool.ended.remove(&name);
     pool.born.insert(Name::clone(&name), 2);
+    pool.fixture.cell.register(Worker {
+        born: 2,
+        ..worker(&name)
+    });
     pool.slowed.clear();
     pool.run(2_000);
     assert!(!pool.tasks_on(&name).is_empty());
--- a/crates/owner/src/fence.rs
+++ b/crates/owner/src/fence.rs
@@ -39,6 +39,11 @@
         self.token.load(Ordering::Acquire)
     }
 
+    /// Start time of the incarnation that responded last; 0 if that isn't known.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation.load(Ordering::Acquire)
+    }
+
     /// Whether this incarnation responded last.
     pub(crate) fn is_incarnation(&self, incarnation: u64) -> bool {
         self.incarnation.load(Ordering::Acquire) == incarnation
--- a/crates/owner/src/order_delivery.rs
+++ b/crates/owner/src/order_delivery.rs
@@ -56,6 +56,8 @@
     /// Token of a start, read at the same time: a deadline on the clock of the previous incarnation
     /// must not go with a token of this one.
     pub token: u64,
+    /// The incarnation for which a start was decided, as known then.
+    pub incarnation: u64,
     /// Limits the concurrent orders to this worker.
     pub concurrency: Arc<Semaphore>,
     pub queued: Arc<QueuedStarts>,
@@ -94,8 +96,9 @@
                     return;
                 }
                 let is_late = self.clock.now() >= self.expires_at;
+                let is_outdated = !self.fence.is_incarnation(self.incarnation);
                 let outcome = match self.deadline_ms {
-                    _ if is_late => Outcome::Withdrawn,
+                    _ if is_late || is_outdated => Outcome::Withdrawn,
                     Some(deadline_ms) => {
                         let start = Start {
                             task: task.clone(),
--- a/crates/owner/src/pool_workers.rs
+++ b/crates/owner/src/pool_workers.rs
@@ -174,6 +174,7 @@
                 _ => {}
             }
             // First, so that the clock isn't of an older incarnation than the token.
+            let incarnation = worker_state.fence.incarnation();
             let token = worker_state.fence.token();
             let delivery = OrderDelivery {
                 target: worker_state.target.clone(),
@@ -183,6 +184,7 @@
                 expires_at: sent_at + start_window,
                 deadline_ms: start_deadline(&worker_state.readings, times, cancel_window),
                 token,
+                incarnation,
                 concurrency: Arc::clone(&worker_state.concurrency),
                 queued: Arc::clone(&worker_state.queued),
                 events: self.events.clone(),
