Cell: capacities of registrations without a worker count for nothing

From the report on odd entries: a row that decodes and states the largest capacities of the type makes its pool publish a need of one worker, so that the pool gives its instances away.

Cause: the mean capacity of a worker, the capacity of the pool and the largest worker were taken from all registrations. Change: from those of workers that have answered a poll, if any has.

--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -406,10 +406,8 @@
 
     /// Counts what the accounts may have running.
     pub(crate) fn count_account_usage(&mut self) {
+        let capacity = self.capacities().fold(Demand::default(), Demand::plus);
         let workers = self.workers.values();
-        let registered = workers.clone().filter(|worker| worker.registered);
-        let capacities = registered.filter_map(|worker| worker.registration.as_ref());
-        let capacity = capacities.fold(Demand::default(), |all, info| all.plus(info.capacity));
         let runs = workers.flat_map(|worker| worker.runs.values());
         self.meter
             .recount(capacity, runs.filter_map(|run| run.charge));
--- a/crates/cell/src/placement/aging.rs
+++ b/crates/cell/src/placement/aging.rs
@@ -82,9 +82,7 @@
         let age = |waiting: &&WaitingStep| std::cmp::Reverse(waiting.waited_ms);
         aged.steps.sort_by_key(age);
         let mut capacity: u64 = 0;
-        for worker in cell.workers.values().filter(|worker| worker.registered) {
-            let own = worker.registration.as_ref().map(|info| info.capacity);
-            let own = own.unwrap_or_default();
+        for own in cell.capacities() {
             capacity = capacity.saturating_add(own.cpu);
             aged.largest = aged.largest.larger(own);
         }
--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -6,7 +6,7 @@
     limits::Millis,
     worker::{EvacuationReason, StopState, Termination, Worker},
 };
-use primroseroute_domain::work::Name;
+use primroseroute_domain::work::{Demand, Name};
 use primroseroute_platform::{site, worker::Target};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -90,6 +90,18 @@
         worker.or_insert_with(|| Worker::new(lease_expires_at, now))
     }
 
+    /// Capacities of the registered workers; where any has answered a poll, of those. What a
+    /// registration states that no worker stands behind counts for nothing.
+    pub(crate) fn capacities(&self) -> impl Iterator<Item = Demand> {
+        let registered = self.workers.values();
+        let registered = registered.filter(|worker| worker.registered && worker.is_described());
+        let has_answered = |worker: &Worker| worker.status_as_of.is_some();
+        let any_answered = registered.clone().any(has_answered);
+        let counted = registered.filter(move |worker| !any_answered || has_answered(worker));
+        let registrations = counted.filter_map(|worker| worker.registration.as_ref());
+        registrations.map(|info| info.capacity)
+    }
+
     /// Requests a stop of all batch tasks on a worker.
     pub fn stop_batch_tasks(&mut self, worker: &Name) {
         let Some(worker) = self.workers.get_mut(worker) else {
--- a/crates/cell/src/scaling.rs
+++ b/crates/cell/src/scaling.rs
@@ -215,13 +215,11 @@
     registered.count() as u64
 }
 
-/// Mean capacity of the registered workers; `None` without any.
+/// Mean capacity of the workers; `None` without any.
 fn mean_capacity(cell: &Cell) -> Option<Demand> {
-    let workers = cell.workers.values();
-    let registered = workers.filter(|worker| worker.registered && worker.is_described());
-    let capacities = registered.filter_map(|worker| worker.registration.as_ref());
-    let (count, sum) = capacities.fold((0, Demand::default()), |(count, sum), info| {
-        (count + 1, sum.plus(info.capacity))
+    let capacities = cell.capacities();
+    let (count, sum) = capacities.fold((0, Demand::default()), |(count, sum), capacity| {
+        (count + 1, sum.plus(capacity))
     });
     (count > 0).then(|| Demand {
         cpu: sum.cpu / count,
--- a/crates/cell/tests/all/need.rs
+++ b/crates/cell/tests/all/need.rs
@@ -2,10 +2,11 @@
 
 use crate::{
     cases,
-    fixture::{Fixture, job, step, task},
+    fixture::{Fixture, job, step, task, worker},
 };
 use primroseroute_cell::{EvacuationReason, ScalingEstimate};
-use primroseroute_domain::work::{End, Name, Step};
+use primroseroute_domain::work::{Demand, End, Name, Step};
+use primroseroute_platform::site::Worker;
 
 cases! {
     pool_without_jobs_needs_one_worker => assert_eq!(wanted(&mut Fixture::new(&["w-1", "w-2"])), 1);
@@ -35,6 +36,8 @@
     falling_demand_is_followed_after_a_delay => fall();
     pool_without_work_so_far_keeps_its_initial_workers => initial_workers();
     pool_that_gets_no_work_releases_its_initial_workers => never_used();
+    /// Guards against a pool that loses its instances because a registration without a worker states a huge capacity.
+    capacity_of_a_registration_without_a_worker_does_not_count => stated_capacity();
     unresponsive_worker_is_replaced => unresponsive();
     worker_evacuated_for_maintenance_is_replaced => evacuated();
 }
@@ -98,6 +101,23 @@
     assert_eq!(need(&mut fixture).waiting.cpu, 0);
 }
 
+fn stated_capacity() {
+    let mut fixture = Fixture::new(&["w-1", "w-2"]);
+    let odd = worker("odd");
+    let capacity = Demand {
+        cpu: u64::MAX,
+        memory: u64::MAX,
+        accelerators: u64::MAX,
+    };
+    fixture.cell.register(Worker { capacity, ..odd });
+    let long = Step {
+        estimate_ms: 60_000,
+        ..step(8, 5_000)
+    };
+    fixture.accept(job(vec![long]));
+    assert_eq!(need(&mut fixture).now, 4);
+}
+
 /// Submits jobs of one task of five cores and a second, one each `gap` ms, for `span` ms.
 fn arrive(fixture: &mut Fixture, gap: u64, span: u64) -> ScalingEstimate {
     let mut last = need(fixture);
