--- a/crates/owner/src/reassigned.rs
+++ b/crates/owner/src/reassigned.rs
@@ -51,18 +51,18 @@
         self.assignments = assignments.collect();
     }
 
-    /// The next write, if one is due; `queued` are the counts of the queues that have jobs in `pool`.
+    /// The next write, if one is due; `counts` are those of the queues that have jobs in `pool`.
     pub(crate) fn due(
         &mut self,
         pool: &Name,
-        queued: &BTreeMap<Name, u64>,
+        counts: &BTreeMap<Name, u64>,
         now: Millis,
     ) -> Option<Write> {
         if self.is_writing || now < self.retry_at {
             return None;
         }
         let mut wanted: BTreeMap<&Name, BTreeSet<Name>> = BTreeMap::new();
-        for queue in queued.keys() {
+        for queue in counts.keys() {
             let present = self.assignments.get(queue);
             if let Some(present) = present.filter(|present| *present != pool) {
                 wanted
--- a/crates/telemetry/src/site.rs
+++ b/crates/telemetry/src/site.rs
@@ -3,7 +3,7 @@
 use crate::meter::{Error, Instruments, counter, duration_histogram, end_label, gauge};
 use opentelemetry::{
     KeyValue, StringValue,
-    metrics::{Counter, Gauge, Histogram},
+    metrics::{self, Counter, Gauge, Histogram},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use primroseroute_domain::work::{End, Name};
@@ -41,11 +41,8 @@
     waiting_cpu: Gauge<u64>,
     expected_wait: Gauge<u64>,
     queued_jobs: Gauge<u64>,
-    slow_workers: Gauge<u64>,
-    held_jobs: Gauge<u64>,
-    unplaceable_steps: Gauge<u64>,
+    pools: PoolGauges,
     polls_fenced: Counter<u64>,
-    tombstones: Gauge<u64>,
     runs_moved: Counter<u64>,
     commit_seconds: Histogram<f64>,
     jobs_read_seconds: Histogram<f64>,
@@ -53,6 +50,36 @@
     order_seconds: Histogram<f64>,
 }
 
+/// Gauges by pool of what keeps work from going on.
+#[derive(Clone)]
+struct PoolGauges {
+    slow_workers: Gauge<u64>,
+    held_jobs: Gauge<u64>,
+    unplaceable_steps: Gauge<u64>,
+    tombstones: Gauge<u64>,
+}
+
+impl PoolGauges {
+    fn open(meter: &metrics::Meter) -> Self {
+        let gauge = |name, description| gauge(meter, name, description);
+        Self {
+            slow_workers: gauge("slow_workers", "Workers that are slow, by pool"),
+            held_jobs: gauge(
+                "held_jobs",
+                "Jobs whose progress the store refuses, by pool",
+            ),
+            unplaceable_steps: gauge(
+                "unplaceable_steps",
+                "Waiting steps whose tasks no instance of the fleet can run, by pool",
+            ),
+            tombstones: gauge(
+                "tombstones",
+                "Ids that were cancelled before a job was stored, by pool",
+            ),
+        }
+    }
+}
+
 impl fmt::Debug for Meter {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Meter").finish_non_exhaustive()
@@ -146,23 +173,11 @@
                 "Published wait of a job, by pool and by whether it is within its account's entitlement",
             ),
             queued_jobs: gauge("queued_jobs", "Jobs of which no task has started, by queue"),
-            slow_workers: gauge("slow_workers", "Workers that are slow, by pool"),
-            held_jobs: gauge(
-                "held_jobs",
-                "Jobs whose progress the store refuses, by pool",
-            ),
-            unplaceable_steps: gauge(
-                "unplaceable_steps",
-                "Waiting steps whose tasks no instance of the fleet can run, by pool",
-            ),
+            pools: PoolGauges::open(&meter),
             polls_fenced: counter(
                 "polls_fenced",
                 "Status polls that workers refused for their fencing token, by pool",
             ),
-            tombstones: gauge(
-                "tombstones",
-                "Ids that were cancelled before a job was stored, by pool",
-            ),
             runs_moved: counter(
                 "runs_moved",
                 "Runs that were stopped on slow workers to be started elsewhere, by pool",
@@ -306,13 +321,16 @@
 
     /// Sets the number of slow workers of a pool.
     pub fn slow_workers(&self, pool: &Name, workers: u64) {
-        self.slow_workers
+        self.pools
+            .slow_workers
             .record(workers, &[named("pool", Some(pool))]);
     }
 
     /// How many jobs of a pool are held since the store refuses their progress.
     pub fn held_jobs(&self, pool: &Name, jobs: u64) {
-        self.held_jobs.record(jobs, &[named("pool", Some(pool))]);
+        self.pools
+            .held_jobs
+            .record(jobs, &[named("pool", Some(pool))]);
     }
 
     /// A worker of a pool has refused a poll for its fencing token.
@@ -322,13 +340,15 @@
 
     /// How many waiting steps of a pool no instance of the fleet can run.
     pub fn unplaceable_steps(&self, pool: &Name, steps: u64) {
-        self.unplaceable_steps
+        self.pools
+            .unplaceable_steps
             .record(steps, &[named("pool", Some(pool))]);
     }
 
     /// Sets the number of cancelled ids of a pool that tombstones hold.
     pub fn tombstones(&self, pool: &Name, tombstones: u64) {
-        self.tombstones
+        self.pools
+            .tombstones
             .record(tombstones, &[named("pool", Some(pool))]);
     }
 
