Owner: a start goes to the incarnation that it was decided for

A start was compared with the incarnation known when it was queued, which may have been learned after the decision. Orders carry the incarnation that the cell went by now. Hosts in place of machines in the inventory, names of fences and of the memory of assignments, and three words in the glossary.

--- a/crates/cell/src/inventory.rs
+++ b/crates/cell/src/inventory.rs
@@ -1,4 +1,4 @@
-//! What machines could run at the same time if nothing else ran on them.
+//! What instances, or the workers on them, could run at the same time if nothing else ran there.
 
 use primroseroute_domain::work::{Demand, Name, Step};
 use std::{
@@ -6,13 +6,13 @@
     sync::Arc,
 };
 
-/// Number of machines by capacity: processor share, memory and accelerators.
+/// Number of hosts by capacity: processor share, memory and accelerators.
 type Capacities = BTreeMap<[u64; 3], u64>;
 
-/// The capacities and labels of machines.
+/// The capacities and labels of hosts, which are instances or workers.
 ///
-/// Machines of one kind share an entry, so that a look-up takes as long as there are kinds, not
-/// machines.
+/// Hosts of equal capacity are counted together, so that a look-up goes through the kinds of hosts
+/// and not through all of them.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Inventory {
     all: Capacities,
@@ -20,7 +20,7 @@
 }
 
 impl Inventory {
-    /// Adds a machine.
+    /// Adds a host.
     pub fn add(&mut self, capacity: Demand, labels: &BTreeSet<Name>) {
         let Demand {
             cpu,
@@ -39,14 +39,14 @@
     /// a gang that couldn't run as a whole.
     pub fn tasks(&self, step: &Step) -> u64 {
         let count = u64::from(step.count);
-        let machines = match &step.label {
+        let hosts = match &step.label {
             None => Some(&self.all),
             Some(label) => self.by_label.get(label),
         };
         let mut tasks: u64 = 0;
-        for (&capacity, &machines) in machines.into_iter().flatten() {
+        for (&capacity, &number) in hosts.into_iter().flatten() {
             let on_each = tasks_within(capacity, step).min(count);
-            tasks = tasks.saturating_add(on_each.saturating_mul(machines));
+            tasks = tasks.saturating_add(on_each.saturating_mul(number));
             if tasks >= count {
                 return count;
             }
@@ -55,7 +55,7 @@
     }
 }
 
-/// Number of tasks of a step that a machine could run at the same time.
+/// Number of tasks of a step that a host could run at the same time.
 fn tasks_within([cpu, memory, accelerators]: [u64; 3], step: &Step) -> u64 {
     let within = |capacity: u64, demand: u64| capacity.checked_div(demand).unwrap_or(u64::MAX);
     let reserved = step.reserved();
@@ -76,7 +76,7 @@
     Unlisted,
     /// The platform doesn't tell all their capacities.
     #[default]
-    Untold,
+    Unknown,
     /// Their capacities and labels.
     Known(Arc<Inventory>),
 }
@@ -99,7 +99,7 @@
         match &self.fleet {
             Fleet::Known(fleet) => fleet.tasks(step).max(self.own.tasks(step)),
             Fleet::Unlisted if !self.own.all.is_empty() => self.own.tasks(step),
-            Fleet::Unlisted | Fleet::Untold => u64::from(step.count),
+            Fleet::Unlisted | Fleet::Unknown => u64::from(step.count),
         }
     }
 
--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -119,6 +119,12 @@
         self.workers.keys()
     }
 
+    /// The incarnation of a worker that the newest status came from; 0 before the first status.
+    pub fn incarnation(&self, worker: &Name) -> u64 {
+        let worker = self.workers.get(worker);
+        worker.map_or(0, |worker| worker.incarnation)
+    }
+
     /// Number of runs that may be under way on a worker.
     pub fn runs_on(&self, worker: &Name) -> usize {
         self.workers
--- a/crates/cell/tests/all/extremes.rs
+++ b/crates/cell/tests/all/extremes.rs
@@ -10,7 +10,7 @@
 
 cases! {
     /// Guards against sums and products that overflow, while the platform doesn't tell the capacities of instances.
-    extreme_jobs_overflow_nothing => extreme_jobs(&Fleet::Untold);
+    extreme_jobs_overflow_nothing => extreme_jobs(&Fleet::Unknown);
     /// The same where the capacities are known.
     extreme_jobs_overflow_nothing_in_a_known_fleet => extreme_jobs(&known_fleet());
 }
--- a/crates/cell/tests/all/unplaceable.rs
+++ b/crates/cell/tests/all/unplaceable.rs
@@ -152,7 +152,7 @@
 
 fn unknown_fleet() {
     let mut fixture = fixture(CAPACITY);
-    fixture.cell.set_fleet(Fleet::Untold);
+    fixture.cell.set_fleet(Fleet::Unknown);
     fixture.accept(job(vec![with_demand(CAPACITY.memory * 2)]));
     let output = next_round(&mut fixture);
     assert_eq!(output.unplaceable, []);
--- a/crates/gateway/src/assignments.rs
+++ b/crates/gateway/src/assignments.rs
@@ -14,7 +14,7 @@
 
 /// How long a former pool is remembered. Its owner learns of the configuration and writes its row
 /// within that time.
-const MEMORY: Duration = Duration::from_secs(10);
+const RETENTION: Duration = Duration::from_secs(10);
 
 /// Maximum number of queues outside the configuration whose last pool is remembered.
 const MAX_REMOVED: usize = 1_024;
@@ -33,7 +33,7 @@
     pub(crate) fn apply(&mut self, configuration: &Configuration) {
         let now = Instant::now();
         self.former.retain(|_queue, pools| {
-            pools.retain(|_pool, since| since.elapsed() < MEMORY);
+            pools.retain(|_pool, since| since.elapsed() < RETENTION);
             !pools.is_empty()
         });
         for queue in &configuration.queues {
@@ -53,7 +53,7 @@
     /// Pools that a queue was assigned to a moment ago.
     pub(crate) fn former(&self, queue: &Name) -> impl Iterator<Item = &Name> {
         let former = self.former.get(queue).into_iter().flatten();
-        let recent = former.filter(|(_pool, since)| since.elapsed() < MEMORY);
+        let recent = former.filter(|(_pool, since)| since.elapsed() < RETENTION);
         recent.map(|(pool, _since)| pool)
     }
 }
--- a/crates/owner/src/fence.rs
+++ b/crates/owner/src/fence.rs
@@ -39,11 +39,6 @@
         self.token.load(Ordering::Acquire)
     }
 
-    /// Start time of the incarnation that responded last; 0 if that isn't known.
-    pub(crate) fn incarnation(&self) -> u64 {
-        self.incarnation.load(Ordering::Acquire)
-    }
-
     /// Whether this incarnation responded last.
     pub(crate) fn is_incarnation(&self, incarnation: u64) -> bool {
         self.incarnation.load(Ordering::Acquire) == incarnation
@@ -70,9 +65,9 @@
     }
 }
 
-/// A worker's fence.
+/// The fence of a worker that is polled, or was a short time ago.
 #[derive(Debug)]
-struct Entry {
+struct Tracked {
     fence: Arc<Fence>,
     /// Since when the worker isn't polled; `None` while it is.
     idle_since: Option<Millis>,
@@ -86,7 +81,7 @@
 /// after that it is enough that the next fence begins no lower.
 #[derive(Debug)]
 pub(crate) struct Fences {
-    by_worker: BTreeMap<Name, Entry>,
+    by_worker: BTreeMap<Name, Tracked>,
     /// No token of a dropped fence is higher.
     floor: u64,
     /// Time after which no earlier order is carried out any more.
@@ -106,21 +101,21 @@
     /// The fence of a worker that is to be polled.
     pub(crate) fn acquire(&mut self, worker: &Name) -> Arc<Fence> {
         let floor = self.floor;
-        let entry = self.by_worker.entry(Name::clone(worker));
-        let entry = entry.or_insert_with(|| Entry {
+        let tracked = self.by_worker.entry(Name::clone(worker));
+        let tracked = tracked.or_insert_with(|| Tracked {
             fence: Arc::new(Fence::new(floor)),
             idle_since: None,
         });
-        entry.idle_since = None;
-        Arc::clone(&entry.fence)
+        tracked.idle_since = None;
+        Arc::clone(&tracked.fence)
     }
 
     /// Records that a worker isn't polled any more. Orders that are still on their way to it are
     /// refused once it is polled again.
     pub(crate) fn release(&mut self, worker: &Name, now: Millis) {
-        if let Some(entry) = self.by_worker.get_mut(worker) {
-            entry.fence.raise();
-            entry.idle_since = Some(now);
+        if let Some(tracked) = self.by_worker.get_mut(worker) {
+            tracked.fence.raise();
+            tracked.idle_since = Some(now);
         }
     }
 
@@ -128,10 +123,12 @@
     pub(crate) fn drop_idle(&mut self, now: Millis) {
         let window = self.late_order_window;
         let floor = &mut self.floor;
-        self.by_worker.retain(|_worker, entry| {
-            let is_idle = entry.idle_since.is_some_and(|since| now >= since + window);
+        self.by_worker.retain(|_worker, tracked| {
+            let is_idle = tracked
+                .idle_since
+                .is_some_and(|since| now >= since + window);
             if is_idle {
-                *floor = entry.fence.token().max(*floor);
+                *floor = tracked.fence.token().max(*floor);
             }
             !is_idle
         });
--- a/crates/owner/src/instance_cache.rs
+++ b/crates/owner/src/instance_cache.rs
@@ -30,7 +30,7 @@
     let mut inventory = Inventory::default();
     for instance in instances {
         let Some(capacity) = instance.capacity else {
-            return Fleet::Untold;
+            return Fleet::Unknown;
         };
         inventory.add(capacity, &instance.labels);
     }
--- a/crates/owner/src/order_delivery.rs
+++ b/crates/owner/src/order_delivery.rs
@@ -56,7 +56,7 @@
     /// Token of a start, read at the same time: a deadline on the clock of the previous incarnation
     /// must not go with a token of this one.
     pub token: u64,
-    /// The incarnation for which a start was decided, as known then.
+    /// The incarnation of the worker for which the order was decided.
     pub incarnation: u64,
     /// Limits the concurrent orders to this worker.
     pub concurrency: Arc<Semaphore>,
--- a/crates/owner/src/pool_loop/mod.rs
+++ b/crates/owner/src/pool_loop/mod.rs
@@ -466,7 +466,9 @@
             sent_at,
             start_window: self.cell.start_window(sent_at),
         };
-        self.pool_workers.send(orders, times);
+        let cell = &self.cell;
+        self.pool_workers
+            .send(orders, times, |worker| cell.incarnation(worker));
     }
 
     async fn confirm(&mut self, commits: &mut CommitSequence) -> Result<(), OwnershipLost> {
--- a/crates/owner/src/pool_workers.rs
+++ b/crates/owner/src/pool_workers.rs
@@ -145,8 +145,13 @@
     /// Sends orders; starts carry a deadline, the window after their commit was sent.
     ///
     /// A stop removes a start that is still queued: if it was sent behind it, the work would begin
-    /// first.
-    pub(crate) fn send(&mut self, orders: Vec<Order>, times: CommitTimes) {
+    /// first. `incarnation` tells for which incarnation of a worker the orders were decided.
+    pub(crate) fn send(
+        &mut self,
+        orders: Vec<Order>,
+        times: CommitTimes,
+        incarnation: impl Fn(&Name) -> u64,
+    ) {
         let CommitTimes {
             decided,
             sent_at,
@@ -174,7 +179,6 @@
                 _ => {}
             }
             // First, so that the clock isn't of an older incarnation than the token.
-            let incarnation = worker_state.fence.incarnation();
             let token = worker_state.fence.token();
             let delivery = OrderDelivery {
                 target: worker_state.target.clone(),
@@ -184,7 +188,7 @@
                 expires_at: sent_at + start_window,
                 deadline_ms: start_deadline(&worker_state.readings, times, cancel_window),
                 token,
-                incarnation,
+                incarnation: incarnation(worker),
                 concurrency: Arc::clone(&worker_state.concurrency),
                 queued: Arc::clone(&worker_state.queued),
                 events: self.events.clone(),
