--- a/crates/owner/src/reassigned.rs
+++ b/crates/owner/src/reassigned.rs
@@ -106,7 +106,7 @@
     let result = store(&*rows, &pool, &write).await;
     match &result {
         Ok(()) => {
-            info!(pool = &*pool, present = &*present, queues; "jobs of reassigned queues wait in this pool");
+            info!(pool = &*pool, present = &*present, queues; "row of reassigned queues written");
         }
         Err(error) => {
             info!(pool = &*pool, present = &*present, error:% = error; "row of reassigned queues can't be written");
