--- a/crates/cell/src/inventory.rs
+++ b/crates/cell/src/inventory.rs
@@ -1,10 +1,7 @@
 //! What instances, or the workers on them, could run at the same time if nothing else ran there.
 
 use primroseroute_domain::work::{Demand, Name, Step};
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
 /// Number of hosts by capacity: processor share, memory and accelerators.
 type Capacities = BTreeMap<[u64; 3], u64>;
@@ -21,7 +18,7 @@
 
 impl Inventory {
     /// Adds a host.
-    pub fn add(&mut self, capacity: Demand, labels: &BTreeSet<Name>) {
+    pub fn add<'a>(&mut self, capacity: Demand, labels: impl IntoIterator<Item = &'a Name>) {
         let Demand {
             cpu,
             memory,
--- a/crates/cell/src/placement/mod.rs
+++ b/crates/cell/src/placement/mod.rs
@@ -11,8 +11,8 @@
 pub(crate) use moves::{Move, run as move_runs};
 pub(crate) use preempt::fits_without_batch;
 pub(crate) use urgency::{
-    WaitingStep, is_long_overdue, is_overdue, long_overdue, still_waiting, waiting_steps,
-    work_left_of,
+    WaitingStep, WaitingSteps, is_long_overdue, is_overdue, long_overdue, still_waiting,
+    waiting_steps, work_left_of,
 };
 
 use crate::{
--- a/crates/cell/src/placement/urgency.rs
+++ b/crates/cell/src/placement/urgency.rs
@@ -10,6 +10,7 @@
 
 use crate::{backlog, cell::Cell, crash, job::Job, row::Phase, run_times::RunTime};
 use primroseroute_domain::work::{JobId, Step, TaskId};
+use std::collections::BTreeSet;
 
 /// Multiple of its objective after which a job earns nothing more.
 const LONG_OVERDUE_OBJECTIVES: u64 = 3;
@@ -44,11 +45,6 @@
 }
 
 impl WaitingStep {
-    /// Its job, and its number within that.
-    pub(crate) fn job_step(&self) -> (&JobId, u16) {
-        (&self.job, self.step)
-    }
-
     /// The step's first task, which represents all of them.
     pub(crate) fn first_task(&self) -> TaskId {
         task_id(self, 0)
@@ -64,28 +60,42 @@
     }
 }
 
-/// Steps with waiting tasks whose dependencies are done, the most urgent first.
-pub(crate) fn waiting_steps(cell: &Cell, wall_ms: u64) -> Vec<WaitingStep> {
-    let mut all = Vec::new();
+/// Steps with waiting tasks whose dependencies are done.
+#[derive(Debug, Default)]
+pub(crate) struct WaitingSteps {
+    /// Those that an instance can run, the most urgent first.
+    pub placeable: Vec<WaitingStep>,
+    /// Job and number of those that no instance can run.
+    pub unplaceable: BTreeSet<(JobId, u16)>,
+}
+
+pub(crate) fn waiting_steps(cell: &Cell, wall_ms: u64) -> WaitingSteps {
+    let mut waiting = WaitingSteps::default();
     for (id, job) in &cell.jobs {
         if job.progress.state.is_final() || cell.is_held(id) {
             continue;
         }
         for &occurrence in job.progress.steps.keys() {
             for step in job.ready_steps(occurrence) {
-                if waiting_tasks(job, occurrence, step).next().is_some() {
-                    let urgency = urgency(id, job, occurrence, step, wall_ms);
-                    all.push(WaitingStep {
-                        is_beyond_entitlement: !job.is_within_entitlement(&cell.meter),
-                        is_beyond_share: job.is_beyond_share(&cell.meter),
-                        ..urgency
-                    });
+                if waiting_tasks(job, occurrence, step).next().is_none() {
+                    continue;
+                }
+                let shape = job.step(step);
+                if shape.is_some_and(|shape| !cell.capability.allows(shape)) {
+                    waiting.unplaceable.insert((id.clone(), step));
+                    continue;
                 }
+                let urgency = urgency(id, job, occurrence, step, wall_ms);
+                waiting.placeable.push(WaitingStep {
+                    is_beyond_entitlement: !job.is_within_entitlement(&cell.meter),
+                    is_beyond_share: job.is_beyond_share(&cell.meter),
+                    ..urgency
+                });
             }
         }
     }
-    all.sort_unstable();
-    all
+    waiting.placeable.sort_unstable();
+    waiting
 }
 
 /// The steps of `waiting` that still wait, each with the number of its tasks, their predicted run
--- a/crates/cell/src/round.rs
+++ b/crates/cell/src/round.rs
@@ -7,7 +7,7 @@
     limits::{Limits, Millis},
     marking, migration,
     order::{Cause, Order, RoundOutput},
-    placement,
+    placement::{self, WaitingSteps},
     row::overflow::{Change, Overflow},
     run_times, scaling, straggler, throttle, unplaceable,
     worker::{ExpiredLease, Run, StopState, Termination, Worker},
@@ -38,8 +38,11 @@
     run_times::update(cell, now);
     let mut stragglers = straggler::judge(cell, now);
     cell.count_own_capacities();
-    let mut waiting = placement::waiting_steps(cell, wall_ms);
-    let unplaceable = unplaceable::set_aside(cell, &mut waiting);
+    let WaitingSteps {
+        placeable: waiting,
+        unplaceable,
+    } = placement::waiting_steps(cell, wall_ms);
+    let unplaceable = unplaceable::record(cell, unplaceable);
     let mut orders = placement::run(cell, &waiting, now);
     stragglers.moved = placement::move_runs(cell, now);
     orders.extend(throttle_all(cell));
--- a/crates/cell/src/unplaceable.rs
+++ b/crates/cell/src/unplaceable.rs
@@ -8,7 +8,6 @@
     inventory::{Capability, Fleet, Inventory},
     job::Job,
     order::UnplaceableStep,
-    placement::WaitingStep,
 };
 use primroseroute_domain::work::{JobId, Step};
 use std::collections::BTreeSet;
@@ -48,33 +47,26 @@
     pub resolved: Vec<(JobId, u16)>,
 }
 
-/// Removes the steps that no instance can run from `waiting`.
-pub(crate) fn set_aside(cell: &mut Cell, waiting: &mut Vec<WaitingStep>) -> Changes {
-    let mut known = BTreeSet::new();
-    let mut changes = Changes::default();
-    waiting.retain(|waiting| {
-        let (id, number) = waiting.job_step();
-        let step = cell.jobs.get(id).and_then(|job| job.step(number));
-        let Some(step) = step.filter(|step| !cell.capability.allows(step)) else {
-            return true;
-        };
-        let key = (id.clone(), number);
-        if !cell.unplaceable.contains(&key) && !known.contains(&key) {
-            changes.found.push(UnplaceableStep {
-                job: id.clone(),
-                step: number,
-                count: step.count,
-                demand: step.reserved(),
-                label: step.label.clone(),
-            });
-        }
-        known.insert(key);
-        false
+/// Records which waiting steps no instance can run.
+pub(crate) fn record(cell: &mut Cell, unplaceable: BTreeSet<(JobId, u16)>) -> Changes {
+    let found = unplaceable.difference(&cell.unplaceable);
+    let found = found.filter_map(|(id, number)| {
+        let step = cell.jobs.get(id)?.step(*number)?;
+        Some(UnplaceableStep {
+            job: id.clone(),
+            step: *number,
+            count: step.count,
+            demand: step.reserved(),
+            label: step.label.clone(),
+        })
     });
-    let resolved = cell.unplaceable.difference(&known);
+    let resolved = cell.unplaceable.difference(&unplaceable);
     let resolved = resolved.filter(|(id, _step)| cell.jobs.contains_key(id));
-    changes.resolved = resolved.cloned().collect();
-    cell.unplaceable = known;
+    let changes = Changes {
+        found: found.collect(),
+        resolved: resolved.cloned().collect(),
+    };
+    cell.unplaceable = unplaceable;
     changes
 }
 
--- a/crates/owner/src/instance_cache.rs
+++ b/crates/owner/src/instance_cache.rs
@@ -16,14 +16,15 @@
 /// Time after which a call that isn't answered keeps no other from being sent.
 const EXCLUSIVE_TIME: Duration = Duration::from_millis(500);
 
+/// Minimum time between two computations of the capacities of all instances, which seldom change.
+const FLEET_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The instances as they were at some moment.
 #[derive(Clone, Debug)]
 pub(crate) struct Listing {
     /// When the list was requested: it shows whatever was done before.
     pub asked_at: Instant,
     pub instances: Arc<Vec<Instance>>,
-    /// Their capacities.
-    pub fleet: Fleet,
 }
 
 fn fleet(instances: &[Instance]) -> Fleet {
@@ -41,6 +42,8 @@
 pub(crate) struct InstanceCache {
     site: Arc<dyn Site>,
     newest: parking_lot::Mutex<Option<Listing>>,
+    /// The capacities of all instances, and when the list that shows them was requested.
+    fleet: parking_lot::Mutex<Option<(Instant, Fleet)>>,
     /// Held while a call is sent, for a limited time.
     sending: Mutex<()>,
 }
@@ -56,6 +59,7 @@
         Self {
             site,
             newest: parking_lot::Mutex::new(None),
+            fleet: parking_lot::Mutex::new(None),
             sending: Mutex::new(()),
         }
     }
@@ -80,7 +84,6 @@
         };
         let listing = Listing {
             asked_at,
-            fleet: fleet(&instances),
             instances: Arc::new(instances),
         };
         let mut newest = self.newest.lock();
@@ -93,11 +96,19 @@
         Ok(listing)
     }
 
-    /// The capacities of all instances, as listed last.
+    /// The capacities of all instances, as listed a moment ago.
     pub(crate) fn fleet(&self) -> Fleet {
-        let newest = self.newest.lock();
-        let known = newest.as_ref().map(|known| known.fleet.clone());
-        known.unwrap_or(Fleet::Unlisted)
+        let newest = self.newest.lock().clone();
+        let mut known = self.fleet.lock();
+        if let Some(listing) = newest {
+            let since = known.as_ref().map(|(asked_at, _fleet)| *asked_at);
+            let is_due = |since: Instant| listing.asked_at >= since + FLEET_INTERVAL;
+            if since.is_none_or(is_due) {
+                *known = Some((listing.asked_at, fleet(&listing.instances)));
+            }
+        }
+        let fleet = known.as_ref().map(|(_asked_at, fleet)| fleet.clone());
+        fleet.unwrap_or(Fleet::Unlisted)
     }
 
     fn newest_since(&self, since: Instant) -> Option<Listing> {
--- a/crates/owner/tests/all/rebalance.rs
+++ b/crates/owner/tests/all/rebalance.rs
@@ -62,7 +62,7 @@
                 state: InstanceState::Up,
                 worker,
                 capacity: None,
-                labels: BTreeSet::new(),
+                labels: Vec::new(),
             });
         }
     }
--- a/crates/owner/tests/all/wave.rs
+++ b/crates/owner/tests/all/wave.rs
@@ -29,7 +29,7 @@
         state: InstanceState::Up,
         worker: Some(format!("w-{number}").into()),
         capacity: None,
-        labels: BTreeSet::new(),
+        labels: Vec::new(),
     }
 }
 
--- a/crates/platform/src/site.rs
+++ b/crates/platform/src/site.rs
@@ -153,7 +153,7 @@
     /// Total resources of a worker on the instance, if the platform tells.
     pub capacity: Option<Demand>,
     /// Labels of a worker on the instance.
-    pub labels: BTreeSet<Name>,
+    pub labels: Vec<Name>,
 }
 
 /// Outcome of an order to an instance.
--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -243,7 +243,7 @@
                 state: InstanceState::Up,
                 worker: None,
                 capacity: Some(CAPACITY),
-                labels: BTreeSet::new(),
+                labels: Vec::new(),
             };
             state.instances.insert(Name::clone(&name), instance);
             state.start_worker(&name, now);
--- a/crates/standin/src/site/state.rs
+++ b/crates/standin/src/site/state.rs
@@ -234,7 +234,7 @@
         known.state = InstanceState::Up;
         known.worker = Some(Name::clone(&id));
         let mut worker = Worker::new(&id, pool, now, self.workers_created);
-        known.labels.clone_from(&worker.info.labels);
+        known.labels = worker.info.labels.iter().cloned().collect();
         worker.clock_lag_permille = self.rng.random_range(0..20);
         self.begin_incarnation(instance, worker, now);
     }
