--- a/crates/cell/src/placement/urgency.rs
+++ b/crates/cell/src/placement/urgency.rs
@@ -69,6 +69,7 @@
     pub unplaceable: BTreeSet<(JobId, u16)>,
 }
 
+/// Collects the steps with waiting tasks whose dependencies are done, without those of held jobs.
 pub(crate) fn waiting_steps(cell: &Cell, wall_ms: u64) -> WaitingSteps {
     let mut waiting = WaitingSteps::default();
     for (id, job) in &cell.jobs {
