--- a/crates/cell/src/window.rs
+++ b/crates/cell/src/window.rs
@@ -45,8 +45,8 @@
     ///
     /// A decision may be outdated after its commit, which can take seconds. The stops of a
     /// cancelled job are sent at once, and a start that followed could overtake them on another
-    /// connection; a worker may have announced that it drains, or restarted as another kind; a step that tolerated one more
-    /// unavailable task doesn't tolerate it once another one has ended.
+    /// connection; a worker may have announced that it drains, or restarted as another kind; a step
+    /// that tolerated one more unavailable task doesn't tolerate it once another one has ended.
     pub fn revalidate(&mut self, orders: Vec<Order>, now: Millis) -> (Vec<Order>, Vec<Order>) {
         let mut valid = orders;
         let mut invalid = Vec::new();
