Tests: entries listen on ports that they are assigned, not on ports taken for free

Cause: the fixture bound port 0, closed the socket and put the port into the settings, three times in a row. The kernel may assign a closed port again.

Change: these entries listen on port 0. `entry started` logs the bound addresses (callers, readiness, metrics), the line of `serve` has them as fields, and testbed::process reads them. tests/all/process.rs uses the launcher of the testbed in place of its own.

--- a/crates/peer/tests/all/node.rs
+++ b/crates/peer/tests/all/node.rs
@@ -10,7 +10,13 @@
     rpc::{Limits, Link, Settings},
 };
 use primroseroute_peer_schema::peer_capnp::{gate, peer};
-use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::Cell,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     net::TcpStream,
     task::{JoinHandle, spawn_local},
@@ -56,9 +62,17 @@
 
     /// Binds an entry named `name` that knows `peers`.
     pub fn open(name: &str, peers: &[&Self]) -> Self {
+        Self::open_at(Ipv4Addr::LOCALHOST, name, peers)
+    }
+
+    /// Like [`Self::open`], at `ip`: a test that binds the port again after the link is closed needs a loopback address
+    /// of its own, where no other test is assigned the port meanwhile.
+    pub fn open_at(ip: Ipv4Addr, name: &str, peers: &[&Self]) -> Self {
         let peers: Vec<_> = peers.iter().map(|peer| peer.link.address()).collect();
         let identity = identity(name, 1);
-        Self::bind(Entry::open(identity.clone()), settings(identity, &peers))
+        let mut settings = settings(identity.clone(), &peers);
+        settings.listen = (ip, 0).into();
+        Self::bind(Entry::open(identity), settings)
     }
 
     /// Waits until this entry has reports from `count` peers.
--- a/crates/peer/tests/all/rpc.rs
+++ b/crates/peer/tests/all/rpc.rs
@@ -74,7 +74,7 @@
 /// a session.
 async fn restart() {
     let a = Node::open("a", &[]);
-    let b = Node::open("b", &[&a]);
+    let b = Node::open_at([127, 0, 0, 2].into(), "b", &[&a]);
     a.wait_for_reports(1).await;
     learn(&a, 1);
     b.wait_for_seq(1).await;
@@ -167,7 +167,7 @@
 /// The link is closed while its peers stay up. The entry must not be called any more, and its port
 /// must be free for a successor.
 async fn closed() {
-    let a = Node::open("a", &[]);
+    let a = Node::open_at([127, 0, 0, 3].into(), "a", &[]);
     let b = Node::open("b", &[&a]);
     a.wait_for_reports(1).await;
     b.wait_for_reports(1).await;
--- a/crates/serve/src/cli.rs
+++ b/crates/serve/src/cli.rs
@@ -107,6 +107,8 @@
         .await
         .wrap_err("failed to start the entry")?;
     log::info!(
+        callers:% = entry.callers(),
+        admin:% = entry.admin();
         "entry {name} serves callers on {} and operators on {}",
         entry.callers(),
         entry.admin()
--- a/crates/serve/src/site.rs
+++ b/crates/serve/src/site.rs
@@ -98,7 +98,15 @@
     let log = Log::start_on_stdout(level).wrap_err("failed to start logging")?;
     let shutdown = signal::shutdown()?;
     let running = RunningEntry::start(&settings, metrics_port).await?;
-    info!(entry = &*settings.entry, zone = &*settings.zone, callers:% = settings.callers; "entry started");
+    let metrics = running.metrics.as_ref().map(Server::address);
+    info!(
+        entry = &*settings.entry,
+        zone = &*settings.zone,
+        callers:% = running.callers.address(),
+        readiness:% = running.readiness.address(),
+        metrics:serde = metrics;
+        "entry started"
+    );
     let watcher = watch_settings(path, settings.clone(), running.live.clone());
     let watcher = tokio::spawn(watcher);
     shutdown.await;
--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -2,11 +2,16 @@
 
 use eyre::{Context, ContextCompat, Result};
 use rustix::process::{Pid, Signal, kill_process};
+use serde::{Deserialize, de::DeserializeOwned};
 use std::{
     fs,
+    io::{BufRead, BufReader, Read},
     net::SocketAddr,
     process::{Child, Command, ExitStatus},
+    thread,
+    time::Duration,
 };
+use tokio::{sync::oneshot, time::timeout};
 
 /// State of a listening socket or a connection in `/proc/net/tcp`.
 const LISTEN: &str = "0A";
@@ -102,6 +107,40 @@
     }
 }
 
+/// A log line, as far as it is read.
+#[derive(Deserialize)]
+struct Line<T> {
+    kv: T,
+}
+
+/// Returns the fields of the first log line with `text` in `output`, a pipe from a process.
+///
+/// The rest is read and dropped in the background: a process whose pipe is full is blocked.
+///
+/// # Errors
+/// If the process ends without such a line, doesn't write it `within` this time, or writes it with other fields.
+pub async fn logged_fields<T: DeserializeOwned>(
+    output: impl Read + Send + 'static,
+    text: &'static str,
+    within: Duration,
+) -> Result<T> {
+    let (found, line) = oneshot::channel();
+    thread::spawn(move || {
+        let mut lines = BufReader::new(output).lines().map_while(Result::ok);
+        if let Some(line) = lines.find(|line| line.contains(text)) {
+            // The caller may have given up.
+            let _unwanted = found.send(line);
+        }
+        lines.for_each(drop);
+    });
+    let line = timeout(within, line).await;
+    let line = line
+        .wrap_err_with(|| format!("no line with {text:?} in time"))?
+        .wrap_err_with(|| format!("the process has ended without a line with {text:?}"))?;
+    let line: Line<T> = serde_json::from_str(&line).wrap_err("reading a log line")?;
+    Ok(line.kv)
+}
+
 /// Bytes that connections to the listener at an IPv4 address have received and their process hasn't
 /// read.
 ///
--- a/tests/all/ctl/mod.rs
+++ b/tests/all/ctl/mod.rs
@@ -11,7 +11,10 @@
 use serde_json::Value;
 use std::{io::Write, net::SocketAddr, path::Path};
 use tempfile::NamedTempFile;
-use tokio::{io::AsyncReadExt, net::TcpListener};
+use tokio::{
+    io::AsyncReadExt,
+    net::{TcpListener, TcpSocket},
+};
 
 cases! {
     apply_from_a_file_is_listed_and_in_force => apply();
@@ -310,9 +313,10 @@
 }
 
 async fn unreachable() -> Result<()> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let closed = listener.local_addr()?;
-    drop(listener);
+    // Bound but not listening: no other test's listener is assigned the port meanwhile.
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(([127, 0, 0, 1], 0).into())?;
+    let closed = socket.local_addr()?;
     let done = ctl(closed, temp_file("t")?.path(), &["status"]).await?;
     assert_eq!(done.code, exit::UNREACHABLE);
     Ok(())
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -6,13 +6,15 @@
 use primroseroute_api::{Apply, Order};
 use primroseroute_platform::fleet::{Listed, Phase};
 use primroseroute_testbed::{
-    Admin, Caller, OPERATOR_TOKEN, Said, backend, caller_token, platform, template, token_hash,
+    Admin, Caller, OPERATOR_TOKEN, Said, backend, caller_token, platform,
+    process::{Process, logged_fields},
+    template, token_hash,
 };
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
+use serde::Deserialize;
 use std::{
-    io::{BufRead, BufReader},
     net::{Ipv4Addr, SocketAddr},
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{Command, ExitStatus, Stdio},
     time::Duration,
 };
 use tokio::time::{Instant, sleep};
@@ -33,71 +35,47 @@
     suspended_process_applies_a_newer_view_on_resume => suspended();
 }
 
-/// The process of an entry, killed on drop.
-struct Process {
-    child: Child,
+/// What an entry logs as it starts.
+#[derive(Deserialize)]
+struct Started {
     callers: SocketAddr,
-    admin: Admin,
+    admin: SocketAddr,
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        // The process may have exited already; the error is ignored.
-        let _killed = self.child.kill();
-        let _status = self.child.wait();
-    }
+/// An entry as a process.
+struct Entry {
+    process: Process,
+    callers: SocketAddr,
+    admin: Admin,
 }
 
-impl Process {
+impl Entry {
     /// Starts the entry `name` and waits until it serves callers.
-    fn start(name: &str, platform: &str) -> Result<Self> {
+    async fn start(name: &str, platform: &str) -> Result<Self> {
         let folder = tempfile::tempdir()?;
         let file = folder.path().join("settings.yaml");
         std::fs::write(&file, settings(name, platform))?;
-        let mut child = Command::new(env!("CARGO_BIN_EXE_primroseroute"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_primroseroute"));
+        command
             .args(["serve", "--settings"])
             .arg(&file)
             .env("TEST_PEER_KEY", "a key that all entries of the test share")
-            .stderr(Stdio::piped())
-            .spawn()?;
-        let stderr = child.stderr.take().ok_or_eyre("stderr is not piped")?;
-        let mut lines = BufReader::new(stderr).lines();
-        let serves = loop {
-            let line = lines
-                .next()
-                .ok_or_eyre("the entry exited before it served callers")??;
-            if let Some((_, rest)) = line.split_once("serves callers on ") {
-                break rest.to_owned();
-            }
-        };
-        // Keeps reading: a full pipe would block the entry at its next log line.
-        std::thread::spawn(move || lines.for_each(drop));
-        let mut words = serves.split([' ', '"']);
-        let callers = words
-            .next()
-            .ok_or_eyre("no callers' address in the log line")?
-            .parse()?;
-        let admin: SocketAddr = words
-            .nth(3)
-            .ok_or_eyre("no admin address in the log line")?
-            .parse()?;
+            .stderr(Stdio::piped());
+        let mut process = Process::spawn(&mut command)?;
+        let output = process.child().stderr.take();
+        let output = output.ok_or_eyre("stderr isn't piped")?;
+        let started: Started = logged_fields(output, "serves callers on", TIMEOUT).await?;
         Ok(Self {
-            child,
-            callers,
-            admin: Admin::open(admin, OPERATOR_TOKEN),
+            process,
+            callers: started.callers,
+            admin: Admin::open(started.admin, OPERATOR_TOKEN),
         })
     }
 
-    fn signal(&self, signal: Signal) -> Result<()> {
-        let pid =
-            Pid::from_raw(i32::try_from(self.child.id())?).ok_or_eyre("invalid process id")?;
-        Ok(kill_process(pid, signal)?)
-    }
-
     async fn wait_for_exit(&mut self) -> Result<ExitStatus> {
         let deadline = Instant::now() + TIMEOUT;
         loop {
-            if let Some(status) = self.child.try_wait()? {
+            if let Some(status) = self.process.exit_status()? {
                 return Ok(status);
             }
             ensure!(Instant::now() < deadline, "the process does not exit");
@@ -150,13 +128,13 @@
         Ok(Self { server, workers })
     }
 
-    fn start(&self, name: &str) -> Result<Process> {
-        Process::start(name, &self.server.url())
+    async fn start(&self, name: &str) -> Result<Entry> {
+        Entry::start(name, &self.server.url()).await
     }
 
     /// Starts two entries and waits until both see all three workers serving.
-    async fn two_entries(&self) -> Result<(Process, Process)> {
-        let (a, b) = (self.start("entry-a")?, self.start("entry-b")?);
+    async fn two_entries(&self) -> Result<(Entry, Entry)> {
+        let (a, b) = (self.start("entry-a").await?, self.start("entry-b").await?);
         let template = template("stay", 1, 3);
         let order = Apply {
             template,
@@ -179,7 +157,7 @@
 }
 
 /// Waits until `entry` reports `count` serving instances.
-async fn wait_until_serving(entry: &Process, count: u32) -> Result<()> {
+async fn wait_until_serving(entry: &Entry, count: u32) -> Result<()> {
     let deadline = Instant::now() + TIMEOUT;
     loop {
         let status = entry.admin.status().await?;
@@ -191,7 +169,7 @@
     }
 }
 
-async fn get(entry: &Process) -> Said {
+async fn get(entry: &Entry) -> Said {
     let caller = Caller::open(caller_token("stay"));
     caller
         .send(entry.callers, Method::GET, "/stay/beds", &[], "", TIMEOUT)
@@ -223,7 +201,7 @@
     }
     assert_eq!(fixture.workers[0].count().executions, before);
 
-    a.signal(Signal::TERM)?;
+    a.process.signal(Signal::TERM)?;
     assert!(a.wait_for_exit().await?.success());
     assert_eq!(get(&b).await, Said::Completed);
     Ok(())
@@ -234,7 +212,7 @@
 async fn killed() -> Result<()> {
     let fixture = Fixture::open().await?;
     let (mut a, b) = fixture.two_entries().await?;
-    a.signal(Signal::KILL)?;
+    a.process.signal(Signal::KILL)?;
     a.wait_for_exit().await?;
     assert_eq!(get(&b).await, Said::Completed);
     let order = Order {
@@ -253,7 +231,7 @@
 async fn suspended() -> Result<()> {
     let fixture = Fixture::open().await?;
     let (a, b) = fixture.two_entries().await?;
-    a.signal(Signal::STOP)?;
+    a.process.signal(Signal::STOP)?;
     let order = Order {
         if_version: None,
         reason: "test".into(),
@@ -261,7 +239,7 @@
     };
     b.admin.drain(&"w-0".parse()?, &order).await?;
     wait_until_serving(&b, 2).await?;
-    a.signal(Signal::CONT)?;
+    a.process.signal(Signal::CONT)?;
     wait_until_serving(&a, 2).await?;
     let before = fixture.workers[0].count().executions;
     for _ in 0..20 {
--- a/tests/crowd/entry.rs
+++ b/tests/crowd/entry.rs
@@ -1,14 +1,15 @@
 //! An entry of the job path as a process, with the store of the platform's stand-in.
 
 use crate::client;
-use eyre::{Result, ensure};
+use eyre::{OptionExt, Result, ensure};
 use primroseroute_adapter_standin::{
     Server,
     settings::{self, HOST, Machine, QUEUE},
 };
-use primroseroute_testbed::process::{Process, unread_bytes};
+use primroseroute_testbed::process::{Process, logged_fields, unread_bytes};
+use serde::Deserialize;
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     process::{Command, Stdio},
     time::Duration,
 };
@@ -49,35 +50,37 @@
     _folder: TempDir,
 }
 
-/// A free port of the loopback interface.
-fn free_address() -> Result<SocketAddr> {
-    Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?)
+/// What an entry logs as it starts.
+#[derive(Deserialize)]
+struct Started {
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    metrics: SocketAddr,
 }
 
 impl Entry {
     /// Starts an entry on `machine` and waits until it is ready.
     pub(crate) async fn start(machine: Machine) -> Result<Self> {
         let platform = Server::bind().await?;
-        let [callers, readiness, metrics] = [free_address()?, free_address()?, free_address()?];
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let folder = tempfile::tempdir()?;
         let file = folder.path().join("node.json");
-        let text = settings::file([callers, readiness], platform.address(), machine);
+        let text = settings::file([any, any], platform.address(), machine);
         std::fs::write(&file, text)?;
         let mut command = Command::new(env!("CARGO_BIN_EXE_primroseroute"));
         command
-            .args([
-                "site",
-                "--metrics-port",
-                &metrics.port().to_string(),
-                "--settings",
-            ])
+            .args(["site", "--metrics-port", "0", "--settings"])
             .arg(&file)
-            .stdout(Stdio::null());
+            .stdout(Stdio::piped());
+        let mut process = Process::spawn(&mut command)?;
+        let output = process.child().stdout.take();
+        let output = output.ok_or_eyre("stdout isn't piped")?;
+        let started: Started = logged_fields(output, "entry started", TIMEOUT).await?;
         let mut entry = Self {
-            callers,
-            readiness,
-            metrics,
-            process: Process::spawn(&mut command)?,
+            callers: started.callers,
+            readiness: started.readiness,
+            metrics: started.metrics,
+            process,
             machine,
             _platform: platform,
             _folder: folder,
--- a/tests/crowd/requests.rs
+++ b/tests/crowd/requests.rs
@@ -4,17 +4,20 @@
     cases,
     client::{self, Crowd},
 };
-use eyre::{Result, ensure};
+use eyre::{OptionExt, Result, ensure};
 use http::Method;
 use primroseroute_api::Apply;
 use primroseroute_domain::id;
 use primroseroute_platform::fleet::{Listed, Phase};
 use primroseroute_testbed::{
-    Admin, Caller, OPERATOR_TOKEN, Said, backend, caller_token, platform, process::Process,
-    server::Server, template, token_hash,
+    Admin, Caller, OPERATOR_TOKEN, Said, backend, caller_token, platform,
+    process::{Process, logged_fields},
+    server::Server,
+    template, token_hash,
 };
+use serde::Deserialize;
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     process::{Command, Stdio},
     time::Duration,
 };
@@ -45,6 +48,13 @@
     operators_requests => operators();
 }
 
+/// What an entry logs as it starts.
+#[derive(Deserialize)]
+struct Started {
+    callers: SocketAddr,
+    admin: SocketAddr,
+}
+
 /// An entry of the request path with one worker.
 struct Entry {
     callers: SocketAddr,
@@ -74,8 +84,6 @@
             phase: Phase::Live,
             boots: 1,
         });
-        let free = || TcpListener::bind(any)?.local_addr();
-        let (callers, admin, peers) = (free()?, free()?, free()?);
         let folder = tempfile::tempdir()?;
         let file = folder.path().join("settings.yaml");
         let (url, operator) = (server.url(), token_hash(OPERATOR_TOKEN).0);
@@ -83,7 +91,7 @@
             &file,
             format!(
                 "entry: {{name: entry-1, zone: zone-0, region: region-0}}\n\
-                 listen: {{callers: '{callers}', admin: '{admin}', peers: '{peers}'}}\n\
+                 listen: {{callers: '{any}', admin: '{any}', peers: '{any}'}}\n\
                  platform: {{url: {url}}}\n\
                  secrets:\n  operators: [{{name: test, hash: {operator}}}]\n  peer-key: {{env: TEST_PEER_KEY}}\n"
             ),
@@ -93,11 +101,15 @@
             .args(["serve", "--settings"])
             .arg(&file)
             .env("TEST_PEER_KEY", "a key that all entries of the test share")
-            .stderr(Stdio::null());
+            .stderr(Stdio::piped());
+        let mut process = Process::spawn(&mut command)?;
+        let output = process.child().stderr.take();
+        let output = output.ok_or_eyre("stderr isn't piped")?;
+        let started: Started = logged_fields(output, "serves callers on", TIMEOUT).await?;
         let entry = Self {
-            callers,
-            admin,
-            process: Process::spawn(&mut command)?,
+            callers: started.callers,
+            admin: started.admin,
+            process,
             _platform: server,
             _worker: worker,
             _folder: folder,
@@ -107,7 +119,7 @@
             if_version: None,
             reason: "test".into(),
         };
-        let operator = Admin::open(admin, OPERATOR_TOKEN);
+        let operator = Admin::open(started.admin, OPERATOR_TOKEN);
         let deadline = Instant::now() + TIMEOUT;
         while operator.apply(&order).await.is_err() {
             ensure!(Instant::now() < deadline, "the template can't be applied");
