--- a/crates/cell/benches/speed.rs
+++ b/crates/cell/benches/speed.rs
@@ -106,6 +106,7 @@
             clock_ms: at,
             running: running.collect(),
             ended: Vec::new(),
+            foreign_ends: Vec::new(),
         };
         (Name::clone(id), list, at)
     });
--- a/crates/cell/benches/turn.rs
+++ b/crates/cell/benches/turn.rs
@@ -63,6 +63,7 @@
             clock_ms: now,
             running: running.collect(),
             ended: self.ended.clone(),
+            foreign_ends: Vec::new(),
         }
     }
 }
--- a/crates/cell/src/status.rs
+++ b/crates/cell/src/status.rs
@@ -47,12 +47,16 @@
         straggler::observe_ended(cell, id, ended, held_at);
         apply_end(cell, id, ended, now, wall_ms);
     }
+    if let Some(worker) = cell.workers.get_mut(id) {
+        let foreign = status.foreign_ends.iter().copied();
+        worker.last_end = foreign.fold(worker.last_end, u64::max);
+    }
     let listed = status
         .running
         .iter()
         .map(|running| (&running.task, running));
     let listed: BTreeMap<&TaskId, &Running> = listed.collect();
-    if status.ended.len() < MAX_ENDS {
+    if status.ended.len() + status.foreign_ends.len() < MAX_ENDS {
         remove_unlisted(cell, id, &listed, sent_at);
     }
     for running in listed.values() {
--- a/crates/cell/tests/all/ends.rs
+++ b/crates/cell/tests/all/ends.rs
@@ -22,6 +22,10 @@
     worker_that_fails_every_task_is_paused => paused();
     /// Guards against exceeding a worker's capacity where a new owner finds runs of a cancelled job.
     run_of_an_ended_job_occupies_its_capacity_until_it_ends => ended_job();
+    /// Guards against polls without a wait: a worker returns at once while an end isn't acknowledged.
+    ends_of_foreign_runs_are_acknowledged => foreign_ends();
+    /// Guards against a second start of a run whose end is beyond what a status lists.
+    list_that_foreign_ends_fill_may_be_incomplete => full_of_foreign_ends();
 }
 
 fn fails() {
@@ -72,6 +76,7 @@
             how: End::Failed,
             checkpoint: None,
         }],
+        foreign_ends: Vec::new(),
     };
     new_owner.apply_status(&"w-1".into(), &response, 10, 11, WALL_AT_ZERO_MS);
     let output = new_owner.run_round(20, WALL_AT_ZERO_MS);
@@ -106,6 +111,40 @@
     assert!(stopped, "{orders:?}");
 }
 
+/// A status in which only foreign runs have ended, those with the numbers up to `last`.
+fn foreign(last: u64) -> WorkerStatus {
+    WorkerStatus {
+        born: 1,
+        clock_ms: 1,
+        running: Vec::new(),
+        ended: Vec::new(),
+        foreign_ends: (1..=last).collect(),
+    }
+}
+
+fn foreign_ends() {
+    let mut fixture = Fixture::new(&["w-1"]);
+    let (worker, now) = (Name::from("w-1"), fixture.now);
+    let cell = &mut fixture.cell;
+    cell.apply_status(&worker, &foreign(2), now, now, WALL_AT_ZERO_MS);
+    let committed = fixture.round().ends_committed;
+    let committed = committed.iter().find(|(id, _cursor)| *id == worker);
+    assert_eq!(committed.map(|(_id, cursor)| cursor.number), Some(2));
+}
+
+fn full_of_foreign_ends() {
+    for (ends, restarts) in [(499, 1), (500, 0)] {
+        let mut fixture = Fixture::new(&["w-1"]);
+        fixture.accept(job(vec![step(1, 1_000)]));
+        assert_eq!(starts(&fixture.execute_round()).len(), 1);
+        fixture.advance(1_000);
+        let (worker, now) = (Name::from("w-1"), fixture.now);
+        let cell = &mut fixture.cell;
+        cell.apply_status(&worker, &foreign(ends), now, now, WALL_AT_ZERO_MS);
+        assert_eq!(starts(&fixture.round().orders).len(), restarts, "{ends}");
+    }
+}
+
 fn ended_job() {
     let mut fixture = Fixture::new(&["w-1"]);
     let id = fixture.accept(job(vec![step(1, 6_000)]));
--- a/crates/cell/tests/all/fixture.rs
+++ b/crates/cell/tests/all/fixture.rs
@@ -271,6 +271,7 @@
             clock_ms: self.now,
             running: running.collect(),
             ended: self.ended.get(id).cloned().unwrap_or_default(),
+            foreign_ends: Vec::new(),
         };
         let wall = WALL_AT_ZERO_MS + self.now;
         self.cell
--- a/crates/cell/tests/all/pace.rs
+++ b/crates/cell/tests/all/pace.rs
@@ -42,6 +42,7 @@
             clock_ms: fixture.now,
             running: vec![running(&serving, tail_latency), running(&filler, 500)],
             ended: Vec::new(),
+            foreign_ends: Vec::new(),
         };
         fixture.cell.apply_status(
             &"w-1".into(),
--- a/crates/cell/tests/all/speed/pool.rs
+++ b/crates/cell/tests/all/speed/pool.rs
@@ -147,6 +147,7 @@
             clock_ms: (clock + 100_000).cast_unsigned(),
             running: running.collect(),
             ended: self.ended.get(worker).cloned().unwrap_or_default(),
+            foreign_ends: Vec::new(),
         }
     }
 
--- a/crates/owner/src/poll.rs
+++ b/crates/owner/src/poll.rs
@@ -127,8 +127,7 @@
             match response {
                 Some(PollOutcome::Status(status)) => {
                     retry.reset();
-                    let newest = status.ended.last().map(|ended| ended.number);
-                    match newest {
+                    match status.newest_end() {
                         Some(newest) => self.wait_until_committed(status.born, newest).await,
                         // Without a reading from before the last confirmation nothing can be renewed.
                         None if !renewed => sleep(IDLE_POLL_INTERVAL).await,
--- a/crates/platform/src/worker.rs
+++ b/crates/platform/src/worker.rs
@@ -89,6 +89,17 @@
     pub running: Vec<Running>,
     /// Ended runs that are not yet acknowledged, oldest first.
     pub ended: Vec<Ended>,
+    /// Numbers of the ended runs among them that aren't of tasks of this system. They aren't in `ended`, and are to be
+    /// acknowledged as well: the worker doesn't delay its response while any isn't.
+    pub foreign_ends: Vec<u64>,
+}
+
+impl WorkerStatus {
+    /// The highest number of an ended run that it lists.
+    pub fn newest_end(&self) -> Option<u64> {
+        let ended = self.ended.iter().map(|ended| ended.number);
+        ended.chain(self.foreign_ends.iter().copied()).max()
+    }
 }
 
 /// Reason for which a worker rejected an order without carrying it out.
--- a/crates/standin/src/site/worker.rs
+++ b/crates/standin/src/site/worker.rs
@@ -423,6 +423,7 @@
             clock_ms: self.clock(now),
             running: running.collect(),
             ended: self.ended.clone(),
+            foreign_ends: Vec::new(),
         }
     }
 
