Cell: a worker that registers before it answers isn't replaced at once

A worker that restarts and registers before the pool's owner has polled the new incarnation counted as unusable at once, and the pool asked for another instance in its place for a moment.

Cause: unready_since was set by the first answer of an incarnation, and by nothing else; a registration that differs from the incarnation that answers makes a worker not ready as well.

Change: such a registration sets it.

--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -14,9 +14,14 @@
     /// Records a worker's registration.
     pub fn register(&mut self, info: site::Worker) {
         let id = Name::clone(&info.id);
+        let now = self.round_at;
         let worker = self.worker(&id);
+        let was_described = worker.is_described();
         worker.registration = Some(info);
         worker.registered = true;
+        if was_described && !worker.is_described() {
+            worker.unready_since = now;
+        }
         self.registrations_changed = true;
     }
 
--- a/crates/cell/tests/all/incarnation.rs
+++ b/crates/cell/tests/all/incarnation.rs
@@ -55,6 +55,8 @@
     restarted_worker_gets_nothing_by_its_new_registration_alone => registered_first();
     /// Guards against a pool that counts on a worker that can't register after its restart.
     restarted_worker_that_does_not_register_is_replaced => not_registered();
+    /// Guards against a worker in the place of one that has registered a moment before it answers.
+    worker_that_registers_before_it_answers_is_not_replaced => registers_before_it_answers();
     worker_without_a_start_time_is_used_as_registered => without_start_time();
 }
 
@@ -467,6 +469,20 @@
     assert_eq!(needs, [1, 1, 2]);
 }
 
+fn registers_before_it_answers() {
+    let mut fixture = Fixture::new(&[WORKER]);
+    fixture.advance(60_000);
+    fixture.round();
+    fixture.cell.register(registration(NEXT_BOOT, KIND));
+    let mut needs = Vec::new();
+    for _second in 0..3 {
+        fixture.poll(&worker());
+        needs.push(fixture.round().scaling.now);
+        fixture.now += 1_000;
+    }
+    assert_eq!(needs, [1, 1, 2]);
+}
+
 fn without_start_time() {
     for (registered, answered) in [(0, 0), (0, NEXT_BOOT), (NEXT_BOOT, 0)] {
         let mut fixture = Fixture::just_taken_over(&[]);
