Cell, owner: a registration without a worker makes no task placeable

Cause: the pool's own workers and the largest worker were taken from all registrations.

Change: the pool's own workers are those that have answered a poll, or all while none has. The largest worker is that of the platform's list of instances and of these; all registrations count only where the platform doesn't tell capacities.

--- a/crates/admission/src/backlog.rs
+++ b/crates/admission/src/backlog.rs
@@ -8,8 +8,7 @@
 pub struct Backlog {
     /// Thousandths of a core that batch tasks can use on the workers that accept runs.
     pub capacity_cpu: u64,
-    /// Largest capacity of a registered worker of any pool, for each resource; zero if none is
-    /// known.
+    /// Largest capacity of an instance of the fleet, for each resource; zero if none is known.
     pub largest_worker: Demand,
     /// Unfinished work by account; jobs of public queues count for no account.
     pub accounts: BTreeMap<Option<Name>, Waiting>,
--- a/crates/cell/src/cell.rs
+++ b/crates/cell/src/cell.rs
@@ -61,8 +61,8 @@
     pub(crate) crashes_cleared: Vec<TaskId>,
     /// What the pool's workers and the instances of the fleet can run.
     pub(crate) capability: Capability,
-    /// Whether the registrations of workers have changed since the last round.
-    pub(crate) registrations_changed: bool,
+    /// Whether the pool's part of `capability` is to be computed anew.
+    pub(crate) capacities_changed: bool,
     /// Waiting steps that no instance can run, as of the last round.
     pub(crate) unplaceable: BTreeSet<(JobId, u16)>,
     /// Number of queued jobs by queue, as of the last round.
@@ -120,7 +120,7 @@
             poison_tasks: Vec::new(),
             crashes_cleared: Vec::new(),
             capability: Capability::default(),
-            registrations_changed: false,
+            capacities_changed: false,
             unplaceable: BTreeSet::new(),
             queued_counts: BTreeMap::new(),
             recovered: Vec::new(),
@@ -504,8 +504,8 @@
         counts
     }
 
-    /// The unfinished work of each account, as of the last round. `largest_worker` isn't known to one
-    /// pool and stays zero.
+    /// The unfinished work of each account, as of the last round. `largest_worker` isn't set here:
+    /// see [`Self::largest_host`].
     pub fn backlog(&self, wall_ms: u64) -> Backlog {
         crate::backlog::backlog(self, wall_ms)
     }
--- a/crates/cell/src/inventory.rs
+++ b/crates/cell/src/inventory.rs
@@ -32,6 +32,17 @@
         }
     }
 
+    /// The largest capacity of a host, for each resource.
+    pub(crate) fn largest(&self) -> Demand {
+        let capacities = self.all.keys();
+        let capacities = capacities.map(|&[cpu, memory, accelerators]| Demand {
+            cpu,
+            memory,
+            accelerators,
+        });
+        capacities.fold(Demand::default(), Demand::larger)
+    }
+
     /// Number of tasks of a step that could run at the same time, up to its number of tasks; 0 for
     /// a gang that couldn't run as a whole.
     pub fn tasks(&self, step: &Step) -> u64 {
--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -22,7 +22,7 @@
         if was_described && !worker.is_described() {
             worker.unready_since = now;
         }
-        self.registrations_changed = true;
+        self.capacities_changed = true;
     }
 
     /// Records that a worker isn't registered any more. Its runs go on until its lease expires or
@@ -30,7 +30,7 @@
     pub fn unregister(&mut self, worker: &Name) {
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.registered = false;
-            self.registrations_changed = true;
+            self.capacities_changed = true;
         }
     }
 
--- a/crates/cell/src/unplaceable.rs
+++ b/crates/cell/src/unplaceable.rs
@@ -8,8 +8,9 @@
     inventory::{Capability, Fleet, Inventory},
     job::Job,
     order::UnplaceableStep,
+    worker::Worker,
 };
-use primroseroute_domain::work::{JobId, Step};
+use primroseroute_domain::work::{Demand, JobId, Step};
 use std::collections::BTreeSet;
 
 impl Cell {
@@ -18,22 +19,33 @@
         self.capability.fleet = fleet;
     }
 
+    /// The largest capacity of an instance of the fleet, or of a worker of the pool that has answered, for each
+    /// resource; `None` while the instances' capacities aren't known.
+    pub fn largest_host(&self) -> Option<Demand> {
+        let Fleet::Known(fleet) = &self.capability.fleet else {
+            return None;
+        };
+        Some(fleet.largest().larger(self.capability.own.largest()))
+    }
+
     /// Number of waiting steps that no instance can run, as of the last round.
     pub fn unplaceable_steps(&self) -> usize {
         self.unplaceable.len()
     }
 
-    /// Counts the pool's workers anew, if their registrations have changed.
+    /// Counts the pool's workers anew, if any has registered, left or answered for the first time. A registration
+    /// that no worker stands behind counts only while no worker has answered.
     pub(crate) fn count_own_capacities(&mut self) {
-        if !std::mem::take(&mut self.registrations_changed) {
+        if !std::mem::take(&mut self.capacities_changed) {
             return;
         }
+        let described = self.workers.values();
+        let described = described.filter(|worker| worker.registration.is_some());
+        let has_answered = |worker: &Worker| worker.status_at.is_some();
+        let any_answered = described.clone().any(has_answered);
+        let counted = described.filter(|worker| !any_answered || has_answered(worker));
         let mut own = Inventory::default();
-        for info in self
-            .workers
-            .values()
-            .filter_map(|worker| worker.registration.as_ref())
-        {
+        for info in counted.filter_map(|worker| worker.registration.as_ref()) {
             own.add(info.capacity, &info.labels);
         }
         self.capability.own = own;
--- a/crates/cell/tests/all/unplaceable.rs
+++ b/crates/cell/tests/all/unplaceable.rs
@@ -23,6 +23,8 @@
     /// Guards against a forecast by the work of jobs that never run.
     batch_job_that_fits_nowhere_is_no_inflow => adds_no_need(
         &Step { lasting: false, estimate_ms: u64::MAX >> 2, ..larger_than_any_instance() }, 1);
+    /// Guards against a registration without a worker that states a capacity for any task.
+    capacity_that_no_worker_stands_behind_makes_nothing_placeable => stated_capacity();
     /// Guards against tasks that never get the only kind of instance that holds them.
     task_that_the_largest_instance_holds_counts => adds_need_for_largest();
     /// Guards against a job that waits on after an instance that holds it has joined.
@@ -93,6 +95,19 @@
     assert_eq!(fixture.cell.unplaceable_steps(), 3);
 }
 
+fn stated_capacity() {
+    let mut fixture = fixture(CAPACITY);
+    fixture.cell.register(primroseroute_platform::site::Worker {
+        capacity: CAPACITY.times(u64::MAX),
+        ..worker("without-a-worker")
+    });
+    fixture.accept(job(vec![larger_than_any_instance()]));
+    let output = next_round(&mut fixture);
+    assert_eq!(fixture.cell.unplaceable_steps(), 1);
+    assert_eq!(output.scaling.now, 1);
+    assert_eq!(fixture.cell.largest_host(), Some(CAPACITY));
+}
+
 /// Only one of the fleet's instances can run one of the hundred tasks at a time.
 fn adds_need_for_largest() {
     let largest = CAPACITY.times(3);
--- a/crates/owner/src/pool_loop/admission.rs
+++ b/crates/owner/src/pool_loop/admission.rs
@@ -1,10 +1,10 @@
 //! The part of the loop on what it publishes for the admission of jobs.
 
-use super::PoolLoop;
+use super::{PoolLoop, RegisteredWorkers};
 use crate::log_digest::first_names;
 use log::info;
 use primroseroute_admission::{PoolLoad, Publisher};
-use primroseroute_cell::{Millis, row::Accepted};
+use primroseroute_cell::{Cell, Millis, row::Accepted};
 use primroseroute_domain::work::{Demand, JobId, Name};
 use primroseroute_platform::site::Account;
 use std::{collections::BTreeMap, time::Duration};
@@ -43,10 +43,7 @@
         if !admission.observed_at.is_some_and(is_early) {
             admission.observed_at = Some(now);
             let mut backlog = self.cell.backlog(clock.wall_ms());
-            let workers = self.registered_list.iter().flat_map(|list| list.values());
-            backlog.largest_worker = workers.fold(Demand::default(), |largest, worker| {
-                largest.larger(worker.capacity)
-            });
+            backlog.largest_worker = largest_worker(&self.cell, self.registered_list.as_ref());
             let entitlement = |account: &Account| (Name::clone(&account.name), account.weight);
             let entitlements = accounts.iter().map(entitlement).collect();
             admission.publisher.observe(&backlog, &entitlements, now);
@@ -118,6 +115,17 @@
     }
 }
 
+/// The largest capacity of an instance of the fleet. If the platform doesn't tell them, that of a
+/// registered worker of any pool, which a registration without a worker may overstate.
+fn largest_worker(cell: &Cell, registered: Option<&RegisteredWorkers>) -> Demand {
+    cell.largest_host().unwrap_or_else(|| {
+        let workers = registered.into_iter().flat_map(|list| list.values());
+        workers.fold(Demand::default(), |largest, worker| {
+            largest.larger(worker.capacity)
+        })
+    })
+}
+
 /// One line when a pool begins to limit submissions, and one when it ends.
 fn log_change(pool: &str, load: &PoolLoad) {
     let PoolLoad {
