--- a/crates/platform/src/worker.rs
+++ b/crates/platform/src/worker.rs
@@ -89,8 +89,8 @@
     pub running: Vec<Running>,
     /// Ended runs that are not yet acknowledged, oldest first.
     pub ended: Vec<Ended>,
-    /// Numbers of the ended runs among them that aren't of tasks of this system. They aren't in `ended`, and are to be
-    /// acknowledged as well: the worker doesn't delay its response while any isn't.
+    /// Numbers of further ended runs, which aren't of tasks of this system. They are to be acknowledged
+    /// as well: a worker doesn't delay its response while an end isn't.
     pub foreign_ends: Vec<u64>,
 }
 
