Tests: counts where two queues exchange their pools, and a check that can fail

A job that is accepted with the older configuration after the move was tried and isn't tested: the stand-in delivers configurations to every entry before it can accept one.

--- a/tests/site/reassigned.rs
+++ b/tests/site/reassigned.rs
@@ -8,7 +8,10 @@
 };
 use eyre::{Result, ensure};
 use primroseroute_cell::row;
-use primroseroute_platform::rows::{Range, Rows};
+use primroseroute_platform::{
+    rows::{Range, Row, Rows},
+    site::Queue,
+};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -17,6 +20,8 @@
     jobs_of_the_former_pool_are_counted => moved();
     /// The same where a queue moves twice, and where it moves back.
     jobs_are_counted_after_several_moves => moved_several_times();
+    /// The same where two queues exchange their pools.
+    jobs_are_counted_after_an_exchange => exchanged();
     /// The same where the queue was removed and came back for another pool.
     jobs_are_counted_after_a_removal => removed();
     /// The same at an entry that has never seen the former configuration.
@@ -72,6 +77,35 @@
     Ok(())
 }
 
+async fn exchanged() -> Result<()> {
+    let mut fixture = Fixture::open(616, 2, 1).await?;
+    let with_both = |number, pool: &str, other: &str| {
+        let mut both = configuration(number, pool);
+        both.queues.push(Queue {
+            name: "rests".into(),
+            path: "/rest/".into(),
+            pool: other.into(),
+            ..both.queues[0].clone()
+        });
+        both
+    };
+    fixture.publish(with_both(2, POOL, OTHER));
+    sleep_secs(1).await;
+    let queues = ["/stay/", "/rest/"];
+    for queue in queues {
+        fixture.queue = queue;
+        fill(&mut fixture, "60000").await?;
+    }
+    fixture.publish(with_both(3, OTHER, POOL));
+    for _turn in 0..8 {
+        for queue in queues {
+            fixture.queue = queue;
+            stays(&fixture, WAITING, 1).await?;
+        }
+    }
+    Ok(())
+}
+
 async fn removed() -> Result<()> {
     let mut fixture = Fixture::open(613, 2, 1).await?;
     fill(&mut fixture, "90000").await?;
@@ -94,12 +128,8 @@
     stays(&fixture, WAITING, 5).await
 }
 
-async fn deleted() -> Result<()> {
-    let mut fixture = Fixture::open(615, 2, 1).await?;
-    fill(&mut fixture, "4000").await?;
-    fixture.publish(configuration(2, OTHER));
-    sleep_secs(30).await;
-    stays(&fixture, 0, 2).await?;
+/// The rows that name [`POOL`] as a former pool of queues of [`OTHER`].
+async fn former_pools(fixture: &Fixture) -> Result<Vec<Row>> {
     let place = row::former_pool(OTHER, POOL);
     let caller = fixture.world.caller("test");
     let page = caller.read(Range {
@@ -108,6 +138,17 @@
         from: Some(place.key),
         to: Some(row::COMMIT_RECORD_END.into()),
     });
-    ensure!(page.await?.rows.is_empty());
+    Ok(page.await?.rows)
+}
+
+async fn deleted() -> Result<()> {
+    let mut fixture = Fixture::open(615, 2, 1).await?;
+    fill(&mut fixture, "4000").await?;
+    fixture.publish(configuration(2, OTHER));
+    sleep_secs(2).await;
+    ensure!(!former_pools(&fixture).await?.is_empty());
+    sleep_secs(28).await;
+    stays(&fixture, 0, 2).await?;
+    ensure!(former_pools(&fixture).await?.is_empty());
     fixture.check_invariants()
 }
