Cell: one rule for which registrations count

Found when the whole change was read again: the need, the shares of accounts and wide tasks go by workers that have answered, and so does the set of steps that no instance can run; the rule stood twice, in two forms. The second took status_at, which is cleared when a start can't be sent: such a worker counted as one that had never answered, and a step that only it holds could be set aside until its next answer.

Change: Worker::has_answered and one function for the credible registrations, which both use.

Other behaviour is as before.

--- a/crates/cell/src/roster.rs
+++ b/crates/cell/src/roster.rs
@@ -10,6 +10,17 @@
 use primroseroute_platform::{site, worker::Target};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// The registrations of workers; where any of them has answered a poll, of those that have. What a
+/// registration states that no worker stands behind counts for nothing.
+pub(crate) fn credible<'a>(
+    workers: impl Iterator<Item = &'a Worker> + Clone,
+) -> impl Iterator<Item = &'a site::Worker> {
+    let described = workers.filter(|worker| worker.registration.is_some());
+    let any_answered = described.clone().any(Worker::has_answered);
+    let counted = described.filter(move |worker| !any_answered || worker.has_answered());
+    counted.filter_map(|worker| worker.registration.as_ref())
+}
+
 impl Cell {
     /// Records a worker's registration.
     pub fn register(&mut self, info: site::Worker) {
@@ -95,16 +106,11 @@
         worker.or_insert_with(|| Worker::new(lease_expires_at, now))
     }
 
-    /// Capacities of the registered workers; where any has answered a poll, of those. What a
-    /// registration states that no worker stands behind counts for nothing.
+    /// Capacities of the registered workers that are described, as far as they are credible.
     pub(crate) fn capacities(&self) -> impl Iterator<Item = Demand> {
         let registered = self.workers.values();
         let registered = registered.filter(|worker| worker.registered && worker.is_described());
-        let has_answered = |worker: &Worker| worker.status_as_of.is_some();
-        let any_answered = registered.clone().any(has_answered);
-        let counted = registered.filter(move |worker| !any_answered || has_answered(worker));
-        let registrations = counted.filter_map(|worker| worker.registration.as_ref());
-        registrations.map(|info| info.capacity)
+        credible(registered).map(|info| info.capacity)
     }
 
     /// Requests a stop of all batch tasks on a worker.
--- a/crates/cell/src/status.rs
+++ b/crates/cell/src/status.rs
@@ -30,11 +30,11 @@
     let Some(worker) = cell.workers.get_mut(id) else {
         return;
     };
-    let is_first = worker.status_at.replace(now).is_none();
+    cell.capacities_changed |= !worker.has_answered();
+    worker.status_at = Some(now);
     let status_as_of = status_as_of(cell.limits, sent_at, now);
     worker.status_as_of = worker.status_as_of.max(Some(status_as_of));
     worker.throttle_checked = false;
-    cell.capacities_changed |= is_first;
     let is_current = status_as_of == now;
     let held_at = worker.speed.held_at(sent_at, now, status.clock_ms);
     worker.speed.begin_list();
--- a/crates/cell/src/unplaceable.rs
+++ b/crates/cell/src/unplaceable.rs
@@ -8,7 +8,7 @@
     inventory::{Capability, Fleet, Inventory},
     job::Job,
     order::UnplaceableStep,
-    worker::Worker,
+    roster::credible,
 };
 use primroseroute_domain::work::{Demand, JobId, Step};
 use std::collections::BTreeSet;
@@ -33,19 +33,13 @@
         self.unplaceable.len()
     }
 
-    /// Counts the pool's workers anew, if any has registered, left or answered for the first time. A registration
-    /// that no worker stands behind counts only while no worker has answered.
+    /// Counts the pool's workers anew, if any has registered, left or answered for the first time.
     pub(crate) fn count_own_capacities(&mut self) {
         if !std::mem::take(&mut self.capacities_changed) {
             return;
         }
-        let described = self.workers.values();
-        let described = described.filter(|worker| worker.registration.is_some());
-        let has_answered = |worker: &Worker| worker.status_at.is_some();
-        let any_answered = described.clone().any(has_answered);
-        let counted = described.filter(|worker| !any_answered || has_answered(worker));
         let mut own = Inventory::default();
-        for info in counted.filter_map(|worker| worker.registration.as_ref()) {
+        for info in credible(self.workers.values()) {
             own.add(info.capacity, &info.labels);
         }
         self.capability.own = own;
--- a/crates/cell/src/worker.rs
+++ b/crates/cell/src/worker.rs
@@ -279,6 +279,11 @@
         self.termination > Termination::NotKnown
     }
 
+    /// Whether this incarnation has answered a poll.
+    pub(crate) fn has_answered(&self) -> bool {
+        self.status_as_of.is_some()
+    }
+
     /// Whether its newest status is recent.
     pub(crate) fn is_responsive(&self, now: Millis, limits: &Limits) -> bool {
         let is_recent = self.status_at.is_some_and(|at| now < at + limits.fresh_for);
--- a/crates/cell/tests/all/unplaceable.rs
+++ b/crates/cell/tests/all/unplaceable.rs
@@ -2,10 +2,11 @@
 
 use crate::{
     cases,
-    fixture::{CAPACITY, Fixture, job, step, worker},
+    fixture::{CAPACITY, Fixture, job, step, task, worker},
 };
-use primroseroute_cell::{Fleet, Inventory, RoundOutput};
+use primroseroute_cell::{Fleet, Inventory, Outcome, RoundOutput};
 use primroseroute_domain::work::{Demand, Step};
+use primroseroute_platform::site::Worker;
 use std::sync::Arc;
 
 cases! {
@@ -29,6 +30,8 @@
     task_that_the_largest_instance_holds_counts => adds_need_for_largest();
     /// Guards against a job that waits on after an instance that holds it has joined.
     step_is_placed_once_an_instance_can_run_it => placed_later();
+    /// Guards against a step that is set aside because a start couldn't be sent to the only worker that holds it.
+    worker_that_a_start_did_not_reach_counts => unsent_start();
     /// Guards against submissions that are rejected because of work that never runs.
     blocked_work_keeps_no_job_waiting => no_backlog();
     step_is_reported_once => reported_once();
@@ -97,7 +100,7 @@
 
 fn stated_capacity() {
     let mut fixture = fixture(CAPACITY);
-    fixture.cell.register(primroseroute_platform::site::Worker {
+    fixture.cell.register(Worker {
         capacity: CAPACITY.times(u64::MAX),
         ..worker("without-a-worker")
     });
@@ -127,7 +130,7 @@
         ..with_demand(large.memory)
     }]));
     assert_eq!(next_round(&mut fixture).orders, []);
-    fixture.cell.register(primroseroute_platform::site::Worker {
+    fixture.cell.register(Worker {
         capacity: large,
         ..worker("w-3")
     });
@@ -137,6 +140,29 @@
     assert_eq!(output.placeable_again, [(id, 0)]);
 }
 
+fn unsent_start() {
+    let mut fixture = fixture(CAPACITY);
+    let large = Worker {
+        capacity: CAPACITY.times(2),
+        ..worker("w-3")
+    };
+    let needed = Step {
+        count: 1,
+        ..with_demand(large.capacity.memory)
+    };
+    let id = fixture.accept(job(vec![needed]));
+    fixture.cell.register(large);
+    fixture.running.insert("w-3".into(), [].into());
+    assert_eq!(next_round(&mut fixture).orders.len(), 1);
+    let now = fixture.now;
+    fixture
+        .cell
+        .record_start_outcome(&"w-3".into(), &task(&id, 0, 0), 1, Outcome::Unsent, now);
+    fixture.cell.register(worker("w-4"));
+    fixture.round();
+    assert_eq!(fixture.cell.unplaceable_steps(), 0);
+}
+
 fn no_backlog() {
     let mut fixture = fixture(CAPACITY);
     let blocked = Step {
