Stand-in: both ways to cut off a worker share their code

They differed in the field that they set. No behaviour changes; worker:: and termination:: of tests/site (14) and the 55 tests of the stand-in pass.

--- a/crates/standin/src/site/mod.rs
+++ b/crates/standin/src/site/mod.rs
@@ -293,26 +293,24 @@
     /// Partitions a worker from all entries, or heals the partition. The worker continues to run; its registration is
     /// removed, and restored when the partition heals.
     pub fn set_partitioned(&self, worker: &Name, is_partitioned: bool) {
-        self.shared.change(|state, _now| {
-            if let Some(known) = state.workers.get_mut(worker) {
-                known.partitioned = is_partitioned;
-            }
-            if is_partitioned {
-                state.unregister(worker);
-            } else {
-                state.register(worker);
-            }
+        self.cut_off(worker, is_partitioned, |known| {
+            known.partitioned = is_partitioned;
         });
     }
 
     /// Cuts a worker off in one direction, or heals that: calls arrive, its responses and heartbeats get lost. Its
     /// registration is removed, and restored when the cut heals.
     pub fn set_responses_lost(&self, worker: &Name, are_lost: bool) {
+        self.cut_off(worker, are_lost, |known| known.responses_lost = are_lost);
+    }
+
+    /// Applies `set` to a worker, and removes or restores its registration.
+    fn cut_off(&self, worker: &Name, is_cut: bool, set: impl FnOnce(&mut worker::Worker)) {
         self.shared.change(|state, _now| {
             if let Some(known) = state.workers.get_mut(worker) {
-                known.responses_lost = are_lost;
+                set(known);
             }
-            if are_lost {
+            if is_cut {
                 state.unregister(worker);
             } else {
                 state.register(worker);
