--- a/crates/testbed/src/process.rs
+++ b/crates/testbed/src/process.rs
@@ -7,7 +7,8 @@
     fs,
     io::{BufRead, BufReader, Read},
     net::SocketAddr,
-    process::{Child, Command, ExitStatus},
+    path::Path,
+    process::{Child, Command, ExitStatus, Stdio},
     thread,
     time::Duration,
 };
@@ -107,6 +108,33 @@
     }
 }
 
+/// What an entry of the request path logs as it starts: the addresses that it listens on.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Started {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+/// Starts an entry of the request path, and waits until it listens.
+///
+/// # Errors
+/// If it can't be started or doesn't listen `within` this time.
+pub async fn serve(program: &str, settings: &Path, within: Duration) -> Result<(Process, Started)> {
+    let mut command = Command::new(program);
+    command
+        .args(["serve", "--settings"])
+        .arg(settings)
+        .env("TEST_PEER_KEY", "a key that all entries of the test share")
+        .stderr(Stdio::piped());
+    let mut process = Process::spawn(&mut command)?;
+    let output = process.child().stderr.take();
+    let output = output.wrap_err("stderr isn't piped")?;
+    let started = logged_fields(output, "serves callers on", within).await?;
+    Ok((process, started))
+}
+
 /// A log line, as far as it is read.
 #[derive(Deserialize)]
 struct Line<T> {
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -1,20 +1,19 @@
 //! Entries as separate processes connected over TCP: stopped, killed and suspended.
 
 use crate::TIMEOUT;
-use eyre::{OptionExt, Result, ensure};
+use eyre::{Result, ensure};
 use http::Method;
 use primroseroute_api::{Apply, Order};
 use primroseroute_platform::fleet::{Listed, Phase};
 use primroseroute_testbed::{
     Admin, Caller, OPERATOR_TOKEN, Said, backend, caller_token, platform,
-    process::{Process, logged_fields},
+    process::{self, Process},
     template, token_hash,
 };
 use rustix::process::Signal;
-use serde::Deserialize;
 use std::{
     net::{Ipv4Addr, SocketAddr},
-    process::{Command, ExitStatus, Stdio},
+    process::ExitStatus,
     time::Duration,
 };
 use tokio::time::{Instant, sleep};
@@ -35,13 +34,6 @@
     suspended_process_applies_a_newer_view_on_resume => suspended();
 }
 
-/// What an entry logs as it starts.
-#[derive(Deserialize)]
-struct Started {
-    callers: SocketAddr,
-    admin: SocketAddr,
-}
-
 /// An entry as a process.
 struct Entry {
     process: Process,
@@ -55,16 +47,8 @@
         let folder = tempfile::tempdir()?;
         let file = folder.path().join("settings.yaml");
         std::fs::write(&file, settings(name, platform))?;
-        let mut command = Command::new(env!("CARGO_BIN_EXE_primroseroute"));
-        command
-            .args(["serve", "--settings"])
-            .arg(&file)
-            .env("TEST_PEER_KEY", "a key that all entries of the test share")
-            .stderr(Stdio::piped());
-        let mut process = Process::spawn(&mut command)?;
-        let output = process.child().stderr.take();
-        let output = output.ok_or_eyre("stderr isn't piped")?;
-        let started: Started = logged_fields(output, "serves callers on", TIMEOUT).await?;
+        let program = env!("CARGO_BIN_EXE_primroseroute");
+        let (process, started) = process::serve(program, &file, TIMEOUT).await?;
         Ok(Self {
             process,
             callers: started.callers,
--- a/tests/crowd/requests.rs
+++ b/tests/crowd/requests.rs
@@ -4,21 +4,19 @@
     cases,
     client::{self, Crowd},
 };
-use eyre::{OptionExt, Result, ensure};
+use eyre::{Result, ensure};
 use http::Method;
 use primroseroute_api::Apply;
 use primroseroute_domain::id;
 use primroseroute_platform::fleet::{Listed, Phase};
 use primroseroute_testbed::{
     Admin, Caller, OPERATOR_TOKEN, Said, backend, caller_token, platform,
-    process::{Process, logged_fields},
+    process::{self, Process},
     server::Server,
     template, token_hash,
 };
-use serde::Deserialize;
 use std::{
     net::{Ipv4Addr, SocketAddr},
-    process::{Command, Stdio},
     time::Duration,
 };
 use tempfile::TempDir;
@@ -48,13 +46,6 @@
     operators_requests => operators();
 }
 
-/// What an entry logs as it starts.
-#[derive(Deserialize)]
-struct Started {
-    callers: SocketAddr,
-    admin: SocketAddr,
-}
-
 /// An entry of the request path with one worker.
 struct Entry {
     callers: SocketAddr,
@@ -96,16 +87,8 @@
                  secrets:\n  operators: [{{name: test, hash: {operator}}}]\n  peer-key: {{env: TEST_PEER_KEY}}\n"
             ),
         )?;
-        let mut command = Command::new(env!("CARGO_BIN_EXE_primroseroute"));
-        command
-            .args(["serve", "--settings"])
-            .arg(&file)
-            .env("TEST_PEER_KEY", "a key that all entries of the test share")
-            .stderr(Stdio::piped());
-        let mut process = Process::spawn(&mut command)?;
-        let output = process.child().stderr.take();
-        let output = output.ok_or_eyre("stderr isn't piped")?;
-        let started: Started = logged_fields(output, "serves callers on", TIMEOUT).await?;
+        let program = env!("CARGO_BIN_EXE_primroseroute");
+        let (process, started) = process::serve(program, &file, TIMEOUT).await?;
         let entry = Self {
             callers: started.callers,
             admin: started.admin,
